--- /dev/null
+++ b/src/main/java/pinewick/CoarseTimes.java
@@ -0,0 +1,54 @@
+package pinewick;
+
+/** Times counted in a few coarse bins, each wider than the one below by the same factor; halved when full. */
+final class CoarseTimes {
+    private final double[] edges;
+    private final double[] counts;
+    private final double full;
+    private double total;
+
+    /** {@code longest} is the upper edge of the last bin. */
+    CoarseTimes(double longest, double factor, int bins, double full) {
+        edges = new double[bins];
+        counts = new double[bins];
+        this.full = full;
+        double edge = longest;
+        for (int bin = bins - 1; bin >= 0; bin--) {
+            edges[bin] = edge;
+            edge /= factor;
+        }
+    }
+
+    void add(double time) {
+        int bin = 0;
+        while (bin < edges.length - 1 && time > edges[bin]) {
+            bin++;
+        }
+        counts[bin]++;
+        total++;
+        if (total >= full) {
+            total = 0;
+            for (int each = 0; each < counts.length; each++) {
+                counts[each] /= 2;
+                total += counts[each];
+            }
+        }
+    }
+
+    double total() {
+        return total;
+    }
+
+    /** The time below which this share of the times lies, interpolated within its bin. */
+    double quantile(double share) {
+        double left = share * total;
+        for (int bin = 0; bin < edges.length; bin++) {
+            if (counts[bin] > 0 && left <= counts[bin]) {
+                double low = bin == 0 ? 0 : edges[bin - 1];
+                return low + (edges[bin] - low) * left / counts[bin];
+            }
+            left -= counts[bin];
+        }
+        return edges[edges.length - 1];
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/Host.java
@@ -0,0 +1,86 @@
+package pinewick;
+
+import java.util.List;
+
+/**
+ * What the decisions in {@link Logic} call, and the plain data they are handed. A front (today
+ * {@code benchlink}) implements it once for each mixer. Times are seconds; ids stay as they came.
+ */
+public interface Host {
+    /** The clock of the events now being handled. */
+    double now();
+
+    /** Sends a part to a searcher; {@code maxWait} is this launch's time-out. */
+    void launch(String part, String searcher, double maxWait);
+
+    /** Final answer from the parts that are in (or the end of the first of two steps). */
+    void assemble(String query, boolean whole);
+
+    /** Final answer: turned away, and trying again is harmless; {@code retryAfter} 0 gives no advice. */
+    void decline(String query, double retryAfter);
+
+    /** Final answer: given up, with no promise about effects. */
+    void giveUp(String query);
+
+    /** Stops waiting for one launch. */
+    void cancel(String part, int launch);
+
+    void probe(String searcher);
+
+    /** Asks for {@link Logic#ring} after so many seconds. */
+    void timer(double in, long name);
+
+    /** Subscribes to changes of the list of searchers, or ends that. */
+    void track(boolean on);
+
+    /** Adds a line to the operators' report. */
+    void log(String text);
+
+    /** How a launch or a probe ended. */
+    enum Ending {
+        FULFILLED, ERROR, REJECTED, TIMED_OUT, NOT_CONNECTED, DROPPED, CANCELLED, MOOT;
+
+        /** Whether this ending proves that the part never ran. */
+        public boolean neverRan() {
+            return this == REJECTED || this == NOT_CONNECTED || this == MOOT;
+        }
+    }
+
+    /** What a repeat of a grade's parts does. */
+    enum Repeat { IDEMPOTENT, DEDUPLICATED, UNREPEATABLE }
+
+    enum Stage { GONE, READY, DRAINING }
+
+    /** How a piece of the list relates to the list in hand. */
+    enum ListForm { CHANGES, WHOLE, CACHED, FAILED }
+
+    /** One line of the list of searchers; {@code startedAt} 0 means long ago. */
+    record Listing(String searcher, int cell, String zone, double size, Stage stage, double startedAt) {
+    }
+
+    /** A searcher's load report; a value that it does not carry is NaN. */
+    record LoadReport(double pending, double inFlight, double busyShare) {
+    }
+
+    /** A service grade as the deployment states it. */
+    record GradeTerms(String name, double latencyGoal, double goalStretch, double hardStop, double value,
+                      double lateValue, Repeat repeat, double repeatWindow, boolean streamed, double leastShare,
+                      double wholeFrom, double partValue, int secondStep) {
+    }
+
+    /** A tenant's part of the service, in queries a second over all mixers. */
+    record TenantTerms(String name, double quota) {
+    }
+
+    /** The rules' figures; an absent budget has an infinite {@code freeLaunches}. */
+    record RuleTerms(double drainGrace, double coldFrom, double coldTime, double overloadFactor, double fallTime,
+                     double freeLaunches, double launchShare, double launchWindow, double askWithin) {
+    }
+
+    /** What a deployment hands a mixer at its start. */
+    record Deployment(int mixers, int self, String zone, double tick, List<GradeTerms> grades,
+                      List<TenantTerms> tenants, double overShareValue, RuleTerms rules, boolean mustAsk,
+                      boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise,
+                      double longestAdvice, int mostLaunches, int cells, int reach, int callSize, double callWork) {
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/Launch.java
@@ -0,0 +1,16 @@
+package pinewick;
+
+/** One launch of a part: where it went, when, and what became of it. */
+final class Launch<S> {
+    final S searcher;
+    final double sentAt;
+    boolean over;
+    boolean neverRan;
+    boolean cancelled;
+    boolean streaming;
+
+    Launch(S searcher, double sentAt) {
+        this.searcher = searcher;
+        this.sentAt = sentAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/Logic.java
@@ -0,0 +1,744 @@
+package pinewick;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of one mixer. A front builds one Logic for each mixer, tells it the list of searchers
+ * ({@link #list}), hands it queries ({@link #take}, which returns the handle on which all later news of the
+ * query is a call), ends each batch with {@link #endOfBatch} and passes on {@link #ring} and {@link #probed}.
+ * What Logic asks for goes out through {@link Host}, the interface it calls; the plain data is there too.
+ * Start reading at {@link #start}, the ordinary path of a query; then {@link #sweep}, which looks after what
+ * is out. docs/design.md tells what follows the source and when each exception acts.
+ */
+public final class Logic {
+    // Shares of the latency goal of the grade at hand (or of the shortest goal), so that they fit any deployment.
+    private static final double FIRST_GUESS = 0.1;      // R and s before anything was measured (design)
+    private static final double ANSWER_TARGET = 0.35;   // a searcher's answers should take no longer than this
+    private static final double FRESH = 0.5;            // a report or an R older than this begins to fade
+    private static final double REST = 0.25;            // first rest after a failure, doubled up to REST_MOST
+    private static final double REST_MOST = 2;
+    private static final double PATIENCE_LEAST = 0.125; // a launch is never overdue before this
+    private static final double PATIENCE_MOST = 0.5;
+    private static final double OVERLOAD_WAIT = 0.1;    // oldest held wait that tells overload
+    private static final double SWEEP = 0.01;
+    // Plain numbers.
+    private static final double NEWEST_WEIGHT = 0.3;    // of an answer in R (design)
+    private static final double PATIENCE_FACTOR = 1.5;  // times the 95th percentile of answer times
+    private static final double ROOM_FIRST = 4;         // parts out at one searcher before any answer told more
+    private static final double ROOM_CUT = 0.8;
+    private static final double COLD_MARGIN = 0.8;      // share of the cold budget used
+    private static final double COPY_SHARE = 0.1;       // own limit of copies where no budget is stated
+    private static final double COPY_FREE = 5;
+
+    private final Host host;
+    private final Host.Deployment given;
+    private final SplittableRandom chance;
+    private final double goal;
+    private final List<GradeRow> grades = new ArrayList<>();
+    private final Map<String, Searcher> searchers = new LinkedHashMap<>();
+    private final List<List<Searcher>> cells = new ArrayList<>();
+    private final LinkedHashSet<Query> live = new LinkedHashSet<>();
+    private final ArrayList<Query> held = new ArrayList<>();
+    private final ArrayDeque<Double> takes = new ArrayDeque<>();
+    private final ArrayDeque<Double> furtherLaunches = new ArrayDeque<>();
+    private double askAt = Double.POSITIVE_INFINITY;
+    private int failedAsks;
+
+    public Logic(Host host, Host.Deployment given, SplittableRandom chance) {
+        this.host = host;
+        this.given = given;
+        this.chance = chance;
+        double shortest = Double.POSITIVE_INFINITY;
+        for (Host.GradeTerms terms : given.grades()) {
+            grades.add(new GradeRow(terms));
+            shortest = Math.min(shortest, terms.latencyGoal());
+        }
+        goal = shortest;
+        for (int cell = 0; cell < given.cells(); cell++) {
+            cells.add(new ArrayList<>());
+        }
+        if (given.mustAsk()) {
+            host.track(true);
+        }
+        host.timer(SWEEP * goal, 0);
+    }
+
+    // ---- the list of searchers ----
+
+    /** News of the list. Draining and gone searchers get nothing new from this call on (rule 3). */
+    public void list(Host.ListForm form, List<Host.Listing> entries) {
+        if (form == Host.ListForm.FAILED) {
+            // Danger: the list's service falls over when all mixers ask again at once, so waits spread and grow;
+            // they stay well inside the time after which this mixer would count as told of what it never heard.
+            double wait = Math.min(REST * goal * (1 << Math.min(failedAsks++, 5)), given.rules().askWithin() / 4);
+            askAt = host.now() + wait * (0.5 + chance.nextDouble());
+            return;
+        }
+        if (form != Host.ListForm.CACHED) {
+            failedAsks = 0;
+            askAt = Double.POSITIVE_INFINITY;
+        }
+        if (form != Host.ListForm.CHANGES) {
+            searchers.values().forEach(each -> each.stage = Host.Stage.GONE);
+        }
+        for (Host.Listing entry : entries) {
+            Searcher known = searchers.computeIfAbsent(entry.searcher(), Searcher::new);
+            if (entry.startedAt() > known.startedAt) {
+                known.restarted(entry.startedAt());
+            }
+            known.stage = entry.stage();
+            known.cell = Math.floorMod(entry.cell(), given.cells());
+            known.near = entry.zone().equals(given.zone());
+        }
+        cells.forEach(List::clear);
+        for (Searcher each : searchers.values()) {
+            if (each.stage == Host.Stage.READY) {
+                cells.get(each.cell).add(each);
+            }
+        }
+    }
+
+    private List<Searcher> holders(int shard) {
+        List<Searcher> all = new ArrayList<>();
+        for (int step = 0; step < given.reach(); step++) {
+            all.addAll(cells.get(Math.floorMod(shard + step, given.cells())));
+        }
+        return all;
+    }
+
+    // ---- queries ----
+
+    /** Takes a query of so many parts; it starts once all of them have been handed in. */
+    public Query take(String id, int grade, double ttl, int parts, String tenant, double workHint) {
+        Query query = new Query(id, grades.get(grade), ttl, parts, workHint);
+        takes.addLast(host.now());
+        live.add(query);
+        return query;
+    }
+
+    public void endOfBatch() {
+        pump();
+    }
+
+    public void ring(long name) {
+        sweep();
+        host.timer(SWEEP * goal, 0);
+    }
+
+    /**
+     * The ordinary path of a query: group its parts by their holders, give each group to the holder with the
+     * lowest score, and launch all of them together; if one group finds no room, the query is held whole, so
+     * that no work is spent on a query that may yet be declined.
+     */
+    private boolean start(Query query) {
+        Map<Integer, List<Part>> groups = new LinkedHashMap<>();
+        for (Part part : query.parts) {
+            if (part.launches.isEmpty() && !part.done) {
+                // Parts with the same holders share a call where a call costs work of its own: scored one by
+                // one, this mixer's own first part would drive the second to the other holder and pay twice.
+                boolean share = given.callSize() > 1 && given.callWork() > 0;
+                int key = share ? Math.floorMod(part.shard, given.cells()) : -1 - part.shard;
+                groups.computeIfAbsent(key, any -> new ArrayList<>()).add(part);
+            }
+        }
+        Map<List<Part>, Searcher> plan = new LinkedHashMap<>();
+        for (List<Part> group : groups.values()) {
+            Searcher best = choose(group.get(0), group.size());
+            if (best == null) {
+                break;
+            }
+            best.planned += group.size();
+            plan.put(group, best);
+        }
+        plan.values().forEach(each -> each.planned = 0);
+        if (plan.size() < groups.size()) {
+            return false;
+        }
+        plan.forEach((group, searcher) -> group.forEach(part -> launch(part, searcher)));
+        return true;
+    }
+
+    /** The lowest score among the holders fit to take so many parts now; null if there is none. */
+    private Searcher choose(Part part, int count) {
+        List<Searcher> holders = holders(part.shard);
+        double meanR = 0;
+        double meanS = 0;
+        double meanQueue = 0;
+        int heard = 0;
+        for (Searcher each : holders) {
+            if (each.heard) {
+                heard++;
+                meanR += each.r;
+                meanS += each.s();
+                meanQueue += each.queue;
+            }
+        }
+        meanR = heard > 0 ? meanR / heard : FIRST_GUESS * part.query.grade.terms.latencyGoal();
+        meanS = heard > 0 ? meanS / heard : FIRST_GUESS * part.query.grade.terms.latencyGoal();
+        meanQueue = heard > 0 ? meanQueue / heard : 0;
+        Searcher best = null;
+        double lowest = Double.POSITIVE_INFINITY;
+        boolean anySound = holders.stream().anyMatch(Searcher::sound);
+        for (Searcher each : holders) {
+            boolean sound = each.sound();
+            if (sound != anySound || part.triedAt(each) || !each.hasColdBudget(part.query.grade, count)
+                || (sound ? !each.hasRoom(count) : each.out.size() + each.planned > 0)) {
+                continue;
+            }
+            double score = each.score(meanR, meanS, meanQueue);
+            // An unsound holder is the last resort: a shard whose holders all look ill still gets one part at a
+            // time, since the look may be wrong. Harm: that part may wait for nothing.
+            if (best == null || score < lowest) {
+                best = each;
+                lowest = score;
+            }
+        }
+        return best;
+    }
+
+    private void launch(Part part, Searcher searcher) {
+        Query query = part.query;
+        double now = host.now();
+        if (!part.launches.isEmpty()) {
+            furtherLaunches.addLast(now);
+        }
+        Launch<Searcher> launch = new Launch<>(searcher, now);
+        part.launches.add(launch);
+        part.out++;
+        query.out++;
+        searcher.out.add(launch);
+        if (searcher.cold()) {
+            searcher.coldSpent.add(new double[] {now, query.grade.work() + given.callWork()});
+        }
+        host.launch(part.id, searcher.id, Math.max(given.tick(), query.usefulEnd() - now));
+    }
+
+    /** Starts what is held: in order of arrival, or by value for work once the oldest has waited too long. */
+    private void pump() {
+        if (held.isEmpty()) {
+            return;
+        }
+        double now = host.now();
+        List<Query> order = held;
+        if (now - held.get(0).takenAt > OVERLOAD_WAIT * goal) {
+            order = new ArrayList<>(held);
+            order.sort(Comparator.comparingDouble(query -> -query.valueForWork()));
+        }
+        for (Query query : List.copyOf(order)) {
+            if (query.ended) {
+                continue;
+            }
+            // What cannot be fulfilled in time is declined before any work is spent on it.
+            if (now + query.grade.answerTime(0.75) > Math.min(query.goalAt, query.stopAt)) {
+                query.lost();
+            } else if (start(query)) {
+                held.remove(query);
+            } else if (query.parts.stream().anyMatch(part -> holders(part.shard).isEmpty())) {
+                query.lost();
+            }
+        }
+    }
+
+    /** Looks after all that is out: final answers that are due, overdue launches, searchers at rest. */
+    private void sweep() {
+        double now = host.now();
+        if (now >= askAt) {
+            askAt = Double.POSITIVE_INFINITY;
+            host.track(true);
+        }
+        for (Query query : List.copyOf(live)) {
+            if (now >= query.usefulEnd()) {
+                query.lost();
+            } else if (now >= query.goalAt && query.mayAnswerPartly()) {
+                query.finish(false);
+            } else if (query.started()) {
+                query.parts.forEach(this::tend);
+            }
+        }
+        pump();
+        for (Searcher each : searchers.values()) {
+            if (each.failures > 0 && now >= each.restUntil && each.stage == Host.Stage.READY
+                && !each.probing && !each.cleared && given.mayProbe() && !each.cold()) {
+                each.probing = true;
+                host.probe(each.id);
+            }
+        }
+    }
+
+    /** One part of a started query: launches it again, or a second copy, where that helps and is allowed. */
+    private void tend(Part part) {
+        Query query = part.query;
+        if (part.done || query.ended) {
+            return;
+        }
+        double now = host.now();
+        if (part.out == 0) {
+            if (part.launches.size() >= given.mostLaunches() || !part.mayRepeat()) {
+                query.lost();
+                return;
+            }
+            Searcher next = mayLaunchFurther(part) ? choose(part, 1) : null;
+            if (next != null && query.usefulEnd() - now > next.expected()) {
+                launch(part, next);
+            }
+            return;
+        }
+        Launch<Searcher> latest = part.launches.get(part.launches.size() - 1);
+        if (part.out > 1 || latest.over || latest.cancelled || latest.streaming
+            || now - latest.sentAt < query.grade.patience() || part.launches.size() >= given.mostLaunches()
+            || !part.mayRepeat() || !mayLaunchFurther(part)) {
+            return;
+        }
+        Searcher next = choose(part, 1);
+        if (next == null || !next.sound() || query.usefulEnd() - now <= next.expected()) {
+            return;
+        }
+        if (given.mayOverlap()) {
+            launch(part, next);
+        } else if (given.mayCancel() && !latest.searcher.sound()) {
+            latest.cancelled = true;
+            host.cancel(part.id, part.launches.size() - 1);
+        }
+    }
+
+    /** Rule 6, one launch short of the stated budget; where none is stated, a limit of our own. */
+    private boolean mayLaunchFurther(Part part) {
+        Host.RuleTerms rules = given.rules();
+        boolean stated = rules.freeLaunches() < Double.POSITIVE_INFINITY;
+        double window = stated ? rules.launchWindow() : 2 * REST_MOST * goal;
+        double now = host.now();
+        while (!furtherLaunches.isEmpty() && furtherLaunches.peekFirst() < now - window - given.tick()) {
+            furtherLaunches.pollFirst();
+        }
+        while (!takes.isEmpty() && takes.peekFirst() < now - window + given.tick()) {
+            takes.pollFirst();
+        }
+        double most = stated ? rules.freeLaunches() + rules.launchShare() * takes.size()
+            : COPY_FREE + COPY_SHARE * takes.size();
+        return furtherLaunches.size() + 2 <= most || (!stated && part.out == 0);
+    }
+
+    public void probed(String id, Host.Ending ending, Host.LoadReport report) {
+        Searcher searcher = searchers.get(id);
+        if (searcher == null) {
+            return;
+        }
+        searcher.probing = false;
+        searcher.heardReport(report);
+        if (ending == Host.Ending.FULFILLED) {
+            searcher.cleared = true;
+        } else {
+            searcher.failed(ending);
+        }
+    }
+
+    // ---- what is known of one searcher ----
+
+    private final class Searcher {
+        final String id;
+        final LinkedHashSet<Launch<Searcher>> out = new LinkedHashSet<>();
+        final ArrayDeque<double[]> coldSpent = new ArrayDeque<>();
+        Host.Stage stage = Host.Stage.READY;
+        int cell;
+        boolean near;
+        double startedAt;
+        boolean heard;
+        double r, lowestNow = Double.POSITIVE_INFINITY, lowestBefore = Double.POSITIVE_INFINITY, lowestSince;
+        double queue, busyShare, reportAt = Double.NEGATIVE_INFINITY, answerAt = Double.NEGATIVE_INFINITY;
+        double room = ROOM_FIRST, roomCutAt = Double.NEGATIVE_INFINITY;
+        int planned, failures;
+        double restUntil;
+        boolean unreached, probing, cleared;
+
+        Searcher(String id) {
+            this.id = id;
+        }
+
+        void restarted(double at) {
+            startedAt = at;
+            heard = false;
+            failures = 0;
+            room = ROOM_FIRST;
+            queue = 0;
+            busyShare = 0;
+            lowestNow = Double.POSITIVE_INFINITY;
+            lowestBefore = Double.POSITIVE_INFINITY;
+        }
+
+        /** The design's score. Departures: R and q fade when old, and overdue silence counts in R. */
+        double score(double meanR, double meanS, double meanQueue) {
+            double now = host.now();
+            double s = heard ? s() : meanS;
+            // Danger: a replica shunned after one heavy part gets no answers, so its bad R would never mend.
+            double ownR = heard ? meanR + (r - meanR) * fade(answerAt) : meanR;
+            // Danger: a hung searcher sends nothing, and its last good figures draw new parts until time-outs
+            // come in; the oldest launch's age is a lower bound of what its answer will take.
+            ownR = Math.max(ownR, out.isEmpty() ? 0 : now - out.iterator().next().sentAt);
+            // Danger: one stale low report draws parts; once old it counts as no better than its neighbours'.
+            double q = meanQueue + (queue - meanQueue) * fade(reportAt);
+            double qHat = 1 + (out.size() + planned) * given.mixers() + q * (1 + busyShare);
+            return ownR - s + qHat * qHat * qHat * s + (near ? 0 : 1e-6);
+        }
+
+        private double fade(double since) {
+            double age = host.now() - since;
+            return age <= FRESH * goal ? 1 : Math.exp(1 - age / (FRESH * goal));
+        }
+
+        double s() {
+            double lowest = Math.min(lowestNow, lowestBefore);
+            return lowest < Double.POSITIVE_INFINITY ? lowest : FIRST_GUESS * goal;
+        }
+
+        double expected() {
+            return heard ? Math.max(r, s()) : FIRST_GUESS * goal;
+        }
+
+        /** Neither resting after failures nor overdue with all it was sent. */
+        boolean sound() {
+            double now = host.now();
+            if (failures > 0) {
+                return now >= restUntil && (cleared || !given.mayProbe() || cold()) && out.isEmpty();
+            }
+            return out.isEmpty()
+                || now - Math.max(answerAt, out.iterator().next().sentAt) <= PATIENCE_MOST * goal / 2;
+        }
+
+        boolean hasRoom(int count) {
+            return out.size() + planned == 0 || out.size() + planned + count <= room;
+        }
+
+        boolean cold() {
+            return startedAt > 0 && host.now() < startedAt + given.rules().coldTime();
+        }
+
+        /** Rule 4: this mixer's share of what a cold searcher may be sent, over the window that counts. */
+        boolean hasColdBudget(GradeRow grade, int count) {
+            if (!cold()) {
+                coldSpent.clear();
+                return true;
+            }
+            Host.RuleTerms rules = given.rules();
+            double from = Math.max(startedAt, host.now() - rules.fallTime());
+            double warmth = Math.min(1, (from - startedAt) / rules.coldTime());
+            double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * warmth;
+            while (!coldSpent.isEmpty() && coldSpent.peekFirst()[0] < host.now() - rules.fallTime()) {
+                coldSpent.pollFirst();
+            }
+            double spent = 0;
+            for (double[] each : coldSpent) {
+                spent += each[1];
+            }
+            return spent + (count + planned) * (grade.work() + given.callWork())
+                <= COLD_MARGIN * rules.overloadFactor() * capacity * rules.fallTime() / given.mixers();
+        }
+
+        void heardReport(Host.LoadReport report) {
+            if (report == null) {
+                return;
+            }
+            queue = !Double.isNaN(report.pending()) ? report.pending()
+                : !Double.isNaN(report.inFlight()) ? report.inFlight() : 0;
+            busyShare = Double.isNaN(report.busyShare()) ? 0 : report.busyShare();
+            reportAt = host.now();
+        }
+
+        void answered(double took, double target) {
+            double now = host.now();
+            if (failures > 0 && unreached && given.rules().coldTime() > 0) {
+                // Danger: a process that came back after its connections broke is cold before the list says so.
+                startedAt = Math.max(startedAt, now);
+            }
+            failures = 0;
+            unreached = false;
+            cleared = false;
+            answerAt = now;
+            if (now - lowestSince > REST_MOST * goal) {
+                lowestBefore = lowestNow;
+                lowestNow = Double.POSITIVE_INFINITY;
+                lowestSince = now;
+            }
+            lowestNow = Math.min(lowestNow, took);
+            measured(took);
+            if (took <= target) {
+                room += out.size() + 1 >= room / 2 ? 1 / room : 0;
+            } else if (now - roomCutAt > took) {
+                room = Math.max(1, room * ROOM_CUT);
+                roomCutAt = now;
+            }
+        }
+
+        void measured(double took) {
+            r = heard ? r + NEWEST_WEIGHT * (took - r) : took;
+            heard = true;
+        }
+
+        /** Any failure, whatever its cause: rest, growing while failures go on, then one trial at a time. */
+        void failed(Host.Ending ending) {
+            double now = host.now();
+            if (failures > 0 && now < restUntil) {
+                return;
+            }
+            restUntil = now + Math.min(REST_MOST, REST * (1 << Math.min(failures, 6))) * goal;
+            failures++;
+            cleared = false;
+            unreached |= ending == Host.Ending.NOT_CONNECTED || ending == Host.Ending.DROPPED;
+        }
+    }
+
+    // ---- handles ----
+
+    /** What differs by service grade. */
+    private final class GradeRow {
+        final Host.GradeTerms terms;
+        final CoarseTimes answerTimes;
+        double longestTtl;
+
+        GradeRow(Host.GradeTerms terms) {
+            this.terms = terms;
+            answerTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, 14, 200);
+        }
+
+        /** The share's quantile of answer times; the first guess until a few answers are in. */
+        double answerTime(double share) {
+            return answerTimes.total() < 8 ? FIRST_GUESS * terms.latencyGoal() : answerTimes.quantile(share);
+        }
+
+        double work() {
+            return answerTime(0.5);
+        }
+
+        double patience() {
+            double measured = PATIENCE_FACTOR * answerTime(0.95);
+            return Math.max(PATIENCE_LEAST, Math.min(PATIENCE_MOST, measured / terms.latencyGoal()))
+                * terms.latencyGoal();
+        }
+    }
+
+    private final class Part {
+        final Query query;
+        final String id;
+        final int shard;
+        final double weight;
+        final List<Launch<Searcher>> launches = new ArrayList<>();
+        int out;
+        boolean done;
+
+        Part(Query query, String id, int shard, double weight) {
+            this.query = query;
+            this.id = id;
+            this.shard = shard;
+            this.weight = weight;
+        }
+
+        boolean triedAt(Searcher searcher) {
+            for (Launch<Searcher> each : launches) {
+                if (each.searcher == searcher && !(each.over && each.neverRan)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Rule 2: whether another launch could do no harm. */
+        boolean mayRepeat() {
+            for (Launch<Searcher> each : launches) {
+                if (each.neverRan) {
+                    continue;
+                }
+                boolean inWindow = host.now() + 2 * given.tick() < each.sentAt + query.grade.terms.repeatWindow();
+                if (query.grade.terms.repeat() == Host.Repeat.UNREPEATABLE
+                    || (query.grade.terms.repeat() == Host.Repeat.DEDUPLICATED && !inWindow)) {
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+
+    /** A query's handle: all that happens to it after it was taken is a call on this. */
+    public final class Query {
+        private final String id;
+        private final GradeRow grade;
+        private final double takenAt;
+        private final double goalAt;
+        private final double stopAt;
+        private final List<Part> parts = new ArrayList<>();
+        private int awaited;
+        private int out;
+        private int step = 1;
+        private boolean ended;
+
+        private Query(String id, GradeRow grade, double ttl, int parts, double workHint) {
+            this.id = id;
+            this.grade = grade;
+            awaited = parts;
+            takenAt = host.now();
+            stopAt = takenAt + ttl - 2 * given.tick();
+            Host.GradeTerms terms = grade.terms;
+            // A later try comes with less time than first tries do; what is missing from the hard stop has passed.
+            grade.longestTtl = Math.max(grade.longestTtl, ttl);
+            double spent = ttl < grade.longestTtl - 0.02 * terms.hardStop() ? terms.hardStop() - ttl : 0;
+            goalAt = takenAt - spent + Math.min(terms.hardStop(), terms.latencyGoal() + terms.goalStretch() * workHint);
+        }
+
+        /** One of the query's parts; the last one awaited lets the query start. */
+        public void part(String part, int shard, double weight) {
+            parts.add(new Part(this, part, shard, weight));
+            takes.addLast(host.now());
+            if (--awaited == 0 && !ended) {
+                held.add(this);
+            }
+        }
+
+        /** How one launch ended; parts of an ended query still tell about their searcher. */
+        public void settled(String part, int number, Host.Ending ending, double took, Host.LoadReport report) {
+            Part mine = find(part);
+            if (mine == null || number >= mine.launches.size() || mine.launches.get(number).over) {
+                return;
+            }
+            Launch<Searcher> launch = mine.launches.get(number);
+            launch.over = true;
+            launch.neverRan = ending.neverRan();
+            mine.out--;
+            out--;
+            Searcher searcher = launch.searcher;
+            searcher.out.remove(launch);
+            searcher.heardReport(report);
+            switch (ending) {
+                case FULFILLED -> {
+                    searcher.answered(took, ANSWER_TARGET * grade.terms.latencyGoal());
+                    grade.answerTimes.add(took);
+                    if (!mine.done && !ended) {
+                        mine.done = true;
+                        answerIfWhole();
+                    }
+                }
+                case CANCELLED -> searcher.measured(Math.max(took, searcher.r));
+                case MOOT -> {
+                    // Never sent, so it says nothing of the searcher.
+                }
+                case TIMED_OUT, ERROR, REJECTED, NOT_CONNECTED, DROPPED -> {
+                    searcher.measured(Math.max(took, ending == Host.Ending.TIMED_OUT ? 0 : usefulEnd() - launch.sentAt));
+                    searcher.failed(ending);
+                }
+            }
+            if (!ended && !mine.done) {
+                tend(mine);
+            }
+        }
+
+        /** The answer of a launch has begun to stream: it now belongs to the client. */
+        public void underWay(String part, int number) {
+            Part mine = find(part);
+            if (mine != null && number < mine.launches.size()) {
+                mine.launches.get(number).streaming = true;
+            }
+        }
+
+        /** The client has left the query; of a part, it can't come any more, and so neither can the answer. */
+        public void withdrawn(String gone) {
+            if (gone.equals(id)) {
+                end();
+            } else {
+                lost();
+            }
+        }
+
+        /** Whether nothing more can be told of this query. */
+        public boolean over() {
+            return ended && out == 0;
+        }
+
+        /** Ids under which the front may know this query. */
+        public List<String> ids() {
+            List<String> ids = new ArrayList<>(List.of(id));
+            parts.forEach(part -> ids.add(part.id));
+            return ids;
+        }
+
+        private Part find(String part) {
+            for (Part each : parts) {
+                if (each.id.equals(part)) {
+                    return each;
+                }
+            }
+            return null;
+        }
+
+        private boolean started() {
+            return awaited <= 0 && !held.contains(this);
+        }
+
+        private double usefulEnd() {
+            return grade.terms.lateValue() > 0 || mayAnswerPartly() ? stopAt : Math.min(goalAt, stopAt);
+        }
+
+        private double weightIn() {
+            double weight = 0;
+            for (Part each : parts) {
+                weight += each.done ? each.weight : 0;
+            }
+            return weight;
+        }
+
+        private double valueForWork() {
+            return grade.terms.value() / (parts.size() * grade.work());
+        }
+
+        private boolean mayAnswerPartly() {
+            return step == 1 && grade.terms.secondStep() == 0 && grade.terms.leastShare() < grade.terms.wholeFrom()
+                && weightIn() >= grade.terms.leastShare() && grade.terms.partValue() > grade.terms.lateValue();
+        }
+
+        private void answerIfWhole() {
+            boolean allIn = parts.stream().allMatch(part -> part.done);
+            if (allIn || (step == 1 && weightIn() >= grade.terms.wholeFrom())) {
+                finish(true);
+            }
+        }
+
+        private void finish(boolean whole) {
+            host.assemble(id, whole);
+            if (grade.terms.secondStep() > 0 && step == 1) {
+                step = 2;
+                awaited = Math.min(grade.terms.secondStep(), (int) parts.stream().filter(part -> part.done).count());
+            } else {
+                end();
+            }
+        }
+
+        /** Nothing can fulfil this query any more: it gets its final answer at once. */
+        private void lost() {
+            if (ended) {
+                return;
+            }
+            if (mayAnswerPartly()) {
+                finish(false);
+                return;
+            }
+            boolean harmless = grade.terms.repeat() == Host.Repeat.IDEMPOTENT || parts.stream().allMatch(
+                part -> part.launches.stream().allMatch(launch -> launch.neverRan));
+            if (harmless) {
+                host.decline(id, given.mayAdvise() ? Math.min(given.longestAdvice(), OVERLOAD_WAIT * goal) : 0);
+            } else {
+                host.giveUp(id);
+            }
+            end();
+        }
+
+        private void end() {
+            ended = true;
+            live.remove(this);
+            held.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/benchlink/Benchlink.java
@@ -0,0 +1,127 @@
+package pinewick.benchlink;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pinewick.Host;
+
+/** Speaks the bench's wire: reads batches, turns each line into calls on its mixer, writes the reply. */
+public final class Benchlink {
+    private final BufferedReader in;
+    private final BufferedWriter out;
+    private final Map<Integer, Mixer> mixers = new HashMap<>();
+    private final Map<Integer, List<Host.Listing>> pools = new HashMap<>();
+    private final Map<Integer, Mixer> touched = new LinkedHashMap<>();
+    private long lines;
+
+    private Benchlink(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8), 1 << 16);
+    }
+
+    /** Serves until the input ends; malformed input ends the process with a message and exit code 1. */
+    public static void run(InputStream in, OutputStream out) throws IOException {
+        Benchlink link = new Benchlink(in, out);
+        String line = "";
+        try {
+            while ((line = link.next()) != null) {
+                link.batch(new Fields(line));
+            }
+        } catch (IllegalArgumentException wrong) {
+            System.err.println("benchlink: line " + link.lines + ": " + wrong.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private String next() throws IOException {
+        String line = in.readLine();
+        lines++;
+        return line;
+    }
+
+    private void batch(Fields begin) throws IOException {
+        if (!begin.verb().equals("begin_batch")) {
+            throw new IllegalArgumentException("begin_batch expected, not '" + begin.verb() + "'");
+        }
+        long clock = begin.whole("sim-time-ns");
+        touched.clear();
+        while (true) {
+            String line = next();
+            if (line == null) {
+                throw new IllegalArgumentException("input ended within a batch");
+            }
+            if (line.equals("flush")) {
+                break;
+            }
+            Fields event = new Fields(line);
+            if (event.verb().equals("pool")) {
+                pool(event);
+            } else {
+                event(event, clock);
+            }
+        }
+        for (Mixer mixer : touched.values()) {
+            mixer.endOfBatch();
+            mixer.drainTo(out);
+        }
+        out.write("yield serial=" + begin.text("serial") + "\n");
+        out.flush();
+    }
+
+    private void pool(Fields head) throws IOException {
+        List<Host.Listing> entries = new ArrayList<>();
+        for (long left = head.whole("items"); left > 0; left--) {
+            String line = next();
+            if (line == null || !line.startsWith("m ")) {
+                throw new IllegalArgumentException("an entry of the pool expected");
+            }
+            Fields m = new Fields(line);
+            Host.Stage stage = switch ((int) m.whole("stage-state", 1)) {
+                case 0 -> Host.Stage.GONE;
+                case 2 -> Host.Stage.DRAINING;
+                default -> Host.Stage.READY;
+            };
+            entries.add(new Host.Listing(m.text("searcher"), (int) m.whole("cell", 0), m.text("site", ""),
+                m.number("size", 1), stage, m.seconds("ready-at-ns", 0)));
+        }
+        pools.put((int) head.whole("slot"), entries);
+    }
+
+    private void event(Fields event, long clock) {
+        int number = (int) event.whole("mixer");
+        if (event.verb().equals("halt")) {
+            mixers.remove(number);
+            touched.remove(number);
+            return;
+        }
+        if (event.verb().equals("open_instance")) {
+            Mixer opened = new Mixer(number, clock, event);
+            mixers.put(number, opened);
+            touched.put(number, opened);
+            return;
+        }
+        Mixer mixer = mixers.get(number);
+        if (mixer == null) {
+            throw new IllegalArgumentException("mixer " + number + " was never opened");
+        }
+        touched.put(number, mixer);
+        List<Host.Listing> entries = List.of();
+        if (event.verb().equals("discovery") && event.whole("form") != 3) {
+            entries = pools.get((int) event.whole("slot"));
+            if (entries == null) {
+                throw new IllegalArgumentException("no pool " + event.whole("slot"));
+            }
+        }
+        mixer.event(event, clock, entries);
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/benchlink/Mixer.java
@@ -0,0 +1,256 @@
+package pinewick.benchlink;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import pinewick.Host;
+import pinewick.Logic;
+
+/** One mixer on the wire: hands events to its own {@link Logic} and writes down what that asks for. */
+final class Mixer implements Host {
+    private final int number;
+    private final Logic logic;
+    private final Host.Deployment deployment;
+    private final Map<String, Integer> gradeRows = new HashMap<>();
+    private final Map<Long, Logic.Query> byJob = new HashMap<>();
+    private final Map<String, Logic.Query> byId = new HashMap<>();
+    private final StringBuilder reply = new StringBuilder();
+    private final List<String> ended = new ArrayList<>();
+    private long clock;
+    private boolean broken;
+
+    Mixer(int number, long clock, Fields opening) {
+        this.number = number;
+        this.clock = clock;
+        deployment = OpeningTerms.read(opening.text("config"));
+        for (Host.GradeTerms grade : deployment.grades()) {
+            gradeRows.put(grade.name(), gradeRows.size());
+        }
+        logic = new Logic(this, deployment, new SplittableRandom(opening.whole("rng-seed", 0)));
+    }
+
+    void event(Fields event, long batchClock, List<Listing> entries) {
+        clock = batchClock;
+        if (broken) {
+            return;
+        }
+        try {
+            dispatch(event, entries);
+        } catch (IllegalArgumentException malformed) {
+            throw malformed;
+        } catch (RuntimeException fault) {
+            fault(fault);
+        }
+    }
+
+    void endOfBatch() {
+        if (broken) {
+            return;
+        }
+        try {
+            logic.endOfBatch();
+            ended.forEach(id -> {
+                if (byId.containsKey(id)) {
+                    forget(byId.get(id));
+                }
+            });
+            ended.clear();
+        } catch (RuntimeException fault) {
+            fault(fault);
+        }
+    }
+
+    private void fault(RuntimeException fault) {
+        broken = true;
+        StackTraceElement[] trace = fault.getStackTrace();
+        write("fault").append(" text=").append(fault.toString().replaceAll("\\s+", " "))
+            .append(trace.length > 0 ? " at " + trace[0] : "").append('\n');
+    }
+
+    void drainTo(Writer out) throws IOException {
+        out.append(reply);
+        reply.setLength(0);
+    }
+
+    private void dispatch(Fields event, List<Listing> entries) {
+        switch (event.verb()) {
+            case "discovery" -> logic.list(switch ((int) event.whole("form")) {
+                case 0 -> ListForm.CHANGES;
+                case 1 -> ListForm.WHOLE;
+                case 2 -> ListForm.CACHED;
+                default -> ListForm.FAILED;
+            }, entries);
+            case "req" -> request(event);
+            case "settled" -> {
+                Logic.Query query = byId.get(event.text("call"));
+                if (query != null) {
+                    query.settled(event.text("call"), (int) event.whole("go"), ending(event),
+                        event.seconds("spent-ns", 0), report(event));
+                    forget(query);
+                }
+            }
+            case "under_way" -> {
+                Logic.Query query = byId.get(event.text("call"));
+                if (query != null) {
+                    query.underWay(event.text("call"), (int) event.whole("go"));
+                }
+            }
+            case "withdrawn" -> {
+                Logic.Query query = byId.get(event.text("call"));
+                if (query != null) {
+                    query.withdrawn(event.text("call"));
+                    forget(query);
+                }
+            }
+            case "probe_done" -> logic.probed(event.text("searcher"), ending(event), report(event));
+            case "ring" -> logic.ring(event.whole("name"));
+            default -> {
+                // Messages from peers carry nothing that this mixer acts on; unknown events are skipped.
+            }
+        }
+    }
+
+    private void request(Fields event) {
+        String id = event.text("call");
+        long job = event.whole("job-no", 0);
+        if (event.whole("segment-no", -1) < 0) {
+            Integer row = gradeRows.get(event.text("priority"));
+            if (row == null) {
+                throw new IllegalArgumentException("unknown priority " + event.text("priority"));
+            }
+            Logic.Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
+                (int) event.number("share-or-count", 1), event.text("customer", ""),
+                event.seconds("work-hint-ns", 0));
+            byId.put(id, query);
+            byJob.put(job, query);
+            return;
+        }
+        Logic.Query query = byJob.get(job);
+        if (query != null) {
+            byId.put(id, query);
+            query.part(id, (int) event.whole("segment-no"), event.number("share-or-count", 0));
+        }
+    }
+
+    /** Drops the ids of a query of which nothing more can be told. */
+    private void forget(Logic.Query query) {
+        if (query.over()) {
+            query.ids().forEach(byId::remove);
+            byJob.values().remove(query);
+        }
+    }
+
+    private static Ending ending(Fields event) {
+        return switch ((int) event.whole("outcome")) {
+            case 0 -> Ending.FULFILLED;
+            case 8 -> Ending.REJECTED;
+            case 4 -> Ending.TIMED_OUT;
+            case 14 -> Ending.NOT_CONNECTED;
+            case 10 -> Ending.DROPPED;
+            case 1 -> Ending.CANCELLED;
+            case 9 -> Ending.MOOT;
+            default -> Ending.ERROR;
+        };
+    }
+
+    private static LoadReport report(Fields event) {
+        String text = event.text("metrics", "");
+        if (text.isEmpty()) {
+            return null;
+        }
+        double pending = Double.NaN;
+        double inFlight = Double.NaN;
+        double busyShare = Double.NaN;
+        for (String pair : text.split(",")) {
+            int colon = pair.indexOf(':');
+            if (colon < 0) {
+                throw new IllegalArgumentException("metrics=" + text);
+            }
+            double value;
+            try {
+                value = Double.parseDouble(pair.substring(colon + 1));
+            } catch (NumberFormatException odd) {
+                throw new IllegalArgumentException("metrics=" + text);
+            }
+            switch (pair.substring(0, colon)) {
+                case "pending" -> pending = value;
+                case "busy_reqs" -> inFlight = value;
+                case "cpu_share" -> busyShare = value;
+                default -> {
+                    // A value that the score does not read.
+                }
+            }
+        }
+        return new LoadReport(pending, inFlight, busyShare);
+    }
+
+    private StringBuilder write(String verb) {
+        return reply.append(verb).append(" mixer=").append(number);
+    }
+
+    private static long nanos(double seconds) {
+        return Math.round(seconds * 1e9);
+    }
+
+    @Override
+    public double now() {
+        return clock / 1e9;
+    }
+
+    @Override
+    public void launch(String part, String searcher, double maxWait) {
+        write("issue").append(" call=").append(part).append(" searcher=").append(searcher)
+            .append(" max-wait-ns=").append(nanos(maxWait)).append('\n');
+    }
+
+    @Override
+    public void assemble(String query, boolean whole) {
+        ended.add(query);
+        write("assemble").append(" call=").append(query).append(" complete=").append(whole ? 1 : 0).append('\n');
+    }
+
+    @Override
+    public void decline(String query, double retryAfter) {
+        ended.add(query);
+        write("not_now").append(" call=").append(query);
+        if (retryAfter > 0) {
+            reply.append(" retry-after-ns=").append(nanos(retryAfter));
+        }
+        reply.append('\n');
+    }
+
+    @Override
+    public void giveUp(String query) {
+        ended.add(query);
+        write("drop_request").append(" call=").append(query).append('\n');
+    }
+
+    @Override
+    public void cancel(String part, int launch) {
+        write("undo_send").append(" call=").append(part).append(" go=").append(launch).append('\n');
+    }
+
+    @Override
+    public void probe(String searcher) {
+        write("test").append(" searcher=").append(searcher).append('\n');
+    }
+
+    @Override
+    public void timer(double in, long name) {
+        write("timer").append(" in-ns=").append(nanos(in)).append(" name=").append(name).append('\n');
+    }
+
+    @Override
+    public void track(boolean on) {
+        write("track").append(" complete=").append(on ? 1 : 0).append('\n');
+    }
+
+    @Override
+    public void log(String text) {
+        write("log").append(" text=").append(text).append('\n');
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/benchlink/OpeningTerms.java
@@ -0,0 +1,98 @@
+package pinewick.benchlink;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonSyntaxException;
+import java.util.ArrayList;
+import java.util.List;
+import pinewick.Host;
+
+/** Reads the object that opens a mixer; unknown keys are skipped, absent ones mean "not limited". */
+final class OpeningTerms {
+    private OpeningTerms() {
+    }
+
+    static Host.Deployment read(String text) {
+        JsonObject all;
+        try {
+            all = JsonParser.parseString(text).getAsJsonObject();
+        } catch (JsonSyntaxException | IllegalStateException wrong) {
+            throw new IllegalArgumentException("config is not an object: " + wrong.getMessage());
+        }
+        JsonObject bounds = object(all, "bounds");
+        JsonObject family = object(all, "family-info");
+        JsonObject rules = object(all, "rules");
+        List<Host.GradeTerms> grades = new ArrayList<>();
+        for (JsonElement each : array(all, "categories")) {
+            JsonObject grade = each.getAsJsonObject();
+            int row = grades.size();
+            Host.Repeat repeat = switch (text(grade, "effect", "fragile")) {
+                case "retryable" -> Host.Repeat.IDEMPOTENT;
+                case "dedup" -> Host.Repeat.DEDUPLICATED;
+                default -> Host.Repeat.UNREPEATABLE;
+            };
+            double hardStop = seconds(grade, "hard-limit-ns", Double.POSITIVE_INFINITY);
+            grades.add(new Host.GradeTerms(text(grade, "name", ""), seconds(grade, "slo-ns", hardStop),
+                number(grade, "aim-stretch", 0), hardStop, number(grade, "worth", 1),
+                number(grade, "late-worth", 0), repeat, seconds(grade, "dedup-window-ns", 0),
+                yes(grade, "streaming"), item(family, "class-floor", row, 1), item(family, "complete-from", row, 1),
+                item(family, "incomplete-worth", row, 0), (int) item(family, "class-fetch", row, 0)));
+        }
+        List<Host.TenantTerms> tenants = new ArrayList<>();
+        for (JsonElement each : array(all, "tenants")) {
+            JsonObject tenant = each.getAsJsonObject();
+            tenants.add(new Host.TenantTerms(text(tenant, "name", ""),
+                number(tenant, "quota-rps", Double.POSITIVE_INFINITY)));
+        }
+        boolean rationed = number(rules, "repeat-ratio", 0) > 0 || rules.has("free-resends");
+        Host.RuleTerms terms = new Host.RuleTerms(seconds(rules, "drain-grace-ns", 0),
+            number(rules, "cold-from", 1), seconds(rules, "cold-ns", 0), number(rules, "overload-factor", 1),
+            seconds(rules, "fall-ns", 0),
+            rationed ? number(rules, "free-resends", 0) : Double.POSITIVE_INFINITY,
+            number(rules, "repeat-ratio", 0), seconds(rules, "extra-window-ns", 0),
+            seconds(rules, "ask-within-ns", Double.POSITIVE_INFINITY));
+        return new Host.Deployment((int) number(all, "instances", 1), (int) number(all, "self-index", 0),
+            text(all, "locality", ""), seconds(all, "granularity-ns", 0), grades, tenants,
+            number(all, "over-share-worth", 1), terms, text(all, "registry-mode", "automatic").equals("subscribe"),
+            yes(bounds, "probing"), yes(bounds, "may-cancel"), yes(bounds, "parallel-tries"),
+            yes(bounds, "retry-after"), seconds(bounds, "max-retry-after-ns", 0),
+            (int) number(bounds, "try-limit", 1), (int) number(family, "cells", 1),
+            (int) number(family, "reach", 1), (int) number(family, "per-call", 1),
+            seconds(family, "overhead-ns", 0));
+    }
+
+    private static JsonObject object(JsonObject from, String key) {
+        return from.has(key) && from.get(key).isJsonObject() ? from.getAsJsonObject(key) : new JsonObject();
+    }
+
+    private static JsonArray array(JsonObject from, String key) {
+        return from.has(key) && from.get(key).isJsonArray() ? from.getAsJsonArray(key) : new JsonArray();
+    }
+
+    private static boolean given(JsonObject from, String key) {
+        return from.has(key) && !from.get(key).isJsonNull();
+    }
+
+    private static String text(JsonObject from, String key, String absent) {
+        return given(from, key) ? from.get(key).getAsString() : absent;
+    }
+
+    private static double number(JsonObject from, String key, double absent) {
+        return given(from, key) ? from.get(key).getAsDouble() : absent;
+    }
+
+    private static double seconds(JsonObject from, String key, double absent) {
+        return given(from, key) ? from.get(key).getAsDouble() / 1e9 : absent;
+    }
+
+    private static boolean yes(JsonObject from, String key) {
+        return given(from, key) && from.get(key).getAsBoolean();
+    }
+
+    private static double item(JsonObject from, String key, int row, double absent) {
+        JsonArray list = array(from, key);
+        return row < list.size() ? list.get(row).getAsDouble() : absent;
+    }
+}
