--- a/src/main/java/pinewick/Host.java
+++ b/src/main/java/pinewick/Host.java
@@ -64,8 +64,8 @@
 
     /** A service grade as the deployment states it. */
     record GradeTerms(String name, double latencyGoal, double goalStretch, double hardStop, double value,
-                      double lateValue, Repeat repeat, double repeatWindow, boolean streamed, double leastShare,
-                      double wholeFrom, double partValue, int secondStep) {
+                      double lateValue, Repeat repeat, double repeatWindow, double leastShare, double wholeFrom,
+                      double partValue, int secondStep) {
     }
 
     /** A tenant's part of the service, in queries a second over all mixers. */
@@ -73,14 +73,16 @@
     }
 
     /** The rules' figures; an absent budget has an infinite {@code freeLaunches}. */
-    record RuleTerms(double drainGrace, double coldFrom, double coldTime, double overloadFactor, double fallTime,
-                     double freeLaunches, double launchShare, double launchWindow, double askWithin) {
+    record RuleTerms(double drainGrace, double coldFrom, double coldTime, double overloadFactor,
+                     double fallTime, double freeLaunches, double launchShare, double launchWindow,
+                     double askWithin) {
     }
 
     /** What a deployment hands a mixer at its start. */
     record Deployment(int mixers, int self, String zone, double tick, List<GradeTerms> grades,
                       List<TenantTerms> tenants, double overShareValue, RuleTerms rules, boolean mustAsk,
                       boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise,
-                      double longestAdvice, int mostLaunches, int cells, int reach, int callSize, double callWork) {
+                      double longestAdvice, int mostLaunches, int cells, int reach, int callSize,
+                      double callWork) {
     }
 }
--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 /**
  * Every decision of one mixer. A front builds one Logic for each mixer, tells it the list of searchers
@@ -19,9 +20,9 @@
  * is out. docs/design.md tells what follows the source and when each exception acts.
  */
 public final class Logic {
-    // Shares of the latency goal of the grade at hand (or of the shortest goal), so that they fit any deployment.
+    // Shares of the latency goal (of the grade at hand, or the shortest), so that they fit any deployment.
     private static final double FIRST_GUESS = 0.1;      // R and s before anything was measured (design)
-    private static final double ANSWER_TARGET = 0.35;   // a searcher's answers should take no longer than this
+    private static final double ANSWER_TARGET = 0.35;   // searchers' answers should take no longer
     private static final double FRESH = 0.5;            // a report or an R older than this begins to fade
     private static final double REST = 0.25;            // first rest after a failure, doubled up to REST_MOST
     private static final double REST_MOST = 2;
@@ -32,7 +33,7 @@
     // Plain numbers.
     private static final double NEWEST_WEIGHT = 0.3;    // of an answer in R (design)
     private static final double PATIENCE_FACTOR = 1.5;  // times the 95th percentile of answer times
-    private static final double ROOM_FIRST = 4;         // parts out at one searcher before any answer told more
+    private static final double ROOM_FIRST = 4;         // parts out at one searcher at first
     private static final double ROOM_CUT = 0.8;
     private static final double COLD_MARGIN = 0.8;      // share of the cold budget used
     private static final double COPY_SHARE = 0.1;       // own limit of copies where no budget is stated
@@ -76,9 +77,10 @@
     /** News of the list. Draining and gone searchers get nothing new from this call on (rule 3). */
     public void list(Host.ListForm form, List<Host.Listing> entries) {
         if (form == Host.ListForm.FAILED) {
-            // Danger: the list's service falls over when all mixers ask again at once, so waits spread and grow;
-            // they stay well inside the time after which this mixer would count as told of what it never heard.
-            double wait = Math.min(REST * goal * (1 << Math.min(failedAsks++, 5)), given.rules().askWithin() / 4);
+            // Danger: the list's service falls over when all mixers ask again at once, so waits spread and
+            // grow; they stay inside the time after which this mixer would count as told.
+            double wait = Math.min(REST * goal * (1 << Math.min(failedAsks++, 5)),
+                given.rules().askWithin() / 4);
             askAt = host.now() + wait * (0.5 + chance.nextDouble());
             return;
         }
@@ -152,11 +154,10 @@
         Map<List<Part>, Searcher> plan = new LinkedHashMap<>();
         for (List<Part> group : groups.values()) {
             Searcher best = choose(group.get(0), group.size());
-            if (best == null) {
-                break;
+            if (best != null) {
+                best.planned += group.size();
+                plan.put(group, best);
             }
-            best.planned += group.size();
-            plan.put(group, best);
         }
         plan.values().forEach(each -> each.planned = 0);
         if (plan.size() < groups.size()) {
@@ -189,13 +190,13 @@
         boolean anySound = holders.stream().anyMatch(Searcher::sound);
         for (Searcher each : holders) {
             boolean sound = each.sound();
-            if (sound != anySound || part.triedAt(each) || !each.hasColdBudget(part.query.grade, count)
+            if (sound != anySound || part.waitsAt(each) || !each.hasColdBudget(part.query.grade, count)
                 || (sound ? !each.hasRoom(count) : each.out.size() + each.planned > 0)) {
                 continue;
             }
             double score = each.score(meanR, meanS, meanQueue);
-            // An unsound holder is the last resort: a shard whose holders all look ill still gets one part at a
-            // time, since the look may be wrong. Harm: that part may wait for nothing.
+            // An unsound holder is the last resort: a shard whose holders all look ill still gets one part
+            // at a time, since the look may be wrong. Harm: that part may wait for nothing.
             if (best == null || score < lowest) {
                 best = each;
                 lowest = score;
@@ -210,7 +211,7 @@
         if (!part.launches.isEmpty()) {
             furtherLaunches.addLast(now);
         }
-        Launch<Searcher> launch = new Launch<>(searcher, now);
+        Launch<Searcher> launch = new Launch<>(searcher, now, now + query.grade.patience());
         part.launches.add(launch);
         part.out++;
         query.out++;
@@ -285,7 +286,7 @@
                 query.lost();
                 return;
             }
-            Searcher next = mayLaunchFurther(part) ? choose(part, 1) : null;
+            Searcher next = mayLaunchFurther(true) ? choose(part, 1) : null;
             if (next != null && query.usefulEnd() - now > next.expected()) {
                 launch(part, next);
             }
@@ -293,8 +294,8 @@
         }
         Launch<Searcher> latest = part.launches.get(part.launches.size() - 1);
         if (part.out > 1 || latest.over || latest.cancelled || latest.streaming
-            || now - latest.sentAt < query.grade.patience() || part.launches.size() >= given.mostLaunches()
-            || !part.mayRepeat() || !mayLaunchFurther(part)) {
+            || now < latest.overdueAt || part.launches.size() >= given.mostLaunches()
+            || !part.mayRepeat() || !mayLaunchFurther(!latest.searcher.sound())) {
             return;
         }
         Searcher next = choose(part, 1);
@@ -310,7 +311,7 @@
     }
 
     /** Rule 6, one launch short of the stated budget; where none is stated, a limit of our own. */
-    private boolean mayLaunchFurther(Part part) {
+    private boolean mayLaunchFurther(boolean replaces) {
         Host.RuleTerms rules = given.rules();
         boolean stated = rules.freeLaunches() < Double.POSITIVE_INFINITY;
         double window = stated ? rules.launchWindow() : 2 * REST_MOST * goal;
@@ -323,7 +324,7 @@
         }
         double most = stated ? rules.freeLaunches() + rules.launchShare() * takes.size()
             : COPY_FREE + COPY_SHARE * takes.size();
-        return furtherLaunches.size() + 2 <= most || (!stated && part.out == 0);
+        return furtherLaunches.size() + 2 <= most || (!stated && replaces);
     }
 
     public void probed(String id, Host.Ending ending, Host.LoadReport report) {
@@ -348,15 +349,13 @@
         final ArrayDeque<double[]> coldSpent = new ArrayDeque<>();
         Host.Stage stage = Host.Stage.READY;
         int cell;
-        boolean near;
-        double startedAt;
-        boolean heard;
-        double r, lowestNow = Double.POSITIVE_INFINITY, lowestBefore = Double.POSITIVE_INFINITY, lowestSince;
+        double startedAt, r, lowestSince;
+        double lowestNow = Double.POSITIVE_INFINITY, lowestBefore = Double.POSITIVE_INFINITY;
         double queue, busyShare, reportAt = Double.NEGATIVE_INFINITY, answerAt = Double.NEGATIVE_INFINITY;
         double room = ROOM_FIRST, roomCutAt = Double.NEGATIVE_INFINITY;
         int planned, failures;
-        double restUntil;
-        boolean unreached, probing, cleared;
+        double restUntil, answeredSentAt = Double.NEGATIVE_INFINITY;
+        boolean near, heard, unreached, probing, cleared;
 
         Searcher(String id) {
             this.id = id;
@@ -433,10 +432,7 @@
             while (!coldSpent.isEmpty() && coldSpent.peekFirst()[0] < host.now() - rules.fallTime()) {
                 coldSpent.pollFirst();
             }
-            double spent = 0;
-            for (double[] each : coldSpent) {
-                spent += each[1];
-            }
+            double spent = coldSpent.stream().mapToDouble(each -> each[1]).sum();
             return spent + (count + planned) * (grade.work() + given.callWork())
                 <= COLD_MARGIN * rules.overloadFactor() * capacity * rules.fallTime() / given.mixers();
         }
@@ -451,10 +447,19 @@
             reportAt = host.now();
         }
 
-        void answered(double took, double target) {
+        /**
+         * Whether something sent here later has been answered. Danger: parts or answers get lost on the way
+         * while their searcher is well; a small loss must not rest the whole fleet.
+         */
+        boolean overtook(Launch<Searcher> launch) {
+            return answeredSentAt > launch.sentAt;
+        }
+
+        void answered(Launch<Searcher> launch, double took, double target) {
             double now = host.now();
+            answeredSentAt = Math.max(answeredSentAt, launch.sentAt);
             if (failures > 0 && unreached && given.rules().coldTime() > 0) {
-                // Danger: a process that came back after its connections broke is cold before the list says so.
+                // Danger: a process back after its connections broke is cold before the list says so.
                 startedAt = Math.max(startedAt, now);
             }
             failures = 0;
@@ -539,13 +544,8 @@
             this.weight = weight;
         }
 
-        boolean triedAt(Searcher searcher) {
-            for (Launch<Searcher> each : launches) {
-                if (each.searcher == searcher && !(each.over && each.neverRan)) {
-                    return true;
-                }
-            }
-            return false;
+        boolean waitsAt(Searcher searcher) {
+            return launches.stream().anyMatch(each -> each.searcher == searcher && !each.over);
         }
 
         /** Rule 2: whether another launch could do no harm. */
@@ -554,9 +554,10 @@
                 if (each.neverRan) {
                     continue;
                 }
-                boolean inWindow = host.now() + 2 * given.tick() < each.sentAt + query.grade.terms.repeatWindow();
-                if (query.grade.terms.repeat() == Host.Repeat.UNREPEATABLE
-                    || (query.grade.terms.repeat() == Host.Repeat.DEDUPLICATED && !inWindow)) {
+                Host.GradeTerms terms = query.grade.terms;
+                boolean inWindow = host.now() + 2 * given.tick() < each.sentAt + terms.repeatWindow();
+                if (terms.repeat() != Host.Repeat.IDEMPOTENT
+                    && (terms.repeat() == Host.Repeat.UNREPEATABLE || !inWindow)) {
                     return false;
                 }
             }
@@ -568,13 +569,9 @@
     public final class Query {
         private final String id;
         private final GradeRow grade;
-        private final double takenAt;
-        private final double goalAt;
-        private final double stopAt;
+        private final double takenAt, goalAt, stopAt;
         private final List<Part> parts = new ArrayList<>();
-        private int awaited;
-        private int out;
-        private int step = 1;
+        private int awaited, out, step = 1;
         private boolean ended;
 
         private Query(String id, GradeRow grade, double ttl, int parts, double workHint) {
@@ -584,10 +581,11 @@
             takenAt = host.now();
             stopAt = takenAt + ttl - 2 * given.tick();
             Host.GradeTerms terms = grade.terms;
-            // A later try comes with less time than first tries do; what is missing from the hard stop has passed.
+            // A later try comes with less time than first tries do: what the hard stop lacks has passed.
             grade.longestTtl = Math.max(grade.longestTtl, ttl);
             double spent = ttl < grade.longestTtl - 0.02 * terms.hardStop() ? terms.hardStop() - ttl : 0;
-            goalAt = takenAt - spent + Math.min(terms.hardStop(), terms.latencyGoal() + terms.goalStretch() * workHint);
+            goalAt = takenAt - spent
+                + Math.min(terms.hardStop(), terms.latencyGoal() + terms.goalStretch() * workHint);
         }
 
         /** One of the query's parts; the last one awaited lets the query start. */
@@ -600,7 +598,8 @@
         }
 
         /** How one launch ended; parts of an ended query still tell about their searcher. */
-        public void settled(String part, int number, Host.Ending ending, double took, Host.LoadReport report) {
+        public void settled(String part, int number, Host.Ending ending, double took,
+                            Host.LoadReport report) {
             Part mine = find(part);
             if (mine == null || number >= mine.launches.size() || mine.launches.get(number).over) {
                 return;
@@ -615,7 +614,7 @@
             searcher.heardReport(report);
             switch (ending) {
                 case FULFILLED -> {
-                    searcher.answered(took, ANSWER_TARGET * grade.terms.latencyGoal());
+                    searcher.answered(launch, took, ANSWER_TARGET * grade.terms.latencyGoal());
                     grade.answerTimes.add(took);
                     if (!mine.done && !ended) {
                         mine.done = true;
@@ -627,8 +626,11 @@
                     // Never sent, so it says nothing of the searcher.
                 }
                 case TIMED_OUT, ERROR, REJECTED, NOT_CONNECTED, DROPPED -> {
-                    searcher.measured(Math.max(took, ending == Host.Ending.TIMED_OUT ? 0 : usefulEnd() - launch.sentAt));
-                    searcher.failed(ending);
+                    // The design counts the full time-out; one that came early would make failing look fast.
+                    searcher.measured(Math.max(took, usefulEnd() - launch.sentAt));
+                    if (ending != Host.Ending.TIMED_OUT || !searcher.overtook(launch)) {
+                        searcher.failed(ending);
+                    }
                 }
             }
             if (!ended && !mine.done) {
@@ -644,7 +646,7 @@
             }
         }
 
-        /** The client has left the query; of a part, it can't come any more, and so neither can the answer. */
+        /** The client has left the query; a part that is gone takes the whole answer with it. */
         public void withdrawn(String gone) {
             if (gone.equals(id)) {
                 end();
@@ -660,18 +662,11 @@
 
         /** Ids under which the front may know this query. */
         public List<String> ids() {
-            List<String> ids = new ArrayList<>(List.of(id));
-            parts.forEach(part -> ids.add(part.id));
-            return ids;
+            return Stream.concat(Stream.of(id), parts.stream().map(part -> part.id)).toList();
         }
 
         private Part find(String part) {
-            for (Part each : parts) {
-                if (each.id.equals(part)) {
-                    return each;
-                }
-            }
-            return null;
+            return parts.stream().filter(each -> each.id.equals(part)).findFirst().orElse(null);
         }
 
         private boolean started() {
@@ -683,11 +678,7 @@
         }
 
         private double weightIn() {
-            double weight = 0;
-            for (Part each : parts) {
-                weight += each.done ? each.weight : 0;
-            }
-            return weight;
+            return parts.stream().filter(part -> part.done).mapToDouble(part -> part.weight).sum();
         }
 
         private double valueForWork() {
@@ -695,8 +686,9 @@
         }
 
         private boolean mayAnswerPartly() {
-            return step == 1 && grade.terms.secondStep() == 0 && grade.terms.leastShare() < grade.terms.wholeFrom()
-                && weightIn() >= grade.terms.leastShare() && grade.terms.partValue() > grade.terms.lateValue();
+            Host.GradeTerms terms = grade.terms;
+            return terms.secondStep() == 0 && terms.leastShare() < terms.wholeFrom()
+                && weightIn() >= terms.leastShare() && terms.partValue() > terms.lateValue();
         }
 
         private void answerIfWhole() {
@@ -710,7 +702,8 @@
             host.assemble(id, whole);
             if (grade.terms.secondStep() > 0 && step == 1) {
                 step = 2;
-                awaited = Math.min(grade.terms.secondStep(), (int) parts.stream().filter(part -> part.done).count());
+                int in = (int) parts.stream().filter(part -> part.done).count();
+                awaited = Math.min(grade.terms.secondStep(), in);
             } else {
                 end();
             }
@@ -728,7 +721,8 @@
             boolean harmless = grade.terms.repeat() == Host.Repeat.IDEMPOTENT || parts.stream().allMatch(
                 part -> part.launches.stream().allMatch(launch -> launch.neverRan));
             if (harmless) {
-                host.decline(id, given.mayAdvise() ? Math.min(given.longestAdvice(), OVERLOAD_WAIT * goal) : 0);
+                double advice = Math.min(given.longestAdvice(), OVERLOAD_WAIT * goal);
+                host.decline(id, given.mayAdvise() ? advice : 0);
             } else {
                 host.giveUp(id);
             }
--- a/src/main/java/pinewick/benchlink/OpeningTerms.java
+++ b/src/main/java/pinewick/benchlink/OpeningTerms.java
@@ -37,7 +37,7 @@
             grades.add(new Host.GradeTerms(text(grade, "name", ""), seconds(grade, "slo-ns", hardStop),
                 number(grade, "aim-stretch", 0), hardStop, number(grade, "worth", 1),
                 number(grade, "late-worth", 0), repeat, seconds(grade, "dedup-window-ns", 0),
-                yes(grade, "streaming"), item(family, "class-floor", row, 1), item(family, "complete-from", row, 1),
+                item(family, "class-floor", row, 1), item(family, "complete-from", row, 1),
                 item(family, "incomplete-worth", row, 0), (int) item(family, "class-fetch", row, 0)));
         }
         List<Host.TenantTerms> tenants = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/pinewick/FakeHost.java
@@ -0,0 +1,140 @@
+package pinewick;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** A host whose clock the story moves and which writes down what it was asked for. */
+final class FakeHost implements Host {
+    double clock = 100;
+    final List<String> said = new ArrayList<>();
+    Host.Repeat repeat = Host.Repeat.IDEMPOTENT;
+    Host.RuleTerms rules = new Host.RuleTerms(0.5, 0.25, 10, 2, 1.5, Double.POSITIVE_INFINITY, 0, 0, 10);
+    boolean mustAsk;
+    boolean overlap = true;
+    double lateValue = 0.3;
+    double leastShare = 1;
+    double callWork;
+    int mixers = 2;
+    Logic logic;
+
+    /** A mixer over one cell of searchers a, b, ... that all hold every shard. */
+    FakeHost open(String... names) {
+        Host.GradeTerms grade = new Host.GradeTerms("any", 2, 0, 8, 1, lateValue, repeat, 3, leastShare, 1,
+            0.9, 0);
+        logic = new Logic(this, new Host.Deployment(mixers, 0, "near", 0.005, List.of(grade), List.of(), 1, rules,
+            mustAsk, true, true, overlap, true, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
+            new SplittableRandom(7));
+        list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
+        return this;
+    }
+
+    void list(Host.ListForm form, Host.Stage stage, double startedAt, String... names) {
+        List<Host.Listing> entries = new ArrayList<>();
+        for (String name : names) {
+            entries.add(new Host.Listing(name, 0, "near", 1, stage, startedAt));
+        }
+        logic.list(form, entries);
+    }
+
+    /** Takes a query of so many parts, named q-0, q-1, ..., and ends the batch. */
+    Logic.Query take(String query, int parts) {
+        return take(query, parts, 8);
+    }
+
+    Logic.Query take(String query, int parts, double ttl) {
+        Logic.Query taken = logic.take(query, 0, ttl, parts, "", 0);
+        for (int part = 0; part < parts; part++) {
+            taken.part(query + "-" + part, part, 1.0 / parts);
+        }
+        logic.endOfBatch();
+        return taken;
+    }
+
+    /** Lets time pass with the timer ringing as it was asked to. */
+    void pass(double seconds) {
+        double end = clock + seconds;
+        while (clock < end) {
+            clock += 0.02;
+            logic.ring(0);
+        }
+    }
+
+    void ends(Logic.Query query, String part, int number, Ending ending, double took) {
+        query.settled(part, number, ending, took, null);
+        logic.endOfBatch();
+    }
+
+    /** Answers one lone query of the searcher's, so that the module has heard it. */
+    void warmUp(int queries, double took) {
+        for (int each = 0; each < queries; each++) {
+            Logic.Query query = take("w" + clock + "-" + each, 1);
+            clock += took;
+            ends(query, "w" + (clock - took) + "-" + each + "-0", 0, Ending.FULFILLED, took);
+        }
+        said.clear();
+    }
+
+    long count(String start) {
+        return said.stream().filter(line -> line.startsWith(start)).count();
+    }
+
+    /** Where a part's latest launch went. */
+    String where(String part) {
+        String last = null;
+        for (String line : said) {
+            if (line.startsWith("launch " + part + " ")) {
+                last = line.substring(line.lastIndexOf(' ') + 1);
+            }
+        }
+        return last;
+    }
+
+    @Override
+    public double now() {
+        return clock;
+    }
+
+    @Override
+    public void launch(String part, String searcher, double maxWait) {
+        said.add("launch " + part + " " + searcher);
+    }
+
+    @Override
+    public void assemble(String query, boolean whole) {
+        said.add("assemble " + query + (whole ? " whole" : " part"));
+    }
+
+    @Override
+    public void decline(String query, double retryAfter) {
+        said.add("decline " + query);
+    }
+
+    @Override
+    public void giveUp(String query) {
+        said.add("give up " + query);
+    }
+
+    @Override
+    public void cancel(String part, int launch) {
+        said.add("cancel " + part + " " + launch);
+    }
+
+    @Override
+    public void probe(String searcher) {
+        said.add("probe " + searcher);
+    }
+
+    @Override
+    public void timer(double in, long name) {
+    }
+
+    @Override
+    public void track(boolean on) {
+        said.add("track");
+    }
+
+    @Override
+    public void log(String text) {
+    }
+}
--- /dev/null
+++ b/src/test/java/pinewick/LogicTest.java
@@ -0,0 +1,272 @@
+package pinewick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pinewick.Host.Ending;
+import pinewick.Host.ListForm;
+import pinewick.Host.LoadReport;
+import pinewick.Host.Stage;
+
+/** One story for each rule, weak spot and failure met. */
+class LogicTest {
+    private final FakeHost host = new FakeHost();
+
+    private static LoadReport queued(double parts) {
+        return new LoadReport(parts, Double.NaN, Double.NaN);
+    }
+
+    @Test
+    void partsGoToTheLowestScoreByReport() {
+        host.open("a", "b");
+        host.logic.probed("a", Ending.FULFILLED, queued(6));
+        host.logic.probed("b", Ending.FULFILLED, queued(0));
+        host.warmUp(4, 0.1);
+        Logic.Query first = host.take("q", 1);
+        String quiet = host.where("q-0");
+        first.settled("q-0", 0, Ending.FULFILLED, 0.1, queued(9));
+        host.take("r", 1);
+        assertNotEquals(quiet, host.where("r-0"), "the report of a long queue sends the next part elsewhere");
+    }
+
+    @Test
+    void everyQueryEndsOnceBeforeTheClientsTimeIsUp() {
+        host.open("a", "b");
+        Logic.Query query = host.take("q", 2, 5);
+        host.pass(4.99);
+        assertEquals(1, host.count("decline q") + host.count("give up q"));
+        host.said.clear();
+        host.ends(query, "q-0", 0, Ending.TIMED_OUT, 5);
+        host.ends(query, "q-1", 0, Ending.FULFILLED, 5);
+        host.pass(1);
+        assertEquals(0, host.count("launch q"));
+        query.settled("q-0", 1, Ending.CANCELLED, 4, null);
+        query.settled("q-1", 1, Ending.CANCELLED, 4, null);
+        assertEquals(0, host.count("assemble q") + host.count("give up q") + host.count("decline q"));
+        assertTrue(query.over());
+    }
+
+    @Test
+    void unrepeatablePartRunsAgainOnlyIfItNeverRan() {
+        host.repeat = Host.Repeat.UNREPEATABLE;
+        host.open("a", "b");
+        Logic.Query never = host.take("q", 1);
+        host.ends(never, "q-0", 0, Ending.NOT_CONNECTED, 0.25);
+        assertEquals(2, host.count("launch q-0"));
+        host.ends(never, "q-0", 1, Ending.DROPPED, 0.1);
+        host.pass(1);
+        assertEquals(2, host.count("launch q-0"));
+        assertEquals(1, host.count("give up q"));
+        assertEquals(0, host.count("decline q"));
+    }
+
+    @Test
+    void deduplicatedPartIsNotResentOutsideItsWindow() {
+        host.repeat = Host.Repeat.DEDUPLICATED;
+        host.open("a", "b");
+        Logic.Query query = host.take("q", 1);
+        host.overlap = false;
+        host.clock += 3.1;
+        host.ends(query, "q-0", 0, Ending.DROPPED, 3.1);
+        assertEquals(1, host.count("launch q-0"));
+        assertEquals(1, host.count("give up q"));
+    }
+
+    @Test
+    void nothingNewGoesToASearcherThatDrainsOrIsGone() {
+        host.open("a", "b");
+        host.list(ListForm.CHANGES, Stage.DRAINING, 0, "a");
+        for (int each = 0; each < 3; each++) {
+            host.take("q" + each, 1);
+            assertEquals("b", host.where("q" + each + "-0"));
+        }
+        host.list(ListForm.WHOLE, Stage.READY, 0, "c");
+        host.take("r", 1);
+        assertEquals("c", host.where("r-0"));
+    }
+
+    @Test
+    void aColdSearcherGetsNoMoreThanThisMixersShareOfItsBudget() {
+        host.open("a");
+        host.warmUp(10, 0.2);
+        host.list(ListForm.CHANGES, Stage.READY, host.clock, "a");
+        int sent = 0;
+        for (int each = 0; each < 70; each++) {
+            Logic.Query query = host.take("q" + each, 1);
+            if (host.where("q" + each + "-0") != null) {
+                sent++;
+                host.ends(query, "q" + each + "-0", 0, Ending.FULFILLED, 0.02);
+            }
+            host.clock += 0.02;
+        }
+        // Of one core's 1.4 s at a quarter of its capacity, twice, over two mixers: 0.35 s, with parts of 0.2 s.
+        assertTrue(sent >= 1 && sent <= 3, "sent " + sent);
+    }
+
+    @Test
+    void noAnswerUnderTheLeastShareAndNoneMarkedWholeThatIsNot() {
+        host.leastShare = 0.5;
+        host.overlap = false;
+        host.open("a", "b");
+        Logic.Query enough = host.take("q", 3);
+        Logic.Query scant = host.take("r", 3);
+        host.ends(enough, "q-0", 0, Ending.FULFILLED, 0.1);
+        host.ends(enough, "q-0", 0, Ending.FULFILLED, 0.1);
+        host.ends(enough, "q-1", 0, Ending.FULFILLED, 0.1);
+        host.ends(scant, "r-0", 0, Ending.FULFILLED, 0.1);
+        host.pass(7.99);
+        assertEquals(1, host.count("assemble q part"));
+        assertEquals(0, host.count("assemble q whole"));
+        assertEquals(0, host.count("assemble r"));
+    }
+
+    @Test
+    void furtherLaunchesStayInTheSlidingBudget() {
+        host.rules = new Host.RuleTerms(0.5, 1, 0, 2, 0, 2, 0.1, 10, 10);
+        host.open("a", "b", "c", "d");
+        for (int each = 0; each < 10; each++) {
+            Logic.Query query = host.take("q" + each, 1);
+            host.ends(query, "q" + each + "-0", 0, Ending.ERROR, 0.01);
+            host.clock += 0.7;
+        }
+        long launches = host.count("launch");
+        assertTrue(launches > 10 && launches <= 14, launches + " launches of 10 parts");
+    }
+
+    @Test
+    void aHungSearcherGetsASecondCopyAndThenNoNewParts() {
+        host.open("a", "b");
+        host.warmUp(20, 0.1);
+        host.take("q", 1);
+        String hung = host.where("q-0");
+        host.pass(0.6);
+        assertEquals(2, host.count("launch q-0"));
+        String other = host.where("q-0");
+        assertNotEquals(hung, other);
+        for (int each = 0; each < 3; each++) {
+            Logic.Query query = host.take("r" + each, 1);
+            assertEquals(other, host.where("r" + each + "-0"));
+            host.ends(query, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
+        }
+    }
+
+    @Test
+    void aLostPartIsReplacedAndDoesNotCountAgainstItsSearcher() {
+        host.open("a");
+        host.warmUp(20, 0.1);
+        Logic.Query lost = host.take("q", 1);
+        host.pass(0.1);
+        for (int each = 0; each < 5; each++) {
+            Logic.Query query = host.take("r" + each, 1);
+            host.pass(0.1);
+            host.ends(query, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
+        }
+        host.ends(lost, "q-0", 0, Ending.TIMED_OUT, 0.6);
+        host.take("s", 1);
+        host.take("t", 1);
+        assertEquals("a", host.where("s-0"));
+        assertEquals("a", host.where("t-0"), "the searcher is not at rest or on trial");
+    }
+
+    @Test
+    void withoutOverlapAHungPartIsCancelledFirst() {
+        host.overlap = false;
+        host.open("a", "b");
+        host.warmUp(20, 0.1);
+        Logic.Query query = host.take("q", 1);
+        host.pass(1.1);
+        assertEquals(1, host.count("cancel q-0 0"));
+        assertEquals(1, host.count("launch q-0"));
+        host.ends(query, "q-0", 0, Ending.CANCELLED, 1.1);
+        assertEquals(2, host.count("launch q-0"));
+    }
+
+    @Test
+    void aShunnedSearcherIsTriedAgainOnceItsBadLatencyIsOld() {
+        host.open("a", "b");
+        Logic.Query heavy = host.take("q", 1);
+        Logic.Query light = host.take("r", 1);
+        String shunned = host.where("q-0");
+        host.ends(light, "r-0", 0, Ending.FULFILLED, 0.1);
+        host.ends(heavy, "q-0", 0, Ending.FULFILLED, 1.9);
+        Logic.Query next = host.take("s", 1);
+        assertNotEquals(shunned, host.where("s-0"));
+        host.ends(next, "s-0", 0, Ending.FULFILLED, 0.1);
+        host.clock += 20;
+        host.take("t", 1);
+        host.take("u", 1);
+        assertTrue(shunned.equals(host.where("t-0")) || shunned.equals(host.where("u-0")));
+    }
+
+    @Test
+    void aStaleLowReportFadesTowardsTheNeighbours() {
+        host.open("a", "b");
+        host.warmUp(10, 0.1);
+        Logic.Query first = host.take("q", 1);
+        String low = host.where("q-0");
+        host.ends(first, "q-0", 0, Ending.FULFILLED, 0.1);
+        host.logic.probed(low, Ending.FULFILLED, queued(0));
+        host.clock += 30;
+        host.logic.probed(low.equals("a") ? "b" : "a", Ending.FULFILLED, queued(1));
+        host.take("r", 1);
+        host.take("s", 1);
+        assertNotEquals(host.where("r-0"), host.where("s-0"));
+    }
+
+    @Test
+    void failedAsksForTheListAreRepeatedWithinTheTimeThatCountsAsTold() {
+        host.mustAsk = true;
+        host.open("a");
+        assertEquals(1, host.count("track"));
+        for (int each = 0; each < 4; each++) {
+            host.list(ListForm.FAILED, Stage.READY, 0);
+            host.pass(5);
+        }
+        assertTrue(host.count("track") == 5, host.said.toString());
+    }
+
+    @Test
+    void partsWithTheSameHoldersShareACallWhereCallsCost() {
+        host.callWork = 0.05;
+        host.open("a", "b");
+        host.take("q", 3);
+        assertEquals(host.where("q-0"), host.where("q-1"));
+        assertEquals(host.where("q-0"), host.where("q-2"));
+    }
+
+    @Test
+    void aShardWithoutAnyHolderIsDeclinedAtOnce() {
+        host.open("a");
+        host.list(ListForm.CHANGES, Stage.GONE, 0, "a");
+        host.take("q", 1);
+        assertEquals(1, host.count("decline q"));
+        assertEquals(0, host.count("launch"));
+    }
+
+    @Test
+    void overloadHoldsQueriesWholeAndDeclinesWhatCannotBeInTime() {
+        host.open("a");
+        host.warmUp(10, 0.3);
+        for (int each = 0; each < 8; each++) {
+            host.take("q" + each, 2);
+        }
+        long started = host.count("launch");
+        assertTrue(started < 16, started + " launched");
+        host.pass(2);
+        assertTrue(host.count("decline") >= 1);
+        assertEquals(started, host.count("launch"), "no work is spent on what is declined");
+    }
+
+    @Test
+    void aWithdrawnQueryOrPartEndsTheQuery() {
+        host.open("a", "b");
+        Logic.Query left = host.take("q", 1);
+        left.withdrawn("q");
+        Logic.Query crippled = host.take("r", 2);
+        crippled.withdrawn("r-1");
+        assertEquals(0, host.count("decline q"));
+        assertEquals(1, host.count("decline r"));
+    }
+}
