--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -382,7 +382,7 @@
             // come in; the oldest launch's age is a lower bound of what its answer will take.
             ownR = Math.max(ownR, out.isEmpty() ? 0 : now - out.iterator().next().sentAt);
             // Danger: one stale low report draws parts; once old it counts as no better than its neighbours'.
-            double q = meanQueue + (queue - meanQueue) * fade(reportAt);
+            double q = meanQueue + (queue - meanQueue) * Math.exp((reportAt - host.now()) / (2 * meanR));
             double qHat = 1 + (out.size() + planned) * given.mixers() + q * (1 + busyShare);
             return ownR - s + qHat * qHat * qHat * s + (near ? 0 : 1e-6);
         }
