--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -408,7 +408,7 @@
                 return now >= restUntil && (cleared || !given.mayProbe() || cold()) && out.isEmpty();
             }
             return out.isEmpty()
-                || now - Math.max(answerAt, out.iterator().next().sentAt) <= PATIENCE_MOST * goal / 2;
+                || now - Math.max(answerAt, out.iterator().next().sentAt) <= PATIENCE_MOST * goal;
         }
 
         boolean hasRoom(int count) {
