A held query needs time for a whole query's run, not one part's

Cause: held queries were let in when one part's upper quartile still fitted; the slowest of several parts then came late. A run-time histogram per grade, bounded at 0.6 of the goal so that a jam can't keep all out.

--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -29,6 +29,7 @@
     private static final double PATIENCE_LEAST = 0.125; // a launch is never overdue before this
     private static final double PATIENCE_MOST = 0.5;
     private static final double OVERLOAD_WAIT = 0.1;    // oldest held wait that tells overload
+    private static final double RUN_MOST = 0.6;         // never expect a query's run to take longer
     private static final double SWEEP = 0.01;
     // Plain numbers.
     private static final double NEWEST_WEIGHT = 0.3;    // of an answer in R (design)
@@ -163,6 +164,7 @@
         if (plan.size() < groups.size()) {
             return false;
         }
+        query.startedAt = host.now();
         plan.forEach((group, searcher) -> group.forEach(part -> launch(part, searcher)));
         return true;
     }
@@ -170,21 +172,11 @@
     /** The lowest score among the holders fit to take so many parts now; null if there is none. */
     private Searcher choose(Part part, int count) {
         List<Searcher> holders = holders(part.shard);
-        double meanR = 0;
-        double meanS = 0;
-        double meanQueue = 0;
-        int heard = 0;
-        for (Searcher each : holders) {
-            if (each.heard) {
-                heard++;
-                meanR += each.r;
-                meanS += each.s();
-                meanQueue += each.queue;
-            }
-        }
-        meanR = heard > 0 ? meanR / heard : FIRST_GUESS * part.query.grade.terms.latencyGoal();
-        meanS = heard > 0 ? meanS / heard : FIRST_GUESS * part.query.grade.terms.latencyGoal();
-        meanQueue = heard > 0 ? meanQueue / heard : 0;
+        double guess = FIRST_GUESS * part.query.grade.terms.latencyGoal();
+        List<Searcher> heard = holders.stream().filter(each -> each.heard).toList();
+        double meanR = heard.stream().mapToDouble(each -> each.r).average().orElse(guess);
+        double meanS = heard.stream().mapToDouble(Searcher::s).average().orElse(guess);
+        double meanQueue = heard.stream().mapToDouble(each -> each.queue).average().orElse(0);
         Searcher best = null;
         double lowest = Double.POSITIVE_INFINITY;
         boolean anySound = holders.stream().anyMatch(Searcher::sound);
@@ -238,7 +230,7 @@
                 continue;
             }
             // What cannot be fulfilled in time is declined before any work is spent on it.
-            if (now + query.grade.answerTime(0.75) > Math.min(query.goalAt, query.stopAt)) {
+            if (now + query.grade.runTime() > Math.min(query.goalAt, query.stopAt)) {
                 query.lost();
             } else if (start(query)) {
                 held.remove(query);
@@ -504,12 +496,13 @@
     /** What differs by service grade. */
     private final class GradeRow {
         final Host.GradeTerms terms;
-        final CoarseTimes answerTimes;
+        final CoarseTimes answerTimes, runTimes;
         double longestTtl;
 
         GradeRow(Host.GradeTerms terms) {
             this.terms = terms;
             answerTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, 14, 200);
+            runTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, 14, 200);
         }
 
         /** The share's quantile of answer times; the first guess until a few answers are in. */
@@ -521,6 +514,12 @@
             return answerTime(0.5);
         }
 
+        /** What a query is expected to take from its start; bounded, or a jam would keep all out for good. */
+        double runTime() {
+            double measured = runTimes.total() < 8 ? 0 : runTimes.quantile(0.8);
+            return Math.min(RUN_MOST * terms.latencyGoal(), Math.max(measured, answerTime(0.75)));
+        }
+
         double patience() {
             double measured = PATIENCE_FACTOR * answerTime(0.95);
             return Math.max(PATIENCE_LEAST, Math.min(PATIENCE_MOST, measured / terms.latencyGoal()))
@@ -570,6 +569,7 @@
         private final String id;
         private final GradeRow grade;
         private final double takenAt, goalAt, stopAt;
+        private double startedAt;
         private final List<Part> parts = new ArrayList<>();
         private int awaited, out, step = 1;
         private boolean ended;
@@ -700,6 +700,7 @@
 
         private void finish(boolean whole) {
             host.assemble(id, whole);
+            grade.runTimes.add(host.now() - startedAt);
             if (grade.terms.secondStep() > 0 && step == 1) {
                 step = 2;
                 int in = (int) parts.stream().filter(part -> part.done).count();
