--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -22,7 +22,7 @@
 public final class Logic {
     // Shares of the latency goal (of the grade at hand, or the shortest), so that they fit any deployment.
     private static final double FIRST_GUESS = 0.1;      // R and s before anything was measured (design)
-    private static final double ANSWER_TARGET = 0.12;   // searchers' answers should take no longer
+    private static final double ANSWER_TARGET = 0.15;   // searchers' answers should take no longer
     private static final double FRESH = 0.5;            // a report or an R older than this begins to fade
     private static final double REST = 0.25;            // first rest after a failure, doubled up to REST_MOST
     private static final double REST_MOST = 2;
