Cold budget follows the rate that warm searchers were seen to serve

Reported served rates of warm searchers (upper quartile) are a lower bound of capacity. Harm: a report far above what a searcher can serve would loosen the budget; the margin and the quartile stand against it.

--- a/src/main/java/pinewick/Host.java
+++ b/src/main/java/pinewick/Host.java
@@ -59,7 +59,7 @@
     }
 
     /** A searcher's load report; a value that it does not carry is NaN. */
-    record LoadReport(double pending, double inFlight, double busyShare) {
+    record LoadReport(double pending, double inFlight, double busyShare, double servedRate) {
     }
 
     /** A service grade as the deployment states it. */
--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -49,6 +49,7 @@
     private final List<List<Searcher>> cells = new ArrayList<>();
     private final LinkedHashSet<Query> live = new LinkedHashSet<>();
     private final ArrayList<Query> held = new ArrayList<>();
+    private final CoarseTimes servedRates;
     private final ArrayDeque<Double> takes = new ArrayDeque<>();
     private final ArrayDeque<Double> furtherLaunches = new ArrayDeque<>();
     private double askAt = Double.POSITIVE_INFINITY;
@@ -64,6 +65,7 @@
             shortest = Math.min(shortest, terms.latencyGoal());
         }
         goal = shortest;
+        servedRates = new CoarseTimes(100 / goal, 1.2, 30, 200);
         for (int cell = 0; cell < given.cells(); cell++) {
             cells.add(new ArrayList<>());
         }
@@ -127,10 +129,6 @@
         return query;
     }
 
-    public void endOfBatch() {
-        pump();
-    }
-
     public void ring(long name) {
         sweep();
         host.timer(SWEEP * goal, 0);
@@ -179,6 +177,8 @@
         double meanQueue = heard.stream().mapToDouble(each -> each.queue).average().orElse(0);
         Searcher best = null;
         double lowest = Double.POSITIVE_INFINITY;
+        // An unsound holder is the last resort: a shard whose holders all look ill still gets one part at a
+        // time, since the look may be wrong. Harm: that part may wait for nothing.
         boolean anySound = holders.stream().anyMatch(Searcher::sound);
         for (Searcher each : holders) {
             boolean sound = each.sound();
@@ -187,9 +187,7 @@
                 continue;
             }
             double score = each.score(meanR, meanS, meanQueue);
-            // An unsound holder is the last resort: a shard whose holders all look ill still gets one part
-            // at a time, since the look may be wrong. Harm: that part may wait for nothing.
-            if (best == null || score < lowest) {
+            if (score < lowest) {
                 best = each;
                 lowest = score;
             }
@@ -214,8 +212,11 @@
         host.launch(part.id, searcher.id, Math.max(given.tick(), query.usefulEnd() - now));
     }
 
-    /** Starts what is held: in order of arrival, or by value for work once the oldest has waited too long. */
-    private void pump() {
+    /**
+     * To be called after each batch. Starts what is held: in order of arrival, or by value for work once the
+     * oldest has waited too long.
+     */
+    public void endOfBatch() {
         if (held.isEmpty()) {
             return;
         }
@@ -256,7 +257,7 @@
                 query.parts.forEach(this::tend);
             }
         }
-        pump();
+        endOfBatch();
         for (Searcher each : searchers.values()) {
             if (each.failures > 0 && now >= each.restUntil && each.stage == Host.Stage.READY
                 && !each.probing && !each.cleared && given.mayProbe() && !each.cold()) {
@@ -358,10 +359,8 @@
             heard = false;
             failures = 0;
             room = ROOM_FIRST;
-            queue = 0;
-            busyShare = 0;
-            lowestNow = Double.POSITIVE_INFINITY;
-            lowestBefore = Double.POSITIVE_INFINITY;
+            queue = busyShare = 0;
+            lowestNow = lowestBefore = Double.POSITIVE_INFINITY;
         }
 
         /** The design's score. Departures: R and q fade when old, and overdue silence counts in R. */
@@ -425,8 +424,11 @@
                 coldSpent.pollFirst();
             }
             double spent = coldSpent.stream().mapToDouble(each -> each[1]).sum();
-            return spent + (count + planned) * (grade.work() + given.callWork())
-                <= COLD_MARGIN * rules.overloadFactor() * capacity * rules.fallTime() / given.mixers();
+            // One core at least; more where warm searchers were seen to serve parts faster than one core does.
+            double work = grade.work() + given.callWork();
+            double cores = servedRates.total() < 8 ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
+            return spent + (count + planned) * work
+                <= COLD_MARGIN * rules.overloadFactor() * cores * capacity * rules.fallTime() / given.mixers();
         }
 
         void heardReport(Host.LoadReport report) {
@@ -437,6 +439,9 @@
                 : !Double.isNaN(report.inFlight()) ? report.inFlight() : 0;
             busyShare = Double.isNaN(report.busyShare()) ? 0 : report.busyShare();
             reportAt = host.now();
+            if (report.servedRate() > 0 && !cold()) {
+                servedRates.add(report.servedRate());
+            }
         }
 
         /**
@@ -622,9 +627,6 @@
                     }
                 }
                 case CANCELLED -> searcher.measured(Math.max(took, searcher.r));
-                case MOOT -> {
-                    // Never sent, so it says nothing of the searcher.
-                }
                 case TIMED_OUT, ERROR, REJECTED, NOT_CONNECTED, DROPPED -> {
                     // The design counts the full time-out; one that came early would make failing look fast.
                     searcher.measured(Math.max(took, usefulEnd() - launch.sentAt));
@@ -632,6 +634,7 @@
                         searcher.failed(ending);
                     }
                 }
+                default -> { } // MOOT: never sent, so it says nothing of the searcher.
             }
             if (!ended && !mine.done) {
                 tend(mine);
--- a/src/main/java/pinewick/benchlink/Mixer.java
+++ b/src/main/java/pinewick/benchlink/Mixer.java
@@ -165,6 +165,7 @@
         double pending = Double.NaN;
         double inFlight = Double.NaN;
         double busyShare = Double.NaN;
+        double servedRate = Double.NaN;
         for (String pair : text.split(",")) {
             int colon = pair.indexOf(':');
             if (colon < 0) {
@@ -180,12 +181,13 @@
                 case "pending" -> pending = value;
                 case "busy_reqs" -> inFlight = value;
                 case "cpu_share" -> busyShare = value;
+                case "served_ps" -> servedRate = value;
                 default -> {
-                    // A value that the score does not read.
+                    // A value that no decision reads.
                 }
             }
         }
-        return new LoadReport(pending, inFlight, busyShare);
+        return new LoadReport(pending, inFlight, busyShare, servedRate);
     }
 
     private StringBuilder write(String verb) {
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -15,7 +15,7 @@
     private final FakeHost host = new FakeHost();
 
     private static LoadReport queued(double parts) {
-        return new LoadReport(parts, Double.NaN, Double.NaN);
+        return new LoadReport(parts, Double.NaN, Double.NaN, Double.NaN);
     }
 
     @Test
