--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -2,13 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -59,12 +58,8 @@
         this.host = host;
         this.given = given;
         this.chance = chance;
-        double shortest = Double.POSITIVE_INFINITY;
-        for (Host.GradeTerms terms : given.grades()) {
-            grades.add(new GradeRow(terms));
-            shortest = Math.min(shortest, terms.latencyGoal());
-        }
-        goal = shortest;
+        given.grades().forEach(terms -> grades.add(new GradeRow(terms)));
+        goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
         servedRates = new CoarseTimes(100 / goal, 1.2, 30, 200);
         for (int cell = 0; cell < given.cells(); cell++) {
             cells.add(new ArrayList<>());
@@ -112,11 +107,8 @@
     }
 
     private List<Searcher> holders(int shard) {
-        List<Searcher> all = new ArrayList<>();
-        for (int step = 0; step < given.reach(); step++) {
-            all.addAll(cells.get(Math.floorMod(shard + step, given.cells())));
-        }
-        return all;
+        return IntStream.range(shard, shard + given.reach())
+            .mapToObj(cell -> cells.get(Math.floorMod(cell, given.cells()))).flatMap(List::stream).toList();
     }
 
     // ---- queries ----
@@ -139,7 +131,7 @@
      * lowest score, and launch all of them together; if one group finds no room, the query is held whole, so
      * that no work is spent on a query that may yet be declined.
      */
-    private boolean start(Query query) {
+    private boolean start(Query query, boolean reserve) {
         Map<Integer, List<Part>> groups = new LinkedHashMap<>();
         for (Part part : query.parts) {
             if (part.launches.isEmpty() && !part.done) {
@@ -158,10 +150,16 @@
                 plan.put(group, best);
             }
         }
-        plan.values().forEach(each -> each.planned = 0);
         if (plan.size() < groups.size()) {
+            // Danger: a wide query needs room at many searchers at once, and under overload narrow ones of
+            // less value for work take it piece by piece; so the first one by value keeps what it found for
+            // this turn. Harm: that room stands idle; within one grade nothing is won, so it isn't done.
+            if (!reserve) {
+                plan.values().forEach(each -> each.planned = 0);
+            }
             return false;
         }
+        plan.forEach((group, each) -> each.planned -= group.size());
         query.startedAt = host.now();
         plan.forEach((group, searcher) -> group.forEach(part -> launch(part, searcher)));
         return true;
@@ -222,9 +220,11 @@
         }
         double now = host.now();
         List<Query> order = held;
-        if (now - held.get(0).takenAt > OVERLOAD_WAIT * goal) {
+        boolean reserved = grades.size() == 1;
+        boolean overload = now - held.get(0).takenAt > OVERLOAD_WAIT * goal;
+        if (overload) {
             order = new ArrayList<>(held);
-            order.sort(Comparator.comparingDouble(query -> -query.valueForWork()));
+            order.sort((one, other) -> Double.compare(other.valueForWork(), one.valueForWork()));
         }
         for (Query query : List.copyOf(order)) {
             if (query.ended) {
@@ -233,12 +233,15 @@
             // What cannot be fulfilled in time is declined before any work is spent on it.
             if (now + query.grade.runTime() > Math.min(query.goalAt, query.stopAt)) {
                 query.lost();
-            } else if (start(query)) {
+            } else if (start(query, overload && !reserved)) {
                 held.remove(query);
             } else if (query.parts.stream().anyMatch(part -> holders(part.shard).isEmpty())) {
                 query.lost();
+            } else {
+                reserved = true;
             }
         }
+        searchers.values().forEach(each -> each.planned = 0);
     }
 
     /** Looks after all that is out: final answers that are due, overdue launches, searchers at rest. */
@@ -424,11 +427,11 @@
                 coldSpent.pollFirst();
             }
             double spent = coldSpent.stream().mapToDouble(each -> each[1]).sum();
-            // One core at least; more where warm searchers were seen to serve parts faster than one core does.
+            // One core at least; more where warm searchers were seen to serve parts faster than one does.
             double work = grade.work() + given.callWork();
             double cores = servedRates.total() < 8 ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
-            return spent + (count + planned) * work
-                <= COLD_MARGIN * rules.overloadFactor() * cores * capacity * rules.fallTime() / given.mixers();
+            double share = COLD_MARGIN * rules.overloadFactor() * capacity * cores / given.mixers();
+            return spent + (count + planned) * work <= share * rules.fallTime();
         }
 
         void heardReport(Host.LoadReport report) {
@@ -554,18 +557,10 @@
 
         /** Rule 2: whether another launch could do no harm. */
         boolean mayRepeat() {
-            for (Launch<Searcher> each : launches) {
-                if (each.neverRan) {
-                    continue;
-                }
-                Host.GradeTerms terms = query.grade.terms;
-                boolean inWindow = host.now() + 2 * given.tick() < each.sentAt + terms.repeatWindow();
-                if (terms.repeat() != Host.Repeat.IDEMPOTENT
-                    && (terms.repeat() == Host.Repeat.UNREPEATABLE || !inWindow)) {
-                    return false;
-                }
-            }
-            return true;
+            Host.GradeTerms terms = query.grade.terms;
+            double window = terms.repeat() == Host.Repeat.DEDUPLICATED ? terms.repeatWindow() : 0;
+            return terms.repeat() == Host.Repeat.IDEMPOTENT || launches.stream().allMatch(
+                each -> each.neverRan || host.now() + 2 * given.tick() < each.sentAt + window);
         }
     }
 
@@ -574,7 +569,7 @@
         private final String id;
         private final GradeRow grade;
         private final double takenAt, goalAt, stopAt;
-        private double startedAt;
+        private double startedAt = Double.NEGATIVE_INFINITY;
         private final List<Part> parts = new ArrayList<>();
         private int awaited, out, step = 1;
         private boolean ended;
@@ -673,7 +668,7 @@
         }
 
         private boolean started() {
-            return awaited <= 0 && !held.contains(this);
+            return startedAt > Double.NEGATIVE_INFINITY;
         }
 
         private double usefulEnd() {
@@ -708,6 +703,7 @@
                 step = 2;
                 int in = (int) parts.stream().filter(part -> part.done).count();
                 awaited = Math.min(grade.terms.secondStep(), in);
+                startedAt = Double.NEGATIVE_INFINITY;
             } else {
                 end();
             }
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -269,4 +269,40 @@
         assertEquals(0, host.count("decline q"));
         assertEquals(1, host.count("decline r"));
     }
+
+    @Test
+    void aColdSearcherMayDoMoreWhereWarmOnesWereSeenToServeFast() {
+        long[] sent = new long[2];
+        for (int fast = 0; fast < 2; fast++) {
+            FakeHost each = new FakeHost().open("a", "b");
+            each.warmUp(10, 0.2);
+            for (int report = 0; report < 20; report++) {
+                double rate = fast == 1 ? 15 : 0;
+                each.logic.probed("b", Ending.FULFILLED, new LoadReport(0, Double.NaN, Double.NaN, rate));
+            }
+            each.list(ListForm.CHANGES, Stage.GONE, 0, "b");
+            each.list(ListForm.CHANGES, Stage.READY, each.clock, "a");
+            for (int query = 0; query < 10; query++) {
+                each.ends(each.take("q" + query, 1), "q" + query + "-0", 0, Ending.FULFILLED, 0.02);
+            }
+            sent[fast] = each.count("launch");
+        }
+        assertTrue(sent[1] > sent[0], sent[0] + " and " + sent[1]);
+    }
+
+    @Test
+    void aQueryIsDeclinedOnceAWholeRunNoLongerFits() {
+        host.open("a");
+        for (int each = 0; each < 10; each++) {
+            Logic.Query query = host.take("w" + each, 1);
+            host.clock += 1;
+            host.ends(query, "w" + each + "-0", 0, Ending.FULFILLED, 1);
+        }
+        host.said.clear();
+        host.take("q", 8);
+        host.take("r", 8);
+        assertEquals(0, host.count("launch r"));
+        host.pass(1.3);
+        assertEquals(1, host.count("decline r"), "1 s is left of the goal, and runs took as long");
+    }
 }
