--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -621,7 +621,14 @@
                         answerIfWhole();
                     }
                 }
-                case CANCELLED -> searcher.measured(Math.max(took, searcher.r));
+                case CANCELLED -> {
+                    searcher.measured(Math.max(took, searcher.r));
+                    // Danger: where copies may not overlap, a hung searcher's parts are cancelled before they
+                    // time out; uncounted, it would look fit again at once and draw the next part.
+                    if (searcher.answerAt < launch.sentAt) {
+                        searcher.failed(ending);
+                    }
+                }
                 case TIMED_OUT, ERROR, REJECTED, NOT_CONNECTED, DROPPED -> {
                     // The design counts the full time-out; one that came early would make failing look fast.
                     searcher.measured(Math.max(took, usefulEnd() - launch.sentAt));
