Queries with several overdue parts get no further launches; a timer ends each query

Also: a timer for each query's end (with a long goal the regular look would come too late for rule 1), cancels and time-outs of overtaken launches folded into one guard.

--- a/src/main/java/pinewick/Host.java
+++ b/src/main/java/pinewick/Host.java
@@ -55,7 +55,7 @@
     enum ListForm { CHANGES, WHOLE, CACHED, FAILED }
 
     /** One line of the list of searchers; {@code startedAt} 0 means long ago. */
-    record Listing(String searcher, int cell, String zone, double size, Stage stage, double startedAt) {
+    record Listing(String searcher, int cell, String zone, Stage stage, double startedAt) {
     }
 
     /** A searcher's load report; a value that it does not carry is NaN. */
@@ -64,12 +64,8 @@
 
     /** A service grade as the deployment states it. */
     record GradeTerms(String name, double latencyGoal, double goalStretch, double hardStop, double value,
-                      double lateValue, Repeat repeat, double repeatWindow, double leastShare, double wholeFrom,
-                      double partValue, int secondStep) {
-    }
-
-    /** A tenant's part of the service, in queries a second over all mixers. */
-    record TenantTerms(String name, double quota) {
+                      double lateValue, Repeat repeat, double repeatWindow, double leastShare,
+                      double wholeFrom, double partValue, int secondStep) {
     }
 
     /** The rules' figures; an absent budget has an infinite {@code freeLaunches}. */
@@ -79,8 +75,8 @@
     }
 
     /** What a deployment hands a mixer at its start. */
-    record Deployment(int mixers, int self, String zone, double tick, List<GradeTerms> grades,
-                      List<TenantTerms> tenants, double overShareValue, RuleTerms rules, boolean mustAsk,
+    record Deployment(int mixers, String zone, double tick, List<GradeTerms> grades,
+                      RuleTerms rules, boolean mustAsk,
                       boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise,
                       double longestAdvice, int mostLaunches, int cells, int reach, int callSize,
                       double callWork) {
--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -1,6 +1,5 @@
 package pinewick;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -38,6 +37,12 @@
     private static final double COLD_MARGIN = 0.8;      // share of the cold budget used
     private static final double COPY_SHARE = 0.1;       // own limit of copies where no budget is stated
     private static final double COPY_FREE = 5;
+    private static final double RUN_QUANTILE = 0.8;     // of runs that must fit a held query's time
+    private static final double LATER_TRY = 0.02;       // share of the hard stop that tells a later try
+    private static final int ENOUGH = 8;                // measurements before a histogram is believed
+    private static final int BINS = 14;
+    private static final double HALVED_AT = 200;
+    private static final double FASTEST = 100;          // served parts a goal in the top bin of rates
 
     private final Host host;
     private final Host.Deployment given;
@@ -49,8 +54,8 @@
     private final LinkedHashSet<Query> live = new LinkedHashSet<>();
     private final ArrayList<Query> held = new ArrayList<>();
     private final CoarseTimes servedRates;
-    private final ArrayDeque<Double> takes = new ArrayDeque<>();
-    private final ArrayDeque<Double> furtherLaunches = new ArrayDeque<>();
+    private final SlidingSum takes = new SlidingSum();
+    private final SlidingSum furtherLaunches = new SlidingSum();
     private double askAt = Double.POSITIVE_INFINITY;
     private int failedAsks;
 
@@ -60,10 +65,8 @@
         this.chance = chance;
         given.grades().forEach(terms -> grades.add(new GradeRow(terms)));
         goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
-        servedRates = new CoarseTimes(100 / goal, 1.2, 30, 200);
-        for (int cell = 0; cell < given.cells(); cell++) {
-            cells.add(new ArrayList<>());
-        }
+        servedRates = new CoarseTimes(FASTEST / goal, 1.2, BINS * 2, HALVED_AT);
+        IntStream.range(0, given.cells()).forEach(cell -> cells.add(new ArrayList<>()));
         if (given.mustAsk()) {
             host.track(true);
         }
@@ -99,11 +102,8 @@
             known.near = entry.zone().equals(given.zone());
         }
         cells.forEach(List::clear);
-        for (Searcher each : searchers.values()) {
-            if (each.stage == Host.Stage.READY) {
-                cells.get(each.cell).add(each);
-            }
-        }
+        searchers.values().stream().filter(each -> each.stage == Host.Stage.READY)
+            .forEach(each -> cells.get(each.cell).add(each));
     }
 
     private List<Searcher> holders(int shard) {
@@ -114,16 +114,21 @@
     // ---- queries ----
 
     /** Takes a query of so many parts; it starts once all of them have been handed in. */
-    public Query take(String id, int grade, double ttl, int parts, String tenant, double workHint) {
+    public Query take(String id, int grade, double ttl, int parts, double workHint) {
         Query query = new Query(id, grades.get(grade), ttl, parts, workHint);
-        takes.addLast(host.now());
+        takes.add(host.now(), 1);
         live.add(query);
+        // Danger: with a long goal the regular look comes too seldom to end a query before its time is up.
+        host.timer(Math.max(given.tick(), query.stopAt - host.now()), 1);
         return query;
     }
 
+    /** A timer: 0 is the regular look at all that is out, 1 the end of some query's time. */
     public void ring(long name) {
         sweep();
-        host.timer(SWEEP * goal, 0);
+        if (name == 0) {
+            host.timer(SWEEP * goal, 0);
+        }
     }
 
     /**
@@ -197,7 +202,7 @@
         Query query = part.query;
         double now = host.now();
         if (!part.launches.isEmpty()) {
-            furtherLaunches.addLast(now);
+            furtherLaunches.add(now, 1);
         }
         Launch<Searcher> launch = new Launch<>(searcher, now, now + query.grade.patience());
         part.launches.add(launch);
@@ -205,7 +210,7 @@
         query.out++;
         searcher.out.add(launch);
         if (searcher.cold()) {
-            searcher.coldSpent.add(new double[] {now, query.grade.work() + given.callWork()});
+            searcher.coldSpent.add(now, query.grade.work() + given.callWork());
         }
         host.launch(part.id, searcher.id, Math.max(given.tick(), query.usefulEnd() - now));
     }
@@ -256,7 +261,7 @@
                 query.lost();
             } else if (now >= query.goalAt && query.mayAnswerPartly()) {
                 query.finish(false);
-            } else if (query.started()) {
+            } else if (query.startedAt > Double.NEGATIVE_INFINITY) {
                 query.parts.forEach(this::tend);
             }
         }
@@ -289,6 +294,12 @@
             return;
         }
         Launch<Searcher> latest = part.launches.get(part.launches.size() - 1);
+        // Danger: a heavy query's parts are all overdue, and each launch more is as heavy again. So with more
+        // than one part overdue, only a searcher that owes answers to several queries, or failed, is given
+        // up. Harm: a query that meets two ill searchers first waits until a second query has met them.
+        if (query.overdueParts() > 1 && !latest.searcher.owesSeveral()) {
+            return;
+        }
         if (part.out > 1 || latest.over || latest.cancelled || latest.streaming
             || now < latest.overdueAt || part.launches.size() >= given.mostLaunches()
             || !part.mayRepeat() || !mayLaunchFurther(!latest.searcher.sound())) {
@@ -312,27 +323,18 @@
         boolean stated = rules.freeLaunches() < Double.POSITIVE_INFINITY;
         double window = stated ? rules.launchWindow() : 2 * REST_MOST * goal;
         double now = host.now();
-        while (!furtherLaunches.isEmpty() && furtherLaunches.peekFirst() < now - window - given.tick()) {
-            furtherLaunches.pollFirst();
-        }
-        while (!takes.isEmpty() && takes.peekFirst() < now - window + given.tick()) {
-            takes.pollFirst();
-        }
-        double most = stated ? rules.freeLaunches() + rules.launchShare() * takes.size()
-            : COPY_FREE + COPY_SHARE * takes.size();
-        return furtherLaunches.size() + 2 <= most || (!stated && replaces);
+        double taken = takes.since(now - window + given.tick());
+        double most = stated ? rules.freeLaunches() + rules.launchShare() * taken
+            : COPY_FREE + COPY_SHARE * taken;
+        return furtherLaunches.since(now - window - given.tick()) + 2 <= most || (!stated && replaces);
     }
 
     public void probed(String id, Host.Ending ending, Host.LoadReport report) {
         Searcher searcher = searchers.get(id);
-        if (searcher == null) {
-            return;
-        }
         searcher.probing = false;
         searcher.heardReport(report);
-        if (ending == Host.Ending.FULFILLED) {
-            searcher.cleared = true;
-        } else {
+        searcher.cleared = ending == Host.Ending.FULFILLED;
+        if (!searcher.cleared) {
             searcher.failed(ending);
         }
     }
@@ -342,7 +344,7 @@
     private final class Searcher {
         final String id;
         final LinkedHashSet<Launch<Searcher>> out = new LinkedHashSet<>();
-        final ArrayDeque<double[]> coldSpent = new ArrayDeque<>();
+        final SlidingSum coldSpent = new SlidingSum();
         Host.Stage stage = Host.Stage.READY;
         int cell;
         double startedAt, r, lowestSince;
@@ -405,6 +407,12 @@
                 || now - Math.max(answerAt, out.iterator().next().sentAt) <= PATIENCE_MOST * goal;
         }
 
+        /** Whether it failed, or launches of more than one moment are overdue. */
+        boolean owesSeveral() {
+            return failures > 0 || out.stream().filter(each -> host.now() >= each.overdueAt)
+                .mapToDouble(each -> each.sentAt).distinct().count() > 1;
+        }
+
         boolean hasRoom(int count) {
             return out.size() + planned == 0 || out.size() + planned + count <= room;
         }
@@ -416,20 +424,16 @@
         /** Rule 4: this mixer's share of what a cold searcher may be sent, over the window that counts. */
         boolean hasColdBudget(GradeRow grade, int count) {
             if (!cold()) {
-                coldSpent.clear();
                 return true;
             }
             Host.RuleTerms rules = given.rules();
             double from = Math.max(startedAt, host.now() - rules.fallTime());
             double warmth = Math.min(1, (from - startedAt) / rules.coldTime());
             double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * warmth;
-            while (!coldSpent.isEmpty() && coldSpent.peekFirst()[0] < host.now() - rules.fallTime()) {
-                coldSpent.pollFirst();
-            }
-            double spent = coldSpent.stream().mapToDouble(each -> each[1]).sum();
+            double spent = coldSpent.since(host.now() - rules.fallTime());
             // One core at least; more where warm searchers were seen to serve parts faster than one does.
             double work = grade.work() + given.callWork();
-            double cores = servedRates.total() < 8 ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
+            double cores = servedRates.total() < ENOUGH ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
             double share = COLD_MARGIN * rules.overloadFactor() * capacity * cores / given.mixers();
             return spent + (count + planned) * work <= share * rules.fallTime();
         }
@@ -447,14 +451,6 @@
             }
         }
 
-        /**
-         * Whether something sent here later has been answered. Danger: parts or answers get lost on the way
-         * while their searcher is well; a small loss must not rest the whole fleet.
-         */
-        boolean overtook(Launch<Searcher> launch) {
-            return answeredSentAt > launch.sentAt;
-        }
-
         void answered(Launch<Searcher> launch, double took, double target) {
             double now = host.now();
             answeredSentAt = Math.max(answeredSentAt, launch.sentAt);
@@ -463,8 +459,7 @@
                 startedAt = Math.max(startedAt, now);
             }
             failures = 0;
-            unreached = false;
-            cleared = false;
+            unreached = cleared = false;
             answerAt = now;
             if (now - lowestSince > REST_MOST * goal) {
                 lowestBefore = lowestNow;
@@ -492,6 +487,7 @@
             if (failures > 0 && now < restUntil) {
                 return;
             }
+            host.log(id + " rests, failure " + (failures + 1) + " " + ending);
             restUntil = now + Math.min(REST_MOST, REST * (1 << Math.min(failures, 6))) * goal;
             failures++;
             cleared = false;
@@ -509,13 +505,14 @@
 
         GradeRow(Host.GradeTerms terms) {
             this.terms = terms;
-            answerTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, 14, 200);
-            runTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, 14, 200);
+            answerTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, BINS, HALVED_AT);
+            runTimes = new CoarseTimes(3 * terms.latencyGoal(), 1.5, BINS, HALVED_AT);
         }
 
         /** The share's quantile of answer times; the first guess until a few answers are in. */
         double answerTime(double share) {
-            return answerTimes.total() < 8 ? FIRST_GUESS * terms.latencyGoal() : answerTimes.quantile(share);
+            double guess = FIRST_GUESS * terms.latencyGoal();
+            return answerTimes.total() < ENOUGH ? guess : answerTimes.quantile(share);
         }
 
         double work() {
@@ -524,7 +521,7 @@
 
         /** What a query is expected to take from its start; bounded, or a jam would keep all out for good. */
         double runTime() {
-            double measured = runTimes.total() < 8 ? 0 : runTimes.quantile(0.8);
+            double measured = runTimes.total() < ENOUGH ? 0 : runTimes.quantile(RUN_QUANTILE);
             return Math.min(RUN_MOST * terms.latencyGoal(), Math.max(measured, answerTime(0.75)));
         }
 
@@ -583,7 +580,7 @@
             Host.GradeTerms terms = grade.terms;
             // A later try comes with less time than first tries do: what the hard stop lacks has passed.
             grade.longestTtl = Math.max(grade.longestTtl, ttl);
-            double spent = ttl < grade.longestTtl - 0.02 * terms.hardStop() ? terms.hardStop() - ttl : 0;
+            double spent = ttl < grade.longestTtl - LATER_TRY * terms.hardStop() ? terms.hardStop() - ttl : 0;
             goalAt = takenAt - spent
                 + Math.min(terms.hardStop(), terms.latencyGoal() + terms.goalStretch() * workHint);
         }
@@ -591,7 +588,7 @@
         /** One of the query's parts; the last one awaited lets the query start. */
         public void part(String part, int shard, double weight) {
             parts.add(new Part(this, part, shard, weight));
-            takes.addLast(host.now());
+            takes.add(host.now(), 1);
             if (--awaited == 0 && !ended) {
                 held.add(this);
             }
@@ -621,22 +618,19 @@
                         answerIfWhole();
                     }
                 }
-                case CANCELLED -> {
-                    searcher.measured(Math.max(took, searcher.r));
-                    // Danger: where copies may not overlap, a hung searcher's parts are cancelled before they
-                    // time out; uncounted, it would look fit again at once and draw the next part.
-                    if (searcher.answerAt < launch.sentAt) {
-                        searcher.failed(ending);
-                    }
-                }
-                case TIMED_OUT, ERROR, REJECTED, NOT_CONNECTED, DROPPED -> {
-                    // The design counts the full time-out; one that came early would make failing look fast.
-                    searcher.measured(Math.max(took, usefulEnd() - launch.sentAt));
-                    if (ending != Host.Ending.TIMED_OUT || !searcher.overtook(launch)) {
+                case MOOT -> { } // Never sent, so it says nothing of the searcher.
+                default -> {
+                    boolean waited = ending == Host.Ending.TIMED_OUT || ending == Host.Ending.CANCELLED;
+                    // The design counts the full time-out; an early failure would make failing look fast.
+                    double shown = ending == Host.Ending.CANCELLED ? searcher.r : usefulEnd() - launch.sentAt;
+                    searcher.measured(Math.max(took, shown));
+                    // Danger: a part or its answer may get lost while its searcher is well and answers what it
+                    // was sent later; a small loss must not rest the fleet. But a cancelled launch counts too,
+                    // or a hung searcher would look fit again at once where copies may not overlap.
+                    if (!waited || searcher.answeredSentAt <= launch.sentAt) {
                         searcher.failed(ending);
                     }
                 }
-                default -> { } // MOOT: never sent, so it says nothing of the searcher.
             }
             if (!ended && !mine.done) {
                 tend(mine);
@@ -653,11 +647,10 @@
 
         /** The client has left the query; a part that is gone takes the whole answer with it. */
         public void withdrawn(String gone) {
-            if (gone.equals(id)) {
-                end();
-            } else {
+            if (!gone.equals(id)) {
                 lost();
             }
+            end();
         }
 
         /** Whether nothing more can be told of this query. */
@@ -674,14 +667,15 @@
             return parts.stream().filter(each -> each.id.equals(part)).findFirst().orElse(null);
         }
 
-        private boolean started() {
-            return startedAt > Double.NEGATIVE_INFINITY;
-        }
-
         private double usefulEnd() {
             return grade.terms.lateValue() > 0 || mayAnswerPartly() ? stopAt : Math.min(goalAt, stopAt);
         }
 
+        private long overdueParts() {
+            return parts.stream().filter(part -> part.out > 0 && !part.done && host.now()
+                >= part.launches.get(part.launches.size() - 1).overdueAt).count();
+        }
+
         private double weightIn() {
             return parts.stream().filter(part -> part.done).mapToDouble(part -> part.weight).sum();
         }
--- /dev/null
+++ b/src/main/java/pinewick/SlidingSum.java
@@ -0,0 +1,21 @@
+package pinewick;
+
+import java.util.ArrayDeque;
+
+/** Amounts with their times, and the sum of those since a time that only moves forward. */
+final class SlidingSum {
+    private final ArrayDeque<double[]> entries = new ArrayDeque<>();
+    private double sum;
+
+    void add(double at, double amount) {
+        entries.addLast(new double[] {at, amount});
+        sum += amount;
+    }
+
+    double since(double from) {
+        while (!entries.isEmpty() && entries.peekFirst()[0] < from) {
+            sum -= entries.pollFirst()[1];
+        }
+        return entries.isEmpty() ? sum = 0 : sum;
+    }
+}
--- a/src/main/java/pinewick/benchlink/Benchlink.java
+++ b/src/main/java/pinewick/benchlink/Benchlink.java
@@ -92,7 +92,7 @@
                 default -> Host.Stage.READY;
             };
             entries.add(new Host.Listing(m.text("searcher"), (int) m.whole("cell", 0), m.text("site", ""),
-                m.number("size", 1), stage, m.seconds("ready-at-ns", 0)));
+                stage, m.seconds("ready-at-ns", 0)));
         }
         pools.put((int) head.whole("slot"), entries);
     }
--- a/src/main/java/pinewick/benchlink/Mixer.java
+++ b/src/main/java/pinewick/benchlink/Mixer.java
@@ -123,8 +123,7 @@
                 throw new IllegalArgumentException("unknown priority " + event.text("priority"));
             }
             Logic.Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
-                (int) event.number("share-or-count", 1), event.text("customer", ""),
-                event.seconds("work-hint-ns", 0));
+                (int) event.number("share-or-count", 1), event.seconds("work-hint-ns", 0));
             byId.put(id, query);
             byJob.put(job, query);
             return;
--- a/src/main/java/pinewick/benchlink/OpeningTerms.java
+++ b/src/main/java/pinewick/benchlink/OpeningTerms.java
@@ -40,12 +40,6 @@
                 item(family, "class-floor", row, 1), item(family, "complete-from", row, 1),
                 item(family, "incomplete-worth", row, 0), (int) item(family, "class-fetch", row, 0)));
         }
-        List<Host.TenantTerms> tenants = new ArrayList<>();
-        for (JsonElement each : array(all, "tenants")) {
-            JsonObject tenant = each.getAsJsonObject();
-            tenants.add(new Host.TenantTerms(text(tenant, "name", ""),
-                number(tenant, "quota-rps", Double.POSITIVE_INFINITY)));
-        }
         boolean rationed = number(rules, "repeat-ratio", 0) > 0 || rules.has("free-resends");
         Host.RuleTerms terms = new Host.RuleTerms(seconds(rules, "drain-grace-ns", 0),
             number(rules, "cold-from", 1), seconds(rules, "cold-ns", 0), number(rules, "overload-factor", 1),
@@ -53,9 +47,8 @@
             rationed ? number(rules, "free-resends", 0) : Double.POSITIVE_INFINITY,
             number(rules, "repeat-ratio", 0), seconds(rules, "extra-window-ns", 0),
             seconds(rules, "ask-within-ns", Double.POSITIVE_INFINITY));
-        return new Host.Deployment((int) number(all, "instances", 1), (int) number(all, "self-index", 0),
-            text(all, "locality", ""), seconds(all, "granularity-ns", 0), grades, tenants,
-            number(all, "over-share-worth", 1), terms, text(all, "registry-mode", "automatic").equals("subscribe"),
+        return new Host.Deployment((int) number(all, "instances", 1),
+            text(all, "locality", ""), seconds(all, "granularity-ns", 0), grades, terms, text(all, "registry-mode", "automatic").equals("subscribe"),
             yes(bounds, "probing"), yes(bounds, "may-cancel"), yes(bounds, "parallel-tries"),
             yes(bounds, "retry-after"), seconds(bounds, "max-retry-after-ns", 0),
             (int) number(bounds, "try-limit", 1), (int) number(family, "cells", 1),
--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -22,7 +22,7 @@
     FakeHost open(String... names) {
         Host.GradeTerms grade = new Host.GradeTerms("any", 2, 0, 8, 1, lateValue, repeat, 3, leastShare, 1,
             0.9, 0);
-        logic = new Logic(this, new Host.Deployment(mixers, 0, "near", 0.005, List.of(grade), List.of(), 1, rules,
+        logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade), rules,
             mustAsk, true, true, overlap, true, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
             new SplittableRandom(7));
         list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
@@ -32,7 +32,7 @@
     void list(Host.ListForm form, Host.Stage stage, double startedAt, String... names) {
         List<Host.Listing> entries = new ArrayList<>();
         for (String name : names) {
-            entries.add(new Host.Listing(name, 0, "near", 1, stage, startedAt));
+            entries.add(new Host.Listing(name, 0, "near", stage, startedAt));
         }
         logic.list(form, entries);
     }
@@ -43,7 +43,7 @@
     }
 
     Logic.Query take(String query, int parts, double ttl) {
-        Logic.Query taken = logic.take(query, 0, ttl, parts, "", 0);
+        Logic.Query taken = logic.take(query, 0, ttl, parts, 0);
         for (int part = 0; part < parts; part++) {
             taken.part(query + "-" + part, part, 1.0 / parts);
         }
@@ -127,6 +127,7 @@
 
     @Override
     public void timer(double in, long name) {
+        said.add("timer " + name + " in " + in);
     }
 
     @Override
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -35,6 +35,7 @@
     void everyQueryEndsOnceBeforeTheClientsTimeIsUp() {
         host.open("a", "b");
         Logic.Query query = host.take("q", 2, 5);
+        assertEquals(1, host.count("timer 1 in 4.9"), "its end doesn't wait for the regular look");
         host.pass(4.99);
         assertEquals(1, host.count("decline q") + host.count("give up q"));
         host.said.clear();
@@ -305,4 +306,32 @@
         host.pass(1.3);
         assertEquals(1, host.count("decline r"), "1 s is left of the goal, and runs took as long");
     }
+
+    @Test
+    void aHeavyQueryGetsNoFurtherLaunchesAndALonelyOverduePartDoes() {
+        host.open("a", "b", "c", "d", "e");
+        host.warmUp(20, 0.1);
+        host.take("heavy", 3);
+        host.pass(1.5);
+        assertEquals(3, host.count("launch heavy"));
+        host.take("light", 1);
+        host.pass(0.6);
+        assertEquals(2, host.count("launch light"));
+    }
+
+    @Test
+    void aHungSearcherIsAtRestAfterItsPartWasCancelled() {
+        host.overlap = false;
+        host.open("a", "b");
+        host.warmUp(20, 0.1);
+        Logic.Query query = host.take("q", 1);
+        String hung = host.where("q-0");
+        host.pass(1.1);
+        host.ends(query, "q-0", 0, Ending.CANCELLED, 1.1);
+        for (int each = 0; each < 3; each++) {
+            Logic.Query next = host.take("r" + each, 1);
+            assertNotEquals(hung, host.where("r" + each + "-0"));
+            host.ends(next, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
+        }
+    }
 }
