Prompt is never less than one and a half times bare work

Danger: at a deployment whose parts take long for its goal every answer would count as late and room would shrink to one part.

--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -34,6 +34,7 @@
     private static final double PATIENCE_FACTOR = 1.5;  // times the 95th percentile of answer times
     private static final double ROOM_FIRST = 4;         // parts out at one searcher at first
     private static final double ROOM_CUT = 0.8;
+    private static final double BARE_FACTOR = 1.5;      // times the lowest answer times is still prompt
     private static final double COLD_MARGIN = 0.8;      // share of the cold budget used
     private static final double COPY_SHARE = 0.1;       // own limit of copies where no budget is stated
     private static final double COPY_FREE = 5;
@@ -257,10 +258,8 @@
             host.track(true);
         }
         for (Query query : List.copyOf(live)) {
-            if (now >= query.usefulEnd()) {
+            if (now >= query.usefulEnd() || (now >= query.goalAt && query.mayAnswerPartly())) {
                 query.lost();
-            } else if (now >= query.goalAt && query.mayAnswerPartly()) {
-                query.finish(false);
             } else if (query.startedAt > Double.NEGATIVE_INFINITY) {
                 query.parts.forEach(this::tend);
             }
@@ -297,12 +296,9 @@
         // Danger: a heavy query's parts are all overdue, and each launch more is as heavy again. So with more
         // than one part overdue, only a searcher that owes answers to several queries, or failed, is given
         // up. Harm: a query that meets two ill searchers first waits until a second query has met them.
-        if (query.overdueParts() > 1 && !latest.searcher.owesSeveral()) {
-            return;
-        }
-        if (part.out > 1 || latest.over || latest.cancelled || latest.streaming
-            || now < latest.overdueAt || part.launches.size() >= given.mostLaunches()
-            || !part.mayRepeat() || !mayLaunchFurther(!latest.searcher.sound())) {
+        if (part.out > 1 || latest.over || latest.cancelled || latest.streaming || now < latest.overdueAt
+            || (query.overdueParts() > 1 && !latest.searcher.owesSeveral()) || !part.mayRepeat()
+            || part.launches.size() >= given.mostLaunches() || !mayLaunchFurther(!latest.searcher.sound())) {
             return;
         }
         Searcher next = choose(part, 1);
@@ -519,6 +515,13 @@
             return answerTime(0.5);
         }
 
+        /** What counts as prompt: never less than bare work takes, or all would look jammed. */
+        double target() {
+            double bare = searchers.values().stream().filter(each -> each.heard).mapToDouble(Searcher::s)
+                .average().orElse(0);
+            return Math.max(ANSWER_TARGET * terms.latencyGoal(), BARE_FACTOR * bare);
+        }
+
         /** What a query is expected to take from its start; bounded, or a jam would keep all out for good. */
         double runTime() {
             double measured = runTimes.total() < ENOUGH ? 0 : runTimes.quantile(RUN_QUANTILE);
@@ -611,7 +614,7 @@
             searcher.heardReport(report);
             switch (ending) {
                 case FULFILLED -> {
-                    searcher.answered(launch, took, ANSWER_TARGET * grade.terms.latencyGoal());
+                    searcher.answered(launch, took, grade.target());
                     grade.answerTimes.add(took);
                     if (!mine.done && !ended) {
                         mine.done = true;
@@ -624,9 +627,9 @@
                     // The design counts the full time-out; an early failure would make failing look fast.
                     double shown = ending == Host.Ending.CANCELLED ? searcher.r : usefulEnd() - launch.sentAt;
                     searcher.measured(Math.max(took, shown));
-                    // Danger: a part or its answer may get lost while its searcher is well and answers what it
-                    // was sent later; a small loss must not rest the fleet. But a cancelled launch counts too,
-                    // or a hung searcher would look fit again at once where copies may not overlap.
+                    // Danger: a part may get lost while its searcher is well and answers what came later; a
+                    // small loss must not rest the fleet. But a cancelled launch counts too, or a hung
+                    // searcher would look fit again at once where copies may not overlap.
                     if (!waited || searcher.answeredSentAt <= launch.sentAt) {
                         searcher.failed(ending);
                     }
