--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -22,13 +22,12 @@
     private static final double FIRST_GUESS = 0.1;      // R and s before anything was measured (design)
     private static final double ANSWER_TARGET = 0.15;   // searchers' answers should take no longer
     private static final double FRESH = 0.5;            // a report or an R older than this begins to fade
-    private static final double REST = 0.25;            // first rest after a failure, doubled up to REST_MOST
-    private static final double REST_MOST = 2;
-    private static final double PATIENCE_LEAST = 0.125; // a launch is never overdue before this
-    private static final double PATIENCE_MOST = 0.5;
+    private static final double REST = 0.25, REST_MOST = 2; // first and longest rest after failures
+    private static final double PATIENCE_LEAST = 0.125, PATIENCE_MOST = 0.5; // bounds of a launch's patience
     private static final double OVERLOAD_WAIT = 0.1;    // oldest held wait that tells overload
     private static final double RUN_MOST = 0.6;         // never expect a query's run to take longer
     private static final double SWEEP = 0.01;
+    private static final double STALL = 5;              // sweeps missed that tell a stall of this mixer
     // Plain numbers.
     private static final double NEWEST_WEIGHT = 0.3;    // of an answer in R (design)
     private static final double PATIENCE_FACTOR = 1.5;  // times the 95th percentile of answer times
@@ -36,12 +35,10 @@
     private static final double ROOM_CUT = 0.8;
     private static final double BARE_FACTOR = 1.5;      // times the lowest answer times is still prompt
     private static final double COLD_MARGIN = 0.8;      // share of the cold budget used
-    private static final double COPY_SHARE = 0.1;       // own limit of copies where no budget is stated
-    private static final double COPY_FREE = 5;
+    private static final double COPY_SHARE = 0.1, COPY_FREE = 5; // copies, where no budget is stated
     private static final double RUN_QUANTILE = 0.8;     // of runs that must fit a held query's time
     private static final double LATER_TRY = 0.02;       // share of the hard stop that tells a later try
-    private static final int ENOUGH = 8;                // measurements before a histogram is believed
-    private static final int BINS = 14;
+    private static final int ENOUGH = 8, BINS = 14;     // measurements before a histogram is believed
     private static final double HALVED_AT = 200;
     private static final double FASTEST = 100;          // served parts a goal in the top bin of rates
 
@@ -57,8 +54,9 @@
     private final CoarseTimes servedRates;
     private final SlidingSum takes = new SlidingSum();
     private final SlidingSum furtherLaunches = new SlidingSum();
-    private double askAt = Double.POSITIVE_INFINITY;
+    private double lastBatchAt, askAt = Double.POSITIVE_INFINITY;
     private int failedAsks;
+    private boolean lookDue;
 
     public Logic(Host host, Host.Deployment given, SplittableRandom chance) {
         this.host = host;
@@ -71,6 +69,7 @@
         if (given.mustAsk()) {
             host.track(true);
         }
+        lastBatchAt = host.now();
         host.timer(SWEEP * goal, 0);
     }
 
@@ -112,8 +111,6 @@
             .mapToObj(cell -> cells.get(Math.floorMod(cell, given.cells()))).flatMap(List::stream).toList();
     }
 
-    // ---- queries ----
-
     /** Takes a query of so many parts; it starts once all of them have been handed in. */
     public Query take(String id, int grade, double ttl, int parts, double workHint) {
         Query query = new Query(id, grades.get(grade), ttl, parts, workHint);
@@ -126,7 +123,7 @@
 
     /** A timer: 0 is the regular look at all that is out, 1 the end of some query's time. */
     public void ring(long name) {
-        sweep();
+        lookDue = true;
         if (name == 0) {
             host.timer(SWEEP * goal, 0);
         }
@@ -185,9 +182,8 @@
         // time, since the look may be wrong. Harm: that part may wait for nothing.
         boolean anySound = holders.stream().anyMatch(Searcher::sound);
         for (Searcher each : holders) {
-            boolean sound = each.sound();
-            if (sound != anySound || part.waitsAt(each) || !each.hasColdBudget(part.query.grade, count)
-                || (sound ? !each.hasRoom(count) : each.out.size() + each.planned > 0)) {
+            if (each.sound() != anySound || part.waitsAt(each) || !each.hasColdBudget(part.query.grade, count)
+                || (anySound ? !each.hasRoom(count) : each.out.size() + each.planned > 0)) {
                 continue;
             }
             double score = each.score(meanR, meanS, meanQueue);
@@ -221,6 +217,11 @@
      * oldest has waited too long.
      */
     public void endOfBatch() {
+        if (lookDue) {
+            lookDue = false;
+            sweep();
+        }
+        lastBatchAt = host.now();
         if (held.isEmpty()) {
             return;
         }
@@ -264,7 +265,6 @@
                 query.parts.forEach(this::tend);
             }
         }
-        endOfBatch();
         for (Searcher each : searchers.values()) {
             if (each.failures > 0 && now >= each.restUntil && each.stage == Host.Stage.READY
                 && !each.probing && !each.cleared && given.mayProbe() && !each.cold()) {
@@ -369,21 +369,17 @@
             double now = host.now();
             double s = heard ? s() : meanS;
             // Danger: a replica shunned after one heavy part gets no answers, so its bad R would never mend.
-            double ownR = heard ? meanR + (r - meanR) * fade(answerAt) : meanR;
+            double fresh = Math.min(1, Math.exp(1 - (now - answerAt) / (FRESH * goal)));
+            double ownR = heard ? meanR + (r - meanR) * fresh : meanR;
             // Danger: a hung searcher sends nothing, and its last good figures draw new parts until time-outs
             // come in; the oldest launch's age is a lower bound of what its answer will take.
             ownR = Math.max(ownR, out.isEmpty() ? 0 : now - out.iterator().next().sentAt);
             // Danger: one stale low report draws parts; once old it counts as no better than its neighbours'.
-            double q = meanQueue + (queue - meanQueue) * Math.exp((reportAt - host.now()) / (2 * meanR));
+            double q = meanQueue + (queue - meanQueue) * Math.exp((reportAt - now) / (2 * meanR));
             double qHat = 1 + (out.size() + planned) * given.mixers() + q * (1 + busyShare);
             return ownR - s + qHat * qHat * qHat * s + (near ? 0 : 1e-6);
         }
 
-        private double fade(double since) {
-            double age = host.now() - since;
-            return age <= FRESH * goal ? 1 : Math.exp(1 - age / (FRESH * goal));
-        }
-
         double s() {
             double lowest = Math.min(lowestNow, lowestBefore);
             return lowest < Double.POSITIVE_INFINITY ? lowest : FIRST_GUESS * goal;
@@ -491,8 +487,6 @@
         }
     }
 
-    // ---- handles ----
-
     /** What differs by service grade. */
     private final class GradeRow {
         final Host.GradeTerms terms;
@@ -610,6 +604,10 @@
             mine.out--;
             out--;
             Searcher searcher = launch.searcher;
+            // Danger: after this mixer itself stood still every answer looks slow, and room shrinks at all.
+            // The regular look comes far more often, so a longer gap between batches is our own.
+            double gap = host.now() - lastBatchAt;
+            took = gap > STALL * SWEEP * goal ? Math.max(Math.min(took, searcher.s()), took - gap) : took;
             searcher.out.remove(launch);
             searcher.heardReport(report);
             switch (ending) {
--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -57,6 +57,7 @@
         while (clock < end) {
             clock += 0.02;
             logic.ring(0);
+            logic.endOfBatch();
         }
     }
 
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -334,4 +334,21 @@
             host.ends(next, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
         }
     }
+
+    @Test
+    void aStallOfThisMixerIsNotTakenForSlowSearchers() {
+        host.open("a");
+        host.warmUp(20, 0.1);
+        Logic.Query before = host.take("q", 4);
+        assertEquals(4, host.count("launch q"));
+        host.clock += 1.5;
+        host.logic.ring(0);
+        for (int part = 0; part < 4; part++) {
+            before.settled("q-" + part, 0, Ending.FULFILLED, 1.5, null);
+        }
+        host.logic.endOfBatch();
+        assertEquals(1, host.count("assemble q whole"));
+        host.take("r", 4);
+        assertEquals(4, host.count("launch r"), "room is as it was");
+    }
 }
