--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -22,7 +22,8 @@
     FakeHost open(String... names) {
         Host.GradeTerms grade = new Host.GradeTerms("any", 2, 0, 8, 1, lateValue, repeat, 3, leastShare, 1,
             0.9, 0);
-        logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade), rules,
+        Host.GradeTerms rich = new Host.GradeTerms("rich", 2, 0, 8, 10, 0, Host.Repeat.IDEMPOTENT, 0, 1, 1, 0, 0);
+        logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade, rich), rules,
             mustAsk, true, true, overlap, true, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
             new SplittableRandom(7));
         list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import pinewick.Host.Ending;
 import pinewick.Host.ListForm;
@@ -351,4 +353,25 @@
         host.take("r", 4);
         assertEquals(4, host.count("launch r"), "room is as it was");
     }
+
+    @Test
+    void aWideValuableQueryDoesNotStarveBehindNarrowOnes() {
+        host.overlap = false;
+        host.open("a", "b");
+        List<Logic.Query> first = new ArrayList<>();
+        for (int each = 0; each < 4; each++) {
+            first.add(host.take("q" + each, 1));
+        }
+        Logic.Query wide = host.logic.take("wide", 1, 8, 6, 0);
+        for (int part = 0; part < 6; part++) {
+            wide.part("wide-" + part, part, 1.0 / 6);
+        }
+        host.pass(0.3);
+        host.take("narrow", 1);
+        assertEquals(0, host.count("launch narrow"), "the room is kept for the wide one");
+        for (int each = 0; each < 4; each++) {
+            host.ends(first.get(each), "q" + each + "-0", 0, Ending.FULFILLED, 0.3);
+        }
+        assertEquals(6, host.count("launch wide"));
+    }
 }
