No launch waits longer than one latency goal

Harm: a part that would have come after the goal is sent again or lost; late answers are worth little.

--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -209,7 +209,8 @@
         if (searcher.cold()) {
             searcher.coldSpent.add(now, query.grade.work() + given.callWork());
         }
-        host.launch(part.id, searcher.id, Math.max(given.tick(), query.usefulEnd() - now));
+        double most = Math.min(query.usefulEnd() - now, query.grade.terms.latencyGoal());
+        host.launch(part.id, searcher.id, Math.max(given.tick(), most));
     }
 
     /**
