--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -16,6 +16,7 @@
     double leastShare = 1;
     double callWork;
     int mixers = 2;
+    double longestWait;
     Logic logic;
 
     /** A mixer over one cell of searchers a, b, ... that all hold every shard. */
@@ -99,6 +100,7 @@
 
     @Override
     public void launch(String part, String searcher, double maxWait) {
+        longestWait = Math.max(longestWait, maxWait);
         said.add("launch " + part + " " + searcher);
     }
 
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -374,4 +374,11 @@
         }
         assertEquals(6, host.count("launch wide"));
     }
+
+    @Test
+    void aPartThatIsNeverAnsweredHoldsItsPlaceForOneLatencyGoalOnly() {
+        host.open("a", "b");
+        host.take("q", 1);
+        assertEquals(2, host.longestWait, 1e-9, "though the client waits for 8 s and a late answer has a value");
+    }
 }
