--- a/src/main/java/pinewick/benchlink/OpeningTerms.java
+++ b/src/main/java/pinewick/DeploymentTerms.java
@@ -1,4 +1,4 @@
-package pinewick.benchlink;
+package pinewick;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -7,20 +7,24 @@
 import com.google.gson.JsonSyntaxException;
 import java.util.ArrayList;
 import java.util.List;
-import pinewick.Host;
 
-/** Reads the object that opens a mixer; unknown keys are skipped, absent ones mean "not limited". */
-final class OpeningTerms {
-    private OpeningTerms() {
+/**
+ * Reads the settings that open a mixer, and load reports, for every front; unknown keys are skipped, absent
+ * ones mean "not limited".
+ */
+public final class DeploymentTerms {
+    private DeploymentTerms() {
     }
 
-    static Host.Deployment read(String text) {
-        JsonObject all;
+    public static Host.Deployment read(String text) {
         try {
-            all = JsonParser.parseString(text).getAsJsonObject();
+            return read(JsonParser.parseString(text).getAsJsonObject());
         } catch (JsonSyntaxException | IllegalStateException wrong) {
             throw new IllegalArgumentException("config is not an object: " + wrong.getMessage());
         }
+    }
+
+    public static Host.Deployment read(JsonObject all) {
         JsonObject bounds = object(all, "bounds");
         JsonObject family = object(all, "family-info");
         JsonObject rules = object(all, "rules");
@@ -89,4 +93,32 @@
         JsonArray list = array(from, key);
         return row < list.size() ? list.get(row).getAsDouble() : absent;
     }
+
+    /** A report of pairs set apart by commas; null where there is none. Both fronts' names are known. */
+    public static Host.LoadReport report(String text, char between) {
+        if (text.isEmpty() || text.equals("-")) {
+            return null;
+        }
+        double pending = Double.NaN;
+        double inFlight = Double.NaN;
+        double busyShare = Double.NaN;
+        double servedRate = Double.NaN;
+        for (String pair : text.split(",")) {
+            int middle = pair.indexOf(between);
+            if (middle < 0) {
+                throw new IllegalArgumentException("report " + text);
+            }
+            double value = Double.parseDouble(pair.substring(middle + 1));
+            switch (pair.substring(0, middle)) {
+                case "pending", "queue" -> pending = value;
+                case "busy_reqs", "inflight" -> inFlight = value;
+                case "cpu_share", "util" -> busyShare = value;
+                case "served_ps", "qps" -> servedRate = value;
+                default -> {
+                    // A value that no decision reads.
+                }
+            }
+        }
+        return new Host.LoadReport(pending, inFlight, busyShare, servedRate);
+    }
 }
--- a/src/main/java/pinewick/Main.java
+++ b/src/main/java/pinewick/Main.java
@@ -1,18 +1,13 @@
 package pinewick;
 
-import pinewick.benchlink.Benchlink;
+import pinewick.life.Commands;
 
-/** Picks the front by its name; each front lives in a package of its own. */
+/** Where the program starts. */
 public final class Main {
     private Main() {
     }
 
-    public static void main(String[] words) throws Exception {
-        if (words.length == 1 && words[0].equals("benchlink")) {
-            Benchlink.run(System.in, System.out);
-            return;
-        }
-        System.err.println("usage: java -jar pinewick.jar benchlink");
-        System.exit(2);
+    public static void main(String[] words) {
+        System.exit(Commands.run(words));
     }
 }
--- a/src/main/java/pinewick/benchlink/Mixer.java
+++ b/src/main/java/pinewick/benchlink/Mixer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import pinewick.DeploymentTerms;
 import pinewick.Host;
 import pinewick.Logic;
 
@@ -31,7 +32,7 @@
     Mixer(int number, long clock, Fields opening) {
         this.number = number;
         this.clock = clock;
-        deployment = OpeningTerms.read(opening.text("config"));
+        deployment = DeploymentTerms.read(opening.text("config"));
         for (Host.GradeTerms grade : deployment.grades()) {
             gradeRows.put(grade.name(), gradeRows.size());
         }
@@ -159,36 +160,7 @@
     }
 
     private static LoadReport report(Fields event) {
-        String text = event.text("metrics", "");
-        if (text.isEmpty()) {
-            return null;
-        }
-        double pending = Double.NaN;
-        double inFlight = Double.NaN;
-        double busyShare = Double.NaN;
-        double servedRate = Double.NaN;
-        for (String pair : text.split(",")) {
-            int colon = pair.indexOf(':');
-            if (colon < 0) {
-                throw new IllegalArgumentException("metrics=" + text);
-            }
-            double value;
-            try {
-                value = Double.parseDouble(pair.substring(colon + 1));
-            } catch (NumberFormatException odd) {
-                throw new IllegalArgumentException("metrics=" + text);
-            }
-            switch (pair.substring(0, colon)) {
-                case "pending" -> pending = value;
-                case "busy_reqs" -> inFlight = value;
-                case "cpu_share" -> busyShare = value;
-                case "served_ps" -> servedRate = value;
-                default -> {
-                    // A value that no decision reads.
-                }
-            }
-        }
-        return new LoadReport(pending, inFlight, busyShare, servedRate);
+        return DeploymentTerms.report(event.text("metrics", ""), ':');
     }
 
     private StringBuilder write(String verb) {
--- /dev/null
+++ b/src/main/java/pinewick/life/Limits.java
@@ -0,0 +1,53 @@
+package pinewick.life;
+
+import com.google.gson.JsonObject;
+
+/**
+ * Every size, count and time that bounds the network code, filled at start and handed down. The figures of
+ * the deployment come from its settings; the others are the program's own and stand here alone.
+ */
+public record Limits(
+    /* clients */
+    int bodyBytes, int headerBytes, int clientSockets, double clientIdle, double requestRead, double answerWrite,
+    double longestWait,
+    /* searchers */
+    int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double linkIdle,
+    double probeWait,
+    int answersOwed, int searcherSockets, int shards,
+    /* discovery */
+    int lineBytes, double watchSilence, double watchAgain,
+    /* held and said */
+    int open, int logLines,
+    /* the end: how long the front may still send, and how long a stop takes at most */
+    double frontNotice, double stopMost) {
+
+    private static final int OWN_SOCKETS = 64; // the program's files, selectors, pipes, discovery
+    private static final int BODY = 64 << 10;
+
+    /** From the configuration that a mixer is started with. */
+    static Limits of(JsonObject config) {
+        JsonObject limits = config.getAsJsonObject("limits");
+        JsonObject settings = config.getAsJsonObject("settings");
+        JsonObject bounds = settings.getAsJsonObject("bounds");
+        JsonObject family = settings.getAsJsonObject("family-info");
+        int sockets = (int) number(limits, "sockets", 1024);
+        double dial = number(bounds, "dial-timeout-ns", 250e6) / 1e9;
+        double idle = number(bounds, "conn-idle-ns", 15e9) / 1e9;
+        double longest = 3;
+        for (var grade : settings.getAsJsonArray("categories")) {
+            longest = Math.max(longest, number(grade.getAsJsonObject(), "hard-limit-ns", 3e9) / 1e9);
+        }
+        return new Limits(BODY, 16 << 10, (sockets - OWN_SOCKETS) / 2, 120, 10, 5, 3600,
+            BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
+            8, dial, idle - Math.min(1, idle / 5), dial,
+            4096, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
+            4 << 20, 5, 0.2,
+            (int) number(bounds, "max-open", 20000), 50,
+            0.55, longest + 0.3);
+    }
+
+    private static double number(JsonObject from, String key, double absent) {
+        return from != null && from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble()
+            : absent;
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/life/Log.java
@@ -0,0 +1,45 @@
+package pinewick.life;
+
+import java.io.PrintStream;
+import java.time.Instant;
+
+/** Lines with a time on standard error; from any one source only so many a second, so that it never floods. */
+public final class Log {
+    private final PrintStream out;
+    private final int mostASecond;
+    private long second;
+    private int written;
+    private long dropped;
+
+    public Log(PrintStream out, int mostASecond) {
+        this.out = out;
+        this.mostASecond = mostASecond;
+    }
+
+    public void say(String text) {
+        long now = System.currentTimeMillis();
+        if (now / 1000 != second) {
+            if (dropped > 0) {
+                out.println(Instant.ofEpochMilli(now) + " " + dropped + " lines left out");
+            }
+            second = now / 1000;
+            written = 0;
+            dropped = 0;
+        }
+        if (++written > mostASecond) {
+            dropped++;
+            return;
+        }
+        out.println(Instant.ofEpochMilli(now) + " " + text.replace('\n', ' '));
+    }
+
+    /** A fault that was caught: what was being done, and where it happened. */
+    public void fault(String doing, Throwable fault) {
+        StringBuilder text = new StringBuilder("fault while " + doing + ": " + fault);
+        StackTraceElement[] trace = fault.getStackTrace();
+        for (int each = 0; each < Math.min(6, trace.length); each++) {
+            text.append(" < ").append(trace[each]);
+        }
+        say(text.toString());
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/life/Loop.java
@@ -0,0 +1,89 @@
+package pinewick.life;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * The one thread that owns the decisions and all state. The events of one wake-up are a batch with one clock;
+ * XNIO runs what is put to the thread after all that were ready, so the batch ends there.
+ */
+public final class Loop {
+    private final XnioIoThread thread;
+    private final Log log;
+    private final double startedAt = System.currentTimeMillis() / 1e3;
+    private final long startedNanos = System.nanoTime();
+    private Runnable endOfBatch = () -> { };
+    private boolean inBatch;
+    private double now = startedAt;
+    private long faults;
+    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(16 << 10);
+
+    public Loop(XnioIoThread thread, Log log) {
+        this.thread = thread;
+        this.log = log;
+    }
+
+    public void atEndOfBatch(Runnable end) {
+        endOfBatch = end;
+    }
+
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    /** The batch's clock: seconds since 1970 at the start, from then on by the monotonic clock. */
+    public double now() {
+        return now;
+    }
+
+    /** The clock itself, for what is written late in a batch. */
+    public double clock() {
+        return startedAt + (System.nanoTime() - startedNanos) / 1e9;
+    }
+
+    /** For bytes that are used up before the caller returns. */
+    public ByteBuffer readBuffer() {
+        return readBuffer;
+    }
+
+    public long faults() {
+        return faults;
+    }
+
+    /** Handles one event on this thread; the first one of a wake-up opens its batch. */
+    public void event(String doing, Runnable event) {
+        if (!inBatch) {
+            inBatch = true;
+            now = clock();
+            thread.execute(this::close);
+        }
+        guarded(doing, event);
+    }
+
+    private void close() {
+        guarded("ending a batch", endOfBatch);
+        inBatch = false;
+    }
+
+    /** No exception ends the loop. */
+    public void guarded(String doing, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException fault) {
+            faults++;
+            log.fault(doing, fault);
+        }
+    }
+
+    /** An event of a later wake-up; may be called from any thread. */
+    public void later(String doing, Runnable event) {
+        thread.execute(() -> event(doing, event));
+    }
+
+    public XnioExecutor.Key after(double seconds, String doing, Runnable event) {
+        return thread.executeAfter(() -> event(doing, event), Math.max(0, Math.round(seconds * 1e6)),
+            TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/life/StartOrders.java
@@ -0,0 +1,83 @@
+package pinewick.life;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import pinewick.DeploymentTerms;
+import pinewick.Host;
+import pinewick.wire.ListText;
+
+/** What a mixer is told before it starts: the environment and the file that it names. */
+record StartOrders(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+                   Limits limits, Host.Deployment deployment, ListText.Piece known) {
+
+    /** A message naming the variable or field at fault comes with the exception. */
+    static StartOrders read(Map<String, String> environment) {
+        String file = environment.get("EDGE_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new IllegalArgumentException("EDGE_CONFIG is not set");
+        }
+        JsonObject all;
+        try {
+            all = JsonParser.parseString(Files.readString(Path.of(file))).getAsJsonObject();
+        } catch (IOException | RuntimeException wrong) {
+            throw new IllegalArgumentException("EDGE_CONFIG: " + file + " can't be read as JSON: " + wrong);
+        }
+        String listen = given(environment, "EDGE_LISTEN", all, "listen");
+        String discovery = given(environment, "EDGE_DISCOVERY", all, "discovery");
+        if (!all.has("settings") || !all.get("settings").isJsonObject()) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field settings is missing or no object");
+        }
+        Limits limits;
+        Host.Deployment deployment;
+        try {
+            limits = Limits.of(all);
+            deployment = DeploymentTerms.read(all.getAsJsonObject("settings"));
+        } catch (RuntimeException wrong) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field settings or limits: " + wrong.getMessage());
+        }
+        if (deployment.grades().isEmpty()) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field settings.categories is missing or empty");
+        }
+        long seed;
+        try {
+            seed = all.has("seed") ? Long.parseUnsignedLong(all.get("seed").getAsString(), 16) : 0;
+        } catch (RuntimeException odd) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field seed: " + odd.getMessage());
+        }
+        ListText.Piece known = new ListText.Piece(0, true, java.util.List.of());
+        try {
+            if (all.has("known") && all.get("known").isJsonObject()) {
+                known = ListText.read(all.getAsJsonObject("known"));
+            }
+        } catch (RuntimeException odd) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field known: " + odd.getMessage());
+        }
+        String name = environment.getOrDefault("EDGE_NAME", "mixer");
+        return new StartOrders(name, address("EDGE_LISTEN", listen), address("EDGE_DISCOVERY", discovery), seed,
+            limits, deployment, known);
+    }
+
+    private static String given(Map<String, String> environment, String variable, JsonObject all, String field) {
+        String value = environment.get(variable);
+        if ((value == null || value.isEmpty()) && all.has(field)) {
+            value = all.get(field).getAsString();
+        }
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException(variable + " is not set, and there is no field " + field);
+        }
+        return value;
+    }
+
+    private static InetSocketAddress address(String what, String text) {
+        try {
+            return ListText.address(text);
+        } catch (IllegalArgumentException odd) {
+            throw new IllegalArgumentException(what + ": " + odd.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/memory/LiveLaunch.java
@@ -0,0 +1,29 @@
+package pinewick.memory;
+
+import org.xnio.XnioExecutor;
+
+/** One launch of a part on its way: where it goes, until when it is waited for, and how far it has come. */
+public final class LiveLaunch {
+    public final OpenQuery.Piece piece;
+    public final int number;
+    public final String searcher;
+    public final double sentAt;
+    public final double until;
+    public XnioExecutor.Key timer;
+    /** The call that carries it, from when one was found. */
+    public Call call;
+    public boolean over;
+
+    public LiveLaunch(OpenQuery.Piece piece, int number, String searcher, double sentAt, double until) {
+        this.piece = piece;
+        this.number = number;
+        this.searcher = searcher;
+        this.sentAt = sentAt;
+        this.until = until;
+    }
+
+    /** Whether not even a first byte of it has been written. */
+    public boolean waits() {
+        return call == null || call.stage == Call.Stage.WAITING;
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/memory/OpenQueries.java
@@ -0,0 +1,56 @@
+package pinewick.memory;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Queries of which something may still be told, by id; those that await their answer are counted apart. */
+public final class OpenQueries {
+    private final Map<String, OpenQuery> byId = new LinkedHashMap<>();
+    private final Map<String, OpenQuery.Piece> byPart = new LinkedHashMap<>();
+    private int awaiting;
+    private int held;
+
+    public OpenQuery query(String id) {
+        return byId.get(id);
+    }
+
+    public OpenQuery.Piece piece(String part) {
+        return byPart.get(part);
+    }
+
+    public void add(OpenQuery query) {
+        byId.put(query.id, query);
+        byPart.putAll(query.pieces);
+        awaiting++;
+        held += 1 + query.pieces.size();
+    }
+
+    /** The query has its answer, or nobody waits for one. */
+    public void ended(OpenQuery query) {
+        if (!query.ended) {
+            query.ended = true;
+            awaiting--;
+            held -= 1 + query.pieces.size();
+        }
+    }
+
+    public void forget(OpenQuery query) {
+        ended(query);
+        byId.remove(query.id);
+        query.pieces.keySet().forEach(byPart::remove);
+    }
+
+    public int awaiting() {
+        return awaiting;
+    }
+
+    /** Queries and parts that await an answer. */
+    public int held() {
+        return held;
+    }
+
+    public Collection<OpenQuery> all() {
+        return byId.values();
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/memory/Searchers.java
@@ -0,0 +1,77 @@
+package pinewick.memory;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pinewick.Host;
+import pinewick.wire.SearcherLink;
+
+/** Where searchers listen, whether they take new parts, and the connections that lead there. */
+public final class Searchers {
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    private final Map<String, Host.Stage> stages = new LinkedHashMap<>();
+    private final Map<String, List<SearcherLink>> links = new LinkedHashMap<>();
+    private int open;
+
+    /** True where the address has changed. */
+    public boolean listed(Host.Listing entry, InetSocketAddress address) {
+        stages.put(entry.searcher(), entry.stage());
+        if (address == null) {
+            return false;
+        }
+        InetSocketAddress before = addresses.put(entry.searcher(), address);
+        return before != null && !before.equals(address);
+    }
+
+    /** A whole list has come: what it does not name is gone. */
+    public void allGone() {
+        stages.replaceAll((id, stage) -> Host.Stage.GONE);
+    }
+
+    public boolean takesNew(String id) {
+        return stages.get(id) == Host.Stage.READY;
+    }
+
+    /** Forgets searchers that are gone and have no connection left. */
+    public void prune() {
+        stages.entrySet().removeIf(each -> {
+            boolean done = each.getValue() == Host.Stage.GONE && links(each.getKey()).isEmpty();
+            if (done) {
+                addresses.remove(each.getKey());
+                links.remove(each.getKey());
+            }
+            return done;
+        });
+    }
+
+    public InetSocketAddress address(String id) {
+        return addresses.get(id);
+    }
+
+    public List<SearcherLink> links(String id) {
+        return links.getOrDefault(id, List.of());
+    }
+
+    public List<SearcherLink> allLinks() {
+        List<SearcherLink> all = new ArrayList<>();
+        links.values().forEach(all::addAll);
+        return all;
+    }
+
+    public void add(SearcherLink link) {
+        links.computeIfAbsent(link.searcher(), any -> new ArrayList<>()).add(link);
+        open++;
+    }
+
+    public void remove(SearcherLink link) {
+        if (links.containsKey(link.searcher()) && links.get(link.searcher()).remove(link)) {
+            open--;
+        }
+    }
+
+    public int open() {
+        return open;
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/stages/Book.java
@@ -0,0 +1,114 @@
+package pinewick.stages;
+
+import java.util.List;
+import java.util.Locale;
+import pinewick.Host;
+import pinewick.life.Log;
+import pinewick.life.Loop;
+import pinewick.memory.Counters;
+import pinewick.memory.LiveLaunch;
+import pinewick.memory.OpenQueries;
+import pinewick.memory.OpenQuery;
+import pinewick.memory.Searchers;
+import pinewick.wire.SearcherLink;
+
+/** Last stage: books how launches, probes and queries ended, and tells the decisions. */
+public final class Book implements SearcherLink.Events {
+    private final Loop loop;
+    private final Log log;
+    private final OpenQueries queries;
+    private final Counters counters;
+    private final Searchers searchers;
+    private final Send send;
+    private final Relay relay;
+    private Route route;
+
+    public Book(Loop loop, Log log, OpenQueries queries, Counters counters, Searchers searchers, Send send,
+                Relay relay) {
+        this.loop = loop;
+        this.log = log;
+        this.queries = queries;
+        this.counters = counters;
+        this.searchers = searchers;
+        this.send = send;
+        this.relay = relay;
+    }
+
+    /** The stage that the decisions are told through. */
+    public void tells(Route decisions) {
+        route = decisions;
+    }
+
+    /** A launch is over, once. */
+    void ended(LiveLaunch launch, Host.Ending ending, Host.LoadReport report) {
+        if (launch.over) {
+            return;
+        }
+        launch.over = true;
+        if (launch.timer != null) {
+            launch.timer.remove();
+        }
+        if (launch.call != null) {
+            launch.call.link.over(launch);
+        }
+        counters.add("ended-" + ending.name().toLowerCase(Locale.ROOT));
+        OpenQuery query = launch.piece.query;
+        try {
+            query.handle.settled(launch.piece.id, launch.number, ending, loop.now() - launch.sentAt, report);
+        } catch (RuntimeException fault) {
+            relay.giveUp(query);
+            throw fault;
+        } finally {
+            forget(query);
+        }
+    }
+
+    /** The client has closed its connection. */
+    void withdrawn(OpenQuery query) {
+        relay.left(query);
+        if (query.handle != null) {
+            query.handle.withdrawn(query.id);
+            forget(query);
+        }
+    }
+
+    private void forget(OpenQuery query) {
+        if (query.handle.over()) {
+            queries.forget(query);
+        }
+    }
+
+    void probeEnded(String searcher, Host.Ending ending, Host.LoadReport report) {
+        counters.add("probe-" + ending.name().toLowerCase(Locale.ROOT));
+        route.probed(searcher, ending, report);
+    }
+
+    @Override
+    public void answered(LiveLaunch launch, char end, Host.LoadReport report, byte[] value) {
+        if (end == 'S' && launch.piece.value == null) {
+            launch.piece.value = value;
+        }
+        ended(launch, switch (end) {
+            case 'S' -> Host.Ending.FULFILLED;
+            case 'B' -> Host.Ending.REJECTED;
+            default -> Host.Ending.ERROR;
+        }, report);
+    }
+
+    @Override
+    public void probed(String searcher, long probe, boolean good, Host.LoadReport report) {
+        send.probeEnds(probe, good ? Host.Ending.FULFILLED : Host.Ending.ERROR, report);
+    }
+
+    @Override
+    public void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps) {
+        searchers.remove(link);
+        counters.add("connections-closed");
+        if (!never.isEmpty() || !perhaps.isEmpty()) {
+            log.say("connection to " + link.searcher() + " closed, " + why + "; not connected " + never.size()
+                + ", dropped " + perhaps.size());
+        }
+        never.forEach(each -> loop.guarded("a launch not connected", () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
+        perhaps.forEach(each -> loop.guarded("a launch dropped", () -> ended(each, Host.Ending.DROPPED, null)));
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/stages/Route.java
@@ -0,0 +1,112 @@
+package pinewick.stages;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import pinewick.Host;
+import pinewick.Logic;
+import pinewick.life.Log;
+import pinewick.life.Loop;
+import pinewick.memory.Counters;
+import pinewick.memory.LiveLaunch;
+import pinewick.memory.OpenQueries;
+import pinewick.memory.OpenQuery;
+
+/** Third stage: hands events to the decisions and passes on what they ask for. It decides nothing itself. */
+public final class Route implements Host {
+    private final Loop loop;
+    private final Log log;
+    private final OpenQueries queries;
+    private final Counters counters;
+    private final Send send;
+    private final Relay relay;
+    private final Logic logic;
+
+    public Route(Host.Deployment given, long seed, Loop loop, Log log, OpenQueries queries, Counters counters,
+                 Send send, Relay relay) {
+        this.loop = loop;
+        this.log = log;
+        this.queries = queries;
+        this.counters = counters;
+        this.send = send;
+        this.relay = relay;
+        logic = new Logic(this, given, new SplittableRandom(seed));
+    }
+
+    public void take(OpenQuery query) {
+        try {
+            query.handle = logic.take(query.id, query.grade, query.ttl, query.pieces.size(), query.workHint);
+            query.pieces.values().forEach(piece -> query.handle.part(piece.id, piece.shard, piece.mass));
+        } catch (RuntimeException fault) {
+            // Whatever went wrong inside, the client gets its one answer.
+            relay.giveUp(query);
+            throw fault;
+        }
+    }
+
+    public void list(Host.ListForm form, List<Host.Listing> entries) {
+        logic.list(form, entries);
+    }
+
+    public void probed(String searcher, Host.Ending ending, Host.LoadReport report) {
+        logic.probed(searcher, ending, report);
+    }
+
+    public void endOfBatch() {
+        loop.guarded("deciding at a batch's end", logic::endOfBatch);
+        send.flush();
+    }
+
+    @Override
+    public double now() {
+        return loop.now();
+    }
+
+    @Override
+    public void launch(String part, String searcher, double maxWait) {
+        OpenQuery.Piece piece = queries.piece(part);
+        LiveLaunch launch = new LiveLaunch(piece, piece.launches.size(), searcher, now(), now() + maxWait);
+        piece.launches.add(launch);
+        send.add(launch);
+    }
+
+    @Override
+    public void assemble(String query, boolean whole) {
+        relay.fulfil(queries.query(query), whole);
+    }
+
+    @Override
+    public void decline(String query, double retryAfter) {
+        relay.decline(queries.query(query), retryAfter);
+    }
+
+    @Override
+    public void giveUp(String query) {
+        relay.giveUp(queries.query(query));
+    }
+
+    @Override
+    public void cancel(String part, int number) {
+        send.cancel(queries.piece(part).launches.get(number));
+    }
+
+    @Override
+    public void probe(String searcher) {
+        send.probe(searcher);
+    }
+
+    @Override
+    public void timer(double in, long name) {
+        loop.after(in, "a timer", () -> logic.ring(name));
+    }
+
+    @Override
+    public void track(boolean on) {
+        // The watch is always open or about to be; asking starts nothing more.
+        counters.add("asked-to-track");
+    }
+
+    @Override
+    public void log(String text) {
+        log.say(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/stages/Send.java
@@ -0,0 +1,179 @@
+package pinewick.stages;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pinewick.Host;
+import pinewick.life.Limits;
+import pinewick.life.Loop;
+import pinewick.memory.Call;
+import pinewick.memory.Counters;
+import pinewick.memory.LiveLaunch;
+import pinewick.memory.Searchers;
+import pinewick.wire.SearcherLink;
+
+/** Fourth stage: what one batch launches to a searcher goes out together, over a connection with a place. */
+public final class Send {
+    private final Host.Deployment given;
+    private final Loop loop;
+    private final Limits limits;
+    private final Counters counters;
+    private final Searchers searchers;
+    private final Map<String, List<LiveLaunch>> batch = new LinkedHashMap<>();
+    private final Map<Long, String> probes = new LinkedHashMap<>();
+    private long lastProbe;
+    private Book book;
+
+    public Send(Host.Deployment given, Loop loop, Limits limits, Counters counters, Searchers searchers) {
+        this.given = given;
+        this.loop = loop;
+        this.limits = limits;
+        this.counters = counters;
+        this.searchers = searchers;
+    }
+
+    /** The stage to which endings go. */
+    public void passesTo(Book next) {
+        book = next;
+    }
+
+    public void add(LiveLaunch launch) {
+        counters.add("launched");
+        batch.computeIfAbsent(launch.searcher, any -> new ArrayList<>()).add(launch);
+    }
+
+    /** The end of a batch: everything that it launched goes out. */
+    public void flush() {
+        if (batch.isEmpty()) {
+            return;
+        }
+        Map<String, List<LiveLaunch>> now = new LinkedHashMap<>(batch);
+        batch.clear();
+        now.forEach((searcher, launches) -> loop.guarded("sending", () -> send(searcher, launches)));
+    }
+
+    private void send(String searcher, List<LiveLaunch> launches) {
+        // What was taken back within its own batch, by its query's end, has ended already.
+        launches.removeIf(each -> each.over || each.piece.query.ended);
+        for (int from = 0; from < launches.size(); from += limits.callParts()) {
+            List<LiveLaunch> call = launches.subList(from, Math.min(launches.size(), from + limits.callParts()));
+            SearcherLink link = searchers.takesNew(searcher) ? link(searcher) : null;
+            if (link == null) {
+                List.copyOf(call).forEach(each -> endLater(each, Host.Ending.NOT_CONNECTED));
+                continue;
+            }
+            for (LiveLaunch each : call) {
+                each.timer = loop.after(each.until - loop.clock(), "a time-out", () -> timedOut(each));
+            }
+            counters.add("calls");
+            link.send(call);
+        }
+    }
+
+    /** A connection with a place: one that is up before one that is not yet, else a new one; null at limits. */
+    private SearcherLink link(String searcher) {
+        SearcherLink best = null;
+        for (SearcherLink each : searchers.links(searcher)) {
+            if (each.hasPlace() && (best == null || (each.isUp() && !best.isUp()))) {
+                best = each;
+            }
+        }
+        InetSocketAddress address = searchers.address(searcher);
+        if (best != null || address == null) {
+            return best;
+        }
+        if (searchers.links(searcher).size() >= limits.connectionsASearcher()
+            || searchers.open() >= limits.searcherSockets()) {
+            counters.add("connections-at-limit");
+            return null;
+        }
+        SearcherLink link = new SearcherLink(searcher, address, loop, limits, book);
+        searchers.add(link);
+        counters.add("connections-opened");
+        counters.peak("peak-searcher-connections", searchers.open());
+        link.dial();
+        return link;
+    }
+
+    private void timedOut(LiveLaunch launch) {
+        if (launch.over) {
+            return;
+        }
+        Call call = launch.call;
+        if (call.stage == Call.Stage.WRITTEN) {
+            // Danger: a machine that vanished leaves its connections open and silent, and each launch put on
+            // them would be lost until its time-out. So a silent one gets nothing new. Harm: a searcher that
+            // is only slow is dialled once more.
+            if (call.link.silentSince(call)) {
+                call.link.retire("silent");
+            }
+            boolean tell = given.mayCancel() && !given.mayOverlap();
+            call.link.drop(launch, tell);
+            book.ended(launch, Host.Ending.TIMED_OUT, null);
+        } else {
+            call.link.drop(launch, false);
+            book.ended(launch, Host.Ending.NOT_CONNECTED, null);
+        }
+    }
+
+    public void cancel(LiveLaunch launch) {
+        if (!launch.over) {
+            if (launch.call != null) {
+                launch.call.link.drop(launch, given.mayCancel());
+            }
+            endLater(launch, Host.Ending.CANCELLED);
+        }
+    }
+
+    /** Takes back what has not been written yet; it never ran. */
+    public void takeBack(LiveLaunch launch, Host.Ending ending) {
+        if (!launch.over && launch.waits()) {
+            if (launch.call != null) {
+                launch.call.link.drop(launch, false);
+            }
+            endLater(launch, ending);
+        } else if (!launch.over && launch.call.stage == Call.Stage.BEGUN) {
+            launch.call.link.drop(launch, false);
+        }
+    }
+
+    /** The searcher takes nothing new: what waits for it goes back, its connections end with what is out. */
+    public void leaves(String searcher, String why) {
+        for (SearcherLink link : List.copyOf(searchers.links(searcher))) {
+            for (LiveLaunch launch : link.waiting()) {
+                takeBack(launch, Host.Ending.MOOT);
+            }
+            link.retire(why);
+        }
+    }
+
+    private void endLater(LiveLaunch launch, Host.Ending ending) {
+        loop.later("a launch's end", () -> book.ended(launch, ending, null));
+    }
+
+    public void probe(String searcher) {
+        long number = ++lastProbe;
+        probes.put(number, searcher);
+        counters.add("probes");
+        loop.later("probing", () -> {
+            SearcherLink link = searchers.takesNew(searcher) ? link(searcher) : null;
+            if (link == null) {
+                probeEnds(number, Host.Ending.NOT_CONNECTED, null);
+                return;
+            }
+            loop.after(limits.probeWait(), "a probe's time-out",
+                () -> probeEnds(number, Host.Ending.TIMED_OUT, null));
+            link.probe(number, true);
+        });
+    }
+
+    /** A probe ends once. */
+    void probeEnds(long number, Host.Ending ending, Host.LoadReport report) {
+        String searcher = probes.remove(number);
+        if (searcher != null) {
+            book.probeEnded(searcher, ending, report);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -0,0 +1,84 @@
+package pinewick.stages;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.util.HashMap;
+import java.util.Map;
+import pinewick.Host;
+import pinewick.life.Limits;
+import pinewick.memory.Counters;
+import pinewick.memory.OpenQuery;
+import pinewick.wire.ClientDoor;
+import pinewick.wire.QueryText;
+
+/** First stage: makes an open query of a client's request, or says what is wrong with that. */
+public final class TakeIn implements ClientDoor.Taker {
+    private final Host.Deployment given;
+    private final Limits limits;
+    private final Counters counters;
+    private final Admit admit;
+    private final Book book;
+    private final Map<String, Integer> gradeRows = new HashMap<>();
+
+    public TakeIn(Host.Deployment given, Limits limits, Counters counters, Admit admit, Book book) {
+        this.given = given;
+        this.limits = limits;
+        this.counters = counters;
+        this.admit = admit;
+        this.book = book;
+        given.grades().forEach(grade -> gradeRows.put(grade.name(), gradeRows.size()));
+    }
+
+    @Override
+    public OpenQuery take(HttpServerExchange request, byte[] body, OpenQuery.Asker asker) {
+        HeaderMap headers = request.getRequestHeaders();
+        String id = header(headers, "Req-Id");
+        Integer grade = gradeRows.get(header(headers, "Req-Kind"));
+        wrongIf(grade == null, "unknown Req-Kind");
+        double ttl;
+        try {
+            ttl = Double.parseDouble(header(headers, "Req-Deadline"));
+        } catch (NumberFormatException odd) {
+            throw new IllegalArgumentException("Req-Deadline is no number");
+        }
+        wrongIf(!(ttl > 0 && ttl <= limits.longestWait()), "Req-Deadline out of bounds");
+        boolean keyed = given.grades().get(grade).repeat() == Host.Repeat.DEDUPLICATED;
+        String key = keyed ? header(headers, "Idempotency-Key") : null;
+        OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
+        QueryText.read(body, query, limits.shards());
+        counters.add("taken");
+        if (headers.contains("Req-Retry")) {
+            counters.add("taken-marked-retry");
+        }
+        admit.admit(query);
+        return query;
+    }
+
+    @Override
+    public void withdrawn(OpenQuery query) {
+        book.withdrawn(query);
+    }
+
+    @Override
+    public void turnedAway(int status, String why) {
+        counters.add("bad-requests");
+    }
+
+    /** Words that go on into frames, so nothing that would end a line or a field there. */
+    private static String header(HeaderMap headers, String name) {
+        String value = headers.getFirst(name);
+        wrongIf(value == null || value.isEmpty(), name + " is missing");
+        wrongIf(value.length() > 200, name + " is too long");
+        for (int at = 0; at < value.length(); at++) {
+            char one = value.charAt(at);
+            wrongIf(one <= ' ' || one == ',' || one > '~', name + " holds an odd character");
+        }
+        return value;
+    }
+
+    private static void wrongIf(boolean wrong, String what) {
+        if (wrong) {
+            throw new IllegalArgumentException(what);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -0,0 +1,363 @@
+package pinewick.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import pinewick.DeploymentTerms;
+import pinewick.Host;
+import pinewick.life.Limits;
+import pinewick.life.Loop;
+import pinewick.memory.Call;
+import pinewick.memory.LiveLaunch;
+
+/** One connection to a searcher, from when it is asked for until it is closed. */
+public final class SearcherLink {
+    /** What a link tells; every call is an event of its own on the loop. */
+    public interface Events {
+        void answered(LiveLaunch launch, char end, Host.LoadReport report, byte[] value);
+
+        void probed(String searcher, long probe, boolean good, Host.LoadReport report);
+
+        /** The link is closed; {@code never} were not written whole, {@code perhaps} were. */
+        void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps);
+    }
+
+    private static final class Owed {
+        LiveLaunch latest;
+        int answers;
+    }
+
+    private final String searcher;
+    private final InetSocketAddress address;
+    private final Loop loop;
+    private final Limits limits;
+    private final Events events;
+    private final Frames.Cutter cutter;
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private final ArrayDeque<ByteBuffer> control = new ArrayDeque<>();
+    private final ArrayDeque<Long> probes = new ArrayDeque<>();
+    private final List<Call> calls = new ArrayList<>();
+    private final Map<String, Owed> owed = new LinkedHashMap<>();
+    private IoFuture<StreamConnection> dialing;
+    private XnioExecutor.Key dialTimer;
+    private StreamConnection connection;
+    private ByteBuffer current;
+    private Call currentCall;
+    private boolean closed;
+    private boolean retired;
+    private boolean forgot;
+    private double usedAt;
+    private double heardAt = Double.NEGATIVE_INFINITY;
+
+    public SearcherLink(String searcher, InetSocketAddress address, Loop loop, Limits limits, Events events) {
+        this.searcher = searcher;
+        this.address = address;
+        this.loop = loop;
+        this.limits = limits;
+        this.events = events;
+        this.cutter = new Frames.Cutter(limits.frameBytes());
+        usedAt = loop.now();
+    }
+
+    public String searcher() {
+        return searcher;
+    }
+
+    /** Starts to connect; the answer is an event. */
+    public void dial() {
+        dialTimer = loop.after(limits.dial(), "dialing", () -> {
+            if (connection == null) {
+                close("not up in time");
+            }
+        });
+        dialing = loop.thread().openStreamConnection(address, null, null,
+            OptionMap.create(Options.TCP_NODELAY, true));
+        dialing.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Object>() {
+            @Override
+            public void handleDone(StreamConnection made, Object none) {
+                loop.later("connected", () -> up(made));
+            }
+
+            @Override
+            public void handleFailed(IOException failed, Object none) {
+                loop.later("not connected", () -> close("not connected: " + failed.getMessage()));
+            }
+
+            @Override
+            public void handleCancelled(Object none) {
+                loop.later("not connected", () -> close("not connected: cancelled"));
+            }
+        }, null);
+    }
+
+    /** A link over a connection that is there already. */
+    public void up(StreamConnection made) {
+        if (closed) {
+            IoUtils.safeClose(made);
+            return;
+        }
+        connection = made;
+        if (dialTimer != null) {
+            dialTimer.remove();
+        }
+        made.getSourceChannel().setReadListener(any -> loop.event("reading from a searcher", this::read));
+        made.getSinkChannel().setWriteListener(any -> loop.event("writing to a searcher", this::write));
+        made.getSourceChannel().resumeReads();
+        write();
+    }
+
+    /** Whether another call may be put on it now. */
+    public boolean hasPlace() {
+        return !closed && !retired && calls.size() < limits.callsAConnection()
+            && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
+    }
+
+    public boolean isUp() {
+        return connection != null && !closed;
+    }
+
+    public int calls() {
+        return calls.size();
+    }
+
+    /** No new calls; it closes once those that are out have ended. */
+    public void retire(String why) {
+        retired = true;
+        if (calls.isEmpty()) {
+            close(why);
+        }
+    }
+
+    /** To be called now and then: closes the link before the far side would. */
+    public void look() {
+        if (connection != null && calls.isEmpty() && probes.isEmpty() && loop.now() - usedAt >= limits.linkIdle()) {
+            close("idle");
+        }
+    }
+
+    public void send(List<LiveLaunch> launches) {
+        Call call = new Call(this, launches);
+        calls.add(call);
+        waiting.add(call);
+        write();
+    }
+
+    public void probe(long number, boolean load) {
+        probes.add(number);
+        control.add(Frames.frame(load ? Frames.LOAD : Frames.PROBE, new byte[0]));
+        write();
+    }
+
+    /** Takes a launch back that has not been written, or tells the searcher that it is given up. */
+    public void drop(LiveLaunch launch, boolean tell) {
+        Call call = launch.call;
+        if (call.stage == Call.Stage.WAITING) {
+            call.launches.remove(launch);
+        } else if (call.stage == Call.Stage.BEGUN) {
+            // Danger: the rest of the frame would still go out after the query's answer.
+            loop.later("dropping a frame", () -> close("a frame begun was no longer wanted"));
+        } else if (tell) {
+            control.add(Frames.cancel(launch.piece.id));
+            write();
+        }
+    }
+
+    /** The launches of which no byte has been written. */
+    public List<LiveLaunch> waiting() {
+        List<LiveLaunch> none = new ArrayList<>();
+        waiting.forEach(call -> none.addAll(call.launches));
+        return none;
+    }
+
+    /** A launch on this link is over, for whatever reason. */
+    public void over(LiveLaunch launch) {
+        Call call = launch.call;
+        if (--call.out == 0) {
+            calls.remove(call);
+            waiting.remove(call);
+            if (retired && calls.isEmpty()) {
+                loop.later("closing a retired link", () -> close("retired"));
+            }
+        }
+    }
+
+    /** Whether nothing has come since that call was written. */
+    public boolean silentSince(Call call) {
+        return call.stage == Call.Stage.WRITTEN && heardAt < call.writtenAt;
+    }
+
+    private void write() {
+        if (connection == null || closed) {
+            return;
+        }
+        try {
+            while (current != null || next()) {
+                if (connection.getSinkChannel().write(current) == 0 && current.hasRemaining()) {
+                    connection.getSinkChannel().resumeWrites();
+                    return;
+                }
+                if (currentCall != null && currentCall.stage == Call.Stage.WAITING) {
+                    currentCall.stage = Call.Stage.BEGUN;
+                }
+                if (!current.hasRemaining()) {
+                    written();
+                }
+            }
+            connection.getSinkChannel().suspendWrites();
+        } catch (IOException broken) {
+            loop.later("a searcher's connection broke", () -> close("broke: " + broken.getMessage()));
+        }
+    }
+
+    private boolean next() {
+        if (!control.isEmpty()) {
+            current = control.poll();
+            return true;
+        }
+        while (!waiting.isEmpty()) {
+            Call call = waiting.poll();
+            if (!call.launches.isEmpty()) {
+                currentCall = call;
+                current = Frames.call(call, loop.clock());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void written() {
+        current = null;
+        usedAt = loop.now();
+        if (currentCall != null) {
+            currentCall.stage = Call.Stage.WRITTEN;
+            currentCall.writtenAt = usedAt;
+            for (LiveLaunch launch : currentCall.launches) {
+                Owed answer = owed.computeIfAbsent(launch.piece.id, any -> new Owed());
+                answer.latest = launch;
+                answer.answers++;
+            }
+            currentCall = null;
+            if (owed.size() > limits.answersOwed()) {
+                // What was given up may never be answered; its memory must not grow with that.
+                forgot |= owed.values().removeIf(each -> each.latest.over);
+            }
+        }
+    }
+
+    private void read() {
+        if (closed) {
+            return;
+        }
+        ByteBuffer in = loop.readBuffer();
+        try {
+            while (!closed) {
+                in.clear();
+                int count = connection.getSourceChannel().read(in);
+                if (count < 0) {
+                    close("ended by the searcher");
+                    return;
+                }
+                if (count == 0) {
+                    return;
+                }
+                heardAt = usedAt = loop.now();
+                cutter.feed(in.flip(), this::frame);
+            }
+        } catch (IOException broken) {
+            close("broke: " + broken.getMessage());
+        } catch (RuntimeException unusable) {
+            close("unusable: " + unusable.getMessage());
+        }
+    }
+
+    private void frame(ByteBuffer frame) {
+        if (closed) {
+            return;
+        }
+        char letter = (char) frame.get();
+        byte[] rest = new byte[frame.remaining()];
+        frame.get(rest);
+        switch (letter) {
+            case Frames.ANSWER -> answer(rest);
+            case Frames.PROBE, Frames.LOAD -> {
+                String text = new String(rest, StandardCharsets.UTF_8).trim();
+                Long number = probes.poll();
+                if (number == null) {
+                    throw new IllegalArgumentException("an answer to no probe");
+                }
+                boolean good = !text.startsWith("E");
+                Host.LoadReport report = good && letter == Frames.LOAD ? DeploymentTerms.report(text, '=') : null;
+                events.probed(searcher, number, good, report);
+            }
+            case Frames.UNUSABLE -> throw new IllegalArgumentException("X "
+                + new String(rest, 0, Math.min(80, rest.length), StandardCharsets.UTF_8));
+            default -> throw new IllegalArgumentException("a frame of letter " + (int) letter);
+        }
+    }
+
+    private void answer(byte[] rest) {
+        int end = 0;
+        while (end < rest.length && rest[end] != '\n') {
+            end++;
+        }
+        String[] words = new String(rest, 0, end, StandardCharsets.UTF_8).split(" ");
+        if (end == rest.length || words.length != 4 || words[1].length() != 1
+            || "SEB".indexOf(words[1].charAt(0)) < 0) {
+            throw new IllegalArgumentException("an answer's line");
+        }
+        Host.LoadReport report = DeploymentTerms.report(words[3], '=');
+        Owed answer = owed.get(words[0]);
+        if (answer == null) {
+            if (forgot) {
+                return;
+            }
+            throw new IllegalArgumentException("an answer for " + words[0] + ", which is not out here");
+        }
+        if (--answer.answers == 0) {
+            owed.remove(words[0]);
+        }
+        byte[] value = new byte[rest.length - end - 1];
+        System.arraycopy(rest, end + 1, value, 0, value.length);
+        if (!answer.latest.over) {
+            events.answered(answer.latest, words[1].charAt(0), report, value);
+        }
+    }
+
+    /** Closes the link; what was out on it ends as the protocol says. */
+    public void close(String why) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (dialTimer != null) {
+            dialTimer.remove();
+        }
+        if (connection == null && dialing != null) {
+            dialing.cancel();
+        }
+        IoUtils.safeClose(connection);
+        List<LiveLaunch> never = new ArrayList<>();
+        List<LiveLaunch> perhaps = new ArrayList<>();
+        for (Call call : calls) {
+            for (LiveLaunch launch : call.launches) {
+                if (!launch.over) {
+                    (call.stage == Call.Stage.WRITTEN ? perhaps : never).add(launch);
+                }
+            }
+        }
+        events.closed(this, why, never, perhaps);
+        probes.forEach(number -> events.probed(searcher, number, false, null));
+    }
+}
