--- /dev/null
+++ b/src/main/java/pinewick/life/Chain.java
@@ -0,0 +1,83 @@
+package pinewick.life;
+
+import io.undertow.connector.ByteBufferPool;
+import java.util.function.Consumer;
+import pinewick.Host;
+import pinewick.memory.Counters;
+import pinewick.memory.OpenQueries;
+import pinewick.memory.Searchers;
+import pinewick.stages.Admit;
+import pinewick.stages.Book;
+import pinewick.stages.Relay;
+import pinewick.stages.Route;
+import pinewick.stages.Send;
+import pinewick.stages.TakeIn;
+import pinewick.wire.ClientDoor;
+import pinewick.wire.ListText;
+import pinewick.wire.SearcherLink;
+
+/** The stages of one mixer, put together, with what they keep. */
+final class Chain {
+    final Counters counters = new Counters();
+    final OpenQueries queries = new OpenQueries();
+    final Searchers searchers = new Searchers();
+    final ClientDoor door;
+    final Route route;
+    private final Loop loop;
+    private final Send send;
+
+    Chain(Host.Deployment given, Limits limits, long seed, Loop loop, Log log, ByteBufferPool buffers,
+          Consumer<SearcherLink> dialer) {
+        this.loop = loop;
+        door = new ClientDoor(loop, limits, buffers, this::figures);
+        send = new Send(given, loop, limits, counters, searchers, dialer);
+        Relay relay = new Relay(queries, counters, send);
+        Book book = new Book(loop, log, queries, counters, searchers, send, relay);
+        send.passesTo(book);
+        route = new Route(given, seed, loop, log, queries, counters, send, relay);
+        book.tells(route);
+        Admit admit = new Admit(limits, loop, queries, counters, route, relay);
+        door.opens(new TakeIn(given, limits, counters, admit, book));
+        loop.atEndOfBatch(route::endOfBatch);
+    }
+
+    /** News of the list: the decisions are told, and what waits for a searcher that takes nothing new goes back. */
+    void list(ListText.Piece piece, Host.ListForm form) {
+        if (form != Host.ListForm.CHANGES) {
+            searchers.allGone();
+        }
+        for (int each = 0; each < piece.listings().size(); each++) {
+            Host.Listing entry = piece.listings().get(each);
+            if (searchers.listed(entry, piece.addresses().get(each))) {
+                send.leaves(entry.searcher(), "address changed");
+            }
+        }
+        route.list(form, piece.listings());
+        for (SearcherLink link : searchers.allLinks()) {
+            if (!searchers.takesNew(link.searcher())) {
+                send.leaves(link.searcher(), "draining or gone");
+            }
+        }
+        searchers.prune();
+        counters.add("list-pieces");
+    }
+
+    /** Looks after connections; to be called now and then. */
+    void housekeeping() {
+        searchers.allLinks().forEach(SearcherLink::look);
+        door.prune();
+        counters.peak("peak-client-connections", door.connections());
+    }
+
+    /** Ends a chain that was only tried out. */
+    void end() {
+        route.ends();
+        searchers.allLinks().forEach(link -> link.close("end of the rehearsal"));
+    }
+
+    String figures() {
+        return counters.text() + "awaiting " + queries.awaiting() + "\nheld " + queries.held()
+            + "\nout " + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections " + door.connections()
+            + "\nfaults " + loop.faults() + "\n";
+    }
+}
--- a/src/main/java/pinewick/life/Commands.java
+++ b/src/main/java/pinewick/life/Commands.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import pinewick.benchlink.Benchlink;
-import sun.misc.Signal;
 
 /** The command line. */
-@Command(name = "pinewick", mixinStandardHelpOptions = true, description = "Co-ordinator of queries over replicated "
-    + "shards.", subcommands = {Commands.ServeCommand.class, Commands.BenchCommand.class})
+@Command(name = "pinewick", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+    description = "Co-ordinator of queries over replicated shards.",
+    subcommands = {Commands.ServeCommand.class, Commands.CheckCommand.class, Commands.BenchCommand.class,
+        Commands.RehearseCommand.class, Commands.VersionCommand.class})
 public final class Commands implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -17,28 +17,53 @@
         return new CommandLine(new Commands()).execute(words);
     }
 
+    /** The commands that machines start, without loading the parser of the command line for them. */
+    public static int plain(String command, String[] words) {
+        try {
+            return switch (command) {
+                case "serve" -> Serving.serve();
+                case "benchlink" -> Serving.benchlink();
+                case "rehearse" -> Serving.rehearse();
+                default -> run(words);
+            };
+        } catch (Exception fault) {
+            System.err.println("pinewick: " + fault);
+            return 1;
+        }
+    }
+
+    static String versionText() {
+        String version = Commands.class.getPackage().getImplementationVersion();
+        return "pinewick " + (version == null ? "unpackaged" : version);
+    }
+
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
     }
 
-    @Command(name = "serve", description = "Serves as a real mixer; EDGE_CONFIG names the configuration.")
+    /** Read from the jar's manifest. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            return new String[] {versionText()};
+        }
+    }
+
+    @Command(name = "serve", description = "Serves as a real mixer; the environment variable EDGE_CONFIG names the "
+        + "configuration.")
     static final class ServeCommand implements Callable<Integer> {
         @Override
         public Integer call() throws Exception {
-            Log log = new Log(System.err, 200);
-            StartOrders orders;
-            try {
-                orders = StartOrders.read(System.getenv());
-            } catch (IllegalArgumentException wrong) {
-                System.err.println("pinewick: " + wrong.getMessage());
-                return 2;
-            }
-            Serve serve = new Serve(orders, log);
-            Signal.handle(new Signal("TERM"), any -> serve.stop());
-            Signal.handle(new Signal("INT"), any -> serve.stop());
-            Thread.currentThread().join();
-            return 0;
+            return Serving.serve();
+        }
+    }
+
+    @Command(name = "check", description = "Reads the configuration as serve would and says what is in it.")
+    static final class CheckCommand implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Serving.check();
         }
     }
 
@@ -46,8 +71,23 @@
     static final class BenchCommand implements Callable<Integer> {
         @Override
         public Integer call() throws Exception {
-            Benchlink.run(System.in, System.out);
-            return 0;
+            return Serving.benchlink();
+        }
+    }
+
+    @Command(name = "rehearse", description = "Starts, serves nobody and stops; the build keeps the classes it loads.")
+    static final class RehearseCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return Serving.rehearse();
+        }
+    }
+
+    @Command(name = "version", description = "Prints the version.")
+    static final class VersionCommand implements Runnable {
+        @Override
+        public void run() {
+            System.out.println(versionText());
         }
     }
 }
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -8,18 +8,20 @@
  */
 public record Limits(
     /* clients */
-    int bodyBytes, int headerBytes, int clientSockets, double clientIdle, double requestRead, double answerWrite,
+    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double clientIdle, double requestRead, double answerWrite,
     double longestWait,
     /* searchers */
     int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double linkIdle,
     double probeWait,
-    int answersOwed, int searcherSockets, int shards,
+    int answersOwed, int controlFrames, int searcherSockets, int shards,
     /* discovery */
-    int lineBytes, double watchSilence, double watchAgain,
+    int lineBytes, double watchSilence, double watchAgain, double watchAgainMost,
     /* held and said */
     int open, int logLines,
     /* the end: how long the front may still send, and how long a stop takes at most */
-    double frontNotice, double stopMost) {
+    double frontNotice, double stopMost,
+    /* the program itself */
+    double rehearsal, double housekeeping, int backlog, int bufferBytes, int buffersKept) {
 
     private static final int OWN_SOCKETS = 64; // the program's files, selectors, pipes, discovery
     private static final int BODY = 64 << 10;
@@ -37,13 +39,14 @@
         for (var grade : settings.getAsJsonArray("categories")) {
             longest = Math.max(longest, number(grade.getAsJsonObject(), "hard-limit-ns", 3e9) / 1e9);
         }
-        return new Limits(BODY, 16 << 10, (sockets - OWN_SOCKETS) / 2, 120, 10, 5, 3600,
+        return new Limits(BODY, 128, 16 << 10, (sockets - OWN_SOCKETS) / 2, 120, 10, 5, 3600,
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
             8, dial, idle - Math.min(1, idle / 5), dial,
-            4096, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
-            4 << 20, 5, 0.2,
+            4096, 1024, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
+            4 << 20, 4.5, 0.1, 1,
             (int) number(bounds, "max-open", 20000), 50,
-            0.55, longest + 0.3);
+            0.55, longest + 0.3,
+            0.4, 0.25, 1024, 8 << 10, 256);
     }
 
     private static double number(JsonObject from, String key, double absent) {
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -54,6 +54,10 @@
 
     /** Handles one event on this thread; the first one of a wake-up opens its batch. */
     public void event(String doing, Runnable event) {
+        if (Thread.currentThread() != thread) {
+            later(doing, event);
+            return;
+        }
         if (!inBatch) {
             inBatch = true;
             now = clock();
--- /dev/null
+++ b/src/main/java/pinewick/life/Rehearsal.java
@@ -0,0 +1,137 @@
+package pinewick.life;
+
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.ChannelPipe;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import pinewick.Host;
+import pinewick.wire.ListText;
+import pinewick.wire.PretendSearcher;
+import pinewick.wire.SearcherLink;
+
+/**
+ * Queries played through a chain of their own before the mixer is ready, so that the first real ones find all
+ * classes loaded and the ordinary path compiled. Client and searchers are pipes within this process: nothing
+ * reaches the network, and nothing of what the chain learned is kept.
+ */
+final class Rehearsal {
+    private static final int PARTS = 6;
+
+    private final Host.Deployment given;
+    private final Limits limits;
+    private final Loop loop;
+    private final Log log;
+    private final ByteBufferPool buffers;
+    private final Runnable then;
+    private final Chain chain;
+    private final List<StreamConnection> ends = new ArrayList<>();
+    private StreamConnection client;
+    private double startedAt;
+    private int asked;
+    private boolean over;
+
+    Rehearsal(StartOrders orders, Loop loop, ByteBufferPool buffers, Runnable then) {
+        this.given = orders.deployment();
+        this.limits = orders.limits();
+        this.loop = loop;
+        this.log = new Log(System.err, 0);
+        this.buffers = buffers;
+        this.then = then;
+        chain = new Chain(given, limits, 1, loop, log, buffers, this::dial);
+    }
+
+    void start() {
+        startedAt = loop.now();
+        List<Host.Listing> listings = new ArrayList<>();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int cell = 0; cell < given.cells(); cell++) {
+            for (int each = 0; each < 2; each++) {
+                listings.add(new Host.Listing("r-" + cell + "-" + each, cell, given.zone(), Host.Stage.READY, 0));
+                addresses.add(InetSocketAddress.createUnresolved("pipe", 1 + listings.size()));
+            }
+        }
+        chain.list(new ListText.Piece(1, true, listings, addresses), Host.ListForm.CACHED);
+        try {
+            client = pipe(chain.door::handleEvent);
+        } catch (IOException none) {
+            end("no pipes: " + none.getMessage());
+            return;
+        }
+        client.getSourceChannel().setReadListener(any -> loop.event("rehearsing", this::answered));
+        client.getSourceChannel().resumeReads();
+        loop.after(limits.rehearsal() * 3, "ending the rehearsal", () -> end("too long"));
+        ask();
+    }
+
+    /** Opens a pipe, hands its far end over and gives back the near one. */
+    private StreamConnection pipe(java.util.function.Consumer<StreamConnection> far) throws IOException {
+        ChannelPipe<StreamConnection, StreamConnection> pipe = loop.thread().createFullDuplexPipeConnection();
+        ends.add(pipe.getLeftSide());
+        ends.add(pipe.getRightSide());
+        far.accept(pipe.getRightSide());
+        return pipe.getLeftSide();
+    }
+
+    private void dial(SearcherLink link) {
+        loop.later("rehearsing a connection", () -> {
+            try {
+                link.up(pipe(far -> new PretendSearcher(far, loop, limits)));
+            } catch (IOException none) {
+                link.close(none.getMessage());
+            }
+        });
+    }
+
+    private void ask() {
+        Host.GradeTerms grade = given.grades().get(asked++ % given.grades().size());
+        StringBuilder body = new StringBuilder("{\"slices\":[");
+        int parts = Math.min(PARTS, limits.shards());
+        for (int part = 0; part < parts; part++) {
+            body.append(part == 0 ? "" : ",").append("{\"slice\":").append((asked + part) % Math.min(limits.shards(), 1000))
+                .append(",\"mass\":").append(1.0 / parts).append('}');
+        }
+        body.append("],\"filter\":\"rehearsal\"}");
+        String request = "POST /api HTTP/1.1\r\nHost: rehearsal\r\nReq-Id: rehearsal-" + asked + "\r\nReq-Kind: "
+            + grade.name() + "\r\nReq-Deadline: " + Math.min(limits.longestWait(), Math.max(1, grade.hardStop()))
+            + "\r\nIdempotency-Key: rehearsal-" + asked + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        try {
+            client.getSinkChannel().write(ByteBuffer.wrap(request.getBytes(StandardCharsets.UTF_8)));
+        } catch (IOException broken) {
+            end("broke: " + broken.getMessage());
+        }
+    }
+
+    private void answered() {
+        ByteBuffer in = loop.readBuffer();
+        try {
+            in.clear();
+            int count = client.getSourceChannel().read(in);
+            if (count < 0) {
+                end("ended");
+            } else if (count > 0 && !over) {
+                if (loop.clock() - startedAt < limits.rehearsal()) {
+                    ask();
+                } else {
+                    end(asked + " queries");
+                }
+            }
+        } catch (IOException broken) {
+            end("broke: " + broken.getMessage());
+        }
+    }
+
+    private void end(String why) {
+        if (!over) {
+            over = true;
+            chain.end();
+            ends.forEach(IoUtils::safeClose);
+            then.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pinewick/life/Serving.java
@@ -0,0 +1,80 @@
+package pinewick.life;
+
+import com.google.gson.JsonParser;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import pinewick.benchlink.Benchlink;
+import sun.misc.Signal;
+
+/** What the sub-commands do. */
+final class Serving {
+    private static final Logger LIBRARIES = Logger.getLogger("org.xnio");
+    private static final String REHEARSAL_ORDERS = """
+        {"limits":{"sockets":256},"known":{"revision":1,"complete":true,"members":[]},"settings":{
+         "categories":[{"name":"any","slo-ns":1e9,"hard-limit-ns":3e9,"effect":"retryable"},
+          {"name":"once","slo-ns":1e9,"hard-limit-ns":3e9,"effect":"dedup","dedup-window-ns":3e9}],
+         "bounds":{"multiplex":100,"try-limit":4,"probing":true,"may-cancel":true,"parallel-tries":true},
+         "family-info":{"cells":4,"reach":1,"slabs":8,"per-call":16}}}""";
+
+    private Serving() {
+    }
+
+    /** Serves until a signal ends it. */
+    static int serve() throws Exception {
+        StartOrders orders;
+        try {
+            orders = StartOrders.read(System.getenv());
+        } catch (IllegalArgumentException wrong) {
+            System.err.println("pinewick: " + wrong.getMessage());
+            return 2;
+        }
+        start(orders);
+        Thread.currentThread().join();
+        return 0;
+    }
+
+    static int check() {
+        try {
+            StartOrders orders = StartOrders.read(System.getenv());
+            System.out.println(orders.name() + " listens at " + orders.listen() + ", discovery at "
+                + orders.discovery() + ", " + orders.deployment().grades().size() + " service grades, "
+                + orders.known().listings().size() + " searchers known at revision " + orders.known().revision()
+                + "\n" + orders.limits());
+            return 0;
+        } catch (IllegalArgumentException wrong) {
+            System.err.println("pinewick: " + wrong.getMessage());
+            return 2;
+        }
+    }
+
+    private static Serve start(StartOrders orders) throws Exception {
+        LIBRARIES.setLevel(Level.WARNING);
+        Serve serve = new Serve(orders, new Log(System.err, orders.limits().logLines()));
+        Signal.handle(new Signal("TERM"), any -> serve.stop());
+        Signal.handle(new Signal("INT"), any -> serve.stop());
+        return serve;
+    }
+
+    static int benchlink() throws Exception {
+        Benchlink.run(System.in, System.out);
+        return 0;
+    }
+
+    /** Starts, serves nobody and stops, so that a build can keep the classes that a start loads. */
+    static int rehearse() throws Exception {
+        // Its own door stands in for discovery: the watch is asked for there and gets a 404.
+        String own;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            own = "127.0.0.1:" + free.getLocalPort();
+        }
+        Serve serve = start(StartOrders.of(JsonParser.parseString(REHEARSAL_ORDERS).getAsJsonObject(),
+            Map.of("EDGE_LISTEN", own, "EDGE_DISCOVERY", own)));
+        Thread.sleep(2500);
+        serve.stop();
+        Thread.currentThread().join();
+        return 0;
+    }
+}
--- a/src/main/java/pinewick/life/StartOrders.java
+++ b/src/main/java/pinewick/life/StartOrders.java
@@ -27,6 +27,10 @@
         } catch (IOException | RuntimeException wrong) {
             throw new IllegalArgumentException("EDGE_CONFIG: " + file + " can't be read as JSON: " + wrong);
         }
+        return of(all, environment);
+    }
+
+    static StartOrders of(JsonObject all, Map<String, String> environment) {
         String listen = given(environment, "EDGE_LISTEN", all, "listen");
         String discovery = given(environment, "EDGE_DISCOVERY", all, "discovery");
         if (!all.has("settings") || !all.get("settings").isJsonObject()) {
--- a/src/main/java/pinewick/memory/OpenQueries.java
+++ b/src/main/java/pinewick/memory/OpenQueries.java
@@ -1,6 +1,5 @@
 package pinewick.memory;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -30,6 +29,9 @@
     public void ended(OpenQuery query) {
         if (!query.ended) {
             query.ended = true;
+            if (query.net != null) {
+                query.net.remove();
+            }
             awaiting--;
             held -= 1 + query.pieces.size();
         }
@@ -50,7 +52,8 @@
         return held;
     }
 
-    public Collection<OpenQuery> all() {
-        return byId.values();
+    /** Launches that have not ended. */
+    public long out() {
+        return byPart.values().stream().flatMap(piece -> piece.launches.stream()).filter(each -> !each.over).count();
     }
 }
--- a/src/main/java/pinewick/memory/OpenQuery.java
+++ b/src/main/java/pinewick/memory/OpenQuery.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.xnio.XnioExecutor;
 import pinewick.Logic;
 
 /** A query that was taken: what came with it, what is out for it, and the handle on which news of it is a call. */
@@ -40,6 +41,8 @@
     public byte[] text = new byte[0];
     public double workHint;
     public Logic.Query handle;
+    /** The timer that ends the query if nothing else has. */
+    public XnioExecutor.Key net;
     /** Answered, or left by its client: nothing more is sent for it. */
     public boolean ended;
 
--- a/src/main/java/pinewick/stages/Admit.java
+++ b/src/main/java/pinewick/stages/Admit.java
@@ -1,6 +1,7 @@
 package pinewick.stages;
 
 import pinewick.life.Limits;
+import pinewick.life.Loop;
 import pinewick.memory.Counters;
 import pinewick.memory.OpenQueries;
 import pinewick.memory.OpenQuery;
@@ -8,13 +9,15 @@
 /** Second stage: what the mixer can't hold is turned away before any decision, as the settings say. */
 public final class Admit {
     private final Limits limits;
+    private final Loop loop;
     private final OpenQueries queries;
     private final Counters counters;
     private final Route route;
     private final Relay relay;
 
-    public Admit(Limits limits, OpenQueries queries, Counters counters, Route route, Relay relay) {
+    public Admit(Limits limits, Loop loop, OpenQueries queries, Counters counters, Route route, Relay relay) {
         this.limits = limits;
+        this.loop = loop;
         this.queries = queries;
         this.counters = counters;
         this.route = route;
@@ -23,9 +26,9 @@
 
     public void admit(OpenQuery query) {
         if (queries.query(query.id) != null) {
-            counters.add("taken", -1);
             throw new IllegalArgumentException("Req-Id was used before");
         }
+        counters.add("taken");
         if (queries.held() + 1 + query.pieces.size() > limits.open()) {
             counters.add("turned-away-full");
             relay.turnAway(query);
@@ -33,6 +36,12 @@
         }
         queries.add(query);
         counters.peak("peak-held", queries.held());
+        // Danger: a fault in the decisions must not cost a query its answer. Also catches a lost timer. Harm: none,
+        // the decisions end a query before this.
+        query.net = loop.after(query.ttl, "the end of a client's time", () -> {
+            counters.add("ended-by-the-net");
+            relay.giveUp(query);
+        });
         route.take(query);
     }
 }
--- a/src/main/java/pinewick/stages/Route.java
+++ b/src/main/java/pinewick/stages/Route.java
@@ -20,6 +20,7 @@
     private final Send send;
     private final Relay relay;
     private final Logic logic;
+    private boolean over;
 
     public Route(Host.Deployment given, long seed, Loop loop, Log log, OpenQueries queries, Counters counters,
                  Send send, Relay relay) {
@@ -39,6 +40,9 @@
         } catch (RuntimeException fault) {
             // Whatever went wrong inside, the client gets its one answer.
             relay.giveUp(query);
+            if (query.handle == null) {
+                queries.forget(query);
+            }
             throw fault;
         }
     }
@@ -51,6 +55,11 @@
         logic.probed(searcher, ending, report);
     }
 
+    /** No more timers: these decisions are done with. */
+    public void ends() {
+        over = true;
+    }
+
     public void endOfBatch() {
         loop.guarded("deciding at a batch's end", logic::endOfBatch);
         send.flush();
@@ -96,7 +105,13 @@
 
     @Override
     public void timer(double in, long name) {
-        loop.after(in, "a timer", () -> logic.ring(name));
+        if (!over) {
+            loop.after(in, "a timer", () -> {
+                if (!over) {
+                    logic.ring(name);
+                }
+            });
+        }
     }
 
     @Override
--- a/src/main/java/pinewick/stages/Send.java
+++ b/src/main/java/pinewick/stages/Send.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import pinewick.Host;
 import pinewick.life.Limits;
 import pinewick.life.Loop;
@@ -23,15 +24,18 @@
     private final Searchers searchers;
     private final Map<String, List<LiveLaunch>> batch = new LinkedHashMap<>();
     private final Map<Long, String> probes = new LinkedHashMap<>();
+    private final Consumer<SearcherLink> dialer;
     private long lastProbe;
     private Book book;
 
-    public Send(Host.Deployment given, Loop loop, Limits limits, Counters counters, Searchers searchers) {
+    public Send(Host.Deployment given, Loop loop, Limits limits, Counters counters, Searchers searchers,
+                Consumer<SearcherLink> dialer) {
         this.given = given;
         this.loop = loop;
         this.limits = limits;
         this.counters = counters;
         this.searchers = searchers;
+        this.dialer = dialer;
     }
 
     /** The stage to which endings go. */
@@ -59,9 +63,11 @@
         launches.removeIf(each -> each.over || each.piece.query.ended);
         for (int from = 0; from < launches.size(); from += limits.callParts()) {
             List<LiveLaunch> call = launches.subList(from, Math.min(launches.size(), from + limits.callParts()));
-            SearcherLink link = searchers.takesNew(searcher) ? link(searcher) : null;
+            boolean told = !searchers.takesNew(searcher);
+            SearcherLink link = told ? null : link(searcher);
             if (link == null) {
-                List.copyOf(call).forEach(each -> endLater(each, Host.Ending.NOT_CONNECTED));
+                Host.Ending ending = told ? Host.Ending.MOOT : Host.Ending.NOT_CONNECTED;
+                List.copyOf(call).forEach(each -> endLater(each, ending));
                 continue;
             }
             for (LiveLaunch each : call) {
@@ -93,7 +99,7 @@
         searchers.add(link);
         counters.add("connections-opened");
         counters.peak("peak-searcher-connections", searchers.open());
-        link.dial();
+        dialer.accept(link);
         return link;
     }
 
--- a/src/main/java/pinewick/stages/TakeIn.java
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -46,7 +46,6 @@
         String key = keyed ? header(headers, "Idempotency-Key") : null;
         OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
         QueryText.read(body, query, limits.shards());
-        counters.add("taken");
         if (headers.contains("Req-Retry")) {
             counters.add("taken-marked-retry");
         }
--- a/src/main/java/pinewick/wire/ClientDoor.java
+++ b/src/main/java/pinewick/wire/ClientDoor.java
@@ -6,6 +6,7 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
@@ -46,6 +47,7 @@
     private final HttpOpenListener undertow;
     private final Set<StreamConnection> idle = new LinkedHashSet<>();
     private final Set<StreamConnection> open = new LinkedHashSet<>();
+    private final Set<HttpServerExchange> reading = new LinkedHashSet<>();
     private final Supplier<String> counters;
     private Taker taker;
     private boolean ready;
@@ -64,7 +66,7 @@
             .set(UndertowOptions.ALWAYS_SET_DATE, false)
             .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .getMap());
-        undertow.setRootHandler(this);
+        undertow.setRootHandler(new HttpContinueReadHandler(this));
     }
 
     public void opens(Taker to) {
@@ -94,10 +96,6 @@
     @Override
     public void handleEvent(StreamConnection connection) {
         loop.event("accepting a client", () -> {
-            if (leaving && !ready && open.size() >= limits.clientSockets()) {
-                IoUtils.safeClose(connection);
-                return;
-            }
             // Danger: clients would wait at the limit while others hold connections that they do not use.
             if (open.size() >= limits.clientSockets() - limits.clientSockets() / 16) {
                 prune();
@@ -117,6 +115,7 @@
     public void prune() {
         open.removeIf(each -> !each.isOpen());
         idle.removeIf(each -> !each.isOpen());
+        reading.removeIf(each -> !each.getConnection().isOpen());
     }
 
     @Override
@@ -163,13 +162,22 @@
     }
 
     private void body(HttpServerExchange exchange) {
+        // Danger: bodies that come slowly on all connections at once would fill the heap. Harmless to retry.
+        if (reading.size() >= limits.bodiesAtOnce()) {
+            exchange.setPersistent(false);
+            refuse(exchange, 503, "too many bodies at once");
+            return;
+        }
+        reading.add(exchange);
         XnioExecutor.Key late = loop.after(limits.requestRead(), "a slow body",
             () -> IoUtils.safeClose(exchange.getConnection()));
         exchange.getRequestReceiver().receiveFullBytes((in, bytes) -> {
             late.remove();
+            reading.remove(in);
             in.dispatch(SameThreadExecutor.INSTANCE, () -> loop.event("taking a query", () -> take(in, bytes)));
         }, (in, wrong) -> {
             late.remove();
+            reading.remove(in);
             boolean tooLong = wrong instanceof Receiver.RequestToLargeException;
             in.setPersistent(tooLong && in.isRequestComplete());
             in.dispatch(SameThreadExecutor.INSTANCE, () -> loop.event("refusing a body",
--- a/src/main/java/pinewick/wire/ListWatch.java
+++ b/src/main/java/pinewick/wire/ListWatch.java
@@ -37,7 +37,7 @@
     private long round;
     private double heardAt;
     private ClientConnection connection;
-    private boolean stopped;
+    private double again;
 
     public ListWatch(InetSocketAddress discovery, Loop loop, Limits limits, Log log, ByteBufferPool buffers,
                      long revision, Consumer<ListText.Piece> news, Runnable failed) {
@@ -64,12 +64,6 @@
         watchSilence(mine);
     }
 
-    public void stop() {
-        stopped = true;
-        round++;
-        IoUtils.safeClose(connection);
-    }
-
     private void watchSilence(long mine) {
         loop.after(limits.watchSilence() / 4, "watching the list's silence", () -> {
             if (mine != round) {
@@ -123,6 +117,7 @@
                     return;
                 }
                 heardAt = loop.now();
+                again = 0;
                 in.flip();
                 while (in.hasRemaining()) {
                     byte one = in.get();
@@ -156,7 +151,7 @@
     }
 
     private void ended(long mine, String why) {
-        if (mine != round || stopped) {
+        if (mine != round) {
             return;
         }
         round++;
@@ -168,11 +163,9 @@
         }
         log.say("discovery: the watch is over, " + why);
         loop.guarded("telling of a failed watch", failed);
-        loop.after(limits.watchAgain(), "opening the watch again", () -> {
-            if (!stopped) {
-                open();
-            }
-        });
+        // Danger: an agent that is down would be asked without pause. Harm: news waits that much longer at most.
+        again = Math.max(limits.watchAgain(), Math.min(limits.watchAgainMost(), 2 * again));
+        loop.after(again, "opening the watch again", this::open);
     }
 
     /** A callback of Undertow's client, brought to the loop; what comes for an earlier round is dropped. */
--- a/src/main/java/pinewick/wire/SearcherLink.java
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -171,6 +171,9 @@
         } else if (tell) {
             control.add(Frames.cancel(launch.piece.id));
             write();
+            if (control.size() > limits.controlFrames()) {
+                loop.later("too many frames unread", () -> close("reads nothing"));
+            }
         }
     }
 
