A repeat that waits for a connection is taken back before its window ends

Send.send wrote whatever still waited; now it is taken back as never sent one tick before the window ends.

Also: at the limit of descriptors an idle connection to a searcher gives its place up before a new one is refused; up to 32 connections a searcher in place of 8.

--- a/src/main/java/pinewick/life/Chain.java
+++ b/src/main/java/pinewick/life/Chain.java
@@ -76,8 +76,8 @@
     }
 
     String figures() {
-        return counters.text() + "awaiting " + queries.awaiting() + "\nheld " + queries.held()
-            + "\nout " + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections " + door.connections()
-            + "\nfaults " + loop.faults() + "\n";
+        return counters.text() + "awaiting " + queries.awaiting() + "\nheld " + queries.held() + "\nout "
+            + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections "
+            + door.connections() + "\nfaults " + loop.faults() + "\n";
     }
 }
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -8,8 +8,8 @@
  */
 public record Limits(
     /* clients */
-    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double clientIdle, double requestRead, double answerWrite,
-    double longestWait,
+    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double clientIdle, double requestRead,
+    double answerWrite, double longestWait,
     /* searchers */
     int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double linkIdle,
     double probeWait,
@@ -41,7 +41,7 @@
         }
         return new Limits(BODY, 128, 16 << 10, (sockets - OWN_SOCKETS) / 2, 120, 10, 5, 3600,
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
-            8, dial, idle - Math.min(1, idle / 5), dial,
+            32, dial, idle - Math.min(1, idle / 5), dial,
             4096, 1024, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
             4 << 20, 4.5, 0.1, 1,
             (int) number(bounds, "max-open", 20000), 50,
--- a/src/main/java/pinewick/life/Rehearsal.java
+++ b/src/main/java/pinewick/life/Rehearsal.java
@@ -93,8 +93,9 @@
         StringBuilder body = new StringBuilder("{\"slices\":[");
         int parts = Math.min(PARTS, limits.shards());
         for (int part = 0; part < parts; part++) {
-            body.append(part == 0 ? "" : ",").append("{\"slice\":").append((asked + part) % Math.min(limits.shards(), 1000))
-                .append(",\"mass\":").append(1.0 / parts).append('}');
+            body.append(part == 0 ? "" : ",").append("{\"slice\":")
+                .append((asked + part) % Math.min(limits.shards(), 1000)).append(",\"mass\":")
+                .append(1.0 / parts).append('}');
         }
         body.append("],\"filter\":\"rehearsal\"}");
         String request = "POST /api HTTP/1.1\r\nHost: rehearsal\r\nReq-Id: rehearsal-" + asked + "\r\nReq-Kind: "
--- a/src/main/java/pinewick/memory/LiveLaunch.java
+++ b/src/main/java/pinewick/memory/LiveLaunch.java
@@ -13,6 +13,8 @@
     /** The call that carries it, from when one was found. */
     public Call call;
     public boolean over;
+    /** Over, and known not to have run. */
+    public boolean neverRan;
 
     public LiveLaunch(OpenQuery.Piece piece, int number, String searcher, double sentAt, double until) {
         this.piece = piece;
--- a/src/main/java/pinewick/stages/Book.java
+++ b/src/main/java/pinewick/stages/Book.java
@@ -45,6 +45,7 @@
             return;
         }
         launch.over = true;
+        launch.neverRan = ending.neverRan();
         if (launch.timer != null) {
             launch.timer.remove();
         }
@@ -108,7 +109,8 @@
             log.say("connection to " + link.searcher() + " closed, " + why + "; not connected " + never.size()
                 + ", dropped " + perhaps.size());
         }
-        never.forEach(each -> loop.guarded("a launch not connected", () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
+        never.forEach(each -> loop.guarded("a launch not connected",
+            () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
         perhaps.forEach(each -> loop.guarded("a launch dropped", () -> ended(each, Host.Ending.DROPPED, null)));
     }
 }
--- a/src/main/java/pinewick/stages/Send.java
+++ b/src/main/java/pinewick/stages/Send.java
@@ -72,12 +72,27 @@
             }
             for (LiveLaunch each : call) {
                 each.timer = loop.after(each.until - loop.clock(), "a time-out", () -> timedOut(each));
+                writeInWindow(each);
             }
             counters.add("calls");
             link.send(call);
         }
     }
 
+    /**
+     * Danger: a repeat of a deduplicated part, launched inside its window, may wait for a connection until past it,
+     * and then its effect would happen twice. So it is taken back in time. Also catches a searcher that does not
+     * read. Harm: none, the decisions may launch it no more either.
+     */
+    private void writeInWindow(LiveLaunch launch) {
+        Host.GradeTerms grade = given.grades().get(launch.piece.query.grade);
+        if (grade.repeat() == Host.Repeat.DEDUPLICATED && launch.number > 0) {
+            launch.piece.launches.stream().filter(each -> each != launch && !each.neverRan).findFirst()
+                .ifPresent(first -> loop.after(first.sentAt + grade.repeatWindow() - given.tick() - loop.clock(),
+                    "the end of a window", () -> takeBack(launch, Host.Ending.MOOT)));
+        }
+    }
+
     /** A connection with a place: one that is up before one that is not yet, else a new one; null at limits. */
     private SearcherLink link(String searcher) {
         SearcherLink best = null;
@@ -90,6 +105,10 @@
         if (best != null || address == null) {
             return best;
         }
+        if (searchers.open() >= limits.searcherSockets()) {
+            searchers.allLinks().stream().filter(each -> each.calls() == 0).findFirst()
+                .ifPresent(idle -> idle.close("its place is needed"));
+        }
         if (searchers.links(searcher).size() >= limits.connectionsASearcher()
             || searchers.open() >= limits.searcherSockets()) {
             counters.add("connections-at-limit");
--- a/src/test/java/pinewick/ServeTest.java
+++ b/src/test/java/pinewick/ServeTest.java
@@ -41,6 +41,8 @@
     private int sockets = 1024;
     private String goal = "1e9";
     private String floor = "1";
+    private String window = "2e9";
+    private String dial = "25e7";
 
     ServeTest() throws IOException {
         discovery = new Discovery();
@@ -63,8 +65,8 @@
         start(a, b);
         Client client = new Client();
         client.post("q1", "deduplicated", "[0,1]", "Idempotency-Key: k1\r\n", false);
-        assertEquals("200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"a.q1.0\"},{\"slice\":1,\"body\":\"b.q1.1\"}]}",
-            client.answer());
+        assertEquals("200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"a.q1.0\"},"
+            + "{\"slice\":1,\"body\":\"b.q1.1\"}]}", client.answer());
         String frame = a.frames.poll(WAIT, TimeUnit.SECONDS);
         assertTrue(frame.matches("1q1\\.0 0 d=\\d+,k=k1 3\nt\u00e9"), frame);
         client.post("q2", "idempotent", "[0]", "", true);
@@ -153,6 +155,25 @@
         assertTrue(client.answer().startsWith("500 "), "it may have run, so it is not declined");
     }
 
+    @Test
+    void aRepeatThatWaitsForAConnectionIsNotWrittenPastItsWindow() throws Exception {
+        window = "4e8";
+        dial = "3e9";
+        Searcher b = new Searcher("b", 0, "late");
+        for (int each = 0; each < 2; each++) {
+            // They fill the queue of connections, so that the mixer's own does not come up yet.
+            open.add(new Socket(InetAddress.getLoopbackAddress(), b.server.getLocalPort()));
+        }
+        start(new Searcher("a", 0, "reset"), b);
+        Client client = new Client();
+        client.post("q1", "deduplicated", "[0]", "Idempotency-Key: k\r\n", false);
+        assertTrue(client.answer().startsWith("500 "));
+        b.release.add("accept");
+        client.post("q2", "idempotent", "[0]", "", false);
+        assertTrue(client.answer().startsWith("200 "));
+        assertTrue(b.frames.stream().noneMatch(frame -> frame.contains("q1")), "q1's window was over");
+    }
+
     @Test
     void aSilentSearchersPartIsLaunchedElsewhere() throws Exception {
         Searcher a = new Searcher("a", 0, "silent");
@@ -287,15 +308,16 @@
         String known = piece(true);
         discovery.revision = 5;
         discovery.first = piece(true, entries);
-        String grade = "{\"name\":\"%s\",\"slo-ns\":" + goal + ",\"hard-limit-ns\":3e9,\"late-worth\":0,\"effect\":\"%s\","
-            + "\"dedup-window-ns\":2e9}";
+        String grade = "{\"name\":\"%s\",\"slo-ns\":" + goal + ",\"hard-limit-ns\":3e9,\"late-worth\":0,"
+            + "\"effect\":\"%s\",\"dedup-window-ns\":" + window + "}";
         Path file = folder.resolve("config.json");
         Files.writeString(file, "{\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
             + ",\"settings\":{\"instances\":1,\"categories\":[" + String.format(grade, "idempotent", "retryable") + ','
             + String.format(grade, "deduplicated", "dedup") + ',' + String.format(grade, "unrepeatable", "fragile")
             + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,\"parallel-tries\":true,\"may-cancel\":true,\"probing\":"
-            + "true,\"max-open\":1000},\"family-info\":{\"cells\":2,\"reach\":1,\"slabs\":4,\"per-call\":4,"
+            + "true,\"max-open\":1000,\"dial-timeout-ns\":" + dial + "},"
+            + "\"family-info\":{\"cells\":2,\"reach\":1,\"slabs\":4,\"per-call\":4,"
             + "\"class-floor\":[" + floor + ",1,1],\"incomplete-worth\":[0.9,0,0]}}}");
         mixer = program(file).redirectError(ProcessBuilder.Redirect.INHERIT).start();
         while (true) {
@@ -393,7 +415,8 @@
 
         void tell(String line) throws IOException {
             byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
-            watch.write((Integer.toHexString(bytes.length) + "\r\n" + line + "\n\r\n").getBytes(StandardCharsets.UTF_8));
+            watch.write((Integer.toHexString(bytes.length) + "\r\n" + line + "\n\r\n")
+                .getBytes(StandardCharsets.UTF_8));
             watch.flush();
         }
     }
@@ -403,7 +426,7 @@
         final String id;
         final int cell;
         final String way;
-        final ServerSocket server = listen();
+        final ServerSocket server;
         final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
         final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
         final BlockingQueue<String> release = new LinkedBlockingQueue<>();
@@ -412,7 +435,12 @@
             this.id = id;
             this.cell = cell;
             this.way = way;
+            server = way.equals("late") ? new ServerSocket(0, 1, InetAddress.getLoopbackAddress()) : listen();
+            open.add(server);
             thread(() -> {
+                if (way.equals("late")) {
+                    release.take();
+                }
                 while (true) {
                     Socket socket = server.accept();
                     open.add(socket);
@@ -456,7 +484,7 @@
                 }
                 String part = left.split(" ")[0];
                 switch (way) {
-                    case "answer" -> write(socket, "5" + part + " S 1 queue=0,qps=1.5\n" + id + "." + part);
+                    case "answer", "late" -> write(socket, "5" + part + " S 1 queue=0,qps=1.5\n" + id + "." + part);
                     case "reset" -> socket.close();
                     case "garbage" -> write(socket, "5nothing");
                     case "huge" -> socket.getOutputStream().write(new byte[] {0, 0, 0, 127, '5'});
@@ -515,8 +543,8 @@
             }
             String text = body.append("],\"filter\":\"t\u00e9\"}").toString();
             int length = text.getBytes(StandardCharsets.UTF_8).length;
-            send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: 2.5\r\n"
-                + more + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + text
+            send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: 2.5"
+                + "\r\n" + more + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + text
                 + "\r\n0\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n" + text));
         }
 
