--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -23,7 +23,7 @@
     /* the program itself */
     double rehearsal, double housekeeping, int backlog, int bufferBytes, int buffersKept) {
 
-    private static final int OWN_SOCKETS = 64; // the program's files, selectors, pipes, discovery
+    private static final int OWN_SOCKETS = 40; // the program's files, selectors, pipes, discovery
     private static final int BODY = 64 << 10;
 
     /** From the configuration that a mixer is started with. */
--- a/src/main/java/pinewick/life/Rehearsal.java
+++ b/src/main/java/pinewick/life/Rehearsal.java
@@ -21,7 +21,8 @@
  * reaches the network, and nothing of what the chain learned is kept.
  */
 final class Rehearsal {
-    private static final int PARTS = 6;
+    /** Few, since each pipe takes four descriptors. */
+    private static final int CELLS = 4;
 
     private final Host.Deployment given;
     private final Limits limits;
@@ -50,11 +51,9 @@
         startedAt = loop.now();
         List<Host.Listing> listings = new ArrayList<>();
         List<InetSocketAddress> addresses = new ArrayList<>();
-        for (int cell = 0; cell < given.cells(); cell++) {
-            for (int each = 0; each < 2; each++) {
-                listings.add(new Host.Listing("r-" + cell + "-" + each, cell, given.zone(), Host.Stage.READY, 0));
-                addresses.add(InetSocketAddress.createUnresolved("pipe", 1 + listings.size()));
-            }
+        for (int cell = 0; cell < Math.min(CELLS, given.cells()); cell++) {
+            listings.add(new Host.Listing("r-" + cell, cell, given.zone(), Host.Stage.READY, 0));
+            addresses.add(InetSocketAddress.createUnresolved("pipe", 1 + cell));
         }
         chain.list(new ListText.Piece(1, true, listings, addresses), Host.ListForm.CACHED);
         try {
@@ -91,10 +90,10 @@
     private void ask() {
         Host.GradeTerms grade = given.grades().get(asked++ % given.grades().size());
         StringBuilder body = new StringBuilder("{\"slices\":[");
-        int parts = Math.min(PARTS, limits.shards());
+        int parts = Math.min(Math.min(CELLS, given.cells()), limits.shards());
         for (int part = 0; part < parts; part++) {
             body.append(part == 0 ? "" : ",").append("{\"slice\":")
-                .append((asked + part) % Math.min(limits.shards(), 1000)).append(",\"mass\":")
+                .append(part).append(",\"mass\":")
                 .append(1.0 / parts).append('}');
         }
         body.append("],\"filter\":\"rehearsal\"}");
--- a/src/main/java/pinewick/life/Serve.java
+++ b/src/main/java/pinewick/life/Serve.java
@@ -26,6 +26,8 @@
     private final XnioWorker worker;
     private Chain chain;
     private AcceptingChannel<StreamConnection> listener;
+    private boolean listKnown;
+    private boolean ready;
     private boolean leaving;
 
     Serve(StartOrders orders, Log log) throws IOException {
@@ -44,8 +46,13 @@
     private void start() {
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
         chain.list(orders.known(), Host.ListForm.CACHED);
+        listKnown = !orders.known().listings().isEmpty();
         new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
-            piece -> chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES),
+            piece -> {
+                chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
+                listKnown = true;
+                ready();
+            },
             () -> {
                 if (orders.deployment().mustAsk()) {
                     chain.route.list(Host.ListForm.FAILED, List.of());
@@ -64,13 +71,21 @@
             Runtime.getRuntime().halt(2);
         }
         housekeeping();
-        chain.door.ready(true);
-        log.say("ready at " + orders.listen());
+        ready();
         if (leaving) {
             leave();
         }
     }
 
+    /** Ready once there is a list to choose from, be it an old one. */
+    private void ready() {
+        if (listKnown && !ready && !leaving && listener != null) {
+            ready = true;
+            chain.door.ready(true);
+            log.say("ready at " + orders.listen());
+        }
+    }
+
     private void housekeeping() {
         loop.after(limits.housekeeping(), "housekeeping", () -> {
             chain.housekeeping();
