--- a/src/main/java/pinewick/life/Chain.java
+++ b/src/main/java/pinewick/life/Chain.java
@@ -31,7 +31,7 @@
         this.loop = loop;
         door = new ClientDoor(loop, limits, buffers, this::figures);
         send = new Send(given, loop, limits, counters, searchers, dialer);
-        Relay relay = new Relay(queries, counters, send);
+        Relay relay = new Relay(loop, queries, counters, send);
         Book book = new Book(loop, log, queries, counters, searchers, send, relay);
         send.passesTo(book);
         route = new Route(given, seed, loop, log, queries, counters, send, relay);
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -67,15 +67,18 @@
     }
 
     private void close() {
-        guarded("ending a batch", endOfBatch);
-        inBatch = false;
+        try {
+            guarded("ending a batch", endOfBatch);
+        } finally {
+            inBatch = false;
+        }
     }
 
-    /** No exception ends the loop. */
+    /** No exception ends the loop, nor one of the kind that a full heap or stack brings. */
     public void guarded(String doing, Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | VirtualMachineError fault) {
             faults++;
             log.fault(doing, fault);
         }
--- a/src/main/java/pinewick/stages/Relay.java
+++ b/src/main/java/pinewick/stages/Relay.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import pinewick.Host;
+import pinewick.life.Loop;
 import pinewick.memory.Counters;
 import pinewick.memory.LiveLaunch;
 import pinewick.memory.OpenQueries;
@@ -14,11 +15,13 @@
     private static final int DECLINED = 503;
     private static final int GIVEN_UP = 500;
 
+    private final Loop loop;
     private final OpenQueries queries;
     private final Counters counters;
     private final Send send;
 
-    public Relay(OpenQueries queries, Counters counters, Send send) {
+    public Relay(Loop loop, OpenQueries queries, Counters counters, Send send) {
+        this.loop = loop;
         this.queries = queries;
         this.counters = counters;
         this.send = send;
@@ -26,26 +29,26 @@
 
     public void fulfil(OpenQuery query, boolean whole) {
         if (ends(query, whole ? "fulfilled-whole" : "fulfilled-part")) {
-            query.asker.answer(FULFILLED, 0, QueryText.answer(query, whole));
+            answer(query, FULFILLED, 0, QueryText.answer(query, whole));
         }
     }
 
     public void decline(OpenQuery query, double retryAfter) {
         if (ends(query, "declined")) {
-            query.asker.answer(DECLINED, retryAfter, words("declined"));
+            answer(query, DECLINED, retryAfter, words("declined"));
         }
     }
 
     public void giveUp(OpenQuery query) {
         if (ends(query, "given-up")) {
-            query.asker.answer(GIVEN_UP, 0, words("given up"));
+            answer(query, GIVEN_UP, 0, words("given up"));
         }
     }
 
     /** For a query that was never admitted: harmless to retry. */
     public void turnAway(OpenQuery query) {
         query.ended = true;
-        query.asker.answer(DECLINED, 0, words("full"));
+        answer(query, DECLINED, 0, words("full"));
     }
 
     /** The client has left: no answer, and nothing more is sent. */
@@ -53,6 +56,11 @@
         ends(query, "withdrawn");
     }
 
+    /** Danger: a client's broken connection would throw into the midst of a decision. Harm: none. */
+    private void answer(OpenQuery query, int status, double retryAfter, byte[] body) {
+        loop.guarded("answering", () -> query.asker.answer(status, retryAfter, body));
+    }
+
     private boolean ends(OpenQuery query, String counter) {
         if (query == null || query.ended) {
             return false;
--- a/src/main/java/pinewick/wire/Frames.java
+++ b/src/main/java/pinewick/wire/Frames.java
@@ -47,8 +47,9 @@
 
     /** Cuts what comes in into frames; what is not whole yet is kept, up to one frame of the longest. */
     static final class Cutter {
+        private static final int USUAL = 1 << 10;
         private final int longest;
-        private ByteBuffer kept = ByteBuffer.allocate(1 << 10).order(ByteOrder.LITTLE_ENDIAN);
+        private ByteBuffer kept = ByteBuffer.allocate(USUAL).order(ByteOrder.LITTLE_ENDIAN);
 
         Cutter(int longest) {
             this.longest = longest;
@@ -74,6 +75,9 @@
                 whole.accept(one);
             }
             kept.compact();
+            if (kept.position() == 0 && kept.capacity() > 16 * USUAL) {
+                kept = ByteBuffer.allocate(USUAL).order(ByteOrder.LITTLE_ENDIAN);
+            }
         }
     }
 }
--- a/src/main/java/pinewick/wire/SearcherLink.java
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -57,6 +57,7 @@
     private Call currentCall;
     private boolean closed;
     private boolean retired;
+    private boolean doomed;
     private boolean forgot;
     private double usedAt;
     private double heardAt = Double.NEGATIVE_INFINITY;
@@ -120,7 +121,7 @@
 
     /** Whether another call may be put on it now. */
     public boolean hasPlace() {
-        return !closed && !retired && calls.size() < limits.callsAConnection()
+        return !closed && !retired && !doomed && calls.size() < limits.callsAConnection()
             && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
     }
 
@@ -167,6 +168,7 @@
             call.launches.remove(launch);
         } else if (call.stage == Call.Stage.BEGUN) {
             // Danger: the rest of the frame would still go out after the query's answer.
+            doomed = true;
             loop.later("dropping a frame", () -> close("a frame begun was no longer wanted"));
         } else if (tell) {
             control.add(Frames.cancel(launch.piece.id));
@@ -202,7 +204,7 @@
     }
 
     private void write() {
-        if (connection == null || closed) {
+        if (connection == null || closed || doomed) {
             return;
         }
         try {
