The net under a query comes 10 ms after the client's time, so that the decisions end it first

Seen when the README's example was tried as a new user would: with no searcher up a query was given up by the net (`ended-by-the-net 1`) where the decisions would have declined it. Admit's timer and the module's own stood at the same time, and the first set went first; with the deployments' granularity the module is 10 ms earlier, but a stall of the mixer brings both into one wake-up, where the net won too. The story for it fails with the old figure (500 for 503).

--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -17,7 +17,7 @@
     /* discovery */
     int lineBytes, double watchSilence, double watchAgain, double watchAgainMost,
     /* held and said */
-    int open, int logLines,
+    int open, double netAfter, int logLines,
     /* the end: how long the front may still send, and how long a stop takes at most */
     double frontNotice, double stopMost,
     /* the program itself */
@@ -44,7 +44,7 @@
             32, dial, idle - Math.min(1, idle / 5), dial,
             4096, 1024, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
             4 << 20, 4.5, 0.1, 1,
-            (int) number(bounds, "max-open", 20000), 50,
+            (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
             0.4, 0.25, 1024, 8 << 10, 256);
     }
--- a/src/main/java/pinewick/stages/Admit.java
+++ b/src/main/java/pinewick/stages/Admit.java
@@ -36,9 +36,9 @@
         }
         queries.add(query);
         counters.peak("peak-held", queries.held());
-        // Danger: a fault in the decisions must not cost a query its answer. Also catches a lost timer. Harm: none,
-        // the decisions end a query before this.
-        query.net = loop.after(query.ttl, "the end of a client's time", () -> {
+        // Danger: a fault in the decisions must not cost a query its answer. Also catches a lost timer. Harm: where it
+        // came before the decisions' own end, a query that could be declined would be given up; so it comes after.
+        query.net = loop.after(query.ttl + limits.netAfter(), "the end of a client's time", () -> {
             counters.add("ended-by-the-net");
             relay.giveUp(query);
         });
--- a/src/test/java/pinewick/ServeTest.java
+++ b/src/test/java/pinewick/ServeTest.java
@@ -231,6 +231,19 @@
         assertEquals(1, moved.frames.size());
     }
 
+    @Test
+    void aQueryThatNobodyCanServeIsDeclinedByTheDecisionsInTime() throws Exception {
+        goal = "3e9";
+        Searcher a = new Searcher("a", 0, "answer");
+        a.server.close();
+        start(a);
+        Client client = new Client();
+        client.post("q1", "idempotent", "[0]", "", false);
+        assertTrue(client.answer().startsWith("503 "), "known not to have run");
+        String figures = client.get("/counters");
+        assertTrue(figures.contains("declined 1\n") && !figures.contains("ended-by-the-net"), figures);
+    }
+
     @Test
     void aClientThatLeavesEndsItsQuery() throws Exception {
         Searcher a = new Searcher("a", 0, "silent");
