--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -15,7 +15,7 @@
     double probeWait,
     int answersOwed, int controlFrames, int searcherSockets, int shards,
     /* discovery */
-    int lineBytes, double watchSilence, double watchAgain, double watchAgainMost,
+    int lineBytes, double watchSilence, double watchUp, double watchAgain, double watchAgainMost, double watchHurry,
     /* held and said */
     int open, double netAfter, int logLines,
     /* the end: how long the front may still send, and how long a stop takes at most */
@@ -43,7 +43,7 @@
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
             32, dial, idle - Math.min(1, idle / 5), dial,
             4096, 1024, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
-            4 << 20, 4.5, 0.1, 1,
+            4 << 20, 4.5, 1, 0.1, 1, 6,
             (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
             0.4, 0.25, 1024, 8 << 10, 256);
--- a/src/main/java/pinewick/life/Serve.java
+++ b/src/main/java/pinewick/life/Serve.java
@@ -18,7 +18,9 @@
 
 /** One mixer from its start to its end: rehearses, opens the door, follows the list, leaves in order. */
 final class Serve {
-    private final StartOrders orders;
+    private StartOrders orders;
+    private ListWatch watch;
+    private long newest;
     private final Limits limits;
     private final Log log;
     private final Loop loop;
@@ -47,7 +49,7 @@
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
         chain.list(orders.known(), Host.ListForm.CACHED);
         listKnown = !orders.known().listings().isEmpty();
-        new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
+        watch = new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
             piece -> {
                 chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
                 listKnown = true;
@@ -57,7 +59,8 @@
                 if (orders.deployment().mustAsk()) {
                     chain.route.list(Host.ListForm.FAILED, List.of());
                 }
-            }).open();
+            });
+        watch.open();
         try {
             listener = worker.createStreamConnectionServer(orders.listen(),
                 ChannelListeners.openListenerAdapter(chain.door), OptionMap.builder()
@@ -93,6 +96,31 @@
         });
     }
 
+    /**
+     * A configuration that was read anew, the so-manieth; null where it could not be. The list is followed at its
+     * address from now on; queries, connections and what the decisions learnt stay. Of two read at the same time
+     * the one asked for last counts.
+     */
+    void reload(long number, StartOrders read, String wrong) {
+        loop.later("taking a new configuration", () -> {
+            if (read == null) {
+                log.say("SIGHUP: the configuration in hand stays: " + wrong);
+                return;
+            }
+            if (number < newest) {
+                return;
+            }
+            newest = number;
+            String kept = String.join(", ", orders.needingRestart(read));
+            log.say("SIGHUP: discovery at " + read.discovery()
+                + (kept.isEmpty() ? "" : "; changed, but only a restart takes in: " + kept));
+            orders = orders.discoveryAt(read.discovery());
+            if (watch != null) {
+                watch.moveTo(read.discovery());
+            }
+        });
+    }
+
     /** Leaves in order: nothing that was taken stays without its answer. */
     void stop() {
         loop.later("stopping", () -> {
--- a/src/main/java/pinewick/life/Serving.java
+++ b/src/main/java/pinewick/life/Serving.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import pinewick.benchlink.Benchlink;
 import sun.misc.Signal;
 
@@ -51,6 +52,16 @@
         Log log = new Log(System.err, orders.limits().logLines());
         log.takesOver();
         Serve serve = new Serve(orders, log);
+        AtomicLong asked = new AtomicLong();
+        // Each signal has a thread of its own, so the file is read beside the loop, and may be read out of turn.
+        Signal.handle(new Signal("HUP"), any -> {
+            long number = asked.incrementAndGet();
+            try {
+                serve.reload(number, StartOrders.readAgain(System.getenv()), null);
+            } catch (RuntimeException wrong) {
+                serve.reload(number, null, wrong.getMessage());
+            }
+        });
         Signal.handle(new Signal("TERM"), any -> serve.stop());
         Signal.handle(new Signal("INT"), any -> serve.stop());
         return serve;
--- a/src/main/java/pinewick/life/StartOrders.java
+++ b/src/main/java/pinewick/life/StartOrders.java
@@ -6,6 +6,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import pinewick.DeploymentTerms;
 import pinewick.Host;
@@ -15,19 +18,51 @@
 record StartOrders(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                    Limits limits, Host.Deployment deployment, ListText.Piece known) {
 
+    /** With the list at another address. */
+    StartOrders discoveryAt(InetSocketAddress address) {
+        return new StartOrders(name, listen, address, seed, limits, deployment, known);
+    }
+
+    /** The fields that differ in another configuration and cannot change in a running program. */
+    List<String> needingRestart(StartOrders other) {
+        List<String> fields = new ArrayList<>();
+        if (!listen.equals(other.listen)) {
+            fields.add("listen");
+        }
+        if (!limits.equals(other.limits)) {
+            fields.add("limits");
+        }
+        if (!deployment.equals(other.deployment)) {
+            fields.add("settings");
+        }
+        return fields;
+    }
+
+    /** As {@link #read}, but the file's address of discovery prevails: the variable's is that of the start. */
+    static StartOrders readAgain(Map<String, String> environment) {
+        JsonObject all = file(environment);
+        Map<String, String> rest = new HashMap<>(environment);
+        if (all.has("discovery")) {
+            rest.remove("EDGE_DISCOVERY");
+        }
+        return of(all, rest);
+    }
+
     /** A message naming the variable or field at fault comes with the exception. */
     static StartOrders read(Map<String, String> environment) {
+        return of(file(environment), environment);
+    }
+
+    private static JsonObject file(Map<String, String> environment) {
         String file = environment.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException("EDGE_CONFIG is not set");
         }
-        JsonObject all;
         try {
-            all = JsonParser.parseString(Files.readString(Path.of(file))).getAsJsonObject();
+            return JsonParser.parseString(Files.readString(Path.of(file))).getAsJsonObject();
         } catch (IOException | RuntimeException wrong) {
             throw new IllegalArgumentException("EDGE_CONFIG: " + file + " can't be read as JSON: " + wrong);
         }
-        return of(all, environment);
     }
 
     static StartOrders of(JsonObject all, Map<String, String> environment) {
@@ -62,13 +97,17 @@
             throw new IllegalArgumentException("EDGE_CONFIG: field known: " + odd.getMessage());
         }
         String name = environment.getOrDefault("EDGE_NAME", "mixer");
-        return new StartOrders(name, address("EDGE_LISTEN", listen), address("EDGE_DISCOVERY", discovery), seed,
+        return new StartOrders(name, address("EDGE_LISTEN or field listen", listen),
+            address("EDGE_DISCOVERY or field discovery", discovery), seed,
             limits, deployment, known);
     }
 
     private static String given(Map<String, String> environment, String variable, JsonObject all, String field) {
         String value = environment.get(variable);
         if ((value == null || value.isEmpty()) && all.has(field)) {
+            if (!all.get(field).isJsonPrimitive()) {
+                throw new IllegalArgumentException("EDGE_CONFIG: field " + field + " is no text");
+            }
             value = all.get(field).getAsString();
         }
         if (value == null || value.isEmpty()) {
--- a/src/main/java/pinewick/wire/ListWatch.java
+++ b/src/main/java/pinewick/wire/ListWatch.java
@@ -24,7 +24,7 @@
 
 /** Follows the list of searchers: a watch from the version in hand, opened again whenever it ends. */
 public final class ListWatch {
-    private final URI discovery;
+    private URI discovery;
     private final Loop loop;
     private final Limits limits;
     private final Log log;
@@ -36,12 +36,14 @@
     private boolean wholeFirst;
     private long round;
     private double heardAt;
+    private boolean heard;
     private ClientConnection connection;
     private double again;
+    private double hurryUntil = Double.NEGATIVE_INFINITY;
 
     public ListWatch(InetSocketAddress discovery, Loop loop, Limits limits, Log log, ByteBufferPool buffers,
                      long revision, Consumer<ListText.Piece> news, Runnable failed) {
-        this.discovery = URI.create("http://" + discovery.getAddress().getHostAddress() + ":" + discovery.getPort());
+        this.discovery = uri(discovery);
         this.loop = loop;
         this.limits = limits;
         this.log = log;
@@ -52,24 +54,60 @@
         this.failed = failed;
     }
 
+    private static URI uri(InetSocketAddress at) {
+        return URI.create("http://" + at.getAddress().getHostAddress() + ":" + at.getPort());
+    }
+
+    /**
+     * From now on the list comes from there, from the revision in hand on; the address before is left for good. What
+     * was read in part is dropped: the new watch brings it whole. Where the address is the same only a pause is cut.
+     */
+    public void moveTo(InetSocketAddress address) {
+        hurryUntil = loop.now() + limits.watchHurry();
+        boolean moved = !uri(address).equals(discovery);
+        if (!moved && connection != null) {
+            return;
+        }
+        discovery = uri(address);
+        round++;
+        leave(connection);
+        connection = null;
+        again = 0;
+        open();
+    }
+
+    /**
+     * Danger: Undertow's client closes by reading on for 10 s, and the agent left would tell into nothing and keep its
+     * connection. So the connection under it is taken back and closed at once. Harm: none, nothing more is wanted.
+     */
+    private static void leave(ClientConnection left) {
+        try {
+            IoUtils.safeClose(left == null ? null : left.performUpgrade());
+        } catch (IOException closedBefore) {
+            IoUtils.safeClose(left);
+        }
+    }
+
     /** Opens a watch, or the whole list first where there is no version to go on from. */
     public void open() {
         long mine = ++round;
         heardAt = loop.now();
+        heard = false;
         line.reset();
         UndertowClient.getInstance().connect(new OnLoop<ClientConnection>(mine, made -> {
             connection = made;
             ask(mine, made);
-        }, IoUtils::safeClose), discovery, loop.thread(), buffers, OptionMap.EMPTY);
+        }, ListWatch::leave), discovery, loop.thread(), buffers, OptionMap.EMPTY);
         watchSilence(mine);
     }
 
     private void watchSilence(long mine) {
-        loop.after(limits.watchSilence() / 4, "watching the list's silence", () -> {
+        loop.after(limits.watchUp() / 4, "watching the list's silence", () -> {
             if (mine != round) {
                 return;
             }
-            if (loop.now() - heardAt > limits.watchSilence()) {
+            // An agent answers at once, so one that has said nothing at all is left sooner than one that fell silent.
+            if (loop.now() - heardAt > (heard ? limits.watchSilence() : limits.watchUp())) {
                 ended(mine, "silent");
             } else {
                 watchSilence(mine);
@@ -84,6 +122,7 @@
         request.getRequestHeaders().put(Headers.HOST, discovery.getAuthority());
         over.sendRequest(request, new OnLoop<ClientExchange>(mine, sent ->
             sent.setResponseListener(new OnLoop<ClientExchange>(mine, back -> {
+                heard = true;
                 int status = back.getResponse().getResponseCode();
                 if (status != 200) {
                     ended(mine, "status " + status);
@@ -155,7 +194,7 @@
             return;
         }
         round++;
-        IoUtils.safeClose(connection);
+        leave(connection);
         connection = null;
         if (why == null) {
             open();
@@ -163,9 +202,16 @@
         }
         log.say("discovery: the watch is over, " + why);
         loop.guarded("telling of a failed watch", failed);
-        // Danger: an agent that is down would be asked without pause. Harm: news waits that much longer at most.
-        again = Math.max(limits.watchAgain(), Math.min(limits.watchAgainMost(), 2 * again));
-        loop.after(again, "opening the watch again", this::open);
+        // Danger: an agent that is down would be asked without pause. Harm: news waits that much longer at most, so
+        // there are only short pauses after a new address was told, while this mixer already counts as told.
+        again = loop.now() < hurryUntil ? limits.watchAgain()
+            : Math.max(limits.watchAgain(), Math.min(limits.watchAgainMost(), 2 * again));
+        long next = round;
+        loop.after(again, "opening the watch again", () -> {
+            if (next == round) {
+                open();
+            }
+        });
     }
 
     /** A callback of Undertow's client, brought to the loop; what comes for an earlier round is dropped. */
--- a/src/test/java/pinewick/ServeTest.java
+++ b/src/test/java/pinewick/ServeTest.java
@@ -290,6 +290,51 @@
         assertTrue(mixer.isAlive());
     }
 
+    @Test
+    void aReloadMovesTheWatchAndAFileThatIsWrongChangesNothing() throws Exception {
+        Searcher a = new Searcher("a", 0, "held");
+        start(a, new Searcher("b", 1, "answer"));
+        Client client = new Client();
+        client.post("q1", "idempotent", "[0]", "", false);
+        assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+        Path file = folder.resolve("config.json");
+        String before = Files.readString(file);
+        Discovery other = new Discovery();
+        other.revision = 5;
+        for (String wrong : List.of(before.substring(0, 200), before.replace(discovery.address(), "nowhere"))) {
+            Files.writeString(file, wrong);
+            hangUp();
+        }
+        Files.writeString(file, before.replace(discovery.address(), "127.0.0.1:1"));
+        hangUp();
+        assertEquals("ended", discovery.ended.poll(WAIT, TimeUnit.SECONDS), "the old address is left at once");
+        discovery.watches.clear();
+        Files.writeString(file, before.replace(discovery.address(), other.address()));
+        hangUp();
+        hangUp();
+        String asked = other.watches.poll(WAIT, TimeUnit.SECONDS);
+        assertTrue(asked != null && asked.contains("index=5 "), "it goes on from the revision in hand: " + asked);
+        a.release.add("go");
+        assertTrue(client.answer().startsWith("200 "), "what was taken, and its connection, stay");
+        Searcher c = new Searcher("c", 0, "answer");
+        other.tell("{\"revision\":6,\"complete\":false,\"members\":[" + a.entry("draining") + ',' + c.entry("ready")
+            + "]}");
+        until(client, "list-pieces 3\n");
+        client.post("q2", "idempotent", "[0]", "", false);
+        assertTrue(client.answer().endsWith("\"c.q2.0\"}]}"), "news come from the new address");
+        Thread.sleep(300);
+        assertEquals(0, discovery.watches.size(), "nothing goes back to the old address");
+        mixer.destroy();
+        hangUp();
+        assertTrue(mixer.waitFor(WAIT, TimeUnit.SECONDS));
+        assertEquals(0, mixer.exitValue());
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.pid()).start().waitFor());
+        Thread.sleep(150);
+    }
+
     @Test
     void aBadConfigurationIsNamed() throws Exception {
         for (String[] each : new String[][] {{"", "EDGE_CONFIG"}, {"{", "EDGE_CONFIG"}, {"{}", "EDGE_LISTEN"},
@@ -391,6 +436,7 @@
     private final class Discovery {
         final ServerSocket server = listen();
         final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
         volatile long revision;
         volatile String first = "";
         private volatile OutputStream watch;
@@ -418,6 +464,11 @@
                     tell(first);
                 }
                 watches.add(request);
+                int more = 0;
+                while (more >= 0) {
+                    more = socket.getInputStream().read();
+                }
+                ended.add("ended");
             } else {
                 out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + first.length() + "\r\n\r\n" + first)
                     .getBytes(StandardCharsets.UTF_8));
