--- a/src/main/java/pinewick/CoarseTimes.java
+++ b/src/main/java/pinewick/CoarseTimes.java
@@ -6,6 +6,9 @@
     private final double[] counts;
     private final double full;
     private double total;
+    private final double[] askedShares = new double[4];
+    private final double[] askedTimes = new double[4];
+    private int asked;
 
     /** {@code longest} is the upper edge of the last bin. */
     CoarseTimes(double longest, double factor, int bins, double full) {
@@ -20,6 +23,7 @@
     }
 
     void add(double time) {
+        asked = 0;
         int bin = 0;
         while (bin < edges.length - 1 && time > edges[bin]) {
             bin++;
@@ -41,6 +45,20 @@
 
     /** The time below which this share of the times lies, interpolated within its bin. */
     double quantile(double share) {
+        for (int each = 0; each < asked; each++) {
+            if (askedShares[each] == share) {
+                return askedTimes[each];
+            }
+        }
+        double time = counted(share);
+        if (asked < askedShares.length) {
+            askedShares[asked] = share;
+            askedTimes[asked++] = time;
+        }
+        return time;
+    }
+
+    private double counted(double share) {
         double left = share * total;
         for (int bin = 0; bin < edges.length; bin++) {
             if (counts[bin] > 0 && left <= counts[bin]) {
--- a/src/main/java/pinewick/DeploymentTerms.java
+++ b/src/main/java/pinewick/DeploymentTerms.java
@@ -55,7 +55,7 @@
             text(all, "locality", ""), seconds(all, "granularity-ns", 0), grades, terms,
             text(all, "registry-mode", "automatic").equals("subscribe"),
             yes(bounds, "probing"), yes(bounds, "may-cancel"), yes(bounds, "parallel-tries"),
-            yes(bounds, "retry-after"), seconds(bounds, "max-retry-after-ns", 0),
+            yes(bounds, "retry-after"), yes(object(all, "clients"), "marks-retry"), seconds(bounds, "max-retry-after-ns", 0),
             (int) number(bounds, "try-limit", 1), (int) number(family, "cells", 1),
             (int) number(family, "reach", 1), (int) number(family, "per-call", 1),
             seconds(family, "overhead-ns", 0));
--- a/src/main/java/pinewick/Host.java
+++ b/src/main/java/pinewick/Host.java
@@ -81,7 +81,7 @@
     /** What a deployment hands a mixer at its start. */
     record Deployment(int mixers, String zone, double tick, List<GradeTerms> grades,
                       RuleTerms rules, boolean mustAsk,
-                      boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise,
+                      boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise, boolean marksRetries,
                       double longestAdvice, int mostLaunches, int cells, int reach, int callSize,
                       double callWork) {
     }
--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -6,33 +6,32 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 /**
  * Every decision of one mixer. A front builds one Logic for each mixer, tells it the list of searchers
- * ({@link #list}), hands it queries ({@link #take}, which returns the handle on which all later news of the
- * query is a call), ends each batch with {@link #endOfBatch} and passes on {@link #ring} and {@link #probed}.
- * What Logic asks for goes out through {@link Host}, the interface it calls; the plain data is there too.
- * Start reading at {@link #start}, the ordinary path of a query; then {@link #sweep}, which looks after what
- * is out. docs/design.md tells what follows the source and when each exception acts.
+ * ({@link #list}), hands it queries ({@link #take}, whose handle is called with all later news of the query),
+ * ends each batch with {@link #endOfBatch} and passes on {@link #ring} and {@link #probed}. What Logic asks
+ * for goes out through {@link Host}. Start reading at {@link #start}, the ordinary path of a query, then
+ * {@link #sweep}, which looks after what is out. docs/design.md tells what follows the source, and when.
  */
 public final class Logic {
     // Shares of the latency goal (of the grade at hand, or the shortest), so that they fit any deployment.
     private static final double FIRST_GUESS = 0.1, ANSWER_TARGET = 0.15; // R, s unmeasured (design); prompt
-    private static final double FRESH = 0.5;            // a report or an R older than this begins to fade
-    private static final double REST = 0.25, REST_MOST = 2; // first and longest rest after failures
+    private static final double FRESH = 0.5, REST = 0.25, REST_MOST = 2; // reports fade; rests after failures
     private static final double PATIENCE_LEAST = 0.125, PATIENCE_MOST = 0.5; // bounds of a launch's patience
     private static final double OVERLOAD_WAIT = 0.1, RUN_MOST = 0.6; // oldest held; longest run expected
     private static final double QUEUE_MOST = 0.3, SWEEP = 0.01; // longest reported queue; between two looks
     private static final double ASK_AGE = 0.1, ASK_WAIT = 0.02, ASK_AGAIN = 0.2; // age, wait, next
-    // Plain numbers.
-    private static final double NEWEST_WEIGHT = 0.3, PATIENCE_FACTOR = 1.5; // in R; of P95
+    private static final double NEWEST_WEIGHT = 0.3, PATIENCE_FACTOR = 1.5; // plain numbers: in R; of P95
     private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8; // parts out at one searcher at first
     private static final double ASK_LEAST = 0.3, BUSY_WEIGHT = 0.05, BUSY_QUEUE = 0.15, BUSY_MOST = 3;
     private static final double STALL = 5, BARE_FACTOR = 1.5; // looks missed; times the quick tenth is prompt
-    private static final double MIXERS_FEW = 4;         // up to twice as many hear enough without asking
     private static final double HEAVY = 0.15, COLD_MARGIN = 0.8, COLD_LUCK = 0.7; // of parts; of cold budgets
     private static final double COPY_SHARE = 0.1, COPY_FREE = 5; // copies, where no budget is stated
     private static final double RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // of a held one's run; of the hard stop
+    private static final double START_MOST = 0.45;      // of the client's time; held longer, it is declined
+    private static final double MIXERS_FEW = 4;         // up to twice as many hear enough without asking
     private static final int ENOUGH = 8, BINS = 14, ASK_MOST = 32; // measurements believed; held while asking
     private static final double HALVED_AT = 200, FASTEST = 100; // served parts a goal in the top bin of rates
 
@@ -42,7 +41,7 @@
     private final double goal;
     private final List<GradeRow> grades = new ArrayList<>();
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
-    private final List<List<Searcher>> cells = new ArrayList<>();
+    private final List<List<Searcher>> cells;
     private final Map<Integer, List<Searcher>> holders = new LinkedHashMap<>();
     private final LinkedHashSet<Query> live = new LinkedHashSet<>(), held = new LinkedHashSet<>();
     private final List<Searcher> reservedAt = new ArrayList<>();
@@ -60,9 +59,7 @@
         goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
         drainTimes = new CoarseTimes(goal, 1.5, BINS, HALVED_AT);
         servedRates = new CoarseTimes(FASTEST / goal, 1.2, BINS * 2, HALVED_AT);
-        while (cells.size() < given.cells()) {
-            cells.add(new ArrayList<>());
-        }
+        cells = Stream.<List<Searcher>>generate(ArrayList::new).limit(given.cells()).toList();
         if (given.mustAsk()) {
             host.track(true);
         }
@@ -70,13 +67,10 @@
         host.timer(SWEEP * goal, 0);
     }
 
-    // ---- the list of searchers ----
-
     /** News of the list. Draining and gone searchers get nothing new from this call on (rule 3). */
     public void list(Host.ListForm form, List<Host.Listing> entries) {
         if (form == Host.ListForm.FAILED) {
-            // Danger: the list's service falls over when all mixers ask again at once, so waits spread and
-            // grow; they stay inside the time after which this mixer would count as told.
+            // Danger: all ask the list's service again at once; so waits spread, inside askWithin.
             double wait = REST * goal * (1 << Math.min(failedAsks++, 5));
             askAt = host.now() + Math.min(wait, given.rules().askWithin() / 4) * (0.5 + chance.nextDouble());
             return;
@@ -98,8 +92,16 @@
         }
         holders.clear();
         cells.forEach(List::clear);
-        searchers.values().stream().filter(each -> each.stage == Host.Stage.READY)
-            .forEach(each -> cells.get(each.cell).add(each));
+        for (Searcher each : searchers.values()) {
+            each.goneAt = each.stage != Host.Stage.GONE ? Double.POSITIVE_INFINITY
+                : Math.min(each.goneAt, host.now());
+            if (each.stage == Host.Stage.READY) {
+                cells.get(each.cell).add(each);
+            }
+        }
+        // Danger: with ever new ids memory grows all day; one gone is forgotten once no rule needs it.
+        double keep = 2 * REST_MOST * goal + given.rules().coldTime() + given.rules().fallTime();
+        searchers.values().removeIf(each -> each.out.isEmpty() && host.now() - each.goneAt > keep);
     }
 
     private List<Searcher> holders(int shard) {
@@ -113,11 +115,11 @@
     }
 
     /** Takes a query of so many parts; it starts once all of them have been handed in. */
-    public Query take(String id, int grade, double ttl, int parts, double workHint) {
-        Query query = new Query(id, grades.get(grade), ttl, parts, workHint);
+    public Query take(String id, int grade, double ttl, int parts, double workHint, boolean again) {
+        Query query = new Query(id, grades.get(grade), ttl, parts, workHint, again);
         takes.add(host.now(), 1);
         live.add(query);
-        // Danger: with a long goal the regular look comes too seldom to end a query before its time is up.
+        // Danger: with a long goal the regular look comes too seldom to end a query in time.
         host.timer(Math.max(given.tick(), query.stopAt - host.now()), 1);
         return query;
     }
@@ -131,16 +133,18 @@
     }
 
     /**
-     * The ordinary path of a query: group its parts by their holders, give each group to the holder with the
-     * lowest score, and launch all of them together; if one group finds no room, the query is held whole, so
-     * that no work is spent on a query that may yet be declined.
+     * The ordinary path of a query: group its parts by holders, give each group to the holder with the lowest
+     * score, launch all together; if one finds no room, all are held, as no work may go to what is declined.
      */
     private boolean start(Query query, boolean reserve) {
+        if (!reserve && lacks(query, true)) {
+            return false; // Danger: planning all held queries anew each batch took most of a mixer's time.
+        }
         Map<Integer, List<Part<Query, Searcher>>> groups = new LinkedHashMap<>();
         for (Part<Query, Searcher> part : query.parts.values()) {
             if (part.launches.isEmpty() && !part.done) {
-                // Parts with the same holders share a call where a call costs work of its own: scored one by
-                // one, this mixer's own first part would drive the second to the other holder and pay twice.
+                // Where a call costs work, parts with the same holders share it: scored one by one, the first
+                // would drive the second to another holder and pay twice.
                 boolean share = given.callSize() > 1 && given.callWork() > 0;
                 int key = share ? Math.floorMod(part.shard, given.cells()) : -1 - part.shard;
                 groups.computeIfAbsent(key, any -> new ArrayList<>()).add(part);
@@ -155,9 +159,8 @@
             }
         }
         if (plan.size() < groups.size()) {
-            // Danger: a wide query needs room at many searchers at once, and under overload narrow ones of
-            // less value for work take it piece by piece; so the first one by value keeps what it found for
-            // this turn. Harm: that room stands idle; within one grade nothing is won, so it isn't done.
+            // Danger: under overload narrow queries take piece by piece the room that a wide one needs; so
+            // the first by value keeps what it found this turn. Harm: idle room; not done within one grade.
             if (reserve) {
                 reservedAt.addAll(plan.values());
             } else {
@@ -173,31 +176,33 @@
 
     /** The lowest score among the holders fit to take so many parts now; null if there is none. */
     private Searcher choose(Part<Query, Searcher> part, int count) {
-        List<Searcher> holders = holders(part.shard);
-        double guess = FIRST_GUESS * part.query.grade.terms.latencyGoal();
-        List<Searcher> heard = holders.stream().filter(each -> each.heard).toList();
-        double meanR = heard.stream().mapToDouble(each -> each.r).average().orElse(guess);
-        double meanS = heard.stream().mapToDouble(Searcher::s).average().orElse(guess);
-        double meanQueue = heard.stream().mapToDouble(each -> each.queue).average().orElse(0);
-        // An unsound holder is the last resort: a shard whose holders all look ill still gets one part at a
-        // time, since the look may be wrong. Harm: that part may wait for nothing.
-        boolean anySound = holders.stream().anyMatch(Searcher::sound);
         Searcher best = null;
-        double lowest = Double.POSITIVE_INFINITY;
-        for (Searcher each : holders) {
-            if (each.sound() != anySound || part.waitsAt(each) || !each.hasColdBudget(part.query, count)
-                || (anySound ? !each.hasRoom(count) : each.out.size() + each.planned > 0)) {
-                continue;
-            }
-            double score = each.score(meanR, meanS, meanQueue);
-            if (score < lowest) {
+        for (Searcher each : holders(part.shard)) {
+            if (fit(each, part, count) && (best == null || each.score(part) < best.score(part))) {
                 best = each;
-                lowest = score;
             }
         }
         return best;
     }
 
+    /** An unsound holder is the last resort, one part at a time: the look may be wrong. Harm: idle waits. */
+    private boolean fit(Searcher each, Part<Query, Searcher> part, int count) {
+        return !part.waitsAt(each) && each.hasColdBudget(part.query, count)
+            && (each.sound() ? each.hasRoom(count) : each.out.size() + each.planned == 0
+            && holders(part.shard).stream().noneMatch(Searcher::sound));
+    }
+
+    /** Whether a part still to be launched has no holder at all, or none fit to take it now. */
+    private boolean lacks(Query query, boolean fit) {
+        for (Part<Query, Searcher> part : query.parts.values()) {
+            if (part.launches.isEmpty() && !part.done
+                && holders(part.shard).stream().noneMatch(each -> !fit || fit(each, part, 1))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void launch(Part<Query, Searcher> part, Searcher searcher) {
         Query query = part.query;
         double now = host.now();
@@ -214,14 +219,11 @@
         if (searcher.cold()) {
             searcher.coldSpent.add(now, query.grade.answerTime(0.5) + given.callWork());
         }
-        double most = Math.min(query.usefulEnd() - now, query.grade.terms.latencyGoal());
-        host.launch(part.id, searcher.id, Math.max(given.tick(), most));
+        host.launch(part.id, searcher.id, Math.max(given.tick(),
+            Math.min(query.usefulEnd() - now, query.grade.terms.latencyGoal())));
     }
 
-    /**
-     * To be called after each batch. Starts what is held: in order of arrival, or by value for work once the
-     * oldest has waited too long.
-     */
+    /** After each batch: starts what is held, as it came, or by value once the oldest waited too long. */
     public void endOfBatch() {
         if (lookDue) {
             lookDue = false;
@@ -238,12 +240,12 @@
             order.sort((one, other) -> Double.compare(other.valueForWork(), one.valueForWork()));
         }
         for (Query query : order) {
-            // What cannot be fulfilled in time is declined before any work is spent on it.
             if (query.ended || asking(query)) {
                 continue;
             }
-            if (now + query.grade.runTime() > Math.min(query.goalAt, query.stopAt)
-                || query.parts.values().stream().anyMatch(part -> holders(part.shard).isEmpty())) {
+            // What cannot be fulfilled in time is declined before work or half the client's time is spent.
+            if (now + query.grade.runTime() > Math.min(query.goalAt, query.stopAt) || now > query.startBy
+                || lacks(query, false)) {
                 query.lost();
             } else if (start(query, overload && !reserved)) {
                 held.remove(query);
@@ -256,9 +258,8 @@
     }
 
     /**
-     * Asks two of each part's holders, by chance, for their load where the last report is old, and waits a
-     * moment; seldom while reports show short queues, since probes cost. Danger: with many mixers hardly an
-     * answer comes between two parts, and all choose blindly.
+     * Asks two of each part's holders, by chance, for their load where reports are old, and waits a moment;
+     * seldom while queues are short: probes cost. Danger: with many mixers answers are rare: a blind choice.
      */
     private boolean asking(Query query) {
         double now = host.now();
@@ -301,6 +302,7 @@
             askAt = Double.POSITIVE_INFINITY;
             host.track(true);
         }
+        mayLaunchFurther(true); // lets both sums forget what is older than their window
         for (Query query : List.copyOf(live)) {
             if (now >= query.usefulEnd() || (now >= query.goalAt && query.mayAnswerPartly())) {
                 query.lost();
@@ -335,9 +337,8 @@
             return;
         }
         Launch<Searcher> latest = part.latest();
-        // Danger: a heavy query's parts are all overdue, and each launch more is as heavy again; so is a jam.
-        // So with more parts overdue than one, or a share of a wide one's, only one that failed is left.
-        // Harm: a narrow query that meets two ill searchers waits until one of them is known to fail.
+        // Danger: a heavy query's parts are all overdue, as in a jam, and each launch more is as heavy; so
+        // with several overdue only one that failed is left. Harm: one that meets two ill searchers waits.
         if (part.out > 1 || latest.over || latest.cancelled || now < latest.overdueAt
             || (overdue > Math.max(1, HEAVY * query.parts.size()) && latest.searcher.failures == 0)
             || !mayRepeat(part) || part.launches.size() >= given.mostLaunches()
@@ -379,8 +380,7 @@
         }
         searcher.probing = false;
         searcher.heardReport(report);
-        searcher.cleared = ending == Host.Ending.FULFILLED || ending == Host.Ending.REJECTED;
-        if (!searcher.cleared) {
+        if (!(searcher.cleared = ending == Host.Ending.FULFILLED || ending == Host.Ending.REJECTED)) {
             searcher.failed(ending);
         }
     }
@@ -394,13 +394,16 @@
         }
 
         /** The design's score. Departures: R and q fade when old, and overdue silence counts in R. */
-        double score(double meanR, double meanS, double meanQueue) {
-            double now = host.now();
+        double score(Part<Query, Searcher> part) {
+            double now = host.now(), guess = FIRST_GUESS * part.query.grade.terms.latencyGoal();
+            List<Searcher> others = holders(part.shard).stream().filter(each -> each.heard).toList();
+            double meanR = others.stream().mapToDouble(each -> each.r).average().orElse(guess);
+            double meanS = others.stream().mapToDouble(Searcher::s).average().orElse(guess);
+            double meanQueue = others.stream().mapToDouble(each -> each.queue).average().orElse(0);
             double s = heard ? s() : meanS;
             // Danger: a replica shunned after one heavy part gets no answers, so its bad R would never mend.
             double ownR = heard ? meanR + (r - meanR) * fresh() : meanR;
-            // Danger: a hung searcher sends nothing, and its last good figures draw new parts until time-outs
-            // come in; the oldest launch's age is a lower bound of what its answer will take.
+            // Danger: a hung searcher's good figures draw parts; its oldest launch's age is a lower bound.
             ownR = Math.max(ownR, out.isEmpty() ? 0 : now - out.iterator().next().sentAt);
             // Danger: one stale low report draws parts; once old it counts as no better than its neighbours'.
             double q = meanQueue + (queue - meanQueue) * Math.exp((reportAt - now) / (2 * meanR));
@@ -436,9 +439,8 @@
 
         /**
          * Whether so many parts more would wait shortly, by own room, by a fresh report and by own answers.
-         * Danger: many mixers each hear too little to learn room, and reports can be untrue; one part despite
-         * slow answers goes only where one from each mixer makes a short queue. Harm: a searcher that has
-         * recovered waits until its slow answers are old.
+         * Danger: many mixers each hear little, and reports can be untrue; despite slow answers one part goes
+         * where one from each mixer makes a short queue. Harm: one that recovered waits until they are old.
          */
         boolean hasRoom(int count) {
             double most = QUEUE_MOST * goal / drain();
@@ -470,9 +472,8 @@
             if (most >= (count + planned) * work) {
                 return spent + (count + planned) * work <= most;
             }
-            // Danger: with many mixers a share is under one part; a cold searcher would stay unused while its
-            // neighbours jam. So a lot lets some queries use it, the more the warmer it is. Harm: chance may
-            // heap them up, so the limit aimed at is far lower.
+            // Danger: with many mixers a share is under one part, and a cold searcher would stay unused while
+            // neighbours jam; so a lot lets some queries use it. Harm: chance heaps them up; the aim is low.
             return spent == 0 && planned == 0 && out.isEmpty()
                 && query.lot < COLD_LUCK * rules.overloadFactor() * capacity / 2;
         }
@@ -545,20 +546,19 @@
 
         /** The share's quantile of answer times; the first guess until a few answers are in. */
         double answerTime(double share) {
-            double guess = FIRST_GUESS * terms.latencyGoal();
-            return answerTimes.total() < ENOUGH ? guess : answerTimes.quantile(share);
+            return answerTimes.total() < ENOUGH ? FIRST_GUESS * terms.latencyGoal()
+                : answerTimes.quantile(share);
         }
 
         /** What a query should take from its start; bounded, or a jam would keep all out for good. */
         double runTime() {
-            double measured = runTimes.total() < ENOUGH ? 0 : runTimes.quantile(RUN_QUANTILE);
-            return Math.min(RUN_MOST * terms.latencyGoal(), Math.max(measured, answerTime(0.75)));
+            return Math.min(RUN_MOST * terms.latencyGoal(), Math.max(answerTime(0.75),
+                runTimes.total() < ENOUGH ? 0 : runTimes.quantile(RUN_QUANTILE)));
         }
 
         double patience() {
-            double measured = PATIENCE_FACTOR * answerTime(0.95);
-            return Math.max(PATIENCE_LEAST, Math.min(PATIENCE_MOST, measured / terms.latencyGoal()))
-                * terms.latencyGoal();
+            return Math.max(PATIENCE_LEAST * terms.latencyGoal(),
+                Math.min(PATIENCE_MOST * terms.latencyGoal(), PATIENCE_FACTOR * answerTime(0.95)));
         }
     }
 
@@ -574,22 +574,25 @@
     public final class Query {
         private final String id;
         private final GradeRow grade;
-        private final double takenAt, goalAt, stopAt, lot = chance.nextDouble();
+        private final double takenAt, goalAt, stopAt, startBy, lot = chance.nextDouble();
         private double startedAt = Double.NEGATIVE_INFINITY, weightIn, askAgainAt;
         private final Map<String, Part<Query, Searcher>> parts = new LinkedHashMap<>();
         private int awaited, out, in, step = 1;
         private boolean ended;
 
-        private Query(String id, GradeRow grade, double ttl, int parts, double workHint) {
+        private Query(String id, GradeRow grade, double ttl, int parts, double workHint, boolean again) {
             this.id = id;
             this.grade = grade;
             awaited = parts;
             takenAt = host.now();
             stopAt = takenAt + ttl - 2 * given.tick();
-            // A later try comes with less time than first tries do: what the hard stop lacks has passed.
+            startBy = takenAt + START_MOST * ttl;
+            // A later try's goal has begun before: what the hard stop lacks has passed. Unless marked, one is
+            // told by less time than first tries have. Danger: a client in haste looks alike.
             grade.longestTtl = Math.max(grade.longestTtl, ttl);
             double hardStop = grade.terms.hardStop();
-            double spent = ttl < grade.longestTtl - LATER_TRY * hardStop ? hardStop - ttl : 0;
+            boolean later = given.marksRetries() ? again : ttl < grade.longestTtl - LATER_TRY * hardStop;
+            double spent = later ? hardStop - ttl : 0;
             goalAt = takenAt - spent + Math.min(hardStop, grade.terms.goal(workHint));
         }
 
@@ -617,8 +620,7 @@
             mine.out--;
             out--;
             Searcher searcher = launch.searcher;
-            // Danger: after this mixer itself stood still every answer looks slow, and room shrinks at all.
-            // The regular look comes far more often, so a longer gap between batches is our own.
+            // Danger: after this mixer itself stood still (a gap between batches) every answer looks slow.
             double gap = host.now() - lastBatchAt;
             took = gap > STALL * SWEEP * goal ? Math.max(Math.min(took, searcher.s()), took - gap) : took;
             searcher.out.remove(launch);
@@ -648,9 +650,8 @@
                     // The design counts the full time-out; an early failure would make failing look fast.
                     double shown = ending == Host.Ending.CANCELLED ? searcher.r : usefulEnd() - launch.sentAt;
                     searcher.measured(Math.max(took, shown), told);
-                    // Danger: a part may get lost while its searcher is well and answers what came later; a
-                    // small loss must not rest the fleet. But a cancelled launch counts too, or a hung
-                    // searcher would look fit again at once where copies may not overlap.
+                    // Danger: a part lost while its searcher answers later ones must not rest it. But a
+                    // cancelled one counts, or a hung searcher looks fit where copies may not overlap.
                     if (!waited || searcher.answeredSentAt <= launch.sentAt) {
                         searcher.failed(ending);
                     }
--- a/src/main/java/pinewick/Part.java
+++ b/src/main/java/pinewick/Part.java
@@ -21,7 +21,12 @@
     }
 
     boolean waitsAt(S searcher) {
-        return launches.stream().anyMatch(each -> each.searcher == searcher && !each.over);
+        for (Launch<S> each : launches) {
+            if (each.searcher == searcher && !each.over) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Null where there was no such launch. */
--- a/src/main/java/pinewick/SearcherState.java
+++ b/src/main/java/pinewick/SearcherState.java
@@ -10,6 +10,8 @@
     int cell;
     boolean near;
     double startedAt;
+    /** Since when it has been gone. */
+    double goneAt = Double.POSITIVE_INFINITY;
     /** The last load report, and launches since. */
     double queue, busyShare, reportAt = Double.NEGATIVE_INFINITY;
     int sentSince;
--- a/src/main/java/pinewick/benchlink/Mixer.java
+++ b/src/main/java/pinewick/benchlink/Mixer.java
@@ -123,7 +123,8 @@
                 throw new IllegalArgumentException("unknown priority " + event.text("priority"));
             }
             Logic.Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
-                (int) event.number("share-or-count", 1), event.seconds("work-hint-ns", 0));
+                (int) event.number("share-or-count", 1), event.seconds("work-hint-ns", 0),
+                event.whole("again-by-client", 0) == 1);
             byId.put(id, query);
             byJob.put(job, query);
             wired.put(query, new Wired(job, new ArrayList<>(List.of(id))));
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -89,6 +89,15 @@
         thread.execute(() -> event(doing, event));
     }
 
+    /**
+     * A time-out: its event comes only after what had come in by then. Danger: timers go first in a wake-up, so after
+     * this program stood still (a start on part of a core) connections and answers that are there would count as late.
+     * Harm: a wake-up or two later.
+     */
+    public XnioExecutor.Key timeOut(double seconds, String doing, Runnable event) {
+        return after(seconds, doing, () -> later(doing, () -> later(doing, event)));
+    }
+
     public XnioExecutor.Key after(double seconds, String doing, Runnable event) {
         return thread.executeAfter(() -> event(doing, event), Math.max(0, Math.round(seconds * 1e6)),
             TimeUnit.MICROSECONDS);
--- a/src/main/java/pinewick/memory/OpenQuery.java
+++ b/src/main/java/pinewick/memory/OpenQuery.java
@@ -40,6 +40,8 @@
     public final Map<String, Piece> pieces = new LinkedHashMap<>();
     public byte[] text = new byte[0];
     public double workHint;
+    /** Marked by its client as a later try. */
+    public boolean again;
     public Logic.Query handle;
     /** The timer that ends the query if nothing else has. */
     public XnioExecutor.Key net;
--- a/src/main/java/pinewick/stages/Route.java
+++ b/src/main/java/pinewick/stages/Route.java
@@ -35,7 +35,8 @@
 
     public void take(OpenQuery query) {
         try {
-            query.handle = logic.take(query.id, query.grade, query.ttl, query.pieces.size(), query.workHint);
+            query.handle = logic.take(query.id, query.grade, query.ttl, query.pieces.size(), query.workHint,
+                query.again);
             query.pieces.values().forEach(piece -> query.handle.part(piece.id, piece.shard, piece.mass));
         } catch (RuntimeException fault) {
             // Whatever went wrong inside, the client gets its one answer.
--- a/src/main/java/pinewick/stages/Send.java
+++ b/src/main/java/pinewick/stages/Send.java
@@ -71,7 +71,7 @@
                 continue;
             }
             for (LiveLaunch each : call) {
-                each.timer = loop.after(each.until - loop.clock(), "a time-out", () -> timedOut(each));
+                each.timer = loop.timeOut(each.until - loop.clock(), "a time-out", () -> timedOut(each));
                 writeInWindow(each);
             }
             counters.add("calls");
@@ -96,8 +96,8 @@
     /** A connection with a place: one that is up before one that is not yet, else a new one; null at limits. */
     private SearcherLink link(String searcher) {
         SearcherLink best = null;
-        for (SearcherLink each : searchers.links(searcher)) {
-            if (each.hasPlace() && (best == null || (each.isUp() && !best.isUp()))) {
+        for (SearcherLink each : List.copyOf(searchers.links(searcher))) {
+            if (each.hasPlace() && (best == null || (each.isUp() && !best.isUp())) && each.stillThere()) {
                 best = each;
             }
         }
@@ -188,7 +188,7 @@
                 probeEnds(number, Host.Ending.NOT_CONNECTED, null);
                 return;
             }
-            loop.after(limits.probeWait(), "a probe's time-out",
+            loop.timeOut(limits.probeWait(), "a probe's time-out",
                 () -> probeEnds(number, Host.Ending.TIMED_OUT, null));
             link.probe(number, true);
         });
--- a/src/main/java/pinewick/stages/TakeIn.java
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -46,7 +46,8 @@
         String key = keyed ? header(headers, "Idempotency-Key") : null;
         OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
         QueryText.read(body, query, limits.shards());
-        if (headers.contains("Req-Retry")) {
+        query.again = "1".equals(headers.getFirst("Req-Retry"));
+        if (query.again) {
             counters.add("taken-marked-retry");
         }
         admit.admit(query);
--- a/src/main/java/pinewick/wire/SearcherLink.java
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -78,7 +78,7 @@
 
     /** Starts to connect; the answer is an event. */
     public void dial() {
-        dialTimer = loop.after(limits.dial(), "dialing", () -> {
+        dialTimer = loop.timeOut(limits.dial(), "dialing", () -> {
             if (connection == null) {
                 close("not up in time");
             }
@@ -125,6 +125,14 @@
             && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
     }
 
+    /** Reads what may tell that an unused link has been closed at the far end, before a call would be lost on it. */
+    public boolean stillThere() {
+        if (connection != null && calls.isEmpty()) {
+            read();
+        }
+        return !closed;
+    }
+
     public boolean isUp() {
         return connection != null && !closed;
     }
--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -13,6 +13,7 @@
     boolean mustAsk;
     boolean overlap = true;
     boolean probing;
+    boolean marksRetries;
     double lateValue = 0.3;
     double leastShare = 1;
     double callWork;
@@ -26,7 +27,7 @@
             0.9, 0);
         Host.GradeTerms rich = new Host.GradeTerms("rich", 2, 0, 8, 10, 0, Host.Repeat.IDEMPOTENT, 0, 1, 1, 0, 0);
         logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade, rich), rules,
-            mustAsk, probing, true, overlap, true, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
+            mustAsk, probing, true, overlap, true, marksRetries, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
             new SplittableRandom(7));
         list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
         return this;
@@ -46,7 +47,7 @@
     }
 
     Logic.Query take(String query, int parts, double ttl) {
-        Logic.Query taken = logic.take(query, 0, ttl, parts, 0);
+        Logic.Query taken = logic.take(query, 0, ttl, parts, 0, false);
         for (int part = 0; part < parts; part++) {
             taken.part(query + "-" + part, part, 1.0 / parts);
         }
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -314,6 +314,54 @@
         assertEquals(1, host.count("decline r"), "1 s is left of the goal, and runs took as long");
     }
 
+    @Test
+    void aClientInHasteIsNotTakenForALaterTryWhereLaterTriesAreMarked() {
+        for (boolean marked : new boolean[] {true, false}) {
+            FakeHost host = new FakeHost();
+            host.marksRetries = marked;
+            host.open("a");
+            host.warmUp(10, 0.1);
+            host.take("hasty", 1, 1);
+            assertEquals(marked ? 1 : 0, host.count("launch hasty-0"));
+            Logic.Query again = host.logic.take("again", 0, 1, 1, 0, true);
+            again.part("again-0", 0, 1);
+            host.logic.endOfBatch();
+            assertEquals(1, host.count("decline again"), "its goal is over");
+        }
+    }
+
+    @Test
+    void aHeldQueryIsDeclinedBeforeHalfItsClientsTimeIsGone() {
+        FakeHost host = new FakeHost().open("a");
+        for (int each = 0; each < 4; each++) {
+            host.take("fills" + each, 1);
+        }
+        host.take("hasty", 1, 1);
+        host.pass(0.48);
+        assertEquals(1, host.count("decline hasty"));
+    }
+
+    @Test
+    void aSearcherGoneForLongIsForgottenAndComesBackAsOneNeverMet() {
+        FakeHost host = new FakeHost();
+        host.probing = true;
+        host.open("a");
+        for (double away : new double[] {1, 60}) {
+            host.clock += 60;
+            Logic.Query query = host.take("q" + away, 1);
+            host.ends(query, "q" + away + "-0", 0, Host.Ending.ERROR, 0.1);
+            host.list(Host.ListForm.CHANGES, Host.Stage.GONE, 0, "a");
+            host.clock += away;
+            host.list(Host.ListForm.CHANGES, Host.Stage.READY, 0, "b");
+            host.list(Host.ListForm.CHANGES, Host.Stage.GONE, 0, "b");
+            host.list(Host.ListForm.CHANGES, Host.Stage.READY, 0, "a");
+            host.said.clear();
+            host.pass(0.1);
+            assertEquals(away > 30 ? 0 : 1, host.count("probe a"), "its failure is known after " + away);
+            host.logic.probed("a", Host.Ending.FULFILLED, null);
+        }
+    }
+
     @Test
     void aHeavyQueryGetsNoFurtherLaunchesAndALonelyOverduePartDoes() {
         host.open("a", "b", "c", "d", "e");
@@ -367,7 +415,7 @@
         for (int each = 0; each < 4; each++) {
             first.add(host.take("q" + each, 1));
         }
-        Logic.Query wide = host.logic.take("wide", 1, 8, 6, 0);
+        Logic.Query wide = host.logic.take("wide", 1, 8, 6, 0, false);
         for (int part = 0; part < 6; part++) {
             wide.part("wide-" + part, part, 1.0 / 6);
         }
