--- a/src/main/java/pinewick/DeploymentTerms.java
+++ b/src/main/java/pinewick/DeploymentTerms.java
@@ -109,6 +109,9 @@
                 throw new IllegalArgumentException("report " + text);
             }
             double value = Double.parseDouble(pair.substring(middle + 1));
+            if (!(value >= 0 && value < Double.POSITIVE_INFINITY)) {
+                return null; // no amount, so no report
+            }
             switch (pair.substring(0, middle)) {
                 case "pending", "queue" -> pending = value;
                 case "busy_reqs", "inflight" -> inFlight = value;
--- a/src/main/java/pinewick/life/Chain.java
+++ b/src/main/java/pinewick/life/Chain.java
@@ -65,7 +65,7 @@
     /** Looks after connections; to be called now and then. */
     void housekeeping() {
         searchers.allLinks().forEach(SearcherLink::look);
-        door.prune();
+        door.look();
         counters.peak("peak-client-connections", door.connections());
     }
 
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -8,12 +8,13 @@
  */
 public record Limits(
     /* clients */
-    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double clientIdle, double requestRead,
+    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double silent, double silentLeast,
+    double clientIdle, double clientIdleLeast, double requestRead, double requestLeast, double lastWords,
     double answerWrite, double longestWait,
     /* searchers */
     int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double linkIdle,
     double probeWait,
-    int answersOwed, int controlFrames, int searcherSockets, int shards,
+    double frameWhole, int answersOwed, int controlFrames, int searcherSockets, int shards,
     /* discovery */
     int lineBytes, double watchSilence, double watchUp, double watchAgain, double watchAgainMost, double watchHurry,
     /* held and said */
@@ -39,10 +40,11 @@
         for (var grade : settings.getAsJsonArray("categories")) {
             longest = Math.max(longest, number(grade.getAsJsonObject(), "hard-limit-ns", 3e9) / 1e9);
         }
-        return new Limits(BODY, 128, 16 << 10, (sockets - OWN_SOCKETS) / 2, 120, 10, 5, 3600,
+        int client = (sockets - OWN_SOCKETS) * 5 / 8;
+        return new Limits(BODY, 64, 16 << 10, client, 2, 0.25, 30, 2, 2, 0.5, 0.2, 5, 3600,
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
             32, dial, idle - Math.min(1, idle / 5), dial,
-            4096, 1024, (sockets - OWN_SOCKETS) / 2, (int) number(family, "slabs", Integer.MAX_VALUE),
+            0.2, 4096, 1024, sockets - OWN_SOCKETS - client, (int) number(family, "slabs", Integer.MAX_VALUE),
             4 << 20, 4.5, 1, 0.1, 1, 6,
             (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
--- a/src/main/java/pinewick/stages/Admit.java
+++ b/src/main/java/pinewick/stages/Admit.java
@@ -26,7 +26,7 @@
 
     public void admit(OpenQuery query) {
         if (queries.query(query.id) != null) {
-            throw new IllegalArgumentException("Req-Id was used before");
+            throw new IllegalArgumentException("id: Req-Id is that of an open request");
         }
         counters.add("taken");
         if (queries.held() + 1 + query.pieces.size() > limits.open()) {
--- a/src/main/java/pinewick/stages/Book.java
+++ b/src/main/java/pinewick/stages/Book.java
@@ -101,6 +101,16 @@
         send.probeEnds(probe, good ? Host.Ending.FULFILLED : Host.Ending.ERROR, report);
     }
 
+    @Override
+    public void spoilt(SearcherLink link, String why, LiveLaunch launch) {
+        counters.add("spoilt-answers");
+        link.waiting().forEach(each -> send.takeBack(each, Host.Ending.MOOT));
+        log.say("spoilt by " + link.searcher() + ": " + why + (launch == null ? "" : ", ends " + launch.piece.id));
+        if (launch != null) {
+            ended(launch, Host.Ending.ERROR, null);
+        }
+    }
+
     @Override
     public void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps) {
         searchers.remove(link);
--- a/src/main/java/pinewick/stages/TakeIn.java
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import java.util.HashMap;
 import java.util.Map;
 import pinewick.Host;
@@ -13,6 +14,12 @@
 
 /** First stage: makes an open query of a client's request, or says what is wrong with that. */
 public final class TakeIn implements ClientDoor.Taker {
+    private static final HttpString ID = new HttpString("Req-Id");
+    private static final HttpString KIND = new HttpString("Req-Kind");
+    private static final HttpString DEADLINE = new HttpString("Req-Deadline");
+    private static final HttpString KEY = new HttpString("Idempotency-Key");
+    private static final HttpString RETRY = new HttpString("Req-Retry");
+
     private final Host.Deployment given;
     private final Limits limits;
     private final Counters counters;
@@ -32,21 +39,18 @@
     @Override
     public OpenQuery take(HttpServerExchange request, byte[] body, OpenQuery.Asker asker) {
         HeaderMap headers = request.getRequestHeaders();
-        String id = header(headers, "Req-Id");
-        Integer grade = gradeRows.get(header(headers, "Req-Kind"));
-        wrongIf(grade == null, "unknown Req-Kind");
-        double ttl;
-        try {
-            ttl = Double.parseDouble(header(headers, "Req-Deadline"));
-        } catch (NumberFormatException odd) {
-            throw new IllegalArgumentException("Req-Deadline is no number");
-        }
-        wrongIf(!(ttl > 0 && ttl <= limits.longestWait()), "Req-Deadline out of bounds");
+        String id = header(headers, ID);
+        Integer grade = gradeRows.get(header(headers, KIND));
+        wrongIf(grade == null, "kind: unknown Req-Kind");
+        String wait = header(headers, DEADLINE);
+        wrongIf(!wait.matches("[0-9]+(\\.[0-9]*)?|\\.[0-9]+"), "time: Req-Deadline is no number");
+        double ttl = Double.parseDouble(wait);
+        wrongIf(!(ttl > 0 && ttl <= limits.longestWait()), "time: Req-Deadline out of bounds");
         boolean keyed = given.grades().get(grade).repeat() == Host.Repeat.DEDUPLICATED;
-        String key = keyed ? header(headers, "Idempotency-Key") : null;
+        String key = keyed ? header(headers, KEY) : null;
         OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
         QueryText.read(body, query, limits.shards());
-        query.again = "1".equals(headers.getFirst("Req-Retry"));
+        query.again = "1".equals(headers.getFirst(RETRY));
         if (query.again) {
             counters.add("taken-marked-retry");
         }
@@ -60,18 +64,20 @@
     }
 
     @Override
-    public void turnedAway(int status, String why) {
+    public void turnedAway(String why) {
         counters.add("bad-requests");
+        counters.add("bad-" + why.substring(0, Math.max(0, why.indexOf(':'))));
     }
 
     /** Words that go on into frames, so nothing that would end a line or a field there. */
-    private static String header(HeaderMap headers, String name) {
+    private static String header(HeaderMap headers, HttpString name) {
         String value = headers.getFirst(name);
-        wrongIf(value == null || value.isEmpty(), name + " is missing");
-        wrongIf(value.length() > 200, name + " is too long");
+        wrongIf(value == null || value.isEmpty(), "field: " + name + " is missing");
+        wrongIf(headers.count(name) > 1, "field: " + name + " stands twice");
+        wrongIf(value.length() > 200, "field: " + name + " is too long");
         for (int at = 0; at < value.length(); at++) {
             char one = value.charAt(at);
-            wrongIf(one <= ' ' || one == ',' || one > '~', name + " holds an odd character");
+            wrongIf(one <= ' ' || one == ',' || one > '~', "field: " + name + " holds an odd character");
         }
         return value;
     }
--- a/src/main/java/pinewick/wire/ClientDoor.java
+++ b/src/main/java/pinewick/wire/ClientDoor.java
@@ -8,22 +8,26 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
@@ -39,16 +43,16 @@
 
         void withdrawn(OpenQuery query);
 
-        void turnedAway(int status, String why);
+        /** Counts it; the kind of what is wrong stands before the colon. */
+        void turnedAway(String why);
     }
 
     private final Loop loop;
     private final Limits limits;
     private final ByteBufferPool buffers;
     private final HttpOpenListener undertow;
-    private final Set<StreamConnection> idle = new LinkedHashSet<>();
-    private final Set<StreamConnection> open = new LinkedHashSet<>();
-    private final Set<HttpServerExchange> reading = new LinkedHashSet<>();
+    private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
+    private final Set<Body> reading = new LinkedHashSet<>();
     private final Supplier<String> counters;
     private Taker taker;
     private boolean ready;
@@ -61,8 +65,6 @@
         this.counters = counters;
         undertow = new HttpOpenListener(buffers, OptionMap.builder()
             .set(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
-            .set(UndertowOptions.NO_REQUEST_TIMEOUT, (int) (limits.clientIdle() * 1000))
-            .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) (limits.requestRead() * 1000))
             .set(UndertowOptions.ALWAYS_SET_DATE, false)
             .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .getMap());
@@ -78,7 +80,7 @@
     }
 
     public int connections() {
-        return open.size();
+        return guests.size();
     }
 
     /** From now on every answer is the last on its connection. */
@@ -89,33 +91,106 @@
 
     /** Closes the connections that stand between two requests. */
     public void closeIdle() {
-        Set.copyOf(idle).forEach(IoUtils::safeClose);
-        prune();
+        for (Guest guest : List.copyOf(guests.values())) {
+            if (guest.stage() == Guest.Stage.BETWEEN || guest.stage() == Guest.Stage.SILENT) {
+                closeIfEmpty(guest);
+            }
+        }
     }
 
     @Override
     public void handleEvent(StreamConnection connection) {
         loop.event("accepting a client", () -> {
             // Danger: clients would wait at the limit while others hold connections that they do not use.
-            if (open.size() >= limits.clientSockets() - limits.clientSockets() / 16) {
-                prune();
-                Iterator<StreamConnection> oldest = idle.iterator();
-                if (open.size() >= limits.clientSockets() - limits.clientSockets() / 16 && oldest.hasNext()) {
-                    IoUtils.safeClose(oldest.next());
-                    oldest.remove();
-                }
+            int most = limits.clientSockets() - limits.clientSockets() / 16;
+            if (guests.size() >= most) {
+                look();
             }
-            open.add(connection);
-            idle.add(connection);
+            for (int each = 0; each < 4 && guests.size() >= most; each++) {
+                makeRoom();
+            }
+            guests.put(connection, new Guest(connection, loop));
             undertow.handleEvent(connection);
         });
     }
 
-    /** Forgets connections that are closed; to be called now and then. */
-    public void prune() {
-        open.removeIf(each -> !each.isOpen());
-        idle.removeIf(each -> !each.isOpen());
-        reading.removeIf(each -> !each.getConnection().isOpen());
+    /**
+     * Closes one connection that is not in use: of those that never said anything first, then of those kept between
+     * two requests for long, then of requests that have long been on their way in, then of any unused; the oldest.
+     */
+    private void makeRoom() {
+        Guest first = null;
+        int best = Integer.MAX_VALUE;
+        for (Guest guest : guests.values()) {
+            int rank = switch (guest.stage()) {
+                case SILENT -> guest.age() > limits.silentLeast() ? 0 : 3;
+                case BETWEEN -> guest.age() > limits.clientIdleLeast() ? 1 : 4;
+                case ARRIVING -> guest.age() > limits.requestLeast() ? 2 : Integer.MAX_VALUE;
+                default -> Integer.MAX_VALUE;
+            };
+            if (rank < best || (rank == best && first != null && guest.age() > first.age())) {
+                best = rank;
+                first = guest;
+            }
+        }
+        if (first != null && first.stage() == Guest.Stage.ARRIVING) {
+            turnOut(first, "408 Request Timeout", "late: the place is needed");
+        } else if (first != null) {
+            closeIfEmpty(first);
+        }
+    }
+
+    private void closeIfEmpty(Guest guest) {
+        if (guest.empty()) {
+            IoUtils.safeClose(guest.connection);
+            guests.remove(guest.connection);
+        }
+    }
+
+    /** Forgets connections that are closed and ends those that wait for nothing; to be called now and then. */
+    public void look() {
+        for (Guest guest : List.copyOf(guests.values())) {
+            if (!guest.connection.isOpen()) {
+                if (guest.stage() == Guest.Stage.ARRIVING && !guest.asked) {
+                    said("head: not HTTP");
+                }
+                guests.remove(guest.connection);
+            } else if (guest.stage() == Guest.Stage.SILENT && guest.age() > limits.silent()) {
+                said("silent: no request");
+                closeIfEmpty(guest);
+            } else if (guest.stage() == Guest.Stage.BETWEEN && guest.age() > limits.clientIdle()) {
+                closeIfEmpty(guest);
+            } else if (guest.stage() == Guest.Stage.ARRIVING && guest.age() > limits.requestRead()) {
+                turnOut(guest, "408 Request Timeout", "late: the request did not come whole");
+            }
+        }
+        reading.removeIf(each -> !each.guest.connection.isOpen());
+    }
+
+    /** The last answer on a connection that nothing more is read from; closed once that can have been read. */
+    private void turnOut(Guest guest, String status, String why) {
+        if (guest.stage() == Guest.Stage.LEAVING) {
+            return;
+        }
+        guest.becomes(Guest.Stage.LEAVING);
+        said(why);
+        guest.connection.getSourceChannel().suspendReads();
+        try {
+            guest.connection.getSinkChannel().getConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status
+                + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+        } catch (IOException gone) {
+            // Nobody is left to tell.
+        }
+        loop.after(limits.lastWords(), "closing after the last words", () -> {
+            IoUtils.safeClose(guest.connection);
+            guests.remove(guest.connection);
+        });
+    }
+
+    private void said(String why) {
+        if (taker != null) {
+            taker.turnedAway(why);
+        }
     }
 
     @Override
@@ -132,62 +207,89 @@
 
     private void begin(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
-        idle.remove(connection);
+        Guest guest = guests.get(connection);
+        guest.asked = true;
+        guest.becomes(Guest.Stage.ARRIVING);
         exchange.addExchangeCompleteListener((done, next) -> {
-            if (connection.isOpen()) {
-                idle.add(connection);
-            } else {
-                open.remove(connection);
+            guest.becomes(Guest.Stage.BETWEEN);
+            if (!connection.isOpen()) {
+                guests.remove(connection);
             }
             next.proceed();
         });
+        String odd = framing(exchange.getRequestHeaders());
+        if (odd != null) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> turnOut(guest, "400 Bad Request", odd));
+            return;
+        }
         if (leaving) {
             exchange.setPersistent(false);
         }
-        String method = exchange.getRequestMethod().toString();
+        boolean post = exchange.getRequestMethod().equals(Methods.POST);
+        if (post && exchange.getRequestPath().equals("/api")) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE,
+                () -> loop.event("reading a body", new Body(exchange, guest)::start));
+            return;
+        }
+        if (exchange.getRequestContentLength() > 0 || exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            // Undertow would read such a body to its end, however long.
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> turnOut(guest, "404 Not Found", "path: with a body"));
+            return;
+        }
         switch (exchange.getRequestPath()) {
             case "/api" -> {
-                if (method.equals("POST")) {
-                    body(exchange);
-                } else {
-                    exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
-                    refuse(exchange, 405, "only POST here");
-                }
+                exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
+                refuse(exchange, 405, "method: only POST here");
             }
             case "/health/ready" -> plain(exchange, ready ? 200 : 500, ready ? "ready" : "not ready");
             case "/health/live" -> plain(exchange, 200, "live");
             case "/counters" -> plain(exchange, 200, counters.get());
-            default -> refuse(exchange, 404, "no such path");
+            default -> refuse(exchange, 404, "path: no such path");
         }
     }
 
-    private void body(HttpServerExchange exchange) {
-        // Danger: bodies that come slowly on all connections at once would fill the heap. Harmless to retry.
-        if (reading.size() >= limits.bodiesAtOnce()) {
-            exchange.setPersistent(false);
-            refuse(exchange, 503, "too many bodies at once");
-            return;
+    /**
+     * What is wrong with how a request says where it ends; null where nothing is. Danger: a body that two readers end
+     * at different places may hide another request, which would then be run. So nothing more is read from there.
+     */
+    private static String framing(HeaderMap headers) {
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+        HeaderValues encodings = headers.get(Headers.TRANSFER_ENCODING);
+        if (lengths != null && encodings != null) {
+            return "framing: a length and an encoding";
         }
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> loop.event("reading a body", new Body(exchange)::start));
+        if (lengths != null && (lengths.size() > 1 || !lengths.getFirst().matches("[0-9]{1,18}"))) {
+            return "framing: a length that is none";
+        }
+        if (encodings != null && (encodings.size() > 1 || !encodings.getFirst().equalsIgnoreCase("chunked"))) {
+            return "framing: an unknown encoding";
+        }
+        for (HttpString name : headers.getHeaderNames()) {
+            for (int at = 0; at < name.length(); at++) {
+                if (name.byteAt(at) <= ' ' || name.byteAt(at) > '~') {
+                    return "framing: a field's name";
+                }
+            }
+        }
+        return null;
     }
 
     /** A request's body on its way in. Undertow's own reader ends the connection of one too long unanswered. */
     private final class Body {
         private final HttpServerExchange exchange;
+        private final Guest guest;
         private final StreamSourceChannel channel;
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(512);
-        private final XnioExecutor.Key late;
 
-        Body(HttpServerExchange exchange) {
+        Body(HttpServerExchange exchange, Guest guest) {
             this.exchange = exchange;
+            this.guest = guest;
             channel = exchange.getRequestChannel();
-            late = loop.after(limits.requestRead(), "a slow body", () -> broken("408 Request Timeout"));
-            reading.add(exchange);
         }
 
         void start() {
             if (exchange.getRequestContentLength() > limits.bodyBytes()) {
-                tooLong();
+                turnOut(guest, "413 Payload Too Large", "length: body too long");
                 return;
             }
             channel.getReadSetter().set(any -> loop.event("reading a body", this::read));
@@ -197,22 +299,23 @@
         private void read() {
             ByteBuffer in = loop.readBuffer();
             try {
-                while (true) {
+                while (guest.stage() == Guest.Stage.ARRIVING) {
                     in.clear();
                     int count = channel.read(in);
                     if (count == 0) {
-                        channel.resumeReads();
+                        waitForMore();
                         return;
                     }
                     if (count < 0) {
                         channel.suspendReads();
-                        late.remove();
-                        reading.remove(exchange);
+                        reading.remove(this);
+                        guest.becomes(Guest.Stage.ASKED);
                         take(exchange, bytes.toByteArray());
                         return;
                     }
                     if (bytes.size() + count > limits.bodyBytes()) {
-                        tooLong();
+                        reading.remove(this);
+                        turnOut(guest, "413 Payload Too Large", "length: body too long");
                         return;
                     }
                     byte[] more = new byte[count];
@@ -220,40 +323,26 @@
                     bytes.writeBytes(more);
                 }
             } catch (IOException unreadable) {
-                late.remove();
-                reading.remove(exchange);
-                taker.turnedAway(400, "body can't be read");
-                broken("400 Bad Request");
+                reading.remove(this);
+                turnOut(guest, "400 Bad Request", "body: can't be read");
             }
         }
 
-        /** Undertow answers only once a body is at its end, so a body that has none is answered past it. */
-        private void broken(String status) {
-            HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-            try {
-                connection.getOriginalSinkConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status
-                    + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
-            } catch (IOException gone) {
-                // Nobody is left to tell.
+        /** Danger: bodies that come slowly on all connections at once would fill the heap; the oldest one leaves. */
+        private void waitForMore() {
+            channel.resumeReads();
+            reading.add(this);
+            if (reading.size() > limits.bodiesAtOnce()) {
+                Body oldest = reading.iterator().next();
+                reading.remove(oldest);
+                turnOut(oldest.guest, "408 Request Timeout", "late: too many bodies at once");
             }
-            IoUtils.safeClose(connection);
-        }
-
-        /** The answer goes out at once; what still comes is thrown away, until the time for a body is over. */
-        private void tooLong() {
-            channel.suspendReads();
-            reading.remove(exchange);
-            exchange.addExchangeCompleteListener((done, next) -> {
-                late.remove();
-                next.proceed();
-            });
-            refuse(exchange, 413, "body too long");
         }
     }
 
     private void take(HttpServerExchange exchange, byte[] body) {
         if (taker == null) {
-            refuse(exchange, 500, "not serving yet");
+            refuse(exchange, 500, "early: not serving yet");
             return;
         }
         Waiting waiting = new Waiting(exchange);
@@ -271,9 +360,7 @@
     }
 
     private void refuse(HttpServerExchange exchange, int status, String why) {
-        if (taker != null) {
-            taker.turnedAway(status, why);
-        }
+        said(why);
         plain(exchange, status, why);
     }
 
@@ -339,7 +426,7 @@
             answered = true;
             raw.suspendReads();
             IoUtils.safeClose(connection);
-            open.remove(connection.getChannel());
+            guests.remove(connection.getChannel());
             taker.withdrawn(query);
         }
 
--- a/src/main/java/pinewick/wire/Frames.java
+++ b/src/main/java/pinewick/wire/Frames.java
@@ -49,12 +49,23 @@
     static final class Cutter {
         private static final int USUAL = 1 << 10;
         private final int longest;
+        private long count;
         private ByteBuffer kept = ByteBuffer.allocate(USUAL).order(ByteOrder.LITTLE_ENDIAN);
 
         Cutter(int longest) {
             this.longest = longest;
         }
 
+        /** How many frames were whole so far. */
+        long count() {
+            return count;
+        }
+
+        /** Whether a frame has begun that is not whole. */
+        boolean partial() {
+            return kept.position() > 0;
+        }
+
         /** Hands on each whole frame's letter and rest, in a view that holds for that call alone. */
         void feed(ByteBuffer bytes, Consumer<ByteBuffer> whole) {
             if (kept.remaining() < bytes.remaining()) {
@@ -72,6 +83,7 @@
                 }
                 ByteBuffer one = kept.slice(kept.position() + 4, length);
                 kept.position(kept.position() + 4 + length);
+                count++;
                 whole.accept(one);
             }
             kept.compact();
--- a/src/main/java/pinewick/wire/QueryText.java
+++ b/src/main/java/pinewick/wire/QueryText.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
@@ -12,19 +13,23 @@
 
 /** The text of a query and of its answer; of a query only what decisions and searchers need is taken out. */
 public final class QueryText {
+    /** How far one weight may be off through rounding. */
+    private static final double ROUNDING = 1e-3;
+
     private QueryText() {
     }
 
     /** Reads a query's parts and text into it; anything that is not in the form brings an exception. */
     public static void read(byte[] body, OpenQuery into, int shards) {
         boolean parts = false;
+        boolean text = false;
         try (JsonReader in = new JsonReader(new InputStreamReader(new ByteArrayInputStream(body),
             StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)))) {
             in.beginObject();
             while (in.hasNext()) {
                 switch (in.nextName()) {
                     case "slices" -> {
-                        wrongIf(parts, "slices twice");
+                        wrongIf(parts, "json: slices twice");
                         parts = true;
                         in.beginArray();
                         while (in.hasNext()) {
@@ -33,38 +38,54 @@
                         in.endArray();
                     }
                     case "filter" -> {
-                        wrongIf(in.peek() != JsonToken.STRING, "filter is no string");
+                        wrongIf(text || in.peek() != JsonToken.STRING, "json: filter twice or no string");
+                        text = true;
                         into.text = in.nextString().getBytes(StandardCharsets.UTF_8);
                     }
                     default -> in.skipValue();
                 }
             }
             in.endObject();
-            wrongIf(in.peek() != JsonToken.END_DOCUMENT, "text after the object");
+            wrongIf(in.peek() != JsonToken.END_DOCUMENT, "json: text after the object");
         } catch (CharacterCodingException odd) {
-            throw new IllegalArgumentException("not UTF-8");
+            throw new IllegalArgumentException("json: not UTF-8");
         } catch (IOException | IllegalStateException odd) {
-            throw new IllegalArgumentException("not in the form: " + odd.getMessage());
+            throw new IllegalArgumentException("json: not in the form: " + odd.getMessage());
         }
-        wrongIf(into.pieces.isEmpty(), "no slices");
+        wrongIf(into.pieces.isEmpty(), "json: no slices");
+        wrongIf(!text, "json: no filter");
+        double sum = into.pieces.values().stream().mapToDouble(piece -> piece.mass).sum();
+        // Each weight is a decimal fraction, rounded; few digits are to be expected of some clients.
+        wrongIf(Math.abs(sum - 1) > ROUNDING * Math.max(4, into.pieces.size()), "weight: the sum is " + sum);
     }
 
     private static void part(JsonReader in, OpenQuery into, int shards) throws IOException {
         int shard = -1;
         double mass = Double.NaN;
+        int fields = 0;
         in.beginObject();
         while (in.hasNext()) {
             switch (in.nextName()) {
-                case "slice" -> shard = in.nextInt();
-                case "mass" -> mass = in.nextDouble();
+                case "slice" -> {
+                    wrongIf(in.peek() != JsonToken.NUMBER || (fields & 1) > 0, "shard: no number, or twice");
+                    fields |= 1;
+                    String number = in.nextString();
+                    wrongIf(!number.matches("[0-9]{1,9}"), "shard: " + number);
+                    shard = Integer.parseInt(number);
+                }
+                case "mass" -> {
+                    wrongIf(in.peek() != JsonToken.NUMBER || (fields & 2) > 0, "weight: no number, or twice");
+                    fields |= 2;
+                    mass = in.nextDouble();
+                }
                 case "micros" -> into.workHint += in.nextDouble() / 1e6;
                 default -> in.skipValue();
             }
         }
         in.endObject();
-        wrongIf(shard < 0 || shard >= shards, "unknown slice " + shard);
-        wrongIf(!(mass >= 0 && mass < Double.POSITIVE_INFINITY), "slice " + shard + " without a mass");
-        wrongIf(!into.piece(shard, mass), "slice " + shard + " twice");
+        wrongIf(shard < 0 || shard >= shards, "shard: unknown " + shard);
+        wrongIf(!(mass > 0 && mass <= 1), "weight: of slice " + shard + " is missing or not within 0 and 1");
+        wrongIf(!into.piece(shard, mass), "shard: " + shard + " twice");
     }
 
     private static void wrongIf(boolean wrong, String what) {
@@ -73,6 +94,20 @@
         }
     }
 
+    /** Whether a searcher's value can stand in an answer: text, not empty, that no client would fail to read. */
+    static boolean fitsAnAnswer(byte[] value) {
+        for (byte one : value) {
+            if (one >= 0 && one < 0x20) {
+                return false;
+            }
+        }
+        try {
+            return value.length > 0 && StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(value)).hasRemaining();
+        } catch (CharacterCodingException odd) {
+            return false;
+        }
+    }
+
     /** The answer's body: each value that is in, as the bytes that came. */
     public static byte[] answer(OpenQuery query, boolean whole) {
         Bytes out = new Bytes(64 + 48 * query.pieces.size());
--- a/src/main/java/pinewick/wire/SearcherLink.java
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
 
         void probed(String searcher, long probe, boolean good, Host.LoadReport report);
 
+        /** Something came that is no answer; the launch that it ends, null where there is none to be told. */
+        void spoilt(SearcherLink link, String why, LiveLaunch launch);
+
         /** The link is closed; {@code never} were not written whole, {@code perhaps} were. */
         void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps);
     }
@@ -59,6 +63,7 @@
     private boolean retired;
     private boolean doomed;
     private boolean forgot;
+    private long stuckAt = -1;
     private double usedAt;
     private double heardAt = Double.NEGATIVE_INFINITY;
 
@@ -283,6 +288,7 @@
                     return;
                 }
                 if (count == 0) {
+                    expectTheRest();
                     return;
                 }
                 heardAt = usedAt = loop.now();
@@ -299,7 +305,7 @@
         if (closed) {
             return;
         }
-        char letter = (char) frame.get();
+        char letter = (char) (frame.get() & 0xff);
         byte[] rest = new byte[frame.remaining()];
         frame.get(rest);
         switch (letter) {
@@ -308,43 +314,95 @@
                 String text = new String(rest, StandardCharsets.UTF_8).trim();
                 Long number = probes.poll();
                 if (number == null) {
-                    throw new IllegalArgumentException("an answer to no probe");
+                    spoilt(null, "an answer to no probe");
+                    return;
                 }
                 boolean good = !text.startsWith("E");
-                Host.LoadReport report = good && letter == Frames.LOAD ? DeploymentTerms.report(text, '=') : null;
-                events.probed(searcher, number, good, report);
+                events.probed(searcher, number, good, good && letter == Frames.LOAD ? report(text) : null);
             }
             case Frames.UNUSABLE -> throw new IllegalArgumentException("X "
                 + new String(rest, 0, Math.min(80, rest.length), StandardCharsets.UTF_8));
-            default -> throw new IllegalArgumentException("a frame of letter " + (int) letter);
+            default -> spoilt(words(rest)[0], "a frame of letter " + (int) letter);
         }
     }
 
-    private void answer(byte[] rest) {
+    /** Danger: an answer would be lost for a report that can't be read. It counts as none. */
+    private static Host.LoadReport report(String text) {
+        try {
+            return DeploymentTerms.report(text, '=');
+        } catch (RuntimeException unreadable) {
+            return null;
+        }
+    }
+
+    /** The words of a frame's first line. */
+    private static String[] words(byte[] rest) {
         int end = 0;
         while (end < rest.length && rest[end] != '\n') {
             end++;
         }
-        String[] words = new String(rest, 0, end, StandardCharsets.UTF_8).split(" ");
-        if (end == rest.length || words.length != 4 || words[1].length() != 1
-            || "SEB".indexOf(words[1].charAt(0)) < 0) {
-            throw new IllegalArgumentException("an answer's line");
+        return new String(rest, 0, end, StandardCharsets.UTF_8).split(" ", 5);
+    }
+
+    private void answer(byte[] rest) {
+        int end = 0;
+        while (end < rest.length && rest[end] != '\n') {
+            end++;
         }
-        Host.LoadReport report = DeploymentTerms.report(words[3], '=');
+        String[] words = words(rest);
         Owed answer = owed.get(words[0]);
         if (answer == null) {
-            if (forgot) {
-                return;
+            if (!forgot) {
+                spoilt(null, "an answer for a part that is not out here");
             }
-            throw new IllegalArgumentException("an answer for " + words[0] + ", which is not out here");
+            return;
+        }
+        boolean formed = end < rest.length && words.length == 4 && words[1].length() == 1
+            && "SEB".indexOf(words[1].charAt(0)) >= 0 && words[2].matches("[-+0-9.eE]+");
+        byte[] value = formed ? Arrays.copyOfRange(rest, end + 1, rest.length) : new byte[0];
+        if (!formed || (words[1].equals("S") && !QueryText.fitsAnAnswer(value))) {
+            spoilt(words[0], "an answer that can't be read");
+            return;
         }
         if (--answer.answers == 0) {
             owed.remove(words[0]);
         }
-        byte[] value = new byte[rest.length - end - 1];
-        System.arraycopy(rest, end + 1, value, 0, value.length);
         if (!answer.latest.over) {
-            events.answered(answer.latest, words[1].charAt(0), report, value);
+            events.answered(answer.latest, words[1].charAt(0), report(words[3]), value);
+        }
+    }
+
+    /**
+     * What came can be cut into frames, but this one is nothing that a searcher may say. Its part may have run and has
+     * no other answer; where it can't be told which part that is, the only one out is meant. Others that are out may
+     * still be answered, but the link takes nothing new.
+     */
+    private void spoilt(String part, String why) {
+        Owed named = part == null ? null : owed.get(part);
+        LiveLaunch meant = named == null ? null : named.latest;
+        if (meant == null) {
+            List<LiveLaunch> out = new ArrayList<>();
+            calls.forEach(call -> call.launches.stream()
+                .filter(each -> !each.over && call.stage == Call.Stage.WRITTEN).forEach(out::add));
+            meant = out.size() == 1 ? out.get(0) : null;
+        }
+        retired = true;
+        events.spoilt(this, why, meant == null || meant.over ? null : meant);
+        if (calls.isEmpty()) {
+            loop.later("closing a spoilt link", () -> close("spoilt"));
+        }
+    }
+
+    /** Danger: a frame that stops short would keep its part, and all behind it, out until their time-outs. */
+    private void expectTheRest() {
+        long had = cutter.count();
+        if (cutter.partial() && had != stuckAt) {
+            stuckAt = had;
+            loop.timeOut(limits.frameWhole(), "a frame's rest", () -> {
+                if (!closed && cutter.partial() && cutter.count() == had) {
+                    close("unusable: a frame that stops short");
+                }
+            });
         }
     }
 
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -362,6 +362,22 @@
         }
     }
 
+    @Test
+    void aLostConnectionIsNoRestartButASearcherThatWasNotReachedComesBackCold() {
+        for (Host.Ending ending : new Host.Ending[] {Host.Ending.DROPPED, Host.Ending.NOT_CONNECTED}) {
+            FakeHost host = new FakeHost().open("a");
+            host.warmUp(10, 0.2);
+            Logic.Query broken = host.take("q", 1);
+            host.ends(broken, "q-0", 0, ending, 0.1);
+            host.pass(0.2);
+            host.ends(broken, "q-0", 1, Host.Ending.FULFILLED, 0.2);
+            for (int each = 0; each < 4; each++) {
+                host.take("s" + each, 1);
+            }
+            assertEquals(ending == Host.Ending.DROPPED ? 4 : 1, host.count("launch s"), "after " + ending);
+        }
+    }
+
     @Test
     void aHeavyQueryGetsNoFurtherLaunchesAndALonelyOverduePartDoes() {
         host.open("a", "b", "c", "d", "e");
