--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -496,7 +496,7 @@
         void answered(Launch<Searcher> launch, double took, double told, double target) {
             answeredSentAt = Math.max(answeredSentAt, launch.sentAt);
             if (failures > 0 && unreached && given.rules().coldTime() > 0) {
-                // Danger: a process back after it could not be reached is cold before the list says so.
+                // Danger: one that answered, then out of reach, is cold before the list says so.
                 startedAt = Math.max(startedAt, host.now());
             }
             failures = 0;
@@ -528,7 +528,7 @@
             restUntil = host.now() + Math.min(REST_MOST, REST * (1 << Math.min(failures, 6))) * goal;
             failures++;
             cleared = false;
-            unreached |= ending == Host.Ending.NOT_CONNECTED;
+            unreached |= ending == Host.Ending.NOT_CONNECTED && answerAt > Double.NEGATIVE_INFINITY;
         }
     }
 
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -10,6 +10,9 @@
  * XNIO runs what is put to the thread after all that were ready, so the batch ends there.
  */
 public final class Loop {
+    /** Long enough that the sockets are looked at in between, short beside any time-out. */
+    private static final double NEWS = 0.01;
+
     private final XnioIoThread thread;
     private final Log log;
     private final double startedAt = System.currentTimeMillis() / 1e3;
@@ -92,10 +95,10 @@
     /**
      * A time-out: its event comes only after what had come in by then. Danger: timers go first in a wake-up, so after
      * this program stood still (a start on part of a core) connections and answers that are there would count as late.
-     * Harm: a wake-up or two later.
+     * What is put to the thread without a delay runs before it looks at the sockets again. Harm: 20 ms later.
      */
     public XnioExecutor.Key timeOut(double seconds, String doing, Runnable event) {
-        return after(seconds, doing, () -> later(doing, () -> later(doing, event)));
+        return after(seconds, doing, () -> after(NEWS, doing, () -> after(NEWS, doing, event)));
     }
 
     public XnioExecutor.Key after(double seconds, String doing, Runnable event) {
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -376,6 +376,15 @@
             }
             assertEquals(ending == Host.Ending.DROPPED ? 4 : 1, host.count("launch s"), "after " + ending);
         }
+        FakeHost young = new FakeHost().open("a");
+        Logic.Query first = young.take("q", 1);
+        young.ends(first, "q-0", 0, Host.Ending.NOT_CONNECTED, 0.1);
+        young.pass(0.2);
+        young.ends(first, "q-0", 1, Host.Ending.FULFILLED, 0.2);
+        for (int each = 0; each < 4; each++) {
+            young.take("s" + each, 1);
+        }
+        assertEquals(4, young.count("launch s"), "a mixer that just started has seen nobody come back");
     }
 
     @Test
