--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -48,7 +48,7 @@
             4 << 20, 4.5, 1, 0.1, 1, 6,
             (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
-            0.4, 0.25, 1024, 8 << 10, 256);
+            0.15, 0.25, 1024, 8 << 10, 256);
     }
 
     private static double number(JsonObject from, String key, double absent) {
