--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -24,14 +24,11 @@
     private static final double QUEUE_MOST = 0.3, SWEEP = 0.01; // longest reported queue; between two looks
     private static final double ASK_AGE = 0.1, ASK_WAIT = 0.02, ASK_AGAIN = 0.2; // age, wait, next
     private static final double NEWEST_WEIGHT = 0.3, PATIENCE_FACTOR = 1.5; // plain numbers: in R; of P95
-    private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8; // parts out at one searcher at first
     private static final double ASK_LEAST = 0.3, BUSY_WEIGHT = 0.05, BUSY_QUEUE = 0.15, BUSY_MOST = 3;
-    private static final double STALL = 5, BARE_FACTOR = 1.5; // looks missed; times the quick tenth is prompt
+    private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8, STALL = 5, BARE_FACTOR = 1.5; // room; looks
     private static final double HEAVY = 0.15, COLD_MARGIN = 0.8, COLD_LUCK = 0.7; // of parts; of cold budgets
-    private static final double COPY_SHARE = 0.1, COPY_FREE = 5; // copies, where no budget is stated
-    private static final double RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // of a held one's run; of the hard stop
-    private static final double START_MOST = 0.45;      // of the client's time; held longer, it is declined
-    private static final double MIXERS_FEW = 4;         // up to twice as many hear enough without asking
+    private static final double COPY_SHARE = 0.1, COPY_FREE = 5, RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // more
+    private static final double START_MOST = 0.45, MIXERS_FEW = 4; // of the client's time; twice ask nobody
     private static final int ENOUGH = 8, BINS = 14, ASK_MOST = 32; // measurements believed; held while asking
     private static final double HALVED_AT = 200, FASTEST = 100; // served parts a goal in the top bin of rates
 
@@ -105,13 +102,14 @@
     }
 
     private List<Searcher> holders(int shard) {
-        return holders.computeIfAbsent(shard, any -> {
-            List<Searcher> found = new ArrayList<>();
+        List<Searcher> found = holders.get(shard);
+        if (found == null) {
+            holders.put(shard, found = new ArrayList<>());
             for (int cell = shard; cell < shard + given.reach(); cell++) {
                 found.addAll(cells.get(Math.floorMod(cell, given.cells())));
             }
-            return found;
-        });
+        }
+        return found;
     }
 
     /** Takes a query of so many parts; it starts once all of them have been handed in. */
@@ -195,8 +193,11 @@
     /** Whether a part still to be launched has no holder at all, or none fit to take it now. */
     private boolean lacks(Query query, boolean fit) {
         for (Part<Query, Searcher> part : query.parts.values()) {
-            if (part.launches.isEmpty() && !part.done
-                && holders(part.shard).stream().noneMatch(each -> !fit || fit(each, part, 1))) {
+            boolean found = !part.launches.isEmpty() || part.done;
+            for (Searcher each : holders(part.shard)) {
+                found = found || !fit || fit(each, part, 1);
+            }
+            if (!found) {
                 return true;
             }
         }
@@ -230,12 +231,9 @@
             sweep();
         }
         double now = lastBatchAt = host.now();
-        if (held.isEmpty()) {
-            return;
-        }
         List<Query> order = new ArrayList<>(held);
         boolean reserved = grades.size() == 1;
-        boolean overload = now - order.get(0).takenAt > OVERLOAD_WAIT * goal;
+        boolean overload = !held.isEmpty() && now - order.get(0).takenAt > OVERLOAD_WAIT * goal;
         if (overload) {
             order.sort((one, other) -> Double.compare(other.valueForWork(), one.valueForWork()));
         }
@@ -565,9 +563,9 @@
     /** Rule 2: whether another launch of the part could do no harm. */
     private boolean mayRepeat(Part<Query, Searcher> part) {
         Host.GradeTerms terms = part.query.grade.terms;
-        double window = terms.repeat() == Host.Repeat.DEDUPLICATED ? terms.repeatWindow() : 0;
-        return terms.repeat() == Host.Repeat.IDEMPOTENT || part.launches.stream().allMatch(
-            each -> each.neverRan || host.now() + 2 * given.tick() < each.sentAt + window);
+        return terms.repeat() == Host.Repeat.IDEMPOTENT || part.launches.stream().allMatch(each ->
+            each.neverRan || (terms.repeat() == Host.Repeat.DEDUPLICATED
+            && host.now() + 2 * given.tick() < each.sentAt + terms.repeatWindow()));
     }
 
     /** A query's handle: all that happens to it after it was taken is a call on this. */
@@ -592,8 +590,7 @@
             grade.longestTtl = Math.max(grade.longestTtl, ttl);
             double hardStop = grade.terms.hardStop();
             boolean later = given.marksRetries() ? again : ttl < grade.longestTtl - LATER_TRY * hardStop;
-            double spent = later ? hardStop - ttl : 0;
-            goalAt = takenAt - spent + Math.min(hardStop, grade.terms.goal(workHint));
+            goalAt = takenAt - (later ? hardStop - ttl : 0) + Math.min(hardStop, grade.terms.goal(workHint));
         }
 
         /** One of the query's parts; the last one awaited lets the query start. */
@@ -679,8 +676,11 @@
         }
 
         private long overdueParts() {
-            return parts.values().stream().filter(part -> part.out > 0 && !part.done && host.now()
-                >= part.latest().overdueAt).count();
+            long overdue = 0;
+            for (Part<Query, Searcher> part : parts.values()) {
+                overdue += part.out > 0 && !part.done && host.now() >= part.latest().overdueAt ? 1 : 0;
+            }
+            return overdue;
         }
 
         private double valueForWork() {
--- a/src/main/java/pinewick/life/Chain.java
+++ b/src/main/java/pinewick/life/Chain.java
@@ -76,7 +76,7 @@
     }
 
     String figures() {
-        return counters.text() + "awaiting " + queries.awaiting() + "\nheld " + queries.held() + "\nout "
+        return counters.text() + "awaiting " + queries.awaiting() + "\nkept " + queries.kept() + "\nheld " + queries.held() + "\nout "
             + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections "
             + door.connections() + "\nfaults " + loop.faults() + "\n";
     }
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -14,7 +14,7 @@
     /* searchers */
     int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double linkIdle,
     double probeWait,
-    double frameWhole, int answersOwed, int controlFrames, int searcherSockets, int shards,
+    double frameWhole, int answersOwed, int answersRemembered, int controlFrames, int searcherSockets, int shards,
     /* discovery */
     int lineBytes, double watchSilence, double watchUp, double watchAgain, double watchAgainMost, double watchHurry,
     /* held and said */
@@ -44,7 +44,7 @@
         return new Limits(BODY, 64, 16 << 10, client, 2, 0.25, 30, 2, 2, 0.5, 0.2, 5, 3600,
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
             32, dial, idle - Math.min(1, idle / 5), dial,
-            0.2, 4096, 1024, sockets - OWN_SOCKETS - client, (int) number(family, "slabs", Integer.MAX_VALUE),
+            0.2, 512, 8, 1024, sockets - OWN_SOCKETS - client, (int) number(family, "slabs", Integer.MAX_VALUE),
             4 << 20, 4.5, 1, 0.1, 1, 6,
             (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -18,6 +18,7 @@
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
     private Runnable endOfBatch = () -> { };
+    private final Runnable closing = this::close;
     private boolean inBatch;
     private double now = startedAt;
     private long faults;
@@ -64,7 +65,7 @@
         if (!inBatch) {
             inBatch = true;
             now = clock();
-            thread.execute(this::close);
+            thread.execute(closing);
         }
         guarded(doing, event);
     }
--- a/src/main/java/pinewick/memory/OpenQueries.java
+++ b/src/main/java/pinewick/memory/OpenQueries.java
@@ -39,8 +39,14 @@
 
     public void forget(OpenQuery query) {
         ended(query);
-        byId.remove(query.id);
-        query.pieces.keySet().forEach(byPart::remove);
+        // By value: another query may have come under the same id meanwhile.
+        byId.remove(query.id, query);
+        query.pieces.forEach(byPart::remove);
+    }
+
+    /** Queries that are not forgotten yet. */
+    public int kept() {
+        return byId.size();
     }
 
     public int awaiting() {
--- a/src/main/java/pinewick/stages/Relay.java
+++ b/src/main/java/pinewick/stages/Relay.java
@@ -67,6 +67,13 @@
         }
         queries.ended(query);
         counters.add(counter);
+        // Danger: a query of which nothing is out when it ends gets no more news, and would be kept for good. The
+        // decisions are done with it only once they return.
+        loop.later("forgetting a query", () -> {
+            if (query.handle == null || query.handle.over()) {
+                queries.forget(query);
+            }
+        });
         for (OpenQuery.Piece piece : query.pieces.values()) {
             for (LiveLaunch launch : piece.launches) {
                 send.takeBack(launch, Host.Ending.MOOT);
--- a/src/main/java/pinewick/wire/SearcherLink.java
+++ b/src/main/java/pinewick/wire/SearcherLink.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -49,11 +50,13 @@
     private final Limits limits;
     private final Events events;
     private final Frames.Cutter cutter;
+    private final Consumer<ByteBuffer> cut = this::frame;
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private final ArrayDeque<ByteBuffer> control = new ArrayDeque<>();
     private final ArrayDeque<Long> probes = new ArrayDeque<>();
     private final List<Call> calls = new ArrayList<>();
     private final Map<String, Owed> owed = new LinkedHashMap<>();
+    private final ArrayDeque<String> answered = new ArrayDeque<>();
     private IoFuture<StreamConnection> dialing;
     private XnioExecutor.Key dialTimer;
     private StreamConnection connection;
@@ -118,8 +121,11 @@
         if (dialTimer != null) {
             dialTimer.remove();
         }
-        made.getSourceChannel().setReadListener(any -> loop.event("reading from a searcher", this::read));
-        made.getSinkChannel().setWriteListener(any -> loop.event("writing to a searcher", this::write));
+        // Made once: each one made costs a call out of Java, with the quick compiler, and these run for every answer.
+        Runnable reading = this::read;
+        Runnable writing = this::write;
+        made.getSourceChannel().setReadListener(any -> loop.event("reading from a searcher", reading));
+        made.getSinkChannel().setWriteListener(any -> loop.event("writing to a searcher", writing));
         made.getSourceChannel().resumeReads();
         write();
     }
@@ -202,6 +208,11 @@
     /** A launch on this link is over, for whatever reason. */
     public void over(LiveLaunch launch) {
         Call call = launch.call;
+        Owed answer = owed.get(launch.piece.id);
+        if (answer != null && answer.latest == launch) {
+            // Danger: an answer that never comes would keep its query, and with that its client, as long as the link.
+            answer.latest = null;
+        }
         if (--call.out == 0) {
             calls.remove(call);
             waiting.remove(call);
@@ -269,7 +280,7 @@
             currentCall = null;
             if (owed.size() > limits.answersOwed()) {
                 // What was given up may never be answered; its memory must not grow with that.
-                forgot |= owed.values().removeIf(each -> each.latest.over);
+                forgot |= owed.values().removeIf(each -> each.latest == null);
             }
         }
     }
@@ -292,7 +303,7 @@
                     return;
                 }
                 heardAt = usedAt = loop.now();
-                cutter.feed(in.flip(), this::frame);
+                cutter.feed(in.flip(), cut);
             }
         } catch (IOException broken) {
             close("broke: " + broken.getMessage());
@@ -352,7 +363,8 @@
         String[] words = words(rest);
         Owed answer = owed.get(words[0]);
         if (answer == null) {
-            if (!forgot) {
+            // A second copy of an answer costs nothing: its part has its value.
+            if (!forgot && !answered.contains(words[0])) {
                 spoilt(null, "an answer for a part that is not out here");
             }
             return;
@@ -366,8 +378,12 @@
         }
         if (--answer.answers == 0) {
             owed.remove(words[0]);
+            answered.add(words[0]);
+            if (answered.size() > limits.answersRemembered()) {
+                answered.poll();
+            }
         }
-        if (!answer.latest.over) {
+        if (answer.latest != null) {
             events.answered(answer.latest, words[1].charAt(0), report(words[3]), value);
         }
     }
@@ -380,7 +396,7 @@
     private void spoilt(String part, String why) {
         Owed named = part == null ? null : owed.get(part);
         LiveLaunch meant = named == null ? null : named.latest;
-        if (meant == null) {
+        if (named == null) {
             List<LiveLaunch> out = new ArrayList<>();
             calls.forEach(call -> call.launches.stream()
                 .filter(each -> !each.over && call.stage == Call.Stage.WRITTEN).forEach(out::add));
--- a/src/test/java/pinewick/ServeTest.java
+++ b/src/test/java/pinewick/ServeTest.java
@@ -201,6 +201,15 @@
             assertTrue(figures.contains("faults 0\n") && !figures.contains("timed_out"), kind + figures);
             mixer.destroyForcibly().waitFor();
         }
+        Searcher late = new Searcher("a", 0, "again");
+        start(late);
+        Client first = new Client();
+        first.post("first", "unrepeatable", "[0]", "", false);
+        assertTrue(first.answer().startsWith("200 "));
+        Client second = new Client();
+        second.post("second", "unrepeatable", "[0]", "", false);
+        assertTrue(second.answer().startsWith("200 "), "the first one's second copy does not end the second");
+        mixer.destroyForcibly().waitFor();
         for (String kind : List.of("twice", "report", "noise")) {
             start(new Searcher("a", 0, kind));
             Client client = new Client();
@@ -316,6 +325,9 @@
         assertTrue(client.answer().startsWith("503 "), "a repeat is harmless");
         String figures = client.get("/counters");
         assertTrue(figures.contains("declined 1\n") && !figures.contains("ended-by-the-net"), figures);
+        client.post("q2", "idempotent", "[1]", "", false);
+        assertTrue(client.answer().startsWith("503 "), "nobody holds that shard");
+        until(client, "kept 0\n");
     }
 
     @Test
@@ -635,6 +647,12 @@
                         StandardCharsets.ISO_8859_1));
                     case "3GB" -> socket.getOutputStream().write(("\0\0\0\2605" + part + " S 1 -\nvalue").getBytes(
                         StandardCharsets.ISO_8859_1));
+                    case "again" -> {
+                        if (part.startsWith("second")) {
+                            write(socket, "5first.0 S 1 -\nvalue");
+                        }
+                        write(socket, "5" + part + " S 1 -\nvalue");
+                    }
                     case "twice", "report", "noise" -> {
                         write(socket, "5" + part + " S 1 " + (way.equals("report") ? "queue=%%%" : "queue=0") + "\nvalue");
                         if (way.equals("twice")) {
