--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -717,7 +717,7 @@
             boolean harmless = grade.terms.repeat() == Host.Repeat.IDEMPOTENT || parts.values().stream()
                 .allMatch(part -> part.launches.stream().allMatch(launch -> launch.neverRan));
             if (harmless) {
-                double advice = Math.min(given.longestAdvice(), OVERLOAD_WAIT * goal);
+                double advice = Math.min(given.longestAdvice(), REST * goal);
                 host.decline(id, given.mayAdvise() ? advice : 0);
             } else {
                 host.giveUp(id);
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -8,7 +8,7 @@
  */
 public record Limits(
     /* clients */
-    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, double silent, double silentLeast,
+    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, int crowdedPart, double silent, double silentLeast,
     double clientIdle, double clientIdleLeast, double requestRead, double requestLeast, double lastWords,
     double answerWrite, double longestWait,
     /* searchers */
@@ -40,8 +40,12 @@
         for (var grade : settings.getAsJsonArray("categories")) {
             longest = Math.max(longest, number(grade.getAsJsonObject(), "hard-limit-ns", 3e9) / 1e9);
         }
-        int client = (sockets - OWN_SOCKETS) * 5 / 8;
-        return new Limits(BODY, 64, 16 << 10, client, 2, 0.25, 30, 2, 2, 0.5, 0.2, 5, 3600,
+        JsonObject known = config.has("known") && config.get("known").isJsonObject()
+            ? config.getAsJsonObject("known") : new JsonObject();
+        int searchers = known.has("members") ? known.getAsJsonArray("members").size() : 0;
+        // What searchers' connections can be seen to need; the rest is the clients'.
+        int client = sockets - OWN_SOCKETS - Math.min((sockets - OWN_SOCKETS) / 2, Math.max(48, 4 * searchers));
+        return new Limits(BODY, 64, 16 << 10, client, 4, 2, 1, 30, 2, 2, 0.5, 0.2, 5, 3600,
             BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
             32, dial, idle - Math.min(1, idle / 5), dial,
             0.2, 512, 8, 1024, sockets - OWN_SOCKETS - client, (int) number(family, "slabs", Integer.MAX_VALUE),
--- a/src/main/java/pinewick/stages/TakeIn.java
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -63,6 +63,11 @@
         book.withdrawn(query);
     }
 
+    @Override
+    public void madeRoom(String stage) {
+        counters.add("places-made-" + stage);
+    }
+
     @Override
     public void turnedAway(String why) {
         counters.add("bad-requests");
--- a/src/main/java/pinewick/wire/ClientDoor.java
+++ b/src/main/java/pinewick/wire/ClientDoor.java
@@ -21,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -45,6 +46,9 @@
 
         /** Counts it; the kind of what is wrong stands before the colon. */
         void turnedAway(String why);
+
+        /** A connection in that stage was closed because its place was needed. */
+        void madeRoom(String stage);
     }
 
     private final Loop loop;
@@ -115,16 +119,17 @@
     }
 
     /**
-     * Closes one connection that is not in use: of those that never said anything first, then of those kept between
-     * two requests for long, then of requests that have long been on their way in, then of any unused; the oldest.
+     * Closes one connection that is not in use: of those kept between two requests for long first, then of those
+     * silent for long, then of requests that have long been on their way in, then of any silent and any kept; the
+     * oldest. Danger: clients that connect some time before they ask would be turned out by a crowd.
      */
     private void makeRoom() {
         Guest first = null;
         int best = Integer.MAX_VALUE;
         for (Guest guest : guests.values()) {
             int rank = switch (guest.stage()) {
-                case SILENT -> guest.age() > limits.silentLeast() ? 0 : 3;
-                case BETWEEN -> guest.age() > limits.clientIdleLeast() ? 1 : 4;
+                case SILENT -> guest.age() > limits.silentLeast() ? 1 : 3;
+                case BETWEEN -> guest.age() > limits.clientIdleLeast() ? 0 : 4;
                 case ARRIVING -> guest.age() > limits.requestLeast() ? 2 : Integer.MAX_VALUE;
                 default -> Integer.MAX_VALUE;
             };
@@ -133,6 +138,9 @@
                 first = guest;
             }
         }
+        if (first != null && taker != null) {
+            taker.madeRoom(first.stage().name().toLowerCase(Locale.ROOT));
+        }
         if (first != null && first.stage() == Guest.Stage.ARRIVING) {
             turnOut(first, "408 Request Timeout", "late: the place is needed");
         } else if (first != null) {
@@ -140,6 +148,14 @@
         }
     }
 
+    /**
+     * Danger: clients that ask once and keep their connection for good use up what clients have for all their requests,
+     * and others find no connection while this mixer idles. Also catches crowds. Harm: a connect more for each request.
+     */
+    private boolean crowded() {
+        return guests.size() > limits.clientSockets() / limits.crowdedPart();
+    }
+
     private void closeIfEmpty(Guest guest) {
         if (guest.empty()) {
             IoUtils.safeClose(guest.connection);
@@ -361,6 +377,9 @@
 
     private void refuse(HttpServerExchange exchange, int status, String why) {
         said(why);
+        if (crowded()) {
+            exchange.setPersistent(false);
+        }
         plain(exchange, status, why);
     }
 
@@ -437,7 +456,7 @@
             }
             answered = true;
             raw.suspendReads();
-            if (leaving) {
+            if (leaving || crowded()) {
                 exchange.setPersistent(false);
             }
             exchange.setStatusCode(status);
--- a/src/test/java/pinewick/FakeHost.java
+++ b/src/test/java/pinewick/FakeHost.java
@@ -19,6 +19,7 @@
     double callWork;
     int mixers = 2;
     double longestWait;
+    double advice;
     Logic logic;
 
     /** A mixer over one cell of searchers a, b, ... that all hold every shard. */
@@ -113,6 +114,7 @@
 
     @Override
     public void decline(String query, double retryAfter) {
+        advice = retryAfter;
         said.add("decline " + query);
     }
 
--- a/src/test/java/pinewick/LogicTest.java
+++ b/src/test/java/pinewick/LogicTest.java
@@ -339,6 +339,7 @@
         host.take("hasty", 1, 1);
         host.pass(0.48);
         assertEquals(1, host.count("decline hasty"));
+        assertEquals(0.5, host.advice, 1e-9, "a quarter of the goal, so that they do not come back into the same jam");
     }
 
     @Test
--- a/src/test/java/pinewick/ServeTest.java
+++ b/src/test/java/pinewick/ServeTest.java
@@ -423,6 +423,23 @@
         Thread.sleep(150);
     }
 
+    @Test
+    void whileManyConnectionsAreKeptAnAnswerEndsItsOwn() throws Exception {
+        sockets = 160;
+        start(new Searcher("a", 0, "answer"));
+        Client client = new Client();
+        List<Client> kept = new ArrayList<>();
+        for (boolean crowd : new boolean[] {false, true}) {
+            for (int each = 0; crowd && each < 30; each++) {
+                kept.add(new Client());
+                kept.get(each).get("/health/live");
+            }
+            client.post("q" + crowd, "idempotent", "[0]", "", false);
+            assertTrue(client.answer().startsWith("200 "));
+        }
+        assertEquals("", client.answer(), "closed after its second answer");
+    }
+
     @Test
     void aBadConfigurationIsNamed() throws Exception {
         for (String[] each : new String[][] {{"", "EDGE_CONFIG"}, {"{", "EDGE_CONFIG"}, {"{}", "EDGE_LISTEN"},
