--- a/src/main/java/pinewick/Logic.java
+++ b/src/main/java/pinewick/Logic.java
@@ -39,7 +39,10 @@
     private final List<GradeRow> grades = new ArrayList<>();
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
     private final List<List<Searcher>> cells;
-    private final Map<Integer, List<Searcher>> holders = new LinkedHashMap<>();
+    private final List<List<Searcher>> holders = new ArrayList<>(); // of the shards that begin at each cell
+    private final long[] askedOf; // the turn in which it was found whether these have room for one part
+    private final boolean[] foundRoom;
+    private long turn = 1;
     private final LinkedHashSet<Query> live = new LinkedHashSet<>(), held = new LinkedHashSet<>();
     private final List<Searcher> reservedAt = new ArrayList<>();
     private final CoarseTimes servedRates, drainTimes;
@@ -57,6 +60,9 @@
         drainTimes = new CoarseTimes(goal, 1.5, BINS, HALVED_AT);
         servedRates = new CoarseTimes(FASTEST / goal, 1.2, BINS * 2, HALVED_AT);
         cells = Stream.<List<Searcher>>generate(ArrayList::new).limit(given.cells()).toList();
+        cells.forEach(any -> holders.add(new ArrayList<>()));
+        askedOf = new long[given.cells()];
+        foundRoom = new boolean[given.cells()];
         if (given.mustAsk()) {
             host.track(true);
         }
@@ -87,7 +93,6 @@
             known.cell = Math.floorMod(entry.cell(), given.cells());
             known.near = entry.zone().equals(given.zone());
         }
-        holders.clear();
         cells.forEach(List::clear);
         for (Searcher each : searchers.values()) {
             each.goneAt = each.stage != Host.Stage.GONE ? Double.POSITIVE_INFINITY
@@ -96,20 +101,20 @@
                 cells.get(each.cell).add(each);
             }
         }
+        turn++;
+        for (int first = 0; first < given.cells(); first++) {
+            holders.get(first).clear();
+            for (int cell = first; cell < first + given.reach(); cell++) {
+                holders.get(first).addAll(cells.get(Math.floorMod(cell, given.cells())));
+            }
+        }
         // Danger: with ever new ids memory grows all day; one gone is forgotten once no rule needs it.
         double keep = 2 * REST_MOST * goal + given.rules().coldTime() + given.rules().fallTime();
         searchers.values().removeIf(each -> each.out.isEmpty() && host.now() - each.goneAt > keep);
     }
 
     private List<Searcher> holders(int shard) {
-        List<Searcher> found = holders.get(shard);
-        if (found == null) {
-            holders.put(shard, found = new ArrayList<>());
-            for (int cell = shard; cell < shard + given.reach(); cell++) {
-                found.addAll(cells.get(Math.floorMod(cell, given.cells())));
-            }
-        }
-        return found;
+        return holders.get(Math.floorMod(shard, given.cells()));
     }
 
     /** Takes a query of so many parts; it starts once all of them have been handed in. */
@@ -164,6 +169,7 @@
             } else {
                 plan.values().forEach(each -> each.planned = 0);
             }
+            turn++;
             return false;
         }
         plan.forEach((group, each) -> each.planned -= group.size());
@@ -175,9 +181,14 @@
     /** The lowest score among the holders fit to take so many parts now; null if there is none. */
     private Searcher choose(Part<Query, Searcher> part, int count) {
         Searcher best = null;
+        double lowest = 0;
         for (Searcher each : holders(part.shard)) {
-            if (fit(each, part, count) && (best == null || each.score(part) < best.score(part))) {
-                best = each;
+            if (fit(each, part, count)) {
+                double score = each.score(part);
+                if (best == null || score < lowest) {
+                    best = each;
+                    lowest = score;
+                }
             }
         }
         return best;
@@ -187,23 +198,47 @@
     private boolean fit(Searcher each, Part<Query, Searcher> part, int count) {
         return !part.waitsAt(each) && each.hasColdBudget(part.query, count)
             && (each.sound() ? each.hasRoom(count) : each.out.size() + each.planned == 0
-            && holders(part.shard).stream().noneMatch(Searcher::sound));
+            && !anySound(holders(part.shard)));
+    }
+
+    private static boolean anySound(List<Searcher> holders) {
+        boolean sound = false;
+        for (Searcher each : holders) {
+            sound = sound || each.sound();
+        }
+        return sound;
     }
 
     /** Whether a part still to be launched has no holder at all, or none fit to take it now. */
     private boolean lacks(Query query, boolean fit) {
         for (Part<Query, Searcher> part : query.parts.values()) {
-            boolean found = !part.launches.isEmpty() || part.done;
-            for (Searcher each : holders(part.shard)) {
-                found = found || !fit || fit(each, part, 1);
-            }
-            if (!found) {
+            if (part.launches.isEmpty() && !part.done
+                && (fit ? !anyFit(part) : holders(part.shard).isEmpty())) {
                 return true;
             }
         }
         return false;
     }
 
+    /**
+     * Whether any holder may take a part never launched, found once a turn for all parts of the same holders;
+     * a cold one's answer depends on the query. Danger: asking each time took half of a busy mixer's time.
+     */
+    private boolean anyFit(Part<Query, Searcher> part) {
+        int first = Math.floorMod(part.shard, given.cells());
+        if (askedOf[first] == turn) {
+            return foundRoom[first];
+        }
+        boolean found = false, same = true;
+        for (Searcher each : holders.get(first)) {
+            same &= !each.cold();
+            found = found || fit(each, part, 1);
+        }
+        askedOf[first] = same ? turn : 0;
+        foundRoom[first] = found;
+        return found;
+    }
+
     private void launch(Part<Query, Searcher> part, Searcher searcher) {
         Query query = part.query;
         double now = host.now();
@@ -212,6 +247,7 @@
         }
         Launch<Searcher> launch = new Launch<>(searcher, now, now + query.grade.patience(),
             now - searcher.reportAt < FRESH * goal ? searcher.queue + searcher.sentSince : 0);
+        turn++;
         searcher.sentSince++;
         part.launches.add(launch);
         part.out++;
@@ -230,12 +266,14 @@
             lookDue = false;
             sweep();
         }
+        turn++;
         double now = lastBatchAt = host.now();
         List<Query> order = new ArrayList<>(held);
         boolean reserved = grades.size() == 1;
         boolean overload = !held.isEmpty() && now - order.get(0).takenAt > OVERLOAD_WAIT * goal;
         if (overload) {
-            order.sort((one, other) -> Double.compare(other.valueForWork(), one.valueForWork()));
+            order.forEach(query -> query.worth = query.valueForWork());
+            order.sort((one, other) -> Double.compare(other.worth, one.worth));
         }
         for (Query query : order) {
             if (query.ended || asking(query)) {
@@ -383,7 +421,6 @@
         }
     }
 
-
     final class Searcher extends SearcherState {
         double room = ROOM_FIRST, roomCutAt = Double.NEGATIVE_INFINITY;
 
@@ -394,10 +431,18 @@
         /** The design's score. Departures: R and q fade when old, and overdue silence counts in R. */
         double score(Part<Query, Searcher> part) {
             double now = host.now(), guess = FIRST_GUESS * part.query.grade.terms.latencyGoal();
-            List<Searcher> others = holders(part.shard).stream().filter(each -> each.heard).toList();
-            double meanR = others.stream().mapToDouble(each -> each.r).average().orElse(guess);
-            double meanS = others.stream().mapToDouble(Searcher::s).average().orElse(guess);
-            double meanQueue = others.stream().mapToDouble(each -> each.queue).average().orElse(0);
+            double heardOf = 0, meanR = 0, meanS = 0, meanQueue = 0;
+            for (Searcher each : holders(part.shard)) {
+                if (each.heard) {
+                    heardOf++;
+                    meanR += each.r;
+                    meanS += each.s();
+                    meanQueue += each.queue;
+                }
+            }
+            meanR = heardOf == 0 ? guess : meanR / heardOf;
+            meanS = heardOf == 0 ? guess : meanS / heardOf;
+            meanQueue /= Math.max(1, heardOf);
             double s = heard ? s() : meanS;
             // Danger: a replica shunned after one heavy part gets no answers, so its bad R would never mend.
             double ownR = heard ? meanR + (r - meanR) * fresh() : meanR;
@@ -573,7 +618,7 @@
         private final String id;
         private final GradeRow grade;
         private final double takenAt, goalAt, stopAt, startBy, lot = chance.nextDouble();
-        private double startedAt = Double.NEGATIVE_INFINITY, weightIn, askAgainAt;
+        private double startedAt = Double.NEGATIVE_INFINITY, weightIn, askAgainAt, worth;
         private final Map<String, Part<Query, Searcher>> parts = new LinkedHashMap<>();
         private int awaited, out, in, step = 1;
         private boolean ended;
--- a/src/main/java/pinewick/life/Serve.java
+++ b/src/main/java/pinewick/life/Serve.java
@@ -145,7 +145,7 @@
     private void finish(double latest) {
         chain.door.closeIdle();
         if ((chain.queries.awaiting() == 0 && chain.door.connections() == 0) || loop.now() >= latest) {
-            log.say("stopped; " + chain.figures().replace('\n', ';'));
+            log.say("stopped; " + chain.figures().replace('\n', ';') + CoreUse.text());
             System.err.flush();
             Runtime.getRuntime().exit(0);
         }
--- a/src/main/java/pinewick/wire/ClientDoor.java
+++ b/src/main/java/pinewick/wire/ClientDoor.java
@@ -462,7 +462,7 @@
             exchange.setStatusCode(status);
             if (retryAfter > 0) {
                 exchange.getResponseHeaders().put(new HttpString("Retry-After"),
-                    String.format(java.util.Locale.ROOT, "%.3f", retryAfter));
+                    Double.toString(Math.rint(retryAfter * 1e3) / 1e3));
             }
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE,
                 status == 200 ? "application/json" : "text/plain");
