--- a/src/main/java/pinewick/life/Chain.java
+++ b/src/main/java/pinewick/life/Chain.java
@@ -1,6 +1,7 @@
 package pinewick.life;
 
 import io.undertow.connector.ByteBufferPool;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import pinewick.Host;
 import pinewick.memory.Counters;
@@ -37,7 +38,12 @@
         route = new Route(given, seed, loop, log, queries, counters, send, relay);
         book.tells(route);
         Admit admit = new Admit(limits, loop, queries, counters, route, relay);
-        door.opens(new TakeIn(given, limits, counters, admit, book));
+        double goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
+        double value = given.grades().stream().mapToDouble(Host.GradeTerms::value).max().orElse(1);
+        Pressure pressure = new Pressure(limits.lagShare() * goal, limits.lagMemory(), given.mayAdvise()
+            ? Math.min(given.longestAdvice() / 1.5, limits.lagAdvice() * goal) : 0, value, new SplittableRandom(seed));
+        loop.watches(pressure);
+        door.opens(new TakeIn(given, limits, counters, admit, book, pressure, loop));
         loop.atEndOfBatch(route::endOfBatch);
     }
 
--- a/src/main/java/pinewick/life/Limits.java
+++ b/src/main/java/pinewick/life/Limits.java
@@ -22,7 +22,9 @@
     /* the end: how long the front may still send, and how long a stop takes at most */
     double frontNotice, double stopMost,
     /* the program itself */
-    double rehearsal, double housekeeping, int backlog, int bufferBytes, int buffersKept) {
+    double rehearsal, double housekeeping, int backlog, int bufferBytes, int buffersKept,
+    /* falling behind: the wait borne and what is told those turned away as shares of the goal; what fades after */
+    double lagShare, double lagMemory, double lagAdvice) {
 
     private static final int OWN_SOCKETS = 40; // the program's files, selectors, pipes, discovery
     private static final int BODY = 64 << 10;
@@ -52,7 +54,8 @@
             4 << 20, 4.5, 1, 0.1, 1, 6,
             (int) number(bounds, "max-open", 20000), 0.01, 50,
             0.55, longest + 0.3,
-            0.15, 0.25, 1024, 8 << 10, 256);
+            0.15, 0.25, 1024, 8 << 10, 256,
+            0.05, 0.5, 0.5);
     }
 
     private static double number(JsonObject from, String key, double absent) {
--- a/src/main/java/pinewick/life/Loop.java
+++ b/src/main/java/pinewick/life/Loop.java
@@ -18,6 +18,7 @@
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
     private Runnable endOfBatch = () -> { };
+    private Pressure pressure;
     private final Runnable closing = this::close;
     private boolean inBatch;
     private double now = startedAt;
@@ -33,6 +34,11 @@
         endOfBatch = end;
     }
 
+    /** Tells how long each batch took. */
+    void watches(Pressure by) {
+        pressure = by;
+    }
+
     public XnioIoThread thread() {
         return thread;
     }
@@ -74,6 +80,9 @@
         try {
             guarded("ending a batch", endOfBatch);
         } finally {
+            if (pressure != null) {
+                pressure.batch(now, clock());
+            }
             inBatch = false;
         }
     }
--- a/src/main/java/pinewick/stages/Admit.java
+++ b/src/main/java/pinewick/stages/Admit.java
@@ -24,6 +24,12 @@
         this.relay = relay;
     }
 
+    /** Declines a query that was never taken, with advice when to come back; 0 gives none. */
+    void turnAway(OpenQuery query, double retryAfter) {
+        counters.add("taken");
+        relay.turnAway(query, retryAfter);
+    }
+
     public void admit(OpenQuery query) {
         if (queries.query(query.id) != null) {
             throw new IllegalArgumentException("id: Req-Id is that of an open request");
@@ -31,7 +37,7 @@
         counters.add("taken");
         if (queries.held() + 1 + query.pieces.size() > limits.open()) {
             counters.add("turned-away-full");
-            relay.turnAway(query);
+            relay.turnAway(query, 0);
             return;
         }
         queries.add(query);
--- a/src/main/java/pinewick/stages/Relay.java
+++ b/src/main/java/pinewick/stages/Relay.java
@@ -46,9 +46,9 @@
     }
 
     /** For a query that was never admitted: harmless to retry. */
-    public void turnAway(OpenQuery query) {
+    public void turnAway(OpenQuery query, double retryAfter) {
         query.ended = true;
-        answer(query, DECLINED, 0, words("full"));
+        answer(query, DECLINED, retryAfter, words("full"));
     }
 
     /** The client has left: no answer, and nothing more is sent. */
--- a/src/main/java/pinewick/stages/TakeIn.java
+++ b/src/main/java/pinewick/stages/TakeIn.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import pinewick.Host;
 import pinewick.life.Limits;
+import pinewick.life.Loop;
+import pinewick.life.Pressure;
 import pinewick.memory.Counters;
 import pinewick.memory.OpenQuery;
 import pinewick.wire.ClientDoor;
@@ -25,14 +27,19 @@
     private final Counters counters;
     private final Admit admit;
     private final Book book;
+    private final Pressure pressure;
+    private final Loop loop;
     private final Map<String, Integer> gradeRows = new HashMap<>();
 
-    public TakeIn(Host.Deployment given, Limits limits, Counters counters, Admit admit, Book book) {
+    public TakeIn(Host.Deployment given, Limits limits, Counters counters, Admit admit, Book book,
+                  Pressure pressure, Loop loop) {
         this.given = given;
         this.limits = limits;
         this.counters = counters;
         this.admit = admit;
         this.book = book;
+        this.pressure = pressure;
+        this.loop = loop;
         given.grades().forEach(grade -> gradeRows.put(grade.name(), gradeRows.size()));
     }
 
@@ -49,6 +56,12 @@
         boolean keyed = given.grades().get(grade).repeat() == Host.Repeat.DEDUPLICATED;
         String key = keyed ? header(headers, KEY) : null;
         OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
+        if (pressure.turnsAway(loop.now(), given.grades().get(grade).value())) {
+            // Before the body is parsed: what can't be served in time should cost as little as it can.
+            counters.add("turned-away-behind");
+            admit.turnAway(query, pressure.comeBack());
+            return query;
+        }
         QueryText.read(body, query, limits.shards());
         query.again = "1".equals(headers.getFirst(RETRY));
         if (query.again) {
