The build becomes a reactor: core, registry, standins, daemon, lab; nothing else changes

Need: the registry client, its stand-in and the lab must not stand in the mixer's jar, and the decisions must be usable without the daemon.

--- /dev/null
+++ b/standins/src/main/java/pinewick/standins/package-info.java
@@ -0,0 +1,1 @@
+package pinewick.standins;
