--- a/daemon/src/main/java/pinewick/life/Chain.java
+++ b/daemon/src/main/java/pinewick/life/Chain.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import pinewick.Host;
 import pinewick.memory.Counters;
 import pinewick.memory.OpenQueries;
@@ -26,6 +27,7 @@
     final Route route;
     private final Loop loop;
     private final Send send;
+    private Supplier<String> others = () -> "";
 
     Chain(Host.Deployment given, Limits limits, long seed, Loop loop, Log log, ByteBufferPool buffers,
           Consumer<SearcherLink> dialer) {
@@ -81,8 +83,13 @@
         searchers.allLinks().forEach(link -> link.close("end of the rehearsal"));
     }
 
+    /** Figures of what this chain does not own. */
+    void alsoTells(Supplier<String> more) {
+        others = more;
+    }
+
     String figures() {
-        return counters.text() + "awaiting " + queries.awaiting() + "\nkept " + queries.kept() + "\nheld " + queries.held() + "\nout "
+        return others.get() + counters.text() + "awaiting " + queries.awaiting() + "\nkept " + queries.kept() + "\nheld " + queries.held() + "\nout "
             + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections "
             + door.connections() + "\nfaults " + loop.faults() + "\n";
     }
--- a/daemon/src/main/java/pinewick/life/Commands.java
+++ b/daemon/src/main/java/pinewick/life/Commands.java
@@ -21,7 +21,7 @@
     public static int plain(String command, String[] words) {
         try {
             return switch (command) {
-                case "serve" -> Serving.serve();
+                case "serve" -> Serving.serve(words.length > 2 ? words[2] : null);
                 case "benchlink" -> Serving.benchlink();
                 case "rehearse" -> Serving.rehearse();
                 default -> run(words);
@@ -53,17 +53,24 @@
     @Command(name = "serve", description = "Serves as a real mixer; the environment variable EDGE_CONFIG names the "
         + "configuration.")
     static final class ServeCommand implements Callable<Integer> {
+        @CommandLine.Option(names = "--operator", paramLabel = "FILE", description = "the operator's own file")
+        private String operator;
+
         @Override
         public Integer call() throws Exception {
-            return Serving.serve();
+            return Serving.serve(operator);
         }
     }
 
     @Command(name = "check", description = "Reads the configuration as serve would and says what is in it.")
     static final class CheckCommand implements Callable<Integer> {
+        @CommandLine.Option(names = "--operator", paramLabel = "FILE", description = "the operator's own file; alone it is "
+            + "checked without EDGE_CONFIG")
+        private String operator;
+
         @Override
         public Integer call() {
-            return Serving.check();
+            return Serving.check(operator);
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/pinewick/life/OperatorFile.java
@@ -0,0 +1,145 @@
+package pinewick.life;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import pinewick.wire.ListText;
+
+/**
+ * The operator's own file: what the platform's configuration does not tell. JSON, described by
+ * {@code deploy/operator.schema.json}; a test holds this reader and that schema to the same verdicts. Without the file
+ * all of it is off.
+ */
+final class OperatorFile {
+    /** Where and how the list of searchers is followed; times in seconds. */
+    record Registry(List<InetSocketAddress> endpoints, String prefix, Path kept, int pageKeys, int lineBytes,
+                    double answer, double probeEvery, double believe, double firstContact) {
+    }
+
+    private final List<String> wrong = new ArrayList<>();
+    /** Null where the list comes from the platform. */
+    private Registry registry;
+
+    private OperatorFile() {
+    }
+
+    Registry registry() {
+        return registry;
+    }
+
+    /** Throws IllegalArgumentException whose message has a line for each wrong field: its path, what was expected. */
+    static OperatorFile read(Path file) {
+        JsonElement all;
+        try {
+            all = JsonParser.parseString(Files.readString(file));
+        } catch (IOException | RuntimeException odd) {
+            throw new IllegalArgumentException("operator's file " + file + " can't be read as JSON: " + odd.getMessage());
+        }
+        return of(all);
+    }
+
+    static OperatorFile of(JsonElement all) {
+        OperatorFile read = new OperatorFile();
+        read.all(all);
+        if (!read.wrong.isEmpty()) {
+            throw new IllegalArgumentException("operator's file: " + String.join("\noperator's file: ", read.wrong));
+        }
+        return read;
+    }
+
+    private void all(JsonElement all) {
+        if (!all.isJsonObject()) {
+            wrong.add("/: an object is expected");
+            return;
+        }
+        known(all.getAsJsonObject(), "", Set.of("registry"));
+        JsonElement part = all.getAsJsonObject().get("registry");
+        if (part == null) {
+            return;
+        }
+        if (!part.isJsonObject()) {
+            wrong.add("/registry: an object is expected");
+            return;
+        }
+        JsonObject in = part.getAsJsonObject();
+        known(in, "/registry", Set.of("endpoints", "prefix", "kept", "page-keys", "line-bytes", "answer-s",
+            "probe-every-s", "believe-s", "first-contact-s"));
+        List<InetSocketAddress> endpoints = endpoints(in.get("endpoints"));
+        String prefix = text(in, "/registry", "prefix", true);
+        String kept = text(in, "/registry", "kept", false);
+        registry = new Registry(endpoints, prefix, kept == null ? null : Path.of(kept),
+            (int) number(in, "page-keys", 500, 1, 10_000, true),
+            (int) number(in, "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
+            number(in, "answer-s", 1, 0.05, 30, false), number(in, "probe-every-s", 0.15, 0.05, 10, false),
+            number(in, "believe-s", 10, 1, 3600, false), number(in, "first-contact-s", 1, 0, 30, false));
+    }
+
+    private List<InetSocketAddress> endpoints(JsonElement given) {
+        List<InetSocketAddress> endpoints = new ArrayList<>();
+        if (given == null || !given.isJsonArray() || given.getAsJsonArray().isEmpty()) {
+            wrong.add("/registry/endpoints: a list of at least one address and port is expected");
+            return endpoints;
+        }
+        JsonArray list = given.getAsJsonArray();
+        for (int each = 0; each < list.size(); each++) {
+            JsonElement one = list.get(each);
+            try {
+                if (!one.isJsonPrimitive() || !one.getAsJsonPrimitive().isString()) {
+                    throw new IllegalArgumentException("no text");
+                }
+                endpoints.add(ListText.address(one.getAsString()));
+            } catch (IllegalArgumentException odd) {
+                wrong.add("/registry/endpoints/" + each + ": an address and port such as 127.0.0.1:2379 is expected");
+            }
+        }
+        return endpoints;
+    }
+
+    private void known(JsonObject in, String path, Set<String> names) {
+        for (String name : in.keySet()) {
+            if (!names.contains(name)) {
+                wrong.add(path + "/" + name + ": unknown field");
+            }
+        }
+    }
+
+    private String text(JsonObject in, String path, String name, boolean needed) {
+        JsonElement value = in.get(name);
+        if (value == null && !needed) {
+            return null;
+        }
+        if (value == null || !value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()
+            || value.getAsString().isEmpty()) {
+            wrong.add(path + "/" + name + ": a text that is not empty is expected");
+            return "?";
+        }
+        return value.getAsString();
+    }
+
+    private double number(JsonObject in, String name, double absent, double least, double most, boolean whole) {
+        JsonElement value = in.get(name);
+        if (value == null) {
+            return absent;
+        }
+        boolean number = value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
+        double given = number ? value.getAsDouble() : Double.NaN;
+        if (!(given >= least && given <= most) || (whole && given != Math.rint(given))) {
+            wrong.add("/registry/" + name + ": a " + (whole ? "whole " : "") + "number from " + plain(least) + " to "
+                + plain(most) + " is expected");
+            return absent;
+        }
+        return given;
+    }
+
+    private static String plain(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/pinewick/life/RegistryList.java
@@ -0,0 +1,107 @@
+package pinewick.life;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import pinewick.Host;
+import pinewick.registry.KeptCodec;
+import pinewick.registry.KeptFiles;
+import pinewick.registry.RegistrySession;
+import pinewick.registry.RegistryView;
+import pinewick.registry.Step;
+import pinewick.registry.Store;
+import pinewick.wire.ListText;
+import pinewick.wire.RegistryWire;
+
+/** The list of searchers from a registry: view, session, wire and kept copy put together for one mixer. */
+final class RegistryList {
+    private static final double TICK = 0.02;
+
+    private final Loop loop;
+    private final Log log;
+    private final OperatorFile.Registry given;
+    private final BiConsumer<ListText.Piece, Host.ListForm> news;
+    private final RegistryView view;
+    private final RegistrySession session;
+    private final RegistryWire wire;
+    private final KeptFiles files;
+    private final double startedAt;
+
+    RegistryList(OperatorFile.Registry given, Loop loop, Log log, long seed,
+                 BiConsumer<ListText.Piece, Host.ListForm> news) {
+        this.given = given;
+        this.loop = loop;
+        this.log = log;
+        this.news = news;
+        view = new RegistryView(given.prefix());
+        wire = new RegistryWire(loop, given.endpoints(), given.prefix(), given.lineBytes(), this::taken, log::say);
+        RegistrySession.Terms usual = RegistrySession.Terms.usual(given.endpoints().size());
+        session = new RegistrySession(given.prefix(), view, new RegistrySession.Terms(usual.endpoints(),
+            given.pageKeys(), given.answer(), given.probeEvery(), usual.probeAnswer(), usual.owed(), usual.waitLeast(),
+            usual.waitMost(), given.believe()), wire, new SplittableRandom(seed));
+        files = given.kept() == null ? null : new KeptFiles(given.kept(), log::say);
+        startedAt = loop.now();
+    }
+
+    /** Serves from the kept copy, marked old, until the registry tells more. */
+    void start() {
+        KeptCodec.Kept kept = files == null ? null : files.read();
+        if (kept != null) {
+            KeptCodec.into(kept, view);
+            log.say("registry: " + view.stores().size() + " searchers from the kept copy at revision " + view.revision());
+            news.accept(piece(view.stores(), true), Host.ListForm.CACHED);
+        }
+        wire.follow(session, TICK);
+    }
+
+    /**
+     * Whether there is a list to serve by. Danger: a kept copy does not know of drains since; so a start waits a moment
+     * for the registry's newest. Harm: with the registry down a restart takes that much longer.
+     */
+    boolean mayServe() {
+        return view.revision() > 0 && (session.caughtUp() || loop.now() - startedAt >= given.firstContact());
+    }
+
+    String figures() {
+        return session.figures().replaceAll("(?m)^", "registry-").replaceAll("registry-$", "");
+    }
+
+    private void taken(Step step) {
+        step.wrong().forEach(each -> log.say("registry: " + each + "; its last good state holds"));
+        Collection<Store> told = step.whole() ? view.stores() : step.changed();
+        if (step.whole() || !step.changed().isEmpty()) {
+            news.accept(piece(told, step.whole()), step.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
+        }
+        if (step.whole()) {
+            log.say("registry: whole view at revision " + step.revision() + ", " + told.size() + " searchers, "
+                + step.vanished() + " gone");
+        }
+        if (files != null) {
+            if (step.whole() || files.wantsWhole()) {
+                long revision = step.revision();
+                var entries = view.entries();
+                files.whole(() -> KeptCodec.whole(revision, entries));
+            } else {
+                files.changes(KeptCodec.changes(step.revision(), step.events()));
+            }
+        }
+    }
+
+    private ListText.Piece piece(Collection<Store> stores, boolean whole) {
+        List<Host.Listing> listings = new ArrayList<>(stores.size());
+        List<InetSocketAddress> addresses = new ArrayList<>(stores.size());
+        for (Store each : stores) {
+            try {
+                InetSocketAddress address = ListText.address(each.addresses().get(0));
+                listings.add(each.listing());
+                addresses.add(address);
+            } catch (IllegalArgumentException odd) {
+                log.say("registry: " + each.id() + ": addresses: " + odd.getMessage() + "; it is not used");
+            }
+        }
+        return new ListText.Piece(view.revision(), whole, listings, addresses);
+    }
+}
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -20,6 +20,8 @@
 final class Serve {
     private StartOrders orders;
     private ListWatch watch;
+    private final OperatorFile operator;
+    private RegistryList registry;
     private long newest;
     private final Limits limits;
     private final Log log;
@@ -32,8 +34,10 @@
     private boolean ready;
     private boolean leaving;
 
-    Serve(StartOrders orders, Log log) throws IOException {
+    /** @param operator null where nothing of it is on */
+    Serve(StartOrders orders, OperatorFile operator, Log log) throws IOException {
         this.orders = orders;
+        this.operator = operator;
         this.limits = orders.limits();
         this.log = log;
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
@@ -47,6 +51,40 @@
 
     private void start() {
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
+        if (operator != null && operator.registry() != null) {
+            registry = new RegistryList(operator.registry(), loop, log, orders.seed(), chain::list);
+            chain.alsoTells(registry::figures);
+            registry.start();
+            awaitRegistry();
+        } else {
+            followPlatform();
+            listen();
+        }
+        housekeeping();
+        ready();
+        if (leaving) {
+            leave();
+        }
+    }
+
+    /**
+     * Danger: clients find an open door before it says that it is ready, and would be served by a kept copy that does
+     * not know of drains since (seen: 64 ms of that at a restart). So the door opens when the list may be served by.
+     */
+    private void awaitRegistry() {
+        if (leaving) {
+            return;
+        }
+        if (registry.mayServe()) {
+            listKnown = true;
+            listen();
+            ready();
+        } else {
+            loop.after(limits.housekeeping() / 10, "waiting for the registry", this::awaitRegistry);
+        }
+    }
+
+    private void followPlatform() {
         chain.list(orders.known(), Host.ListForm.CACHED);
         listKnown = !orders.known().listings().isEmpty();
         watch = new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
@@ -61,6 +99,9 @@
                 }
             });
         watch.open();
+    }
+
+    private void listen() {
         try {
             listener = worker.createStreamConnectionServer(orders.listen(),
                 ChannelListeners.openListenerAdapter(chain.door), OptionMap.builder()
@@ -73,11 +114,6 @@
             log.say("EDGE_LISTEN: can't listen at " + orders.listen() + ": " + wrong.getMessage());
             Runtime.getRuntime().halt(2);
         }
-        housekeeping();
-        ready();
-        if (leaving) {
-            leave();
-        }
     }
 
     /** Ready once there is a list to choose from, be it an old one. */
--- a/daemon/src/main/java/pinewick/life/Serving.java
+++ b/daemon/src/main/java/pinewick/life/Serving.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonParser;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import pinewick.benchlink.Benchlink;
@@ -21,21 +22,31 @@
     }
 
     /** Serves until a signal ends it. */
-    static int serve() throws Exception {
+    static int serve(String operatorFile) throws Exception {
         StartOrders orders;
+        OperatorFile operator;
         try {
+            operator = operatorFile == null ? null : OperatorFile.read(Path.of(operatorFile));
             orders = StartOrders.read(System.getenv());
         } catch (IllegalArgumentException wrong) {
             System.err.println("pinewick: " + wrong.getMessage());
             return 2;
         }
-        start(orders);
+        start(orders, operator);
         Thread.currentThread().join();
         return 0;
     }
 
-    static int check() {
+    static int check(String operatorFile) {
         try {
+            if (operatorFile != null) {
+                OperatorFile operator = OperatorFile.read(Path.of(operatorFile));
+                System.out.println(operator.registry() == null ? "operator's file: nothing is on"
+                    : "operator's file: " + operator.registry());
+                if (System.getenv("EDGE_CONFIG") == null) {
+                    return 0;
+                }
+            }
             StartOrders orders = StartOrders.read(System.getenv());
             System.out.println(orders.name() + " listens at " + orders.listen() + ", discovery at "
                 + orders.discovery() + ", " + orders.deployment().grades().size() + " service grades, "
@@ -48,10 +59,10 @@
         }
     }
 
-    private static Serve start(StartOrders orders) throws Exception {
+    private static Serve start(StartOrders orders, OperatorFile operator) throws Exception {
         Log log = new Log(System.err, orders.limits().logLines());
         log.takesOver();
-        Serve serve = new Serve(orders, log);
+        Serve serve = new Serve(orders, operator, log);
         AtomicLong asked = new AtomicLong();
         // Each signal has a thread of its own, so the file is read beside the loop, and may be read out of turn.
         Signal.handle(new Signal("HUP"), any -> {
@@ -80,7 +91,7 @@
             own = "127.0.0.1:" + free.getLocalPort();
         }
         Serve serve = start(StartOrders.of(JsonParser.parseString(REHEARSAL_ORDERS).getAsJsonObject(),
-            Map.of("EDGE_LISTEN", own, "EDGE_DISCOVERY", own)));
+            Map.of("EDGE_LISTEN", own, "EDGE_DISCOVERY", own)), null);
         Thread.sleep(2500);
         serve.stop();
         Thread.currentThread().join();
--- a/registry/src/main/java/pinewick/registry/package-info.java
+++ /dev/null
@@ -1,1 +0,0 @@
-package pinewick.registry;
--- /dev/null
+++ b/standins/src/main/java/pinewick/standins/MixerProcess.java
@@ -0,0 +1,130 @@
+package pinewick.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A real mixer as a process of its own, on loopback, with an operator's file. */
+public final class MixerProcess implements AutoCloseable {
+    private static final HttpClient CLIENT = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+
+    private final Path jar;
+    private final Path folder;
+    private final Path operator;
+    private final int port;
+    private Process process;
+    private int starts;
+
+    /**
+     * @param jar the program; null for this process's own class path
+     * @param categories the service grades, as JSON objects set apart by commas
+     */
+    public MixerProcess(Path jar, Path folder, Path operator, String categories, int cells) throws IOException {
+        this.jar = jar;
+        this.folder = folder;
+        this.operator = operator;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Files.writeString(folder.resolve("config.json"), "{\"listen\":\"127.0.0.1:" + port
+            + "\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},"
+            + "\"known\":{\"revision\":0,\"complete\":true,\"members\":[]},\"settings\":{\"instances\":2,"
+            + "\"granularity-ns\":5e6,\"categories\":[" + categories + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,"
+            + "\"max-open\":2000,\"conn-idle-ns\":15e9,\"dial-timeout-ns\":250e6},\"family-info\":{\"cells\":" + cells
+            + ",\"reach\":1,\"slabs\":" + cells + ",\"per-call\":16}}}");
+    }
+
+    public int port() {
+        return port;
+    }
+
+    public void start() throws IOException {
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1", "-Xmx64m", "-XX:+UseSerialGC"));
+        words.addAll(jar == null ? List.of("-cp", System.getProperty("java.class.path"), "pinewick.Main")
+            : List.of("-jar", jar.toAbsolutePath().toString()));
+        words.addAll(List.of("serve", "--operator", operator.toString()));
+        ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().put("EDGE_CONFIG", folder.resolve("config.json").toString());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log-" + ++starts + ".txt").toFile());
+        process = builder.start();
+    }
+
+    /** Waits until it is ready; false after so many seconds. */
+    public boolean awaitReady(double seconds) throws InterruptedException {
+        double until = StandinSearchers.clock() + seconds;
+        while (StandinSearchers.clock() < until) {
+            if ("ready\n".equals(get("/health/ready"))) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return false;
+    }
+
+    /** The body of a 200 answer; null where there is none. */
+    public String get(String path) throws InterruptedException {
+        try {
+            HttpResponse<String> answer = CLIENT.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.ofString());
+            return answer.statusCode() == 200 ? answer.body() : null;
+        } catch (IOException none) {
+            return null;
+        }
+    }
+
+    /** Asks for one part of each shard; the answer's status, 0 where none came, -1 where no connection came up. */
+    public int ask(String id, String grade, int shards, double seconds) throws InterruptedException {
+        StringBuilder body = new StringBuilder("{\"slices\":[");
+        for (int shard = 0; shard < shards; shard++) {
+            body.append(shard == 0 ? "" : ",").append("{\"slice\":").append(shard).append(",\"mass\":")
+                .append(1.0 / shards).append('}');
+        }
+        try {
+            return CLIENT.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/api"))
+                .timeout(Duration.ofMillis(Math.round(seconds * 1e3) + 500)).header("Req-Id", id)
+                .header("Req-Kind", grade).header("Req-Deadline", Double.toString(seconds))
+                .POST(HttpRequest.BodyPublishers.ofString(body + "],\"filter\":\"f\"}")).build(),
+                HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (java.net.ConnectException refused) {
+            return -1;
+        } catch (IOException none) {
+            return 0;
+        }
+    }
+
+    /** Ends it: in order (SIGTERM), or at once. */
+    public void stop(boolean inOrder) throws InterruptedException {
+        if (process != null) {
+            if (inOrder) {
+                process.destroy();
+            } else {
+                process.destroyForcibly();
+            }
+            if (!process.waitFor(6, TimeUnit.SECONDS)) {
+                process.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    public Path log() {
+        return folder.resolve("log-" + starts + ".txt");
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
