Mixers count each other through the registry; rules checker; wire and memory free of circles

Need: n of the score and the share of the cold budget came from settings alone; the lab judged by its own counting; the circle between memory.Call and wire.SearcherLink and the arrows from wire up into life stood in the way of an engine.

RegistryCalls carries all questions. pinewick.rules: the trace and a checker of rules 1 and 3, with a broken trace for each thing it knows; the lab judges by it. memory.Carrier stands for a connection; Loop, Limits, Log and Pressure have a package of their own.

--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -40,21 +40,21 @@
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
     private final List<List<Searcher>> cells;
     private final List<List<Searcher>> holders = new ArrayList<>(); // of the shards that begin at each cell
-    private final long[] askedOf; // the turn in which it was found whether these have room for one part
-    private final boolean[] foundRoom;
+    private final long[] askedOf; // the turn in which these had room for one part, or with a minus, had not
     private long turn = 1;
     private final LinkedHashSet<Query> live = new LinkedHashSet<>(), held = new LinkedHashSet<>();
     private final List<Searcher> reservedAt = new ArrayList<>();
     private final CoarseTimes servedRates, drainTimes;
     private final SlidingSum takes = new SlidingSum(), furtherLaunches = new SlidingSum();
     private double lastBatchAt, busy = BUSY_MOST, askAt = Double.POSITIVE_INFINITY;
-    private int failedAsks;
+    private int failedAsks, mixers;
     private boolean lookDue;
 
     public Logic(Host host, Host.Deployment given, SplittableRandom chance) {
         this.host = host;
         this.given = given;
         this.chance = chance;
+        mixers = given.mixers();
         given.grades().forEach(terms -> grades.add(new GradeRow(terms)));
         goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
         drainTimes = new CoarseTimes(goal, 1.5, BINS, HALVED_AT);
@@ -62,7 +62,6 @@
         cells = Stream.<List<Searcher>>generate(ArrayList::new).limit(given.cells()).toList();
         cells.forEach(any -> holders.add(new ArrayList<>()));
         askedOf = new long[given.cells()];
-        foundRoom = new boolean[given.cells()];
         if (given.mustAsk()) {
             host.track(true);
         }
@@ -70,6 +69,11 @@
         host.timer(SWEEP * goal, 0);
     }
 
+    /** So many mixers share the searchers now: their count in the score, and this one's share in rule 4. */
+    public void mixers(int count) {
+        mixers = count;
+    }
+
     /** News of the list. Draining and gone searchers get nothing new from this call on (rule 3). */
     public void list(Host.ListForm form, List<Host.Listing> entries) {
         if (form == Host.ListForm.FAILED) {
@@ -220,22 +224,18 @@
         return false;
     }
 
-    /**
-     * Whether any holder may take a part never launched, found once a turn for all parts of the same holders;
-     * a cold one's answer depends on the query. Danger: asking each time took half of a busy mixer's time.
-     */
+    /** Whether any holder may take a part never launched: once a turn, unless a lot decides. */
     private boolean anyFit(Part<Query, Searcher> part) {
         int first = Math.floorMod(part.shard, given.cells());
-        if (askedOf[first] == turn) {
-            return foundRoom[first];
+        if (Math.abs(askedOf[first]) == turn) {
+            return askedOf[first] > 0; // Danger: asking each time took half of a busy mixer's time.
         }
         boolean found = false, same = true;
         for (Searcher each : holders.get(first)) {
             same &= !each.cold();
             found = found || fit(each, part, 1);
         }
-        askedOf[first] = same ? turn : 0;
-        foundRoom[first] = found;
+        askedOf[first] = !same ? 0 : found ? turn : -turn;
         return found;
     }
 
@@ -302,7 +302,7 @@
         boolean first = now <= query.takenAt + 2 * ASK_WAIT * goal;
         boolean again = now >= query.askAgainAt;
         if (!given.mayProbe() || (!first && !again) || held.size() > ASK_MOST
-            || given.mixers() < 2 * MIXERS_FEW) {
+            || mixers < 2 * MIXERS_FEW) {
             return false;
         }
         query.askAgainAt = again ? now + ASK_AGAIN * goal : query.askAgainAt;
@@ -451,19 +451,19 @@
             // Danger: one stale low report draws parts; once old it counts as no better than its neighbours'.
             double q = meanQueue + (queue - meanQueue) * Math.exp((reportAt - now) / (2 * meanR));
             q = Math.max(q, implied());
-            double qHat = 1 + (out.size() + planned) * given.mixers() + q * (1 + busyShare);
+            double qHat = 1 + (out.size() + planned) * mixers + q * (1 + busyShare);
             return ownR - s + qHat * qHat * qHat * s + (near ? 0 : 1e-6);
         }
 
         /** How much own answers still count; with many mixers they come seldom and are kept longer. */
         double fresh() {
-            double memory = FRESH * goal * Math.max(1, given.mixers() / MIXERS_FEW);
+            double memory = FRESH * goal * Math.max(1, mixers / MIXERS_FEW);
             return Math.min(1, Math.exp(1 - (host.now() - answerAt) / memory));
         }
 
         /** The queue that own answers tell of beyond what reports foretold. */
         double implied() {
-            return given.mixers() < 2 * MIXERS_FEW ? 0 : untold * fresh() / drain();
+            return mixers < 2 * MIXERS_FEW ? 0 : untold * fresh() / drain();
         }
 
         double s() {
@@ -490,7 +490,7 @@
             boolean none = out.size() + planned == 0;
             return (none || out.size() + planned + count <= room)
                 && (host.now() - reportAt >= FRESH * goal || queue + sentSince + planned + count - 1 <= most)
-                && (implied() <= most || (none && given.mixers() <= most));
+                && (implied() <= most || (none && mixers <= most));
         }
 
         boolean cold() {
@@ -511,7 +511,7 @@
             double work = query.grade.answerTime(0.5) + given.callWork();
             double cores = servedRates.total() < ENOUGH ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
             double most = COLD_MARGIN * rules.overloadFactor() * capacity * cores * rules.fallTime()
-                / given.mixers();
+                / mixers;
             if (most >= (count + planned) * work) {
                 return spent + (count + planned) * work <= most;
             }
@@ -752,11 +752,10 @@
 
         /** Nothing can fulfil this query any more: it gets its final answer at once. */
         private void lost() {
-            if (ended) {
-                return;
-            }
-            if (mayAnswerPartly()) {
+            if (!ended && mayAnswerPartly()) {
                 finish(false);
+            }
+            if (ended) {
                 return;
             }
             boolean harmless = grade.terms.repeat() == Host.Repeat.IDEMPOTENT || parts.values().stream()
--- a/daemon/src/main/java/pinewick/life/Chain.java
+++ b/daemon/src/main/java/pinewick/life/Chain.java
@@ -5,6 +5,11 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import pinewick.Host;
+import pinewick.loop.Limits;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
+import pinewick.loop.Pressure;
+import pinewick.memory.Carrier;
 import pinewick.memory.Counters;
 import pinewick.memory.OpenQueries;
 import pinewick.memory.Searchers;
@@ -61,7 +66,7 @@
             }
         }
         route.list(form, piece.listings());
-        for (SearcherLink link : searchers.allLinks()) {
+        for (Carrier link : searchers.allLinks()) {
             if (!searchers.takesNew(link.searcher())) {
                 send.leaves(link.searcher(), "draining or gone");
             }
@@ -72,7 +77,7 @@
 
     /** Looks after connections; to be called now and then. */
     void housekeeping() {
-        searchers.allLinks().forEach(SearcherLink::look);
+        searchers.allLinks().forEach(Carrier::look);
         door.look();
         counters.peak("peak-client-connections", door.connections());
     }
--- a/daemon/src/main/java/pinewick/life/OperatorFile.java
+++ b/daemon/src/main/java/pinewick/life/OperatorFile.java
@@ -21,7 +21,8 @@
 final class OperatorFile {
     /** Where and how the list of searchers is followed; times in seconds. */
     record Registry(List<InetSocketAddress> endpoints, String prefix, Path kept, int pageKeys, int lineBytes,
-                    double answer, double probeEvery, double believe, double firstContact) {
+                    double answer, double probeEvery, double believe, double firstContact, String mixersPrefix,
+                    double lease, double lowerAfter) {
     }
 
     private final List<String> wrong = new ArrayList<>();
@@ -71,15 +72,20 @@
         }
         JsonObject in = part.getAsJsonObject();
         known(in, "/registry", Set.of("endpoints", "prefix", "kept", "page-keys", "line-bytes", "answer-s",
-            "probe-every-s", "believe-s", "first-contact-s"));
+            "probe-every-s", "believe-s", "first-contact-s", "mixers-prefix", "lease-s", "lower-after-s"));
         List<InetSocketAddress> endpoints = endpoints(in.get("endpoints"));
         String prefix = text(in, "/registry", "prefix", true);
+        String mixers = text(in, "/registry", "mixers-prefix", false);
+        if (mixers != null && (mixers.startsWith(prefix) || prefix.startsWith(mixers))) {
+            wrong.add("/registry/mixers-prefix: must not overlap /registry/prefix, or mixers would count as searchers");
+        }
         String kept = text(in, "/registry", "kept", false);
         registry = new Registry(endpoints, prefix, kept == null ? null : Path.of(kept),
             (int) number(in, "page-keys", 500, 1, 10_000, true),
             (int) number(in, "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
             number(in, "answer-s", 1, 0.05, 30, false), number(in, "probe-every-s", 0.15, 0.05, 10, false),
-            number(in, "believe-s", 10, 1, 3600, false), number(in, "first-contact-s", 1, 0, 30, false));
+            number(in, "believe-s", 10, 1, 3600, false), number(in, "first-contact-s", 1, 0, 30, false),
+            mixers, number(in, "lease-s", 10, 2, 600, true), number(in, "lower-after-s", 30, 1, 3600, false));
     }
 
     private List<InetSocketAddress> endpoints(JsonElement given) {
--- a/daemon/src/main/java/pinewick/life/RegistryList.java
+++ b/daemon/src/main/java/pinewick/life/RegistryList.java
@@ -6,14 +6,21 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
 import pinewick.Host;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
 import pinewick.registry.KeptCodec;
 import pinewick.registry.KeptFiles;
+import pinewick.registry.LeaseKeeper;
+import pinewick.registry.MixerCount;
 import pinewick.registry.RegistrySession;
 import pinewick.registry.RegistryView;
 import pinewick.registry.Step;
 import pinewick.registry.Store;
+import pinewick.wire.LeaseWire;
 import pinewick.wire.ListText;
+import pinewick.wire.RegistryCalls;
 import pinewick.wire.RegistryWire;
 
 /** The list of searchers from a registry: view, session, wire and kept copy put together for one mixer. */
@@ -29,19 +36,24 @@
     private final RegistryWire wire;
     private final KeptFiles files;
     private final double startedAt;
+    private final Members members;
 
-    RegistryList(OperatorFile.Registry given, Loop loop, Log log, long seed,
-                 BiConsumer<ListText.Piece, Host.ListForm> news) {
+    /** @param mixers is told how many mixers share the searchers, whenever that changes */
+    RegistryList(OperatorFile.Registry given, StartOrders orders, Loop loop, Log log,
+                 BiConsumer<ListText.Piece, Host.ListForm> news, IntConsumer mixers) {
         this.given = given;
         this.loop = loop;
         this.log = log;
         this.news = news;
         view = new RegistryView(given.prefix());
-        wire = new RegistryWire(loop, given.endpoints(), given.prefix(), given.lineBytes(), this::taken, log::say);
+        SplittableRandom chance = new SplittableRandom(orders.seed());
+        RegistryCalls calls = new RegistryCalls(loop, given.endpoints(), given.lineBytes());
+        wire = new RegistryWire(loop, calls, given.prefix(), this::taken, log::say);
         RegistrySession.Terms usual = RegistrySession.Terms.usual(given.endpoints().size());
-        session = new RegistrySession(given.prefix(), view, new RegistrySession.Terms(usual.endpoints(),
-            given.pageKeys(), given.answer(), given.probeEvery(), usual.probeAnswer(), usual.owed(), usual.waitLeast(),
-            usual.waitMost(), given.believe()), wire, new SplittableRandom(seed));
+        RegistrySession.Terms terms = new RegistrySession.Terms(usual.endpoints(), given.pageKeys(), given.answer(),
+            given.probeEvery(), usual.probeAnswer(), usual.owed(), usual.waitLeast(), usual.waitMost(), given.believe());
+        session = new RegistrySession(given.prefix(), view, terms, wire, chance.split());
+        members = given.mixersPrefix() == null ? null : new Members(calls, terms, orders, chance, mixers);
         files = given.kept() == null ? null : new KeptFiles(given.kept(), log::say);
         startedAt = loop.now();
     }
@@ -54,7 +66,21 @@
             log.say("registry: " + view.stores().size() + " searchers from the kept copy at revision " + view.revision());
             news.accept(piece(view.stores(), true), Host.ListForm.CACHED);
         }
-        wire.follow(session, TICK);
+        wire.follow(session);
+        if (members != null) {
+            members.start();
+        }
+        ticks();
+    }
+
+    private void ticks() {
+        loop.after(TICK, "following the registry", () -> {
+            session.tick(loop.now());
+            if (members != null) {
+                members.tick();
+            }
+            ticks();
+        });
     }
 
     /**
@@ -66,7 +92,57 @@
     }
 
     String figures() {
-        return session.figures().replaceAll("(?m)^", "registry-").replaceAll("registry-$", "");
+        return (members == null ? "" : members.figures()) + session.figures().replaceAll("(?m)^", "registry-").replaceAll("registry-$", "");
+    }
+
+    /** This mixer's own key, and the count of all. */
+    private final class Members {
+        private final RegistryView shown = new RegistryView(given.mixersPrefix());
+        private final RegistrySession follower;
+        private final RegistryWire followerWire;
+        private final LeaseKeeper keeper;
+        private final LeaseWire keeperWire;
+        private final MixerCount count;
+        private final IntConsumer tell;
+        private int told;
+
+        Members(RegistryCalls calls, RegistrySession.Terms terms, StartOrders orders, SplittableRandom chance,
+                IntConsumer tell) {
+            this.tell = tell;
+            followerWire = new RegistryWire(loop, calls, given.mixersPrefix(),
+                step -> { }, text -> log.say("mixers' " + text));
+            follower = new RegistrySession(given.mixersPrefix(), shown, terms, followerWire, chance.split());
+            String address = orders.listen().getHostString() + ':' + orders.listen().getPort();
+            keeperWire = new LeaseWire(loop, calls, given.mixersPrefix() + orders.name() + '@' + address,
+                "{\"addresses\":[\"" + address + "\"]}");
+            keeper = new LeaseKeeper(terms.endpoints(), given.lease(), given.answer(), keeperWire, chance.split());
+            told = orders.deployment().mixers();
+            count = new MixerCount(told, loop.now(), given.lowerAfter());
+        }
+
+        void start() {
+            followerWire.follow(follower);
+            keeperWire.keeps(keeper);
+        }
+
+        void tick() {
+            follower.tick(loop.now());
+            keeper.tick(loop.now());
+            if (follower.caughtUp()) {
+                count.shown(loop.now(), shown.size());
+            }
+            int now = count.count(loop.now());
+            if (now != told) {
+                log.say("registry: " + now + " mixers, " + told + " before");
+                told = now;
+                tell.accept(now);
+            }
+        }
+
+        String figures() {
+            return "mixers-counted " + told + "\nmixers-shown " + shown.size() + "\nown-key-held "
+                + (keeper.held(loop.now()) ? 1 : 0) + "\n";
+        }
     }
 
     private void taken(Step step) {
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -13,6 +13,9 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import pinewick.Host;
+import pinewick.loop.Limits;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
 import pinewick.wire.ListWatch;
 import pinewick.wire.SearcherLink;
 
@@ -52,7 +55,7 @@
     private void start() {
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
         if (operator != null && operator.registry() != null) {
-            registry = new RegistryList(operator.registry(), loop, log, orders.seed(), chain::list);
+            registry = new RegistryList(operator.registry(), orders, loop, log, chain::list, chain.route::mixers);
             chain.alsoTells(registry::figures);
             registry.start();
             awaitRegistry();
--- a/daemon/src/main/java/pinewick/life/Serving.java
+++ b/daemon/src/main/java/pinewick/life/Serving.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import pinewick.benchlink.Benchlink;
+import pinewick.loop.Log;
 import sun.misc.Signal;
 
 /** What the sub-commands do. */
--- a/daemon/src/main/java/pinewick/life/StartOrders.java
+++ b/daemon/src/main/java/pinewick/life/StartOrders.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import pinewick.DeploymentTerms;
 import pinewick.Host;
+import pinewick.loop.Limits;
 import pinewick.wire.ListText;
 
 /** What a mixer is told before it starts: the environment and the file that it names. */
--- a/daemon/src/main/java/pinewick/life/Limits.java
+++ b/daemon/src/main/java/pinewick/loop/Limits.java
@@ -1,4 +1,4 @@
-package pinewick.life;
+package pinewick.loop;
 
 import com.google.gson.JsonObject;
 
@@ -30,7 +30,7 @@
     private static final int BODY = 64 << 10;
 
     /** From the configuration that a mixer is started with. */
-    static Limits of(JsonObject config) {
+    public static Limits of(JsonObject config) {
         JsonObject limits = config.getAsJsonObject("limits");
         JsonObject settings = config.getAsJsonObject("settings");
         JsonObject bounds = settings.getAsJsonObject("bounds");
--- a/daemon/src/main/java/pinewick/life/Log.java
+++ b/daemon/src/main/java/pinewick/loop/Log.java
@@ -1,4 +1,4 @@
-package pinewick.life;
+package pinewick.loop;
 
 import java.io.PrintStream;
 import java.time.Instant;
@@ -38,7 +38,7 @@
     }
 
     /** What the libraries log goes here too: warnings and worse, a line each without its trace. */
-    void takesOver() {
+    public void takesOver() {
         Logger root = Logger.getLogger("");
         for (Handler each : root.getHandlers()) {
             root.removeHandler(each);
--- a/daemon/src/main/java/pinewick/life/Loop.java
+++ b/daemon/src/main/java/pinewick/loop/Loop.java
@@ -1,4 +1,4 @@
-package pinewick.life;
+package pinewick.loop;
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +35,7 @@
     }
 
     /** Tells how long each batch took. */
-    void watches(Pressure by) {
+    public void watches(Pressure by) {
         pressure = by;
     }
 
--- a/daemon/src/main/java/pinewick/life/Pressure.java
+++ b/daemon/src/main/java/pinewick/loop/Pressure.java
@@ -1,4 +1,4 @@
-package pinewick.life;
+package pinewick.loop;
 
 import java.util.SplittableRandom;
 
--- a/daemon/src/main/java/pinewick/memory/Call.java
+++ b/daemon/src/main/java/pinewick/memory/Call.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import pinewick.wire.SearcherLink;
 
 /** Launches that travel in one frame, and whether that has been written. */
 public final class Call {
@@ -10,13 +9,13 @@
     public enum Stage { WAITING, BEGUN, WRITTEN }
 
     public final List<LiveLaunch> launches = new ArrayList<>();
-    public final SearcherLink link;
+    public final Carrier link;
     public Stage stage = Stage.WAITING;
     /** How many of its launches are not over. */
     public int out;
     public double writtenAt;
 
-    public Call(SearcherLink link, List<LiveLaunch> launches) {
+    public Call(Carrier link, List<LiveLaunch> launches) {
         this.link = link;
         this.launches.addAll(launches);
         this.out = launches.size();
--- a/daemon/src/main/java/pinewick/memory/Searchers.java
+++ b/daemon/src/main/java/pinewick/memory/Searchers.java
@@ -6,13 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import pinewick.Host;
-import pinewick.wire.SearcherLink;
 
 /** Where searchers listen, whether they take new parts, and the connections that lead there. */
 public final class Searchers {
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, Host.Stage> stages = new LinkedHashMap<>();
-    private final Map<String, List<SearcherLink>> links = new LinkedHashMap<>();
+    private final Map<String, List<Carrier>> links = new LinkedHashMap<>();
     private int open;
 
     /** True where the address has changed. */
@@ -50,22 +49,22 @@
         return addresses.get(id);
     }
 
-    public List<SearcherLink> links(String id) {
+    public List<Carrier> links(String id) {
         return links.getOrDefault(id, List.of());
     }
 
-    public List<SearcherLink> allLinks() {
-        List<SearcherLink> all = new ArrayList<>();
+    public List<Carrier> allLinks() {
+        List<Carrier> all = new ArrayList<>();
         links.values().forEach(all::addAll);
         return all;
     }
 
-    public void add(SearcherLink link) {
+    public void add(Carrier link) {
         links.computeIfAbsent(link.searcher(), any -> new ArrayList<>()).add(link);
         open++;
     }
 
-    public void remove(SearcherLink link) {
+    public void remove(Carrier link) {
         if (links.containsKey(link.searcher()) && links.get(link.searcher()).remove(link)) {
             open--;
         }
--- a/daemon/src/main/java/pinewick/stages/Admit.java
+++ b/daemon/src/main/java/pinewick/stages/Admit.java
@@ -1,7 +1,7 @@
 package pinewick.stages;
 
-import pinewick.life.Limits;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Loop;
 import pinewick.memory.Counters;
 import pinewick.memory.OpenQueries;
 import pinewick.memory.OpenQuery;
--- a/daemon/src/main/java/pinewick/stages/Relay.java
+++ b/daemon/src/main/java/pinewick/stages/Relay.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import pinewick.Host;
-import pinewick.life.Loop;
+import pinewick.loop.Loop;
 import pinewick.memory.Counters;
 import pinewick.memory.LiveLaunch;
 import pinewick.memory.OpenQueries;
--- a/daemon/src/main/java/pinewick/stages/Route.java
+++ b/daemon/src/main/java/pinewick/stages/Route.java
@@ -4,8 +4,8 @@
 import java.util.SplittableRandom;
 import pinewick.Host;
 import pinewick.Logic;
-import pinewick.life.Log;
-import pinewick.life.Loop;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
 import pinewick.memory.Counters;
 import pinewick.memory.LiveLaunch;
 import pinewick.memory.OpenQueries;
@@ -56,6 +56,11 @@
         logic.probed(searcher, ending, report);
     }
 
+    /** So many mixers share the searchers from now on. */
+    public void mixers(int count) {
+        logic.mixers(count);
+    }
+
     /** No more timers: these decisions are done with. */
     public void ends() {
         over = true;
--- a/daemon/src/main/java/pinewick/stages/Send.java
+++ b/daemon/src/main/java/pinewick/stages/Send.java
@@ -7,9 +7,10 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import pinewick.Host;
-import pinewick.life.Limits;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Loop;
 import pinewick.memory.Call;
+import pinewick.memory.Carrier;
 import pinewick.memory.Counters;
 import pinewick.memory.LiveLaunch;
 import pinewick.memory.Searchers;
@@ -64,7 +65,7 @@
         for (int from = 0; from < launches.size(); from += limits.callParts()) {
             List<LiveLaunch> call = launches.subList(from, Math.min(launches.size(), from + limits.callParts()));
             boolean told = !searchers.takesNew(searcher);
-            SearcherLink link = told ? null : link(searcher);
+            Carrier link = told ? null : link(searcher);
             if (link == null) {
                 Host.Ending ending = told ? Host.Ending.MOOT : Host.Ending.NOT_CONNECTED;
                 List.copyOf(call).forEach(each -> endLater(each, ending));
@@ -94,9 +95,9 @@
     }
 
     /** A connection with a place: one that is up before one that is not yet, else a new one; null at limits. */
-    private SearcherLink link(String searcher) {
-        SearcherLink best = null;
-        for (SearcherLink each : List.copyOf(searchers.links(searcher))) {
+    private Carrier link(String searcher) {
+        Carrier best = null;
+        for (Carrier each : List.copyOf(searchers.links(searcher))) {
             if (each.hasPlace() && (best == null || (each.isUp() && !best.isUp())) && each.stillThere()) {
                 best = each;
             }
@@ -166,7 +167,7 @@
 
     /** The searcher takes nothing new: what waits for it goes back, its connections end with what is out. */
     public void leaves(String searcher, String why) {
-        for (SearcherLink link : List.copyOf(searchers.links(searcher))) {
+        for (Carrier link : List.copyOf(searchers.links(searcher))) {
             for (LiveLaunch launch : link.waiting()) {
                 takeBack(launch, Host.Ending.MOOT);
             }
@@ -183,7 +184,7 @@
         probes.put(number, searcher);
         counters.add("probes");
         loop.later("probing", () -> {
-            SearcherLink link = searchers.takesNew(searcher) ? link(searcher) : null;
+            Carrier link = searchers.takesNew(searcher) ? link(searcher) : null;
             if (link == null) {
                 probeEnds(number, Host.Ending.NOT_CONNECTED, null);
                 return;
--- a/daemon/src/main/java/pinewick/wire/ClientDoor.java
+++ b/daemon/src/main/java/pinewick/wire/ClientDoor.java
@@ -32,8 +32,8 @@
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
-import pinewick.life.Limits;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Loop;
 import pinewick.memory.OpenQuery;
 
 /** Where clients come in: HTTP/1.1 by Undertow, all of it on the loop's thread. */
--- a/daemon/src/main/java/pinewick/wire/Guest.java
+++ b/daemon/src/main/java/pinewick/wire/Guest.java
@@ -5,7 +5,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
-import pinewick.life.Loop;
+import pinewick.loop.Loop;
 
 /** A client's connection: how far its present request has come, as the raw bytes tell, beneath the reader of HTTP. */
 final class Guest extends AbstractStreamSourceConduit<StreamSourceConduit> {
--- a/daemon/src/main/java/pinewick/wire/ListWatch.java
+++ b/daemon/src/main/java/pinewick/wire/ListWatch.java
@@ -18,9 +18,9 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.channels.StreamSourceChannel;
-import pinewick.life.Limits;
-import pinewick.life.Log;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
 
 /** Follows the list of searchers: a watch from the version in hand, opened again whenever it ends. */
 public final class ListWatch {
--- a/daemon/src/main/java/pinewick/wire/PretendSearcher.java
+++ b/daemon/src/main/java/pinewick/wire/PretendSearcher.java
@@ -5,8 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import pinewick.life.Limits;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Loop;
 
 /** The far end of a pipe in the rehearsal: answers each part at once. */
 public final class PretendSearcher {
--- a/daemon/src/main/java/pinewick/wire/SearcherLink.java
+++ b/daemon/src/main/java/pinewick/wire/SearcherLink.java
@@ -19,13 +19,14 @@
 import org.xnio.XnioExecutor;
 import pinewick.DeploymentTerms;
 import pinewick.Host;
-import pinewick.life.Limits;
-import pinewick.life.Loop;
+import pinewick.loop.Limits;
+import pinewick.loop.Loop;
 import pinewick.memory.Call;
+import pinewick.memory.Carrier;
 import pinewick.memory.LiveLaunch;
 
 /** One connection to a searcher, from when it is asked for until it is closed. */
-public final class SearcherLink {
+public final class SearcherLink implements Carrier {
     /** What a link tells; every call is an event of its own on the loop. */
     public interface Events {
         void answered(LiveLaunch launch, char end, Host.LoadReport report, byte[] value);
@@ -80,6 +81,7 @@
         usedAt = loop.now();
     }
 
+    @Override
     public String searcher() {
         return searcher;
     }
@@ -131,12 +133,14 @@
     }
 
     /** Whether another call may be put on it now. */
+    @Override
     public boolean hasPlace() {
         return !closed && !retired && !doomed && calls.size() < limits.callsAConnection()
             && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
     }
 
     /** Reads what may tell that an unused link has been closed at the far end, before a call would be lost on it. */
+    @Override
     public boolean stillThere() {
         if (connection != null && calls.isEmpty()) {
             read();
@@ -144,15 +148,18 @@
         return !closed;
     }
 
+    @Override
     public boolean isUp() {
         return connection != null && !closed;
     }
 
+    @Override
     public int calls() {
         return calls.size();
     }
 
     /** No new calls; it closes once those that are out have ended. */
+    @Override
     public void retire(String why) {
         retired = true;
         if (calls.isEmpty()) {
@@ -161,12 +168,14 @@
     }
 
     /** To be called now and then: closes the link before the far side would. */
+    @Override
     public void look() {
         if (connection != null && calls.isEmpty() && probes.isEmpty() && loop.now() - usedAt >= limits.linkIdle()) {
             close("idle");
         }
     }
 
+    @Override
     public void send(List<LiveLaunch> launches) {
         Call call = new Call(this, launches);
         calls.add(call);
@@ -174,6 +183,7 @@
         write();
     }
 
+    @Override
     public void probe(long number, boolean load) {
         probes.add(number);
         control.add(Frames.frame(load ? Frames.LOAD : Frames.PROBE, new byte[0]));
@@ -181,6 +191,7 @@
     }
 
     /** Takes a launch back that has not been written, or tells the searcher that it is given up. */
+    @Override
     public void drop(LiveLaunch launch, boolean tell) {
         Call call = launch.call;
         if (call.stage == Call.Stage.WAITING) {
@@ -199,6 +210,7 @@
     }
 
     /** The launches of which no byte has been written. */
+    @Override
     public List<LiveLaunch> waiting() {
         List<LiveLaunch> none = new ArrayList<>();
         waiting.forEach(call -> none.addAll(call.launches));
@@ -206,6 +218,7 @@
     }
 
     /** A launch on this link is over, for whatever reason. */
+    @Override
     public void over(LiveLaunch launch) {
         Call call = launch.call;
         Owed answer = owed.get(launch.piece.id);
@@ -223,6 +236,7 @@
     }
 
     /** Whether nothing has come since that call was written. */
+    @Override
     public boolean silentSince(Call call) {
         return call.stage == Call.Stage.WRITTEN && heardAt < call.writtenAt;
     }
@@ -423,6 +437,7 @@
     }
 
     /** Closes the link; what was out on it ends as the protocol says. */
+    @Override
     public void close(String why) {
         if (closed) {
             return;
--- a/daemon/src/test/java/pinewick/RegistryServeTest.java
+++ b/daemon/src/test/java/pinewick/RegistryServeTest.java
@@ -237,4 +237,31 @@
         registry.members().forEach(each -> each.down(false));
         assertTrue(mixer.awaitReady(10));
     }
+
+    @Test
+    void mixersCountEachOtherMoreAtOnceFewerLater() throws Exception {
+        Path operator = folder.resolve("operator.json");
+        Files.writeString(operator, Files.readString(operator).replace("\"page-keys\"",
+            "\"mixers-prefix\":\"/mixers/\",\"lease-s\":2,\"lower-after-s\":1,\"page-keys\""));
+        start();
+        await("its own key", () -> counts("mixers-shown 1\nown-key-held 1"));
+        // Two are stated; three are shown once others register, under a lease that then runs out.
+        registry.put("/mixers/a", "{\"addresses\":[\"127.0.0.1:1\"]}".getBytes(StandardCharsets.UTF_8), 9);
+        registry.put("/mixers/b", "{\"addresses\":[\"127.0.0.1:2\"]}".getBytes(StandardCharsets.UTF_8), 9);
+        await("three mixers", () -> counts("mixers-counted 3\n"));
+        ask(3);
+        registry.expire(9);
+        await("one mixer", () -> counts("mixers-counted 1\n"));
+        mixer.stop(false);
+        await("the end of its lease", () -> registry.keys("/mixers/") == 0);
+    }
+
+    private boolean counts(String lines) {
+        try {
+            String counters = mixer.get("/counters");
+            return counters != null && counters.contains(lines);
+        } catch (InterruptedException stopped) {
+            throw new IllegalStateException(stopped);
+        }
+    }
 }
--- a/lab/src/main/java/pinewick/lab/RegistryLab.java
+++ b/lab/src/main/java/pinewick/lab/RegistryLab.java
@@ -24,6 +24,8 @@
 import pinewick.registry.Entry;
 import pinewick.registry.EtcdText;
 import pinewick.registry.RegistryView;
+import pinewick.rules.RuleChecker;
+import pinewick.rules.Trace;
 import pinewick.standins.MixerProcess;
 import pinewick.standins.RegistryState;
 import pinewick.standins.StandinRegistry;
@@ -62,6 +64,7 @@
     private final AtomicInteger declined = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
+    private final Trace trace = new Trace();
     /** While a mixer stops or starts, what is lost on the way to it says nothing of the registry. */
     private final boolean[] away = new boolean[2];
 
@@ -156,11 +159,20 @@
                 while (!over.get()) {
                     int at = (number + asks) % mixers.size();
                     boolean before = away(at);
-                    int status = mixers.get(at).ask("q-" + number + "-" + asks++, "any", CELLS, 1);
+                    String id = "q-" + number + "-" + asks++;
+                    double began = StandinSearchers.clock();
+                    int status = mixers.get(at).ask(id, "any", CELLS, 1);
+                    double ended = StandinSearchers.clock();
                     if (before || away(at)) {
+                        // A mixer that is killed answers nothing; what it sent still counts for rule 3.
                         TimeUnit.MILLISECONDS.sleep(10);
                         continue;
                     }
+                    trace.add(began, "tier", Trace.Kind.TAKEN, id, "-", "-", "1");
+                    if (status > 0) {
+                        trace.add(ended, "tier", Trace.Kind.ANSWERED, id, "-", "-", status == 200 ? "fulfilled"
+                            : status == 503 ? "declined" : "given-up");
+                    }
                     asked.incrementAndGet();
                     (status == 200 ? fulfilled : status == 503 ? declined : lost).incrementAndGet();
                     TimeUnit.MILLISECONDS.sleep(4);
@@ -260,6 +272,16 @@
             byTrouble.computeIfAbsent(drain.trouble(), any -> new Histogram(3)).recordValue(Math.round(last * 1e6));
             all.recordValue(Math.round(last * 1e6));
         }
+        for (Drain drain : drains) {
+            trace.add(drain.told(), "tier", Trace.Kind.TOLD, "-", "-", "s-" + drain.searcher(), "draining");
+            trace.add(drain.until(), "tier", Trace.Kind.TOLD, "-", "-", "s-" + drain.searcher(), "ready");
+        }
+        for (StandinSearchers.Arrival each : arrivals) {
+            trace.add(each.at(), "tier", Trace.Kind.SENT, each.part().substring(0, each.part().lastIndexOf('.')),
+                each.part(), "s-" + each.searcher(), "-");
+        }
+        List<RuleChecker.Breach> breaches = new RuleChecker(GRACE, 0.5).judge(trace.events());
+        breaches.stream().limit(5).forEach(each -> System.out.println(each));
         StringBuilder table = new StringBuilder("Last part that reached a searcher after its drain was written, ms (sockets)\n\n"
             + "| trouble | drains | median | 99th percentile | longest | parts past 500 ms |\n| --- | --- | --- | --- | --- | --- |\n");
         byTrouble.forEach((trouble, times) -> row(table, trouble.name().toLowerCase(), times, late.get(trouble)[0]));
@@ -281,7 +303,8 @@
         figures.addProperty("declined", declined.get());
         figures.addProperty("lost", lost.get());
         figures.addProperty("viewsEqual", equal);
-        return partsLate == 0 && lost.get() == 0 && equal && fulfilled.get() > 0.9 * asked.get();
+        figures.addProperty("ruleBreaches", breaches.size());
+        return breaches.isEmpty() && partsLate == 0 && lost.get() == 0 && equal && fulfilled.get() > 0.9 * asked.get();
     }
 
     private static void row(StringBuilder table, String name, Histogram times, int late) {
--- a/registry/src/main/java/pinewick/registry/EtcdText.java
+++ b/registry/src/main/java/pinewick/registry/EtcdText.java
@@ -16,6 +16,9 @@
 public final class EtcdText {
     public static final String RANGE = "/v3/kv/range";
     public static final String WATCH = "/v3/watch";
+    public static final String PUT = "/v3/kv/put";
+    public static final String GRANT = "/v3/lease/grant";
+    public static final String RENEW = "/v3/lease/keepalive";
 
     private EtcdText() {
     }
@@ -74,6 +77,44 @@
         return body.toString();
     }
 
+    public static String grant(double seconds) {
+        JsonObject body = new JsonObject();
+        body.addProperty("TTL", Long.toString(Math.max(1, Math.round(seconds))));
+        return body.toString();
+    }
+
+    public static String put(String key, String value, long lease) {
+        JsonObject body = new JsonObject();
+        body.addProperty("key", base64(key.getBytes(StandardCharsets.UTF_8)));
+        body.addProperty("value", base64(value.getBytes(StandardCharsets.UTF_8)));
+        body.addProperty("lease", Long.toString(lease));
+        return body.toString();
+    }
+
+    public static String renew(long lease) {
+        JsonObject body = new JsonObject();
+        body.addProperty("ID", Long.toString(lease));
+        return body.toString();
+    }
+
+    /** A lease as an answer tells it: its id and the seconds left, 0 where the registry does not know it. */
+    public record Lease(long id, double left) {
+    }
+
+    /** Reads an answer to a grant, a put or a renewal; a fault brings an IllegalArgumentException with its words. */
+    public static Lease lease(String text) {
+        try {
+            JsonObject all = JsonParser.parseString(text).getAsJsonObject();
+            if (all.has("error")) {
+                throw new IllegalArgumentException(all.get("error").toString());
+            }
+            JsonObject body = all.has("result") ? all.getAsJsonObject("result") : all;
+            return new Lease(number(body, "ID"), number(body, "TTL"));
+        } catch (IllegalStateException | UnsupportedOperationException | com.google.gson.JsonParseException odd) {
+            throw new IllegalArgumentException("not in the registry's form: " + odd.getMessage());
+        }
+    }
+
     /** Reads one object of an answer; what is not in the form brings an IllegalArgumentException. */
     public static Answer answer(String text) {
         try {
--- a/standins/src/main/java/pinewick/standins/StandinRegistry.java
+++ b/standins/src/main/java/pinewick/standins/StandinRegistry.java
@@ -15,7 +15,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -123,7 +125,13 @@
                         watch(asked.getAsJsonObject("create_request"), out);
                         return;
                     }
-                    byte[] answer = (path.equals("/v3/kv/range") ? range(asked) : fault("unknown path", 12) + "\n")
+                    byte[] answer = (switch (path) {
+                        case "/v3/kv/range" -> range(asked);
+                        case "/v3/kv/put" -> put(asked);
+                        case "/v3/lease/grant" -> grant(asked);
+                        case "/v3/lease/keepalive" -> renew(asked);
+                        default -> fault("unknown path", 12) + "\n";
+                    })
                         .getBytes(StandardCharsets.UTF_8);
                     write(out, ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + answer.length
                         + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
@@ -184,6 +192,51 @@
             }
         }
 
+        private String put(JsonObject asked) {
+            synchronized (state) {
+                long lease = number(asked, "lease");
+                if (lease != 0 && !leases.containsKey(lease)) {
+                    return fault("etcdserver: requested lease not found", 5) + "\n";
+                }
+                StandinRegistry.this.put(key(asked, "key"), Base64.getDecoder().decode(asked.get("value").getAsString()),
+                    lease);
+                JsonObject answer = new JsonObject();
+                answer.add("header", header());
+                return answer + "\n";
+            }
+        }
+
+        private String grant(JsonObject asked) {
+            synchronized (state) {
+                long seconds = number(asked, "TTL");
+                leases.put(++lastLease, new double[] {seconds, StandinSearchers.clock() + seconds});
+                return lease(lastLease, seconds) + "\n";
+            }
+        }
+
+        private String renew(JsonObject asked) {
+            synchronized (state) {
+                long id = number(asked, "ID");
+                double[] known = leases.get(id);
+                if (known != null) {
+                    known[1] = StandinSearchers.clock() + known[0];
+                }
+                JsonObject answer = new JsonObject();
+                answer.add("result", lease(id, known == null ? 0 : (long) known[0]));
+                return answer + "\n";
+            }
+        }
+
+        private JsonObject lease(long id, long seconds) {
+            JsonObject answer = new JsonObject();
+            answer.add("header", header());
+            answer.addProperty("ID", Long.toString(id));
+            if (seconds > 0) {
+                answer.addProperty("TTL", Long.toString(seconds));
+            }
+            return answer;
+        }
+
         private void watch(JsonObject asked, OutputStream out) throws IOException, InterruptedException {
             write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
             long next = number(asked, "start_revision");
@@ -254,11 +307,35 @@
 
     private final RegistryState state = new RegistryState();
     private final List<Member> members = new ArrayList<>();
+    /** Leases that were granted: their length, and when they run out. */
+    private final Map<Long, double[]> leases = new LinkedHashMap<>();
+    private long lastLease = 1000;
+    private volatile boolean closed;
 
     public StandinRegistry(int members) throws IOException {
         for (int each = 0; each < members; each++) {
             this.members.add(new Member(each));
         }
+        thread("registry-leases", this::expireInTime);
+    }
+
+    private void expireInTime() {
+        while (!closed) {
+            synchronized (state) {
+                List<Long> over = new ArrayList<>();
+                leases.forEach((id, lease) -> {
+                    if (lease[1] < StandinSearchers.clock()) {
+                        over.add(id);
+                    }
+                });
+                over.forEach(this::expire);
+                try {
+                    state.wait(20);
+                } catch (InterruptedException stopped) {
+                    return;
+                }
+            }
+        }
     }
 
     public List<Member> members() {
@@ -292,6 +369,7 @@
 
     public void expire(long lease) {
         synchronized (state) {
+            leases.remove(lease);
             state.expire(lease);
             state.notifyAll();
         }
@@ -304,6 +382,17 @@
         }
     }
 
+    /** How many keys begin so. */
+    public long keys(String prefix) {
+        synchronized (state) {
+            try {
+                return state.range(prefix, prefix + '\uffff', 0, 0).count();
+            } catch (RegistryState.Compacted never) {
+                throw new IllegalStateException(never);
+            }
+        }
+    }
+
     public long revision() {
         synchronized (state) {
             return state.revision();
@@ -312,6 +401,7 @@
 
     @Override
     public void close() throws IOException {
+        closed = true;
         for (Member each : members) {
             each.listener.close();
             each.drop();
