--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -184,7 +184,7 @@
     private void finish(double latest) {
         chain.door.closeIdle();
         if ((chain.queries.awaiting() == 0 && chain.door.connections() == 0) || loop.now() >= latest) {
-            log.say("stopped; " + chain.figures().replace('\n', ';') + CoreUse.text());
+            log.say("stopped; " + chain.figures().replace('\n', ';'));
             System.err.flush();
             Runtime.getRuntime().exit(0);
         }
