A drain whose address can't be used is still a drain; before, parts went on to the old address

Change: it counts as gone, or as draining where it drains.

Measured: the story fails without the change (parts reached the searcher) and passes with it; the other drain stories pass.

--- a/daemon/src/main/java/pinewick/life/RegistryList.java
+++ b/daemon/src/main/java/pinewick/life/RegistryList.java
@@ -178,10 +178,13 @@
         List<InetSocketAddress> addresses = new ArrayList<>(stores.size());
         for (Store each : stores) {
             try {
-                InetSocketAddress address = ListText.address(each.addresses().get(0));
+                addresses.add(ListText.address(each.addresses().get(0)));
                 listings.add(each.listing());
-                addresses.add(address);
             } catch (IllegalArgumentException odd) {
+                // Danger: passing it over would also pass over its drain, and new parts would go to the old address.
+                addresses.add(null);
+                listings.add(new Host.Listing(each.id(), each.cell(), each.zone(),
+                    each.stage() == Host.Stage.READY ? Host.Stage.GONE : each.stage(), each.startedAt()));
                 log.say(Log.Level.WARNING, "registry", "registry: " + each.id() + ": addresses: " + odd.getMessage()
                     + "; it is not used", "searcher", each.id());
             }
--- a/daemon/src/test/java/pinewick/RegistryServeTest.java
+++ b/daemon/src/test/java/pinewick/RegistryServeTest.java
@@ -302,4 +302,15 @@
         int[] parts = ask(10);
         assertTrue(parts[0] == 10 && parts[2] == 0);
     }
+
+    @Test
+    void aDrainWithAnAddressThatCannotBeUsedIsStillADrain() throws Exception {
+        start();
+        ask(4);
+        registry.put(PREFIX + "s-0", "{\"addresses\":[\"indice3.example.org:7070\"],\"cell\":0,\"phase\":\"draining\"}");
+        registry.put(PREFIX + "s-1", "{\"addresses\":[\"indice4.example.org:7070\"],\"cell\":1}");
+        awaitNewest();
+        int[] parts = ask(10);
+        assertTrue(parts[0] == 0 && parts[1] == 0);
+    }
 }
