--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -45,6 +45,7 @@
     private final LinkedHashSet<Query> live = new LinkedHashSet<>(), held = new LinkedHashSet<>();
     private final List<Searcher> reservedAt = new ArrayList<>();
     private final CoarseTimes servedRates, drainTimes;
+    private final FoundAgain lasting;
     private final SlidingSum takes = new SlidingSum(), furtherLaunches = new SlidingSum();
     private double lastBatchAt, busy = BUSY_MOST, askAt = Double.POSITIVE_INFINITY;
     private int failedAsks, mixers;
@@ -57,6 +58,7 @@
         mixers = given.mixers();
         given.grades().forEach(terms -> grades.add(new GradeRow(terms)));
         goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
+        lasting = new FoundAgain(goal / 2, goal / 2);
         drainTimes = new CoarseTimes(goal, 1.5, BINS, HALVED_AT);
         servedRates = new CoarseTimes(FASTEST / goal, 1.2, BINS * 2, HALVED_AT);
         cells = Stream.<List<Searcher>>generate(ArrayList::new).limit(given.cells()).toList();
@@ -200,15 +202,7 @@
     private boolean fit(Searcher each, Part<Query, Searcher> part, int count) {
         return !part.waitsAt(each) && each.hasColdBudget(part.query, count)
             && (each.sound() ? each.hasRoom(count) : each.out.size() + each.planned == 0
-            && !anySound(holders(part.shard)));
-    }
-
-    private static boolean anySound(List<Searcher> holders) {
-        boolean sound = false;
-        for (Searcher each : holders) {
-            sound = sound || each.sound();
-        }
-        return sound;
+            && holders(part.shard).stream().noneMatch(Searcher::sound));
     }
 
     /** Whether a part still to be launched has no holder at all, or none fit to take it now. */
@@ -270,7 +264,8 @@
         boolean reserved = grades.size() == 1;
         boolean overload = !held.isEmpty() && now - order.get(0).takenAt > OVERLOAD_WAIT * goal;
         if (overload) {
-            order.forEach(query -> query.worth = query.valueForWork());
+            order.forEach(query -> query.worth = query.grade.terms.value()
+                / (query.parts.size() * query.grade.answerTime(0.5)));
             order.sort((one, other) -> Double.compare(other.worth, one.worth));
         }
         for (Query query : order) {
@@ -416,6 +411,7 @@
             return;
         }
         searcher.probing = false;
+        searcher.spoke(ending);
         searcher.heardReport(report);
         if (!(searcher.cleared = ending == Host.Ending.FULFILLED || ending == Host.Ending.REJECTED)) {
             searcher.failed(ending);
@@ -462,9 +458,10 @@
             return Math.min(1, Math.exp(1 - (host.now() - answerAt) / memory));
         }
 
-        /** The queue that own answers tell of beyond what reports foretold. */
+        /** The queue own answers told of beyond reports, as far as such queues were found again so late. */
         double implied() {
-            return mixers < 2 * MIXERS_FEW ? 0 : untold * fresh() / drain();
+            return mixers < 2 * MIXERS_FEW ? 0
+                : untold * fresh() * lasting.share(host.now() - toldAt) / drain();
         }
 
         double s() {
@@ -545,9 +542,10 @@
             }
             failures = 0;
             unreached = cleared = false;
+            spoke(Host.Ending.FULFILLED);
             answerAt = host.now();
             lowest.add(answerAt, took, REST_MOST * goal);
-            measured(took, told);
+            measured(took, told, true);
             if (took <= target) {
                 room += out.size() + 1 >= room / 2 ? 1 / room : 0;
             } else if (answerAt - roomCutAt > took) {
@@ -556,8 +554,14 @@
             }
         }
 
-        void measured(double took, double told) {
-            untold += NEWEST_WEIGHT * (Math.max(0, took - told) - untold);
+        /** Danger: full time-outs of one that was mute, not slow, kept it out long after it was back. */
+        void measured(double took, double told, boolean tells) {
+            double beyond = Math.max(0, took - told);
+            if (tells) {
+                lasting.add(host.now() - toldAt, untold, Math.min(beyond, 2 * untold));
+                untold += NEWEST_WEIGHT * (beyond - untold);
+                toldAt = host.now();
+            }
             r = heard ? r + NEWEST_WEIGHT * (took - r) : took;
             heard = true;
         }
@@ -692,7 +696,8 @@
                     boolean waited = ending == Host.Ending.TIMED_OUT || ending == Host.Ending.CANCELLED;
                     // The design counts the full time-out; an early failure would make failing look fast.
                     double shown = ending == Host.Ending.CANCELLED ? searcher.r : usefulEnd() - launch.sentAt;
-                    searcher.measured(Math.max(took, shown), told);
+                    searcher.mute |= ending == Host.Ending.NOT_CONNECTED;
+                    searcher.measured(Math.max(took, shown), told, waited && !searcher.mute);
                     // Danger: a part lost while its searcher answers later ones must not rest it. But a
                     // cancelled one counts, or a hung searcher looks fit where copies may not overlap.
                     if (!waited || searcher.answeredSentAt <= launch.sentAt) {
@@ -729,10 +734,6 @@
             return overdue;
         }
 
-        private double valueForWork() {
-            return grade.terms.value() / (parts.size() * grade.answerTime(0.5));
-        }
-
         private boolean mayAnswerPartly() {
             Host.GradeTerms terms = grade.terms;
             return terms.secondStep() == 0 && terms.leastShare() < terms.wholeFrom()
--- a/core/src/main/java/pinewick/SearcherState.java
+++ b/core/src/main/java/pinewick/SearcherState.java
@@ -15,9 +15,9 @@
     /** The last load report, and launches since. */
     double queue, busyShare, reportAt = Double.NEGATIVE_INFINITY;
     int sentSince;
-    /** Answers: smoothed latency, lowest times, the last one, and the newest launch that was answered. */
+    /** Answers: smoothed latency, what they took beyond reports and when, the last one, the newest launch answered. */
     boolean heard;
-    double r, untold, answerAt = Double.NEGATIVE_INFINITY, answeredSentAt = Double.NEGATIVE_INFINITY;
+    double r, untold, toldAt, answerAt = Double.NEGATIVE_INFINITY, answeredSentAt = Double.NEGATIVE_INFINITY;
     RecentLowest lowest = new RecentLowest();
     /** Launches out, parts that this turn would add, and work sent while cold. */
     final LinkedHashSet<Launch<Logic.Searcher>> out = new LinkedHashSet<>();
@@ -25,7 +25,7 @@
     final SlidingSum coldSpent = new SlidingSum();
     /** Failures in a row, and probes. */
     int failures;
-    boolean unreached, probing, cleared;
+    boolean unreached, probing, cleared, mute;
     double restUntil, askedAt;
 
     SearcherState(String id) {
@@ -37,6 +37,13 @@
         askedAt = at;
     }
 
+    /** A word came from it, or a probe got none. One mute before was silent, not slow: what that told of a queue goes. */
+    void spoke(Host.Ending ending) {
+        boolean none = ending == Host.Ending.TIMED_OUT || ending == Host.Ending.NOT_CONNECTED;
+        untold = mute && !none ? 0 : untold;
+        mute = none;
+    }
+
     /** A new process: nothing that was seen of the one before still holds. */
     void restarted(double at) {
         startedAt = at;
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -581,4 +581,72 @@
         assertTrue(probes <= 20, probes + " of a hundred mixers probed the same searcher as its rest ended");
         assertTrue(tried >= 80, "only " + tried + " of a hundred mixers used it again");
     }
+
+    @Test
+    void aSearcherThatCouldNotBeReachedHasNoQueueOnceItIsBack() {
+        host.mixers = 100;
+        host.open("a");
+        host.warmUp(20, 0.1);
+        for (int each = 0; each < 3; each++) {
+            Logic.Query query = host.take("q" + each, 1);
+            for (int number = 0; number < 4; number++) {
+                host.ends(query, "q" + each + "-0", number, Ending.NOT_CONNECTED, 0.25);
+            }
+            host.pass(5);
+        }
+        host.said.clear();
+        host.take("r", 1);
+        assertEquals(1, host.count("launch r-0 a"), "its rest is over, and it was never slow");
+    }
+
+    /** Takes a query of one part; its searcher a answers the probe at once. */
+    private Logic.Query asked(String id) {
+        Logic.Query query = host.take(id, 1);
+        host.logic.probed("a", Ending.FULFILLED, queued(0));
+        host.pass(0.1);
+        return query;
+    }
+
+    @Test
+    void aSearcherThatAnsweredNoProbeWasSilentAndNotSlow() {
+        host.mixers = 100;
+        host.probing = true;
+        host.open("a");
+        Logic.Query first = asked("first");
+        host.ends(first, "first-0", 0, Ending.FULFILLED, 0.1);
+        Logic.Query query = asked("q");
+        for (int number = 0; number < 4; number++) {
+            host.pass(2);
+            host.ends(query, "q-0", number, Ending.TIMED_OUT, 2);
+        }
+        host.pass(4);
+        host.logic.probed("a", Ending.TIMED_OUT, null);
+        host.pass(4.5);
+        host.logic.probed("a", Ending.FULFILLED, queued(0));
+        host.said.clear();
+        asked("r");
+        assertEquals(1, host.count("launch r-0 a"), "with its first word the silence is over, and no queue is left of it");
+    }
+
+    @Test
+    void whereSlowAnswersWereMostlyFollowedByQuickOnesAHiddenQueueIsBelievedForAShorterTime() {
+        host.mixers = 100;
+        host.open("a");
+        host.warmUp(20, 0.1);
+        for (int each = 0; each < 40; each++) {
+            double took = each % 5 == 0 ? 1.4 : 0.1;
+            Logic.Query query = host.take("q" + each, 1);
+            host.pass(took);
+            host.ends(query, "q" + each + "-0", 0, Ending.FULFILLED, took);
+            host.pass(1.5);
+        }
+        Logic.Query slow = host.take("s", 1);
+        host.pass(1);
+        slow.settled("s-0", 0, Ending.FULFILLED, 3.9, queued(0));
+        host.logic.endOfBatch();
+        host.pass(1.5);
+        host.said.clear();
+        host.take("r", 1);
+        assertEquals(1, host.count("launch r-0 a"), "such queues were gone by then");
+    }
 }
