--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -48,14 +48,14 @@
     private final FoundAgain lasting;
     private final SlidingSum takes = new SlidingSum(), furtherLaunches = new SlidingSum();
     private double lastBatchAt, busy = BUSY_MOST, askAt = Double.POSITIVE_INFINITY;
-    private int failedAsks, mixers;
+    private int failedAsks, mixers, tier;
     private boolean lookDue;
 
     public Logic(Host host, Host.Deployment given, SplittableRandom chance) {
         this.host = host;
         this.given = given;
         this.chance = chance;
-        mixers = given.mixers();
+        mixers = tier = given.mixers();
         given.grades().forEach(terms -> grades.add(new GradeRow(terms)));
         goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
         lasting = new FoundAgain(goal / 2, goal / 2);
@@ -71,9 +71,10 @@
         host.timer(SWEEP * goal, 0);
     }
 
-    /** So many mixers share the searchers now: their count in the score, and this one's share in rule 4. */
-    public void mixers(int count) {
+    /** So many mixers live, for the score, and so many may send at most, for this one's share in rule 4. */
+    public void mixers(int count, int most) {
         mixers = count;
+        tier = most;
     }
 
     /** News of the list. Draining and gone searchers get nothing new from this call on (rule 3). */
@@ -508,8 +509,7 @@
             // One core at least; more where warm searchers were seen to serve parts faster than one does.
             double work = query.grade.answerTime(0.5) + given.callWork();
             double cores = servedRates.total() < ENOUGH ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
-            double most = COLD_MARGIN * rules.overloadFactor() * capacity * cores * rules.fallTime()
-                / mixers;
+            double most = COLD_MARGIN * rules.overloadFactor() * capacity * cores * rules.fallTime() / tier;
             if (most >= (count + planned) * work) {
                 return spent + (count + planned) * work <= most;
             }
--- /dev/null
+++ b/daemon/src/main/java/pinewick/life/FleetLife.java
@@ -0,0 +1,124 @@
+package pinewick.life;
+
+import java.io.IOException;
+import java.util.SplittableRandom;
+import org.xnio.XnioWorker;
+import pinewick.fleet.Datagram;
+import pinewick.fleet.FleetTerms;
+import pinewick.fleet.FleetView;
+import pinewick.fleet.Standing;
+import pinewick.loop.Log;
+import pinewick.loop.Loop;
+import pinewick.wire.PeerSocket;
+
+/** The view of the other mixers, put together with its socket and the loop's clock for one mixer. */
+final class FleetLife {
+    /** Told the counts of mixers whenever one changes. */
+    interface Counts {
+        /**
+         * @param live for spreading work: the best guess
+         * @param most for shares of a budget that all keep together: never too low
+         */
+        void mixers(int live, int most);
+    }
+
+    /** Looks at the clock in a period. */
+    private static final double LOOKS = 8;
+
+    private final StartOrders.Peers first;
+    private final double tick;
+    private final Loop loop;
+    private final Log log;
+    private final Counts counts;
+    private final FleetView view;
+    private final PeerSocket socket;
+    private int toldLive = -1;
+    private int toldMost = -1;
+    private boolean over;
+
+    FleetLife(StartOrders.Peers peers, FleetTerms terms, long seed, XnioWorker worker, Loop loop, Log log, Counts counts)
+        throws IOException {
+        this.first = peers;
+        this.loop = loop;
+        this.log = log;
+        this.counts = counts;
+        tick = terms.period() / LOOKS;
+        socket = new PeerSocket(peers.listen(), Datagram.MOST, worker, loop, this::took);
+        socket.listed(peers.peers(), peers.all());
+        view = new FleetView(peers.peers().size(), peers.self(), Math.round(loop.now() * 1e3), terms,
+            new SplittableRandom(seed), new FleetView.Wire() {
+                @Override
+                public void send(int place, byte[] datagram) {
+                    socket.send(place, datagram);
+                }
+
+                @Override
+                public boolean sendAll(byte[] datagram) {
+                    return socket.sendAll(datagram);
+                }
+            }, this::changed);
+    }
+
+    void start() {
+        log.say(Log.Level.INFO, "fleet", "mixer " + first.self() + " of " + first.peers().size() + ", datagrams at "
+            + first.listen(), "place", Integer.toString(first.self()));
+        view.start(loop.now());
+        tells();
+        ticks();
+    }
+
+    private void ticks() {
+        loop.after(tick, "looking at the mixers", () -> {
+            if (!over) {
+                view.tick(loop.now());
+                tells();
+                ticks();
+            }
+        });
+    }
+
+    private void took(int place, byte[] datagram, int length) {
+        if (place < 0) {
+            view.stranger();
+        } else {
+            view.heard(loop.now(), place, datagram, length);
+        }
+    }
+
+    private void changed(int place, Standing was, Standing is) {
+        log.say(is == Standing.DEAD ? Log.Level.WARNING : Log.Level.INFO, "fleet", "mixer " + place + ": "
+            + was.name().toLowerCase(java.util.Locale.ROOT) + " to " + is.name().toLowerCase(java.util.Locale.ROOT),
+            "place", Integer.toString(place), "standing", is.name());
+    }
+
+    private void tells() {
+        int live = view.live();
+        int most = view.bound(loop.now());
+        if (live != toldLive || most != toldMost) {
+            toldLive = live;
+            toldMost = most;
+            counts.mixers(live, most);
+        }
+    }
+
+    /** The configuration was read anew; the mixers in it are the ones from now on. */
+    void listed(StartOrders.Peers peers) {
+        socket.listed(peers.peers(), peers.all());
+        if (peers.peers().size() != view.size() || peers.self() != view.self()) {
+            log.say(Log.Level.INFO, "fleet", "mixers listed: " + peers.peers().size() + ", " + view.size() + " before",
+                "mixers", Integer.toString(peers.peers().size()));
+            view.listed(loop.now(), peers.peers().size(), peers.self());
+            tells();
+        }
+    }
+
+    /** Tells the others that this one stops. */
+    void leave() {
+        view.leave(loop.now());
+        over = true;
+    }
+
+    String figures() {
+        return view.figures() + "fleet-unsent " + socket.unsent() + "\n";
+    }
+}
--- a/daemon/src/main/java/pinewick/life/OperatorFile.java
+++ b/daemon/src/main/java/pinewick/life/OperatorFile.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import pinewick.fleet.FleetTerms;
 import pinewick.loop.Log;
 import pinewick.wire.ListText;
 
@@ -36,6 +37,8 @@
     private Registry registry;
     /** Null where the log is the plain one. */
     private Logs logs;
+    /** Null where the mixers don't look at each other. */
+    private FleetTerms fleet = FleetTerms.usual();
 
     private OperatorFile() {
     }
@@ -44,6 +47,10 @@
         return logs;
     }
 
+    FleetTerms fleet() {
+        return fleet;
+    }
+
     Registry registry() {
         return registry;
     }
@@ -73,9 +80,35 @@
             wrong.add("/: an object is expected");
             return;
         }
-        known(all.getAsJsonObject(), "", Set.of("registry", "log"));
+        known(all.getAsJsonObject(), "", Set.of("registry", "log", "fleet"));
         logs(all.getAsJsonObject().get("log"));
         registry(all.getAsJsonObject().get("registry"));
+        fleet(all.getAsJsonObject().get("fleet"));
+    }
+
+    /** The view of the other mixers: on where the platform gives a way, unless said otherwise. */
+    private void fleet(JsonElement part) {
+        if (part == null) {
+            return;
+        }
+        if (!part.isJsonObject()) {
+            wrong.add("/fleet: an object is expected");
+            return;
+        }
+        JsonObject in = part.getAsJsonObject();
+        known(in, "/fleet", Set.of("view", "period-s", "silence-s", "lower-after-s", "least-share"));
+        boolean on = choice(in, "/fleet", "view", "on", List.of("on", "off")).equals("on");
+        FleetTerms usual = FleetTerms.usual();
+        double period = number(in, "/fleet", "period-s", usual.period(), 0.1, 10, false);
+        double silence = number(in, "/fleet", "silence-s", usual.silence(), 0.6, 60, false);
+        if (silence < 4 * period) {
+            wrong.add("/fleet/silence-s: at least four times period-s is expected, or a lost datagram would look like death");
+        }
+        double stretch = period / usual.period();
+        fleet = !on || !wrong.isEmpty() ? null : new FleetTerms(period, usual.again() * stretch, usual.probe() * stretch,
+            silence, 2 * silence, usual.confirmations(), usual.helpers(), usual.gossip() * stretch, usual.spread(),
+            number(in, "/fleet", "lower-after-s", usual.lowerAfter(), 1, 3600, false),
+            number(in, "/fleet", "least-share", usual.leastShare(), 0, 1, false));
     }
 
     private void logs(JsonElement part) {
@@ -88,19 +121,19 @@
         }
         JsonObject in = part.getAsJsonObject();
         known(in, "/log", Set.of("form", "level"));
-        String form = choice(in, "form", "line", List.of("line", "json"));
-        String level = choice(in, "level", "info", List.of("debug", "info", "warning", "error"));
+        String form = choice(in, "/log", "form", "line", List.of("line", "json"));
+        String level = choice(in, "/log", "level", "info", List.of("debug", "info", "warning", "error"));
         logs = new Logs(form.equals("json"), Log.Level.valueOf(level.toUpperCase(Locale.ROOT)));
     }
 
-    private String choice(JsonObject in, String name, String absent, List<String> choices) {
+    private String choice(JsonObject in, String path, String name, String absent, List<String> choices) {
         JsonElement value = in.get(name);
         if (value == null) {
             return absent;
         }
         if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()
             || !choices.contains(value.getAsString())) {
-            wrong.add("/log/" + name + ": one of " + String.join(", ", choices) + " is expected");
+            wrong.add(path + "/" + name + ": one of " + String.join(", ", choices) + " is expected");
             return absent;
         }
         return value.getAsString();
@@ -125,11 +158,11 @@
         }
         String kept = text(in, "/registry", "kept", false);
         registry = new Registry(endpoints, prefix, kept == null ? null : Path.of(kept),
-            (int) number(in, "page-keys", 500, 1, 10_000, true),
-            (int) number(in, "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
-            number(in, "answer-s", 1, 0.05, 30, false), number(in, "probe-every-s", 0.15, 0.05, 10, false),
-            number(in, "believe-s", 10, 1, 3600, false), number(in, "first-contact-s", 1, 0, 30, false),
-            mixers, number(in, "lease-s", 10, 2, 600, true), number(in, "lower-after-s", 30, 1, 3600, false));
+            (int) number(in, "/registry", "page-keys", 500, 1, 10_000, true),
+            (int) number(in, "/registry", "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
+            number(in, "/registry", "answer-s", 1, 0.05, 30, false), number(in, "/registry", "probe-every-s", 0.15, 0.05, 10, false),
+            number(in, "/registry", "believe-s", 10, 1, 3600, false), number(in, "/registry", "first-contact-s", 1, 0, 30, false),
+            mixers, number(in, "/registry", "lease-s", 10, 2, 600, true), number(in, "/registry", "lower-after-s", 30, 1, 3600, false));
     }
 
     private List<InetSocketAddress> endpoints(JsonElement given) {
@@ -174,7 +207,7 @@
         return value.getAsString();
     }
 
-    private double number(JsonObject in, String name, double absent, double least, double most, boolean whole) {
+    private double number(JsonObject in, String path, String name, double absent, double least, double most, boolean whole) {
         JsonElement value = in.get(name);
         if (value == null) {
             return absent;
@@ -182,7 +215,7 @@
         boolean number = value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
         double given = number ? value.getAsDouble() : Double.NaN;
         if (!(given >= least && given <= most) || (whole && given != Math.rint(given))) {
-            wrong.add("/registry/" + name + ": a " + (whole ? "whole " : "") + "number from " + plain(least) + " to "
+            wrong.add(path + "/" + name + ": a " + (whole ? "whole " : "") + "number from " + plain(least) + " to "
                 + plain(most) + " is expected");
             return absent;
         }
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -13,6 +13,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import pinewick.Host;
+import pinewick.fleet.FleetTerms;
 import pinewick.loop.Limits;
 import pinewick.loop.Log;
 import pinewick.loop.Loop;
@@ -25,6 +26,7 @@
     private ListWatch watch;
     private final OperatorFile operator;
     private RegistryList registry;
+    private FleetLife fleet;
     private long newest;
     private final Limits limits;
     private final Log log;
@@ -55,14 +57,16 @@
     private void start() {
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
         if (operator != null && operator.registry() != null) {
-            registry = new RegistryList(operator.registry(), orders, loop, log, chain::list, chain.route::mixers);
-            chain.alsoTells(registry::figures);
+            registry = new RegistryList(operator.registry(), orders, loop, log, chain::list,
+                count -> chain.route.mixers(count, count));
+            chain.alsoTells(this::figures);
             registry.start();
             awaitRegistry();
         } else {
             followPlatform();
             listen();
         }
+        joinFleet();
         housekeeping();
         ready();
         if (leaving) {
@@ -70,6 +74,28 @@
         }
     }
 
+    /** Where the platform lets mixers talk and the operator's file does not forbid it. */
+    private void joinFleet() {
+        FleetTerms terms = operator == null ? FleetTerms.usual() : operator.fleet();
+        if (orders.peers() == null || terms == null) {
+            return;
+        }
+        try {
+            fleet = new FleetLife(orders.peers(), terms, orders.seed(), worker, loop, log,
+                registry == null ? chain.route::mixers : (live, most) -> { });
+            chain.alsoTells(this::figures);
+            fleet.start();
+        } catch (IOException wrong) {
+            // Danger: without the other mixers this one serves all the same, as if the platform gave no such way.
+            log.say(Log.Level.ERROR, "fleet", "peer_listen: can't listen at " + orders.peers().listen() + ": "
+                + wrong.getMessage() + "; goes on without a view of the other mixers");
+        }
+    }
+
+    private String figures() {
+        return (fleet == null ? "" : fleet.figures()) + (registry == null ? "" : registry.figures());
+    }
+
     /**
      * Danger: clients find an open door before it says that it is ready, and would be served by a kept copy that does
      * not know of drains since (seen: 64 ms of that at a restart). So the door opens when the list may be served by.
@@ -153,10 +179,13 @@
             String kept = String.join(", ", orders.needingRestart(read));
             log.say("SIGHUP: discovery at " + read.discovery()
                 + (kept.isEmpty() ? "" : "; changed, but only a restart takes in: " + kept));
-            orders = orders.discoveryAt(read.discovery());
+            orders = orders.takes(read);
             if (watch != null) {
                 watch.moveTo(read.discovery());
             }
+            if (fleet != null) {
+                fleet.listed(orders.peers());
+            }
         });
     }
 
@@ -175,6 +204,9 @@
     private void leave() {
         log.say("stopping");
         chain.door.leaves();
+        if (fleet != null) {
+            fleet.leave();
+        }
         loop.after(limits.frontNotice(), "closing the door", () -> {
             IoUtils.safeClose(listener);
             finish(loop.now() + limits.stopMost());
--- a/daemon/src/main/java/pinewick/life/StartOrders.java
+++ b/daemon/src/main/java/pinewick/life/StartOrders.java
@@ -1,5 +1,6 @@
 package pinewick.life;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
@@ -17,11 +18,23 @@
 
 /** What a mixer is told before it starts: the environment and the file that it names. */
 record StartOrders(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-                   Limits limits, Host.Deployment deployment, ListText.Piece known) {
+                   Limits limits, Host.Deployment deployment, ListText.Piece known, Peers peers) {
 
-    /** With the list at another address. */
-    StartOrders discoveryAt(InetSocketAddress address) {
-        return new StartOrders(name, listen, address, seed, limits, deployment, known);
+    /**
+     * How mixers reach each other; null where they don't.
+     *
+     * @param peers every mixer's address, by place, this one's own with them
+     * @param all one address for all of them; null where there is none
+     * @param self this one's place
+     */
+    record Peers(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all, int self) {
+    }
+
+    /** With what a running program takes in of another configuration: the list's address and the mixers. */
+    StartOrders takes(StartOrders other) {
+        Peers next = peers == null || other.peers == null || !peers.listen.equals(other.peers.listen) ? peers
+            : other.peers;
+        return new StartOrders(name, listen, other.discovery, seed, limits, deployment, known, next);
     }
 
     /** The fields that differ in another configuration and cannot change in a running program. */
@@ -36,6 +49,9 @@
         if (!deployment.equals(other.deployment)) {
             fields.add("settings");
         }
+        if (peers == null ? other.peers != null : other.peers == null || !peers.listen.equals(other.peers.listen)) {
+            fields.add("peer_listen");
+        }
         return fields;
     }
 
@@ -100,7 +116,34 @@
         String name = environment.getOrDefault("EDGE_NAME", "mixer");
         return new StartOrders(name, address("EDGE_LISTEN or field listen", listen),
             address("EDGE_DISCOVERY or field discovery", discovery), seed,
-            limits, deployment, known);
+            limits, deployment, known, peers(all));
+    }
+
+    /** Null where there is no peer_listen, or where the settings do not let mixers talk. */
+    private static Peers peers(JsonObject all) {
+        JsonObject settings = all.getAsJsonObject("settings");
+        JsonElement bounds = settings.get("bounds");
+        JsonElement allowed = bounds == null || !bounds.isJsonObject() ? null : bounds.getAsJsonObject().get("peers");
+        if (!all.has("peer_listen") || all.get("peer_listen").isJsonNull() || allowed == null || allowed.isJsonNull()
+            || !allowed.getAsBoolean()) {
+            return null;
+        }
+        if (!all.has("peers") || !all.get("peers").isJsonArray()) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field peers is missing or no list");
+        }
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (JsonElement each : all.getAsJsonArray("peers")) {
+            peers.add(address("field peers, item " + peers.size(), each.isJsonPrimitive() ? each.getAsString() : "?"));
+        }
+        JsonElement own = settings.get("self-index");
+        int self = own == null || !own.isJsonPrimitive() ? -1 : own.getAsInt();
+        if (self < 0 || self >= peers.size()) {
+            throw new IllegalArgumentException("EDGE_CONFIG: field settings.self-index is missing, or not a place in "
+                + "peers, which has " + peers.size());
+        }
+        boolean toAll = all.has("peers_all") && all.get("peers_all").isJsonPrimitive();
+        return new Peers(address("field peer_listen", all.get("peer_listen").getAsString()), List.copyOf(peers),
+            toAll ? address("field peers_all", all.get("peers_all").getAsString()) : null, self);
     }
 
     private static String given(Map<String, String> environment, String variable, JsonObject all, String field) {
--- a/daemon/src/main/java/pinewick/stages/Route.java
+++ b/daemon/src/main/java/pinewick/stages/Route.java
@@ -56,9 +56,9 @@
         logic.probed(searcher, ending, report);
     }
 
-    /** So many mixers share the searchers from now on. */
-    public void mixers(int count) {
-        logic.mixers(count);
+    /** So many mixers live from now on, and so many may be sending at most. */
+    public void mixers(int count, int most) {
+        logic.mixers(count, most);
     }
 
     /** No more timers: these decisions are done with. */
--- /dev/null
+++ b/daemon/src/test/java/pinewick/FleetServeTest.java
@@ -0,0 +1,178 @@
+package pinewick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pinewick.standins.FleetProcesses;
+
+/**
+ * Stories of several mixers, each a process of its own from this build's classes, that see each other through a relay
+ * which loses, delays, doubles and cuts. Whatever is waited for has a bound, which the story claims.
+ */
+class FleetServeTest {
+    private static final double START = 30; // seconds that so many processes may take to start on a busy machine
+
+    @TempDir
+    Path folder;
+    private FleetProcesses fleet;
+
+    private void fleet(int size, Path operator, int... started) throws Exception {
+        fleet = new FleetProcesses(size, null, folder, operator, 7);
+        fleet.relay().links(0.1, 0.02, 0.001, 0.018);
+        fleet.start(started);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        fleet.close();
+    }
+
+    private void sees(double within, String letters, int... places) throws Exception {
+        double took = fleet.until(within, letters, places);
+        StringBuilder views = new StringBuilder();
+        for (int place : places) {
+            views.append(' ').append(fleet.figure(place, "fleet-view"));
+        }
+        assertFalse(Double.isNaN(took), () -> letters + " was not seen by all within " + within + " s:" + views);
+    }
+
+    private double number(int place, String figure) throws Exception {
+        return Double.parseDouble(fleet.figure(place, figure));
+    }
+
+    @Test
+    void aJoinIsSeenByAllACrashIsDeclaredAndARestartComesBackWithAHigherIncarnation() throws Exception {
+        fleet(5, null, 0, 1, 2, 3);
+        sees(START, "AAAAU", 0, 1, 2, 3);
+        fleet.start(4);
+        assertTrue(fleet.mixer(4).awaitReady(START));
+        sees(2, "AAAAA", 0, 1, 2, 3, 4);
+        String first = fleet.figure(4, "fleet-incarnation");
+        fleet.mixer(4).stop(false);
+        sees(5, "AAAAD", 0, 1, 2, 3);
+        assertEquals(4, number(0, "fleet-live"));
+        assertEquals(5, number(0, "fleet-bound"), "a death counts off a budget only after it has stood for long");
+        fleet.start(4);
+        assertTrue(fleet.mixer(4).awaitReady(START));
+        sees(2, "AAAAA", 0, 1, 2, 3, 4);
+        assertTrue(Long.parseLong(fleet.figure(4, "fleet-incarnation")) > Long.parseLong(first));
+        fleet.mixer(3).stop(true);
+        sees(2, "AAALA", 0, 1, 2, 4);
+        assertEquals(0, fleet.deathsOf(3, 0, 1, 2, 4), "it said itself that it stops");
+        assertTrue(fleet.relay().longest() <= 256, "a datagram of " + fleet.relay().longest() + " bytes");
+    }
+
+    @Test
+    void aMixerThatStandsStillForTwoSecondsIsNotDeclaredDeadNorDoesItDeclareOthers() throws Exception {
+        fleet(4, null, 0, 1, 2, 3);
+        sees(START, "AAAA", 0, 1, 2, 3);
+        for (int round = 0; round < 2; round++) {
+            fleet.mixer(2).signal("STOP");
+            assertFalse(FleetProcesses.within(2, () -> deaths() > 0), "a death within the pause");
+            fleet.mixer(2).signal("CONT");
+            sees(5, "AAAA", 0, 1, 2, 3);
+        }
+        assertEquals(0, deaths());
+    }
+
+    private int deaths() {
+        try {
+            int deaths = 0;
+            for (int each = 0; each < 4; each++) {
+                deaths += fleet.deathsOf(each, 0, 1, 2, 3);
+            }
+            return deaths;
+        } catch (java.io.IOException odd) {
+            throw new java.io.UncheckedIOException(odd);
+        }
+    }
+
+    @Test
+    void aPartitionOfSixSecondsHealsIntoOneViewAndAOneWayCutKillsNobody() throws Exception {
+        fleet(5, null, 0, 1, 2, 3, 4);
+        sees(START, "AAAAA", 0, 1, 2, 3, 4);
+        fleet.relay().cut((from, to) -> from == 0 && to == 1);
+        assertFalse(FleetProcesses.within(4, () -> oneDied()), "looked at by others, one that can't be heard here lives");
+        fleet.relay().cut((from, to) -> from < 2 != to < 2);
+        sees(8, "AADDD", 0, 1);
+        sees(8, "DDAAA", 2, 3, 4);
+        assertEquals(5, number(0, "fleet-bound"), "cut off is not dead: the others may go on sending");
+        fleet.relay().cut((from, to) -> false);
+        sees(3, "AAAAA", 0, 1, 2, 3, 4);
+        String digest = fleet.figure(0, "fleet-digest");
+        for (int each = 1; each < 5; each++) {
+            assertEquals(digest, fleet.figure(each, "fleet-digest"));
+        }
+    }
+
+    private boolean oneDied() {
+        try {
+            return fleet.deathsOf(0, 0, 1, 2, 3, 4) + fleet.deathsOf(1, 0, 1, 2, 3, 4) > 0;
+        } catch (java.io.IOException odd) {
+            throw new java.io.UncheckedIOException(odd);
+        }
+    }
+
+    @Test
+    void aLongerListOfMixersBySighupIsAChangeOfTheViewAndNoRestart() throws Exception {
+        fleet = new FleetProcesses(4, null, folder, null, 7);
+        fleet.list(3);
+        fleet.start(0, 1, 2);
+        sees(START, "AAA", 0, 1, 2);
+        String before = fleet.figure(0, "fleet-incarnation");
+        fleet.list(4);
+        for (int each = 0; each < 3; each++) {
+            fleet.mixer(each).signal("HUP");
+        }
+        sees(5, "AAAU", 0, 1, 2);
+        fleet.start(3);
+        assertTrue(fleet.mixer(3).awaitReady(START));
+        sees(2, "AAAA", 0, 1, 2, 3);
+        assertEquals(before, fleet.figure(0, "fleet-incarnation"), "it was not started anew");
+    }
+
+    @Test
+    void datagramsOfStrangersAndNoiseAreDroppedAndCounted() throws Exception {
+        fleet(2, null, 0, 1);
+        sees(START, "AA", 0, 1);
+        try (DatagramSocket stranger = new DatagramSocket()) {
+            for (int length : new int[] {0, 1, 20, 256, 257, 2000}) {
+                stranger.send(new DatagramPacket(new byte[length], length, fleet.home(0)));
+            }
+            stranger.send(new DatagramPacket(new byte[50], 50, fleet.relay().address(1, 0)));
+        }
+        assertTrue(FleetProcesses.within(5, () -> dropped("fleet-dropped-stranger") >= 6
+            && dropped("fleet-dropped-version") >= 1), "noise through the relay bears a member's address");
+        sees(1, "AA", 0, 1);
+        assertEquals(0, number(0, "faults"));
+    }
+
+    private double dropped(String figure) {
+        try {
+            String told = fleet.figure(0, figure);
+            return told.isEmpty() ? 0 : Double.parseDouble(told);
+        } catch (InterruptedException odd) {
+            throw new IllegalStateException(odd);
+        }
+    }
+
+    @Test
+    void anOperatorCanTurnTheViewOff() throws Exception {
+        Path operator = folder.resolve("operator.json");
+        Files.writeString(operator, "{\"fleet\":{\"view\":\"off\"}}");
+        fleet(2, operator, 0, 1);
+        assertTrue(fleet.mixer(0).awaitReady(START) && fleet.mixer(1).awaitReady(START));
+        assertEquals("", fleet.figure(0, "fleet-view"));
+        assertEquals(0, fleet.relay().carried());
+        assertNotEquals("", fleet.figure(0, "faults"), "it tells its other figures");
+    }
+}
--- a/daemon/src/test/java/pinewick/life/OperatorFileTest.java
+++ b/daemon/src/test/java/pinewick/life/OperatorFileTest.java
@@ -35,6 +35,7 @@
     @Test
     void goodFilesAreGoodToBoth() throws Exception {
         for (String text : new String[] {"{}", "{\"registry\":{" + GOOD + "}}",
+            "{\"fleet\":{}}", "{\"fleet\":{\"view\":\"off\"}}", "{\"fleet\":{\"period-s\":1,\"silence-s\":5}}",
             "{\"registry\":{\"endpoints\":[\"[::1]:2379\"],\"prefix\":\"p\",\"page-keys\":1,\"answer-s\":0.05,\"kept\":\"/x\"}}"}) {
             OperatorFile.of(JsonParser.parseString(text));
             assertTrue(schema().validate(text, InputFormat.JSON).isEmpty(), text);
@@ -50,6 +51,11 @@
         bad.put("{\"log\":{\"level\":\"INFO\"}}", "/log/level: one of debug, info, warning, error");
         bad.put("{\"log\":{\"file\":\"x\"}}", "/log/file: unknown field");
         bad.put("{\"log\":\"json\"}", "/log: an object is expected");
+        bad.put("{\"fleet\":true}", "/fleet: an object is expected");
+        bad.put("{\"fleet\":{\"view\":\"maybe\"}}", "/fleet/view: one of on, off");
+        bad.put("{\"fleet\":{\"peers\":[]}}", "/fleet/peers: unknown field");
+        bad.put("{\"fleet\":{\"period-s\":0}}", "/fleet/period-s: a number from 0.1 to 10");
+        bad.put("{\"fleet\":{\"least-share\":1.5}}", "/fleet/least-share: a number from 0 to 1");
         bad.put("{\"registry\":5}", "/registry: an object is expected");
         bad.put("{\"registry\":{\"prefix\":\"p\"}}", "/registry/endpoints: a list of at least one");
         bad.put("{\"registry\":{\"endpoints\":[],\"prefix\":\"p\"}}", "/registry/endpoints: a list of at least one");
@@ -84,4 +90,18 @@
         assertTrue(assertThrows(IllegalArgumentException.class, () -> OperatorFile.of(JsonParser.parseString(
             "{\"registry\":{" + GOOD + ",\"mixers-prefix\":\"/s/m/\"}}"))).getMessage().contains("must not overlap"));
     }
+
+    @Test
+    void aSilenceThatIsShortBesideThePeriodIsRefusedByTheReader() {
+        IllegalArgumentException wrong = assertThrows(IllegalArgumentException.class, () -> OperatorFile.of(
+            JsonParser.parseString("{\"fleet\":{\"period-s\":2,\"silence-s\":3}}")));
+        assertTrue(wrong.getMessage().contains("/fleet/silence-s: at least four times period-s"), wrong.getMessage());
+    }
+
+    @Test
+    void theViewOfTheMixersIsOnWithTheUsualTimesUnlessSaidOtherwise() {
+        assertEquals(pinewick.fleet.FleetTerms.usual(), OperatorFile.of(JsonParser.parseString("{}")).fleet());
+        assertEquals(null, OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"view\":\"off\"}}")).fleet());
+        assertEquals(5, OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"silence-s\":5}}")).fleet().silence());
+    }
 }
--- /dev/null
+++ b/fleet/src/main/java/pinewick/fleet/FleetTerms.java
@@ -0,0 +1,39 @@
+package pinewick.fleet;
+
+/**
+ * The times of a fleet's view, in seconds, and its counts. All mixers of a tier must be given the same.
+ *
+ * @param period between two probes by a member; the fleet's turns are drawn anew in each
+ * @param again how long after a ping it is sent once more, and after twice that other members are asked to look
+ * @param probe how long a probe may take before its member is suspected
+ * @param silence how long a suspect has been silent at least before it is declared dead, counted from the first ping
+ *     that it left unanswered; a member that stands still for less never is
+ * @param silenceMost the same where nobody else noticed
+ * @param confirmations how many further members have to notice for the least silence to do
+ * @param helpers how many members are asked to look at one that does not answer
+ * @param gossip between two datagrams of news alone, while there is news
+ * @param spread how often a rumour is sent: so many times the number of decimal digits of the member count
+ * @param lowerAfter how long a death must have stood before it raises this mixer's share of a budget
+ * @param leastShare the budget's count never falls below this share of the listed members
+ */
+public record FleetTerms(double period, double again, double probe, double silence, double silenceMost,
+                         int confirmations, int helpers, double gossip, int spread, double lowerAfter,
+                         double leastShare) {
+
+    /** What suits a tier on one platform, where datagrams take some milliseconds and a tenth of them is lost. */
+    public static FleetTerms usual() {
+        return new FleetTerms(0.4, 0.15, 0.8, 2.4, 4.8, 2, 3, 0.2, 4, 30, 0.8);
+    }
+
+    public FleetTerms {
+        if (!(period > 0 && again > 0 && probe >= 3 * again && silence > probe && silenceMost >= silence)) {
+            throw new IllegalArgumentException("fleet: period and again above 0, probe at least three times again, "
+                + "silence above probe and not above silenceMost are expected");
+        }
+        if (confirmations < 0 || helpers < 1 || !(gossip > 0) || spread < 1 || !(lowerAfter >= 0)
+            || !(leastShare >= 0 && leastShare <= 1)) {
+            throw new IllegalArgumentException("fleet: confirmations, helpers, gossip, spread, lowerAfter or leastShare "
+                + "is out of range");
+        }
+    }
+}
--- a/standins/src/main/java/pinewick/standins/MixerProcess.java
+++ b/standins/src/main/java/pinewick/standins/MixerProcess.java
@@ -21,6 +21,8 @@
     private final Path jar;
     private final Path folder;
     private final Path operator;
+    private final String categories;
+    private final int cells;
     private final int port;
     private Process process;
     private int starts;
@@ -30,16 +32,40 @@
      * @param categories the service grades, as JSON objects set apart by commas
      */
     public MixerProcess(Path jar, Path folder, Path operator, String categories, int cells) throws IOException {
+        this(jar, folder, operator, categories, cells, "", 2, 0);
+    }
+
+    /**
+     * One of several mixers.
+     *
+     * @param operator null for none
+     * @param peers the configuration's fields that tell of the others, each ended by a comma; empty for none
+     * @param instances how many mixers the settings state
+     * @param self this one's number among them
+     */
+    public MixerProcess(Path jar, Path folder, Path operator, String categories, int cells, String peers, int instances,
+                        int self) throws IOException {
+        this.categories = categories;
+        this.cells = cells;
         this.jar = jar;
         this.folder = folder;
         this.operator = operator;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        Files.writeString(folder.resolve("config.json"), "{\"listen\":\"127.0.0.1:" + port
+        configure(peers, instances, self);
+    }
+
+    /** Writes another configuration, for the next start or {@link #reload}. */
+    public void configure(String peers, int instances, int self) throws IOException {
+        // With others to talk to, one searcher where nobody listens is known, so that it is ready without a list.
+        String known = peers.isEmpty() ? "" : "{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:9\",\"locality\":\"a\","
+            + "\"cell\":0,\"phase\":\"ready\",\"up_since_ms\":0}";
+        Files.writeString(folder.resolve("config.json"), "{" + peers + "\"listen\":\"127.0.0.1:" + port
             + "\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},"
-            + "\"known\":{\"revision\":0,\"complete\":true,\"members\":[]},\"settings\":{\"instances\":2,"
-            + "\"granularity-ns\":5e6,\"categories\":[" + categories + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,"
+            + "\"known\":{\"revision\":0,\"complete\":true,\"members\":[" + known + "]},\"settings\":{\"instances\":" + instances
+            + ",\"self-index\":" + self + ","
+            + "\"granularity-ns\":5e6,\"categories\":[" + categories + "],\"bounds\":{\"peers\":" + !peers.isEmpty() + ",\"multiplex\":100,\"try-limit\":4,"
             + "\"max-open\":2000,\"conn-idle-ns\":15e9,\"dial-timeout-ns\":250e6},\"family-info\":{\"cells\":" + cells
             + ",\"reach\":1,\"slabs\":" + cells + ",\"per-call\":16}}}");
     }
@@ -53,7 +79,7 @@
             "-XX:TieredStopAtLevel=1", "-Xmx64m", "-XX:+UseSerialGC"));
         words.addAll(jar == null ? List.of("-cp", System.getProperty("java.class.path"), "pinewick.Main")
             : List.of("-jar", jar.toAbsolutePath().toString()));
-        words.addAll(List.of("serve", "--operator", operator.toString()));
+        words.addAll(operator == null ? List.of("serve") : List.of("serve", "--operator", operator.toString()));
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("EDGE_CONFIG", folder.resolve("config.json").toString());
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log-" + ++starts + ".txt").toFile());
@@ -103,6 +129,11 @@
         }
     }
 
+    /** Sends it a signal by its name, such as HUP, STOP or CONT. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     /** Ends it: in order (SIGTERM), or at once. */
     public void stop(boolean inOrder) throws InterruptedException {
         if (process != null) {
