--- a/fleet/src/main/java/pinewick/fleet/FleetView.java
+++ b/fleet/src/main/java/pinewick/fleet/FleetView.java
@@ -34,6 +34,8 @@
 
     private static final int ASKS_MOST = 400; // datagrams asked for at a start, for the largest list thrice over
     private static final int LOOKS_MORE = 3;
+    private static final int LAST_LOOKS = 4; // at suspects, each gossip's time
+    private static final int LOOKERS = 20; // members that look at one suspect in a gossip's time
     private static final int NEWS_FEW = 24; // pieces of news that one datagram takes
     private static final int STRETCHES = 64; // of the list, each with a sum, so that what differs is found
     private static final int STATES = 2; // datagrams that answer sums
@@ -60,10 +62,10 @@
     private double now;
     private int from;
     private int numbers;
-    private boolean changed = true;
     private int shortDigest;
     private short[] sums;
     private int live;
+    private int suspects;
     private double heardAt = Double.NEGATIVE_INFINITY;
     /** Probes since the last turn that found nobody. */
     private int silences;
@@ -107,6 +109,7 @@
             members[place] = new Member(place);
         }
         rumours = new Rumours(size);
+        countsAll();
     }
 
     private static void check(int size, int self) {
@@ -120,7 +123,7 @@
     public void start(double at) {
         now = at;
         members[self].takes(now, Standing.ALIVE, incarnation);
-        changed = true;
+        counts(members[self]);
         health.look(now);
         announce = 3;
         askFrom = 0;
@@ -225,7 +228,7 @@
     }
 
     private void accusedBy(Member suspect, double since, int... accusers) {
-        int most = suspicion.accusersMost(live());
+        int most = suspicion.accusersMost(live);
         boolean more = false;
         for (int each : accusers) {
             more |= suspect.accused(since, each, most);
@@ -242,6 +245,7 @@
         }
         Standing was = suspect.standing;
         suspect.takes(now, Standing.SUSPECT, suspect.incarnation);
+        counts(suspect);
         accusedBy(suspect, since, self);
         for (int each : lookers) {
             accusedBy(suspect, since, each);
@@ -254,21 +258,32 @@
         send(suspect.place, Datagram.Kind.PING, ++numbers, suspect.place);
     }
 
+    /**
+     * Declares those dead whose time is over. Shortly before, some of those that still hold one for a suspect look: a
+     * suspect that objected in vain, as its word was lost on the way, answers. Accusers look all the time. Some suspects a
+     * time at most, from another place on each time, so that a mass of dead ones makes no flood.
+     */
     private void lookAfterSuspects() {
-        boolean tell = now - retoldAt >= terms.gossip();
-        retoldAt = tell ? now : retoldAt;
-        for (Member each : members) {
-            if (each.standing != Standing.SUSPECT) {
+        boolean look = now - retoldAt >= terms.gossip();
+        retoldAt = look ? now : retoldAt;
+        int looks = look ? LAST_LOOKS : 0;
+        int first = looks > 0 ? chance.nextInt(members.length) : 0;
+        for (int each = 0; suspects > 0 && each < members.length; each++) {
+            Member member = members[(first + each) % members.length];
+            if (member.standing != Standing.SUSPECT) {
                 continue;
             }
-            if (!health.stoodStill(now) && suspicion.dead(now, each, live())) {
-                each.takes(now, Standing.DEAD, each.incarnation);
-                changed = true;
+            double left = suspicion.left(now, member, live);
+            if (left <= 0 && !health.stoodStill(now)) {
+                member.takes(now, Standing.DEAD, member.incarnation);
+                counts(member);
                 deaths++;
-                rumours.add(each.place);
-                news.changed(each.place, Standing.SUSPECT, Standing.DEAD);
-            } else if (tell && accusedByMe(each)) {
-                send(each.place, Datagram.Kind.PING, ++numbers, each.place);
+                rumours.add(member.place);
+                news.changed(member.place, Standing.SUSPECT, Standing.DEAD);
+            } else if (looks > 0 && (accusedByMe(member)
+                || left <= 3 * terms.gossip() && chance.nextInt(live) < LOOKERS)) {
+                looks--;
+                send(member.place, Datagram.Kind.PING, ++numbers, member.place);
             }
         }
     }
@@ -364,7 +379,7 @@
     @Override
     public void said(Datagram.Kind is, int sender, long at, int digest, int number, int about) {
         Member member = members[from];
-        member.otherView = digest != shortDigest();
+        member.otherView = digest != shortDigest;
         member.heardAt = now;
         heardAt = now;
         if (sender != from) {
@@ -447,7 +462,7 @@
             if (against || at > incarnation) {
                 incarnation = Datagram.bounded(at + 1);
                 members[self].takes(now, Standing.ALIVE, incarnation);
-                changed = true;
+                counts(members[self]);
                 if (against) {
                     objections++;
                     health.worse();
@@ -473,7 +488,7 @@
     private void learnt(Member member, Standing standing, long at) {
         Standing was = member.standing;
         if (member.takes(now, standing, at)) {
-            changed = true;
+            counts(member);
             rumours.add(member.place);
             if (was != standing) {
                 news.changed(member.place, was, standing);
@@ -483,8 +498,7 @@
 
     /** Sends the sums of all stretches of the list; the other answers with what it holds where its own differ. */
     private void askWhatDiffers(int to) {
-        refresh();
-        out.begin(Datagram.Kind.SUMS, self, incarnation, shortDigest(), members.length, to);
+        out.begin(Datagram.Kind.SUMS, self, incarnation, shortDigest, members.length, to);
         for (short each : sums) {
             out.sum(each);
         }
@@ -493,13 +507,12 @@
 
     @Override
     public void sums(short[] others) {
-        refresh();
         if (others.length != sums.length) {
             return;
         }
         int left = STATES;
         int first = chance.nextInt(sums.length);
-        out.begin(Datagram.Kind.NEWS, self, incarnation, shortDigest(), 0, self);
+        out.begin(Datagram.Kind.NEWS, self, incarnation, shortDigest, 0, self);
         for (int each = 0; each < sums.length && left > 0; each++) {
             int stretch = (first + each) % sums.length;
             if (sums[stretch] == others[stretch]) {
@@ -512,7 +525,7 @@
                     if (--left == 0) {
                         return;
                     }
-                    out.begin(Datagram.Kind.NEWS, self, incarnation, shortDigest(), 0, self);
+                    out.begin(Datagram.Kind.NEWS, self, incarnation, shortDigest, 0, self);
                 }
             }
         }
@@ -526,7 +539,7 @@
 
     /** What is known of the members from a place on, as much as fits; the last piece names place 0 as the next. */
     private void state(int first) {
-        out.begin(Datagram.Kind.STATE, self, incarnation, shortDigest(), first, 0);
+        out.begin(Datagram.Kind.STATE, self, incarnation, shortDigest, first, 0);
         int next = Math.max(0, first);
         while (next < members.length && out.hasRoom()) {
             put(members[next++]);
@@ -547,7 +560,7 @@
         members = next;
         self = place;
         members[self].takes(now, Standing.ALIVE, incarnation);
-        changed = true;
+        countsAll();
         rumours.resize(size);
         probes.clear();
         looks.clear();
@@ -593,7 +606,7 @@
 
     /** A datagram with what concerns the receiver first, then news, then some plain state. */
     private byte[] write(int to, Datagram.Kind what, int number, int about) {
-        out.begin(what, self, incarnation, shortDigest(), number, about);
+        out.begin(what, self, incarnation, shortDigest, number, about);
         if (what == Datagram.Kind.LOOK || what == Datagram.Kind.SEEN || what == Datagram.Kind.NOT_SEEN
             || what == Datagram.Kind.ASK) {
             return out.end(); // These go out in numbers while links are bad; the rest carries the news.
@@ -670,7 +683,6 @@
 
     /** How many mixers take part, this one with them: for spreading work. */
     public int live() {
-        refresh();
         return live;
     }
 
@@ -704,26 +716,33 @@
         return letters.toString();
     }
 
-    /** The same, as far as four bytes tell, for two views that hold the same for everybody. */
-    private int shortDigest() {
-        refresh();
-        return shortDigest;
-    }
-
-    /** Counts anew, once after what may have changed the view. */
-    private void refresh() {
-        if (changed) {
-            changed = false;
-            live = ShareCount.live(members, self);
-            int digest = 0;
-            sums = new short[(members.length + stretch() - 1) / stretch()];
-            for (Member each : members) {
-                long kind = each.standing.takesPart() ? 1 : each.standing == Standing.UNHEARD ? 0 : 2;
-                long mixed = new SplittableRandom(each.place * 4L + kind ^ each.incarnation << 16).nextLong();
-                digest ^= (int) (mixed >>> 32);
-                sums[each.place / stretch()] ^= (short) mixed;
-            }
-            shortDigest = digest;
+    /** Counts a member whose standing or incarnation changed: the live, the suspects, the sums that compare views. */
+    private void counts(Member member) {
+        long kind = member.standing.takesPart() ? 1 : member.standing == Standing.UNHEARD ? 0 : 2;
+        long mark = new SplittableRandom(member.place * 4L + kind ^ member.incarnation << 16).nextLong();
+        long change = member.mark ^ mark;
+        member.mark = mark;
+        shortDigest ^= (int) (change >>> 32);
+        sums[member.place / stretch()] ^= (short) change;
+        boolean counted = member.place == self || member.standing.takesPart();
+        live += counted == member.counted ? 0 : counted ? 1 : -1;
+        member.counted = counted;
+        boolean suspect = member.standing == Standing.SUSPECT;
+        suspects += suspect == member.suspect ? 0 : suspect ? 1 : -1;
+        member.suspect = suspect;
+    }
+
+    /** Counts all anew, for another list. */
+    private void countsAll() {
+        live = 0;
+        suspects = 0;
+        shortDigest = 0;
+        sums = new short[(members.length + stretch() - 1) / stretch()];
+        for (Member each : members) {
+            each.mark = 0;
+            each.counted = false;
+            each.suspect = false;
+            counts(each);
         }
     }
 
--- a/fleet/src/main/java/pinewick/fleet/Member.java
+++ b/fleet/src/main/java/pinewick/fleet/Member.java
@@ -17,6 +17,10 @@
     int[] accusers = new int[0];
     /** When a datagram of its own last came. */
     double heardAt = Double.NEGATIVE_INFINITY;
+    /** What it adds to the sums of the view, and whether it counts as live and as a suspect there. */
+    long mark;
+    boolean counted;
+    boolean suspect;
     /** Whether its view differed from this mixer's when it last sent something. */
     boolean otherView;
     /** When it last took part, for one that no longer does. */
--- a/fleet/src/main/java/pinewick/fleet/ShareCount.java
+++ b/fleet/src/main/java/pinewick/fleet/ShareCount.java
@@ -1,7 +1,8 @@
 package pinewick.fleet;
 
 /**
- * The two counts of mixers that decisions take from the view, each erring to the side that does no harm.
+ * The count of mixers by which a budget is shared. (For spreading work the live count serves: too low or too high, it only
+ * shifts how much a mixer thinks others send beside it, so the best guess is taken.)
  */
 final class ShareCount {
     private final FleetTerms terms;
@@ -10,18 +11,6 @@
         this.terms = terms;
     }
 
-    /**
-     * For spreading work: those that take part, this one with them. Too low or too high a count only shifts how much a
-     * mixer thinks others send beside it, so the best guess serves.
-     */
-    static int live(Member[] members, int self) {
-        int live = 0;
-        for (Member each : members) {
-            live += each.place == self || each.standing.takesPart() ? 1 : 0;
-        }
-        return live;
-    }
-
     /**
      * For shares of a budget that all mixers keep together (rule 4): an upper bound. Danger: too low a count makes every
      * share too large, and together they push a cold searcher over; and nobody can tell a dead mixer from one that is only
--- a/fleet/src/main/java/pinewick/fleet/Suspicion.java
+++ b/fleet/src/main/java/pinewick/fleet/Suspicion.java
@@ -34,11 +34,11 @@
     }
 
     /**
-     * Whether it is to be declared dead. Danger: a rumour of silence that is older than a word heard from the member
+     * Seconds until a suspect is to be declared dead; 0 or less from then on. Danger: a rumour of silence that is older than a word heard from the member
      * itself must not kill it. Harm: where the members' clocks of rumours differ, a death comes some milliseconds late.
      */
-    boolean dead(double now, Member suspect, int takingPart) {
+    double left(double now, Member suspect, int takingPart) {
         double silent = Math.max(suspect.silentSince, suspect.heardAt);
-        return suspect.standing == Standing.SUSPECT && now - silent >= allowed(suspect.accusers.length, takingPart);
+        return silent + allowed(suspect.accusers.length, takingPart) - now;
     }
 }
