--- a/daemon/src/main/java/pinewick/life/FleetLife.java
+++ b/daemon/src/main/java/pinewick/life/FleetLife.java
@@ -92,7 +92,7 @@
     }
 
     private void tells() {
-        int live = view.live();
+        int live = view.spread();
         int most = view.bound(loop.now());
         if (live != toldLive || most != toldMost) {
             toldLive = live;
--- a/emulator/src/test/java/pinewick/emulator/VirtualFleetTest.java
+++ b/emulator/src/test/java/pinewick/emulator/VirtualFleetTest.java
@@ -190,4 +190,19 @@
         assertEquals(0, world.deaths().size());
         assertFalse(world.view(0).figures().isEmpty());
     }
+
+    @Test
+    void aMixerThatHearsNobodyDoesNotDecideAsIfItWereAlone() {
+        VirtualFleet world = new VirtualFleet(10, 15);
+        world.start(0);
+        assertEquals(10, world.view(0).spread(), "nothing is known of the others but that they are listed");
+        world = running(10, 0, 15);
+        world.net().cut((from, to) -> true);
+        world.net().run(world.net().now() + 12);
+        assertEquals(1, world.view(0).live());
+        assertEquals(5, world.view(0).spread());
+        world.net().cut((from, to) -> false);
+        assertTrue(world.settles(3) <= 3);
+        assertEquals(10, world.view(0).spread());
+    }
 }
--- a/fleet/src/main/java/pinewick/fleet/FleetView.java
+++ b/fleet/src/main/java/pinewick/fleet/FleetView.java
@@ -474,7 +474,7 @@
         }
         Member member = members[place];
         if (member.standing == standing && member.incarnation == at) {
-            rumours.heardAgain(place, HEARD_AGAIN, spread());
+            rumours.heardAgain(place, HEARD_AGAIN, sends());
         }
         learnt(member, standing, at);
         if (standing == Standing.SUSPECT && member.standing == Standing.SUSPECT && member.incarnation == at) {
@@ -619,7 +619,7 @@
             return out.end(); // It may well be gone; news would be wasted on it.
         }
         boolean any = rumours.any();
-        rumours.offer(spread(), place -> {
+        rumours.offer(sends(), place -> {
             if (!out.hasRoom()) {
                 return false;
             }
@@ -642,7 +642,7 @@
         out.entry(member.place, member.standing, member.incarnation, member.accusers, member.silentSince);
     }
 
-    private int spread() {
+    private int sends() {
         return terms.spread() * (int) Math.ceil(Math.log10(members.length + 1));
     }
 
@@ -681,7 +681,12 @@
         return place >= but ? place + 1 : place;
     }
 
-    /** How many mixers take part, this one with them: for spreading work. */
+    /** How many mixers are to be thought of as sending beside this one and with it: for spreading work. */
+    public int spread() {
+        return shares.spread(members, live);
+    }
+
+    /** How many mixers take part, this one with them. */
     public int live() {
         return live;
     }
@@ -773,7 +778,7 @@
 
     /** A line a figure. */
     public String figures() {
-        StringBuilder text = new StringBuilder("fleet-view " + letters() + "\nfleet-live " + live() + "\nfleet-bound "
+        StringBuilder text = new StringBuilder("fleet-view " + letters() + "\nfleet-live " + live() + "\nfleet-spread " + spread() + "\nfleet-bound "
             + bound(now) + "\nfleet-digest " + Long.toHexString(digest()) + "\nfleet-incarnation " + incarnation
             + "\nfleet-own-health " + health.score() + "\nfleet-sent " + sent + "\nfleet-sent-bytes " + sentBytes
             + "\nfleet-got " + got + "\nfleet-got-bytes " + gotBytes + "\nfleet-suspicions " + suspicions
--- a/fleet/src/main/java/pinewick/fleet/ShareCount.java
+++ b/fleet/src/main/java/pinewick/fleet/ShareCount.java
@@ -1,8 +1,7 @@
 package pinewick.fleet;
 
 /**
- * The count of mixers by which a budget is shared. (For spreading work the live count serves: too low or too high, it only
- * shifts how much a mixer thinks others send beside it, so the best guess is taken.)
+ * The two counts of mixers that decisions take from the view, each erring to the side that does less harm.
  */
 final class ShareCount {
     private final FleetTerms terms;
@@ -11,6 +10,21 @@
         this.terms = terms;
     }
 
+    /**
+     * For spreading work: those that take part, and those not heard yet, as the list is the best that is known of them. Too
+     * high or too low by a little, it only shifts how much others are thought to send. Danger: a mixer that hears nobody
+     * would decide as if it were alone, and with all mixers cut off from each other all would do so at the worst time; so
+     * not fewer than half of those listed count. Harm: after a true loss of more than half, others are thought to send up
+     * to twice and more of what they do.
+     */
+    int spread(Member[] members, int live) {
+        int unheard = 0;
+        for (Member each : members) {
+            unheard += each.standing == Standing.UNHEARD ? 1 : 0;
+        }
+        return Math.max(live + unheard, (members.length + 1) / 2);
+    }
+
     /**
      * For shares of a budget that all mixers keep together (rule 4): an upper bound. Danger: too low a count makes every
      * share too large, and together they push a cold searcher over; and nobody can tell a dead mixer from one that is only
