--- a/fleet/src/main/java/pinewick/fleet/FleetView.java
+++ b/fleet/src/main/java/pinewick/fleet/FleetView.java
@@ -34,7 +34,7 @@
 
     private static final int ASKS_MOST = 400; // datagrams asked for at a start, for the largest list thrice over
     private static final int LOOKS_MORE = 3;
-    private static final int LAST_LOOKS = 4; // at suspects, each gossip's time
+    private static final int LAST_LOOKS = 12; // at suspects, each gossip's time
     private static final int LOOKERS = 20; // members that look at one suspect in a gossip's time
     private static final int NEWS_FEW = 24; // pieces of news that one datagram takes
     private static final int STRETCHES = 64; // of the list, each with a sum, so that what differs is found
--- /dev/null
+++ b/fleet/src/main/java/pinewick/fleet/state/StateShare.java
@@ -0,0 +1,336 @@
+package pinewick.fleet.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+
+/**
+ * One mixer's part in replicating facts of searchers among the mixers: what it saw goes out, what comes is merged and handed
+ * on, copies are compared by sums over stretches of the keys, and a mixer that returns pulls what it lacks, at a bounded
+ * rate. No I/O, no clock; the same events give the same datagrams. Times are seconds on the clock that all share.
+ */
+public final class StateShare implements FactText.Reader {
+    /** Sends datagrams; they may be lost. */
+    public interface Wire {
+        void send(int place, byte[] datagram);
+    }
+
+    private static final double CHANGED = 8; // times as often where the searcher changed
+    private static final int TRIES = 40; // comparisons that a mixer that returns makes at most before it goes on without
+    private static final int ANSWERS = 6; // datagrams that answer one comparison
+    private static final int AGREED = 2; // members that held nothing else, until a mixer says it has caught up
+
+    private final FactStore store = new FactStore();
+    private final Agreed agreed = new Agreed(store);
+    private final StateTerms terms;
+    private final Wire wire;
+    private final SplittableRandom chance;
+    private final int self;
+    private int size;
+    private final IntPredicate takesPart;
+    /** To be handed on: facts that were news here, each once. */
+    private final ArrayDeque<Fact> news = new ArrayDeque<>();
+    private final ArrayDeque<Fact> urgent = new ArrayDeque<>();
+    /** Warnings handed on once, to be handed on once more. */
+    private final ArrayDeque<Fact> again = new ArrayDeque<>();
+    private final ArrayDeque<Double> againAt = new ArrayDeque<>();
+    /** By searcher: when this mixer saw it last, and the smoothed time between. */
+    private final Map<Integer, double[]> seen = new HashMap<>();
+    /** Whom this mixer sent sums to last, and what the answer said so far; -1 where none is awaited. */
+    private int asked = -1;
+    private final Set<Fact> answered = new HashSet<>();
+    private double now;
+    private int from;
+    private long stamp;
+    private double bytes;
+    private double filledAt = Double.NaN;
+    private double turnAt = Double.NEGATIVE_INFINITY;
+    private double comparedAt = Double.NEGATIVE_INFINITY;
+    private double forgotAt = Double.NEGATIVE_INFINITY;
+    private double startedAt = Double.NaN;
+    private double caughtUpAt = Double.NaN;
+    private int tries;
+    private int same;
+    private int newsSinceAsked;
+    private long sent;
+    private long sentBytes;
+    private long merged;
+    private long held;
+
+    /** @param takesPart whether the member at a place takes part, as the fleet's view has it */
+    public StateShare(int size, int self, StateTerms terms, SplittableRandom chance, Wire wire, IntPredicate takesPart) {
+        this.size = size;
+        this.self = self;
+        this.terms = terms;
+        this.chance = chance;
+        this.wire = wire;
+        this.takesPart = takesPart;
+    }
+
+    public FactStore store() {
+        return store;
+    }
+
+    public Agreed agreed() {
+        return agreed;
+    }
+
+    /** Begins: what the others know is pulled first, while the mixer serves. */
+    public void start(double at) {
+        now = at;
+        startedAt = at;
+        filledAt = at;
+        bytes = terms.burst();
+    }
+
+    public void listed(int members) {
+        size = members;
+    }
+
+    /**
+     * Something this mixer saw itself. A pace that enough others told alike a moment ago is not told once more, so that the
+     * load of telling stays the same however many mixers there are.
+     *
+     * @return whether it is told to the others
+     */
+    public boolean saw(double at, int key, FactKind kind, double first, double second) {
+        now = at;
+        if (kind == FactKind.PACE && !worthTelling(key, first)) {
+            return false;
+        }
+        stamp = Math.max(stamp + 1, Math.round(now * 1e3));
+        Fact fact = new Fact(key, kind, self, stamp, first, second);
+        store.merge(fact);
+        handOn(fact);
+        return true;
+    }
+
+    /** A warning goes out twice: of a hundred mixers handed it at random by four others each, three would miss it. */
+    private void handOn(Fact fact) {
+        if (fact.kind() == FactKind.PACE) {
+            news.add(fact);
+        } else {
+            urgent.add(fact);
+            again.add(fact);
+            againAt.add(now + terms.again());
+        }
+    }
+
+    /**
+     * Whether a pace is told: where fewer than enough mixers told one like it of late, and then by lot, since all that see the
+     * searcher would tell at once. The lot is such that among all that see it about as many tell as are wanted; eight times
+     * as many where the others' word is another one, as that is news.
+     */
+    private boolean worthTelling(int key, double pace) {
+        double[] times = seen.computeIfAbsent(key, any -> new double[] {now, terms.fresh() / terms.enough()});
+        times[1] += 0.3 * (now - times[0] - times[1]) * (now > times[0] ? 1 : 0);
+        times[0] = now;
+        int alike = 0;
+        int fresh = 0;
+        for (Fact each : store.of(key, FactKind.PACE)) {
+            boolean young = each.age(now) < terms.fresh();
+            fresh += young ? 1 : 0;
+            alike += young && Math.abs(each.first() - pace) <= terms.alike() * pace ? 1 : 0;
+        }
+        int takingPart = 1;
+        for (int place = 0; place < size; place++) {
+            takingPart += place != self && takesPart.test(place) ? 1 : 0;
+        }
+        double wanted = terms.enough() / terms.fresh() * (fresh > alike || fresh == 0 ? CHANGED : 1);
+        return alike < terms.enough() && chance.nextDouble() < wanted * times[1] / takingPart;
+    }
+
+    /** The regular look: news goes out, copies are compared. */
+    public void tick(double at) {
+        now = at;
+        bytes = Math.min(terms.burst(), bytes + (now - filledAt) * terms.bytesASecond());
+        filledAt = now;
+        if (now - turnAt < terms.turn()) {
+            return;
+        }
+        turnAt = now;
+        if (Math.floor(now) > forgotAt) {
+            forgotAt = Math.floor(now);
+            store.forget(now);
+        }
+        while (!againAt.isEmpty() && againAt.peek() <= now) {
+            againAt.poll();
+            urgent.add(again.poll());
+        }
+        tell(urgent, terms.fan());
+        tell(news, terms.fan() / 2);
+        boolean returning = Double.isNaN(caughtUpAt);
+        if (now - comparedAt >= (returning ? terms.turn() : terms.compare())) {
+            compare();
+        }
+    }
+
+    private void tell(ArrayDeque<Fact> what, int fan) {
+        while (!what.isEmpty() && bytes > 0) {
+            List<Fact> some = new ArrayList<>();
+            while (!what.isEmpty() && some.size() < FactText.FACTS) {
+                some.add(what.poll());
+            }
+            byte[] datagram = FactText.facts(some, false);
+            for (int each = 0; each < fan; each++) {
+                post(anyOther(), datagram);
+            }
+        }
+        // Danger: under a flood news would pile up without end; what waits is told by comparison anyway.
+        while (what.size() > 4 * FactText.FACTS) {
+            what.poll();
+            held++;
+        }
+    }
+
+    private void compare() {
+        int to = anyOther();
+        if (to < 0 || bytes <= 0) {
+            return;
+        }
+        comparedAt = now;
+        if (Double.isNaN(caughtUpAt) && ++tries > TRIES) {
+            caughtUpAt = now; // Nobody answers: there is nobody to catch up with.
+        }
+        newsSinceAsked = 0;
+        asked = to;
+        answered.clear();
+        post(to, FactText.sums(store.sums()));
+    }
+
+    /** A datagram came from a member. Returns why it can't be used, or null where it could. */
+    public String heard(double at, int place, byte[] datagram, int length) {
+        now = at;
+        from = place;
+        return FactText.read(datagram, length, this);
+    }
+
+    @Override
+    public void fact(Fact fact) {
+        if (fact.origin() == self) {
+            // A word of this mixer's from before its restart, maybe by a clock that went ahead: later words must be newer.
+            stamp = Math.max(stamp, fact.stamp());
+        }
+        if (from == asked) {
+            answered.add(fact);
+        }
+        // Danger: a stamp far ahead would prevail for good. Harm: where clocks differ by more, facts are not taken.
+        if (FactStore.old(fact, now) || fact.age(now) < -1 || !store.merge(fact)) {
+            return;
+        }
+        merged++;
+        newsSinceAsked++;
+        if (fact.age(now) <= terms.freshest()) {
+            handOn(fact);
+        }
+    }
+
+    /** Answers a comparison with what this mixer holds in stretches whose sums differ, some datagrams at most. */
+    @Override
+    public void sums(int[] others) {
+        int[] own = store.sums();
+        List<Fact> answer = new ArrayList<>();
+        int first = chance.nextInt(own.length);
+        for (int each = 0; each < own.length && others.length == own.length; each++) {
+            int stretch = (first + each) % own.length;
+            if (own[stretch] != others[stretch]) {
+                answer.addAll(store.all(stretch));
+            }
+        }
+        // Danger: two that return and hold nothing would tell each other that there is nothing to catch up with.
+        boolean knows = !Double.isNaN(caughtUpAt);
+        int pieces = Math.max(1, Math.min(ANSWERS, (answer.size() + FactText.FACTS - 1) / FactText.FACTS));
+        for (int piece = 0; piece < pieces; piece++) {
+            if (bytes <= -terms.burst()) {
+                return; // Seventy that return at once share what the others can spare.
+            }
+            post(from, FactText.facts(answer.subList(Math.min(answer.size(), piece * FactText.FACTS),
+                Math.min(answer.size(), (piece + 1) * FactText.FACTS)), knows && piece == pieces - 1));
+        }
+    }
+
+    @Override
+    public void last() {
+        if (from != asked) {
+            return;
+        }
+        asked = -1;
+        giveBack();
+        same = newsSinceAsked == 0 ? same + 1 : 0;
+        if (!answered.isEmpty()) {
+            comparedAt = Double.NEGATIVE_INFINITY; // There may be more: on with the next member in the next turn.
+        }
+        newsSinceAsked = 0;
+        if (same >= AGREED && Double.isNaN(caughtUpAt)) {
+            caughtUpAt = now;
+        }
+    }
+
+    /** What this mixer holds of the searchers that the answer spoke of, and the answer did not say. */
+    private void giveBack() {
+        Set<Integer> keys = new java.util.TreeSet<>();
+        answered.forEach(each -> keys.add(each.key()));
+        List<Fact> lacking = new ArrayList<>();
+        for (int key : keys) {
+            for (FactKind kind : FactKind.values()) {
+                for (Fact each : store.of(key, kind)) {
+                    if (!answered.contains(each)) {
+                        lacking.add(each);
+                    }
+                }
+            }
+        }
+        for (int at = 0; at < lacking.size() && bytes > 0; at += FactText.FACTS) {
+            post(from, FactText.facts(lacking.subList(at, Math.min(lacking.size(), at + FactText.FACTS)), false));
+        }
+    }
+
+    private void post(int to, byte[] datagram) {
+        if (to >= 0) {
+            bytes -= datagram.length;
+            sent++;
+            sentBytes += datagram.length;
+            wire.send(to, datagram);
+        }
+    }
+
+    private int anyOther() {
+        for (int tries = 0; tries < 8; tries++) {
+            int place = chance.nextInt(size);
+            if (place != self && takesPart.test(place)) {
+                return place;
+            }
+        }
+        int found = -1;
+        int seen = 0;
+        for (int place = 0; place < size; place++) {
+            if (place != self && takesPart.test(place) && chance.nextInt(++seen) == 0) {
+                found = place;
+            }
+        }
+        return found;
+    }
+
+    /** Seconds that catching up took; NaN while it goes on. */
+    public double caughtUpAfter() {
+        return caughtUpAt - startedAt;
+    }
+
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    /** A line a figure. */
+    public String figures() {
+        return "state-facts " + store.size() + "\nstate-digest " + Long.toHexString(store.digest()) + "\nstate-merged "
+            + merged + "\nstate-sent " + sent + "\nstate-sent-bytes " + sentBytes + "\nstate-left-out " + held
+            + "\nstate-caught-up " + (Double.isNaN(caughtUpAt) ? "no" : String.format(java.util.Locale.ROOT, "%.2f",
+            caughtUpAfter())) + "\n";
+    }
+}
