--- a/fleet/src/main/java/pinewick/fleet/Datagram.java
+++ b/fleet/src/main/java/pinewick/fleet/Datagram.java
@@ -2,7 +2,6 @@
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.util.zip.CRC32;
 
 /**
  * The datagrams between mixers, written and read. Never over {@link #MOST} bytes, which the platform allows; numbers
@@ -31,7 +30,7 @@
     public static final int PLACES = 1 << 13;
     static final byte VERSION = (byte) 0xF1;
     private static final int HEAD = 21;
-    private static final int SUM = 4;
+    private static final int SUM = Seal.BYTES;
     private static final int ENTRY = 8;
     /** The most that accuse in one entry. */
     static final int ACCUSERS = 4;
@@ -121,9 +120,7 @@
 
     /** The whole datagram. */
     byte[] end() {
-        CRC32 sum = new CRC32();
-        sum.update(buffer.array(), 0, buffer.position());
-        buffer.putInt((int) sum.getValue());
+        Seal.put(buffer);
         byte[] whole = new byte[buffer.position()];
         buffer.flip();
         buffer.get(whole);
@@ -141,18 +138,11 @@
      * @param size how many members are known here: entries of places from there on are passed over
      */
     public static String read(double now, byte[] whole, int length, int size, Reader reader) {
-        if (length < HEAD + SUM || length > MOST) {
-            return "length";
+        String fault = Seal.fault(whole, length, VERSION, HEAD);
+        if (fault != null) {
+            return fault;
         }
-        if (whole[0] != VERSION) {
-            return "version";
-        }
-        CRC32 sum = new CRC32();
-        sum.update(whole, 0, length - SUM);
         ByteBuffer in = ByteBuffer.wrap(whole, 0, length);
-        if (in.getInt(length - SUM) != (int) sum.getValue()) {
-            return "checksum";
-        }
         in.limit(length - SUM);
         try {
             return read(now, in, size, null) != null ? "form" : read(now, in.rewind(), size, reader);
--- a/fleet/src/main/java/pinewick/fleet/FleetTerms.java
+++ b/fleet/src/main/java/pinewick/fleet/FleetTerms.java
@@ -22,7 +22,7 @@
 
     /** What suits a tier on one platform, where datagrams take some milliseconds and a tenth of them is lost. */
     public static FleetTerms usual() {
-        return new FleetTerms(0.35, 0.15, 0.8, 2.35, 4.7, 2, 3, 0.2, 4, 30, 0.8);
+        return new FleetTerms(0.35, 0.15, 0.8, 2.45, 4.9, 2, 3, 0.2, 4, 30, 0.8);
     }
 
     public FleetTerms {
--- a/fleet/src/main/java/pinewick/fleet/state/FactStore.java
+++ b/fleet/src/main/java/pinewick/fleet/state/FactStore.java
@@ -28,7 +28,7 @@
     /** Of one searcher: a list a kind, the newest first. */
     private static final class Kept {
         final List<List<Fact>> kinds = new ArrayList<>();
-        short sum;
+        int sum;
 
         Kept() {
             for (int each = 0; each < KINDS.length; each++) {
@@ -76,14 +76,14 @@
         kept.add(at, fact);
         size++;
         sums[stretch(fact.key())] ^= mark(fact);
-        of.sum ^= (short) mark(fact);
+        of.sum ^= mark(fact);
     }
 
     private void remove(List<Fact> kept, Fact fact, Kept of) {
         kept.remove(fact);
         size--;
         sums[stretch(fact.key())] ^= mark(fact);
-        of.sum ^= (short) mark(fact);
+        of.sum ^= mark(fact);
     }
 
     private static int mark(Fact fact) {
@@ -102,8 +102,8 @@
     }
 
     /** The searchers in a stretch of the keys, each with a sum over what is held of it. */
-    public SortedMap<Integer, Short> keySums(int stretch) {
-        SortedMap<Integer, Short> of = new TreeMap<>();
+    public SortedMap<Integer, Integer> keySums(int stretch) {
+        SortedMap<Integer, Integer> of = new TreeMap<>();
         keys.forEach((key, kept) -> {
             if (stretch(key) == stretch) {
                 of.put(key, kept.sum);
@@ -113,7 +113,7 @@
     }
 
     /** The sum over what is held of a searcher; 0 for nothing. */
-    public short sum(int key) {
+    public int sum(int key) {
         Kept kept = keys.get(key);
         return kept == null ? 0 : kept.sum;
     }
--- a/fleet/src/main/java/pinewick/fleet/state/FactText.java
+++ b/fleet/src/main/java/pinewick/fleet/state/FactText.java
@@ -3,8 +3,8 @@
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.zip.CRC32;
 import pinewick.fleet.Datagram;
+import pinewick.fleet.Seal;
 
 /**
  * Datagrams of replicated facts, written and read; never over {@link Datagram#MOST} bytes, numbers most significant first.
@@ -15,7 +15,7 @@
  *       stretch differs, 4 searchers wanted
  * byte  how many
  *       facts, 17 bytes each: kind 1, key 4, origin 2, stamp 6, figures 2 and 2; sums, 4 bytes each; searchers, key 4 and
- *       sum 2; or keys wanted, 4 bytes each
+ *       sum 4; or keys wanted, 4 bytes each
  * 4     CRC-32 of all before
  * </pre>
  */
@@ -23,7 +23,7 @@
     public static final byte VERSION = (byte) 0xF2;
     static final int FACT = 17;
     private static final int HEAD = 3;
-    private static final int SUM = 4;
+    private static final int SUM = Seal.BYTES;
     /** Facts that one datagram takes. */
     public static final int FACTS = (Datagram.MOST - HEAD - SUM) / FACT;
     private static final FactKind[] KINDS = FactKind.values();
@@ -36,7 +36,7 @@
         void sums(int[] sums);
 
         /** Searchers of stretches that differ, with their sums there. */
-        void searchers(int[] keys, short[] sums);
+        void searchers(int[] keys, int[] sums);
 
         /** The sender wants all that is held of these. */
         void wanted(int[] keys);
@@ -46,9 +46,9 @@
     }
 
     /** Searchers that one datagram names with their sums, and without. */
-    static final int SEARCHERS = (Datagram.MOST - HEAD - SUM) / 6;
+    static final int SEARCHERS = (Datagram.MOST - HEAD - SUM) / 8;
     static final int WANTED = (Datagram.MOST - HEAD - SUM) / 4;
-    private static final int[] SIZES = {FACT, 4, FACT, 6, 4};
+    private static final int[] SIZES = {FACT, 4, FACT, 8, 4};
 
     private FactText() {
     }
@@ -75,11 +75,11 @@
         return summed(out);
     }
 
-    static byte[] searchers(List<Integer> keys, List<Short> sums) {
-        ByteBuffer out = ByteBuffer.allocate(HEAD + keys.size() * 6 + SUM);
+    static byte[] searchers(List<Integer> keys, List<Integer> sums) {
+        ByteBuffer out = ByteBuffer.allocate(HEAD + keys.size() * 8 + SUM);
         out.put(VERSION).put((byte) 3).put((byte) keys.size());
         for (int each = 0; each < keys.size(); each++) {
-            out.putInt(keys.get(each)).putShort(sums.get(each));
+            out.putInt(keys.get(each)).putInt(sums.get(each));
         }
         return summed(out);
     }
@@ -110,26 +110,17 @@
     }
 
     private static byte[] summed(ByteBuffer out) {
-        CRC32 sum = new CRC32();
-        sum.update(out.array(), 0, out.position());
-        out.putInt((int) sum.getValue());
+        Seal.put(out);
         return out.array();
     }
 
     /** Reads one datagram. Returns why it can't be used, or null where it could; then, and only then, the reader was told. */
     public static String read(byte[] whole, int length, Reader reader) {
-        if (length < HEAD + SUM || length > Datagram.MOST) {
-            return "length";
+        String fault = Seal.fault(whole, length, VERSION, HEAD);
+        if (fault != null) {
+            return fault;
         }
-        if (whole[0] != VERSION) {
-            return "version";
-        }
-        CRC32 sum = new CRC32();
-        sum.update(whole, 0, length - SUM);
         ByteBuffer in = ByteBuffer.wrap(whole, 0, length);
-        if (in.getInt(length - SUM) != (int) sum.getValue()) {
-            return "checksum";
-        }
         in.limit(length - SUM);
         in.get();
         int what = in.get();
@@ -140,10 +131,10 @@
         try {
             if (what == 1 || what == 3 || what == 4) {
                 int[] words = new int[count];
-                short[] sums = new short[count];
+                int[] sums = new int[count];
                 for (int each = 0; each < count; each++) {
                     words[each] = in.getInt();
-                    sums[each] = what == 3 ? in.getShort() : 0;
+                    sums[each] = what == 3 ? in.getInt() : 0;
                 }
                 if (what == 1) {
                     reader.sums(words);
--- a/fleet/src/main/java/pinewick/fleet/state/StateShare.java
+++ b/fleet/src/main/java/pinewick/fleet/state/StateShare.java
@@ -21,7 +21,7 @@
 
     private static final double CHANGED = 8; // times as often where the searcher changed
     private static final int TRIES = 40; // comparisons that a mixer that returns makes at most before it goes on without
-    private static final int ANSWERS = 6; // datagrams that answer one comparison
+    private static final int ANSWERS = 12; // datagrams that answer one comparison
     private static final int AGREED = 2; // members that held nothing else, until a mixer says it has caught up
 
     private final FactStore store = new FactStore();
@@ -235,7 +235,7 @@
         int[] own = store.sums();
         List<Fact> facts = new ArrayList<>();
         List<Integer> keys = new ArrayList<>();
-        List<Short> keySums = new ArrayList<>();
+        List<Integer> keySums = new ArrayList<>();
         int first = chance.nextInt(own.length);
         for (int each = 0; each < own.length && others.length == own.length; each++) {
             int stretch = (first + each) % own.length;
@@ -270,7 +270,7 @@
     }
 
     @Override
-    public void searchers(int[] keys, short[] sums) {
+    public void searchers(int[] keys, int[] sums) {
         List<Integer> differ = new ArrayList<>();
         List<Fact> own = new ArrayList<>();
         for (int each = 0; each < keys.length; each++) {
--- a/fleet/src/test/java/pinewick/fleet/state/StatePropertyTest.java
+++ b/fleet/src/test/java/pinewick/fleet/state/StatePropertyTest.java
@@ -96,7 +96,7 @@
         final List<Fact> facts = new ArrayList<>();
         int[] sums;
         int[] named;
-        short[] namedSums;
+        int[] namedSums;
         boolean last;
 
         @Override
@@ -110,7 +110,7 @@
         }
 
         @Override
-        public void searchers(int[] keys, short[] given) {
+        public void searchers(int[] keys, int[] given) {
             named = keys;
             namedSums = given;
         }
@@ -140,7 +140,7 @@
         assertNull(FactText.read(sums, sums.length, kept));
         assertTrue(Arrays.equals(store(facts).sums(), kept.sums));
         List<Integer> keys = java.util.stream.IntStream.range(0, FactText.SEARCHERS).mapToObj(each -> each * 7919).toList();
-        List<Short> keySums = keys.stream().map(each -> (short) (each * 31)).toList();
+        List<Integer> keySums = keys.stream().map(each -> each * 31).toList();
         byte[] searchers = FactText.searchers(keys, keySums);
         assertTrue(searchers.length <= 256);
         assertNull(FactText.read(searchers, searchers.length, kept));
