--- a/daemon/src/main/java/pinewick/life/StateLife.java
+++ b/daemon/src/main/java/pinewick/life/StateLife.java
@@ -20,9 +20,6 @@
 
 /** What this mixer and the others see of the searchers, put together with the decisions, the wire and the snapshot. */
 final class StateLife implements Route.Others {
-    /** Failures in a row that are told as a warning: one alone is often a lost answer. */
-    private static final int ILL = 2;
-
     private final Loop loop;
     private final Log log;
     private final StateShare state;
@@ -34,7 +31,6 @@
     private final Map<Integer, String> ids = new HashMap<>();
     /** Keys of several ids: nothing is told or taken of these. */
     private final Set<Integer> mixedUp = new HashSet<>();
-    private final Set<String> toldIll = new HashSet<>();
     private double wroteAt;
     private boolean saidCaughtUp;
     private long spoilt;
@@ -52,6 +48,7 @@
     }
 
     void start() {
+        state.start(loop.now()); // first, as the age of a snapshot's facts is told by its clock
         byte[] whole = file == null ? null : file.read();
         if (whole != null) {
             SnapshotText.Read read = SnapshotText.read(whole, self, size, loop.now(), FactKind.PACE.most());
@@ -61,7 +58,6 @@
                 + "; asking the other mixers");
         }
         wroteAt = loop.now();
-        state.start(loop.now());
     }
 
     void tick() {
@@ -115,15 +111,8 @@
     @Override
     public void saw(String searcher, double pace, double queue, int failures) {
         int key = key(searcher);
-        if (mixedUp.contains(key)) {
-            return;
-        }
-        state.saw(loop.now(), key, FactKind.PACE, pace, queue);
-        if (failures >= ILL || (failures == 0 && toldIll.remove(searcher))) {
-            state.saw(loop.now(), key, FactKind.ILL, failures, 0);
-            if (failures > 0) {
-                toldIll.add(searcher);
-            }
+        if (!mixedUp.contains(key)) {
+            state.sawWork(loop.now(), key, pace, queue, failures);
         }
     }
 
--- a/daemon/src/test/java/pinewick/StateServeTest.java
+++ b/daemon/src/test/java/pinewick/StateServeTest.java
@@ -206,7 +206,11 @@
         }
         assertTrue(FleetProcesses.within(10, () -> holds(snapshot) > 0), "a snapshot with facts is on disk");
         fleet.mixer(0).stop(false);
-        starts("snapshot: ");
+        fleet.start(0);
+        assertTrue(fleet.mixer(0).awaitReady(START));
+        assertTrue(log(0).contains("snapshot: "), () -> log(0));
+        assertTrue(Integer.parseInt(figure(0, "state-facts")) > 0, "with nobody to ask and nothing asked, from the disk");
+        fleet.mixer(0).stop(false);
         byte[] whole = Files.readAllBytes(snapshot);
         byte[] flipped = whole.clone();
         flipped[whole.length / 2] ^= 1;
--- a/emulator/src/test/java/pinewick/emulator/VirtualStateTest.java
+++ b/emulator/src/test/java/pinewick/emulator/VirtualStateTest.java
@@ -155,7 +155,7 @@
     }
 
     @Test
-    void thousandMixersPayAsMuchEachAsAHundred() {
+    void fourHundredMixersPayAsMuchEachAsAHundred() {
         double[] bytes = new double[2];
         int[] sizes = {100, 400};
         for (int each = 0; each < 2; each++) {
@@ -168,4 +168,15 @@
         }
         assertTrue(bytes[1] <= StateTerms.usual().bytesASecond() && bytes[1] < 1.5 * bytes[0], bytes[0] + ", " + bytes[1]);
     }
+
+    @Test
+    void aWordForgedUnderAMixersNameWithAStampFarAheadDoesNotSilenceIt() {
+        VirtualState world = running(10, 0, 8);
+        int key = Fact.key("s-1");
+        byte[] forged = pinewick.fleet.state.FactText.facts(java.util.List.of(new Fact(key, FactKind.ILL, 0, 1L << 47, 0, 0)), false);
+        world.state(0).heard(world.net().now(), 3, forged, forged.length);
+        world.state(0).saw(world.net().now(), key, FactKind.ILL, 4, 0);
+        world.net().run(world.net().now() + 1);
+        assertEquals(1, world.state(5).store().of(key, FactKind.ILL).size());
+    }
 }
--- a/fleet/src/main/java/pinewick/fleet/Datagram.java
+++ b/fleet/src/main/java/pinewick/fleet/Datagram.java
@@ -36,7 +36,8 @@
     static final int ACCUSERS = 4;
     private static final int LONGEST = ENTRY + 3 + 2 * ACCUSERS;
     private static final double STEPS = 20; // a second
-    private static final long INCARNATIONS = (1L << 48) - 1;
+    /** Danger: above the highest there is no room to object, so half of what fits is refused; milliseconds reach it in 6429. */
+    private static final long INCARNATIONS = (1L << 47) - 1;
     private static final Standing[] STANDINGS = Standing.values();
     private static final Kind[] KINDS = Kind.values();
 
@@ -161,7 +162,8 @@
         int number = in.getInt();
         int about = in.getShort() & 0xFFFF;
         int entries = in.get() & 0xFF;
-        if (kind < 0 || kind >= KINDS.length || sender >= PLACES || about >= PLACES) {
+        if (kind < 0 || kind >= KINDS.length || sender >= PLACES || about >= PLACES
+            || incarnation > INCARNATIONS) {
             return "form";
         }
         if (reader != null) {
@@ -182,7 +184,7 @@
             int place = head & PLACES - 1;
             int standing = head >>> 13;
             long at = (in.getShort() & 0xFFFFL) << 32 | in.getInt() & 0xFFFFFFFFL;
-            if (standing >= STANDINGS.length || standing == 0) {
+            if (standing >= STANDINGS.length || standing == 0 || at > INCARNATIONS) {
                 return "form";
             }
             boolean suspect = STANDINGS[standing] == Standing.SUSPECT;
--- a/fleet/src/main/java/pinewick/fleet/FleetView.java
+++ b/fleet/src/main/java/pinewick/fleet/FleetView.java
@@ -614,8 +614,6 @@
         Member receiver = members[to];
         if (to != self && receiver.standing != Standing.ALIVE) {
             put(receiver);
-        }
-        if (to != self && receiver.standing != Standing.ALIVE) {
             return out.end(); // It may well be gone; news would be wasted on it.
         }
         boolean any = rumours.any();
--- a/fleet/src/main/java/pinewick/fleet/state/StateShare.java
+++ b/fleet/src/main/java/pinewick/fleet/state/StateShare.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
 
@@ -20,6 +22,7 @@
     }
 
     private static final double CHANGED = 8; // times as often where the searcher changed
+    private static final int ILL = 2; // failures in a row that are told: one alone is often a lost answer
     private static final int TRIES = 40; // comparisons that a mixer that returns makes at most before it goes on without
     private static final int ANSWERS = 12; // datagrams that answer one comparison
     private static final int AGREED = 2; // members that held nothing else, until a mixer says it has caught up
@@ -40,6 +43,8 @@
     private final ArrayDeque<Double> againAt = new ArrayDeque<>();
     /** By searcher: when this mixer saw it last, and the smoothed time between. */
     private final Map<Integer, double[]> seen = new HashMap<>();
+    /** Searchers that this mixer warned the others of. */
+    private final Set<Integer> warnedOf = new HashSet<>();
     /** Whom this mixer sent sums to last, -1 where no answer is awaited; whether the answer named searchers that differ. */
     private int asked = -1;
     private boolean differed;
@@ -109,6 +114,14 @@
         return true;
     }
 
+    /** What this mixer saw of a searcher at work; some failures in a row are a warning, taken back once it answers. */
+    public void sawWork(double at, int key, double pace, double queue, int failures) {
+        saw(at, key, FactKind.PACE, pace, queue);
+        if (failures >= ILL ? warnedOf.add(key) || failures > ILL : failures == 0 && warnedOf.remove(key)) {
+            saw(at, key, FactKind.ILL, failures, 0);
+        }
+    }
+
     /** A warning goes out twice: of a hundred mixers handed it at random by four others each, three would miss it. */
     private void handOn(Fact fact) {
         if (fact.kind() == FactKind.PACE) {
@@ -211,12 +224,16 @@
 
     @Override
     public void fact(Fact fact) {
+        // Danger: a stamp far ahead would prevail for good, and under this mixer's name would make all its later words such
+        // that nobody takes them. Harm: where clocks differ by more, facts are not taken.
+        if (FactStore.old(fact, now) || fact.age(now) < -1) {
+            return;
+        }
         if (fact.origin() == self) {
             // A word of this mixer's from before its restart, maybe by a clock that went ahead: later words must be newer.
             stamp = Math.max(stamp, fact.stamp());
         }
-        // Danger: a stamp far ahead would prevail for good. Harm: where clocks differ by more, facts are not taken.
-        if (FactStore.old(fact, now) || fact.age(now) < -1 || !store.merge(fact)) {
+        if (!store.merge(fact)) {
             return;
         }
         merged++;
--- a/fleet/src/test/java/pinewick/fleet/FleetPropertyTest.java
+++ b/fleet/src/test/java/pinewick/fleet/FleetPropertyTest.java
@@ -77,7 +77,7 @@
         while (out.hasRoom()) {
             Standing standing = Standing.values()[1 + chance.nextInt(4)];
             int place = chance.nextInt(Datagram.PLACES);
-            long at = chance.nextLong(1L << 48);
+            long at = chance.nextLong(1L << 47);
             int[] accusers = chance.ints(standing == Standing.SUSPECT ? chance.nextInt(5) : 0, 0, 8192).toArray();
             double silent = now - 12 * chance.nextDouble();
             out.entry(place, standing, at, accusers, silent);
@@ -196,4 +196,14 @@
         assertTrue(allowed >= terms.silence() && allowed <= terms.silenceMost());
         assertTrue(suspicion.allowed(accusers + 1, members) <= allowed);
     }
+
+    @Test
+    void anIncarnationThatLeavesNoRoomToObjectIsRefused() {
+        Datagram out = new Datagram().begin(Datagram.Kind.NEWS, 1, 5, 0, 0, 0);
+        out.entry(2, Standing.DEAD, (1L << 48) - 1, new int[0], 0);
+        byte[] whole = out.end();
+        Kept kept = new Kept();
+        assertEquals("form", Datagram.read(100, whole, whole.length, 4, kept));
+        assertTrue(kept.said.isEmpty());
+    }
 }
