Partial answers leave before the goal, wide queries start in part, one part scouts

Taken for granted: no deployment had a grade with a floor. A grade that may lack parts now starts when half of that finds no room; the rest follow. - One part whose launches were spent ended its query, though the floor was met: Query.spent. - Poison: one audit-report took 195 searchers along in 35 ms (age 0.72 s, a client's later try), several mixers that had seen no crash yet 10 each. Now one part goes first: the widest, later tries, all after a crash; a query dropped twice with nothing in (once, soon after such a one of its grade) is ended. Ruled out: the rests (they stay), cold budgets (ccc only after the mass deaths), the lists (no searcher was missing).

--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -28,8 +28,9 @@
     private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8, STALL = 5, BARE_FACTOR = 1.5; // room; looks
     private static final double HEAVY = 0.15, COLD_MARGIN = 0.8, COLD_LUCK = 0.7; // of parts; of cold budgets
     private static final double COPY_SHARE = 0.1, COPY_FREE = 5, RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // more
+    private static final double WIDE = 0.5, TRIFLE = 1e-4; // of the listed searchers; of a query's weight
     private static final double START_MOST = 0.45, MIXERS_FEW = 4; // of the client's time; twice ask nobody
-    private static final int ENOUGH = 8, BINS = 14, ASK_MOST = 32; // measurements believed; held while asking
+    private static final int ENOUGH = 8, BINS = 14, ASK_MOST = 32, DEADLY = 2; // believed; held; crashes
     private static final double HALVED_AT = 200, FASTEST = 100; // served parts a goal in the top bin of rates
 
     private final Host host;
@@ -48,7 +49,8 @@
     private final FoundAgain lasting;
     private final SlidingSum takes = new SlidingSum(), furtherLaunches = new SlidingSum();
     private double lastBatchAt, busy = BUSY_MOST, askAt = Double.POSITIVE_INFINITY;
-    private int failedAsks, mixers, tier;
+    private double crashedAt = Double.NEGATIVE_INFINITY; // when a connection was last lost under work
+    private int failedAsks, mixers, tier, ready;
     private boolean lookDue;
 
     public Logic(Host host, Host.Deployment given, SplittableRandom chance) {
@@ -101,11 +103,13 @@
             known.near = entry.zone().equals(given.zone());
         }
         cells.forEach(List::clear);
+        ready = 0;
         for (Searcher each : searchers.values()) {
             each.goneAt = each.stage != Host.Stage.GONE ? Double.POSITIVE_INFINITY
                 : Math.min(each.goneAt, host.now());
             if (each.stage == Host.Stage.READY) {
                 cells.get(each.cell).add(each);
+                ready++;
             }
         }
         turn++;
@@ -131,6 +135,9 @@
         live.add(query);
         // Danger: with a long goal the regular look comes too seldom to end a query in time.
         host.timer(Math.max(given.tick(), query.stopAt - host.now()), 1);
+        if (query.grade.terms.leastShare() < query.grade.terms.wholeFrom()) {
+            host.timer(Math.max(given.tick(), query.partlyAt() - host.now()), 1);
+        }
         return query;
     }
 
@@ -143,9 +150,10 @@
     }
 
     /** The ordinary path of a query: group its parts by holders, each group to the holder of lowest score,
-     *  launch all together; if one finds no room, all are held, as no work may go to what is declined. */
+     *  launch all together; if one finds no room, all are held, as no work may go to what is declined. Where
+     *  an answer may lack parts, half of that may find no room yet; they follow when they do. */
     private boolean start(Query query, boolean reserve) {
-        if (!reserve && lacks(query, true)) {
+        if (!reserve && !query.startable()) {
             return false; // Danger: planning all held queries anew each batch took most of a mixer's time.
         }
         Map<Integer, List<Part<Query, Searcher>>> groups = new LinkedHashMap<>();
@@ -165,7 +173,13 @@
                 plan.put(group, best);
             }
         }
-        if (plan.size() < groups.size()) {
+        double missing = 0;
+        for (List<Part<Query, Searcher>> group : groups.values()) {
+            for (Part<Query, Searcher> part : group) {
+                missing += plan.containsKey(group) ? 0 : part.weight;
+            }
+        }
+        if (!query.started() && missing > query.mayMiss() / 2) {
             // Danger: under overload narrow queries take piece by piece the room that a wide one needs; so
             // the first by value keeps what it found this turn. Harm: idle room; not done within one grade.
             if (reserve) {
@@ -177,9 +191,15 @@
             return false;
         }
         plan.forEach((group, each) -> each.planned -= group.size());
-        query.startedAt = host.now();
-        plan.forEach((group, searcher) -> group.forEach(part -> launch(part, searcher)));
-        return true;
+        query.startedAt = query.started() ? query.startedAt : host.now();
+        query.scouting = query.scouts();
+        for (Map.Entry<List<Part<Query, Searcher>>, Searcher> each : plan.entrySet()) {
+            each.getKey().forEach(part -> launch(part, each.getValue()));
+            if (query.scouting) {
+                return true; // Nothing more before its answer, or the next look finds that time runs short.
+            }
+        }
+        return plan.size() == groups.size();
     }
 
     /** The lowest score among the holders fit to take so many parts now; null if there is none. */
@@ -205,15 +225,13 @@
             && holders(part.shard).stream().noneMatch(Searcher::sound));
     }
 
-    /** Whether a part still to be launched has no holder at all, or none fit to take it now. */
-    private boolean lacks(Query query, boolean fit) {
+    /** Whether so many shards have no holder at all that no answer could be given. */
+    private boolean lacks(Query query) {
+        double weight = 0;
         for (Part<Query, Searcher> part : query.parts.values()) {
-            if (part.launches.isEmpty() && !part.done
-                && (fit ? !anyFit(part) : holders(part.shard).isEmpty())) {
-                return true;
-            }
+            weight += part.launches.isEmpty() && holders(part.shard).isEmpty() ? part.weight : 0;
         }
-        return false;
+        return weight > query.mayMiss();
     }
 
     /** Whether any holder may take a part never launched: once a turn, unless a lot decides. */
@@ -273,8 +291,8 @@
                 continue;
             }
             // What cannot be fulfilled in time is declined before work or half the client's time is spent.
-            if (now + query.grade.runTime() > Math.min(query.goalAt, query.stopAt) || now > query.startBy
-                || lacks(query, false)) {
+            if (!query.started() && (now + query.grade.runTime()
+                > Math.min(query.goalAt, query.stopAt) || now > query.startBy || lacks(query))) {
                 query.lost();
             } else if (start(query, overload && !reserved)) {
                 held.remove(query);
@@ -331,9 +349,12 @@
         }
         mayLaunchFurther(true); // lets both sums forget what is older than their window
         for (Query query : List.copyOf(live)) {
-            if (now >= query.usefulEnd() || (now >= query.goalAt && query.mayAnswerPartly())) {
+            if (now >= query.usefulEnd() || (now >= query.partlyAt() && query.mayAnswerPartly())) {
                 query.lost();
-            } else if (query.startedAt > Double.NEGATIVE_INFINITY) {
+            } else if (query.started()) {
+                if (query.scouting && !query.scouts()) {
+                    query.scouted();
+                }
                 long overdue = query.overdueParts();
                 query.parts.values().forEach(part -> tend(part, overdue));
             }
@@ -356,13 +377,13 @@
     private void tend(Part<Query, Searcher> part, long overdue) {
         Query query = part.query;
         double now = host.now();
-        if (part.done || query.ended) {
+        if (part.done || part.spent || query.ended || part.launches.isEmpty()) {
             return;
         }
         if (part.out == 0) {
             Searcher next = mayLaunchFurther(true) ? choose(part, 1) : null;
             if (part.launches.size() >= given.mostLaunches() || !mayRepeat(part)) {
-                query.lost();
+                query.spent(part);
             } else if (next != null && query.usefulEnd() - now > Math.max(next.r, next.s())) {
                 launch(part, next);
             }
@@ -583,7 +604,7 @@
     private final class GradeRow {
         final Host.GradeTerms terms;
         final CoarseTimes answerTimes, runTimes;
-        double longestTtl;
+        double longestTtl, deadlyUntil;
 
         GradeRow(Host.GradeTerms terms) {
             this.terms = terms;
@@ -622,10 +643,11 @@
         private final String id;
         private final GradeRow grade;
         private final double takenAt, goalAt, stopAt, startBy, lot = chance.nextDouble();
-        private double startedAt = Double.NEGATIVE_INFINITY, weightIn, askAgainAt, worth;
+        private double startedAt = Double.NEGATIVE_INFINITY, weightIn, weightSpent, askAgainAt, worth;
         private final Map<String, Part<Query, Searcher>> parts = new LinkedHashMap<>();
-        private int awaited, out, in, step = 1;
-        private boolean ended;
+        private int awaited, out, in, step = 1, crashes, spent;
+        private final boolean later;
+        private boolean ended, scouting;
 
         private Query(String id, GradeRow grade, double ttl, int parts, double workHint, boolean again) {
             this.id = id;
@@ -638,7 +660,7 @@
             // told by less time than first tries have. Danger: a client in haste looks alike.
             grade.longestTtl = Math.max(grade.longestTtl, ttl);
             double hardStop = grade.terms.hardStop();
-            boolean later = given.marksRetries() ? again : ttl < grade.longestTtl - LATER_TRY * hardStop;
+            later = given.marksRetries() ? again : ttl < grade.longestTtl - LATER_TRY * hardStop;
             goalAt = takenAt - (later ? hardStop - ttl : 0) + Math.min(hardStop, grade.terms.goal(workHint));
         }
 
@@ -685,8 +707,13 @@
                         mine.done = true;
                         in++;
                         weightIn += mine.weight;
+                        if (scouting) {
+                            scouted();
+                        }
                         if (in == parts.size() || (step == 1 && weightIn >= grade.terms.wholeFrom())) {
                             finish(true);
+                        } else if (in + spent == parts.size()) {
+                            lost();
                         }
                     }
                 }
@@ -702,10 +729,19 @@
                     if (!waited || searcher.answeredSentAt <= launch.sentAt) {
                         searcher.failed(ending);
                     }
+                    if (ending == Host.Ending.DROPPED) {
+                        crashes++;
+                        crashedAt = host.now();
+                    }
                 }
             }
             host.saw(searcher.id, searcher.r, searcher.queue, searcher.failures);
-            if (!ended && !mine.done) {
+            if (!ended && in == 0 && crashes >= (host.now() < grade.deadlyUntil ? 1 : DEADLY)) {
+                // Danger: a query that brings down each searcher that begins it takes one more each launch.
+                // Covers all that ends connections under work. Harm: one caught in two others' crashes.
+                grade.deadlyUntil = host.now() + given.rules().coldTime();
+                lost();
+            } else if (!ended && !mine.done) {
                 tend(mine, overdueParts());
             }
         }
@@ -722,6 +758,63 @@
             return ended && out == 0; // nothing more can be told of it
         }
 
+        private boolean started() {
+            return startedAt > Double.NEGATIVE_INFINITY;
+        }
+
+        /** The weight that an answer may lack, with what rounding takes. */
+        private double mayMiss() {
+            return 1 - grade.terms.leastShare() + TRIFLE;
+        }
+
+        /** Whether enough parts have a holder that may take one now; of a started query any will do. */
+        private boolean startable() {
+            double missing = 0;
+            for (Part<Query, Searcher> part : parts.values()) {
+                if (part.launches.isEmpty() && !part.done) {
+                    boolean fit = anyFit(part);
+                    if (started() && fit) {
+                        return true;
+                    }
+                    missing += fit ? 0 : part.weight;
+                }
+            }
+            return !started() && missing <= mayMiss() / 2;
+        }
+
+        /**
+         * Whether one part goes first and the rest wait for its answer, or until it is overdue. Danger: some
+         * queries bring down every searcher that begins them, and a wide one takes half of the fleet along at
+         * once; so the widest, clients' later tries, and all after a crash. Harm: an answer's time later; no
+         * use against what shows only in some parts.
+         */
+        private boolean scouts() {
+            boolean alarm = host.now() < crashedAt + given.rules().coldTime();
+            boolean wide = parts.size() > Math.max(ENOUGH, WIDE * ready);
+            return in == 0 && parts.size() > 1 && step == 1
+                && (alarm || later || (wide && overdueParts() == 0));
+        }
+
+        private void scouted() {
+            scouting = false;
+            held.add(this);
+        }
+
+        /** No launch of this part is left: the query goes on while the others can make an answer. */
+        private void spent(Part<Query, Searcher> part) {
+            part.spent = true;
+            spent++;
+            weightSpent += part.weight;
+            if (weightSpent > mayMiss() || in + spent == parts.size()) {
+                lost();
+            }
+        }
+
+        /** Just before the goal. Danger: given at the goal, a partial answer comes to its client after it. */
+        private double partlyAt() {
+            return goalAt - 4 * given.tick();
+        }
+
         private double usefulEnd() {
             return grade.terms.lateValue() > 0 || mayAnswerPartly() ? stopAt : Math.min(goalAt, stopAt);
         }
@@ -763,14 +856,17 @@
             boolean harmless = grade.terms.repeat() == Host.Repeat.IDEMPOTENT || parts.values().stream()
                 .allMatch(part -> part.launches.stream().allMatch(launch -> launch.neverRan));
             if (harmless) {
-                double advice = Math.min(given.longestAdvice(), REST * goal);
-                host.decline(id, given.mayAdvise() ? advice : 0);
+                host.decline(id, given.mayAdvise() ? advice() : 0);
             } else {
                 host.giveUp(id);
             }
             end();
         }
 
+        private double advice() {
+            return Math.min(given.longestAdvice(), REST * goal);
+        }
+
         private void end() {
             ended = true;
             live.remove(this);
--- a/core/src/main/java/pinewick/Part.java
+++ b/core/src/main/java/pinewick/Part.java
@@ -12,6 +12,8 @@
     final List<Launch<S>> launches = new ArrayList<>();
     int out;
     boolean done;
+    /** No launch of it is left. */
+    boolean spent;
 
     Part(Q query, String id, int shard, double weight) {
         this.query = query;
--- a/core/src/test/java/pinewick/FakeHost.java
+++ b/core/src/test/java/pinewick/FakeHost.java
@@ -20,6 +20,7 @@
     double leastShare = 1;
     double callWork;
     int mixers = 2;
+    int cells = 1;
     long seed = 7;
     double longestWait;
     double advice;
@@ -33,7 +34,7 @@
             0.9, 0);
         Host.GradeTerms rich = new Host.GradeTerms("rich", 2, 0, 8, 10, 0, Host.Repeat.IDEMPOTENT, 0, 1, 1, 0, 0);
         logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade, rich), rules,
-            mustAsk, probing, true, overlap, true, marksRetries, 1, 4, 1, 1, callWork > 0 ? 16 : 1, callWork),
+            mustAsk, probing, true, overlap, true, marksRetries, 1, 4, cells, 1, callWork > 0 ? 16 : 1, callWork),
             new SplittableRandom(seed));
         list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
         return this;
@@ -47,6 +48,11 @@
         logic.list(form, entries);
     }
 
+    /** News of one searcher, alone in its cell. */
+    void listAt(String name, int cell) {
+        logic.list(Host.ListForm.CHANGES, List.of(new Host.Listing(name, cell, "near", Host.Stage.READY, 0)));
+    }
+
     /** Takes a query of so many parts, named q-0, q-1, ..., and ends the batch. */
     Logic.Query take(String query, int parts) {
         return take(query, parts, 8);
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -682,4 +682,91 @@
         host.take("s", 1);
         assertEquals(where, host.where("s-0"), "its own answer came after the warning");
     }
+
+    @Test
+    void aPartialAnswerIsGivenBeforeTheGoalNotJustAfterIt() {
+        host.leastShare = 0.5;
+        host.overlap = false;
+        host.open("a", "b");
+        Logic.Query query = host.take("q", 3);
+        double taken = host.clock;
+        host.ends(query, "q-0", 0, Ending.FULFILLED, 0.1);
+        host.ends(query, "q-1", 0, Ending.FULFILLED, 0.1);
+        while (host.count("assemble q part") == 0 && host.clock < taken + 8) {
+            host.clock += 0.005;
+            host.logic.ring(1);
+            host.logic.endOfBatch();
+        }
+        assertTrue(host.clock < taken + 2, "given " + (host.clock - taken) + " s after it came, its goal is 2 s");
+        assertEquals(1, host.count("timer 1 in 1.9"), "by its own timer, not the next regular look");
+    }
+
+    @Test
+    void aQueryThatMayLackPartsStartsWithoutHalfOfThemAndTheRestFollow() {
+        host.leastShare = 0.5;
+        host.cells = 8;
+        host.open();
+        host.listAt("a", 0);
+        host.listAt("b", 1);
+        host.listAt("c", 2);
+        host.take("q", 4);
+        assertEquals(3, host.count("launch q"), "a quarter has no holder, and half may be missing");
+        host.listAt("d", 3);
+        host.pass(0.02);
+        assertEquals("d", host.where("q-3"));
+    }
+
+    @Test
+    void aPartWithoutALaunchLeftDoesNotEndAQueryThatMayLackIt() {
+        host.leastShare = 0.5;
+        host.repeat = Host.Repeat.UNREPEATABLE;
+        host.open("a", "b", "c");
+        Logic.Query query = host.take("q", 4);
+        host.ends(query, "q-0", 0, Ending.ERROR, 0.1);
+        assertEquals(0, host.count("give up q") + host.count("assemble q"));
+        for (int part = 1; part < 4; part++) {
+            host.ends(query, "q-" + part, 0, Ending.FULFILLED, 0.1);
+        }
+        assertEquals(1, host.count("assemble q part"), "nothing more can come, so it is answered at once");
+    }
+
+    @Test
+    void aWideQueryThatBringsDownSearchersTakesTwoAlongNotAll() {
+        host.open("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
+        Logic.Query deadly = host.take("q", 10);
+        assertEquals(1, host.count("launch q"), "one part goes first");
+        host.ends(deadly, deadly(host), 0, Ending.DROPPED, 0.1);
+        assertEquals(2, host.count("launch q"));
+        host.ends(deadly, deadly(host), 1, Ending.DROPPED, 0.1);
+        assertEquals(2, host.count("launch q"));
+        assertEquals(1, host.count("decline q"), "no third searcher, and its answer at once");
+    }
+
+    @Test
+    void afterACrashOnePartGoesFirstAndTheRestFollowItsAnswerOrItsSilence() {
+        host.open("a", "b", "c");
+        Logic.Query crashed = host.take("p", 1);
+        host.ends(crashed, "p-0", 0, Ending.DROPPED, 0.1);
+        Logic.Query answered = host.take("q", 3);
+        assertEquals(1, host.count("launch q"));
+        host.ends(answered, deadly(host), 0, Ending.FULFILLED, 0.1);
+        assertEquals(3, host.count("launch q"));
+    }
+
+    @Test
+    void aScoutThatIsOverdueHoldsAWideQueryBackNoLonger() {
+        host.overlap = false;
+        host.open("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
+        host.take("q", 10);
+        host.pass(0.2);
+        assertEquals(1, host.count("launch q"));
+        host.pass(0.4);
+        assertEquals(10, host.count("launch q"), "silence is no crash");
+    }
+
+    /** The part of query q launched last. */
+    private static String deadly(FakeHost host) {
+        return host.said.stream().filter(line -> line.startsWith("launch q")).reduce((one, other) -> other)
+            .orElseThrow().split(" ")[1];
+    }
 }
