--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -160,8 +160,7 @@
         for (Part<Query, Searcher> part : query.parts.values()) {
             if (part.launches.isEmpty() && !part.done) {
                 // Where a call costs work, parts with the same holders share it, or they would pay twice.
-                boolean share = given.callSize() > 1 && given.callWork() > 0;
-                int key = share ? Math.floorMod(part.shard, given.cells()) : -1 - part.shard;
+                int key = callsCost() ? Math.floorMod(part.shard, given.cells()) : -1 - part.shard;
                 groups.computeIfAbsent(key, any -> new ArrayList<>()).add(part);
             }
         }
@@ -202,13 +201,20 @@
         return plan.size() == groups.size();
     }
 
+    private boolean callsCost() {
+        return given.callSize() > 1 && given.callWork() > 0;
+    }
+
     /** The lowest score among the holders fit to take so many parts now; null if there is none. */
     private Searcher choose(Part<Query, Searcher> part, int count) {
         Searcher best = null;
         double lowest = 0;
         for (Searcher each : holders(part.shard)) {
             if (fit(each, part, count)) {
-                double score = each.score(part);
+                // Where a call costs work, a part joins one of this turn for nothing, as other mixers see one
+                // call; another holder costs a call more. Harm: parts of one call wait for each other.
+                double score = !callsCost() ? each.score(part, each.planned)
+                    : each.score(part, 0) + (each.planned > 0 ? 0 : given.callWork());
                 if (best == null || score < lowest) {
                     best = each;
                     lowest = score;
@@ -392,7 +398,9 @@
         Launch<Searcher> latest = part.latest();
         // Danger: a heavy query's parts are all overdue, as in a jam, and each launch more is as heavy; so
         // with several overdue only one that failed is left. Harm: one that meets two ill searchers waits.
+        // And where the least share is in, one part more is worth little: copies are for those that need all.
         if (part.out > 1 || latest.over || latest.cancelled || now < latest.overdueAt
+            || (overdue > 1 && query.mayMiss() > TRIFLE && query.weightIn >= 1 - query.mayMiss())
             || (overdue > Math.max(1, HEAVY * query.parts.size()) && latest.searcher.failures == 0)
             || !mayRepeat(part) || part.launches.size() >= given.mostLaunches()
             || !mayLaunchFurther(!latest.searcher.sound())) {
@@ -447,7 +455,7 @@
         }
 
         /** The design's score. Departures: R and q fade when old, and overdue silence counts in R. */
-        double score(Part<Query, Searcher> part) {
+        double score(Part<Query, Searcher> part, int planned) {
             double now = host.now(), guess = FIRST_GUESS * part.query.grade.terms.latencyGoal();
             double heardOf = 0, meanR = 0, meanS = 0, meanQueue = 0;
             for (Searcher each : holders(part.shard)) {
--- a/core/src/test/java/pinewick/FakeHost.java
+++ b/core/src/test/java/pinewick/FakeHost.java
@@ -21,6 +21,7 @@
     double callWork;
     int mixers = 2;
     int cells = 1;
+    int reach = 1;
     long seed = 7;
     double longestWait;
     double advice;
@@ -34,7 +35,7 @@
             0.9, 0);
         Host.GradeTerms rich = new Host.GradeTerms("rich", 2, 0, 8, 10, 0, Host.Repeat.IDEMPOTENT, 0, 1, 1, 0, 0);
         logic = new Logic(this, new Host.Deployment(mixers, "near", 0.005, List.of(grade, rich), rules,
-            mustAsk, probing, true, overlap, true, marksRetries, 1, 4, cells, 1, callWork > 0 ? 16 : 1, callWork),
+            mustAsk, probing, true, overlap, true, marksRetries, 1, 4, cells, reach, callWork > 0 ? 16 : 1, callWork),
             new SplittableRandom(seed));
         list(Host.ListForm.CACHED, Host.Stage.READY, 0, names);
         return this;
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -764,6 +764,37 @@
         assertEquals(10, host.count("launch q"), "silence is no crash");
     }
 
+    @Test
+    void whereACallCostsWorkNeighbouringPartsJoinTheCallThatTheirTurnAlreadyMakes() {
+        host.callWork = 0.05;
+        host.cells = 6;
+        host.reach = 3;
+        host.mixers = 30;
+        host.open();
+        for (int cell = 2; cell < 5; cell++) {
+            host.listAt("s" + cell, cell);
+        }
+        host.take("q", 3);
+        long calls = host.said.stream().filter(line -> line.startsWith("launch q"))
+            .map(line -> line.split(" ")[2]).distinct().count();
+        assertEquals(1, calls, "the first part has one holder, which holds the others too");
+    }
+
+    @Test
+    void copiesAreNotSpentOnSeveralOverduePartsOnceTheLeastShareIsIn() {
+        host.leastShare = 0.5;
+        host.open("a", "b", "c", "d");
+        Logic.Query query = host.take("q", 8);
+        for (int part = 0; part < 6; part++) {
+            host.ends(query, "q-" + part, 0, Ending.FULFILLED, 0.1);
+        }
+        host.pass(1.2);
+        assertEquals(8, host.count("launch q"), "two are overdue and may be lacking");
+        host.ends(query, "q-6", 0, Ending.FULFILLED, 1.2);
+        host.pass(0.1);
+        assertEquals(9, host.count("launch q"), "the last one makes it whole");
+    }
+
     /** The part of query q launched last. */
     private static String deadly(FakeHost host) {
         return host.said.stream().filter(line -> line.startsWith("launch q")).reduce((one, other) -> other)
