--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -28,7 +28,7 @@
     private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8, STALL = 5, BARE_FACTOR = 1.5; // room; looks
     private static final double HEAVY = 0.15, COLD_MARGIN = 0.8, COLD_LUCK = 0.7; // of parts; of cold budgets
     private static final double COPY_SHARE = 0.1, COPY_FREE = 5, RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // more
-    private static final double WIDE = 0.5, TRIFLE = 1e-4; // of the listed searchers; of a query's weight
+    private static final double WIDE = 0.5, START_LACKS = 0.9, TRIFLE = 1e-4; // of listed searchers; weight
     private static final double START_MOST = 0.45, MIXERS_FEW = 4; // of the client's time; twice ask nobody
     private static final int ENOUGH = 8, BINS = 14, ASK_MOST = 32, DEADLY = 2; // believed; held; crashes
     private static final double HALVED_AT = 200, FASTEST = 100; // served parts a goal in the top bin of rates
@@ -151,7 +151,7 @@
 
     /** The ordinary path of a query: group its parts by holders, each group to the holder of lowest score,
      *  launch all together; if one finds no room, all are held, as no work may go to what is declined. Where
-     *  an answer may lack parts, half of that may find no room yet; they follow when they do. */
+     *  an answer may lack parts, most of that may find no room yet; they follow when they do. */
     private boolean start(Query query, boolean reserve) {
         if (!reserve && !query.startable()) {
             return false; // Danger: planning all held queries anew each batch took most of a mixer's time.
@@ -178,7 +178,7 @@
                 missing += plan.containsKey(group) ? 0 : part.weight;
             }
         }
-        if (!query.started() && missing > query.mayMiss() / 2) {
+        if (!query.started() && missing > START_LACKS * query.mayMiss()) {
             // Danger: under overload narrow queries take piece by piece the room that a wide one needs; so
             // the first by value keeps what it found this turn. Harm: idle room; not done within one grade.
             if (reserve) {
@@ -787,7 +787,7 @@
                     missing += fit ? 0 : part.weight;
                 }
             }
-            return !started() && missing <= mayMiss() / 2;
+            return !started() && missing <= START_LACKS * mayMiss();
         }
 
         /**
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -702,7 +702,7 @@
     }
 
     @Test
-    void aQueryThatMayLackPartsStartsWithoutHalfOfThemAndTheRestFollow() {
+    void aQueryThatMayLackPartsStartsWithoutMostOfThemAndTheRestFollow() {
         host.leastShare = 0.5;
         host.cells = 8;
         host.open();
@@ -710,7 +710,7 @@
         host.listAt("b", 1);
         host.listAt("c", 2);
         host.take("q", 4);
-        assertEquals(3, host.count("launch q"), "a quarter has no holder, and half may be missing");
+        assertEquals(3, host.count("launch q"), "a quarter has no holder, and half may be lacking");
         host.listAt("d", 3);
         host.pass(0.02);
         assertEquals("d", host.where("q-3"));
