--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -195,7 +195,7 @@
         for (Map.Entry<List<Part<Query, Searcher>>, Searcher> each : plan.entrySet()) {
             each.getKey().forEach(part -> launch(part, each.getValue()));
             if (query.scouting) {
-                return true; // Nothing more before its answer, or the next look finds that time runs short.
+                return true; // Nothing more before its answer; an overdue wide one is let go.
             }
         }
         return plan.size() == groups.size();
@@ -793,10 +793,10 @@
         }
 
         /**
-         * Whether one part goes first and the rest wait for its answer, or until it is overdue. Danger: some
-         * queries bring down every searcher that begins them, and a wide one takes half of the fleet along at
-         * once; so the widest, clients' later tries, and all after a crash. Harm: an answer's time later; no
-         * use against what shows only in some parts.
+         * Whether one part goes first and the rest wait for its answer; where only width asks for it, no
+         * longer than until it is overdue. Danger: some queries bring down every searcher that begins them,
+         * and a wide one takes half of the fleet along at once; so the widest, clients' later tries, and all
+         * after a crash. Harm: an answer's time later, more if it goes to a mute searcher after a crash.
          */
         private boolean scouts() {
             boolean alarm = host.now() < crashedAt + given.rules().coldTime();
