A cold searcher's lot follows the demand, so that the fleet's sum keeps its budget

At fault: hasColdBudget's lot (COLD_LUCK), which knew neither the demand nor how long this mixer has lived, and the median answer in place of the mean work that the rule counts.

The lot is now the mixer's share over the parts that came for this searcher (own count plus one, which keeps the mean of share over demand), in the time it has lived; the work is the histogram's mean.

--- a/core/src/main/java/pinewick/CoarseTimes.java
+++ b/core/src/main/java/pinewick/CoarseTimes.java
@@ -58,6 +58,15 @@
         return time;
     }
 
+    /** The mean of the times, each taken for the middle of its bin; one beyond the last edge for that edge. */
+    double mean() {
+        double sum = 0;
+        for (int bin = 0; bin < edges.length; bin++) {
+            sum += counts[bin] * (bin == 0 ? edges[0] / 2 : (edges[bin - 1] + edges[bin]) / 2);
+        }
+        return total == 0 ? 0 : sum / total;
+    }
+
     private double counted(double share) {
         double left = share * total;
         for (int bin = 0; bin < edges.length; bin++) {
--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -26,7 +26,7 @@
     private static final double NEWEST_WEIGHT = 0.3, PATIENCE_FACTOR = 1.5; // plain numbers: in R; of P95
     private static final double ASK_LEAST = 0.3, BUSY_WEIGHT = 0.05, BUSY_QUEUE = 0.15, BUSY_MOST = 3;
     private static final double ROOM_FIRST = 4, ROOM_CUT = 0.8, STALL = 5, BARE_FACTOR = 1.5; // room; looks
-    private static final double HEAVY = 0.15, COLD_MARGIN = 0.8, COLD_LUCK = 0.7; // of parts; of cold budgets
+    private static final double HEAVY = 0.15, COLD_MARGIN = 0.8; // of parts; of cold budgets
     private static final double COPY_SHARE = 0.1, COPY_FREE = 5, RUN_QUANTILE = 0.8, LATER_TRY = 0.02; // more
     private static final double WIDE = 0.5, START_LACKS = 0.9, TRIFLE = 1e-4; // of listed searchers; weight
     private static final double START_MOST = 0.45, MIXERS_FEW = 4; // of the client's time; twice ask nobody
@@ -36,11 +36,12 @@
     private final Host host;
     private final Host.Deployment given;
     private final SplittableRandom chance;
-    private final double goal;
+    private final double goal, openedAt;
     private final List<GradeRow> grades = new ArrayList<>();
     private final Map<String, Searcher> searchers = new LinkedHashMap<>();
     private final List<List<Searcher>> cells;
     private final List<List<Searcher>> holders = new ArrayList<>(); // of the shards that begin at each cell
+    private final List<SlidingSum> offers = new ArrayList<>(); // parts of the shards that begin there
     private final long[] askedOf; // the turn in which these had room for one part, or with a minus, had not
     private long turn = 1;
     private final LinkedHashSet<Query> live = new LinkedHashSet<>(), held = new LinkedHashSet<>();
@@ -65,11 +66,12 @@
         servedRates = new CoarseTimes(FASTEST / goal, 1.2, BINS * 2, HALVED_AT);
         cells = Stream.<List<Searcher>>generate(ArrayList::new).limit(given.cells()).toList();
         cells.forEach(any -> holders.add(new ArrayList<>()));
+        cells.forEach(any -> offers.add(new SlidingSum()));
         askedOf = new long[given.cells()];
         if (given.mustAsk()) {
             host.track(true);
         }
-        lastBatchAt = host.now();
+        lastBatchAt = openedAt = host.now();
         host.timer(SWEEP * goal, 0);
     }
 
@@ -271,7 +273,7 @@
         query.out++;
         searcher.out.add(launch);
         if (searcher.cold()) {
-            searcher.coldSpent.add(now, query.grade.answerTime(0.5) + given.callWork());
+            searcher.coldSpent.add(now, query.grade.meanWork());
         }
         host.launch(part.id, searcher.id, Math.max(given.tick(),
             Math.min(query.usefulEnd() - now, query.grade.terms.latencyGoal())));
@@ -419,6 +421,11 @@
         }
     }
 
+    /** Parts that came within a cold searcher's time for the shards that begin at that cell. */
+    private double offered(int first) {
+        return offers.get(first).since(host.now() - given.rules().coldTime());
+    }
+
     /** How long one part in a searcher's queue lasts. */
     private double drain() {
         return drainTimes.total() < ENOUGH ? FIRST_GUESS * goal / 2 : drainTimes.quantile(0.5);
@@ -537,15 +544,20 @@
             double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * warmth;
             double spent = coldSpent.since(host.now() - rules.fallTime());
             // One core at least; more where warm searchers were seen to serve parts faster than one does.
-            double work = query.grade.answerTime(0.5) + given.callWork();
+            double work = query.grade.meanWork();
             double cores = servedRates.total() < ENOUGH ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
             double most = COLD_MARGIN * rules.overloadFactor() * capacity * cores * rules.fallTime() / tier;
             if (most >= (count + planned) * work) {
                 return spent + (count + planned) * work <= most;
             }
-            // Danger: with many mixers a share is under one part; so a lot lets some in. Harm: they heap up.
+            // Danger: with many mixers a share is under one part; so a lot lets some in, by the share over the
+            // parts that came for this searcher, or their sum grows with the demand. Harm: seldom used by few.
+            double came = 1, seen = Math.min(rules.coldTime(), host.now() - openedAt);
+            for (int back = 0; back < given.reach(); back++) {
+                came += offered(Math.floorMod(cell - back, given.cells()));
+            }
             return spent == 0 && planned == 0 && out.isEmpty()
-                && query.lot < COLD_LUCK * rules.overloadFactor() * capacity / 2;
+                && query.lot * came < most / work * seen / rules.fallTime();
         }
 
         void heardReport(Host.LoadReport report) {
@@ -627,6 +639,10 @@
                 : answerTimes.quantile(share);
         }
 
+        double meanWork() {
+            return given.callWork() + (answerTimes.total() < ENOUGH ? answerTime(0.5) : answerTimes.mean());
+        }
+
         /** What a query should take from its start; bounded, or a jam would keep all out for good. */
         double runTime() {
             return Math.min(RUN_MOST * terms.latencyGoal(), Math.max(answerTime(0.75),
@@ -680,6 +696,8 @@
                 return;
             }
             takes.add(host.now(), 1);
+            offered(Math.floorMod(shard, given.cells()));
+            offers.get(Math.floorMod(shard, given.cells())).add(host.now(), 1);
             if (--awaited == 0 && !ended) {
                 held.add(this);
             }
