--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -543,21 +543,22 @@
             double warmth = Math.min(1, (from - startedAt) / rules.coldTime());
             double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * warmth;
             double spent = coldSpent.since(host.now() - rules.fallTime());
-            // One core at least; more where warm searchers were seen to serve parts faster than one does.
-            double work = query.grade.meanWork();
-            double cores = servedRates.total() < ENOUGH ? 1 : Math.max(1, servedRates.quantile(0.75) * work);
-            double most = COLD_MARGIN * rules.overloadFactor() * capacity * cores * rules.fallTime() / tier;
-            if (most >= (count + planned) * work) {
-                return spent + (count + planned) * work <= most;
-            }
-            // Danger: with many mixers a share is under one part; so a lot lets some in, by the share over the
-            // parts that came for this searcher, or their sum grows with the demand. Harm: seldom used by few.
-            double came = 1, seen = Math.min(rules.coldTime(), host.now() - openedAt);
+            // One core at least; more where warm searchers were seen to serve parts faster, or their queues
+            // to drain faster. Danger: answers' times hold waits, and alone tell of far too few.
+            double work = query.grade.meanWork(), seen = drainTimes.total() < ENOUGH ? 1 : work / drain();
+            seen = Math.max(seen, servedRates.total() < ENOUGH ? 1 : servedRates.quantile(0.75) * work);
+            double most = COLD_MARGIN * rules.overloadFactor() * capacity * Math.max(1, seen) / tier;
+            if (most * rules.fallTime() >= (count + planned) * work) {
+                return spent + (count + planned) * work <= most * rules.fallTime();
+            }
+            // Danger: with many mixers a share is under one part, so a lot lets some in, by the share over
+            // the parts that came for it, or their sum grows with the demand. Harm: seldom used by few.
+            double came = 1;
             for (int back = 0; back < given.reach(); back++) {
                 came += offered(Math.floorMod(cell - back, given.cells()));
             }
             return spent == 0 && planned == 0 && out.isEmpty()
-                && query.lot * came < most / work * seen / rules.fallTime();
+                && query.lot * came * work < most * Math.min(rules.coldTime(), host.now() - openedAt);
         }
 
         void heardReport(Host.LoadReport report) {
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -298,6 +298,26 @@
         assertTrue(sent[1] > sent[0], sent[0] + " and " + sent[1]);
     }
 
+    @Test
+    void aColdSearcherMayDoMoreWhereAnswersHoldWaitsAndQueuesDrainFast() {
+        long[] sent = new long[2];
+        for (int queued = 0; queued < 2; queued++) {
+            FakeHost each = new FakeHost().open("a", "b");
+            for (int query = 0; query < 12; query++) {
+                each.logic.probed("a", Ending.FULFILLED, new LoadReport(4 * queued, Double.NaN, Double.NaN, Double.NaN));
+                each.logic.probed("b", Ending.FULFILLED, new LoadReport(4 * queued, Double.NaN, Double.NaN, Double.NaN));
+                each.warmUp(1, 0.2);
+            }
+            each.list(ListForm.CHANGES, Stage.GONE, 0, "b");
+            each.list(ListForm.CHANGES, Stage.READY, each.clock, "a");
+            for (int query = 0; query < 10; query++) {
+                each.ends(each.take("q" + query, 1), "q" + query + "-0", 0, Ending.FULFILLED, 0.02);
+            }
+            sent[queued] = each.count("launch");
+        }
+        assertTrue(sent[1] > sent[0], "answers of 0.2 s behind four others: " + sent[1] + ", without: " + sent[0]);
+    }
+
     @Test
     void aQueryIsDeclinedOnceAWholeRunNoLongerFits() {
         host.open("a");
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -64,7 +64,6 @@
             awaitRegistry();
         } else {
             followPlatform();
-            listen();
         }
         joinFleet();
         housekeeping();
@@ -118,23 +117,37 @@
         }
     }
 
+    /**
+     * Danger: the list in the configuration may be old, and what the agent holds counts as told from a process's first
+     * moment; so the door opens when that was read, or when the agent can't be had and there is nothing to be told.
+     * Harm: a start beside an agent that says nothing takes two tries longer.
+     */
     private void followPlatform() {
         chain.list(orders.known(), Host.ListForm.CACHED);
-        listKnown = !orders.known().listings().isEmpty();
         watch = new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
             piece -> {
                 chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
-                listKnown = true;
-                ready();
+                serveByList();
             },
             () -> {
                 if (orders.deployment().mustAsk()) {
                     chain.route.list(Host.ListForm.FAILED, List.of());
                 }
+                if (watch.mayServeUnproven() && !orders.known().listings().isEmpty()) {
+                    serveByList();
+                }
             });
         watch.open();
     }
 
+    private void serveByList() {
+        listKnown = true;
+        if (listener == null && !leaving) {
+            listen();
+        }
+        ready();
+    }
+
     private void listen() {
         try {
             listener = worker.createStreamConnectionServer(orders.listen(),
@@ -146,6 +159,7 @@
             listener.resumeAccepts();
         } catch (IOException wrong) {
             log.say("EDGE_LISTEN: can't listen at " + orders.listen() + ": " + wrong.getMessage());
+            log.drain(limits.lastLines());
             Runtime.getRuntime().halt(2);
         }
     }
@@ -208,21 +222,51 @@
 
     private void leave() {
         log.say("stopping");
-        chain.door.leaves();
+        double latest = loop.now() + limits.stopMost();
+        chain.door.leaves(latest - limits.lastAnswer());
         if (fleet != null) {
             fleet.leave();
         }
-        loop.after(limits.frontNotice(), "closing the door", () -> {
+        loop.after(limits.frontNotice(), "closing the door", () -> closeDoor(latest, -1));
+    }
+
+    /**
+     * Danger: the listener's close resets the connections that the system has accepted for it and this program has not,
+     * as after it stood still. So it closes once a look has found none (the library's own thread accepts; a time-out
+     * gives it its turn). Harm: a crowd that goes on connecting holds the door open until half the time is up.
+     */
+    private void closeDoor(double latest, long accepted) {
+        loop.timeOut(0, "closing the door", () -> {
+            long now = chain.door.accepted();
+            if (now != accepted && loop.now() < latest - limits.stopMost() / 2) {
+                closeDoor(latest, now);
+                return;
+            }
+            acceptTheLast();
             IoUtils.safeClose(listener);
-            finish(loop.now() + limits.stopMost());
+            finish(latest);
         });
     }
 
+    /** Takes what the library has accepted and not handed on yet. */
+    private void acceptTheLast() {
+        try {
+            StreamConnection last = listener == null ? null : listener.accept();
+            while (last != null) {
+                chain.door.handleEvent(last);
+                last = listener.accept();
+            }
+        } catch (IOException none) {
+            log.say(Log.Level.WARNING, "mixer", "accepting the last connections: " + none.getMessage());
+        }
+    }
+
+    /** Ends once nobody waits for an answer and every connection is closed, which its last bytes come before. */
     private void finish(double latest) {
         chain.door.closeIdle();
         if ((chain.queries.awaiting() == 0 && chain.door.connections() == 0) || loop.now() >= latest) {
             log.say("stopped; " + chain.figures().replace('\n', ';'));
-            System.err.flush();
+            log.drain(limits.lastLines());
             Runtime.getRuntime().exit(0);
         }
         loop.after(limits.housekeeping() / 10, "ending", () -> finish(latest));
--- a/daemon/src/main/java/pinewick/loop/Log.java
+++ b/daemon/src/main/java/pinewick/loop/Log.java
@@ -2,6 +2,9 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -11,7 +14,13 @@
     /** How grave a line is. */
     public enum Level { DEBUG, INFO, WARNING, ERROR }
 
+    /** So many lines wait for a reader of the log that stands still; further ones are left out and counted. */
+    private static final int LINES = 256;
+
     private final PrintStream out;
+    private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(LINES);
+    private volatile boolean writing;
+    private Thread writer;
     private final int mostASecond;
     private long second;
     private int written;
@@ -49,9 +58,44 @@
         write(now, level, component, text.replace('\n', ' '), fields);
     }
 
-    /** Writes one line; the rate has been seen to. */
+    /**
+     * Hands one line to the thread that writes; the rate has been seen to. Danger: a full pipe, whose reader stands
+     * still, would stop the loop at its next line, and with it every query and the exit. Harm: lines are left out then.
+     */
     protected void write(long nowMillis, Level level, String component, String text, String... fields) {
-        out.println(Instant.ofEpochMilli(nowMillis) + " " + text);
+        if (writer == null) {
+            writer = new Thread(this::writes, "pinewick log");
+            writer.setDaemon(true);
+            writer.start();
+        }
+        if (!lines.offer(Instant.ofEpochMilli(nowMillis) + " " + text)) {
+            dropped++;
+        }
+    }
+
+    private void writes() {
+        try {
+            while (true) {
+                String line = lines.take();
+                writing = true;
+                out.println(line);
+                writing = false;
+            }
+        } catch (InterruptedException over) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits until all lines are written, so long at most; for the end of the program. */
+    public void drain(double seconds) {
+        long until = System.nanoTime() + (long) (seconds * 1e9);
+        try {
+            while ((writing || !lines.isEmpty()) && System.nanoTime() < until) {
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+        } catch (InterruptedException over) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** What the libraries log goes here too: warnings and worse, a line each without its trace. */
@@ -70,12 +114,12 @@
 
             @Override
             public void flush() {
-                out.flush();
+                // Each line is written out at once, by a thread that may wait for its reader.
             }
 
             @Override
             public void close() {
-                out.flush();
+                flush();
             }
         });
     }
--- a/daemon/src/main/java/pinewick/loop/Loop.java
+++ b/daemon/src/main/java/pinewick/loop/Loop.java
@@ -22,6 +22,7 @@
     private final Runnable closing = this::close;
     private boolean inBatch;
     private double now = startedAt;
+    private double lookedBefore = startedAt;
     private long faults;
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(16 << 10);
 
@@ -48,6 +49,11 @@
         return now;
     }
 
+    /** What is read in this batch came after this time, when the sockets had been looked at before. */
+    public double lookedBefore() {
+        return lookedBefore;
+    }
+
     /** The clock itself, for what is written late in a batch. */
     public double clock() {
         return startedAt + (System.nanoTime() - startedNanos) / 1e9;
@@ -70,6 +76,7 @@
         }
         if (!inBatch) {
             inBatch = true;
+            lookedBefore = now;
             now = clock();
             thread.execute(closing);
         }
--- a/daemon/src/main/java/pinewick/memory/LiveLaunch.java
+++ b/daemon/src/main/java/pinewick/memory/LiveLaunch.java
@@ -9,6 +9,8 @@
     public final String searcher;
     public final double sentAt;
     public final double until;
+    /** Its first byte goes out before this time or never. */
+    public double writeBy = Double.POSITIVE_INFINITY;
     public XnioExecutor.Key timer;
     /** The call that carries it, from when one was found. */
     public Call call;
--- a/daemon/src/main/java/pinewick/memory/OpenQuery.java
+++ b/daemon/src/main/java/pinewick/memory/OpenQuery.java
@@ -13,6 +13,11 @@
     public interface Asker {
         /** The one final answer; {@code retryAfter} 0 gives no advice. */
         void answer(int status, double retryAfter, byte[] body);
+
+        /** Looks whether it still waits; one that has left ends its query. */
+        default boolean stillThere() {
+            return true;
+        }
     }
 
     /** One part, with its launches in the order in which they were made and its value once that is in. */
@@ -37,6 +42,8 @@
     public final double ttl;
     public final String key;
     public final Asker asker;
+    /** When its client was last seen to wait. */
+    public double seenAt;
     public final Map<String, Piece> pieces = new LinkedHashMap<>();
     public byte[] text = new byte[0];
     public double workHint;
--- a/daemon/src/main/java/pinewick/stages/Book.java
+++ b/daemon/src/main/java/pinewick/stages/Book.java
@@ -112,6 +112,27 @@
         }
     }
 
+    @Override
+    public boolean mayBegin(LiveLaunch launch) {
+        return send.mayBegin(launch);
+    }
+
+    @Override
+    public void unsent(List<LiveLaunch> launches) {
+        launches.forEach(each -> loop.guarded("a launch unsent", () -> ended(each, Host.Ending.MOOT, null)));
+    }
+
+    @Override
+    public void notUp(SearcherLink link, List<LiveLaunch> launches) {
+        counters.add("connections-late");
+        if (!launches.isEmpty()) {
+            log.say(Log.Level.WARNING, "searchers", "connection to " + link.searcher()
+                + " is not up in time; not connected " + launches.size(), "searcher", link.searcher());
+        }
+        launches.forEach(each -> loop.guarded("a launch not connected",
+            () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
+    }
+
     @Override
     public void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps) {
         searchers.remove(link);
--- a/daemon/src/main/java/pinewick/stages/Send.java
+++ b/daemon/src/main/java/pinewick/stages/Send.java
@@ -13,6 +13,7 @@
 import pinewick.memory.Carrier;
 import pinewick.memory.Counters;
 import pinewick.memory.LiveLaunch;
+import pinewick.memory.OpenQuery;
 import pinewick.memory.Searchers;
 import pinewick.wire.SearcherLink;
 
@@ -82,18 +83,39 @@
 
     /**
      * Danger: a repeat of a deduplicated part, launched inside its window, may wait for a connection until past it,
-     * and then its effect would happen twice. So it is taken back in time. Also catches a searcher that does not
-     * read. Harm: none, the decisions may launch it no more either.
+     * and then its effect would happen twice. So it is taken back in time, and not begun after it. Also catches a
+     * searcher that does not read. Harm: none, the decisions may launch it no more either.
      */
     private void writeInWindow(LiveLaunch launch) {
         Host.GradeTerms grade = given.grades().get(launch.piece.query.grade);
         if (grade.repeat() == Host.Repeat.DEDUPLICATED && launch.number > 0) {
             launch.piece.launches.stream().filter(each -> each != launch && !each.neverRan).findFirst()
-                .ifPresent(first -> loop.after(first.sentAt + grade.repeatWindow() - given.tick() - loop.clock(),
-                    "the end of a window", () -> takeBack(launch, Host.Ending.MOOT)));
+                .ifPresent(first -> {
+                    launch.writeBy = first.sentAt + grade.repeatWindow() - given.tick();
+                    loop.after(launch.writeBy - loop.clock(), "the end of a window",
+                        () -> takeBack(launch, Host.Ending.MOOT));
+                });
         }
     }
 
+    /**
+     * Whether a launch may begin at this moment: asked right before its first byte. Danger: between the decision and
+     * the byte lie a dial, a long batch or timers that ring before the sockets are looked at, and in that time the
+     * client may have left or a window have ended. Harm: a read for each launch of a query not seen for a moment.
+     */
+    boolean mayBegin(LiveLaunch launch) {
+        OpenQuery query = launch.piece.query;
+        double now = loop.clock();
+        if (!launch.over && !query.ended && now - query.seenAt > limits.unseen() && query.asker.stillThere()) {
+            query.seenAt = now;
+        }
+        if (!launch.over && !query.ended && now >= launch.writeBy) {
+            takeBack(launch, Host.Ending.MOOT);
+            return false;
+        }
+        return !launch.over && !query.ended;
+    }
+
     /** A connection with a place: one that is up before one that is not yet, else a new one; null at limits. */
     private Carrier link(String searcher) {
         Carrier best = null;
--- a/daemon/src/main/java/pinewick/stages/TakeIn.java
+++ b/daemon/src/main/java/pinewick/stages/TakeIn.java
@@ -29,6 +29,7 @@
     private final Book book;
     private final Pressure pressure;
     private final Loop loop;
+    private double lastEnd = Double.POSITIVE_INFINITY;
     private final Map<String, Integer> gradeRows = new HashMap<>();
 
     public TakeIn(Host.Deployment given, Limits limits, Counters counters, Admit admit, Book book,
@@ -56,6 +57,13 @@
         boolean keyed = given.grades().get(grade).repeat() == Host.Repeat.DEDUPLICATED;
         String key = keyed ? header(headers, KEY) : null;
         OpenQuery query = new OpenQuery(id, grade, ttl, key, asker);
+        query.seenAt = loop.now();
+        if (loop.now() + ttl > lastEnd) {
+            // Danger: a request taken while leaving that can't end before the exit would be lost with its effects.
+            counters.add("turned-away-leaving");
+            admit.turnAway(query, given.mayAdvise() ? pressure.comeBack() : 0);
+            return query;
+        }
         if (pressure.turnsAway(loop.now(), given.grades().get(grade).value())) {
             // Before the body is parsed: what can't be served in time should cost as little as it can.
             counters.add("turned-away-behind");
@@ -71,6 +79,11 @@
         return query;
     }
 
+    @Override
+    public void leavesBy(double time) {
+        lastEnd = time;
+    }
+
     @Override
     public void withdrawn(OpenQuery query) {
         book.withdrawn(query);
--- a/daemon/src/main/java/pinewick/wire/ClientDoor.java
+++ b/daemon/src/main/java/pinewick/wire/ClientDoor.java
@@ -2,7 +2,6 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -30,8 +29,6 @@
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSourceChannel;
-import org.xnio.conduits.ConduitStreamSourceChannel;
-import org.xnio.conduits.StreamSourceConduit;
 import pinewick.loop.Limits;
 import pinewick.loop.Loop;
 import pinewick.memory.OpenQuery;
@@ -42,6 +39,9 @@
     public interface Taker {
         OpenQuery take(HttpServerExchange request, byte[] body, OpenQuery.Asker asker);
 
+        /** Takes nothing from now on that could end after this time. */
+        void leavesBy(double time);
+
         void withdrawn(OpenQuery query);
 
         /** Counts it; the kind of what is wrong stands before the colon. */
@@ -61,6 +61,7 @@
     private Taker taker;
     private boolean ready;
     private boolean leaving;
+    private long accepted;
 
     public ClientDoor(Loop loop, Limits limits, ByteBufferPool buffers, Supplier<String> counters) {
         this.loop = loop;
@@ -83,20 +84,31 @@
         ready = now;
     }
 
+    /** Connections accepted so far. */
+    public long accepted() {
+        return accepted;
+    }
+
     public int connections() {
         return guests.size();
     }
 
-    /** From now on every answer is the last on its connection. */
-    public void leaves() {
+    /** From now on every answer is the last on its connection, and all have to be given by this time. */
+    public void leaves(double by) {
         ready = false;
         leaving = true;
+        if (taker != null) {
+            taker.leavesBy(by);
+        }
     }
 
-    /** Closes the connections that stand between two requests. */
+    /** Ends the connections that stand between two requests; new ones get a moment for their first. */
     public void closeIdle() {
         for (Guest guest : List.copyOf(guests.values())) {
-            if (guest.stage() == Guest.Stage.BETWEEN || guest.stage() == Guest.Stage.SILENT) {
+            if (!guest.connection.isOpen()) {
+                guests.remove(guest.connection);
+            } else if (guest.stage() == Guest.Stage.BETWEEN
+                || (guest.stage() == Guest.Stage.SILENT && guest.age() > limits.lastWords())) {
                 closeIfEmpty(guest);
             }
         }
@@ -113,6 +125,7 @@
             for (int each = 0; each < 4 && guests.size() >= most; each++) {
                 makeRoom();
             }
+            accepted++;
             guests.put(connection, new Guest(connection, loop));
             undertow.handleEvent(connection);
         });
@@ -156,13 +169,17 @@
         return guests.size() > limits.clientSockets() / limits.crowdedPart();
     }
 
+    /** What comes between this look and the close is read and thrown away: its client asks again, as it got no answer. */
     private void closeIfEmpty(Guest guest) {
         if (guest.empty()) {
-            IoUtils.safeClose(guest.connection);
-            guests.remove(guest.connection);
+            end(guest, "");
         }
     }
 
+    private void end(Guest guest, String lastWords) {
+        guest.end(lastWords, limits.lastWords(), limits.discardBytes(), () -> guests.remove(guest.connection));
+    }
+
     /** Forgets connections that are closed and ends those that wait for nothing; to be called now and then. */
     public void look() {
         for (Guest guest : List.copyOf(guests.values())) {
@@ -183,24 +200,13 @@
         reading.removeIf(each -> !each.guest.connection.isOpen());
     }
 
-    /** The last answer on a connection that nothing more is read from; closed once that can have been read. */
+    /** The last answer on a connection that nothing more is taken from. */
     private void turnOut(Guest guest, String status, String why) {
         if (guest.stage() == Guest.Stage.LEAVING) {
             return;
         }
-        guest.becomes(Guest.Stage.LEAVING);
         said(why);
-        guest.connection.getSourceChannel().suspendReads();
-        try {
-            guest.connection.getSinkChannel().getConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status
-                + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
-        } catch (IOException gone) {
-            // Nobody is left to tell.
-        }
-        loop.after(limits.lastWords(), "closing after the last words", () -> {
-            IoUtils.safeClose(guest.connection);
-            guests.remove(guest.connection);
-        });
+        end(guest, "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     }
 
     private void said(String why) {
@@ -227,9 +233,15 @@
         guest.asked = true;
         guest.becomes(Guest.Stage.ARRIVING);
         exchange.addExchangeCompleteListener((done, next) -> {
-            guest.becomes(Guest.Stage.BETWEEN);
+            guest.becomes(done.isPersistent() ? Guest.Stage.BETWEEN : Guest.Stage.LEAVING);
             if (!connection.isOpen()) {
                 guests.remove(connection);
+            } else if (!done.isPersistent()) {
+                // Undertow shuts the output and reads on for the client's close, but for ten seconds.
+                loop.after(limits.lastWords(), "closing after the last answer", () -> {
+                    IoUtils.safeClose(connection);
+                    guests.remove(connection);
+                });
             }
             next.proceed();
         });
@@ -326,7 +338,7 @@
                         channel.suspendReads();
                         reading.remove(this);
                         guest.becomes(Guest.Stage.ASKED);
-                        take(exchange, bytes.toByteArray());
+                        take(exchange, guest, bytes.toByteArray());
                         return;
                     }
                     if (bytes.size() + count > limits.bodyBytes()) {
@@ -356,12 +368,12 @@
         }
     }
 
-    private void take(HttpServerExchange exchange, byte[] body) {
+    private void take(HttpServerExchange exchange, Guest guest, byte[] body) {
         if (taker == null) {
             refuse(exchange, 500, "early: not serving yet");
             return;
         }
-        Waiting waiting = new Waiting(exchange);
+        Waiting waiting = new Waiting(exchange, guest);
         try {
             OpenQuery query = taker.take(exchange, body, waiting);
             if (!waiting.answered) {
@@ -395,55 +407,44 @@
     private final class Waiting implements OpenQuery.Asker {
         private final HttpServerExchange exchange;
         private final HttpServerConnection connection;
-        private final StreamSourceConduit raw;
+        private final Guest guest;
         private OpenQuery query;
         private boolean answered;
 
-        Waiting(HttpServerExchange exchange) {
+        Waiting(HttpServerExchange exchange, Guest guest) {
             this.exchange = exchange;
+            this.guest = guest;
             connection = (HttpServerConnection) exchange.getConnection();
-            raw = connection.getOriginalSourceConduit();
         }
 
         /** Undertow reads nothing between a request and its answer; a client that leaves shows only there. */
         void watch(OpenQuery asked) {
             query = asked;
-            if (connection.getExtraBytes() == null) {
-                ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
-                channel.setReadListener(any -> loop.event("a client's connection", this::readable));
-                raw.resumeReads();
-            }
+            connection.getChannel().getSourceChannel()
+                .setReadListener(any -> loop.event("a client's connection", this::stillThere));
+            guest.listen();
         }
 
-        private void readable() {
+        @Override
+        public boolean stillThere() {
             if (answered) {
-                return;
+                return true;
             }
-            PooledByteBuffer buffer = buffers.allocate();
-            boolean kept = false;
-            try {
-                int count = raw.read(buffer.getBuffer());
-                if (count > 0) {
-                    // The next request, ahead of time: Undertow gets it after the answer.
-                    raw.suspendReads();
-                    buffer.getBuffer().flip();
-                    connection.ungetRequestBytes(buffer);
-                    kept = true;
-                } else if (count < 0) {
-                    gone();
-                }
-            } catch (IOException broken) {
-                gone();
-            } finally {
-                if (!kept) {
-                    buffer.close();
+            switch (guest.look(limits.headerBytes())) {
+                case GONE -> gone();
+                case FLOOD -> {
+                    answered = true;
+                    turnOut(guest, "413 Payload Too Large", "flood: much sent ahead of an answer");
+                    taker.withdrawn(query);
                 }
+                default -> { }
             }
+            return !answered;
         }
 
         private void gone() {
             answered = true;
-            raw.suspendReads();
+            guest.suspendReads();
             IoUtils.safeClose(connection);
             guests.remove(connection.getChannel());
             taker.withdrawn(query);
@@ -455,7 +456,7 @@
                 return;
             }
             answered = true;
-            raw.suspendReads();
+            guest.suspendReads();
             if (leaving || crowded()) {
                 exchange.setPersistent(false);
             }
--- a/daemon/src/main/java/pinewick/wire/ListWatch.java
+++ b/daemon/src/main/java/pinewick/wire/ListWatch.java
@@ -8,12 +8,10 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -26,32 +24,34 @@
 public final class ListWatch {
     private URI discovery;
     private final Loop loop;
-    private final Limits limits;
     private final Log log;
     private final ByteBufferPool buffers;
     private final Consumer<ListText.Piece> news;
     private final Runnable failed;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ObjectCutter cutter;
+    private final ListFreshness freshness;
     private long revision;
-    private boolean wholeFirst;
     private long round;
-    private double heardAt;
-    private boolean heard;
     private ClientConnection connection;
-    private double again;
-    private double hurryUntil = Double.NEGATIVE_INFINITY;
+    private String wholeList;
+    private String lastCause = "";
+    private long sameCause;
 
+    /**
+     * @param news is handed each piece that is accepted
+     * @param failed runs after each try or watch that ended otherwise than by its whole list
+     */
     public ListWatch(InetSocketAddress discovery, Loop loop, Limits limits, Log log, ByteBufferPool buffers,
                      long revision, Consumer<ListText.Piece> news, Runnable failed) {
         this.discovery = uri(discovery);
         this.loop = loop;
-        this.limits = limits;
         this.log = log;
         this.buffers = buffers;
         this.revision = revision;
-        this.wholeFirst = revision <= 0;
         this.news = news;
         this.failed = failed;
+        freshness = new ListFreshness(loop.now());
+        cutter = new ObjectCutter(limits.lineBytes(), this::object, () -> freshness.line(loop.lookedBefore(), false));
     }
 
     private static URI uri(InetSocketAddress at) {
@@ -63,17 +63,24 @@
      * was read in part is dropped: the new watch brings it whole. Where the address is the same only a pause is cut.
      */
     public void moveTo(InetSocketAddress address) {
-        hurryUntil = loop.now() + limits.watchHurry();
-        boolean moved = !uri(address).equals(discovery);
-        if (!moved && connection != null) {
+        if (uri(address).equals(discovery) && connection != null) {
             return;
         }
         discovery = uri(address);
+        leave();
+        freshness.moved(loop.now());
+        attend();
+    }
+
+    /** Whether a list that was never proven current may be served by, since the agent can't be had. */
+    public boolean mayServeUnproven() {
+        return freshness.mayServeUnproven();
+    }
+
+    private void leave() {
         round++;
         leave(connection);
         connection = null;
-        again = 0;
-        open();
     }
 
     /**
@@ -88,46 +95,56 @@
         }
     }
 
-    /** Opens a watch, or the whole list first where there is no version to go on from. */
+    /** Begins to follow the list. */
     public void open() {
-        long mine = ++round;
-        heardAt = loop.now();
-        heard = false;
-        line.reset();
-        UndertowClient.getInstance().connect(new OnLoop<ClientConnection>(mine, made -> {
-            connection = made;
-            ask(mine, made);
-        }, ListWatch::leave), discovery, loop.thread(), buffers, OptionMap.EMPTY);
-        watchSilence(mine);
+        attend();
     }
 
-    private void watchSilence(long mine) {
-        loop.after(limits.watchUp() / 4, "watching the list's silence", () -> {
-            if (mine != round) {
+    /** Does what is due, and comes back when the next thing is. */
+    private void attend() {
+        switch (freshness.due(loop.now())) {
+            case TRY -> connect();
+            case LEAVE -> {
+                leave();
+                told("silent");
+                attend();
                 return;
             }
-            // An agent answers at once, so one that has said nothing at all is left sooner than one that fell silent.
-            if (loop.now() - heardAt > (heard ? limits.watchSilence() : limits.watchUp())) {
-                ended(mine, "silent");
-            } else {
-                watchSilence(mine);
+            default -> { }
+        }
+        long mine = round;
+        double at = freshness.dueAt();
+        // A time-out, which looks at the sockets first: after this program stood still, lines may be there to be read.
+        loop.timeOut(at - loop.now(), "the list's time", () -> {
+            if (mine == round) {
+                attend();
             }
         });
     }
 
+    private void connect() {
+        long mine = ++round;
+        cutter.reset();
+        wholeList = null;
+        UndertowClient.getInstance().connect(new OnLoop<ClientConnection>(mine, made -> {
+            connection = made;
+            ask(mine, made);
+        }, ListWatch::leave), discovery, loop.thread(), buffers, OptionMap.EMPTY);
+    }
+
     private void ask(long mine, ClientConnection over) {
-        boolean whole = wholeFirst;
+        boolean whole = freshness.next() == ListFreshness.Ask.WHOLE;
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(whole
             ? "/registry/instances" : "/registry/instances?stream=1&index=" + revision);
         request.getRequestHeaders().put(Headers.HOST, discovery.getAuthority());
         over.sendRequest(request, new OnLoop<ClientExchange>(mine, sent ->
             sent.setResponseListener(new OnLoop<ClientExchange>(mine, back -> {
-                heard = true;
                 int status = back.getResponse().getResponseCode();
                 if (status != 200) {
-                    ended(mine, "status " + status);
+                    ended(mine, "status " + status, false);
                     return;
                 }
+                freshness.head();
                 StreamSourceChannel body = back.getResponseChannel();
                 body.getReadSetter().set(any -> loop.event("reading the list", () -> read(mine, whole, body)));
                 body.resumeReads();
@@ -148,70 +165,100 @@
                     return;
                 }
                 if (count < 0) {
-                    if (whole) {
-                        entry(line.toString(StandardCharsets.UTF_8));
-                        wholeFirst = false;
+                    if (whole && wholeList != null) {
+                        whole(mine, ListText.read(wholeList));
+                    } else {
+                        ended(mine, whole ? "the whole list was cut short" : "ended", false);
                     }
-                    ended(mine, whole ? null : "ended");
                     return;
                 }
-                heardAt = loop.now();
-                again = 0;
-                in.flip();
-                while (in.hasRemaining()) {
-                    byte one = in.get();
-                    if (one != '\n' || whole) {
-                        line.write(one);
-                        if (line.size() > limits.lineBytes()) {
-                            throw new IllegalArgumentException("a line of more than " + limits.lineBytes());
-                        }
-                    } else {
-                        String text = line.toString(StandardCharsets.UTF_8);
-                        line.reset();
-                        entry(text);
+                // A copy: what an object brings about may read from other connections into the same buffer.
+                byte[] chunk = new byte[count];
+                in.flip().get(chunk);
+                for (int at = 0; at < count && mine == round; at++) {
+                    byte one = chunk[at];
+                    if (wholeList != null && one > ' ') {
+                        throw new IllegalArgumentException("more than one list in an answer");
                     }
+                    cutter.feed(one);
                 }
             }
         } catch (IOException broken) {
-            ended(mine, "broke: " + broken.getMessage());
+            ended(mine, "broke: " + broken.getMessage(), false);
         } catch (RuntimeException malformed) {
-            // The list in hand stays; what was in the malformed line comes with the whole one.
-            wholeFirst = true;
-            ended(mine, "malformed: " + malformed);
+            // The list in hand stays; what was in the malformed object comes with the whole one.
+            ended(mine, "malformed: " + malformed, true);
         }
     }
 
-    private void entry(String text) {
-        if (!text.isBlank()) {
-            ListText.Piece piece = ListText.read(text);
-            revision = piece.revision();
-            news.accept(piece);
+    private void object(String text) {
+        if (freshness.next() == ListFreshness.Ask.WHOLE) {
+            // Danger: an answer that is reset or cut is no whole list; so it counts only once its end was read.
+            wholeList = text;
+            return;
+        }
+        ListText.Piece piece = ListText.read(text);
+        freshness.line(loop.lookedBefore(), true);
+        if (!older(piece)) {
+            accept(piece);
         }
     }
 
-    private void ended(long mine, String why) {
-        if (mine != round) {
+    private void whole(long mine, ListText.Piece piece) {
+        if (!piece.whole()) {
+            throw new IllegalArgumentException("changes where the whole list was asked for");
+        }
+        if (older(piece)) {
+            leave();
+            freshness.older(loop.now());
+            told("the whole list is an old one");
+            attend();
             return;
         }
-        round++;
-        leave(connection);
-        connection = null;
-        if (why == null) {
-            open();
+        leave();
+        freshness.whole(loop.now());
+        accept(piece);
+        attend();
+    }
+
+    private void accept(ListText.Piece piece) {
+        revision = piece.revision();
+        news.accept(piece);
+    }
+
+    /**
+     * Danger: an agent that is behind would undo a drain that was told (rule 3). Harm: a registry that was made anew
+     * and counts from the start is followed only after this mixer has started again; the log says so.
+     */
+    private boolean older(ListText.Piece piece) {
+        if (piece.revision() < revision) {
+            log.say(Log.Level.WARNING, "discovery", "discovery: revision " + piece.revision()
+                + " is older than " + revision + " in hand and is passed over");
+        }
+        return piece.revision() < revision;
+    }
+
+    private void ended(long mine, String why, boolean spoilt) {
+        if (mine != round) {
             return;
         }
-        log.say(Log.Level.WARNING, "discovery", "discovery: the watch is over, " + why);
+        leave();
+        freshness.over(loop.now(), spoilt);
+        told(why);
+        attend();
+    }
+
+    /** Danger: an agent that is down would fill the log. So each cause is told once, and later how often it came. */
+    private void told(String why) {
+        if (why.equals(lastCause)) {
+            sameCause++;
+        } else {
+            log.say(Log.Level.WARNING, "discovery", "discovery: the watch is over, " + why
+                + (sameCause > 0 ? "; before that " + sameCause + " times more: " + lastCause : ""));
+            lastCause = why;
+            sameCause = 0;
+        }
         loop.guarded("telling of a failed watch", failed);
-        // Danger: an agent that is down would be asked without pause. Harm: news waits that much longer at most, so
-        // there are only short pauses after a new address was told, while this mixer already counts as told.
-        again = loop.now() < hurryUntil ? limits.watchAgain()
-            : Math.max(limits.watchAgain(), Math.min(limits.watchAgainMost(), 2 * again));
-        long next = round;
-        loop.after(again, "opening the watch again", () -> {
-            if (next == round) {
-                open();
-            }
-        });
     }
 
     /** A callback of Undertow's client, brought to the loop; what comes for an earlier round is dropped. */
@@ -233,7 +280,7 @@
 
         @Override
         public void failed(IOException wrong) {
-            loop.event("discovery", () -> ended(mine, "failed: " + wrong.getMessage()));
+            loop.event("discovery", () -> ended(mine, "failed: " + wrong.getMessage(), false));
         }
     }
 }
--- a/daemon/src/main/java/pinewick/wire/SearcherLink.java
+++ b/daemon/src/main/java/pinewick/wire/SearcherLink.java
@@ -36,6 +36,15 @@
         /** Something came that is no answer; the launch that it ends, null where there is none to be told. */
         void spoilt(SearcherLink link, String why, LiveLaunch launch);
 
+        /** Whether the first byte of that launch may be written now; one that may not has been taken back. */
+        boolean mayBegin(LiveLaunch launch);
+
+        /** These were never written whole and will not be, for no fault of the searcher. */
+        void unsent(List<LiveLaunch> launches);
+
+        /** The link is not up in time for these; it may still come up for others. */
+        void notUp(SearcherLink link, List<LiveLaunch> launches);
+
         /** The link is closed; {@code never} were not written whole, {@code perhaps} were. */
         void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps);
     }
@@ -66,6 +75,8 @@
     private boolean closed;
     private boolean retired;
     private boolean doomed;
+    private boolean reading;
+    private boolean late;
     private boolean forgot;
     private long stuckAt = -1;
     private double usedAt;
@@ -88,11 +99,7 @@
 
     /** Starts to connect; the answer is an event. */
     public void dial() {
-        dialTimer = loop.timeOut(limits.dial(), "dialing", () -> {
-            if (connection == null) {
-                close("not up in time");
-            }
-        });
+        dialTimer = loop.timeOut(limits.dial(), "dialing", this::late);
         dialing = loop.thread().openStreamConnection(address, null, null,
             OptionMap.create(Options.TCP_NODELAY, true));
         dialing.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Object>() {
@@ -113,6 +120,28 @@
         }, null);
     }
 
+    /**
+     * Danger: where connections come up late, one given up at its time-out is dialled anew, as late, and its searcher
+     * stays out of reach. So what waits goes elsewhere, nothing new is put on it, and the connection may still come up.
+     * Also catches a searcher that stood still. Harm: one that never comes up holds a descriptor so much longer.
+     */
+    private void late() {
+        if (connection != null || closed) {
+            return;
+        }
+        late = true;
+        dialTimer = loop.timeOut(limits.dialMost() - limits.dial(), "dialing", () -> {
+            if (connection == null) {
+                close("never up");
+            }
+        });
+        control.clear();
+        List<Long> unasked = List.copyOf(probes);
+        probes.clear();
+        events.notUp(this, waiting());
+        unasked.forEach(number -> events.probed(searcher, number, false, null));
+    }
+
     /** A link over a connection that is there already. */
     public void up(StreamConnection made) {
         if (closed) {
@@ -120,6 +149,7 @@
             return;
         }
         connection = made;
+        usedAt = loop.now();
         if (dialTimer != null) {
             dialTimer.remove();
         }
@@ -135,7 +165,7 @@
     /** Whether another call may be put on it now. */
     @Override
     public boolean hasPlace() {
-        return !closed && !retired && !doomed && calls.size() < limits.callsAConnection()
+        return !closed && !retired && !doomed && (connection != null || !late) && calls.size() < limits.callsAConnection()
             && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
     }
 
@@ -197,9 +227,10 @@
         if (call.stage == Call.Stage.WAITING) {
             call.launches.remove(launch);
         } else if (call.stage == Call.Stage.BEGUN) {
-            // Danger: the rest of the frame would still go out after the query's answer.
+            // Danger: the rest of the frame would still go out after the query's answer. So nothing more is written;
+            // what is out on the link may still be answered, or it would be lost with the frame.
             doomed = true;
-            loop.later("dropping a frame", () -> close("a frame begun was no longer wanted"));
+            loop.later("dropping a frame", this::dropFrame);
         } else if (tell) {
             control.add(Frames.cancel(launch.piece.id));
             write();
@@ -209,6 +240,16 @@
         }
     }
 
+    private void dropFrame() {
+        List<LiveLaunch> unsent = new ArrayList<>();
+        calls.stream().filter(call -> call.stage != Call.Stage.WRITTEN)
+            .forEach(call -> call.launches.stream().filter(each -> !each.over).forEach(unsent::add));
+        if (!closed) {
+            events.unsent(unsent);
+            retire("a frame begun was no longer wanted");
+        }
+    }
+
     /** The launches of which no byte has been written. */
     @Override
     public List<LiveLaunch> waiting() {
@@ -271,6 +312,10 @@
         }
         while (!waiting.isEmpty()) {
             Call call = waiting.poll();
+            List.copyOf(call.launches).stream().filter(each -> !events.mayBegin(each)).forEach(call.launches::remove);
+            if (doomed || closed) {
+                return false;
+            }
             if (!call.launches.isEmpty()) {
                 currentCall = call;
                 current = Frames.call(call, loop.clock());
@@ -300,10 +345,11 @@
     }
 
     private void read() {
-        if (closed) {
+        if (closed || reading) {
             return;
         }
         ByteBuffer in = loop.readBuffer();
+        reading = true;
         try {
             while (!closed) {
                 in.clear();
@@ -323,6 +369,8 @@
             close("broke: " + broken.getMessage());
         } catch (RuntimeException unusable) {
             close("unusable: " + unusable.getMessage());
+        } finally {
+            reading = false;
         }
     }
 
@@ -439,6 +487,10 @@
     /** Closes the link; what was out on it ends as the protocol says. */
     @Override
     public void close(String why) {
+        if (connection != null && !calls.isEmpty()) {
+            // Danger: answers that have come and wait to be read would be lost with a connection that a write found broken.
+            read();
+        }
         if (closed) {
             return;
         }
--- /dev/null
+++ b/daemon/src/test/java/pinewick/ClientCrossingTest.java
@@ -0,0 +1,209 @@
+package pinewick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Clients that leave, rest, crowd in or send at the wrong moment. */
+class ClientCrossingTest extends MixerHarness {
+    @Test
+    void whoDoesNotSendAWholeRequestInTimeIsTurnedOutAndNobodyElse() throws Exception {
+        Searcher a = new Searcher("a", 0, "held");
+        start(a);
+        Client kept = new Client();
+        kept.get("/health/live");
+        Client waits = new Client();
+        waits.post("q1", "idempotent", "[0]", "", false);
+        assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+        Client again = new Client();
+        again.post("q1", "idempotent", "[0]", "", false);
+        assertTrue(again.answer().startsWith("400 id: "), "the id of an open request");
+        a.release.add("go");
+        assertTrue(waits.answer().startsWith("200 "), "the first query with that id was not touched");
+        String head = "POST /api HTTP/1.1\r\nHost: h\r\n";
+        List<Client> slow = new ArrayList<>();
+        for (String part : List.of("", "POST /a", head + "Content-Length: 50\r\n\r\n{", head
+            + "Transfer-Encoding: chunked\r\n\r\nzz\r\n")) {
+            Client client = new Client();
+            client.send(part);
+            slow.add(client);
+        }
+        long began = System.nanoTime();
+        for (Client client : slow) {
+            String answer = client.answer();
+            assertTrue(answer.isEmpty() || answer.startsWith("4"), answer);
+        }
+        assertTrue(System.nanoTime() - began < 2.9e9, "within 3 s");
+        kept.get("/health/live");
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsQuery() throws Exception {
+        Searcher a = new Searcher("a", 0, "silent");
+        start(a);
+        Client leaver = new Client();
+        leaver.post("q1", "idempotent", "[0]", "", false);
+        assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+        leaver.close();
+        until(new Client(), "withdrawn 1\n");
+    }
+
+    @Test
+    void atTheLimitOfDescriptorsIdleClientsGoFirst() throws Exception {
+        sockets = 160;
+        start(new Searcher("a", 0, "answer"));
+        List<Client> idle = new ArrayList<>();
+        for (int each = 0; each < 120; each++) {
+            idle.add(new Client());
+        }
+        for (int each = 0; each < 3; each++) {
+            Client client = new Client();
+            client.post("q" + each, "idempotent", "[0]", "", false);
+            assertTrue(client.answer().startsWith("200 "));
+        }
+        assertTrue(mixer.isAlive());
+    }
+
+    @Test
+    void whileManyConnectionsAreKeptAnAnswerEndsItsOwn() throws Exception {
+        sockets = 160;
+        start(new Searcher("a", 0, "answer"));
+        Client client = new Client();
+        List<Client> kept = new ArrayList<>();
+        for (boolean crowd : new boolean[] {false, true}) {
+            for (int each = 0; crowd && each < 30; each++) {
+                kept.add(new Client());
+                kept.get(each).get("/health/live");
+            }
+            client.post("q" + crowd, "idempotent", "[0]", "", false);
+            assertTrue(client.answer().startsWith("200 "));
+        }
+        assertEquals("", client.answer(), "closed after its second answer");
+    }
+
+    @Test
+    void aClientThatSentAheadAndLeftIsGone() throws Exception {
+        Searcher a = new Searcher("a", 0, "silent");
+        start(a);
+        for (boolean atOnce : new boolean[] {true, false}) {
+            Client leaver = new Client();
+            leaver.ahead = atOnce ? "POST /api HTTP/1.1\r\nHost: h\r\n" : "";
+            leaver.post("q" + atOnce, "idempotent", "[0]", "", false);
+            assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+            if (!atOnce) {
+                leaver.send("POST /api HTTP/1.1\r\n");
+                leaver.send("Host: h\r\n");
+            }
+            leaver.close();
+            until(new Client(), "withdrawn " + (atOnce ? 1 : 2) + "\n");
+        }
+    }
+
+    @Test
+    void aRequestSentAheadIsAnsweredAfterTheOneBeforeIt() throws Exception {
+        Searcher a = new Searcher("a", 0, "held");
+        start(a);
+        Client client = new Client();
+        client.post("first", "idempotent", "[0]", "", false);
+        assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+        client.post("second", "idempotent", "[0]", "", false);
+        Client seen = new Client();
+        seen.get("/health/live");
+        assertEquals(0, a.frames.size());
+        a.release.add("go");
+        a.release.add("go");
+        assertTrue(client.answer().startsWith("200 "));
+        assertTrue(client.answer().startsWith("200 "));
+        assertTrue(a.frames.poll(WAIT, TimeUnit.SECONDS).contains("second"));
+    }
+
+    @Test
+    void aFloodBehindARequestEndsItsConnectionAndItsQuery() throws Exception {
+        Searcher a = new Searcher("a", 0, "silent");
+        start(a);
+        Client client = new Client();
+        client.post("q", "idempotent", "[0]", "", false);
+        assertNotNull(a.frames.poll(WAIT, TimeUnit.SECONDS));
+        client.send("x".repeat(100_000));
+        assertTrue(client.answer().startsWith("413 "));
+        assertEquals("end", client.ending());
+        until(new Client(), "withdrawn 1\n");
+    }
+
+    @Test
+    void nothingBeginsForAClientThatLeftWhileTheMixerStoodStill() throws Exception {
+        Searcher a = new Searcher("a", 0, "silent");
+        Searcher b = new Searcher("b", 0, "silent");
+        start(a, b);
+        for (int each = 0; true; each++) {
+            Client leaver = new Client();
+            leaver.post("q" + each, "idempotent", "[0]", "", false);
+            while (a.frames.isEmpty() && b.frames.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            signal("STOP");
+            Searcher other = a.frames.isEmpty() ? a : b;
+            if (!other.frames.isEmpty()) {
+                // The copy was out before the mixer stood still: once more.
+                assertTrue(each < 20);
+                signal("CONT");
+                leaver.close();
+                until(new Client(), "awaiting 0\n");
+                a.frames.clear();
+                b.frames.clear();
+                continue;
+            }
+            leaver.close();
+            assertNull(other.frames.poll(700, TimeUnit.MILLISECONDS), "the copy is due while the mixer stands still");
+            signal("CONT");
+            until(new Client(), "withdrawn " + (each + 1) + "\n");
+            until(new Client(), "awaiting 0\n");
+            assertEquals(0, other.frames.size(), "no copy for a client that had left");
+            return;
+        }
+    }
+
+    @Test
+    void theLastAnswerIsNotResetByBytesThatNobodyReads() throws Exception {
+        start(new Searcher("a", 0, "answer"));
+        Client client = new Client();
+        client.send("POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + "x".repeat(70_000));
+        assertTrue(client.answer().startsWith("413 "));
+        assertEquals("end", client.ending());
+    }
+
+    @Test
+    void idleClientsThatFillTheDescriptorsLeaveDiscoveryItsOwn() throws Exception {
+        sockets = 96;
+        descriptors = 96;
+        Searcher a = new Searcher("a", 0, "answer");
+        start(a);
+        discovery.mute = true;
+        discovery.server.close();
+        discovery.drop();
+        List<Client> idle = new ArrayList<>();
+        for (int each = 0; each < 200; each++) {
+            Client client = new Client();
+            if (each % 2 == 0) {
+                client.send("GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n");
+            }
+            idle.add(client);
+        }
+        assertTrue(mixer.isAlive());
+        Searcher b = new Searcher("b", 1, "answer");
+        discovery.revision = 6;
+        discovery.returns(piece(true, a.entry("ready"), b.entry("ready")));
+        until(() -> {
+            Client client = new Client();
+            client.post("q" + System.nanoTime(), "idempotent", "[0,1]", "", false);
+            return client.answer().startsWith("200 ");
+        });
+        assertTrue(mixer.isAlive());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/pinewick/MixerHarness.java
@@ -0,0 +1,502 @@
+package pinewick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole program as a process, with small searchers, clients and a small discovery of the project's own. */
+@Timeout(60)
+abstract class MixerHarness {
+    static final int WAIT = 20;
+
+    @TempDir
+    Path folder;
+    final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
+    Discovery discovery;
+    Process mixer;
+    int port;
+    int sockets = 1024;
+    /** What the system lets the mixer hold, its program's own files with it; 0 for what this machine gives. */
+    int descriptors;
+    String goal = "1e9";
+    String floor = "1";
+    String window = "2e9";
+    String dial = "25e7";
+    String deadline = "2.5";
+    ProcessBuilder.Redirect log = ProcessBuilder.Redirect.INHERIT;
+    /** What the mixer's configuration knows of the list. */
+    String[] known = {};
+
+    @BeforeEach
+    void opens() throws IOException {
+        discovery = new Discovery();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (mixer != null) {
+            mixer.destroyForcibly().waitFor();
+        }
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    // ---- the stand-ins ----
+
+    final void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.pid()).start().waitFor());
+        Thread.sleep(150);
+    }
+
+    /** Sends the mixer a signal by its name. */
+    final void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + mixer.pid()).start().waitFor());
+    }
+
+    /** Starts a mixer and waits until it is ready and follows the list. */
+    void start(Searcher... searchers) throws Exception {
+        launch(searchers);
+        awaitReady();
+        until(new Client(), "list-pieces 2\n");
+    }
+
+    /** Starts a mixer. */
+    void launch(Searcher... searchers) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        String[] entries = new String[searchers.length];
+        for (int each = 0; each < entries.length; each++) {
+            entries[each] = searchers[each].entry("ready");
+        }
+        discovery.revision = 4;
+        String before = piece(true, known);
+        discovery.revision = 5;
+        discovery.first = piece(true, entries);
+        String grade = "{\"name\":\"%s\",\"slo-ns\":" + goal + ",\"hard-limit-ns\":3e9,\"late-worth\":0,"
+            + "\"effect\":\"%s\",\"dedup-window-ns\":" + window + "}";
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, "{\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + before
+            + ",\"settings\":{\"instances\":1,\"categories\":[" + String.format(grade, "idempotent", "retryable") + ','
+            + String.format(grade, "deduplicated", "dedup") + ',' + String.format(grade, "unrepeatable", "fragile")
+            + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,\"parallel-tries\":true,\"may-cancel\":true,\"probing\":"
+            + "true,\"max-open\":1000,\"dial-timeout-ns\":" + dial + "},"
+            + "\"family-info\":{\"cells\":2,\"reach\":1,\"slabs\":4,\"per-call\":4,"
+            + "\"class-floor\":[" + floor + ",1,1],\"incomplete-worth\":[0.9,0,0]}}}");
+        mixer = program(file).redirectError(log).start();
+    }
+
+    void awaitReady() throws Exception {
+        while (true) {
+            try (Client client = new Client()) {
+                client.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+                if (client.answer().startsWith("200")) {
+                    break;
+                }
+            } catch (IOException notYet) {
+                assertTrue(mixer.isAlive(), "the mixer ended");
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    ProcessBuilder program(Path config) {
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "pinewick.Main", "serve"));
+        if (descriptors > 0) {
+            words.addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+        }
+        ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().keySet().removeIf(name -> name.startsWith("EDGE_"));
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        return builder;
+    }
+
+    /** Asks for the counters until they say this; the test's time limit ends a wait in vain. */
+    static void until(Client client, String line) throws Exception {
+        while (!client.get("/counters").contains(line)) {
+            Thread.sleep(10);
+        }
+    }
+
+    interface Ask {
+        boolean says() throws Exception;
+    }
+
+    /** Asks until it says yes; the test's time limit ends a wait in vain. */
+    static void until(Ask ask) throws Exception {
+        while (!ask.says()) {
+            Thread.sleep(10);
+        }
+    }
+
+    String piece(boolean whole, String... entries) {
+        return "{\"revision\":" + discovery.revision + ",\"complete\":" + whole + ",\"members\":["
+            + String.join(",", entries) + "]}";
+    }
+
+    ServerSocket listen() throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(server);
+        return server;
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception over) {
+                // The far end or the story is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Answers a watch with the list and then with whatever is told, on the newest watch; says each second that it lives. */
+    final class Discovery {
+        ServerSocket server = listen();
+        final int place = server.getLocalPort();
+        private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        final BlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> wholes = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> release = new LinkedBlockingQueue<>();
+        volatile long revision;
+        volatile String first = "";
+        /** Watches, open or new, get no line any more, and nothing is told on them. */
+        volatile boolean mute;
+        /** Whole lists wait for a word in {@link #release}. */
+        volatile boolean held;
+        /** So many whole lists, without a length, are reset behind their last byte. */
+        volatile int resets;
+        /** What each new watch gets in place of the list; null for the list. */
+        volatile String nonsense;
+        private volatile OutputStream watch;
+
+        Discovery() throws IOException {
+            thread(this::accepts);
+            thread(() -> {
+                while (true) {
+                    if (watch != null && !mute) {
+                        try {
+                            chunk("\n");
+                        } catch (IOException left) {
+                            watch = null;
+                        }
+                    }
+                    TimeUnit.SECONDS.sleep(1);
+                }
+            });
+        }
+
+        private void accepts() throws IOException {
+            while (true) {
+                Socket socket = server.accept();
+                open.add(socket);
+                sockets.add(socket);
+                thread(() -> serve(socket));
+            }
+        }
+
+        /** Resets every connection. */
+        void drop() throws IOException {
+            for (Socket each : sockets) {
+                each.setSoLinger(true, 0);
+                each.close();
+            }
+        }
+
+        /** Is there again, after its server was closed, with this list. */
+        void returns(String list) throws IOException {
+            server = new ServerSocket();
+            open.add(server);
+            server.setReuseAddress(true);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), place));
+            first = list;
+            mute = false;
+            thread(this::accepts);
+        }
+
+        String address() {
+            return "127.0.0.1:" + place;
+        }
+
+        private void serve(Socket socket) throws Exception {
+            String request = head(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            if (request.contains("stream=1")) {
+                out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                watch = out;
+                if (nonsense != null) {
+                    tell(nonsense);
+                } else if (!mute && !request.contains("index=" + revision + " ")) {
+                    tell(first);
+                }
+                watches.add(request);
+                try {
+                    int more = 0;
+                    while (more >= 0) {
+                        more = socket.getInputStream().read();
+                    }
+                } finally {
+                    ended.add("ended"); // a reset ends it as well
+                }
+            } else {
+                wholes.add(request);
+                if (held) {
+                    release.take();
+                }
+                if (resets > 0) {
+                    resets--;
+                    out.write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + first).getBytes(StandardCharsets.UTF_8));
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    return;
+                }
+                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + first.length() + "\r\n\r\n" + first)
+                    .getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        void tell(String line) throws IOException {
+            chunk(line + "\n");
+        }
+
+        synchronized void chunk(String text) throws IOException {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            watch.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n")
+                .getBytes(StandardCharsets.UTF_8));
+            watch.flush();
+        }
+    }
+
+    /** Speaks frames; what it does with a part is its way. */
+    final class Searcher {
+        final String id;
+        final int cell;
+        final String way;
+        final ServerSocket server;
+        final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> release = new LinkedBlockingQueue<>();
+
+        Searcher(String id, int cell, String way) throws IOException {
+            this.id = id;
+            this.cell = cell;
+            this.way = way;
+            server = way.equals("late") ? new ServerSocket(0, 1, InetAddress.getLoopbackAddress()) : listen();
+            open.add(server);
+            thread(() -> {
+                if (way.equals("late")) {
+                    release.take();
+                }
+                while (true) {
+                    Socket socket = server.accept();
+                    open.add(socket);
+                    thread(() -> {
+                        try {
+                            serve(socket);
+                        } finally {
+                            ended.add("ended");
+                        }
+                    });
+                }
+            });
+        }
+
+        String entry(String phase) {
+            return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + server.getLocalPort()
+                + "\",\"locality\":\"z\",\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"up_since_ms\":0}";
+        }
+
+        private void serve(Socket socket) throws Exception {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
+                in.readFully(frame);
+                String text = new String(frame, StandardCharsets.UTF_8);
+                if (text.charAt(0) == '4') {
+                    write(socket, "4-");
+                } else if (text.charAt(0) == '1') {
+                    frames.add(text);
+                    parts(socket, text.substring(1));
+                }
+            }
+        }
+
+        private void parts(Socket socket, String text) throws Exception {
+            String[] lines = text.split("\n");
+            for (int each = 0; each < lines.length; each++) {
+                String left = each == 0 ? lines[0] : lines[each].substring("t\u00e9".length());
+                if (left.isEmpty()) {
+                    continue;
+                }
+                String part = left.split(" ")[0];
+                switch (way) {
+                    case "answer", "late" -> write(socket, "5" + part + " S 1 queue=0,qps=1.5\n" + id + "." + part);
+                    case "reset" -> socket.close();
+                    case "garbage" -> write(socket, "5nothing");
+                    case "huge" -> socket.getOutputStream().write(new byte[] {0, 0, 0, 127, '5'});
+                    case "letter" -> write(socket, "Z" + part + " S 1 -\nvalue");
+                    case "end" -> write(socket, "5" + part + " Q 1 -\nvalue");
+                    case "line" -> write(socket, "5" + part + " S 1 -");
+                    case "empty" -> write(socket, "5" + part + " S 1 -\n");
+                    case "control" -> write(socket, "5" + part + " S 1 -\n\u0001\u0002");
+                    case "short" -> socket.getOutputStream().write(("\200\0\0\0005" + part + " S 1 -\nval").getBytes(
+                        StandardCharsets.ISO_8859_1));
+                    case "3GB" -> socket.getOutputStream().write(("\0\0\0\2605" + part + " S 1 -\nvalue").getBytes(
+                        StandardCharsets.ISO_8859_1));
+                    case "again" -> {
+                        if (part.startsWith("second")) {
+                            write(socket, "5first.0 S 1 -\nvalue");
+                        }
+                        write(socket, "5" + part + " S 1 -\nvalue");
+                    }
+                    case "twice", "report", "noise" -> {
+                        write(socket, "5" + part + " S 1 " + (way.equals("report") ? "queue=%%%" : "queue=0") + "\nvalue");
+                        if (way.equals("twice")) {
+                            write(socket, "5" + part + " S 1 -\nvalue");
+                        } else if (way.equals("noise")) {
+                            socket.getOutputStream().write("noise".getBytes(StandardCharsets.UTF_8));
+                        }
+                    }
+                    case "stranger" -> write(socket, "5" + part + "9 S 1 -\nvalue");
+                    case "X" -> write(socket, "Xno such frame");
+                    case "held" -> {
+                        release.take();
+                        write(socket, "5" + part + " S 1 -\nvalue");
+                    }
+                    default -> { }
+                }
+            }
+        }
+
+        private void write(Socket socket, String text) throws IOException {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int each = 0; each < 4; each++) {
+                all.write(bytes.length >> 8 * each);
+            }
+            all.writeBytes(bytes);
+            socket.getOutputStream().write(all.toByteArray());
+        }
+    }
+
+    static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int one = in.read();
+            if (one < 0) {
+                return head.toString();
+            }
+            head.append((char) one);
+        }
+        return head.toString();
+    }
+
+    /** A client with one connection. */
+    final class Client implements AutoCloseable {
+        private final Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+
+        /** Goes out behind the next request, in one piece with it. */
+        String ahead = "";
+
+        Client() throws IOException {
+            open.add(socket);
+        }
+
+        void send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void post(String id, String kind, String shards, String more, boolean chunked) throws IOException {
+            String[] each = shards.replaceAll("[\\[\\]]", "").split(",");
+            StringBuilder body = new StringBuilder("{\"slices\":[");
+            for (int at = 0; at < each.length; at++) {
+                body.append(at == 0 ? "" : ",").append("{\"slice\":").append(each[at]).append(",\"mass\":")
+                    .append(1.0 / each.length).append(",\"micros\":9000,\"term\":\"00\"}");
+            }
+            String text = body.append("],\"filter\":\"t\u00e9\"}").toString();
+            int length = text.getBytes(StandardCharsets.UTF_8).length;
+            send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: " + deadline
+                + "\r\n" + more + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + text
+                + "\r\n0\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n" + text) + ahead);
+        }
+
+        /** Status, blank, body; empty where the connection ended instead. */
+        String answer() throws IOException {
+            String head;
+            try {
+                head = head(socket.getInputStream());
+            } catch (SocketException reset) {
+                return "";
+            }
+            if (!head.contains("\r\n\r\n")) {
+                return "";
+            }
+            int length = 0;
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase().startsWith("content-length:")) {
+                    length = Integer.parseInt(line.substring(15).trim());
+                }
+            }
+            byte[] body = socket.getInputStream().readNBytes(length);
+            return head.substring(9, 12) + " " + new String(body, StandardCharsets.UTF_8);
+        }
+
+        /** How the connection ended, with nothing more before that: by an end or by a reset. */
+        String ending() throws IOException {
+            try {
+                return socket.getInputStream().read() < 0 ? "end" : "more";
+            } catch (SocketException broken) {
+                return "reset";
+            }
+        }
+
+        String get(String path) throws IOException {
+            return get(path, "200");
+        }
+
+        String get(String path, String status) throws IOException {
+            send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+            String answer = answer();
+            assertTrue(answer.startsWith(status + " "), answer);
+            return answer.substring(4);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
