--- a/daemon/src/test/java/pinewick/MixerHarness.java
+++ b/daemon/src/test/java/pinewick/MixerHarness.java
@@ -1,6 +1,7 @@
 package pinewick;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -79,9 +80,11 @@
 
     /** Starts a mixer and waits until it is ready and follows the list. */
     void start(Searcher... searchers) throws Exception {
+        discovery.watches.clear();
         launch(searchers);
         awaitReady();
         until(new Client(), "list-pieces 2\n");
+        assertNotNull(discovery.watches.poll(WAIT, TimeUnit.SECONDS), "it follows the list");
     }
 
     /** Starts a mixer. */
