The list is read once more right before a launch, where a batch has been long

Ruled out: the list's silence (no cause was logged after 1.977 s).

At fault: nothing between the decision and the first byte looked at the list.

Test: a drain that comes during a batch of 0.1 s is read before its launch; it can't compile without the change, as nothing could be looked at. LaunchCrossingTest no longer reads the loop's figures from another thread.

--- a/daemon/src/main/java/pinewick/life/Chain.java
+++ b/daemon/src/main/java/pinewick/life/Chain.java
@@ -97,6 +97,11 @@
         alsoListed = to;
     }
 
+    /** How to read what has come of the list, right before a launch. */
+    void looksAtList(Runnable look) {
+        send.looks(look);
+    }
+
     void alsoTells(Supplier<String> more) {
         others = more;
     }
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -137,6 +137,7 @@
                     serveByList();
                 }
             });
+        chain.looksAtList(watch::look);
         watch.open();
     }
 
--- a/daemon/src/main/java/pinewick/stages/Send.java
+++ b/daemon/src/main/java/pinewick/stages/Send.java
@@ -27,6 +27,8 @@
     private final Map<String, List<LiveLaunch>> batch = new LinkedHashMap<>();
     private final Map<Long, String> probes = new LinkedHashMap<>();
     private final Consumer<SearcherLink> dialer;
+    private Runnable lookAtList = () -> { };
+    private double lookedAt;
     private long lastProbe;
     private Book book;
 
@@ -45,6 +47,11 @@
         book = next;
     }
 
+    /** Reads what has come of the list. */
+    public void looks(Runnable atList) {
+        lookAtList = atList;
+    }
+
     public void add(LiveLaunch launch) {
         counters.add("launched");
         batch.computeIfAbsent(launch.searcher, any -> new ArrayList<>()).add(launch);
@@ -100,8 +107,9 @@
 
     /**
      * Whether a launch may begin at this moment: asked right before its first byte. Danger: between the decision and
-     * the byte lie a dial, a long batch or timers that ring before the sockets are looked at, and in that time the
-     * client may have left or a window have ended. Harm: a read for each launch of a query not seen for a moment.
+     * the byte lie a dial, a long batch (bad clients in hundreds) or timers that ring before the sockets are looked at,
+     * and in that time the client may have left, a window have ended, or a drain have come. Harm: a read for each launch
+     * of a query not seen for a moment, and one of the list.
      */
     boolean mayBegin(LiveLaunch launch) {
         OpenQuery query = launch.piece.query;
@@ -109,7 +117,11 @@
         if (!launch.over && !query.ended && now - query.seenAt > limits.unseen() && query.asker.stillThere()) {
             query.seenAt = now;
         }
-        if (!launch.over && !query.ended && now >= launch.writeBy) {
+        if (now - Math.max(lookedAt, loop.lookedBefore()) > limits.unseen()) {
+            lookedAt = now;
+            lookAtList.run();
+        }
+        if (!launch.over && !query.ended && (now >= launch.writeBy || !searchers.takesNew(launch.searcher))) {
             takeBack(launch, Host.Ending.MOOT);
             return false;
         }
--- a/daemon/src/main/java/pinewick/wire/ListWatch.java
+++ b/daemon/src/main/java/pinewick/wire/ListWatch.java
@@ -32,6 +32,9 @@
     private final ListFreshness freshness;
     private long revision;
     private long round;
+    /** Reads what there is of the present answer; null before its head. */
+    private Runnable look;
+    private boolean reading;
     private ClientConnection connection;
     private String wholeList;
     private String lastCause = "";
@@ -77,8 +80,16 @@
         return freshness.mayServeUnproven();
     }
 
+    /** Reads at once what the agent has sent, if anything, without waiting for the loop's next look at the sockets. */
+    public void look() {
+        if (look != null) {
+            loop.guarded("reading the list", look);
+        }
+    }
+
     private void leave() {
         round++;
+        look = null;
         leave(connection);
         connection = null;
     }
@@ -124,6 +135,7 @@
 
     private void connect() {
         long mine = ++round;
+        look = null;
         cutter.reset();
         wholeList = null;
         UndertowClient.getInstance().connect(new OnLoop<ClientConnection>(mine, made -> {
@@ -146,6 +158,7 @@
                 }
                 freshness.head();
                 StreamSourceChannel body = back.getResponseChannel();
+                look = () -> read(mine, whole, body);
                 body.getReadSetter().set(any -> loop.event("reading the list", () -> read(mine, whole, body)));
                 body.resumeReads();
                 read(mine, whole, body);
@@ -153,10 +166,11 @@
     }
 
     private void read(long mine, boolean whole, StreamSourceChannel body) {
-        if (mine != round) {
+        if (mine != round || reading) {
             return;
         }
         ByteBuffer in = loop.readBuffer();
+        reading = true;
         try {
             while (mine == round) {
                 in.clear();
@@ -188,6 +202,8 @@
         } catch (RuntimeException malformed) {
             // The list in hand stays; what was in the malformed object comes with the whole one.
             ended(mine, "malformed: " + malformed, true);
+        } finally {
+            reading = false;
         }
     }
 
--- a/daemon/src/test/java/pinewick/life/LaunchCrossingTest.java
+++ b/daemon/src/test/java/pinewick/life/LaunchCrossingTest.java
@@ -140,18 +140,20 @@
 
     /** Runs this between the first batch that has taken a query from now on, and its launches. */
     private void beforeLaunches(Work work) throws Exception {
-        String before = figure();
-        onLoop(() -> loop.atEndOfBatch(() -> {
-            if (!figure().equals(before)) {
-                loop.atEndOfBatch(chain.route::endOfBatch);
-                try {
-                    work.run();
-                } catch (Exception wrong) {
-                    throw new IllegalStateException(wrong);
+        onLoop(() -> {
+            String before = figure();
+            loop.atEndOfBatch(() -> {
+                if (!figure().equals(before)) {
+                    loop.atEndOfBatch(chain.route::endOfBatch);
+                    try {
+                        work.run();
+                    } catch (Exception wrong) {
+                        throw new IllegalStateException(wrong);
+                    }
                 }
-            }
-            chain.route.endOfBatch();
-        }));
+                chain.route.endOfBatch();
+            });
+        });
     }
 
     private String figure() {
@@ -182,8 +184,9 @@
                 assertNull(frames.poll(100, TimeUnit.MILLISECONDS));
             });
             post(leaver, "left");
-            while (!chain.figures().contains("withdrawn 1\n")) {
-                onLoop(() -> { });
+            String[] figures = {""};
+            while (!figures[0].contains("withdrawn 1\n")) {
+                onLoop(() -> figures[0] = chain.figures());
             }
             post(last, "last");
             String frame = next();
@@ -201,4 +204,15 @@
             assertEquals(0, frames.size());
         }
     }
+
+    @Test
+    void aDrainThatCameDuringALongBatchIsReadBeforeTheLaunch() throws Exception {
+        try (Socket first = firstQuery(); Socket second = client()) {
+            chain.looksAtList(() -> chain.list(list(Host.Stage.DRAINING), Host.ListForm.CHANGES));
+            beforeLaunches(() -> assertNull(frames.poll(100, TimeUnit.MILLISECONDS)));
+            post(second, "second");
+            assertEquals("HTTP/1.1 503", new String(second.getInputStream().readNBytes(12), StandardCharsets.US_ASCII));
+            assertEquals(0, frames.size());
+        }
+    }
 }
