--- a/daemon/src/test/java/pinewick/MixerHarness.java
+++ b/daemon/src/test/java/pinewick/MixerHarness.java
@@ -435,6 +435,7 @@
         String ahead = "";
 
         Client() throws IOException {
+            socket.setSoTimeout(WAIT * 1000);
             open.add(socket);
         }
 
