Few mixers may each send a cold searcher one part a window

So it is the lot, which follows the demand: with six mixers and twelve searchers it let in about half of what it did, though one part a window from each is little more than the budget.

Where all mixers together, one part each a window, stay under N + sqrt(N) + 1 (half of what counts as chance beyond N), no lot is drawn. With many mixers nothing changes.

ColdFleetTest's sums hold.

--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -421,8 +421,7 @@
         }
     }
 
-    /** Parts that came within a cold searcher's time for the shards that begin at that cell. */
-    private double offered(int first) {
+    private double offered(int first) { // parts within a cold searcher's time, by their shards' first cell
         return offers.get(first).since(host.now() - given.rules().coldTime());
     }
 
@@ -551,14 +550,15 @@
             if (most * rules.fallTime() >= (count + planned) * work) {
                 return spent + (count + planned) * work <= most * rules.fallTime();
             }
-            // Danger: with many mixers a share is under one part, so a lot lets some in, by the share over
-            // the parts that came for it, or their sum grows with the demand. Harm: seldom used by few.
-            double came = 1;
+            // Danger: with many mixers a share is under one part; a lot lets some in, by the share over the
+            // parts that came for it, or their sum grows with the demand. Harm: seldom used by few mixers,
+            // so one from each goes where all of them are half of what counts as chance over the budget.
+            double calls = most * rules.fallTime() * tier / COLD_MARGIN / work, came = 1;
             for (int back = 0; back < given.reach(); back++) {
                 came += offered(Math.floorMod(cell - back, given.cells()));
             }
-            return spent == 0 && planned == 0 && out.isEmpty()
-                && query.lot * came * work < most * Math.min(rules.coldTime(), host.now() - openedAt);
+            return spent == 0 && planned == 0 && out.isEmpty() && (count * tier < calls + Math.sqrt(calls) + 1
+                || query.lot * came * work < most * Math.min(rules.coldTime(), host.now() - openedAt));
         }
 
         void heardReport(Host.LoadReport report) {
