Design note and module skeleton of the router fleet

Types that the modules meet at (model, facades of selection, replication, dissemination, transport), docs/system.md.

--- /dev/null
+++ b/model/src/main/java/pinewick/model/ConfigurationFault.java
@@ -0,0 +1,15 @@
+package pinewick.model;
+
+/**
+ * One reason why a configuration was refused.
+ *
+ * @param item the section and name of the item, for example {@code routes/r-7}
+ * @param field the field within the item, or an empty text for the item as a whole
+ * @param reason what is wrong with it and how to mend it
+ */
+public record ConfigurationFault(String item, String field, String reason) {
+    @Override
+    public String toString() {
+        return (field.isEmpty() ? item : item + "." + field) + ": " + reason;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/pinewick/model/SocketAddress.java
@@ -0,0 +1,39 @@
+package pinewick.model;
+
+/** An IPv4 address and a port. */
+public record SocketAddress(String host, int port) implements Comparable<SocketAddress> {
+    private static final int HIGHEST_PORT = 65_535;
+
+    /**
+     * Parses {@code HOST:PORT}.
+     *
+     * @throws IllegalArgumentException if the text has no port, or one out of range
+     */
+    public static SocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("'" + text + "' is not HOST:PORT");
+        }
+        int port;
+        try {
+            port = Integer.parseInt(text.substring(colon + 1));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' has no number as its port", e);
+        }
+        if (port < 1 || port > HIGHEST_PORT) {
+            throw new IllegalArgumentException("'" + text + "' has a port out of range");
+        }
+        return new SocketAddress(text.substring(0, colon), port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+
+    @Override
+    public int compareTo(SocketAddress other) {
+        int byHost = host.compareTo(other.host);
+        return byHost != 0 ? byHost : Integer.compare(port, other.port);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/pinewick/model/Stage.java
@@ -0,0 +1,32 @@
+package pinewick.model;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** Which part of a generation a replica serves. */
+public enum Stage {
+    /** Reads prompts and keeps their memory until a decode replica fetches it. */
+    PREFILL,
+    /** Makes tokens, and reads short prompts itself. */
+    DECODE,
+    /** The replica belongs to a service without an engine. */
+    NONE;
+
+    /** The name on the wire, in lower case. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Parses a name from the wire; an absent name means {@link #NONE}. */
+    public static Optional<Stage> parse(String wireName) {
+        if (wireName == null || wireName.isEmpty()) {
+            return Optional.of(NONE);
+        }
+        for (Stage stage : values()) {
+            if (stage.wireName().equals(wireName)) {
+                return Optional.of(stage);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/ReplicatedConfiguration.java
@@ -0,0 +1,20 @@
+package pinewick.replication;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import pinewick.model.SocketAddress;
+
+/** The replicated configuration as the operator API sees it. Called on the control loop; callbacks come on it too. */
+public interface ReplicatedConfiguration {
+    /** Submits a change; the callback is called once, within {@code ack_ms}. */
+    void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback);
+
+    /** Reads the newest acknowledged configuration; the callback is called once. */
+    void read(Consumer<ReadOutcome> callback);
+
+    /** The operator API of the process believed to be primary, this one included. */
+    Optional<SocketAddress> primary();
+
+    /** The lease of the primary: present only while this process leads a stable epoch. Fencing tokens come from it. */
+    Optional<Long> leadingEpoch();
+}
