--- /dev/null
+++ b/transport/src/main/java/pinewick/transport/ControlLoop.java
@@ -0,0 +1,41 @@
+package pinewick.transport;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** The one thread that owns membership, dissemination and replication of a process. */
+public final class ControlLoop implements AutoCloseable {
+    private static final double NANOS_A_MILLISECOND = 1e6;
+
+    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "control-loop");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** Steady time, milliseconds. */
+    public double nowMs() {
+        return System.nanoTime() / NANOS_A_MILLISECOND;
+    }
+
+    /** Runs a task on the loop, soon. */
+    public void execute(Runnable task) {
+        executor.execute(task);
+    }
+
+    /** Runs a task on the loop after a delay. */
+    public void schedule(Runnable task, long delayMs) {
+        executor.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task on the loop over and over, with a pause between runs. */
+    public void repeat(Runnable task, long periodMs) {
+        executor.scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
