Operator's bodies are read, checked and kept to the letter

Cause: the control plane needs the configuration checked whole, with every fault at once, and a compact delta. Change: strict reading (cut off or trailing text is refused), checked builders of routes and services, deltas that keep the order of items, dropped sections and number text, a merge of replica records that is commutative also where two records share a call number. Ruled out: Gson's own equality (takes 1 and 1.0, or large numbers that differ, for equal).

--- a/model/src/main/java/pinewick/model/ConfigurationDelta.java
+++ b/model/src/main/java/pinewick/model/ConfigurationDelta.java
@@ -2,7 +2,6 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,35 +26,35 @@
     /** Base of a delta that carries a whole document. */
     public static final long WHOLE = 0;
 
-    /** The difference from {@code from} to {@code to}. */
+    /**
+     * The difference from {@code from} to {@code to}, in which items keep their letter and their order. A section that
+     * {@code to} does not have stands among the removals only; see {@link #applyTo}.
+     */
     public static ConfigurationDelta between(ConfigurationDocument from, ConfigurationDocument to) {
         Map<String, Map<String, JsonObject>> upserts = new LinkedHashMap<>();
         Map<String, List<String>> removals = new LinkedHashMap<>();
-        to.sections().forEach((section, items) -> {
-            Map<String, JsonObject> before = from.sections().getOrDefault(section, Map.of());
-            Map<String, JsonObject> changed = new LinkedHashMap<>();
-            items.forEach((name, item) -> {
-                if (!item.equals(before.get(name))) {
-                    changed.put(name, item);
-                }
-            });
-            if (!changed.isEmpty() || !from.sections().containsKey(section)) {
-                upserts.put(section, changed);
+        to.sections().forEach((section, after) -> {
+            Map<String, JsonObject> before = from.sections().get(section);
+            SectionDifference difference = SectionDifference.between(before == null ? Map.of() : before, after);
+            if (!difference.removals().isEmpty()) {
+                removals.put(section, difference.removals());
+            }
+            boolean emptied = after.isEmpty() && !difference.removals().isEmpty();
+            if (before == null || emptied || !difference.upserts().isEmpty()) {
+                upserts.put(section, difference.upserts());
             }
         });
         from.sections().forEach((section, items) -> {
-            Map<String, JsonObject> after = to.sections().getOrDefault(section, Map.of());
-            List<String> gone = new ArrayList<>();
-            items.keySet().stream().filter(name -> !after.containsKey(name)).forEach(gone::add);
-            if (!gone.isEmpty()) {
-                removals.put(section, gone);
+            if (!to.sections().containsKey(section)) {
+                removals.put(section, List.copyOf(items.keySet()));
             }
         });
         return new ConfigurationDelta(from.version(), to.version(), upserts, removals, to.fields());
     }
 
     /**
-     * Applies this to {@code base}.
+     * Applies this to {@code base}: first the removals, then the upserts, which stay in place or go to the end. A section
+     * that the removals leave empty and that has no upserts ceases to exist.
      *
      * @throws IllegalArgumentException if {@code base} has another version than {@link #baseVersion}
      */
@@ -64,12 +63,20 @@
             throw new IllegalArgumentException(
                     "delta from version " + baseVersion + " does not apply to version " + base.version());
         }
-        Map<String, Map<String, JsonObject>> sections = new LinkedHashMap<>();
-        base.sections().forEach((section, items) -> sections.put(section, new LinkedHashMap<>(items)));
-        removals.forEach((section, names) ->
-                names.forEach(sections.computeIfAbsent(section, key -> new LinkedHashMap<>())::remove));
-        upserts.forEach((section, items) ->
-                sections.computeIfAbsent(section, key -> new LinkedHashMap<>()).putAll(items));
+        Map<String, Map<String, JsonObject>> sections = new LinkedHashMap<>(base.sections());
+        removals.forEach((section, names) -> {
+            Map<String, JsonObject> items = new LinkedHashMap<>(sections.getOrDefault(section, Map.of()));
+            names.forEach(items::remove);
+            sections.put(section, items);
+            if (items.isEmpty() && !upserts.containsKey(section)) {
+                sections.remove(section);
+            }
+        });
+        upserts.forEach((section, changed) -> {
+            Map<String, JsonObject> items = new LinkedHashMap<>(sections.getOrDefault(section, Map.of()));
+            items.putAll(changed);
+            sections.put(section, items);
+        });
         return new ConfigurationDocument(version, sections, fields);
     }
 }
--- a/model/src/main/java/pinewick/model/ConfigurationDocument.java
+++ b/model/src/main/java/pinewick/model/ConfigurationDocument.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -49,16 +50,25 @@
         return fields;
     }
 
+    /** Whether both have the same version, and sections and fields that are written alike, items in the same order. */
     @Override
     public boolean equals(Object other) {
         return other instanceof ConfigurationDocument that
                 && version == that.version
-                && sections.equals(that.sections)
-                && fields.equals(that.fields);
+                && sections.keySet().equals(that.sections.keySet())
+                && fields.keySet().equals(that.fields.keySet())
+                && fields.keySet().stream().allMatch(name -> JsonText.alike(fields.get(name), that.fields.get(name)))
+                && sections.keySet().stream()
+                        .allMatch(name -> sameItems(sections.get(name), that.sections.get(name)));
     }
 
     @Override
     public int hashCode() {
-        return Long.hashCode(version) * 31 + sections.hashCode();
+        return Long.hashCode(version) * 31 + sections.keySet().hashCode();
+    }
+
+    private static boolean sameItems(Map<String, JsonObject> left, Map<String, JsonObject> right) {
+        return left == right || (List.copyOf(left.keySet()).equals(List.copyOf(right.keySet()))
+                && left.keySet().stream().allMatch(name -> JsonText.alike(left.get(name), right.get(name))));
     }
 }
--- /dev/null
+++ b/model/src/main/java/pinewick/model/DeltaFormat.java
@@ -0,0 +1,148 @@
+package pinewick.model;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/**
+ * Deltas as bytes. The first byte names the format: {@link #PLAIN} is followed by JSON text, {@link #DEFLATED} by the
+ * length of the text (four bytes) and the deflated text. Texts too short to gain anything stay plain.
+ */
+final class DeltaFormat {
+    private static final byte PLAIN = 1;
+    private static final byte DEFLATED = 2;
+    private static final int SHORTEST_DEFLATED = 600;
+    private static final int LONGEST_TEXT = 64 << 20;
+    private static final int HEAD_BYTES = 1 + Integer.BYTES;
+
+    private static final String BASE = "base";
+    private static final String VERSION = "version";
+    private static final String UPSERTS = "upserts";
+    private static final String REMOVALS = "removals";
+    private static final String FIELDS = "fields";
+
+    private DeltaFormat() {}
+
+    static byte[] write(ConfigurationDelta delta) {
+        byte[] text = toJson(delta).toString().getBytes(StandardCharsets.UTF_8);
+        return text.length < SHORTEST_DEFLATED ? plain(text) : deflated(text);
+    }
+
+    /** @throws IllegalArgumentException if the bytes are not what {@link #write} wrote */
+    static ConfigurationDelta read(byte[] bytes) {
+        try {
+            return fromJson((JsonObject) JsonText.parse(text(bytes)));
+        } catch (JsonText.UnreadableException | DataFormatException | RuntimeException e) {
+            throw new IllegalArgumentException("not a configuration delta: " + e.getMessage(), e);
+        }
+    }
+
+    private static byte[] plain(byte[] text) {
+        return ByteBuffer.allocate(1 + text.length).put(PLAIN).put(text).array();
+    }
+
+    private static byte[] deflated(byte[] text) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED, true);
+        try {
+            deflater.setInput(text);
+            deflater.finish();
+            // Deflate stores what it can't shorten, with five bytes a block of at most 65,535.
+            byte[] buffer = new byte[HEAD_BYTES + text.length + text.length / 1_000 + 64];
+            ByteBuffer.wrap(buffer).put(DEFLATED).putInt(text.length);
+            int length = deflater.deflate(buffer, HEAD_BYTES, buffer.length - HEAD_BYTES);
+            return Arrays.copyOf(buffer, HEAD_BYTES + length);
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] text(byte[] bytes) throws DataFormatException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        byte format = buffer.get();
+        if (format == PLAIN) {
+            byte[] text = new byte[buffer.remaining()];
+            buffer.get(text);
+            return text;
+        }
+        if (format != DEFLATED) {
+            throw new DataFormatException("unknown format " + format);
+        }
+        return inflated(bytes, buffer.getInt());
+    }
+
+    private static byte[] inflated(byte[] bytes, int length) throws DataFormatException {
+        if (length < 0 || length > LONGEST_TEXT) {
+            throw new DataFormatException("a text of " + length + " bytes");
+        }
+        Inflater inflater = new Inflater(true);
+        try {
+            inflater.setInput(bytes, HEAD_BYTES, bytes.length - HEAD_BYTES);
+            byte[] text = new byte[length];
+            if (inflater.inflate(text) != length) {
+                throw new DataFormatException("the text is cut off");
+            }
+            return text;
+        } finally {
+            inflater.end();
+        }
+    }
+
+    private static JsonObject toJson(ConfigurationDelta delta) {
+        JsonObject json = new JsonObject();
+        json.addProperty(BASE, delta.baseVersion());
+        json.addProperty(VERSION, delta.version());
+        JsonObject upserts = new JsonObject();
+        delta.upserts().forEach((section, items) -> {
+            JsonObject named = new JsonObject();
+            items.forEach(named::add);
+            upserts.add(section, named);
+        });
+        json.add(UPSERTS, upserts);
+        JsonObject removals = new JsonObject();
+        delta.removals().forEach((section, names) -> {
+            JsonArray list = new JsonArray(names.size());
+            names.forEach(list::add);
+            removals.add(section, list);
+        });
+        json.add(REMOVALS, removals);
+        JsonObject fields = new JsonObject();
+        delta.fields().forEach(fields::add);
+        json.add(FIELDS, fields);
+        return json;
+    }
+
+    private static ConfigurationDelta fromJson(JsonObject json) {
+        Map<String, Map<String, JsonObject>> upserts = new LinkedHashMap<>();
+        json.getAsJsonObject(UPSERTS).entrySet().forEach(section -> {
+            Map<String, JsonObject> items = new LinkedHashMap<>();
+            section.getValue().getAsJsonObject().entrySet().forEach(item ->
+                    items.put(item.getKey(), item.getValue().getAsJsonObject()));
+            upserts.put(section.getKey(), items);
+        });
+        Map<String, List<String>> removals = new LinkedHashMap<>();
+        json.getAsJsonObject(REMOVALS).entrySet().forEach(section -> {
+            List<String> names = new ArrayList<>();
+            section.getValue().getAsJsonArray().forEach(name -> names.add(name.getAsString()));
+            removals.put(section.getKey(), names);
+        });
+        Map<String, JsonElement> fields = new LinkedHashMap<>();
+        json.getAsJsonObject(FIELDS).entrySet().forEach(field -> fields.put(field.getKey(), field.getValue()));
+        return new ConfigurationDelta(
+                number(json, BASE), number(json, VERSION), upserts, removals, fields);
+    }
+
+    private static long number(JsonObject json, String name) {
+        return ((JsonPrimitive) json.get(name)).getAsLong();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/pinewick/model/ItemFields.java
@@ -0,0 +1,157 @@
+package pinewick.model;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.util.Optional;
+
+/**
+ * Typed access to the fields of one item. A field of the wrong type becomes a fault and reads as its default; {@code null}
+ * counts as absent.
+ */
+final class ItemFields {
+    private static final int LONGEST_NUMBER = 40;
+    private static final BigDecimal LARGEST_INT = BigDecimal.valueOf(Integer.MAX_VALUE);
+    private static final BigDecimal LARGEST_LONG = BigDecimal.valueOf(Long.MAX_VALUE);
+
+    private final String item;
+    private final JsonObject object;
+    private final FaultList faults;
+
+    /** @param item how faults name the item, for example {@code routes/r-7} */
+    ItemFields(String item, JsonObject object, FaultList faults) {
+        this.item = item;
+        this.object = object;
+        this.faults = faults;
+    }
+
+    String item() {
+        return item;
+    }
+
+    void fault(String field, String reason) {
+        faults.add(item, field, reason);
+    }
+
+    boolean has(String field) {
+        JsonElement value = object.get(field);
+        return value != null && !value.isJsonNull();
+    }
+
+    /** A text that must be there and not be empty; {@code ""} after a fault. */
+    String requiredText(String field) {
+        if (!has(field)) {
+            fault(field, "is missing; give a text");
+            return "";
+        }
+        Optional<String> text = text(field);
+        if (text.isPresent() && text.get().isEmpty()) {
+            fault(field, "is empty; give a text");
+        }
+        return text.orElse("");
+    }
+
+    /** A text that may be absent. */
+    Optional<String> text(String field) {
+        if (!has(field)) {
+            return Optional.empty();
+        }
+        if (object.get(field) instanceof JsonPrimitive value && value.isString()) {
+            return Optional.of(value.getAsString());
+        }
+        fault(field, "is not a text; put it in quotes");
+        return Optional.empty();
+    }
+
+    boolean flag(String field) {
+        if (!has(field)) {
+            return false;
+        }
+        if (object.get(field) instanceof JsonPrimitive value && value.isBoolean()) {
+            return value.getAsBoolean();
+        }
+        fault(field, "is neither true nor false");
+        return false;
+    }
+
+    /** A number held to {@code lowest} and the range of {@code int}; fractions are rounded up. */
+    int wholeNumber(String field, int lowest, int byDefault) {
+        return number(field)
+                .map(value -> value.setScale(0, RoundingMode.CEILING)
+                        .max(BigDecimal.valueOf(lowest))
+                        .min(LARGEST_INT)
+                        .intValue())
+                .orElse(byDefault);
+    }
+
+    /** As {@link #wholeNumber}, in the range of {@code long}. */
+    long longNumber(String field, long lowest, long byDefault) {
+        return number(field)
+                .map(value -> value.setScale(0, RoundingMode.CEILING)
+                        .max(BigDecimal.valueOf(lowest))
+                        .min(LARGEST_LONG)
+                        .longValue())
+                .orElse(byDefault);
+    }
+
+    double fraction(String field, double byDefault) {
+        return number(field).map(BigDecimal::doubleValue).orElse(byDefault);
+    }
+
+    /** A number of any size; a fault if the field holds something else. */
+    Optional<BigDecimal> number(String field) {
+        if (!has(field)) {
+            return Optional.empty();
+        }
+        Optional<BigDecimal> number = toNumber(object.get(field));
+        if (number.isEmpty()) {
+            fault(field, "is not a number within reason");
+        }
+        return number;
+    }
+
+    /** A list; empty if it is absent or after a fault. */
+    JsonArray list(String field) {
+        if (!has(field)) {
+            return new JsonArray();
+        }
+        if (object.get(field) instanceof JsonArray list) {
+            return list;
+        }
+        fault(field, "is not a list");
+        return new JsonArray();
+    }
+
+    /** An object that may be absent. */
+    Optional<JsonObject> object(String field) {
+        if (!has(field)) {
+            return Optional.empty();
+        }
+        if (object.get(field) instanceof JsonObject inner) {
+            return Optional.of(inner);
+        }
+        fault(field, "is not an object");
+        return Optional.empty();
+    }
+
+    /** The number that a JSON value holds, unless it is something else or its text is out of all proportion. */
+    static Optional<BigDecimal> toNumber(JsonElement element) {
+        if (!(element instanceof JsonPrimitive value) || !value.isNumber()) {
+            return Optional.empty();
+        }
+        String text = value.getAsString();
+        if (text.length() > LONGEST_NUMBER) {
+            return Optional.empty();
+        }
+        try {
+            BigDecimal number = new BigDecimal(text);
+            // An exponent in the thousands would make the arithmetic on it costly.
+            return Math.abs((long) number.scale()) > LONGEST_NUMBER ? Optional.empty() : Optional.of(number);
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/model/src/main/java/pinewick/model/ReplicaRecord.java
+++ b/model/src/main/java/pinewick/model/ReplicaRecord.java
@@ -1,5 +1,6 @@
 package pinewick.model;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -33,6 +34,21 @@
         long callSequence,
         boolean lapsed) {
 
+    /**
+     * Orders records of one instance by age. Everything but the state takes part, so that two records which a faulty
+     * replica sent under one number are still merged alike everywhere.
+     */
+    private static final Comparator<ReplicaRecord> BY_AGE = Comparator.comparingLong(ReplicaRecord::callSequence)
+            .thenComparing(ReplicaRecord::lapsed)
+            .thenComparing(ReplicaRecord::service)
+            .thenComparing(ReplicaRecord::address)
+            .thenComparing(ReplicaRecord::zone)
+            .thenComparing(ReplicaRecord::softwareVersion)
+            .thenComparingInt(ReplicaRecord::slots)
+            .thenComparingInt(ReplicaRecord::coldRemainingMs)
+            .thenComparing(ReplicaRecord::stage)
+            .thenComparing(record -> record.models().toString());
+
     public ReplicaRecord {
         models = List.copyOf(models);
     }
@@ -64,10 +80,7 @@
      * associative and idempotent.
      */
     public static ReplicaRecord merge(ReplicaRecord left, ReplicaRecord right) {
-        ReplicaRecord newer = left.callSequence >= right.callSequence ? left : right;
-        if (left.callSequence == right.callSequence && left.lapsed != right.lapsed) {
-            newer = left.lapsed ? left : right;
-        }
+        ReplicaRecord newer = BY_AGE.compare(left, right) >= 0 ? left : right;
         ReplicaState state = left.state.compareTo(right.state) >= 0 ? left.state : right.state;
         return newer.state == state ? newer : newer.withState(state);
     }
--- /dev/null
+++ b/model/src/main/java/pinewick/model/RouteBuilder.java
@@ -0,0 +1,156 @@
+package pinewick.model;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/** Builds a {@link Route} from the operator's item, and tells every fault of it. */
+final class RouteBuilder {
+    /** The sum to which weights are scaled that are not whole numbers. */
+    private static final BigDecimal SCALED_SUM = BigDecimal.valueOf(1_000_000);
+
+    private static final BigDecimal LARGEST_SUM = BigDecimal.valueOf(Integer.MAX_VALUE);
+
+    private final ItemFields fields;
+    private final Set<String> services;
+
+    /** @param services names of the services that the document knows */
+    RouteBuilder(ItemFields fields, Set<String> services) {
+        this.fields = fields;
+        this.services = services;
+    }
+
+    /** The route; what faults left out stands at its default, and the caller refuses the document. */
+    Route build() {
+        String name = fields.requiredText("name");
+        String hostname = fields.requiredText("hostname").toLowerCase(Locale.ROOT);
+        String pathPrefix = pathPrefix();
+        RouteKind kind = kind();
+        int timeoutMs = timeoutMs();
+        List<Route.WeightedService> split = split();
+        return new Route(
+                name,
+                hostname,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                fields.wholeNumber("target_latency_ms", 1, timeoutMs),
+                fields.wholeNumber("priority", 0, 0),
+                split,
+                fields.wholeNumber("max_attempts", 1, 1),
+                fields.flag("session_affinity"),
+                fields.flag("resumable"),
+                fields.wholeNumber("gap_aim_ms", 0, 0));
+    }
+
+    private String pathPrefix() {
+        String prefix = fields.requiredText("path_prefix");
+        if (!prefix.isEmpty() && !(prefix.startsWith("/") && prefix.endsWith("/"))) {
+            fields.fault("path_prefix", "'" + prefix + "' does not begin and end with a slash");
+        }
+        return prefix;
+    }
+
+    private RouteKind kind() {
+        String text = fields.requiredText("route_kind");
+        for (RouteKind kind : RouteKind.values()) {
+            if (kind.name().toLowerCase(Locale.ROOT).equals(text)) {
+                return kind;
+            }
+        }
+        if (!text.isEmpty()) {
+            fields.fault("route_kind", "'" + text + "' is none of idempotent, non_idempotent, streaming");
+        }
+        return RouteKind.NON_IDEMPOTENT;
+    }
+
+    private int timeoutMs() {
+        if (!fields.has("timeout_ms")) {
+            fields.fault("timeout_ms", "is missing; give a time above 0");
+            return 1;
+        }
+        Optional<BigDecimal> timeout = fields.number("timeout_ms");
+        if (timeout.isPresent() && timeout.get().signum() <= 0) {
+            fields.fault("timeout_ms", "is " + timeout.get().toPlainString() + "; give a time above 0");
+        }
+        return timeout.isEmpty() ? 1 : fields.wholeNumber("timeout_ms", 1, 1);
+    }
+
+    private List<Route.WeightedService> split() {
+        Optional<String> service = fields.text("service").filter(name -> !name.isEmpty());
+        service.ifPresent(name -> requireKnown("service", name));
+        if (!fields.list("traffic_split").isEmpty()) {
+            return weightedServices();
+        }
+        if (service.isEmpty()) {
+            fields.fault("service", "is missing, and so is traffic_split; name a service");
+            return List.of();
+        }
+        return List.of(new Route.WeightedService(service.get(), 1));
+    }
+
+    private List<Route.WeightedService> weightedServices() {
+        List<String> names = new ArrayList<>();
+        List<BigDecimal> weights = new ArrayList<>();
+        int index = 0;
+        for (JsonElement entry : fields.list("traffic_split")) {
+            String place = "traffic_split[" + index++ + "]";
+            if (entry instanceof JsonObject object) {
+                readWeightedService(place, object, names, weights);
+            } else {
+                fields.fault(place, "is not an object with service and weight");
+            }
+        }
+        BigDecimal sum = weights.stream().reduce(BigDecimal.ZERO, BigDecimal::add);
+        if (sum.signum() <= 0) {
+            fields.fault("traffic_split", "has weights that add up to " + sum.toPlainString() + "; give one above 0");
+            return List.of();
+        }
+        return toWholeWeights(names, weights, sum);
+    }
+
+    private void readWeightedService(String place, JsonObject object, List<String> names, List<BigDecimal> weights) {
+        String service = object.get("service") instanceof JsonPrimitive name ? name.getAsString() : "";
+        if (service.isEmpty()) {
+            fields.fault(place + ".service", "is missing; name a service");
+        } else {
+            requireKnown(place + ".service", service);
+        }
+        Optional<BigDecimal> weight = ItemFields.toNumber(object.get("weight"));
+        if (weight.isEmpty()) {
+            fields.fault(place + ".weight", "is missing or no number; give one from 0 up");
+        } else if (weight.get().signum() < 0) {
+            fields.fault(place + ".weight", "is below 0; give one from 0 up");
+        }
+        names.add(service);
+        weights.add(weight.orElse(BigDecimal.ZERO));
+    }
+
+    private static List<Route.WeightedService> toWholeWeights(
+            List<String> names, List<BigDecimal> weights, BigDecimal sum) {
+        boolean whole = sum.compareTo(LARGEST_SUM) <= 0
+                && weights.stream().allMatch(weight -> weight.stripTrailingZeros().scale() <= 0);
+        List<Route.WeightedService> split = new ArrayList<>();
+        for (int index = 0; index < names.size(); index++) {
+            BigDecimal weight = weights.get(index);
+            int share = whole
+                    ? weight.intValue()
+                    : weight.multiply(SCALED_SUM).divide(sum, 0, RoundingMode.CEILING).intValue();
+            split.add(new Route.WeightedService(names.get(index), share));
+        }
+        return split;
+    }
+
+    private void requireKnown(String field, String service) {
+        if (!services.contains(service)) {
+            fields.fault(field, "'" + service + "' is not a service of this configuration");
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/pinewick/model/RoutingTableBuilder.java
@@ -0,0 +1,72 @@
+package pinewick.model;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Builds the typed view of a whole document, and tells every fault of it. */
+final class RoutingTableBuilder {
+    /** Section that holds the routes. */
+    static final String ROUTES = "routes";
+    /** Section that holds the services. */
+    static final String SERVICES = "services";
+    /** Field that holds the limits of what clients may send. */
+    static final String LIMITS = "limits";
+
+    private final ConfigurationDocument document;
+    private final FaultList faults;
+
+    RoutingTableBuilder(ConfigurationDocument document, FaultList faults) {
+        this.document = document;
+        this.faults = faults;
+    }
+
+    /** The table; only to be used if no fault was told. */
+    RoutingTable build() {
+        List<Route> routes = routes();
+        List<ServiceSpec> services = new ArrayList<>();
+        items(SERVICES).forEach((name, item) -> services.add(
+                new ServiceBuilder(new ItemFields(SERVICES + "/" + name, item, faults), faults).build()));
+        return new RoutingTable(document.version(), routes, services, limits());
+    }
+
+    private List<Route> routes() {
+        List<Route> routes = new ArrayList<>();
+        Map<String, String> ownerOfPrefix = new HashMap<>();
+        items(ROUTES).forEach((name, item) -> {
+            ItemFields fields = new ItemFields(ROUTES + "/" + name, item, faults);
+            Route route = new RouteBuilder(fields, items(SERVICES).keySet()).build();
+            String earlier = ownerOfPrefix.putIfAbsent(route.hostname() + " " + route.pathPrefix(), name);
+            if (earlier != null && !route.hostname().isEmpty() && !route.pathPrefix().isEmpty()) {
+                fields.fault("path_prefix", "has the host and prefix of route '" + earlier + "'; change one of them");
+            }
+            routes.add(route);
+        });
+        return routes;
+    }
+
+    private RequestLimits limits() {
+        JsonElement given = document.fields().get(LIMITS);
+        if (given == null || given.isJsonNull()) {
+            return RequestLimits.DEFAULT;
+        }
+        if (!(given instanceof JsonObject object)) {
+            faults.add(LIMITS, "", "is not an object");
+            return RequestLimits.DEFAULT;
+        }
+        ItemFields limits = new ItemFields(LIMITS, object, faults);
+        RequestLimits standard = RequestLimits.DEFAULT;
+        return new RequestLimits(
+                limits.wholeNumber("max_header_bytes", 0, standard.maxHeaderBytes()),
+                limits.wholeNumber("max_body_bytes", 0, standard.maxBodyBytes()),
+                limits.wholeNumber("header_timeout_ms", 0, standard.headerTimeoutMs()),
+                limits.wholeNumber("idle_timeout_ms", 0, standard.idleTimeoutMs()));
+    }
+
+    private Map<String, JsonObject> items(String section) {
+        return document.sections().getOrDefault(section, Map.of());
+    }
+}
