--- /dev/null
+++ b/system/src/main/java/pinewick/system/InvalidSettingsException.java
@@ -0,0 +1,20 @@
+package pinewick.system;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** A settings file that a program can't start with, with every fault that was found. */
+public final class InvalidSettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final transient List<SettingsFault> faults;
+
+    public InvalidSettingsException(List<SettingsFault> faults) {
+        super(faults.stream().map(SettingsFault::toString).collect(Collectors.joining("\n")));
+        this.faults = List.copyOf(faults);
+    }
+
+    /** Every fault, in the order in which the fields are read. */
+    public List<SettingsFault> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/system/src/main/java/pinewick/system/LogLine.java
@@ -0,0 +1,68 @@
+package pinewick.system;
+
+import java.util.logging.Formatter;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * One line a record: the time of day (UTC), the level's first letter, the class, the message, and for an exception its chain
+ * of causes with the place where the last one arose.
+ */
+final class LogLine extends Formatter {
+    private static final long MILLIS_A_DAY = 86_400_000L;
+    private static final int LONGEST_CHAIN = 6;
+
+    @Override
+    public String format(LogRecord record) {
+        StringBuilder line = new StringBuilder(160);
+        appendTime(line, Math.floorMod(record.getMillis(), MILLIS_A_DAY));
+        line.append(' ').append(letter(record.getLevel())).append(' ');
+        String name = String.valueOf(record.getLoggerName());
+        line.append(name, name.lastIndexOf('.') + 1, name.length()).append(": ");
+        appendOnOneLine(line, formatMessage(record));
+        if (record.getThrown() != null) {
+            appendChain(line, record.getThrown());
+        }
+        return line.append('\n').toString();
+    }
+
+    private static void appendTime(StringBuilder line, long millisOfDay) {
+        appendDigits(line, millisOfDay / 3_600_000, 2);
+        appendDigits(line, millisOfDay / 60_000 % 60, 2, ':');
+        appendDigits(line, millisOfDay / 1_000 % 60, 2, ':');
+        appendDigits(line, millisOfDay % 1_000, 3, '.');
+    }
+
+    private static void appendDigits(StringBuilder line, long value, int digits, char before) {
+        appendDigits(line.append(before), value, digits);
+    }
+
+    private static void appendDigits(StringBuilder line, long value, int digits) {
+        String text = Long.toString(value);
+        for (int missing = digits - text.length(); missing > 0; missing--) {
+            line.append('0');
+        }
+        line.append(text);
+    }
+
+    private static char letter(Level level) {
+        return level == Level.SEVERE ? 'E' : level.getName().charAt(0);
+    }
+
+    private static void appendChain(StringBuilder line, Throwable thrown) {
+        Throwable last = thrown;
+        Throwable cause = thrown;
+        for (int length = 0; cause != null && length < LONGEST_CHAIN; length++) {
+            appendOnOneLine(line.append(" | "), cause.toString());
+            last = cause;
+            cause = cause.getCause();
+        }
+        if (last.getStackTrace().length > 0) {
+            line.append(" at ").append(last.getStackTrace()[0]);
+        }
+    }
+
+    private static void appendOnOneLine(StringBuilder line, String text) {
+        line.append(text.indexOf('\n') < 0 ? text : text.replace("\n", " / "));
+    }
+}
--- /dev/null
+++ b/system/src/main/java/pinewick/system/Program.java
@@ -0,0 +1,65 @@
+package pinewick.system;
+
+import java.util.List;
+import pinewick.control.Controller;
+import pinewick.dataplane.Router;
+import pinewick.model.NodeSettings;
+import pinewick.model.SocketAddress;
+
+/** What the command line needs of the two programs. */
+interface Program {
+    /** Starts serving. */
+    void start() throws Exception;
+
+    /** Ends what is under way within the grace period, and returns when all has stopped. */
+    void stop() throws Exception;
+
+    /** Takes note of other seeds. */
+    void updateSeeds(List<SocketAddress> seeds);
+
+    /** Makes a program of its settings. */
+    @FunctionalInterface
+    interface Factory {
+        Program create(NodeSettings settings);
+    }
+
+    static Program router(NodeSettings settings) {
+        Router router = new Router(settings);
+        return new Program() {
+            @Override
+            public void start() throws Exception {
+                router.start();
+            }
+
+            @Override
+            public void stop() throws Exception {
+                router.stop();
+            }
+
+            @Override
+            public void updateSeeds(List<SocketAddress> seeds) {
+                router.updateSeeds(seeds);
+            }
+        };
+    }
+
+    static Program controller(NodeSettings settings) {
+        Controller controller = new Controller(settings);
+        return new Program() {
+            @Override
+            public void start() throws Exception {
+                controller.start();
+            }
+
+            @Override
+            public void stop() throws Exception {
+                controller.stop();
+            }
+
+            @Override
+            public void updateSeeds(List<SocketAddress> seeds) {
+                controller.updateSeeds(seeds);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/system/src/main/java/pinewick/system/TomlFields.java
@@ -0,0 +1,162 @@
+package pinewick.system;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlTable;
+import pinewick.model.SocketAddress;
+
+/**
+ * Typed access to one table of a settings file. What is missing or of the wrong type becomes a fault and reads as a default,
+ * so that all faults are told at once.
+ */
+final class TomlFields {
+    private final String path;
+    private final TomlTable table;
+    private final List<SettingsFault> faults;
+
+    private TomlFields(String path, TomlTable table, List<SettingsFault> faults) {
+        this.path = path;
+        this.table = table;
+        this.faults = faults;
+    }
+
+    static TomlFields ofRoot(TomlTable root, List<SettingsFault> faults) {
+        return new TomlFields("", root, faults);
+    }
+
+    /** A table inside this one; all its fields are absent if it is. */
+    TomlFields table(String key) {
+        Object value = value(key);
+        if (value instanceof TomlTable inner) {
+            return new TomlFields(path + key + ".", inner, faults);
+        }
+        if (value != null) {
+            fault(key, "is not a table; write it as [" + path + key + "]");
+        }
+        return new TomlFields(path + key + ".", null, faults);
+    }
+
+    void fault(String key, String sentence) {
+        faults.add(new SettingsFault(path + key, sentence));
+    }
+
+    boolean has(String key) {
+        return value(key) != null;
+    }
+
+    String requiredText(String key, String remedy) {
+        if (!has(key)) {
+            fault(key, "is missing; " + remedy);
+            return "";
+        }
+        String text = text(key, "");
+        if (text.isEmpty() && value(key) instanceof String) {
+            fault(key, "is empty; " + remedy);
+        }
+        return text;
+    }
+
+    String text(String key, String byDefault) {
+        Object value = value(key);
+        if (value == null) {
+            return byDefault;
+        }
+        if (value instanceof String text) {
+            return text;
+        }
+        fault(key, "is " + value + "; put a text in quotes");
+        return byDefault;
+    }
+
+    boolean flag(String key, boolean byDefault) {
+        Object value = value(key);
+        if (value == null) {
+            return byDefault;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        fault(key, "is " + value + "; write true or false");
+        return byDefault;
+    }
+
+    /** A number from 0 up, a fraction rounded to the nearest whole. */
+    int wholeNumber(String key, int byDefault) {
+        return (int) Math.min(Integer.MAX_VALUE, Math.round(number(key, byDefault)));
+    }
+
+    /** A number from 0 up. */
+    double number(String key, double byDefault) {
+        Object value = value(key);
+        if (value == null) {
+            return byDefault;
+        }
+        if (value instanceof Number number && Double.isFinite(number.doubleValue()) && number.doubleValue() >= 0) {
+            return number.doubleValue();
+        }
+        fault(key, "is " + value + "; give a number from 0 up");
+        return byDefault;
+    }
+
+    List<String> texts(String key) {
+        List<String> texts = new ArrayList<>();
+        for (Object element : list(key, "a list of texts")) {
+            if (element instanceof String text) {
+                texts.add(text);
+            } else {
+                fault(key, "holds " + element + "; put a text in quotes");
+            }
+        }
+        return texts;
+    }
+
+    List<SocketAddress> addresses(String key) {
+        List<SocketAddress> addresses = new ArrayList<>();
+        for (String text : texts(key)) {
+            parse(key, text).ifPresent(addresses::add);
+        }
+        return addresses;
+    }
+
+    Optional<SocketAddress> address(String key) {
+        return has(key) ? parse(key, text(key, "")) : Optional.empty();
+    }
+
+    /** The elements of a list; none if it is absent or something else. */
+    List<Object> list(String key, String kind) {
+        Object value = value(key);
+        if (value instanceof TomlArray array) {
+            return array.toList();
+        }
+        if (value != null) {
+            fault(key, "is " + value + "; give " + kind);
+        }
+        return List.of();
+    }
+
+    /** Every text of this table by its key. */
+    Map<String, String> textsByKey() {
+        Map<String, String> texts = new LinkedHashMap<>();
+        if (table != null) {
+            table.keySet().forEach(key -> texts.put(key, text(key, "")));
+        }
+        return texts;
+    }
+
+    private Optional<SocketAddress> parse(String key, String text) {
+        try {
+            return Optional.of(SocketAddress.parse(text));
+        } catch (IllegalArgumentException e) {
+            fault(key, "is wrong: " + e.getMessage() + "; give an IPv4 address and a port from 1 to 65535");
+            return Optional.empty();
+        }
+    }
+
+    private Object value(String key) {
+        return table == null ? null : table.get(List.of(key));
+    }
+}
