Tests of the configuration checks, deltas and merges; checksums on deltas; route look-up by prefix

Cause: hard cases of the operator's bodies. Change: deltas carry a checksum (each spoilt bit is refused); routes are looked up by the parts of a path that end in a slash instead of one after the other; property tests for deltas and merges.

--- a/model/src/main/java/pinewick/model/DeltaFormat.java
+++ b/model/src/main/java/pinewick/model/DeltaFormat.java
@@ -11,20 +11,25 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.zip.CRC32C;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
 /**
- * Deltas as bytes. The first byte names the format: {@link #PLAIN} is followed by JSON text, {@link #DEFLATED} by the
- * length of the text (four bytes) and the deflated text. Texts too short to gain anything stay plain.
+ * Deltas as bytes: a byte that names the format, a checksum of what follows it, and the delta. In the format {@link #PLAIN}
+ * that is JSON text; in {@link #DEFLATED} it is the length of the text and the deflated text. Texts too short to gain anything
+ * stay plain.
  */
 final class DeltaFormat {
     private static final byte PLAIN = 1;
     private static final byte DEFLATED = 2;
     private static final int SHORTEST_DEFLATED = 600;
     private static final int LONGEST_TEXT = 64 << 20;
+    /** The format and the checksum. */
     private static final int HEAD_BYTES = 1 + Integer.BYTES;
+    /** More than deflate adds to what it can't shorten: a few bytes for each block of thousands. */
+    private static final int DEFLATE_OVERHEAD = 64;
 
     private static final String BASE = "base";
     private static final String VERSION = "version";
@@ -49,7 +54,9 @@
     }
 
     private static byte[] plain(byte[] text) {
-        return ByteBuffer.allocate(1 + text.length).put(PLAIN).put(text).array();
+        ByteBuffer buffer = ByteBuffer.allocate(HEAD_BYTES + text.length);
+        buffer.position(HEAD_BYTES).put(text);
+        return finish(PLAIN, buffer);
     }
 
     private static byte[] deflated(byte[] text) {
@@ -57,37 +64,48 @@
         try {
             deflater.setInput(text);
             deflater.finish();
-            // Deflate stores what it can't shorten, with five bytes a block of at most 65,535.
-            byte[] buffer = new byte[HEAD_BYTES + text.length + text.length / 1_000 + 64];
-            ByteBuffer.wrap(buffer).put(DEFLATED).putInt(text.length);
-            int length = deflater.deflate(buffer, HEAD_BYTES, buffer.length - HEAD_BYTES);
-            return Arrays.copyOf(buffer, HEAD_BYTES + length);
+            int most = text.length + text.length / 1_000 + DEFLATE_OVERHEAD;
+            ByteBuffer buffer = ByteBuffer.allocate(HEAD_BYTES + Integer.BYTES + most);
+            buffer.position(HEAD_BYTES).putInt(text.length);
+            deflater.deflate(buffer);
+            return finish(DEFLATED, buffer);
         } finally {
             deflater.end();
         }
     }
 
+    private static byte[] finish(byte format, ByteBuffer buffer) {
+        buffer.flip();
+        buffer.put(0, format).putInt(1, checksum(buffer.duplicate().position(HEAD_BYTES)));
+        return Arrays.copyOf(buffer.array(), buffer.limit());
+    }
+
+    private static int checksum(ByteBuffer bytes) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes);
+        return (int) checksum.getValue();
+    }
+
     private static byte[] text(byte[] bytes) throws DataFormatException {
         ByteBuffer buffer = ByteBuffer.wrap(bytes);
         byte format = buffer.get();
-        if (format == PLAIN) {
-            byte[] text = new byte[buffer.remaining()];
-            buffer.get(text);
-            return text;
-        }
-        if (format != DEFLATED) {
-            throw new DataFormatException("unknown format " + format);
+        if (buffer.getInt() != checksum(buffer.duplicate())) {
+            throw new DataFormatException("the checksum does not fit");
         }
-        return inflated(bytes, buffer.getInt());
+        return switch (format) {
+            case PLAIN -> Arrays.copyOfRange(bytes, HEAD_BYTES, bytes.length);
+            case DEFLATED -> inflated(buffer.getInt(), buffer);
+            default -> throw new DataFormatException("unknown format " + format);
+        };
     }
 
-    private static byte[] inflated(byte[] bytes, int length) throws DataFormatException {
+    private static byte[] inflated(int length, ByteBuffer deflated) throws DataFormatException {
         if (length < 0 || length > LONGEST_TEXT) {
             throw new DataFormatException("a text of " + length + " bytes");
         }
         Inflater inflater = new Inflater(true);
         try {
-            inflater.setInput(bytes, HEAD_BYTES, bytes.length - HEAD_BYTES);
+            inflater.setInput(deflated);
             byte[] text = new byte[length];
             if (inflater.inflate(text) != length) {
                 throw new DataFormatException("the text is cut off");
--- a/model/src/main/java/pinewick/model/RoutingTable.java
+++ b/model/src/main/java/pinewick/model/RoutingTable.java
@@ -1,7 +1,6 @@
 package pinewick.model;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,19 +12,20 @@
     public static final RoutingTable EMPTY = new RoutingTable(0, List.of(), List.of(), RequestLimits.DEFAULT);
 
     private final long version;
-    private final Map<String, List<Route>> routesByHost = new HashMap<>();
-    private final Map<String, ServiceSpec> services = new HashMap<>();
+    private final Map<String, HostRoutes> routesByHost = new HashMap<>();
+    private final Map<String, ServiceSpec> services;
     private final RequestLimits limits;
 
+    /** @param routes routes whose prefixes begin and end with a slash, no two with the same host and prefix */
     public RoutingTable(long version, List<Route> routes, List<ServiceSpec> services, RequestLimits limits) {
         this.version = version;
         this.limits = limits;
-        routes.forEach(route ->
-                routesByHost.computeIfAbsent(route.hostname(), host -> new ArrayList<>()).add(route));
-        Comparator<Route> longestFirst =
-                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
-        routesByHost.values().forEach(ofHost -> ofHost.sort(longestFirst));
-        services.forEach(service -> this.services.put(service.name(), service));
+        for (Route route : routes) {
+            routesByHost.computeIfAbsent(route.hostname(), host -> new HostRoutes()).add(route);
+        }
+        Map<String, ServiceSpec> byName = new HashMap<>();
+        services.forEach(service -> byName.put(service.name(), service));
+        this.services = Collections.unmodifiableMap(byName);
     }
 
     public long version() {
@@ -36,14 +36,13 @@
         return limits;
     }
 
-    /** The route of {@code host} whose prefix begins {@code path} and is longest. */
+    /**
+     * The route of {@code host} whose prefix begins {@code path} and is longest. Because prefixes end with a slash, only the
+     * parts of the path up to one of its slashes are looked up.
+     */
     public Optional<Route> find(String host, String path) {
-        for (Route route : routesByHost.getOrDefault(host, List.of())) {
-            if (path.startsWith(route.pathPrefix())) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        HostRoutes routes = routesByHost.get(host);
+        return routes == null ? Optional.empty() : Optional.ofNullable(routes.find(path));
     }
 
     public Optional<ServiceSpec> service(String name) {
@@ -52,6 +51,29 @@
 
     /** Every service, by name. */
     public Map<String, ServiceSpec> services() {
-        return Map.copyOf(services);
+        return services;
+    }
+
+    /** The routes of one host. */
+    private static final class HostRoutes {
+        private final Map<String, Route> byPrefix = new HashMap<>();
+        private int longestPrefix;
+
+        void add(Route route) {
+            byPrefix.put(route.pathPrefix(), route);
+            longestPrefix = Math.max(longestPrefix, route.pathPrefix().length());
+        }
+
+        Route find(String path) {
+            int slash = path.lastIndexOf('/', longestPrefix - 1);
+            while (slash >= 0) {
+                Route route = byPrefix.get(path.substring(0, slash + 1));
+                if (route != null) {
+                    return route;
+                }
+                slash = path.lastIndexOf('/', slash - 1);
+            }
+            return null;
+        }
     }
 }
--- /dev/null
+++ b/model/src/test/java/pinewick/model/ConfigurationDeltaPropertyTest.java
@@ -0,0 +1,71 @@
+package pinewick.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+class ConfigurationDeltaPropertyTest {
+    @Provide
+    Arbitrary<ConfigurationDocument> older() {
+        return GeneratedDocuments.ofVersion(3);
+    }
+
+    @Provide
+    Arbitrary<ConfigurationDocument> newer() {
+        return GeneratedDocuments.ofVersion(5);
+    }
+
+    @Property
+    void turnsAnyDocumentIntoAnyOther(
+            @ForAll("older") ConfigurationDocument from, @ForAll("newer") ConfigurationDocument to) {
+        assertEquals(to, ConfigurationDelta.between(from, to).applyTo(from));
+    }
+
+    @Property
+    void survivesItsBytes(@ForAll("older") ConfigurationDocument from, @ForAll("newer") ConfigurationDocument to) {
+        ConfigurationDelta delta = ConfigurationDelta.between(from, to);
+        ConfigurationDelta read = ConfigurationChecks.readDelta(ConfigurationChecks.writeDelta(delta));
+
+        assertEquals(to, read.applyTo(from));
+        assertEquals(delta.baseVersion(), read.baseVersion());
+    }
+
+    @Property
+    void carriesAWholeDocument(@ForAll("newer") ConfigurationDocument to) {
+        ConfigurationDelta delta = ConfigurationDelta.between(ConfigurationDocument.EMPTY, to);
+        ConfigurationDelta read = ConfigurationChecks.readDelta(ConfigurationChecks.writeDelta(delta));
+
+        assertEquals(ConfigurationDelta.WHOLE, read.baseVersion());
+        assertEquals(to, read.applyTo(ConfigurationDocument.EMPTY));
+    }
+
+    @Property
+    void isEmptyBetweenDocumentsThatAreAlike(@ForAll("newer") ConfigurationDocument document) {
+        ConfigurationDelta delta = ConfigurationDelta.between(document, document);
+
+        assertEquals(0, delta.upserts().size() + delta.removals().size());
+    }
+
+    @Property
+    void leavesItsBaseAsItWas(
+            @ForAll("older") ConfigurationDocument from, @ForAll("newer") ConfigurationDocument to) {
+        String before = Documents.json(from);
+        ConfigurationDelta.between(from, to).applyTo(from);
+
+        assertEquals(before, Documents.json(from));
+    }
+
+    @Property(tries = 100)
+    void isNotReadFromBytesThatAreCutOff(@ForAll("newer") ConfigurationDocument to) {
+        byte[] bytes = ConfigurationChecks.writeDelta(ConfigurationDelta.between(ConfigurationDocument.EMPTY, to));
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] cut = Arrays.copyOf(bytes, length);
+            assertThrows(IllegalArgumentException.class, () -> ConfigurationChecks.readDelta(cut));
+        }
+    }
+}
--- /dev/null
+++ b/model/src/test/java/pinewick/model/ConfigurationDocumentTest.java
@@ -0,0 +1,39 @@
+package pinewick.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigurationDocumentTest {
+    private static ConfigurationDocument withExtra(String value) throws InvalidConfigurationException {
+        return ConfigurationChecks.parseReplacement(
+                Documents.bytes("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"x\":" + value + "}],\"x\":" + value + "}"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
+        "1|1.0", "1|1e0", "1|\"1\"", "9007199254740992|9007199254740993", "0.10|0.1", "true|\"true\"", "null|{}",
+        "[1,2]|[2,1]", "{\"a\":1,\"b\":2}|{\"b\":2,\"a\":1}", "[]|[null]",
+    })
+    void tellsValuesApartThatAreWrittenDifferently(String left, String right) throws InvalidConfigurationException {
+        assertNotEquals(withExtra(left), withExtra(right));
+        assertEquals(withExtra(left), withExtra(left));
+        assertEquals(withExtra(left).hashCode(), withExtra(left).hashCode());
+    }
+
+    @Test
+    void countsTheOrderOfItemsButNotOfSections() throws InvalidConfigurationException {
+        ConfigurationDocument one = ConfigurationChecks.parseReplacement(
+                Documents.bytes("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}]}"));
+        ConfigurationDocument sectionsTurned = ConfigurationChecks.parseReplacement(
+                Documents.bytes("{\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"routes\":[],\"version\":1}"));
+        ConfigurationDocument itemsTurned = ConfigurationChecks.parseReplacement(
+                Documents.bytes("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"t\"},{\"name\":\"s\"}]}"));
+
+        assertEquals(one, sectionsTurned);
+        assertNotEquals(one, itemsTurned);
+    }
+}
