--- /dev/null
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -0,0 +1,151 @@
+package pinewick.dissemination;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import pinewick.dissemination.FleetMessages.ConfigurationPull;
+import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
+import pinewick.membership.PeerSampling;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.Outbox;
+import pinewick.model.SocketAddress;
+
+/**
+ * Spreads the configuration: a process to which a version is new pushes it to a few peers at once and tells a few more
+ * one tick later. A push carries the difference from the version before if that is small, else only the number; whoever
+ * lacks the base asks for a difference from what it has.
+ */
+final class ConfigurationSpread {
+    /** Longest body that is pushed unasked, bytes. */
+    static final int MAX_PUSHED_BYTES = 1_000;
+
+    private static final int ORIGIN_FANOUT = 12;
+    private static final int FANOUT = 4;
+    private static final double PULL_TIMEOUT_MS = 300;
+    private static final int MOST_DOUBLINGS = 3;
+    private static final int MAX_SOURCES = 16;
+    private static final byte[] NO_BODY = {};
+
+    private final FleetState state;
+    private final PeerSampling peers;
+    private final Outbox outbox;
+    private final RandomGenerator random;
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final Map<SocketAddress, Long> sources = new LinkedHashMap<>();
+    private boolean tellAgain;
+    private int pulls;
+    private double pulledAtMs;
+    private SocketAddress lastSource;
+
+    ConfigurationSpread(FleetState state, PeerSampling peers, Outbox outbox, RandomGenerator random) {
+        this.state = state;
+        this.peers = peers;
+        this.outbox = outbox;
+        this.random = random;
+        if (version() > 0) {
+            history.add(state.configuration());
+        }
+    }
+
+    private long version() {
+        return state.configuration().version();
+    }
+
+    /** A newer configuration is in force here, from wherever. */
+    void changed(ConfigurationDocument document) {
+        history.add(document);
+    }
+
+    /** This process has a new configuration first: tells all controllers and a few peers. */
+    void committed() {
+        if (version() == 0) {
+            return;
+        }
+        Set<SocketAddress> targets = new LinkedHashSet<>(peers.controllers());
+        targets.addAll(peers.randomPeers(ORIGIN_FANOUT));
+        ConfigurationUpdate push = push(history.previousVersion());
+        targets.forEach(target -> outbox.send(target, push));
+        tellAgain = true;
+    }
+
+    private ConfigurationUpdate push(long base) {
+        ConfigurationUpdate update = history.updateFrom(base);
+        return update.body().length <= MAX_PUSHED_BYTES ? update : header();
+    }
+
+    private ConfigurationUpdate header() {
+        return new ConfigurationUpdate(0, version(), NO_BODY);
+    }
+
+    void onTick(double nowMs) {
+        if (tellAgain) {
+            tellAgain = false;
+            ConfigurationUpdate header = header();
+            peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, header));
+        }
+        double timeout = PULL_TIMEOUT_MS * (1 << Math.min(Math.max(pulls - 1, 0), MOST_DOUBLINGS));
+        if (!sources.isEmpty() && nowMs - pulledAtMs >= timeout) {
+            pull(nowMs);
+        }
+    }
+
+    /** A peer has shown that it holds a version. */
+    void shown(SocketAddress peer, long version, double nowMs) {
+        if (version < version()) {
+            outbox.send(peer, push(version));
+        } else if (version > version()) {
+            sources.put(peer, version);
+            if (sources.size() > MAX_SOURCES) {
+                sources.remove(sources.keySet().iterator().next());
+            }
+            if (sources.size() == 1) {
+                pulls = 0;
+                pull(nowMs);
+            }
+        }
+    }
+
+    private void pull(double nowMs) {
+        List<SocketAddress> candidates = new ArrayList<>(sources.keySet());
+        if (candidates.size() > 1) {
+            candidates.remove(lastSource);
+        }
+        lastSource = candidates.get(random.nextInt(candidates.size()));
+        pulledAtMs = nowMs;
+        pulls++;
+        outbox.send(lastSource, new ConfigurationPull(version()));
+    }
+
+    void onPull(SocketAddress sender, ConfigurationPull pull) {
+        if (version() > pull.haveVersion()) {
+            outbox.send(sender, history.updateFrom(pull.haveVersion()));
+        }
+    }
+
+    void onUpdate(SocketAddress sender, ConfigurationUpdate update, double nowMs) {
+        if (update.version() <= version()) {
+            return;
+        }
+        boolean applies = update.baseVersion() == 0 || update.baseVersion() == version();
+        if (update.body().length == 0 || !applies || !take(update)) {
+            shown(sender, update.version(), nowMs);
+            return;
+        }
+        sources.values().removeIf(shown -> shown <= version());
+        pulls = 0;
+        peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, push(update.baseVersion())));
+        tellAgain = true;
+    }
+
+    private boolean take(ConfigurationUpdate update) {
+        try {
+            return state.offer(ConfigurationHistory.apply(update, state.configuration()));
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -0,0 +1,113 @@
+package pinewick.dissemination;
+
+import java.util.ArrayList;
+import java.util.List;
+import pinewick.membership.MembershipMessages;
+import pinewick.model.Message;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.Stage;
+
+/** The messages of dissemination. */
+public final class FleetMessages {
+    private FleetMessages() {}
+
+    /** Every type that the messages of membership and dissemination are made of, in the order of their ids. */
+    public static List<Class<?>> types() {
+        List<Class<?>> types = new ArrayList<>(MembershipMessages.types());
+        types.addAll(List.of(
+                ReplicaState.class,
+                Stage.class,
+                ReplicaRecord.ModelVersion.class,
+                ReplicaRecord.class,
+                Digest.class,
+                ConfigurationUpdate.class,
+                ConfigurationPull.class,
+                SpreadRecord.class,
+                ReplicaUpdate.class,
+                ReplicaHeld.class,
+                BucketHashes.class,
+                SummaryEntry.class,
+                ReplicaSummary.class,
+                ReplicaRequest.class,
+                SnapshotRequest.class,
+                ReplicaSnapshot.class,
+                HeartbeatNote.class,
+                HeartbeatBatch.class));
+        return types;
+    }
+
+    /**
+     * What the sender knows, in short.
+     *
+     * @param configurationVersion version of its configuration
+     * @param replicaCount how many replica records it has, those of replicas long gone left out
+     * @param replicaHash sum of the hashes of these records
+     * @param synchronised whether it has caught up since its start
+     * @param answerWanted whether the receiver is to answer with its own digest
+     */
+    public record Digest(
+            long configurationVersion, int replicaCount, long replicaHash, boolean synchronised, boolean answerWanted)
+            implements Message {}
+
+    /**
+     * Tells of a configuration.
+     *
+     * @param baseVersion the version that {@code body} applies to
+     * @param version the version it leads to
+     * @param body the deflated difference; empty if the receiver is to ask for it
+     */
+    public record ConfigurationUpdate(long baseVersion, long version, byte[] body) implements Message {}
+
+    /** Asks for the newest configuration, as a difference from one that the sender has. */
+    public record ConfigurationPull(long haveVersion) implements Message {}
+
+    /**
+     * A replica record on its way.
+     *
+     * @param goneAgeMs for a replica that is gone: how long it has been known to be, milliseconds
+     */
+    public record SpreadRecord(ReplicaRecord record, int goneAgeMs) {}
+
+    /**
+     * Replica records.
+     *
+     * @param ackId to be confirmed by {@link ReplicaHeld} with the same number, 0 for no confirmation
+     */
+    public record ReplicaUpdate(int ackId, List<SpreadRecord> records) implements Message {}
+
+    /** The sender holds the records that came with that number. */
+    public record ReplicaHeld(int ackId) implements Message {}
+
+    /** For each bucket of replica records the sum of their hashes, 32 bits each. */
+    public record BucketHashes(byte[] hashes) implements Message {}
+
+    /** A replica record in short. */
+    public record SummaryEntry(String instanceId, int contentHash) {}
+
+    /**
+     * All of the sender's replica records that fall into some buckets.
+     *
+     * @param buckets the buckets as bits
+     */
+    public record ReplicaSummary(byte[] buckets, List<SummaryEntry> entries) implements Message {}
+
+    /** Asks for the records of some instances. */
+    public record ReplicaRequest(List<String> instanceIds) implements Message {}
+
+    /** Asks for every replica record. */
+    public record SnapshotRequest() implements Message {}
+
+    /** Every replica record of the sender. */
+    public record ReplicaSnapshot(List<SpreadRecord> records) implements Message {}
+
+    /**
+     * A heartbeat that a controller heard.
+     *
+     * @param ageMs how long ago, milliseconds
+     */
+    public record HeartbeatNote(String instanceId, long callSequence, int ageMs) {}
+
+    /** Heartbeats that a controller heard since its last batch. */
+    public record HeartbeatBatch(List<HeartbeatNote> notes) implements Message {}
+}
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -2,7 +2,20 @@
 
 import java.util.List;
 import java.util.random.RandomGenerator;
+import pinewick.dissemination.FleetMessages.BucketHashes;
+import pinewick.dissemination.FleetMessages.ConfigurationPull;
+import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
+import pinewick.dissemination.FleetMessages.Digest;
+import pinewick.dissemination.FleetMessages.HeartbeatBatch;
+import pinewick.dissemination.FleetMessages.ReplicaHeld;
+import pinewick.dissemination.FleetMessages.ReplicaRequest;
+import pinewick.dissemination.FleetMessages.ReplicaSnapshot;
+import pinewick.dissemination.FleetMessages.ReplicaSummary;
+import pinewick.dissemination.FleetMessages.ReplicaUpdate;
+import pinewick.dissemination.FleetMessages.SnapshotRequest;
 import pinewick.membership.NodeDescriptor;
+import pinewick.membership.PeerSampling;
+import pinewick.model.ConfigurationDocument;
 import pinewick.model.Message;
 import pinewick.model.Outbox;
 import pinewick.model.ReplicaRecord;
@@ -10,13 +23,33 @@
 
 /**
  * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick} every
- * {@link #TICK_MS}, hands in every message, and publishes what is new here.
+ * {@link #TICK_MS}, hands in every message, and publishes what is new here. What {@link #synchronised}, {@link
+ * #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs} answer is as of the last tick and
+ * may be read by any thread.
  */
 public final class FleetNode {
     /** How often {@link #onTick} is to be called, milliseconds. */
     public static final int TICK_MS = 50;
 
+    private static final double DIGEST_MS = 500;
+    private static final double DIGEST_JITTER = 0.2;
+    private static final double PRUNE_MS = 10_000;
+
     private final FleetState state;
+    private final Outbox outbox;
+    private final RandomGenerator random;
+    private final PeerSampling sampling;
+    private final ConfigurationSpread configuration;
+    private final ReplicaSpread replicas;
+    private final ReplicaHandover handover;
+    private final HeartbeatNotes heartbeats;
+    private final Joining joining;
+    private double nextDigestAtMs;
+    private double nextPruneAtMs;
+    private volatile boolean synchronised;
+    private volatile int routerCount = 1;
+    private volatile int routerCountUpperBound = 1;
+    private volatile List<NodeDescriptor> peers = List.of();
 
     /**
      * @param self this process
@@ -28,48 +61,186 @@
     public FleetNode(
             NodeDescriptor self, List<SocketAddress> seeds, FleetState state, Outbox outbox, RandomGenerator random) {
         this.state = state;
+        this.outbox = outbox;
+        this.random = random;
+        sampling = new PeerSampling(self, seeds, outbox, random);
+        configuration = new ConfigurationSpread(state, sampling, outbox, random);
+        replicas = new ReplicaSpread(state, sampling, outbox);
+        handover = new ReplicaHandover(sampling, outbox, random);
+        heartbeats = new HeartbeatNotes(state, sampling, outbox);
+        joining = new Joining(seeds, sampling, outbox, random);
+        state.addListener(new FleetStateListener() {
+            @Override
+            public void configurationChanged(ConfigurationDocument document) {
+                configuration.changed(document);
+            }
+        });
     }
 
     /** Time has passed. */
-    public void onTick(double nowMs) {}
+    public void onTick(double nowMs) {
+        sampling.onTick(nowMs);
+        configuration.onTick(nowMs);
+        replicas.onTick(nowMs);
+        handover.onTick(nowMs);
+        heartbeats.onTick(nowMs);
+        joining.onTick(digest(nowMs), nowMs);
+        sendDigestIfDue(nowMs);
+        if (nowMs >= nextPruneAtMs) {
+            nextPruneAtMs = nowMs + PRUNE_MS;
+            heartbeats.prune();
+        }
+        synchronised = joining.done();
+        routerCount = sampling.routerCount(nowMs);
+        routerCountUpperBound = sampling.routerCountUpperBound(nowMs);
+        peers = sampling.peers();
+    }
+
+    private Digest digest(double nowMs) {
+        return new Digest(
+                state.configuration().version(),
+                replicas.digest().count(nowMs),
+                replicas.digest().hash(nowMs),
+                joining.done(),
+                false);
+    }
+
+    private void sendDigestIfDue(double nowMs) {
+        if (nowMs < nextDigestAtMs) {
+            return;
+        }
+        nextDigestAtMs = nowMs + DIGEST_MS * (1 - DIGEST_JITTER / 2 + DIGEST_JITTER * random.nextDouble());
+        sampling.randomPeers(1).forEach(peer -> outbox.send(peer, digest(nowMs)));
+    }
 
     /** Handles a message if it is of membership or dissemination; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
-        return false;
+        return sampling.onMessage(sender, message, nowMs)
+                || onConfigurationMessage(sender, message, nowMs)
+                || onReplicaMessage(sender, message, nowMs)
+                || onControllerMessage(message, nowMs);
+    }
+
+    private boolean onConfigurationMessage(SocketAddress sender, Message message, double nowMs) {
+        if (message instanceof Digest digest) {
+            onDigest(sender, digest, nowMs);
+        } else if (message instanceof ConfigurationUpdate update) {
+            configuration.onUpdate(sender, update, nowMs);
+        } else if (message instanceof ConfigurationPull pull) {
+            configuration.onPull(sender, pull);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean onReplicaMessage(SocketAddress sender, Message message, double nowMs) {
+        if (message instanceof ReplicaUpdate update) {
+            onReplicaUpdate(sender, update, nowMs);
+        } else if (message instanceof BucketHashes hashes) {
+            replicas.onBucketHashes(sender, hashes, nowMs);
+        } else if (message instanceof ReplicaSummary summary) {
+            replicas.onSummary(sender, summary, nowMs);
+        } else if (message instanceof ReplicaRequest request) {
+            replicas.onRequest(sender, request, nowMs);
+        } else if (message instanceof SnapshotRequest) {
+            replicas.onSnapshotRequest(sender, nowMs);
+        } else if (message instanceof ReplicaSnapshot snapshot) {
+            replicas.onSnapshot(snapshot, nowMs);
+            joining.onSnapshot();
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean onControllerMessage(Message message, double nowMs) {
+        if (message instanceof ReplicaHeld held) {
+            handover.onHeld(held);
+        } else if (message instanceof HeartbeatBatch batch) {
+            heartbeats.onBatch(batch, nowMs);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void onDigest(SocketAddress sender, Digest theirs, double nowMs) {
+        joining.onDigest(sender, theirs, nowMs);
+        Digest own = digest(nowMs);
+        if (theirs.answerWanted()) {
+            outbox.send(sender, own);
+            return;
+        }
+        configuration.shown(sender, theirs.configurationVersion(), nowMs);
+        boolean same = own.replicaCount() == theirs.replicaCount() && own.replicaHash() == theirs.replicaHash();
+        if (!same) {
+            replicas.reconcile(sender, theirs.replicaCount(), nowMs);
+        }
+    }
+
+    private void onReplicaUpdate(SocketAddress sender, ReplicaUpdate update, double nowMs) {
+        replicas.onUpdate(sender, update, nowMs);
+        if (update.ackId() != 0) {
+            outbox.send(sender, new ReplicaHeld(update.ackId()));
+        }
     }
 
     /** {@link FleetState#configuration()} was changed by this process: tell the others at once. */
-    public void configurationCommitted(double nowMs) {}
+    public void configurationCommitted(double nowMs) {
+        configuration.committed();
+    }
 
     /**
-     * Merges a record that arose here and tells the others at once.
+     * Merges a record that arose here and tells the others: routers only of what concerns them, so that a heartbeat that
+     * changes nothing but its number costs nothing.
      *
-     * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if none does
+     * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if none does. Null
+     *     if no confirmation is needed: the record then goes out with the next tick
      */
     public void publish(ReplicaRecord record, Runnable heldElsewhere, double nowMs) {
-        state.merge(record);
+        replicas.arose(record, nowMs);
+        ReplicaRecord held = state.replica(record.instanceId());
+        if (heldElsewhere != null) {
+            handover.start(replicas.spread(held == null ? record : held, nowMs), heldElsewhere, nowMs);
+        }
+    }
+
+    /** Notes that this controller heard an instance; the other controllers are told with the next batch. */
+    public void heard(String instanceId, long callSequence, double nowMs) {
+        heartbeats.heard(instanceId, callSequence, nowMs);
+    }
+
+    /**
+     * When any controller last heard an instance, in this process's steady time; {@link Double#NEGATIVE_INFINITY} if none
+     * has told this process of it since its start.
+     */
+    public double lastHeardMs(String instanceId) {
+        return heartbeats.lastHeardMs(instanceId);
     }
 
     /** Whether this process has caught up with at least one other since its start. */
     public boolean synchronised() {
-        return false;
+        return synchronised;
     }
 
     /** Routers believed to be running, at least 1. */
     public int routerCount() {
-        return 1;
+        return routerCount;
     }
 
     /** More routers than are running, with high probability; at least 1. */
     public int routerCountUpperBound() {
-        return 1;
+        return routerCountUpperBound;
     }
 
     /** Peers known at this moment, a random sample of the fleet. */
     public List<NodeDescriptor> peers() {
-        return List.of();
+        return peers;
     }
 
     /** This process is about to end on purpose: tell the peers. */
-    public void leave(double nowMs) {}
+    public void leave(double nowMs) {
+        sampling.leave();
+    }
 }
--- a/dissemination/src/main/java/pinewick/dissemination/FleetState.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetState.java
@@ -17,6 +17,7 @@
     private final Map<String, ReplicaRecord> replicas = new ConcurrentHashMap<>();
     private final List<FleetStateListener> listeners = new CopyOnWriteArrayList<>();
     private volatile ConfigurationDocument configuration = ConfigurationDocument.EMPTY;
+    private volatile long modification;
 
     public void addListener(FleetStateListener listener) {
         listeners.add(listener);
@@ -55,12 +56,40 @@
             return false;
         }
         replicas.put(merged.instanceId(), merged);
+        if (!ReplicaContent.same(known, merged)) {
+            modification++;
+        }
         listeners.forEach(listener -> listener.replicaChanged(merged));
         return true;
     }
 
     /** Drops the record of an instance that ended long ago. */
     public synchronized void forget(String instanceId) {
-        replicas.remove(instanceId);
+        if (replicas.remove(instanceId) != null) {
+            modification++;
+        }
+    }
+
+    /**
+     * Notes a heartbeat that told nothing new but its number; listeners are not told. The record of a lapsed replica
+     * keeps its number, so that the record that ends the lapse is the newer one.
+     */
+    synchronized void raiseSequence(String instanceId, long callSequence) {
+        ReplicaRecord known = replicas.get(instanceId);
+        if (known != null && !known.lapsed() && known.callSequence() < callSequence) {
+            replicas.put(instanceId, withSequence(known, callSequence));
+        }
+    }
+
+    private static ReplicaRecord withSequence(ReplicaRecord record, long callSequence) {
+        return new ReplicaRecord(
+                record.instanceId(), record.service(), record.address(), record.zone(), record.softwareVersion(),
+                record.slots(), record.state(), record.coldRemainingMs(), record.stage(), record.models(),
+                callSequence, record.lapsed());
+    }
+
+    /** Rises with each change of a replica record that concerns routers. */
+    long modification() {
+        return modification;
     }
 }
--- /dev/null
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -0,0 +1,218 @@
+package pinewick.dissemination;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import pinewick.dissemination.FleetMessages.BucketHashes;
+import pinewick.dissemination.FleetMessages.ReplicaRequest;
+import pinewick.dissemination.FleetMessages.ReplicaSnapshot;
+import pinewick.dissemination.FleetMessages.ReplicaSummary;
+import pinewick.dissemination.FleetMessages.ReplicaUpdate;
+import pinewick.dissemination.FleetMessages.SnapshotRequest;
+import pinewick.dissemination.FleetMessages.SpreadRecord;
+import pinewick.dissemination.FleetMessages.SummaryEntry;
+import pinewick.membership.PeerSampling;
+import pinewick.model.Outbox;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+
+/**
+ * Spreads replica records: what is new here is pushed to a few peers at the next tick and to a few more one tick later;
+ * what a digest shows to differ is exchanged.
+ */
+final class ReplicaSpread {
+    private static final int FIRST_FANOUT = 4;
+    private static final int ORIGIN_FANOUT = 8;
+    private static final int SECOND_FANOUT = 2;
+    /** Beyond so many records in one tick only a few peers are told; digests do the rest. */
+    private static final int MANY_RECORDS = 16;
+    private static final int SMALL_FLEET = 60;
+    private static final int RECORDS_A_DATAGRAM = 8;
+    private static final int MOST_DATAGRAMS = 6;
+
+    private final FleetState state;
+    private final PeerSampling peers;
+    private final Outbox outbox;
+    private final GoneReplicas gone = new GoneReplicas();
+    private final ReplicaDigest digest;
+    private final Set<String> arisen = new LinkedHashSet<>();
+    private final Set<String> heardOf = new LinkedHashSet<>();
+    private Set<String> pushedOnce = new LinkedHashSet<>();
+
+    ReplicaSpread(FleetState state, PeerSampling peers, Outbox outbox) {
+        this.state = state;
+        this.peers = peers;
+        this.outbox = outbox;
+        this.digest = new ReplicaDigest(state, gone);
+    }
+
+    ReplicaDigest digest() {
+        return digest;
+    }
+
+    /** Merges a record that arose here; returns whether routers have to be told. */
+    boolean arose(ReplicaRecord record, double nowMs) {
+        boolean significant = take(new SpreadRecord(record, 0), nowMs);
+        if (significant) {
+            arisen.add(record.instanceId());
+        }
+        return significant;
+    }
+
+    /** Merges a record; returns whether what concerns routers changed. */
+    private boolean take(SpreadRecord spread, double nowMs) {
+        if (!gone.admits(spread)) {
+            return false;
+        }
+        String id = spread.record().instanceId();
+        ReplicaRecord before = state.replica(id);
+        state.merge(spread.record());
+        ReplicaRecord after = state.replica(id);
+        if (after != null && after.state() == ReplicaState.GONE) {
+            gone.noteGone(id, nowMs - spread.goneAgeMs());
+        }
+        return !ReplicaContent.same(before, after);
+    }
+
+    void onTick(double nowMs) {
+        if (gone.expire(state, nowMs)) {
+            digest.invalidate();
+        }
+        Set<String> again = pushedOnce;
+        pushedOnce = new LinkedHashSet<>(arisen);
+        pushedOnce.addAll(heardOf);
+        boolean many = pushedOnce.size() > MANY_RECORDS;
+        if (!arisen.isEmpty()) {
+            Set<SocketAddress> targets = new LinkedHashSet<>(peers.controllers());
+            targets.addAll(peers.randomPeers(many ? FIRST_FANOUT : ORIGIN_FANOUT));
+            push(arisen, targets, nowMs);
+        }
+        heardOf.removeAll(arisen);
+        if (!heardOf.isEmpty()) {
+            push(heardOf, peers.randomPeers(many ? SECOND_FANOUT : FIRST_FANOUT), nowMs);
+        }
+        if (!again.isEmpty() && again.size() <= MANY_RECORDS) {
+            push(again, peers.randomPeers(SECOND_FANOUT), nowMs);
+        }
+        arisen.clear();
+        heardOf.clear();
+    }
+
+    private void push(Set<String> ids, Iterable<SocketAddress> targets, double nowMs) {
+        List<SpreadRecord> records = records(ids, nowMs);
+        targets.forEach(target -> send(target, records));
+    }
+
+    private List<SpreadRecord> records(Iterable<String> ids, double nowMs) {
+        List<SpreadRecord> records = new ArrayList<>();
+        for (String id : ids) {
+            ReplicaRecord record = state.replica(id);
+            if (record != null) {
+                records.add(spread(record, nowMs));
+            }
+        }
+        return records;
+    }
+
+    SpreadRecord spread(ReplicaRecord record, double nowMs) {
+        return new SpreadRecord(record, gone.ageMs(record, nowMs));
+    }
+
+    /** Sends records in datagrams if a few suffice, else in one message. */
+    private void send(SocketAddress peer, List<SpreadRecord> records) {
+        int piece = records.size() <= RECORDS_A_DATAGRAM * MOST_DATAGRAMS ? RECORDS_A_DATAGRAM : records.size();
+        for (int from = 0; from < records.size(); from += piece) {
+            int to = Math.min(from + piece, records.size());
+            outbox.send(peer, new ReplicaUpdate(0, List.copyOf(records.subList(from, to))));
+        }
+    }
+
+    /** Takes what a peer pushed; where this process knows better, the peer is told. */
+    void onUpdate(SocketAddress sender, ReplicaUpdate update, double nowMs) {
+        List<SpreadRecord> corrections = new ArrayList<>();
+        for (SpreadRecord spread : update.records()) {
+            if (take(spread, nowMs)) {
+                heardOf.add(spread.record().instanceId());
+            }
+            ReplicaRecord held = state.replica(spread.record().instanceId());
+            if (held != null && !ReplicaContent.same(held, spread.record())) {
+                corrections.add(spread(held, nowMs));
+            }
+        }
+        send(sender, corrections);
+    }
+
+    /** A peer's digest differs: starts the exchange of what differs. */
+    void reconcile(SocketAddress peer, int peerCount, double nowMs) {
+        int count = digest.count(nowMs);
+        if (count == 0) {
+            outbox.send(peer, new SnapshotRequest());
+        } else if (count <= SMALL_FLEET && peerCount <= SMALL_FLEET) {
+            sendSummary(peer, ReplicaDigest.allBuckets(), nowMs);
+        } else {
+            outbox.send(peer, new BucketHashes(digest.bucketHashes(nowMs)));
+        }
+    }
+
+    private void sendSummary(SocketAddress peer, BitSet buckets, double nowMs) {
+        outbox.send(peer, new ReplicaSummary(buckets.toByteArray(), digest.entries(buckets, nowMs)));
+    }
+
+    void onBucketHashes(SocketAddress sender, BucketHashes message, double nowMs) {
+        BitSet differing = digest.differing(message.hashes(), nowMs);
+        if (!differing.isEmpty()) {
+            sendSummary(sender, differing, nowMs);
+        }
+    }
+
+    /** Sends what the peer lacks and asks for what it has and this process lacks; both ways where the two differ. */
+    void onSummary(SocketAddress sender, ReplicaSummary summary, double nowMs) {
+        BitSet buckets = BitSet.valueOf(summary.buckets());
+        Set<String> listed = new HashSet<>();
+        List<String> wanted = new ArrayList<>();
+        List<SpreadRecord> offered = new ArrayList<>();
+        for (SummaryEntry entry : summary.entries()) {
+            listed.add(entry.instanceId());
+            ReplicaRecord held = state.replica(entry.instanceId());
+            if (held == null && !gone.isForgotten(entry.instanceId())) {
+                wanted.add(entry.instanceId());
+            } else if (held != null && (int) ReplicaContent.hash(held) != entry.contentHash()) {
+                wanted.add(entry.instanceId());
+                offered.add(spread(held, nowMs));
+            }
+        }
+        for (ReplicaRecord record : state.replicas()) {
+            boolean covered = buckets.get(ReplicaDigest.bucketOf(record.instanceId()));
+            if (covered && gone.inDigest(record, nowMs) && !listed.contains(record.instanceId())) {
+                offered.add(spread(record, nowMs));
+            }
+        }
+        send(sender, offered);
+        if (!wanted.isEmpty()) {
+            outbox.send(sender, new ReplicaRequest(wanted));
+        }
+    }
+
+    void onRequest(SocketAddress sender, ReplicaRequest request, double nowMs) {
+        send(sender, records(request.instanceIds(), nowMs));
+    }
+
+    void onSnapshotRequest(SocketAddress sender, double nowMs) {
+        List<SpreadRecord> records = new ArrayList<>();
+        for (ReplicaRecord record : state.replicas()) {
+            if (gone.inDigest(record, nowMs)) {
+                records.add(spread(record, nowMs));
+            }
+        }
+        outbox.send(sender, new ReplicaSnapshot(records));
+    }
+
+    /** Takes all records of a peer; what is new by them is not pushed on. */
+    void onSnapshot(ReplicaSnapshot snapshot, double nowMs) {
+        snapshot.records().forEach(spread -> take(spread, nowMs));
+    }
+}
