--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
@@ -1,12 +1,8 @@
 package pinewick.dissemination;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDelta;
@@ -15,8 +11,6 @@
 /** The last configurations that this process held, and the differences to the newest as they are sent. */
 final class ConfigurationHistory {
     private static final int KEPT = 8;
-    private static final int MAX_BODY_BYTES = 16 << 20;
-    private static final int CHUNK_BYTES = 8_192;
 
     private final TreeMap<Long, ConfigurationDocument> documents = new TreeMap<>();
     private final Map<Long, ConfigurationUpdate> updatesByBase = new HashMap<>();
@@ -46,7 +40,7 @@
         ConfigurationDocument newest = documents.lastEntry().getValue();
         ConfigurationDocument from = documents.getOrDefault(base, ConfigurationDocument.EMPTY);
         byte[] bytes = ConfigurationChecks.writeDelta(ConfigurationDelta.between(from, newest));
-        return new ConfigurationUpdate(from.version(), newest.version(), deflate(bytes));
+        return new ConfigurationUpdate(from.version(), newest.version(), bytes);
     }
 
     /**
@@ -55,45 +49,8 @@
      * @throws IllegalArgumentException if the update is damaged or has another base
      */
     static ConfigurationDocument apply(ConfigurationUpdate update, ConfigurationDocument current) {
-        ConfigurationDelta delta = ConfigurationChecks.readDelta(inflate(update.body()));
+        ConfigurationDelta delta = ConfigurationChecks.readDelta(update.body());
         boolean whole = delta.baseVersion() == ConfigurationDelta.WHOLE;
         return delta.applyTo(whole ? ConfigurationDocument.EMPTY : current);
     }
-
-    private static byte[] deflate(byte[] bytes) {
-        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try {
-            deflater.setInput(bytes);
-            deflater.finish();
-            ByteArrayOutputStream out = new ByteArrayOutputStream(CHUNK_BYTES);
-            byte[] chunk = new byte[CHUNK_BYTES];
-            while (!deflater.finished()) {
-                out.write(chunk, 0, deflater.deflate(chunk));
-            }
-            return out.toByteArray();
-        } finally {
-            deflater.end();
-        }
-    }
-
-    private static byte[] inflate(byte[] bytes) {
-        Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(bytes);
-            ByteArrayOutputStream out = new ByteArrayOutputStream(CHUNK_BYTES);
-            byte[] chunk = new byte[CHUNK_BYTES];
-            while (!inflater.finished()) {
-                int count = inflater.inflate(chunk);
-                if (count == 0 || out.size() > MAX_BODY_BYTES) {
-                    throw new IllegalArgumentException("configuration update is damaged or too long");
-                }
-                out.write(chunk, 0, count);
-            }
-            return out.toByteArray();
-        } catch (DataFormatException e) {
-            throw new IllegalArgumentException("configuration update is damaged", e);
-        } finally {
-            inflater.end();
-        }
-    }
 }
--- a/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -55,7 +55,7 @@
      *
      * @param baseVersion the version that {@code body} applies to
      * @param version the version it leads to
-     * @param body the deflated difference; empty if the receiver is to ask for it
+     * @param body the difference, as {@link pinewick.model.ConfigurationChecks#writeDelta} writes it; empty if the receiver is to ask for it
      */
     public record ConfigurationUpdate(long baseVersion, long version, byte[] body) implements Message {}
 
