--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/AcceptedChanges.java
@@ -0,0 +1,65 @@
+package pinewick.replication;
+
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** The changes accepted lately, oldest first, by base version and digest. Immutable. */
+final class AcceptedChanges {
+    /** Older ones are forgotten beyond this many. */
+    static final int CAPACITY = 3_000;
+
+    static final AcceptedChanges NONE = new AcceptedChanges(Map.of());
+
+    private static final int DIGEST_BYTES = 32;
+    private static final int ENTRY_BYTES = 2 * Long.BYTES + DIGEST_BYTES;
+
+    private record Identity(long baseVersion, String digest) {}
+
+    private final Map<Identity, Long> versions;
+
+    private AcceptedChanges(Map<Identity, Long> versions) {
+        this.versions = versions;
+    }
+
+    /** The version that a change led to when it was accepted, if it was. */
+    OptionalLong versionOf(long baseVersion, String digest) {
+        Long version = versions.get(new Identity(baseVersion, digest));
+        return version == null ? OptionalLong.empty() : OptionalLong.of(version);
+    }
+
+    AcceptedChanges with(ChangeKey key) {
+        Map<Identity, Long> extended = new LinkedHashMap<>(versions);
+        extended.put(new Identity(key.baseVersion(), key.digest()), key.version());
+        Iterator<Identity> oldest = extended.keySet().iterator();
+        while (extended.size() > CAPACITY) {
+            oldest.next();
+            oldest.remove();
+        }
+        return new AcceptedChanges(extended);
+    }
+
+    byte[] toBytes() {
+        ByteBuffer buffer = ByteBuffer.allocate(versions.size() * ENTRY_BYTES);
+        versions.forEach((change, version) -> buffer.putLong(change.baseVersion())
+                .putLong(version)
+                .put(HexFormat.of().parseHex(change.digest())));
+        return buffer.array();
+    }
+
+    static AcceptedChanges fromBytes(byte[] bytes) {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        Map<Identity, Long> versions = new LinkedHashMap<>();
+        byte[] digest = new byte[DIGEST_BYTES];
+        while (buffer.remaining() >= ENTRY_BYTES) {
+            long baseVersion = buffer.getLong();
+            long version = buffer.getLong();
+            buffer.get(digest);
+            versions.put(new Identity(baseVersion, HexFormat.of().formatHex(digest)), version);
+        }
+        return new AcceptedChanges(versions);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/ChangeKey.java
@@ -0,0 +1,25 @@
+package pinewick.replication;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * By what a change is known again when it is sent once more.
+ *
+ * @param baseVersion the version it builds upon
+ * @param version the version it leads to
+ * @param digest SHA-256 of its kind and body, hexadecimal
+ */
+public record ChangeKey(long baseVersion, long version, String digest) {
+    /** Digest of a change's kind and body. */
+    static String digestOf(ConfigurationChange change) {
+        try {
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            sha256.update((byte) change.kind().ordinal());
+            return HexFormat.of().formatHex(sha256.digest(change.body()));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/Context.java
@@ -0,0 +1,20 @@
+package pinewick.replication;
+
+import java.util.random.RandomGenerator;
+
+/** What the parts of a node share. */
+record Context(
+        ReplicationSettings settings,
+        ActiveClock clock,
+        DurableState durable,
+        Peers peers,
+        RandomGenerator random,
+        ReplicationListener listener) {
+    Member self() {
+        return new Member(durable.identity(), settings.address());
+    }
+
+    double activeMs() {
+        return clock.activeMs();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -0,0 +1,163 @@
+package pinewick.replication;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Heartbeat;
+import pinewick.replication.ReplicationMessages.Status;
+
+/** Watches the primary from a process that is none, and tells when this one should stand for election. */
+final class Election {
+    /** A primary heard within this time hinders others from taking over. */
+    private static final double HEARD_MS = 450;
+
+    /** The shortest silence of the primary after which another process takes over. */
+    private static final double TIME_OUT_MS = 600;
+
+    private static final double CHANCE_MS = 100;
+
+    /** The in-sync stores stand for election one after the other, this far apart. */
+    private static final double STAGGER_MS = 120;
+
+    private static final double RETRY_MS = 150;
+    private static final double ASK_MS = 200;
+
+    /** An answer counts for this long. */
+    private static final double FRESH_MS = 500;
+
+    private record Answer(Status status, double atMs) {}
+
+    private final Context context;
+    private final Map<String, Answer> answers = new HashMap<>();
+    private double heardMs = Double.NEGATIVE_INFINITY;
+    private double dueMs;
+    private double askedMs = Double.NEGATIVE_INFINITY;
+    private SocketAddress operatorApi = ReplicationMessages.NO_ADDRESS;
+    private double operatorApiMs = Double.NEGATIVE_INFINITY;
+
+    Election(Context context) {
+        this.context = context;
+    }
+
+    /** This process has begun, or leads no more. */
+    void restart(double delayMs) {
+        heardMs = Double.NEGATIVE_INFINITY;
+        answers.clear();
+        askedMs = Double.NEGATIVE_INFINITY;
+        postpone(delayMs);
+    }
+
+    void onHeartbeat(Heartbeat heartbeat) {
+        operatorApi = heartbeat.operatorApi();
+        operatorApiMs = context.activeMs();
+        heard();
+    }
+
+    /** The primary showed itself. */
+    void heard() {
+        heardMs = context.activeMs();
+        answers.clear();
+        postpone(TIME_OUT_MS);
+    }
+
+    /** Another process's ballot was granted: it gets the time to win it. */
+    void granted() {
+        dueMs = Math.max(dueMs, context.activeMs() + RETRY_MS + chance());
+    }
+
+    /** The primary leads no more. */
+    void onPrimaryGone() {
+        operatorApi = ReplicationMessages.NO_ADDRESS;
+        restart(0);
+    }
+
+    /** An own ballot was lost. */
+    void onLost() {
+        answers.clear();
+        askedMs = Double.NEGATIVE_INFINITY;
+        postpone(chance());
+    }
+
+    boolean hearsPrimary() {
+        return context.activeMs() - heardMs < HEARD_MS;
+    }
+
+    /** Operator API of the primary, if one was heard of lately. */
+    SocketAddress operatorApi() {
+        boolean lately = context.activeMs() - operatorApiMs < 2 * TIME_OUT_MS;
+        return lately ? operatorApi : ReplicationMessages.NO_ADDRESS;
+    }
+
+    /** Whether the others are to be asked now what they know. */
+    boolean asksNow() {
+        if (hearsPrimary() || context.activeMs() - askedMs < ASK_MS) {
+            return false;
+        }
+        askedMs = context.activeMs();
+        return true;
+    }
+
+    void onStatus(Status status) {
+        double now = context.activeMs();
+        answers.put(status.self().identity(), new Answer(status, now));
+        if (status.hearsPrimary() && !status.operatorApi().equals(ReplicationMessages.NO_ADDRESS)) {
+            operatorApi = status.operatorApi();
+            operatorApiMs = now;
+        }
+        EpochRecord accepted = context.durable().accepted();
+        if (status.self().identity().equals(accepted.primary()) && !status.leading()) {
+            heardMs = Double.NEGATIVE_INFINITY;
+            dueMs = Math.min(dueMs, now + RETRY_MS);
+        }
+    }
+
+    /** Whether a quorum hears no primary, nobody else does, and this process could lead. */
+    boolean isDue() {
+        double now = context.activeMs();
+        if (now < dueMs || hearsPrimary()) {
+            return false;
+        }
+        answers.values().removeIf(answer -> now - answer.atMs > FRESH_MS);
+        if (answers.values().stream().anyMatch(answer -> answer.status.hearsPrimary())) {
+            return false;
+        }
+        Set<String> present = new HashSet<>(answers.keySet());
+        present.add(context.durable().identity());
+        EpochRecord highest = highestKnown();
+        return highest.hasQuorum(present)
+                && highest.inSync().contains(context.durable().identity());
+    }
+
+    /** A counter above every one heard of. */
+    long nextCounter() {
+        long highest = context.durable().promised().counter();
+        for (Answer answer : answers.values()) {
+            highest = Math.max(highest, answer.status.promised().counter());
+        }
+        return highest + 1;
+    }
+
+    private EpochRecord highestKnown() {
+        EpochRecord own = context.durable().accepted();
+        Comparator<EpochRecord> order =
+                Comparator.comparing(EpochRecord::number).thenComparing(EpochRecord::isSettled);
+        return answers.values().stream()
+                .map(answer -> answer.status.accepted())
+                .filter(record -> order.compare(record, own) > 0)
+                .max(order)
+                .orElse(own);
+    }
+
+    private void postpone(double delayMs) {
+        EpochRecord accepted = context.durable().accepted();
+        int place = Math.max(0, accepted.inSync().indexOf(context.durable().identity()));
+        dueMs = context.activeMs() + delayMs + place * STAGGER_MS + chance() / 2;
+    }
+
+    private double chance() {
+        return CHANCE_MS * context.random().nextDouble();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/EpochNumber.java
@@ -0,0 +1,27 @@
+package pinewick.replication;
+
+/**
+ * Number of an epoch: a ballot. A witness promises a number only if its counter is higher than that of every number it
+ * promised before, so no two epochs that stand share a counter.
+ *
+ * @param counter decides the order
+ * @param proposer identity of the store whose process proposed it
+ */
+public record EpochNumber(long counter, String proposer) implements Comparable<EpochNumber> {
+    /** Before every epoch: what a store that was never taken in has promised. */
+    public static final EpochNumber NONE = new EpochNumber(-1, "");
+
+    /** The epoch that the founders start from. */
+    public static final EpochNumber FOUNDING = new EpochNumber(0, "");
+
+    @Override
+    public int compareTo(EpochNumber other) {
+        int byCounter = Long.compare(counter, other.counter);
+        return byCounter != 0 ? byCounter : proposer.compareTo(other.proposer);
+    }
+
+    /** Whether this number comes after {@code other}. */
+    public boolean isAfter(EpochNumber other) {
+        return compareTo(other) > 0;
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/EpochRecord.java
@@ -0,0 +1,69 @@
+package pinewick.replication;
+
+import java.util.List;
+import java.util.Set;
+import pinewick.model.SocketAddress;
+
+/**
+ * What the witnesses agree upon: who leads an epoch, who must have each change on disk, and who votes.
+ *
+ * @param number number of the epoch
+ * @param primary identity of the primary, empty in the founding epoch
+ * @param inSync identities of those that must confirm each change, the primary included
+ * @param members those whose majority decides
+ * @param previousMembers the members before this epoch; until the record is known to be accepted, a decision needs their
+ *     majority too
+ */
+public record EpochRecord(
+        EpochNumber number,
+        String primary,
+        List<String> inSync,
+        List<Member> members,
+        List<Member> previousMembers) {
+    /** What a store that was never taken in has accepted. */
+    public static final EpochRecord NONE = new EpochRecord(EpochNumber.NONE, "", List.of(), List.of(), List.of());
+
+    public EpochRecord {
+        inSync = List.copyOf(inSync);
+        members = List.copyOf(members);
+        previousMembers = List.copyOf(previousMembers);
+    }
+
+    /** The record that every founder starts from. */
+    public static EpochRecord founding(List<SocketAddress> seeds) {
+        List<Member> members = seeds.stream()
+                .sorted()
+                .distinct()
+                .map(seed -> new Member(seed.toString(), seed))
+                .toList();
+        List<String> identities = members.stream().map(Member::identity).toList();
+        return new EpochRecord(EpochNumber.FOUNDING, "", identities, members, members);
+    }
+
+    /** Whether {@code identities} hold a majority of the members, and of the previous members where these still count. */
+    public boolean hasQuorum(Set<String> identities) {
+        return isMajority(members, identities) && (isSettled() || isMajority(previousMembers, identities));
+    }
+
+    /** Whether the members alone decide. */
+    public boolean isSettled() {
+        return members.equals(previousMembers);
+    }
+
+    /** This record once it is known to be accepted: from then on the members alone decide. */
+    public EpochRecord settled() {
+        return isSettled() ? this : new EpochRecord(number, primary, inSync, members, members);
+    }
+
+    /** Whether a store has a vote. */
+    public boolean hasMember(String identity) {
+        return members.stream().anyMatch(member -> member.identity().equals(identity));
+    }
+
+    private static boolean isMajority(List<Member> voters, Set<String> identities) {
+        long present = voters.stream()
+                .filter(voter -> identities.contains(voter.identity()))
+                .count();
+        return 2 * present > voters.size();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -0,0 +1,331 @@
+package pinewick.replication;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import pinewick.model.Message;
+import pinewick.replication.DurableState.Outcome;
+import pinewick.replication.DurableState.Step;
+import pinewick.replication.ReplicationMessages.Established;
+import pinewick.replication.ReplicationMessages.Heartbeat;
+import pinewick.replication.ReplicationMessages.HeartbeatReply;
+import pinewick.replication.ReplicationMessages.Install;
+import pinewick.replication.ReplicationMessages.Replicate;
+import pinewick.replication.ReplicationMessages.Retag;
+import pinewick.replication.ReplicationMessages.StateReply;
+import pinewick.replication.ReplicationMessages.Status;
+
+/**
+ * One epoch as its primary sees it: brings the in-sync stores to the state at its start, then replicates one change
+ * after the other, and keeps asking whether the epoch is still honoured.
+ */
+final class Leadership {
+    static final double HEARTBEAT_MS = 200;
+
+    /** An in-sync store that is silent, or lacks a state, for longer is to leave the set. */
+    private static final double UNRESPONSIVE_MS = 700;
+
+    /** Without a quorum's confirmation for longer than this, the primary leads no more. */
+    private static final double UNCONFIRMED_MS = 900;
+
+    /** For this long after a confirmed round was sent the lease is held. */
+    static final double LEASE_VALID_MS = 700;
+
+    private static final int ROUNDS_KEPT = 32;
+
+    private record Round(long number, double sentSteadyMs) {}
+
+    /** A change on its way to the in-sync stores. */
+    private record Pending(StateTag tag, byte[] delta, ChangeKey key) {}
+
+    private final Context context;
+    private final EpochRecord record;
+    private final Replicas replicas;
+    private final StateTag baseTag;
+    private final Deque<Round> rounds = new ArrayDeque<>();
+    private StateTag target;
+    private Optional<Pending> pending = Optional.empty();
+    private boolean ownStateHeld;
+    private boolean begun;
+    private boolean diskFailed;
+    private long round;
+    private long confirmedRound;
+    private double confirmedActiveMs;
+    private double confirmedSteadyMs = Double.NEGATIVE_INFINITY;
+    private double lastHeartbeatMs = Double.NEGATIVE_INFINITY;
+    private ConfigurationState committed = ConfigurationState.NONE;
+    private StateTag installTag;
+    private Install install;
+
+    /** @param record a record that stands, with this process as primary */
+    Leadership(Context context, EpochRecord record, Replicas replicas) {
+        this.context = context;
+        this.record = record.settled();
+        this.replicas = replicas;
+        this.baseTag = context.durable().state().tag();
+        this.target = new StateTag(record.number().counter(), 0);
+        this.confirmedActiveMs = context.activeMs();
+    }
+
+    EpochRecord record() {
+        return record;
+    }
+
+    EpochNumber number() {
+        return record.number();
+    }
+
+    /** Whether every in-sync store holds the state at the start of the epoch. */
+    boolean begun() {
+        return begun;
+    }
+
+    /** The newest committed state. */
+    ConfigurationState committed() {
+        return committed;
+    }
+
+    StateTag target() {
+        return target;
+    }
+
+    boolean changePending() {
+        return pending.isPresent();
+    }
+
+    boolean ownStateHeld() {
+        return ownStateHeld;
+    }
+
+    /** Whether this process has not promised a higher number itself. */
+    boolean honoured() {
+        return context.durable().promised().equals(number());
+    }
+
+    /** Whether a change can be taken now. */
+    boolean mayReplicate() {
+        return begun
+                && honoured()
+                && pending.isEmpty()
+                && record.inSync().size() >= context.settings().fewestCopies();
+    }
+
+    /** Whether this process has to stop leading: its disk is in trouble, or no quorum confirms it. */
+    boolean lost() {
+        return diskFailed || context.durable().stalled()
+                || (honoured() && context.activeMs() - confirmedActiveMs > UNCONFIRMED_MS);
+    }
+
+    /** Whether a quorum has confirmed this epoch lately. */
+    boolean confirmedLately() {
+        return context.activeMs() - confirmedActiveMs < UNRESPONSIVE_MS;
+    }
+
+    /** Until when, steady time, no other process can lead. */
+    double leaseEndsMs() {
+        return confirmedSteadyMs + LEASE_VALID_MS;
+    }
+
+    long confirmedRound() {
+        return confirmedRound;
+    }
+
+    /** Begins the epoch: the state goes under its first tag here and at the other in-sync stores. */
+    void begin() {
+        double now = context.activeMs();
+        replicas.keepMembers(record);
+        replicas.all().forEach(replica -> replica.beginEpoch(now));
+        DurableState durable = context.durable();
+        durable.submit(
+                () -> honoured()
+                        ? Optional.of(new Step(number(), record, durable.state().withTag(target), Optional.empty()))
+                        : Optional.empty(),
+                this::ownStateWritten);
+        broadcast(new Established(record));
+        heartbeat();
+        sendStates();
+    }
+
+    private void ownStateWritten(Outcome outcome) {
+        ownStateHeld = outcome == Outcome.WRITTEN;
+        diskFailed = outcome != Outcome.WRITTEN;
+    }
+
+    /** Sends a change to the in-sync stores; only if {@link #mayReplicate}. */
+    void replicate(byte[] delta, ChangeKey key) {
+        Pending change = new Pending(target.next(), delta, key);
+        pending = Optional.of(change);
+        target = change.tag;
+        replicas.all().forEach(replica -> replica.aimAt(target, context.activeMs()));
+        DurableState durable = context.durable();
+        durable.submit(
+                () -> honoured()
+                        ? Optional.of(new Step(
+                                number(),
+                                record,
+                                durable.state().apply(change.tag, delta, key),
+                                Optional.of(new StoredChange(delta, key))))
+                        : Optional.empty(),
+                outcome -> diskFailed |= outcome != Outcome.WRITTEN);
+        sendStates();
+    }
+
+    void onTick() {
+        if (context.activeMs() - lastHeartbeatMs >= HEARTBEAT_MS) {
+            replicas.forgetSilentGuests(record);
+            heartbeat();
+        }
+        sendStates();
+    }
+
+    /** Sends a heartbeat at once; returns its round. */
+    long heartbeat() {
+        round++;
+        lastHeartbeatMs = context.activeMs();
+        rounds.add(new Round(round, context.clock().steadyMs()));
+        if (rounds.size() > ROUNDS_KEPT) {
+            rounds.remove();
+        }
+        broadcast(heartbeatMessage());
+        noteConfirmedRound();
+        return round;
+    }
+
+    private Heartbeat heartbeatMessage() {
+        return new Heartbeat(number(), round, committed.tag(), context.settings().operatorApi());
+    }
+
+    void onHeartbeatReply(HeartbeatReply reply) {
+        Replica replica = replicas.learn(reply.self());
+        if (replica == null) {
+            return;
+        }
+        replica.onHeartbeatReply(reply, number(), target, context.activeMs());
+        boolean lagsBehind = !reply.promised().isAfter(number()) && !replica.knows(number());
+        if (lagsBehind) {
+            context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
+        }
+        noteConfirmedRound();
+    }
+
+    /** A process that hears no primary asks around: it hears of this one at once, and may be taken in later. */
+    void onStatus(Status status) {
+        Replica replica = replicas.learn(status.self());
+        if (replica != null) {
+            replica.onStatus(status, number(), target);
+            context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
+        }
+    }
+
+    void onStateReply(StateReply reply) {
+        Replica replica = replicas.get(reply.identity());
+        if (replica != null) {
+            replica.onStateReply(reply, number(), target, context.activeMs());
+        }
+    }
+
+    private void noteConfirmedRound() {
+        if (!honoured()) {
+            return;
+        }
+        long newest = replicas.confirmedRound(record, round);
+        if (newest <= confirmedRound) {
+            return;
+        }
+        confirmedRound = newest;
+        confirmedActiveMs = context.activeMs();
+        while (!rounds.isEmpty() && rounds.peek().number <= newest) {
+            confirmedSteadyMs = rounds.remove().sentSteadyMs;
+        }
+    }
+
+    /** Notes what every in-sync store holds by now; returns whether a state has become committed by it. */
+    boolean noteCommitted() {
+        DurableState durable = context.durable();
+        if (committed.tag().equals(target) || !durable.state().tag().equals(target) || !honoured()) {
+            return false;
+        }
+        boolean heldByAll = replicas.among(record.inSync()).stream()
+                .allMatch(replica -> replica.tag().equals(target));
+        if (!heldByAll) {
+            return false;
+        }
+        begun = true;
+        pending = Optional.empty();
+        committed = durable.state();
+        return true;
+    }
+
+    /** In-sync stores that answer and keep up. */
+    Set<String> responsive() {
+        Set<String> identities = new HashSet<>();
+        replicas.among(record.inSync()).stream()
+                .filter(this::isResponsive)
+                .forEach(replica -> identities.add(replica.identity()));
+        return identities;
+    }
+
+    private boolean isResponsive(Replica replica) {
+        double now = context.activeMs();
+        return replica.healthy()
+                && replica.silentMs(now) <= UNRESPONSIVE_MS
+                && replica.laggingMs(now) <= UNRESPONSIVE_MS;
+    }
+
+    /** Stores outside the in-sync set that hold what this process holds. */
+    Set<String> caughtUp() {
+        Set<String> identities = new HashSet<>();
+        double now = context.activeMs();
+        for (Replica replica : replicas.all()) {
+            boolean outside = !record.inSync().contains(replica.identity());
+            if (outside
+                    && replica.healthy()
+                    && replica.silentMs(now) <= 2 * HEARTBEAT_MS
+                    && replica.tag().equals(target)) {
+                identities.add(replica.identity());
+            }
+        }
+        return identities;
+    }
+
+    private void sendStates() {
+        double now = context.activeMs();
+        for (Replica replica : replicas.all()) {
+            boolean inSync = record.inSync().contains(replica.identity());
+            boolean wanted = inSync || (!replica.leaving() && replica.silentMs(now) <= 2 * HEARTBEAT_MS);
+            boolean honours = !replica.promised().isAfter(number());
+            if (wanted && honours && !replica.tag().equals(target) && replica.maySend(now)) {
+                replica.sent(now);
+                context.peers().send(context.peers().addressOf(replica.member()), stateFor(replica));
+            }
+        }
+    }
+
+    private Message stateFor(Replica replica) {
+        if (pending.isPresent() && replica.tag().next().equals(target)) {
+            Pending change = pending.get();
+            return new Replicate(number(), change.tag, change.delta, change.key);
+        }
+        boolean atStart = target.sequence() == 0;
+        if (atStart && replica.tag().equals(baseTag)) {
+            return new Retag(number(), baseTag, target);
+        }
+        ConfigurationState state = context.durable().state();
+        StateTag tag = atStart ? target : state.tag();
+        if (!tag.equals(installTag)) {
+            installTag = tag;
+            install = new Install(
+                    number(), tag, state.documentBytes(), state.changes().toBytes());
+        }
+        return install;
+    }
+
+    private void broadcast(Message message) {
+        for (Replica replica : List.copyOf(replicas.all())) {
+            context.peers().send(context.peers().addressOf(replica.member()), message);
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/Peers.java
@@ -0,0 +1,77 @@
+package pinewick.replication;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import pinewick.model.Message;
+import pinewick.model.Outbox;
+import pinewick.model.SocketAddress;
+
+/** Where the other controllers are, as far as this process knows, and the way to them. */
+final class Peers {
+    /** Stores heard of longest ago are forgotten beyond this many. */
+    private static final int MOST_LEARNT = 64;
+
+    private final SocketAddress self;
+    private final Set<SocketAddress> seeds;
+    private final Outbox outbox;
+    private final Map<String, SocketAddress> learnt = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, SocketAddress> eldest) {
+            return size() > MOST_LEARNT;
+        }
+    };
+    private Set<SocketAddress> told = Set.of();
+
+    Peers(SocketAddress self, Collection<SocketAddress> seeds, Outbox outbox) {
+        this.self = self;
+        this.seeds = Set.copyOf(seeds);
+        this.outbox = outbox;
+    }
+
+    /** Other parts of this process know controllers at these addresses. */
+    void tell(Collection<SocketAddress> addresses) {
+        told = Set.copyOf(addresses);
+    }
+
+    /** A store was heard of at an address. */
+    void learn(String identity, SocketAddress address) {
+        if (!identity.isEmpty()) {
+            learnt.put(identity, address);
+        }
+    }
+
+    /** Where a store was heard of last. */
+    SocketAddress addressOf(Member member) {
+        return learnt.getOrDefault(member.identity(), member.address());
+    }
+
+    /** Every address at which a controller may be, this process's own left out. */
+    Set<SocketAddress> everywhere(EpochRecord... records) {
+        Set<SocketAddress> addresses = new LinkedHashSet<>();
+        for (EpochRecord record : records) {
+            record.members().forEach(member -> addresses.add(addressOf(member)));
+            record.previousMembers().forEach(member -> addresses.add(addressOf(member)));
+        }
+        addresses.addAll(seeds);
+        addresses.addAll(told);
+        addresses.addAll(learnt.values());
+        addresses.remove(self);
+        return addresses;
+    }
+
+    void send(SocketAddress peer, Message message) {
+        if (!peer.equals(self)) {
+            outbox.send(peer, message);
+        }
+    }
+
+    void send(Collection<SocketAddress> peers, Message message) {
+        List.copyOf(peers).forEach(peer -> send(peer, message));
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -0,0 +1,89 @@
+package pinewick.replication;
+
+import java.util.OptionalLong;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.ConfigurationDelta;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.InvalidConfigurationException;
+
+/** Decides upon changes and reads while this process leads. */
+final class PrimaryRole {
+    private final Context context;
+    private final ChangeQueue changes;
+    private final ReadQueue reads;
+
+    PrimaryRole(Context context, ChangeQueue changes, ReadQueue reads) {
+        this.context = context;
+        this.changes = changes;
+        this.reads = reads;
+    }
+
+    /**
+     * Does whatever can be done now.
+     *
+     * @param takesChanges whether a new change may be begun
+     */
+    void advance(Leadership leadership, boolean takesChanges) {
+        noteCommitted(leadership);
+        while (takesChanges && leadership.mayReplicate() && !changes.isEmpty()) {
+            changes.next().ifPresent(entry -> decide(leadership, entry));
+            noteCommitted(leadership);
+        }
+        if (!leadership.begun()) {
+            return;
+        }
+        if (changes.wantsRound() || reads.wantsRound()) {
+            long round = leadership.heartbeat();
+            changes.asked(round);
+            reads.asked(round);
+        }
+        changes.confirmed(leadership.confirmedRound());
+        reads.confirmed(leadership.confirmedRound(), leadership.committed().document());
+    }
+
+    private void noteCommitted(Leadership leadership) {
+        if (!leadership.noteCommitted()) {
+            return;
+        }
+        ConfigurationState state = leadership.committed();
+        if (state.document().version() > ConfigurationDocument.EMPTY.version()) {
+            context.listener().committed(state.document());
+        }
+        leadership.heartbeat();
+        changes.committed(state);
+    }
+
+    private void decide(Leadership leadership, ChangeQueue.Entry entry) {
+        ConfigurationState state = leadership.committed();
+        ConfigurationChange change = entry.change();
+        OptionalLong acceptedBefore = state.changes().versionOf(change.baseVersion(), entry.digest());
+        if (acceptedBefore.isPresent()) {
+            changes.end(entry, new ChangeOutcome.Accepted(acceptedBefore.getAsLong()));
+            return;
+        }
+        if (change.baseVersion() != state.document().version()) {
+            changes.refuse(entry, new ChangeOutcome.VersionConflict(state.document().version()));
+            return;
+        }
+        try {
+            ConfigurationDocument changed = read(change, state.document());
+            ChangeKey key = new ChangeKey(change.baseVersion(), changed.version(), entry.digest());
+            byte[] delta = ConfigurationChecks.writeDelta(ConfigurationDelta.between(state.document(), changed));
+            changes.replicating(entry);
+            leadership.replicate(delta, key);
+        } catch (InvalidConfigurationException e) {
+            changes.refuse(entry, new ChangeOutcome.Invalid(e.faults()));
+        }
+    }
+
+    private static ConfigurationDocument read(ConfigurationChange change, ConfigurationDocument current)
+            throws InvalidConfigurationException {
+        ConfigurationDocument changed =
+                switch (change.kind()) {
+                    case REPLACE -> ConfigurationChecks.parseReplacement(change.body());
+                    case UPDATE -> ConfigurationChecks.parseUpdate(current, change.body());
+                };
+        ConfigurationChecks.requireNewer(changed, current.version());
+        return changed;
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/ReplicationListener.java
@@ -0,0 +1,12 @@
+package pinewick.replication;
+
+import pinewick.model.ConfigurationDocument;
+
+/** Told of what the replicated configuration does, on the control loop. */
+public interface ReplicationListener {
+    /** A configuration is known to be committed. May come more than once for the same version. */
+    void committed(ConfigurationDocument document);
+
+    /** Something an operator may want to read in the log. */
+    default void noted(String event) {}
+}
--- /dev/null
+++ b/replication/src/main/java/pinewick/replication/ReplicationMessages.java
@@ -0,0 +1,199 @@
+package pinewick.replication;
+
+import java.util.List;
+import pinewick.model.Message;
+import pinewick.model.SocketAddress;
+
+/** Messages among the controllers. Each can come twice, late, or not at all. */
+public final class ReplicationMessages {
+    private ReplicationMessages() {}
+
+    /** Stands for an address that is not known. */
+    public static final SocketAddress NO_ADDRESS = new SocketAddress("0.0.0.0", 0);
+
+    /**
+     * What a process knows, sent by one that hears no primary, and in answer to it.
+     *
+     * @param self store of the sender
+     * @param promised the highest epoch number it promised
+     * @param accepted the newest epoch record it accepted
+     * @param tag the state it holds
+     * @param leading whether it is a primary that a majority confirmed lately
+     * @param hearsPrimary whether it heard a primary lately or is one
+     * @param operatorApi operator API of that primary, or {@link #NO_ADDRESS}
+     * @param answerWanted whether the receiver is to answer with its own status
+     */
+    public record Status(
+            Member self,
+            EpochNumber promised,
+            EpochRecord accepted,
+            StateTag tag,
+            boolean leading,
+            boolean hearsPrimary,
+            SocketAddress operatorApi,
+            boolean answerWanted)
+            implements Message {}
+
+    /**
+     * Asks a witness to promise a number.
+     *
+     * @param number the number
+     * @param handedOver whether the primary itself asked for this, so that its being heard is no hindrance
+     */
+    public record Prepare(EpochNumber number, boolean handedOver) implements Message {}
+
+    /**
+     * A witness has promised a number, on disk.
+     *
+     * @param number the number
+     * @param self store of the sender
+     * @param accepted the newest epoch record it accepted
+     * @param tag the state it holds
+     * @param leaving whether its process is about to end
+     */
+    public record Promise(EpochNumber number, Member self, EpochRecord accepted, StateTag tag, boolean leaving)
+            implements Message {}
+
+    /** Asks a witness to accept a record. */
+    public record Accept(EpochRecord record) implements Message {}
+
+    /** A witness has accepted a record, on disk. */
+    public record Accepted(EpochNumber number, String identity) implements Message {}
+
+    /**
+     * A witness promises or accepts nothing under a number.
+     *
+     * @param number the number
+     * @param identity store of the sender
+     * @param promised what it has promised already
+     */
+    public record Refusal(EpochNumber number, String identity, EpochNumber promised) implements Message {}
+
+    /** A record stands: a quorum has accepted it. */
+    public record Established(EpochRecord record) implements Message {}
+
+    /**
+     * A primary tells that it leads, and asks whether its epoch is still honoured.
+     *
+     * @param number number of its epoch
+     * @param round rises with each sending
+     * @param committed the newest state that is committed, {@link StateTag#NONE} before the epoch has begun
+     * @param operatorApi where it serves the operator
+     */
+    public record Heartbeat(EpochNumber number, long round, StateTag committed, SocketAddress operatorApi)
+            implements Message {}
+
+    /**
+     * Answers a heartbeat.
+     *
+     * @param number from the heartbeat
+     * @param round from the heartbeat
+     * @param self store of the sender
+     * @param promised the highest epoch number it promised
+     * @param accepted number of the newest epoch record it accepted
+     * @param settled whether it knows that record to stand
+     * @param tag the state it holds
+     * @param leaving whether its process is about to end
+     * @param diskReady whether its disk did what was asked of it lately
+     */
+    public record HeartbeatReply(
+            EpochNumber number,
+            long round,
+            Member self,
+            EpochNumber promised,
+            EpochNumber accepted,
+            boolean settled,
+            StateTag tag,
+            boolean leaving,
+            boolean diskReady)
+            implements Message {}
+
+    /**
+     * The state that the receiver holds under one tag is to go under another.
+     *
+     * @param number epoch of the sender, its primary
+     * @param base the tag it goes under
+     * @param tag the tag it goes under from now on
+     */
+    public record Retag(EpochNumber number, StateTag base, StateTag tag) implements Message {}
+
+    /**
+     * A whole state.
+     *
+     * @param number epoch of the sender, its primary
+     * @param tag names the state
+     * @param document the configuration as a delta from the empty one
+     * @param changes keys of the changes accepted lately
+     */
+    public record Install(EpochNumber number, StateTag tag, byte[] document, byte[] changes) implements Message {}
+
+    /**
+     * One change; applies to the state before {@code tag}.
+     *
+     * @param number epoch of the sender, its primary
+     * @param tag names the state after the change
+     * @param delta the difference
+     * @param key by what the change is known again
+     */
+    public record Replicate(EpochNumber number, StateTag tag, byte[] delta, ChangeKey key) implements Message {}
+
+    /** What became of a state that was sent. */
+    public enum StateResult {
+        /** It, or a later one of the same epoch, is on disk. */
+        HELD,
+        /** It does not fit the state that is there, or the epoch is over. */
+        MISFIT,
+        /** The disk refused it. */
+        DISK_FAILED
+    }
+
+    /**
+     * Answers a state.
+     *
+     * @param number epoch under which it was sent
+     * @param identity store of the sender
+     * @param result what became of it
+     * @param promised the highest epoch number the sender promised
+     * @param held the state that the sender holds now
+     */
+    public record StateReply(
+            EpochNumber number, String identity, StateResult result, EpochNumber promised, StateTag held)
+            implements Message {}
+
+    /**
+     * A primary leads no more.
+     *
+     * @param number its epoch
+     * @param successor identity of the one that is to follow at once, or empty
+     */
+    public record Resign(EpochNumber number, String successor) implements Message {}
+
+    /** Every class that the codec must know, in an order that never changes. */
+    public static List<Class<?>> types() {
+        return List.of(
+                byte[].class,
+                List.of().getClass(),
+                List.of("").getClass(),
+                SocketAddress.class,
+                EpochNumber.class,
+                Member.class,
+                EpochRecord.class,
+                StateTag.class,
+                ChangeKey.class,
+                StateResult.class,
+                Status.class,
+                Prepare.class,
+                Promise.class,
+                Accept.class,
+                Accepted.class,
+                Refusal.class,
+                Established.class,
+                Heartbeat.class,
+                HeartbeatReply.class,
+                Retag.class,
+                Install.class,
+                Replicate.class,
+                StateReply.class,
+                Resign.class);
+    }
+}
