--- a/replication/src/main/java/pinewick/replication/DurableState.java
+++ b/replication/src/main/java/pinewick/replication/DurableState.java
@@ -25,6 +25,9 @@
 
     private static final int MOST_APPENDED_BYTES = 256 * 1024;
 
+    /** A longer change is stored as a snapshot. */
+    private static final int LARGEST_APPENDED_BYTES = 64 * 1024;
+
     /** How a step ended. */
     enum Outcome {
         /** It is on disk. */
@@ -170,8 +173,7 @@
 
     private StableWrite.Content contentOf(Step step) {
         boolean replaced = step.state().document() != state.document() && step.change().isEmpty();
-        boolean full = appended >= MOST_APPENDED || appendedBytes >= MOST_APPENDED_BYTES;
-        if (snapshotDue || replaced || (full && step.change().isPresent())) {
+        if (snapshotDue || replaced || step.change().filter(this::isFoldedIn).isPresent()) {
             return new StableWrite.Replaced(new StoredSnapshot(
                     step.state().documentBytes(), step.state().changes().toBytes()));
         }
@@ -180,6 +182,12 @@
                 .orElseGet(StableWrite.Unchanged::new);
     }
 
+    private boolean isFoldedIn(StoredChange change) {
+        return appended >= MOST_APPENDED
+                || appendedBytes >= MOST_APPENDED_BYTES
+                || change.delta().length >= LARGEST_APPENDED_BYTES;
+    }
+
     private void written(Task task, Step step, StableWrite.Content content) {
         busy = false;
         failing = false;
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -116,11 +116,11 @@
         store.load(this::onLoaded, failure -> startRetryMs = clock.activeMs() + LOAD_RETRY_MS);
     }
 
-    private void onLoaded(Optional<StoredState> stored) {
-        if (stored.isPresent()) {
-            durable.restore(stored.get());
+    private void onLoaded(LoadedState loaded) {
+        if (loaded.stored().isPresent()) {
+            durable.restore(loaded.stored().get());
             takePart();
-        } else if (settings.isFounder()) {
+        } else if (settings.isFounder() && !loaded.damaged()) {
             durable.begin(settings.address().toString());
             found();
         } else {
--- /dev/null
+++ b/storage/src/main/java/pinewick/storage/DiskFaults.java
@@ -0,0 +1,21 @@
+package pinewick.storage;
+
+import jetbrains.exodus.OutOfDiskSpaceException;
+import pinewick.replication.StorageException.Kind;
+
+/** Tells a full disk from one that fails. */
+final class DiskFaults {
+    private static final String NO_SPACE = "No space left on device";
+
+    private DiskFaults() {}
+
+    static Kind kindOf(Throwable fault) {
+        for (Throwable cause = fault; cause != null; cause = cause.getCause()) {
+            String message = cause.getMessage();
+            if (cause instanceof OutOfDiskSpaceException || (message != null && message.contains(NO_SPACE))) {
+                return Kind.FULL;
+            }
+        }
+        return Kind.FAILED;
+    }
+}
--- /dev/null
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -0,0 +1,167 @@
+package pinewick.storage;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import jetbrains.exodus.ArrayByteIterable;
+import jetbrains.exodus.ByteIterable;
+import jetbrains.exodus.bindings.IntegerBinding;
+import jetbrains.exodus.env.Cursor;
+import jetbrains.exodus.env.Environment;
+import jetbrains.exodus.env.EnvironmentConfig;
+import jetbrains.exodus.env.Environments;
+import jetbrains.exodus.env.Store;
+import jetbrains.exodus.env.StoreConfig;
+import jetbrains.exodus.env.Transaction;
+import pinewick.replication.StableWrite;
+import pinewick.replication.StoredChange;
+import pinewick.replication.StoredHead;
+import pinewick.replication.StoredSnapshot;
+import pinewick.replication.StoredState;
+
+/** An open Xodus environment and the layout of what is kept in it. Each write is one durable transaction. */
+final class XodusFiles {
+    private static final long MEMORY_BYTES = 8L << 20;
+    private static final long LOG_FILE_KILOBYTES = 1_024;
+
+    /** No value is longer: the log cannot hold values longer than one of its files. */
+    private static final int CHUNK_BYTES = 64 * 1024;
+
+    private static final ByteIterable HEAD = key("head");
+
+    private final Environment environment;
+    private final Store heads;
+    private final Store documents;
+    private final Store keys;
+    private final Store changes;
+    private int nextChange;
+
+    private XodusFiles(Environment environment) {
+        this.environment = environment;
+        this.heads = openStore("head");
+        this.documents = openStore("document");
+        this.keys = openStore("keys");
+        this.changes = openStore("changes");
+    }
+
+    static XodusFiles open(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        EnvironmentConfig config = new EnvironmentConfig()
+                .setLogDurableWrite(true)
+                .setLogFileSize(LOG_FILE_KILOBYTES)
+                .setLogCacheShared(false)
+                .setLogCacheUseNio(false)
+                .setMemoryUsage(MEMORY_BYTES)
+                .setEnvStoreGetCacheSize(0)
+                .setEnvMonitorTxnsTimeout(0)
+                .setEnvCloseForcedly(true)
+                .setEnvGatherStatistics(false)
+                .setManagementEnabled(false);
+        return new XodusFiles(Environments.newInstance(folder.toFile(), config));
+    }
+
+    private Store openStore(String name) {
+        return environment.computeInTransaction(
+                transaction -> environment.openStore(name, StoreConfig.WITHOUT_DUPLICATES, transaction));
+    }
+
+    /** Everything that was written, or nothing before the first write. */
+    Optional<StoredState> read() throws IOException {
+        Transaction transaction = environment.beginReadonlyTransaction();
+        try {
+            ByteIterable headBytes = heads.get(transaction, HEAD);
+            if (headBytes == null) {
+                return Optional.empty();
+            }
+            StoredHead head = StoredFormat.readHead(bytesOf(headBytes));
+            StoredSnapshot snapshot =
+                    new StoredSnapshot(readChunks(documents, transaction), readChunks(keys, transaction));
+            List<StoredChange> stored = new ArrayList<>();
+            for (byte[] change : valuesOf(changes, transaction)) {
+                stored.add(StoredFormat.readChange(change));
+            }
+            nextChange = stored.size();
+            return Optional.of(new StoredState(head, snapshot, stored));
+        } finally {
+            transaction.abort();
+        }
+    }
+
+    /** Writes head and content in one durable transaction. */
+    void write(StableWrite write) {
+        int next = environment.computeInTransaction(transaction -> {
+            heads.put(transaction, HEAD, new ArrayByteIterable(StoredFormat.writeHead(write.head())));
+            return writeContent(write.content(), transaction);
+        });
+        nextChange = next;
+    }
+
+    private int writeContent(StableWrite.Content content, Transaction transaction) {
+        if (content instanceof StableWrite.Replaced replaced) {
+            clear(changes, transaction);
+            writeChunks(documents, replaced.snapshot().document(), transaction);
+            writeChunks(keys, replaced.snapshot().changes(), transaction);
+            return 0;
+        }
+        if (content instanceof StableWrite.Appended appended) {
+            byte[] bytes = StoredFormat.writeChange(appended.change());
+            changes.put(transaction, IntegerBinding.intToEntry(nextChange), new ArrayByteIterable(bytes));
+            return nextChange + 1;
+        }
+        return nextChange;
+    }
+
+    void close() {
+        environment.close();
+    }
+
+    private static void writeChunks(Store store, byte[] bytes, Transaction transaction) {
+        clear(store, transaction);
+        int chunk = 0;
+        for (int from = 0; from < bytes.length; from += CHUNK_BYTES) {
+            int length = Math.min(CHUNK_BYTES, bytes.length - from);
+            byte[] part = new byte[length];
+            System.arraycopy(bytes, from, part, 0, length);
+            store.put(transaction, IntegerBinding.intToEntry(chunk++), new ArrayByteIterable(part));
+        }
+    }
+
+    private static byte[] readChunks(Store store, Transaction transaction) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        valuesOf(store, transaction).forEach(bytes::writeBytes);
+        return bytes.toByteArray();
+    }
+
+    private static List<byte[]> valuesOf(Store store, Transaction transaction) {
+        List<byte[]> values = new ArrayList<>();
+        try (Cursor cursor = store.openCursor(transaction)) {
+            while (cursor.getNext()) {
+                values.add(bytesOf(cursor.getValue()));
+            }
+        }
+        return values;
+    }
+
+    private static void clear(Store store, Transaction transaction) {
+        try (Cursor cursor = store.openCursor(transaction)) {
+            while (cursor.getNext()) {
+                cursor.deleteCurrent();
+            }
+        }
+    }
+
+    private static byte[] bytesOf(ByteIterable value) {
+        byte[] bytes = new byte[value.getLength()];
+        System.arraycopy(value.getBytesUnsafe(), 0, bytes, 0, bytes.length);
+        return bytes;
+    }
+
+    private static ByteIterable key(String name) {
+        return new ArrayByteIterable(name.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/storage/src/main/java/pinewick/storage/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps what replication must not lose, on Xodus. */
+package pinewick.storage;
