Measurements that core and selection share move to selection

Cause: the router fleet's score needs the lowest recent value, the sliding sum, the histogram and FoundAgain that the in-service decision module has; core now depends on selection. Nothing changes in what they do.

--- a/core/src/main/java/pinewick/Logic.java
+++ b/core/src/main/java/pinewick/Logic.java
@@ -7,6 +7,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import pinewick.selection.CoarseTimes;
+import pinewick.selection.FoundAgain;
+import pinewick.selection.SlidingSum;
 
 /**
  * Every decision of one mixer. A front builds one Logic for each mixer, tells it the list of searchers
@@ -849,11 +852,8 @@
         }
 
         private long overdueParts() {
-            long overdue = 0;
-            for (Part<Query, Searcher> part : parts.values()) {
-                overdue += part.out > 0 && !part.done && host.now() >= part.latest().overdueAt ? 1 : 0;
-            }
-            return overdue;
+            return parts.values().stream().filter(part ->
+                part.out > 0 && !part.done && host.now() >= part.latest().overdueAt).count();
         }
 
         private boolean mayAnswerPartly() {
--- a/core/src/main/java/pinewick/SearcherState.java
+++ b/core/src/main/java/pinewick/SearcherState.java
@@ -1,6 +1,8 @@
 package pinewick;
 
 import java.util.LinkedHashSet;
+import pinewick.selection.RecentLowest;
+import pinewick.selection.SlidingSum;
 
 /** What one mixer was told of a searcher and saw of it; what follows from that is Logic's. */
 class SearcherState {
--- a/core/src/main/java/pinewick/CoarseTimes.java
+++ b/selection/src/main/java/pinewick/selection/CoarseTimes.java
@@ -1,7 +1,7 @@
-package pinewick;
+package pinewick.selection;
 
 /** Times counted in a few coarse bins, each wider than the one below by the same factor; halved when full. */
-final class CoarseTimes {
+public final class CoarseTimes {
     private final double[] edges;
     private final double[] counts;
     private final double full;
@@ -11,7 +11,7 @@
     private int asked;
 
     /** {@code longest} is the upper edge of the last bin. */
-    CoarseTimes(double longest, double factor, int bins, double full) {
+    public CoarseTimes(double longest, double factor, int bins, double full) {
         edges = new double[bins];
         counts = new double[bins];
         this.full = full;
@@ -22,7 +22,7 @@
         }
     }
 
-    void add(double time) {
+    public void add(double time) {
         asked = 0;
         int bin = 0;
         while (bin < edges.length - 1 && time > edges[bin]) {
@@ -39,12 +39,12 @@
         }
     }
 
-    double total() {
+    public double total() {
         return total;
     }
 
     /** The time below which this share of the times lies, interpolated within its bin. */
-    double quantile(double share) {
+    public double quantile(double share) {
         for (int each = 0; each < asked; each++) {
             if (askedShares[each] == share) {
                 return askedTimes[each];
@@ -59,7 +59,7 @@
     }
 
     /** The mean of the times, each taken for the middle of its bin; one beyond the last edge for that edge. */
-    double mean() {
+    public double mean() {
         double sum = 0;
         for (int bin = 0; bin < edges.length; bin++) {
             sum += counts[bin] * (bin == 0 ? edges[0] / 2 : (edges[bin - 1] + edges[bin]) / 2);
--- a/core/src/main/java/pinewick/FoundAgain.java
+++ b/selection/src/main/java/pinewick/selection/FoundAgain.java
@@ -1,10 +1,10 @@
-package pinewick;
+package pinewick.selection;
 
 /**
  * How much of what was measured once was found again later, by how much later: coarse bins of ages, each four times as
  * long as the one before, with the sums of what was expected and of what was found, halved from time to time.
  */
-final class FoundAgain {
+public final class FoundAgain {
     private static final int BINS = 5;
     private final double first;
     private final double believed;
@@ -15,7 +15,7 @@
      * @param first the first bin's end, seconds
      * @param believed the amount for which all counts as found before anything was measured
      */
-    FoundAgain(double first, double believed) {
+    public FoundAgain(double first, double believed) {
         this.first = first;
         this.believed = believed;
         java.util.Arrays.fill(expected, believed);
@@ -30,7 +30,7 @@
         return bin;
     }
 
-    void add(double age, double was, double is) {
+    public void add(double age, double was, double is) {
         int bin = bin(age);
         expected[bin] += was;
         found[bin] += is;
@@ -41,7 +41,7 @@
     }
 
     /** The share found again at this age, 0 to 1. */
-    double share(double age) {
+    public double share(double age) {
         int bin = bin(age);
         return Math.min(1, found[bin] / expected[bin]);
     }
--- a/core/src/main/java/pinewick/RecentLowest.java
+++ b/selection/src/main/java/pinewick/selection/RecentLowest.java
@@ -1,12 +1,12 @@
-package pinewick;
+package pinewick.selection;
 
 /** The lowest of recent values: over the window now running and the one before it. */
-final class RecentLowest {
+public final class RecentLowest {
     private double now = Double.POSITIVE_INFINITY;
     private double before = Double.POSITIVE_INFINITY;
     private double since;
 
-    void add(double at, double value, double window) {
+    public void add(double at, double value, double window) {
         if (at - since > window) {
             before = now;
             now = Double.POSITIVE_INFINITY;
@@ -16,7 +16,7 @@
     }
 
     /** Infinite while nothing was added. */
-    double get() {
+    public double get() {
         return Math.min(now, before);
     }
 }
--- a/core/src/main/java/pinewick/SlidingSum.java
+++ b/selection/src/main/java/pinewick/selection/SlidingSum.java
@@ -1,18 +1,18 @@
-package pinewick;
+package pinewick.selection;
 
 import java.util.ArrayDeque;
 
 /** Amounts with their times, and the sum of those since a time that only moves forward. */
-final class SlidingSum {
+public final class SlidingSum {
     private final ArrayDeque<double[]> entries = new ArrayDeque<>();
     private double sum;
 
-    void add(double at, double amount) {
+    public void add(double at, double amount) {
         entries.addLast(new double[] {at, amount});
         sum += amount;
     }
 
-    double since(double from) {
+    public double since(double from) {
         while (!entries.isEmpty() && entries.peekFirst()[0] < from) {
             sum -= entries.pollFirst()[1];
         }
