--- /dev/null
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -0,0 +1,302 @@
+package pinewick.selection;
+
+import pinewick.model.ReplicaRecord;
+import pinewick.model.Stage;
+
+/** What one router has measured of one replica, and what follows for the terms of its score. */
+final class ReplicaMeasurements {
+    /** Length of one of the two windows over which lowest times are kept. */
+    private static final double LOWEST_WINDOW_MS = 5_000;
+    /** A replica's own speed is believed within these factors of its kind's. */
+    private static final double FASTEST = 0.5;
+
+    private static final double SLOWEST = 2;
+    /** Streams pause this long without a word of trouble. */
+    private static final double STREAM_PAUSE_MS = 300;
+
+    private static final double FIRST_REST_MS = 200;
+    private static final int MOST_DOUBLINGS = 4;
+    private static final int FAILURES_TO_EJECT = 2;
+
+    private final SelectionTuning tuning;
+    private final ReplicaPool pool;
+    private final CacheBelief cache;
+    private final int slots;
+
+    private int outstanding;
+    private int streaming;
+    private ReplicaSelector.Call oldestWaiting;
+    private ReplicaSelector.Call newestWaiting;
+    private double heardAtMs = Double.NEGATIVE_INFINITY;
+
+    private boolean heard;
+    private double excessMs;
+    private double stepExcessMs;
+    private double measuredAtMs;
+    private RecentLowest lowest = new RecentLowest();
+    private RecentLowest lowestSpeed = new RecentLowest();
+    private RecentLowest lowestStep = new RecentLowest();
+
+    private LoadReport report;
+    private int begunSince;
+    private int endedSince;
+
+    private int failures;
+    private double restUntilMs = Double.NEGATIVE_INFINITY;
+
+    ReplicaMeasurements(SelectionTuning tuning, ReplicaPool pool, CacheBelief cache, ReplicaRecord replica) {
+        this.tuning = tuning;
+        this.pool = pool;
+        this.cache = cache;
+        this.slots = Math.max(1, replica.slots());
+        pool.add(this);
+    }
+
+    ReplicaPool pool() {
+        return pool;
+    }
+
+    CacheBelief cache() {
+        return cache;
+    }
+
+    int outstanding() {
+        return outstanding;
+    }
+
+    boolean heard() {
+        return heard;
+    }
+
+    double ownExcessMs() {
+        return excessMs;
+    }
+
+    double lowestMs() {
+        return lowest.get();
+    }
+
+    double lowestStepMs() {
+        return lowestStep.get();
+    }
+
+    /** R - s: the smoothed time beyond s, faded to its kind's average while it is not heard, or overdue silence. */
+    double excessMs(double nowMs, int outputTokens) {
+        double average = pool.averageExcessMs(nowMs);
+        double own = average;
+        if (heard) {
+            double kept = Math.pow(0.5, Math.max(0, nowMs - measuredAtMs) / tuning.excessHalfLifeMs());
+            own = average + (excessMs + stepExcessMs * outputTokens - average) * kept;
+        }
+        return Math.max(own, overdueMs(nowMs));
+    }
+
+    /** How long an answer has been overdue: a hung replica sends nothing, so its silence has to tell. */
+    double overdueMs(double nowMs) {
+        double overdue = 0;
+        if (oldestWaiting != null) {
+            overdue = nowMs - oldestWaiting.beganAtMs() - oldestWaiting.serviceMs();
+        }
+        if (streaming > 0) {
+            overdue = Math.max(overdue, nowMs - heardAtMs - STREAM_PAUSE_MS);
+        }
+        return Math.max(0, overdue);
+    }
+
+    /** How much the last report still counts: 1 when it is fresh, 0 when it is stale or there is none. */
+    double reportWeight(double nowMs) {
+        if (report == null) {
+            return 0;
+        }
+        double age = nowMs - report.atMs();
+        double weight = (tuning.reportStaleMs() - age) / (tuning.reportStaleMs() - tuning.reportFreshMs());
+        return Math.max(0, Math.min(1, weight));
+    }
+
+    LoadReport report() {
+        return report;
+    }
+
+    /** Calls that are at the replica by its last report and what this router has begun and seen ended since. */
+    double inProgress() {
+        if (report == null) {
+            return outstanding;
+        }
+        return Math.max(outstanding, report.running() + report.waiting() + begunSince - endedSince);
+    }
+
+    /**
+     * The queue: by the report, else what this router has in flight there. A prefill replica reads one prompt after
+     * another, so those that run there are a queue as well; at others only what does not fit the slots.
+     */
+    double queue(double nowMs) {
+        double weight = reportWeight(nowMs);
+        if (weight == 0) {
+            return outstanding;
+        }
+        double reported;
+        if (pool.stage() == Stage.PREFILL) {
+            reported = inProgress();
+        } else {
+            double left = report.waiting() + Math.min(0, begunSince - endedSince);
+            reported = Math.max(left, inProgress() - slots);
+        }
+        return weight * Math.max(0, reported) + (1 - weight) * outstanding;
+    }
+
+    /** The larger of the shares of its slots and of its memory that are in use; 0 without a report. */
+    double busyShare(double nowMs) {
+        double weight = reportWeight(nowMs);
+        if (weight == 0) {
+            return 0;
+        }
+        double ofSlots = Math.min(1, inProgress() / slots);
+        double ofMemory = report.kvTotal() <= 0 ? 0 : (double) report.kvUsed() / report.kvTotal();
+        return weight * Math.max(ofSlots, ofMemory);
+    }
+
+    /** Routers that can have calls at the replica now: no more than there are calls in it. */
+    double sendingRouters(double nowMs, int routers) {
+        if (!tuning.countSendingRouters()) {
+            return routers;
+        }
+        double weight = reportWeight(nowMs);
+        double sending = Math.min(routers, Math.max(1, inProgress()));
+        return routers + weight * (sending - routers);
+    }
+
+    /** R - s + q̂³·s. */
+    double score(double serviceMs, int outputTokens, int routers, double nowMs) {
+        double congestion = 1
+                + outstanding * sendingRouters(nowMs, routers)
+                + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
+        return excessMs(nowMs, outputTokens) + congestion * congestion * congestion * serviceMs;
+    }
+
+    /** s of a plain request: the lowest recent answer time. */
+    double plainServiceMs(double firstGuessMs, double nowMs) {
+        double own = lowest.get() < Double.POSITIVE_INFINITY ? lowest.get() : pool.averageLowestMs(nowMs);
+        return own < Double.POSITIVE_INFINITY ? own : firstGuessMs;
+    }
+
+    /** s of a request that reads or fetches so many tokens and makes so many. */
+    double engineServiceMs(ServiceTimeModel model, double tokens, int outputTokens, double nowMs) {
+        double speed = lowestSpeed.get() < Double.POSITIVE_INFINITY ? lowestSpeed.get() : 1;
+        double step = lowestStep.get() < Double.POSITIVE_INFINITY ? lowestStep.get() : pool.averageStepMs(nowMs);
+        return model.predict(tokens) * Math.max(FASTEST, Math.min(SLOWEST, speed)) + step * outputTokens;
+    }
+
+    /** Whether it is kept out after failures; one whose rest is over takes one request at a time. */
+    boolean ejected(double nowMs) {
+        return failures >= FAILURES_TO_EJECT && (nowMs < restUntilMs || outstanding > 0);
+    }
+
+    /** Whether its rest after failures is over and it has not been tried since. */
+    boolean restEnds(double nowMs) {
+        return failures >= FAILURES_TO_EJECT && nowMs >= restUntilMs && outstanding == 0;
+    }
+
+    /** Whether it is changing its stage, by a report that is not old. */
+    boolean changesStage(double nowMs) {
+        return report != null && report.busy() && reportWeight(nowMs) > 0;
+    }
+
+    void reported(LoadReport newReport) {
+        if (report == null || newReport.atMs() >= report.atMs()) {
+            report = newReport;
+            begunSince = 0;
+            endedSince = 0;
+        }
+    }
+
+    void began(ReplicaSelector.Call call) {
+        outstanding++;
+        begunSince++;
+        call.linkAfter(newestWaiting);
+        newestWaiting = call;
+        if (oldestWaiting == null) {
+            oldestWaiting = call;
+        }
+    }
+
+    /** The call no longer waits for its first event. */
+    private void heardFirst(ReplicaSelector.Call call) {
+        if (oldestWaiting == call) {
+            oldestWaiting = call.newer();
+        }
+        if (newestWaiting == call) {
+            newestWaiting = call.older();
+        }
+        call.unlink();
+    }
+
+    /** A stream has begun. */
+    void firstEvent(ReplicaSelector.Call call, double nowMs) {
+        heardFirst(call);
+        streaming++;
+        heardAtMs = nowMs;
+    }
+
+    /** A further event came. */
+    void event(double nowMs) {
+        heardAtMs = nowMs;
+    }
+
+    void ended(ReplicaSelector.Call call, boolean wasStreaming) {
+        outstanding--;
+        if (report != null && call.beganAtMs() < report.atMs()) {
+            endedSince++;
+        } else {
+            begunSince = Math.max(0, begunSince - 1);
+        }
+        if (wasStreaming) {
+            streaming--;
+        } else {
+            heardFirst(call);
+        }
+    }
+
+    /** An answer took this long to its first event, or whole, beyond s. */
+    void measured(double beyondMs, double nowMs) {
+        excessMs = heard ? excessMs + tuning.smoothing() * (beyondMs - excessMs) : beyondMs;
+        heard = true;
+        measuredAtMs = nowMs;
+    }
+
+    /** An answer came, so it is alive. */
+    void alive(double nowMs) {
+        failures = 0;
+        heardAtMs = nowMs;
+    }
+
+    /** A plain request took this long. */
+    void answeredPlain(double tookMs, double nowMs) {
+        lowest.add(nowMs, tookMs, LOWEST_WINDOW_MS);
+    }
+
+    /** An answer took this many times what its kind takes. */
+    void speed(double factor, double nowMs) {
+        lowestSpeed.add(nowMs, factor, LOWEST_WINDOW_MS);
+    }
+
+    /** The tokens of a stream took this long each. */
+    void stepped(double perTokenMs, double nowMs) {
+        lowestStep.add(nowMs, perTokenMs, LOWEST_WINDOW_MS);
+        double beyond = Math.max(0, perTokenMs - lowestStep.get());
+        stepExcessMs += tuning.smoothing() * (beyond - stepExcessMs);
+    }
+
+    /** A call failed: after several in a row the replica rests, longer each time. */
+    void failed(double nowMs, boolean certain, double jitter) {
+        failures = certain ? Math.max(failures + 1, FAILURES_TO_EJECT) : failures + 1;
+        if (failures >= FAILURES_TO_EJECT && nowMs >= restUntilMs) {
+            int doublings = Math.min(MOST_DOUBLINGS, failures - FAILURES_TO_EJECT);
+            restUntilMs = nowMs + FIRST_REST_MS * (1 << doublings) * (0.5 + jitter);
+        }
+    }
+
+    /** Rests once more without having been tried, so that not all routers try it at once. */
+    void restAgain(double nowMs, double jitter) {
+        restUntilMs = nowMs + FIRST_REST_MS * (0.5 + jitter);
+    }
+}
