--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -0,0 +1,112 @@
+package pinewick.dataplane;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/** Reads one client request whole, within the limits in force, and hands it to the data plane. */
+final class ClientIntake implements Invocable.Task {
+    private static final int FIRST_BODY_BYTES = 4 * 1024;
+
+    private final DataPlane dataPlane;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final int mostBodyBytes;
+    private ByteArrayOutputStream body;
+
+    ClientIntake(DataPlane dataPlane, Request request, Response response, Callback callback) {
+        this.dataPlane = dataPlane;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.mostBodyBytes = dataPlane.routingTable().limits().maxBodyBytes();
+    }
+
+    @Override
+    public InvocationType getInvocationType() {
+        return InvocationType.NON_BLOCKING;
+    }
+
+    /** Reads what has come; runs again when there is more. */
+    @Override
+    public void run() {
+        if (request.getLength() > mostBodyBytes) {
+            refuseTooLarge();
+            return;
+        }
+        while (true) {
+            Content.Chunk chunk = request.read();
+            if (chunk == null) {
+                request.demand(this);
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                callback.failed(chunk.getFailure());
+                return;
+            }
+            boolean last = chunk.isLast();
+            boolean fits = take(chunk.getByteBuffer());
+            chunk.release();
+            if (!fits) {
+                refuseTooLarge();
+                return;
+            }
+            if (last) {
+                complete();
+                return;
+            }
+        }
+    }
+
+    private boolean take(ByteBuffer content) {
+        if (!content.hasRemaining()) {
+            return true;
+        }
+        if (body == null) {
+            body = new ByteArrayOutputStream(Math.max(content.remaining(), FIRST_BODY_BYTES));
+        }
+        if (body.size() + content.remaining() > mostBodyBytes) {
+            return false;
+        }
+        byte[] bytes = new byte[content.remaining()];
+        content.get(bytes);
+        body.writeBytes(bytes);
+        return true;
+    }
+
+    private void refuseTooLarge() {
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        answer(HttpStatus.PAYLOAD_TOO_LARGE_413);
+    }
+
+    private void complete() {
+        HttpFields fields = request.getHeaders();
+        List<String> ids = fields.getValuesList(HeaderNames.REQUEST_ID);
+        if (ids.size() != 1 || ids.get(0).isEmpty()) {
+            answer(HttpStatus.BAD_REQUEST_400);
+            return;
+        }
+        ClientRequest read = new ClientRequest(
+                ids.get(0),
+                request.getMethod(),
+                request.getHttpURI().getPathQuery(),
+                HeaderRules.requestFields(fields),
+                body == null ? UpstreamRequest.NO_BODY : body.toByteArray());
+        body = null;
+        dataPlane.accept(read, request, response, callback);
+    }
+
+    private void answer(int status) {
+        response.setStatus(status);
+        response.write(true, null, callback);
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -0,0 +1,229 @@
+package pinewick.dataplane;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import pinewick.dissemination.FleetState;
+import pinewick.dissemination.FleetStateListener;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.InvalidConfigurationException;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.Route;
+import pinewick.model.RoutingTable;
+import pinewick.model.ServiceSpec;
+import pinewick.selection.ReplicaSelector;
+import pinewick.selection.RequestShape;
+import pinewick.selection.RetryBudget;
+
+/**
+ * Everything of the data plane that requests share: the routing table in force, the replicas, the requests under way.
+ * Follows {@link FleetState}.
+ */
+final class DataPlane implements FleetStateListener {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int FEWEST_CONNECTIONS = 4;
+    private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
+
+    private final SerialExecutor serial;
+    private final Timers timers;
+    private final RandomGenerator random;
+    private final ReplicaDirectory directory = new ReplicaDirectory();
+    private final UpstreamPool pool;
+    private final DataPlaneServices services;
+    private final Set<RequestLifecycle> underWay = new HashSet<>();
+    private volatile RoutingTable routingTable = RoutingTable.EMPTY;
+    private volatile boolean stopping;
+    private int routerCountUpperBound = 1;
+
+    DataPlane(SerialExecutor serial, Timers timers, RetryBudget budget, RandomGenerator random) {
+        this.serial = serial;
+        this.timers = timers;
+        this.random = random;
+        this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
+        this.services = new DataPlaneServices(new ReplicaSelector(random), budget, directory, pool, timers, random);
+    }
+
+    /** Takes over what is known, and follows every change. */
+    void follow(FleetState state, UpstreamConnector connector) {
+        pool.setConnector(connector);
+        state.addListener(this);
+        configurationChanged(state.configuration());
+        state.replicas().forEach(this::replicaChanged);
+    }
+
+    // ---- what the fleet knows
+
+    @Override
+    public void configurationChanged(ConfigurationDocument document) {
+        if (document.version() == 0) {
+            return;
+        }
+        try {
+            RoutingTable next = ConfigurationChecks.toRoutingTable(document);
+            serial.execute(() -> {
+                if (next.version() > routingTable.version()) {
+                    routingTable = next;
+                }
+            });
+        } catch (InvalidConfigurationException e) {
+            LOG.atSevere().withCause(e).log("Configuration %d cannot be read; the one before stays", document.version());
+        }
+    }
+
+    @Override
+    public void replicaChanged(ReplicaRecord record) {
+        serial.execute(() -> {
+            directory.update(record);
+            if (record.state() == ReplicaState.GONE) {
+                pool.closeIdle(record.instanceId());
+                services.selector().forget(record.instanceId());
+            }
+        });
+    }
+
+    /** How many routers share the replicas and the retry budget. */
+    void setRouterCounts(int count, int upperBound) {
+        serial.execute(() -> {
+            routerCountUpperBound = Math.max(1, upperBound);
+            services.selector().setRouterCount(Math.max(1, count));
+            services.budget().setRouterCount(routerCountUpperBound);
+        });
+    }
+
+    RoutingTable routingTable() {
+        return routingTable;
+    }
+
+    DataPlaneServices services() {
+        return services;
+    }
+
+    /** Most connections that this router may hold to one replica of a service. */
+    private int connectionLimit(String service) {
+        int ofAll = routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
+        return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
+    }
+
+    /** Closes connections to replicas that have rested long enough. */
+    void sweep() {
+        serial.execute(pool::sweep);
+    }
+
+    // ---- requests
+
+    /** Takes a request that was read whole. May be called on any thread. */
+    void accept(ClientRequest read, Request request, Response response, Callback callback) {
+        double arrivedAtMs = request.getBeginNanoTime() / 1e6;
+        serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
+    }
+
+    private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
+        JettyClientExchange client = new JettyClientExchange(response, callback, serial, stopping);
+        Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        Optional<String> service = route.flatMap(this::drawService);
+        if (service.isEmpty()) {
+            client.answer(
+                    HttpStatus.NOT_FOUND_404,
+                    HttpFields.build().add(HeaderNames.REQUEST_ID, read.id()),
+                    UpstreamRequest.NO_BODY);
+            return;
+        }
+        RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
+        RequestLifecycle[] self = new RequestLifecycle[1];
+        RequestLifecycle lifecycle =
+                new RequestLifecycle(read, shape, client, services, () -> underWay.remove(self[0]));
+        self[0] = lifecycle;
+        client.setLifecycle(lifecycle);
+        underWay.add(lifecycle);
+        request.addIdleTimeoutListener(timeout -> false);
+        request.addFailureListener(failure -> serial.execute(lifecycle::onClientGone));
+        lifecycle.start();
+    }
+
+    private static String hostOf(Request request) {
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        if (host == null) {
+            return "";
+        }
+        int colon = host.lastIndexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
+    }
+
+    /** Draws a service by the route's weights; one without replicas gives way to another of the route. */
+    private Optional<String> drawService(Route route) {
+        int total = 0;
+        for (Route.WeightedService each : route.split()) {
+            total += each.weight();
+        }
+        if (total <= 0) {
+            return Optional.empty();
+        }
+        int drawn = random.nextInt(total);
+        for (Route.WeightedService each : route.split()) {
+            drawn -= each.weight();
+            if (drawn < 0) {
+                return Optional.of(each.service());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
+        boolean generation = routingTable
+                .service(service)
+                .flatMap(ServiceSpec::engine)
+                .isPresent();
+        PromptHeaders prompt = PromptHeaders.parse(fields);
+        double held = Math.min(route.timeoutMs(), deadlineMs(fields));
+        return new RequestShape(
+                route,
+                service,
+                generation,
+                generation ? prompt.model() : "",
+                generation ? prompt.promptTokens() : 0,
+                generation ? prompt.outputTokens() : 0,
+                generation ? prompt.parts() : java.util.List.of(),
+                arrivedAtMs,
+                arrivedAtMs + held);
+    }
+
+    private static double deadlineMs(HttpFields fields) {
+        String told = fields.get(HeaderNames.DEADLINE_MS);
+        if (told == null) {
+            return NO_DEADLINE_MS;
+        }
+        try {
+            return Math.max(1, Double.parseDouble(told.trim()));
+        } catch (NumberFormatException e) {
+            return NO_DEADLINE_MS;
+        }
+    }
+
+    // ---- the end
+
+    /** From now on each answer closes its connection. */
+    void beginStopping() {
+        stopping = true;
+    }
+
+    /** Runs {@code then} with the number of requests under way. */
+    void countUnderWay(java.util.function.IntConsumer then) {
+        serial.execute(() -> then.accept(underWay.size()));
+    }
+
+    /** Answers whatever has not been answered. */
+    void answerTheRest() {
+        serial.execute(() -> java.util.List.copyOf(underWay).forEach(RequestLifecycle::onShutdown));
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
@@ -0,0 +1,14 @@
+package pinewick.dataplane;
+
+import java.util.random.RandomGenerator;
+import pinewick.selection.ReplicaSelector;
+import pinewick.selection.RetryBudget;
+
+/** What every request's lifecycle works with. All of it is used on the data plane's executor only. */
+record DataPlaneServices(
+        ReplicaSelector selector,
+        RetryBudget budget,
+        ReplicaDirectory directory,
+        ReplicaCalls calls,
+        Timers timers,
+        RandomGenerator random) {}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/HeaderRules.java
@@ -0,0 +1,68 @@
+package pinewick.dataplane;
+
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** Which header fields a router passes on, in either direction. */
+final class HeaderRules {
+    /** Concern one connection only; each side writes its own framing. */
+    private static final Set<String> HOP_BY_HOP = names(
+            "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+            "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length");
+
+    /** What only routers may say to a replica, and what is written anew for each call. */
+    private static final Set<String> SET_BY_ROUTER = names(
+            "Expect", HeaderNames.SERVING_STAGE, HeaderNames.KV_FROM, HeaderNames.EXPECTED_INSTANCE,
+            HeaderNames.DEADLINE_MS, HeaderNames.PRIORITY);
+
+    private HeaderRules() {}
+
+    /** The fields of a client's request that go on to a replica. */
+    static HttpFields.Mutable requestFields(HttpFields received) {
+        Set<String> named = namedByConnection(received);
+        HttpFields.Mutable kept = HttpFields.build();
+        for (HttpField field : received) {
+            if (endToEnd(field, named) && !SET_BY_ROUTER.contains(field.getName())) {
+                kept.add(field);
+            }
+        }
+        return kept;
+    }
+
+    /** The fields of a replica's answer that go on to the client. */
+    static HttpFields.Mutable responseFields(HttpFields received) {
+        Set<String> named = namedByConnection(received);
+        HttpFields.Mutable kept = HttpFields.build();
+        for (HttpField field : received) {
+            if (endToEnd(field, named)) {
+                kept.add(field);
+            }
+        }
+        return kept;
+    }
+
+    private static boolean endToEnd(HttpField field, Set<String> namedByConnection) {
+        String name = field.getName();
+        return !HOP_BY_HOP.contains(name) && !namedByConnection.contains(name);
+    }
+
+    /** Names listed in {@code Connection}; the request's id and stamp cannot be dropped that way. */
+    private static Set<String> namedByConnection(HttpFields fields) {
+        if (!fields.contains(HttpHeader.CONNECTION)) {
+            return Set.of();
+        }
+        Set<String> named = names(fields.getCSV(HttpHeader.CONNECTION, false).toArray(String[]::new));
+        named.removeIf(name -> name.toLowerCase(Locale.ROOT).startsWith("x-pinewick-") || name.equalsIgnoreCase("host"));
+        return named;
+    }
+
+    private static Set<String> names(String... names) {
+        Set<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        set.addAll(java.util.List.of(names));
+        return set;
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -0,0 +1,127 @@
+package pinewick.dataplane;
+
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
+import pinewick.model.RequestLimits;
+import pinewick.model.SocketAddress;
+
+/** The Jetty server of a router: clients on one address, the platform's question for readiness on another. */
+final class HttpFront {
+    private static final int MOST_THREADS = 8;
+    private static final int FEWEST_THREADS = 2;
+    private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
+    private static final int RESPONSE_HEADER_BYTES = 8 * 1024;
+    private static final int ACCEPT_QUEUE = 1024;
+
+    private final DataPlane dataPlane;
+    private final BooleanSupplier ready;
+    private final Server server;
+    private final RouterConnector frontend;
+    private final ServerConnector readiness;
+    private final HttpConfiguration configuration = new HttpConfiguration();
+
+    HttpFront(
+            DataPlane dataPlane,
+            BooleanSupplier ready,
+            Scheduler scheduler,
+            SocketAddress frontendAddress,
+            SocketAddress readinessAddress) {
+        this.dataPlane = dataPlane;
+        this.ready = ready;
+        server = new Server(threadPool(), scheduler, new ArrayByteBufferPool());
+        server.setStopTimeout(0);
+        configure();
+        frontend = new RouterConnector(server, scheduler, new HttpConnectionFactory(configuration));
+        listenAt(frontend, frontendAddress);
+        readiness = new ServerConnector(
+                server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
+        listenAt(readiness, readinessAddress);
+        server.setHandler(new Entry());
+        setLimits(RequestLimits.DEFAULT);
+    }
+
+    private static QueuedThreadPool threadPool() {
+        QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, FEWEST_THREADS);
+        threads.setName("http");
+        threads.setDaemon(true);
+        threads.setReservedThreads(0);
+        return threads;
+    }
+
+    private void configure() {
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        configuration.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
+        configuration.setResponseHeaderSize(RESPONSE_HEADER_BYTES);
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
+        configuration.setHeaderCacheSize(0);
+    }
+
+    private void listenAt(ServerConnector connector, SocketAddress address) {
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
+        server.addConnector(connector);
+    }
+
+    /** Limits for connections that are opened from now on. */
+    void setLimits(RequestLimits limits) {
+        configuration.setRequestHeaderSize(limits.maxHeaderBytes());
+        frontend.setIdleTimeout(limits.idleTimeoutMs());
+    }
+
+    void start() throws RouterException {
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new RouterException("listening to clients", frontend.getHost() + ":" + frontend.getPort(), e);
+        }
+    }
+
+    void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("stopping the HTTP server", e);
+        }
+    }
+
+    UpstreamConnector upstream() {
+        return frontend;
+    }
+
+    int frontendPort() {
+        return frontend.getLocalPort();
+    }
+
+    int readinessPort() {
+        return readiness.getLocalPort();
+    }
+
+    private final class Entry extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            Connector connector = request.getConnectionMetaData().getConnector();
+            if (connector == readiness) {
+                response.setStatus(ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
+                response.write(true, null, callback);
+            } else {
+                new ClientIntake(dataPlane, request, response, callback).run();
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -0,0 +1,136 @@
+package pinewick.dataplane;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A client's request on Jetty's side. One write is out at a time; what comes meanwhile goes with the next. Used on the
+ * data plane's executor only.
+ */
+final class JettyClientExchange implements ClientExchange {
+    private final Response response;
+    private final Callback callback;
+    private final SerialExecutor serial;
+    private final boolean lastOfConnection;
+    private final Deque<byte[]> waiting = new ArrayDeque<>();
+    private RequestLifecycle lifecycle;
+    private long pendingBytes;
+    private boolean writing;
+    private boolean streamEnded;
+    private boolean over;
+
+    /** @param lastOfConnection whether the client is told to use the connection no more */
+    JettyClientExchange(Response response, Callback callback, SerialExecutor serial, boolean lastOfConnection) {
+        this.response = response;
+        this.callback = callback;
+        this.serial = serial;
+        this.lastOfConnection = lastOfConnection;
+    }
+
+    /** Whom to tell that the client has gone or has taken what was waiting. */
+    void setLifecycle(RequestLifecycle lifecycle) {
+        this.lifecycle = lifecycle;
+    }
+
+    @Override
+    public void answer(int status, HttpFields fields, byte[] body) {
+        over = true;
+        setHead(status, fields);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    @Override
+    public void beginStream(int status, HttpFields fields) {
+        setHead(status, fields);
+    }
+
+    private void setHead(int status, HttpFields fields) {
+        response.setStatus(status);
+        response.getHeaders().add(fields);
+        if (lastOfConnection) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+        }
+    }
+
+    @Override
+    public void passOn(byte[] piece) {
+        pendingBytes += piece.length;
+        waiting.add(piece);
+        writeNext();
+    }
+
+    @Override
+    public void endStream() {
+        streamEnded = true;
+        writeNext();
+    }
+
+    @Override
+    public void abort() {
+        if (!over) {
+            over = true;
+            waiting.clear();
+            callback.failed(new IOException("the replica broke the stream off"));
+        }
+    }
+
+    @Override
+    public long pendingBytes() {
+        return pendingBytes;
+    }
+
+    private void writeNext() {
+        if (writing || over || (waiting.isEmpty() && !streamEnded)) {
+            return;
+        }
+        ByteBuffer content = takeWaiting();
+        if (streamEnded) {
+            over = true;
+            response.write(true, content, callback);
+            return;
+        }
+        writing = true;
+        int length = content.remaining();
+        response.write(false, content, Callback.from(
+                org.eclipse.jetty.util.thread.Invocable.InvocationType.NON_BLOCKING,
+                () -> serial.execute(() -> written(length)),
+                cause -> serial.execute(() -> writeFailed(cause))));
+    }
+
+    private ByteBuffer takeWaiting() {
+        if (waiting.size() <= 1) {
+            return waiting.isEmpty() ? BufferUtil.EMPTY_BUFFER : ByteBuffer.wrap(waiting.poll());
+        }
+        int total = waiting.stream().mapToInt(piece -> piece.length).sum();
+        ByteBuffer joined = ByteBuffer.allocate(total);
+        waiting.forEach(joined::put);
+        waiting.clear();
+        return joined.flip();
+    }
+
+    private void written(int length) {
+        writing = false;
+        pendingBytes -= length;
+        writeNext();
+        if (pendingBytes == 0) {
+            lifecycle.onClientDrained();
+        }
+    }
+
+    private void writeFailed(Throwable cause) {
+        if (!over) {
+            over = true;
+            waiting.clear();
+            callback.failed(cause);
+            lifecycle.onClientGone();
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/PromptHeaders.java
@@ -0,0 +1,57 @@
+package pinewick.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import pinewick.selection.PromptPart;
+
+/**
+ * What a request's header fields say of its prompt. Fields that cannot be read count as absent: they serve the choice of
+ * replicas only.
+ *
+ * @param model name of the model, or empty
+ * @param promptTokens tokens of the prompt
+ * @param outputTokens the most tokens to be made
+ * @param parts parts of the prompt in order
+ */
+record PromptHeaders(String model, int promptTokens, int outputTokens, List<PromptPart> parts) {
+    private static final int HEXADECIMAL = 16;
+
+    static PromptHeaders parse(HttpFields fields) {
+        String model = fields.get(HeaderNames.MODEL);
+        String counts = fields.get(HeaderNames.TOKEN_COUNT);
+        int comma = counts == null ? -1 : counts.indexOf(',');
+        int prompt = comma < 0 ? 0 : number(counts.substring(0, comma));
+        int output = comma < 0 ? 0 : number(counts.substring(comma + 1));
+        return new PromptHeaders(
+                model == null ? "" : model, prompt, output, parseParts(fields.get(HeaderNames.PROMPT_PREFIX)));
+    }
+
+    private static List<PromptPart> parseParts(String text) {
+        if (text == null || text.isEmpty()) {
+            return List.of();
+        }
+        List<PromptPart> parts = new ArrayList<>();
+        for (String part : text.split(",")) {
+            int colon = part.indexOf(':');
+            if (colon < 0) {
+                return List.of();
+            }
+            try {
+                long id = Long.parseUnsignedLong(part.substring(0, colon).trim(), HEXADECIMAL);
+                parts.add(new PromptPart(id, number(part.substring(colon + 1))));
+            } catch (NumberFormatException e) {
+                return List.of();
+            }
+        }
+        return parts;
+    }
+
+    private static int number(String text) {
+        try {
+            return Math.max(0, Integer.parseInt(text.trim()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaConnections.java
@@ -0,0 +1,124 @@
+package pinewick.dataplane;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import pinewick.model.ReplicaRecord;
+
+/**
+ * The connections to one replica instance: those at rest, the one used last on top, and how many are open. No request
+ * waits for a connection to become free; one that is being made is waited for.
+ */
+final class ReplicaConnections {
+    private final ReplicaRecord replica;
+    private final UpstreamPool pool;
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private final Deque<UpstreamExchange> connecting = new ArrayDeque<>();
+    private int open;
+
+    ReplicaConnections(ReplicaRecord replica, UpstreamPool pool) {
+        this.replica = replica;
+        this.pool = pool;
+    }
+
+    ReplicaRecord replica() {
+        return replica;
+    }
+
+    /** Sends the request on a connection at rest or a new one, within this router's share of connections. */
+    void start(UpstreamExchange exchange) {
+        UpstreamConnection resting = takeIdle();
+        if (resting != null) {
+            resting.send(exchange);
+        } else if (open >= pool.connectionLimit(replica)) {
+            exchange.notSent(CallListener.NotSent.NO_CONNECTION_FREE);
+        } else {
+            open++;
+            connecting.addLast(exchange);
+            pool.connect(this);
+        }
+    }
+
+    private UpstreamConnection takeIdle() {
+        while (!idle.isEmpty()) {
+            UpstreamConnection candidate = idle.pop();
+            if (candidate.isUsable(nowMs())) {
+                return candidate;
+            }
+            candidate.close();
+        }
+        return null;
+    }
+
+    /** A new connection is open. */
+    void connected(UpstreamConnection connection) {
+        UpstreamExchange exchange = nextWaiting();
+        if (exchange == null) {
+            connection.close();
+        } else if (!pool.takesRequests(replica)) {
+            connection.close();
+            exchange.notSent(CallListener.NotSent.REPLICA_LEFT);
+        } else {
+            connection.send(exchange);
+        }
+    }
+
+    private UpstreamExchange nextWaiting() {
+        UpstreamExchange exchange = connecting.pollFirst();
+        while (exchange != null && exchange.isEnded()) {
+            exchange = connecting.pollFirst();
+        }
+        return exchange;
+    }
+
+    /** A connection could not be made. */
+    void connectFailed() {
+        open--;
+        UpstreamExchange exchange = connecting.pollFirst();
+        if (exchange != null) {
+            exchange.notSent(CallListener.NotSent.NOT_CONNECTED);
+        }
+    }
+
+    /** A whole answer came on the connection, and it may carry another request. */
+    void released(UpstreamConnection connection) {
+        idle.push(connection);
+    }
+
+    void closed(UpstreamConnection connection) {
+        idle.remove(connection);
+        open--;
+    }
+
+    /** Closes what the replica is about to close. */
+    void sweep(double nowMs) {
+        for (UpstreamConnection connection : idle.toArray(UpstreamConnection[]::new)) {
+            if (connection.hasExpired(nowMs)) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Closes every connection at rest. */
+    void closeIdle() {
+        for (UpstreamConnection connection : idle.toArray(UpstreamConnection[]::new)) {
+            connection.close();
+        }
+    }
+
+    boolean isEmpty() {
+        return open == 0;
+    }
+
+    int open() {
+        return open;
+    }
+
+    ByteBuffer readBuffer() {
+        return pool.readBuffer();
+    }
+
+    double nowMs() {
+        return pool.nowMs();
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaDirectory.java
@@ -0,0 +1,55 @@
+package pinewick.dataplane;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+
+/** The replicas that may be chosen, by service. */
+final class ReplicaDirectory {
+    private final Map<String, Map<String, ReplicaRecord>> byService = new HashMap<>();
+
+    /** Takes in what is now known of a replica. */
+    void update(ReplicaRecord record) {
+        if (record.state() == ReplicaState.GONE) {
+            Map<String, ReplicaRecord> ofService = byService.get(record.service());
+            if (ofService != null) {
+                ofService.remove(record.instanceId());
+            }
+            return;
+        }
+        byService.computeIfAbsent(record.service(), service -> new HashMap<>()).put(record.instanceId(), record);
+    }
+
+    /** Replicas of a service that take requests and hold the model; an empty model name asks for none. */
+    List<ReplicaRecord> candidates(String service, String model) {
+        List<ReplicaRecord> candidates = new ArrayList<>();
+        for (ReplicaRecord record : byService.getOrDefault(service, Map.of()).values()) {
+            if (record.takesRequests() && holds(record, model)) {
+                candidates.add(record);
+            }
+        }
+        return candidates;
+    }
+
+    /** Every replica of every service that has not gone. */
+    List<ReplicaRecord> all() {
+        List<ReplicaRecord> all = new ArrayList<>();
+        byService.values().forEach(ofService -> all.addAll(ofService.values()));
+        return all;
+    }
+
+    /** Whether a request may still be sent to this replica. */
+    boolean takesRequests(ReplicaRecord replica) {
+        ReplicaRecord now = byService.getOrDefault(replica.service(), Map.of()).get(replica.instanceId());
+        return now != null && now.takesRequests();
+    }
+
+    private static boolean holds(ReplicaRecord record, String model) {
+        return model.isEmpty()
+                || record.models().isEmpty()
+                || record.models().stream().anyMatch(held -> held.name().equals(model));
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -0,0 +1,376 @@
+package pinewick.dataplane;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import pinewick.model.ReplicaRecord;
+import pinewick.selection.CallEnding;
+import pinewick.selection.CallKind;
+import pinewick.selection.Pair;
+import pinewick.selection.RequestShape;
+
+/**
+ * One client request from its last byte to the end of its answer: which replicas it goes to, what is repeated, and what
+ * the client is told. Without I/O: calls and the client's connection are interfaces, and events come in one at a time.
+ *
+ * <p>The client is told that the request has not run (503) only while no replica can have run it: every call that could
+ * run it was rejected by the replica's own word, or no byte of it went out.
+ */
+final class RequestLifecycle {
+    /** Bytes waiting for the client beyond which nothing more is read from the replica. */
+    static final long MOST_PENDING_BYTES = 256 * 1024;
+
+    private static final double SHORTEST_RETRY_AFTER_SECONDS = 0.15;
+    private static final double RETRY_AFTER_SPREAD_SECONDS = 0.25;
+    private static final double MILLISECONDS = 1e3;
+
+    private enum Phase {
+        /** Nothing of an answer has gone to the client. */
+        WAITING,
+        /** An answer's head has gone to the client. */
+        STREAMING,
+        ENDED
+    }
+
+    private final ClientRequest request;
+    private final RequestShape shape;
+    private final ClientExchange client;
+    private final DataPlaneServices services;
+    private final Runnable onEnded;
+    private final AttemptLedger ledger;
+    private final EventStreamReader events;
+    private final Set<String> excluded = new HashSet<>();
+    private Phase phase = Phase.WAITING;
+    private boolean mayHaveRun;
+    /** No prefill replica is asked any more: the decode replica reads the prompt itself. */
+    private boolean readWhole;
+    private ReplicaCall active;
+    private ReplicaRecord plannedDecode;
+    private PrefillHandle handle;
+    private Timers.Timer deadlineTimer;
+
+    RequestLifecycle(
+            ClientRequest request,
+            RequestShape shape,
+            ClientExchange client,
+            DataPlaneServices services,
+            Runnable onEnded) {
+        this.request = request;
+        this.shape = shape;
+        this.client = client;
+        this.services = services;
+        this.onEnded = onEnded;
+        this.ledger = new AttemptLedger(shape.service(), shape.route().maxAttempts(), services.budget());
+        this.events = new EventStreamReader(request.fields().get(HeaderNames.LAST_EVENT_ID));
+    }
+
+    /** The request has been read whole. */
+    void start() {
+        services.budget().onRequest(shape.service(), now());
+        deadlineTimer = services.timers().schedule(shape.deadlineAtMs() - now(), this::onDeadline);
+        attempt(this::giveUp);
+    }
+
+    /** The client's connection is gone. */
+    void onClientGone() {
+        if (phase == Phase.ENDED) {
+            return;
+        }
+        breakOff(CallEnding.ABANDONED);
+        end();
+    }
+
+    /** The client has taken what was waiting for it. */
+    void onClientDrained() {
+        if (active != null) {
+            active.resumeReading();
+        }
+    }
+
+    /** The router ends: whatever has not been answered is answered now. */
+    void onShutdown() {
+        if (phase != Phase.ENDED) {
+            boolean running = breakOff(CallEnding.ABANDONED);
+            mayHaveRun |= running;
+            giveUp();
+        }
+    }
+
+    private void onDeadline() {
+        if (phase == Phase.ENDED) {
+            return;
+        }
+        boolean running = breakOff(CallEnding.TIMED_OUT);
+        if (phase == Phase.STREAMING) {
+            abortClient();
+        } else {
+            fail(running || mayHaveRun ? HttpStatus.GATEWAY_TIMEOUT_504 : HttpStatus.SERVICE_UNAVAILABLE_503);
+        }
+    }
+
+    /** Breaks the active call off; returns whether a replica may have run the request because of it. */
+    private boolean breakOff(CallEnding ending) {
+        ReplicaCall call = active;
+        active = null;
+        return call != null && call.breakOff(ending);
+    }
+
+    // ---- choosing and calling
+
+    /** Sends the request to the next replica, or runs {@code otherwise} if that cannot be. */
+    private void attempt(Runnable otherwise) {
+        Optional<Pair> pair = choose();
+        if (pair.isEmpty() || !ledger.reserve(now())) {
+            otherwise.run();
+        } else {
+            begin(pair.get());
+        }
+    }
+
+    private Optional<Pair> choose() {
+        return services.selector()
+                .choose(shape, services.directory().candidates(shape.service(), shape.model()), excluded, now());
+    }
+
+    private void begin(Pair pair) {
+        boolean readFirst =
+                pair.prefill().isPresent() && handle == null && !readWhole && phase == Phase.WAITING;
+        if (readFirst) {
+            plannedDecode = pair.decode();
+            call(pair.prefill().get(), CallKind.PREFILL);
+        } else {
+            callDecode(pair.decode());
+        }
+    }
+
+    private void callDecode(ReplicaRecord replica) {
+        CallKind whole = shape.generation() ? CallKind.DECODE_WHOLE : CallKind.PLAIN;
+        call(replica, handle == null ? whole : CallKind.DECODE_FETCHED);
+    }
+
+    private void call(ReplicaRecord replica, CallKind kind) {
+        active = new ReplicaCall(this, services, replica, kind);
+        active.begin(upstreamRequest(replica, kind));
+    }
+
+    private UpstreamRequest upstreamRequest(ReplicaRecord replica, CallKind kind) {
+        HttpFields.Mutable fields = HttpFields.build(request.fields());
+        fields.put(HeaderNames.EXPECTED_INSTANCE, replica.instanceId());
+        fields.put(HeaderNames.DEADLINE_MS, Long.toString(Math.max(1, (long) remainingMs())));
+        if (kind == CallKind.PREFILL) {
+            fields.put(HeaderNames.SERVING_STAGE, "prefill");
+        } else if (kind == CallKind.DECODE_FETCHED) {
+            fields.put(HeaderNames.KV_FROM, handle.kvFrom());
+        }
+        if (phase == Phase.STREAMING && events.lastEventId() != null) {
+            fields.put(HeaderNames.LAST_EVENT_ID, events.lastEventId());
+        }
+        return new UpstreamRequest(request.method(), request.target(), fields, request.body(), request.id());
+    }
+
+    // ---- what calls report
+
+    /** No byte of the call went out. */
+    void onNotSent(ReplicaCall call) {
+        active = null;
+        ledger.cancel();
+        excluded.add(call.replica().instanceId());
+        attempt(this::giveUp);
+    }
+
+    /** The replica said that it did not run the request. */
+    void onRejected(ReplicaCall call) {
+        active = null;
+        excluded.add(call.replica().instanceId());
+        if (call.kind() == CallKind.PREFILL) {
+            readWhole = true;
+        } else if (call.kind() == CallKind.DECODE_FETCHED) {
+            releaseHandle();
+            readWhole = true;
+        }
+        attempt(this::giveUp);
+    }
+
+    /** Bytes went out, and no answer that may be passed on came. */
+    void onFailed(ReplicaCall call) {
+        active = null;
+        excluded.add(call.replica().instanceId());
+        if (call.kind() == CallKind.PREFILL) {
+            readWhole = true;
+            attempt(this::giveUp);
+            return;
+        }
+        mayHaveRun = true;
+        releaseHandle();
+        readWhole = true;
+        boolean mayGoOn = phase == Phase.STREAMING
+                ? shape.route().resumable() && call.passesEvents()
+                : shape.route().repeatable();
+        if (mayGoOn) {
+            attempt(this::giveUp);
+        } else {
+            giveUp();
+        }
+    }
+
+    /** The replica answered with a failure of its own; {@code answer} passes that on. */
+    void onFailureAnswer(ReplicaCall call, Runnable answer) {
+        active = null;
+        excluded.add(call.replica().instanceId());
+        mayHaveRun = true;
+        releaseHandle();
+        if (phase == Phase.STREAMING) {
+            attempt(this::giveUp);
+        } else if (shape.route().repeatable() && call.head().isServerError()) {
+            attempt(answer);
+        } else {
+            answer.run();
+        }
+    }
+
+    /** The call has been silent for long, and another replica may be asked. Returns whether it is. */
+    boolean tryAnother(ReplicaCall call) {
+        if (call != active || phase != Phase.WAITING) {
+            return false;
+        }
+        excluded.add(call.replica().instanceId());
+        Optional<Pair> pair = choose();
+        if (pair.isEmpty() || !ledger.reserve(now())) {
+            excluded.remove(call.replica().instanceId());
+            return false;
+        }
+        boolean running = breakOff(CallEnding.TIMED_OUT);
+        mayHaveRun |= running;
+        readWhole = true;
+        releaseHandle();
+        begin(pair.get());
+        return true;
+    }
+
+    /** A prefill replica has read the prompt. */
+    void onPrefilled(PrefillHandle made) {
+        active = null;
+        handle = made;
+        ledger.prefillTakenUp();
+        if (!services.directory().takesRequests(plannedDecode)) {
+            attempt(this::giveUp);
+        } else if (ledger.reserve(now())) {
+            callDecode(plannedDecode);
+        } else {
+            giveUp();
+        }
+    }
+
+    /** A decode replica has begun to answer, so it has fetched the handle. */
+    void onHandleTaken() {
+        handle = null;
+    }
+
+    // ---- passing on
+
+    /** Bytes of whole events, or of an answer too long to be kept. */
+    void passOn(ReplicaCall call, byte[] bytes) {
+        if (phase == Phase.WAITING) {
+            phase = Phase.STREAMING;
+            client.beginStream(call.head().status(), HeaderRules.responseFields(call.head().fields()));
+        }
+        client.passOn(bytes);
+        if (client.pendingBytes() > MOST_PENDING_BYTES) {
+            call.pauseReading();
+        }
+    }
+
+    /** The answer that is being passed on is whole. */
+    void onStreamComplete(ReplicaCall call) {
+        active = null;
+        if (phase == Phase.WAITING) {
+            client.beginStream(call.head().status(), HeaderRules.responseFields(call.head().fields()));
+        }
+        client.endStream();
+        end();
+    }
+
+    /** A whole answer that was kept until now. */
+    void onWholeAnswer(ReplicaCall call, byte[] body) {
+        active = null;
+        ResponseHead head = call.head();
+        HttpFields.Mutable fields = HeaderRules.responseFields(head.fields());
+        if (HttpMethod.HEAD.is(request.method()) && head.fields().contains(HttpHeader.CONTENT_LENGTH)) {
+            fields.put(HttpHeader.CONTENT_LENGTH, head.fields().get(HttpHeader.CONTENT_LENGTH));
+        }
+        client.answer(head.status(), fields, body);
+        end();
+    }
+
+    EventStreamReader events() {
+        return events;
+    }
+
+    RequestShape shape() {
+        return shape;
+    }
+
+    boolean isStreaming() {
+        return phase == Phase.STREAMING;
+    }
+
+    double remainingMs() {
+        return shape.deadlineAtMs() - now();
+    }
+
+    // ---- ending
+
+    private void giveUp() {
+        if (phase == Phase.STREAMING) {
+            abortClient();
+        } else {
+            fail(mayHaveRun ? HttpStatus.BAD_GATEWAY_502 : HttpStatus.SERVICE_UNAVAILABLE_503);
+        }
+    }
+
+    void failBadGateway() {
+        fail(HttpStatus.BAD_GATEWAY_502);
+    }
+
+    private void fail(int status) {
+        HttpFields.Mutable fields = HttpFields.build();
+        fields.put(HeaderNames.REQUEST_ID, request.id());
+        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            fields.put(HttpHeader.RETRY_AFTER, retryAfter());
+        }
+        client.answer(status, fields, UpstreamRequest.NO_BODY);
+        end();
+    }
+
+    private String retryAfter() {
+        double seconds = SHORTEST_RETRY_AFTER_SECONDS + RETRY_AFTER_SPREAD_SECONDS * services.random().nextDouble();
+        return Double.toString(Math.round(seconds * MILLISECONDS) / MILLISECONDS);
+    }
+
+    private void abortClient() {
+        client.abort();
+        end();
+    }
+
+    private void end() {
+        phase = Phase.ENDED;
+        deadlineTimer.cancel();
+        releaseHandle();
+        onEnded.run();
+    }
+
+    private void releaseHandle() {
+        if (handle != null) {
+            HandleRelease.send(services, handle);
+            handle = null;
+        }
+    }
+
+    private double now() {
+        return services.timers().nowMs();
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -0,0 +1,111 @@
+package pinewick.dataplane;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.IO;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Jetty's connector with one selector for clients' connections and for those to replicas, so that an answer passes
+ * through one thread and one wake-up.
+ */
+final class RouterConnector extends ServerConnector implements UpstreamConnector {
+    /** A SYN that was dropped is sent again after a second at the earliest; another replica is sooner. */
+    static final int CONNECT_TIMEOUT_MS = 400;
+
+    private static final int NO_ACCEPTOR_THREAD = 0;
+    private static final int ONE_SELECTOR = 1;
+
+    RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http) {
+        super(server, null, scheduler, null, NO_ACCEPTOR_THREAD, ONE_SELECTOR, http);
+    }
+
+    @Override
+    protected SelectorManager newSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
+        SelectorManager manager = new TwoWayManager(executor, scheduler, selectors);
+        manager.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        return manager;
+    }
+
+    @Override
+    public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            Outgoing outgoing = new Outgoing(factory, onFailure);
+            if (channel.connect(address)) {
+                getSelectorManager().accept(channel, outgoing);
+            } else {
+                getSelectorManager().connect(channel, outgoing);
+            }
+        } catch (IOException | RuntimeException e) {
+            IO.close(channel);
+            onFailure.run();
+        }
+    }
+
+    /** Marks a connection that this router makes. */
+    private record Outgoing(ConnectionMaker factory, Runnable onFailure) {}
+
+    private final class TwoWayManager extends ServerConnectorManager {
+        private TwoWayManager(Executor executor, Scheduler scheduler, int selectors) {
+            super(executor, scheduler, selectors);
+        }
+
+        @Override
+        protected SocketChannelEndPoint newEndPoint(
+                SelectableChannel channel, ManagedSelector selector, SelectionKey key) throws IOException {
+            if (key.attachment() instanceof Outgoing) {
+                return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+            }
+            return super.newEndPoint(channel, selector, key);
+        }
+
+        @Override
+        public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment)
+                throws IOException {
+            if (attachment instanceof Outgoing outgoing) {
+                return outgoing.factory().make(endPoint, getExecutor());
+            }
+            return super.newConnection(channel, endPoint, attachment);
+        }
+
+        @Override
+        protected void connectionFailed(SelectableChannel channel, Throwable failure, Object attachment) {
+            if (attachment instanceof Outgoing outgoing) {
+                outgoing.onFailure().run();
+            } else {
+                super.connectionFailed(channel, failure, attachment);
+            }
+        }
+
+        @Override
+        protected void endPointOpened(EndPoint endPoint) {
+            if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                super.endPointOpened(endPoint);
+            }
+        }
+
+        @Override
+        protected void endPointClosed(EndPoint endPoint) {
+            if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                super.endPointClosed(endPoint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/SerialExecutor.java
@@ -0,0 +1,40 @@
+package pinewick.dataplane;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Runs tasks one at a time and in order, on whichever thread hands one in while no other runs. A task handed in by a
+ * running task comes after it, so tasks never nest. Nothing that runs here may block.
+ */
+final class SerialExecutor implements Executor {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pending = new AtomicInteger();
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        if (pending.getAndIncrement() == 0) {
+            drain();
+        }
+    }
+
+    private void drain() {
+        do {
+            run(tasks.poll());
+        } while (pending.decrementAndGet() != 0);
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            LOG.atSevere().withCause(e).log("A step of the data plane failed");
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamPool.java
@@ -0,0 +1,89 @@
+package pinewick.dataplane;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import org.eclipse.jetty.util.BufferUtil;
+import pinewick.model.ReplicaRecord;
+
+/** Every connection to replicas, by instance: an address that went to another instance has connections of its own. */
+final class UpstreamPool implements ReplicaCalls {
+    private static final int READ_BUFFER_BYTES = 16 * 1024;
+
+    private final SerialExecutor serial;
+    private final Timers timers;
+    private final ReplicaDirectory directory;
+    private final ToIntFunction<String> connectionLimit;
+    private final Map<String, ReplicaConnections> byInstance = new HashMap<>();
+    private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER_BYTES);
+    private UpstreamConnector connector;
+
+    /** @param connectionLimit most connections that this router may hold to one replica of a service */
+    UpstreamPool(
+            SerialExecutor serial, Timers timers, ReplicaDirectory directory, ToIntFunction<String> connectionLimit) {
+        this.serial = serial;
+        this.timers = timers;
+        this.directory = directory;
+        this.connectionLimit = connectionLimit;
+    }
+
+    /** Set once, before the first call. */
+    void setConnector(UpstreamConnector connector) {
+        this.connector = connector;
+    }
+
+    @Override
+    public UpstreamCall send(ReplicaRecord replica, UpstreamRequest request, CallListener listener) {
+        UpstreamExchange exchange = new UpstreamExchange(replica, request, listener);
+        ReplicaConnections connections =
+                byInstance.computeIfAbsent(replica.instanceId(), id -> new ReplicaConnections(replica, this));
+        serial.execute(() -> {
+            if (!exchange.isEnded()) {
+                connections.start(exchange);
+            }
+        });
+        return exchange;
+    }
+
+    /** Closes connections that have rested long enough, and forgets instances without any. */
+    void sweep() {
+        double now = timers.nowMs();
+        byInstance.values().forEach(connections -> connections.sweep(now));
+        byInstance.values().removeIf(ReplicaConnections::isEmpty);
+    }
+
+    /** The instance has ended: connections at rest are closed. */
+    void closeIdle(String instanceId) {
+        ReplicaConnections connections = byInstance.get(instanceId);
+        if (connections != null) {
+            connections.closeIdle();
+        }
+    }
+
+    void connect(ReplicaConnections connections) {
+        ReplicaRecord replica = connections.replica();
+        connector.connect(
+                new InetSocketAddress(replica.address().host(), replica.address().port()),
+                (endPoint, executor) -> new UpstreamConnection(endPoint, executor, connections, serial),
+                () -> serial.execute(connections::connectFailed));
+    }
+
+    int connectionLimit(ReplicaRecord replica) {
+        return connectionLimit.applyAsInt(replica.service());
+    }
+
+    boolean takesRequests(ReplicaRecord replica) {
+        return directory.takesRequests(replica);
+    }
+
+    /** One buffer for all connections: what is read into it is dealt with before the next read. */
+    ByteBuffer readBuffer() {
+        return readBuffer;
+    }
+
+    double nowMs() {
+        return timers.nowMs();
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/HttpText.java
@@ -0,0 +1,90 @@
+package pinewick.dataplane;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads HTTP/1.1 messages off a socket byte by byte, so that nothing of the next one is taken. */
+final class HttpText {
+    private HttpText() {}
+
+    /** A message: its first line, its fields as they came, its body. */
+    record Message(String firstLine, List<String> fields, String body) {
+        String field(String name) {
+            for (String field : fields) {
+                if (field.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                    return field.substring(name.length() + 1).trim();
+                }
+            }
+            return null;
+        }
+
+        int status() {
+            return Integer.parseInt(firstLine.split(" ")[1]);
+        }
+    }
+
+    static Message read(InputStream in) throws IOException {
+        Message head = readHead(in);
+        return new Message(head.firstLine(), head.fields(), readBody(in, head));
+    }
+
+    static Message readHead(InputStream in) throws IOException {
+        String first = readLine(in);
+        List<String> fields = new ArrayList<>();
+        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+            fields.add(line);
+        }
+        return new Message(first, fields, "");
+    }
+
+    private static String readBody(InputStream in, Message head) throws IOException {
+        if ("chunked".equalsIgnoreCase(head.field("Transfer-Encoding"))) {
+            StringBuilder body = new StringBuilder();
+            for (String chunk = readChunk(in); !chunk.isEmpty(); chunk = readChunk(in)) {
+                body.append(chunk);
+            }
+            return body.toString();
+        }
+        String length = head.field("Content-Length");
+        return length == null ? "" : readBytes(in, Integer.parseInt(length));
+    }
+
+    /** One chunk, empty for the last. Jetty sends the line end of a chunk with the next one, so it is read then. */
+    static String readChunk(InputStream in) throws IOException {
+        String size = readLine(in);
+        if (size.isEmpty()) {
+            size = readLine(in);
+        }
+        String chunk = readBytes(in, Integer.parseInt(size.trim(), 16));
+        if (chunk.isEmpty()) {
+            readLine(in);
+        }
+        return chunk;
+    }
+
+    static String readBytes(InputStream in, int count) throws IOException {
+        byte[] bytes = in.readNBytes(count);
+        if (bytes.length < count) {
+            throw new EOFException("closed after " + bytes.length + " of " + count + " bytes");
+        }
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int each = in.read(); each != '\n'; each = in.read()) {
+            if (each < 0) {
+                throw new EOFException("closed after '" + line + "'");
+            }
+            if (each != '\r') {
+                line.write(each);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -0,0 +1,102 @@
+package pinewick.dataplane;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import pinewick.dissemination.FleetState;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.InvalidConfigurationException;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+import pinewick.selection.RetryBudget;
+
+/** A router's data plane on loopback, with a fleet state that the test fills by hand. */
+final class TestRouter implements AutoCloseable {
+    static final String HOST = "shop.example";
+
+    final FleetState state = new FleetState();
+    final DataPlane dataPlane;
+    final HttpFront front;
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+
+    TestRouter() throws Exception {
+        SerialExecutor serial = new SerialExecutor();
+        scheduler.start();
+        JettyTimers timers = new JettyTimers(scheduler, serial);
+        dataPlane = new DataPlane(serial, timers, new RetryBudget(0.2, 50, 10_000), new SplittableRandom(7));
+        SocketAddress anyPort = new SocketAddress("127.0.0.1", 0);
+        front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort);
+        front.start();
+        dataPlane.follow(state, front.upstream());
+    }
+
+    /** Puts a configuration in force: routes in JSON, without the fields that all of them share. */
+    void configure(String... routes) throws InvalidConfigurationException {
+        String json = """
+                {"version":%d,"routes":[%s],"services":[
+                {"name":"plain","health_check_path":"/health","max_connections":40,"protocol":"h1","tls":false},
+                {"name":"lm","health_check_path":"/health","max_connections":40,"protocol":"h1","tls":false,
+                 "engine":{"slots":12,"kv_cache_tokens":500000,"kv_token_bytes":18432,"link_bandwidth_mbps":1000.0,
+                 "stride":10,"handle_ttl_s":5.0,"switch_time_s":2.0,"models":[{"name":"m"}]}}],
+                "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,
+                "idle_timeout_ms":15000}}"""
+                .formatted(state.configuration().version() + 1, String.join(",", routes));
+        state.offer(ConfigurationChecks.parseReplacement(json.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    static String route(String name, String prefix, String kind, String service, int maxAttempts, String more) {
+        return ("{\"name\":\"%s\",\"hostname\":\"%s\",\"path_prefix\":\"%s\",\"route_kind\":\"%s\",\"timeout_ms\":5000,"
+                        + "\"target_latency_ms\":400,\"priority\":1,\"service\":\"%s\",\"max_attempts\":%d,"
+                        + "\"session_affinity\":false,\"resumable\":%s,\"gap_aim_ms\":150}")
+                .formatted(name, HOST, prefix, kind, service, maxAttempts, more);
+    }
+
+    static String plainRoute(String kind, int maxAttempts) {
+        return route("plain", "/plain/", kind, "plain", maxAttempts, "false");
+    }
+
+    static String streamRoute(boolean resumable, int maxAttempts) {
+        return route("stream", "/lm/", "streaming", "lm", maxAttempts, Boolean.toString(resumable));
+    }
+
+    /** A replica that is ready and known. */
+    ScriptedReplica replica(String id, String service, Stage stage) throws IOException {
+        ScriptedReplica replica = new ScriptedReplica(id, service, stage);
+        toClose.add(replica);
+        state.merge(replica.record());
+        return replica;
+    }
+
+    void remove(ScriptedReplica replica) {
+        state.merge(replica.record(ReplicaState.GONE));
+    }
+
+    RawSocket client() throws IOException {
+        RawSocket client = RawSocket.connect(front.frontendPort());
+        toClose.add(client);
+        return client;
+    }
+
+    static String request(String method, String target, String id, String body, String... fields) {
+        StringBuilder text = new StringBuilder(method + " " + target + " HTTP/1.1\r\nHost: " + HOST + ":80\r\n");
+        text.append("X-Pinewick-Request-Id: ").append(id).append("\r\nX-Pinewick-Deadline-Ms: 4000\r\n");
+        for (String field : fields) {
+            text.append(field).append("\r\n");
+        }
+        return text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body).toString();
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable each : toClose) {
+            each.close();
+        }
+        front.stop();
+        scheduler.stop();
+    }
+}
