--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -1,10 +1,14 @@
 package pinewick.dataplane;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -19,6 +23,7 @@
 import pinewick.model.InvalidConfigurationException;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
+import pinewick.model.RequestLimits;
 import pinewick.model.Route;
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
@@ -42,11 +47,20 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Set<RequestLifecycle> underWay = new HashSet<>();
+    private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
+    private final Consumer<RequestLimits> onLimits;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
     private int routerCountUpperBound = 1;
 
-    DataPlane(SerialExecutor serial, Timers timers, RetryBudget budget, RandomGenerator random) {
+    /** @param onLimits told of the limits in force when they change */
+    DataPlane(
+            SerialExecutor serial,
+            Timers timers,
+            RetryBudget budget,
+            RandomGenerator random,
+            Consumer<RequestLimits> onLimits) {
+        this.onLimits = onLimits;
         this.serial = serial;
         this.timers = timers;
         this.random = random;
@@ -73,7 +87,7 @@
             RoutingTable next = ConfigurationChecks.toRoutingTable(document);
             serial.execute(() -> {
                 if (next.version() > routingTable.version()) {
-                    routingTable = next;
+                    putInForce(next);
                 }
             });
         } catch (InvalidConfigurationException e) {
@@ -81,6 +95,14 @@
         }
     }
 
+    private void putInForce(RoutingTable next) {
+        boolean otherLimits = !next.limits().equals(routingTable.limits());
+        routingTable = next;
+        if (otherLimits) {
+            onLimits.accept(next.limits());
+        }
+    }
+
     @Override
     public void replicaChanged(ReplicaRecord record) {
         serial.execute(() -> {
@@ -140,10 +162,7 @@
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
-        RequestLifecycle[] self = new RequestLifecycle[1];
-        RequestLifecycle lifecycle =
-                new RequestLifecycle(read, shape, client, services, () -> underWay.remove(self[0]));
-        self[0] = lifecycle;
+        RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.add(lifecycle);
         request.addIdleTimeoutListener(timeout -> false);
@@ -160,7 +179,7 @@
         return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
     }
 
-    /** Draws a service by the route's weights; one without replicas gives way to another of the route. */
+    /** Draws a service by the route's weights. */
     private Optional<String> drawService(Route route) {
         int total = 0;
         for (Route.WeightedService each : route.split()) {
@@ -193,7 +212,7 @@
                 generation ? prompt.model() : "",
                 generation ? prompt.promptTokens() : 0,
                 generation ? prompt.outputTokens() : 0,
-                generation ? prompt.parts() : java.util.List.of(),
+                generation ? prompt.parts() : List.of(),
                 arrivedAtMs,
                 arrivedAtMs + held);
     }
@@ -217,13 +236,31 @@
         stopping = true;
     }
 
-    /** Runs {@code then} with the number of requests under way. */
-    void countUnderWay(java.util.function.IntConsumer then) {
-        serial.execute(() -> then.accept(underWay.size()));
+    /** Completes once no request is under way. */
+    CompletableFuture<Void> whenIdle() {
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        serial.execute(() -> {
+            waitingForIdle.add(idle);
+            tellIfIdle();
+        });
+        return idle;
+    }
+
+    private void ended(RequestLifecycle lifecycle) {
+        underWay.remove(lifecycle);
+        tellIfIdle();
+    }
+
+    private void tellIfIdle() {
+        if (underWay.isEmpty() && !waitingForIdle.isEmpty()) {
+            List<CompletableFuture<Void>> told = List.copyOf(waitingForIdle);
+            waitingForIdle.clear();
+            told.forEach(idle -> idle.complete(null));
+        }
     }
 
     /** Answers whatever has not been answered. */
     void answerTheRest() {
-        serial.execute(() -> java.util.List.copyOf(underWay).forEach(RequestLifecycle::onShutdown));
+        serial.execute(() -> List.copyOf(underWay).forEach(RequestLifecycle::onShutdown));
     }
 }
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -0,0 +1,62 @@
+package pinewick.dataplane;
+
+import java.util.random.RandomGenerator;
+import pinewick.dissemination.FleetMessages;
+import pinewick.dissemination.FleetNode;
+import pinewick.dissemination.FleetState;
+import pinewick.membership.NodeDescriptor;
+import pinewick.membership.NodeRole;
+import pinewick.model.NodeSettings;
+import pinewick.model.SocketAddress;
+import pinewick.transport.ControlLoop;
+import pinewick.transport.MessageCodec;
+import pinewick.transport.NetworkTransport;
+import pinewick.transport.TransportException;
+
+/** A router's part in the fleet: the control loop, the sockets for internal messages, and what they learn. */
+final class FleetLink {
+    private final FleetState state = new FleetState();
+    private final ControlLoop loop = new ControlLoop();
+    private final NetworkTransport transport;
+    private final FleetNode node;
+
+    FleetLink(NodeSettings settings, RandomGenerator random) throws RouterException {
+        SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
+        try {
+            transport = new NetworkTransport(local, new MessageCodec(FleetMessages.types()));
+        } catch (TransportException e) {
+            throw new RouterException("listening to peers", local.toString(), e);
+        }
+        NodeDescriptor self = new NodeDescriptor(
+                transport.localAddress(), System.currentTimeMillis(), NodeRole.ROUTER, settings.zone());
+        node = new FleetNode(self, settings.seedControllers(), state, transport, random);
+    }
+
+    void start() {
+        transport.start((sender, message) -> loop.execute(() -> node.onMessage(sender, message, loop.nowMs())));
+        loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
+    }
+
+    FleetState state() {
+        return state;
+    }
+
+    FleetNode node() {
+        return node;
+    }
+
+    /** Runs a task over and over on the control loop. */
+    void repeat(Runnable task, long periodMs) {
+        loop.repeat(task, periodMs);
+    }
+
+    /** Tells the peers that this process ends. */
+    void leave() {
+        loop.execute(() -> node.leave(loop.nowMs()));
+    }
+
+    void close() {
+        transport.close();
+        loop.close();
+    }
+}
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -1,5 +1,6 @@
 package pinewick.dataplane;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
@@ -91,11 +92,16 @@
         }
     }
 
-    void stop() {
+    /** Takes no new connection, and closes those whose clients wait for nothing; completes when all are closed. */
+    CompletableFuture<Void> closeIdle() {
+        return frontend.shutdown();
+    }
+
+    void stop() throws RouterException {
         try {
             server.stop();
         } catch (Exception e) {
-            throw new IllegalStateException("stopping the HTTP server", e);
+            throw new RouterException("stopping the HTTP server", frontend.getHost() + ":" + frontend.getPort(), e);
         }
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
@@ -40,7 +41,7 @@
     private final RequestShape shape;
     private final ClientExchange client;
     private final DataPlaneServices services;
-    private final Runnable onEnded;
+    private final Consumer<RequestLifecycle> onEnded;
     private final AttemptLedger ledger;
     private final EventStreamReader events;
     private final Set<String> excluded = new HashSet<>();
@@ -58,7 +59,7 @@
             RequestShape shape,
             ClientExchange client,
             DataPlaneServices services,
-            Runnable onEnded) {
+            Consumer<RequestLifecycle> onEnded) {
         this.request = request;
         this.shape = shape;
         this.client = client;
@@ -360,7 +361,7 @@
         phase = Phase.ENDED;
         deadlineTimer.cancel();
         releaseHandle();
-        onEnded.run();
+        onEnded.accept(this);
     }
 
     private void releaseHandle() {
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -1,19 +1,134 @@
 package pinewick.dataplane;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import pinewick.dissemination.FleetNode;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
+import pinewick.selection.RetryBudget;
 
-/** Placeholder with the shape that {@code system} starts; replaced by the program itself. */
+/**
+ * The data plane's program: listens to clients, asks the fleet what is in force and who serves, and passes requests on.
+ */
 public final class Router {
-    public Router(NodeSettings settings) {}
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final double MILLISECONDS = 1e3;
+    private static final long REFRESH_MS = 500;
 
-    /** Starts serving. */
-    public void start() throws Exception {}
+    /** The platform asks for readiness every second and stops sending connections after two misses. */
+    private static final long NOTICE_MS = 2_500;
 
-    /** Ends what is under way within the grace period. */
-    public void stop() throws Exception {}
+    /** Of the grace period, what is left for closing after the last answer. */
+    private static final long CLOSING_MS = 1_000;
 
-    /** Takes note of other seeds. */
-    public void updateSeeds(List<SocketAddress> seeds) {}
+    private final NodeSettings settings;
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
+    private volatile boolean stopping;
+    private FleetLink fleet;
+    private DataPlane dataPlane;
+    private HttpFront front;
+
+    public Router(NodeSettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Starts serving: peers first, then clients; ready once the fleet's state has come.
+     *
+     * @throws RouterException if an address cannot be used
+     */
+    public void start() throws RouterException {
+        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ settings.nodeName().hashCode());
+        fleet = new FleetLink(settings, random.split());
+        startTimers();
+        SerialExecutor serial = new SerialExecutor();
+        NodeSettings.Bounds bounds = settings.bounds();
+        RetryBudget budget = new RetryBudget(
+                bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.budgetWindowSeconds() * MILLISECONDS);
+        dataPlane = new DataPlane(
+                serial, new JettyTimers(scheduler, serial), budget, random.split(), limits -> front.setLimits(limits));
+        front = new HttpFront(
+                dataPlane, this::isReady, scheduler, addressOf("frontend"), addressOf("readiness"));
+        front.start();
+        dataPlane.follow(fleet.state(), front.upstream());
+        fleet.start();
+        fleet.repeat(this::refresh, REFRESH_MS);
+    }
+
+    private void startTimers() throws RouterException {
+        try {
+            scheduler.start();
+        } catch (Exception e) {
+            throw new RouterException("starting the timers", settings.nodeName(), e);
+        }
+    }
+
+    private SocketAddress addressOf(String listener) throws RouterException {
+        return (listener.equals("frontend") ? settings.frontend() : settings.readiness())
+                .orElseThrow(() -> new RouterException(
+                        "reading the settings",
+                        settings.nodeName(),
+                        new IllegalArgumentException("no listen address for " + listener)));
+    }
+
+    private boolean isReady() {
+        return !stopping && fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
+    }
+
+    private void refresh() {
+        FleetNode node = fleet.node();
+        dataPlane.setRouterCounts(node.routerCount(), node.routerCountUpperBound());
+        dataPlane.sweep();
+    }
+
+    /** The settings file has changed; only the seeds may differ in one life of a process, and they matter at its start. */
+    public void settingsChanged(NodeSettings changed) {
+        updateSeeds(changed.seedNodes());
+    }
+
+    /** Other controllers are named as seeds; a router that runs knows its peers already. */
+    public void updateSeeds(List<SocketAddress> seeds) {
+        LOG.atInfo().log("Seeds are now %s", seeds);
+    }
+
+    /**
+     * Ends within the grace period: not ready at once; connections that still come are served for as long as the platform
+     * needs to notice; what is under way is waited for; the rest is answered.
+     */
+    public void stop() {
+        long endsAt = System.nanoTime()
+                + TimeUnit.MILLISECONDS.toNanos(
+                        (long) (settings.bounds().gracePeriodSeconds() * MILLISECONDS) - CLOSING_MS);
+        stopping = true;
+        dataPlane.beginStopping();
+        try {
+            TimeUnit.NANOSECONDS.sleep(Math.min(TimeUnit.MILLISECONDS.toNanos(NOTICE_MS), endsAt - System.nanoTime()));
+            await(dataPlane.whenIdle(), endsAt - System.nanoTime());
+            dataPlane.answerTheRest();
+            await(front.closeIdle(), TimeUnit.MILLISECONDS.toNanos(CLOSING_MS / 2));
+            fleet.leave();
+            front.stop();
+            scheduler.stop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (Exception e) {
+            LOG.atWarning().withCause(e).log("Stopping was not orderly");
+        }
+        fleet.close();
+    }
+
+    /** Waits for at most so long. */
+    private static void await(Future<?> future, long nanos) throws InterruptedException {
+        try {
+            future.get(Math.max(0, nanos), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.atFine().withCause(e).log("Not all was over in time");
+        }
+    }
 }
--- a/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -28,7 +28,7 @@
         SerialExecutor serial = new SerialExecutor();
         scheduler.start();
         JettyTimers timers = new JettyTimers(scheduler, serial);
-        dataPlane = new DataPlane(serial, timers, new RetryBudget(0.2, 50, 10_000), new SplittableRandom(7));
+        dataPlane = new DataPlane(serial, timers, new RetryBudget(0.2, 50, 10_000), new SplittableRandom(7), limits -> {});
         SocketAddress anyPort = new SocketAddress("127.0.0.1", 0);
         front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort);
         front.start();
