--- /dev/null
+++ b/control/src/main/java/pinewick/control/ApiHandler.java
@@ -0,0 +1,138 @@
+package pinewick.control;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Finds the endpoint of a request, reads the body and writes the answer. Never blocks, so that it runs on the thread that
+ * selects, without a hand-over to another.
+ */
+final class ApiHandler extends Handler.Abstract.NonBlocking {
+    private static final String BASE_VERSION = "X-Pinewick-Base-Version";
+    private static final String JSON = "application/json";
+
+    private final Map<ApiOperation, ApiEndpoint> endpoints;
+    private final long bodyDeadlineMs;
+    private final AtomicInteger callsInProgress = new AtomicInteger();
+    private volatile boolean closing;
+
+    /**
+     * @param bodyDeadlineMs how long a caller may take to send its body, milliseconds
+     */
+    ApiHandler(Map<ApiOperation, ApiEndpoint> endpoints, long bodyDeadlineMs) {
+        this.endpoints = Map.copyOf(endpoints);
+        this.bodyDeadlineMs = bodyDeadlineMs;
+    }
+
+    /** From now on new calls are told to go to another controller. */
+    void refuseNewCalls() {
+        closing = true;
+    }
+
+    /** Calls that have not been answered yet. */
+    int callsInProgress() {
+        return callsInProgress.get();
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Exchange exchange = new Exchange(request, response, callback);
+        Optional<ApiOperation.Match> match = ApiOperation.find(Request.getPathInContext(request));
+        if (match.isEmpty()) {
+            exchange.end(ApiAnswer.error(HttpStatus.NOT_FOUND_404, "no such path"));
+            return true;
+        }
+        ApiOperation operation = match.get().operation();
+        if (!operation.method().equals(request.getMethod())) {
+            response.getHeaders().put(HttpHeader.ALLOW, operation.method());
+            exchange.end(ApiAnswer.error(HttpStatus.METHOD_NOT_ALLOWED_405, "not called by this method"));
+            return true;
+        }
+        exchange.readBody(match.get());
+        return true;
+    }
+
+    /** One request and its answer. */
+    private final class Exchange implements BodyReader.Listener {
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+        private final AtomicBoolean answered = new AtomicBoolean();
+        private ApiOperation.Match match;
+
+        Exchange(Request request, Response response, Callback callback) {
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+            callsInProgress.incrementAndGet();
+        }
+
+        void readBody(ApiOperation.Match found) {
+            match = found;
+            int maxBytes = found.operation().maxBodyBytes();
+            BodyReader.read(request, maxBytes, bodyDeadlineMs, getServer().getScheduler(), this);
+        }
+
+        @Override
+        public void complete(byte[] body) {
+            if (closing) {
+                endAndClose(ApiAnswer.unavailable("this controller is stopping"));
+                return;
+            }
+            String baseVersion = request.getHeaders().get(BASE_VERSION);
+            String path = request.getHttpURI().getPathQuery();
+            ApiCall call = new ApiCall(path, match.instanceId(), baseVersion, body);
+            Consumer<ApiAnswer> answer = this::end;
+            endpoints.get(match.operation()).handle(call, answer);
+        }
+
+        @Override
+        public void tooLarge() {
+            int maxBytes = match.operation().maxBodyBytes();
+            endAndClose(ApiAnswer.error(HttpStatus.PAYLOAD_TOO_LARGE_413, "body over " + maxBytes + " bytes"));
+        }
+
+        @Override
+        public void late() {
+            endAndClose(ApiAnswer.error(HttpStatus.REQUEST_TIMEOUT_408, "body not sent in time"));
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            if (answered.compareAndSet(false, true)) {
+                callsInProgress.decrementAndGet();
+                callback.failed(cause);
+            }
+        }
+
+        private void endAndClose(ApiAnswer answer) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            end(answer);
+        }
+
+        private void end(ApiAnswer answer) {
+            if (!answered.compareAndSet(false, true)) {
+                return;
+            }
+            callsInProgress.decrementAndGet();
+            response.setStatus(answer.status());
+            answer.location().ifPresent(location -> response.getHeaders().put(HttpHeader.LOCATION, location));
+            if (answer.body().length > 0) {
+                response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON);
+            }
+            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length);
+            response.write(true, ByteBuffer.wrap(answer.body()), callback);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/pinewick/control/ApiServer.java
@@ -0,0 +1,93 @@
+package pinewick.control;
+
+import java.util.Map;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import pinewick.model.SocketAddress;
+
+/** The HTTP server that replicas and the operator call. */
+final class ApiServer {
+    private static final int MOST_THREADS = 6;
+    private static final int LEAST_THREADS = 1;
+    private static final int THREAD_IDLE_MS = 60_000;
+    private static final int IDLE_TIMEOUT_MS = 30_000;
+    private static final int HEADER_BYTES = 8 * 1024;
+    private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
+    private static final int ACCEPT_QUEUE = 256;
+    private static final int BUFFER_STEP = 4 * 1024;
+    private static final int LARGEST_BUFFER = 64 * 1024;
+    private static final int BUFFERS_A_SIZE = 16;
+    private static final long MOST_POOLED_BYTES = 1024 * 1024;
+
+    private final Server server;
+    private final ApiHandler handler;
+    private final SocketAddress address;
+
+    /**
+     * @param address where to listen
+     * @param bodyDeadlineMs how long a caller may take to send its body, milliseconds
+     */
+    ApiServer(SocketAddress address, Map<ApiOperation, ApiEndpoint> endpoints, long bodyDeadlineMs) {
+        this.address = address;
+        this.handler = new ApiHandler(endpoints, bodyDeadlineMs);
+        QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, LEAST_THREADS, THREAD_IDLE_MS);
+        threads.setReservedThreads(0);
+        threads.setName("api");
+        threads.setDaemon(true);
+        ArrayByteBufferPool buffers = new ArrayByteBufferPool(
+                0, BUFFER_STEP, LARGEST_BUFFER, BUFFERS_A_SIZE, MOST_POOLED_BYTES, MOST_POOLED_BYTES);
+        server = new Server(threads, new ScheduledExecutorScheduler("api-timer", true), buffers);
+        server.addConnector(connector());
+        server.setHandler(handler);
+        server.setStopTimeout(0);
+    }
+
+    private ServerConnector connector() {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        http.setSendXPoweredBy(false);
+        http.setRequestHeaderSize(HEADER_BYTES);
+        http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
+        ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http));
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setReuseAddress(true);
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
+        connector.setIdleTimeout(IDLE_TIMEOUT_MS);
+        return connector;
+    }
+
+    /** Starts to listen. */
+    void start() throws ControllerException {
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new ControllerException("listen", address.toString(), e);
+        }
+    }
+
+    /** From now on new calls are told to go to another controller. */
+    void refuseNewCalls() {
+        handler.refuseNewCalls();
+    }
+
+    /** Calls that have not been answered yet. */
+    int callsInProgress() {
+        return handler.callsInProgress();
+    }
+
+    /** Closes every connection. */
+    void stop() throws ControllerException {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new ControllerException("close", address.toString(), e);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
@@ -0,0 +1,135 @@
+package pinewick.control;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpStatus;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.SocketAddress;
+import pinewick.replication.ChangeOutcome;
+import pinewick.replication.ConfigurationChange;
+import pinewick.replication.ReadOutcome;
+import pinewick.replication.ReplicatedConfiguration;
+
+/** The calls of the operator: changes of the configuration, and reading it. */
+final class ConfigurationEndpoints {
+    private static final int MOST_VERSION_DIGITS = 18;
+
+    private final Supplier<Optional<ReplicatedConfiguration>> configuration;
+    private final TaskLoop loop;
+    private final SocketAddress self;
+    private final long deadlineMs;
+
+    /**
+     * @param configuration the replicated configuration, empty until the store is loaded; asked on the loop
+     * @param self the operator API of this process
+     * @param deadlineMs after how long a call without an outcome is answered all the same
+     */
+    ConfigurationEndpoints(
+            Supplier<Optional<ReplicatedConfiguration>> configuration,
+            TaskLoop loop,
+            SocketAddress self,
+            long deadlineMs) {
+        this.configuration = configuration;
+        this.loop = loop;
+        this.self = self;
+        this.deadlineMs = deadlineMs;
+    }
+
+    /** {@code POST /config/replace}. */
+    void replace(ApiCall call, Consumer<ApiAnswer> answer) {
+        change(ConfigurationChange.Kind.REPLACE, call, answer);
+    }
+
+    /** {@code POST /config/update}. */
+    void update(ApiCall call, Consumer<ApiAnswer> answer) {
+        change(ConfigurationChange.Kind.UPDATE, call, answer);
+    }
+
+    /** {@code GET /config/read}. */
+    void read(ApiCall call, Consumer<ApiAnswer> answer) {
+        withStore(answer, (store, reply) -> store.read(outcome -> reply.accept(toAnswer(outcome, call))));
+    }
+
+    private void change(ConfigurationChange.Kind kind, ApiCall call, Consumer<ApiAnswer> answer) {
+        Optional<Long> baseVersion = parseVersion(call.baseVersion());
+        if (baseVersion.isEmpty()) {
+            answer.accept(ApiAnswer.badField("X-Pinewick-Base-Version", "is missing or is no version number"));
+            return;
+        }
+        ConfigurationChange change = new ConfigurationChange(kind, baseVersion.get(), call.body());
+        withStore(answer, (store, reply) -> store.submit(change, outcome -> reply.accept(toAnswer(outcome, call))));
+    }
+
+    private static Optional<Long> parseVersion(String text) {
+        if (text == null) {
+            return Optional.empty();
+        }
+        String digits = text.trim();
+        boolean proper = !digits.isEmpty()
+                && digits.length() <= MOST_VERSION_DIGITS
+                && digits.chars().allMatch(character -> character >= '0' && character <= '9');
+        return proper ? Optional.of(Long.parseLong(digits)) : Optional.empty();
+    }
+
+    /** A call on the replicated configuration. */
+    private interface StoreCall {
+        void on(ReplicatedConfiguration store, Consumer<ApiAnswer> reply);
+    }
+
+    private void withStore(Consumer<ApiAnswer> answer, StoreCall storeCall) {
+        loop.execute(() -> {
+            Optional<ReplicatedConfiguration> store = configuration.get();
+            if (store.isEmpty()) {
+                answer.accept(ApiAnswer.unavailable("the configuration store is being loaded"));
+                return;
+            }
+            AtomicBoolean answered = new AtomicBoolean();
+            Consumer<ApiAnswer> once = first -> {
+                if (answered.compareAndSet(false, true)) {
+                    answer.accept(first);
+                }
+            };
+            storeCall.on(store.get(), once);
+            if (!answered.get()) {
+                loop.schedule(() -> once.accept(ApiAnswer.unavailable("no outcome in time")), deadlineMs);
+            }
+        });
+    }
+
+    private ApiAnswer toAnswer(ChangeOutcome outcome, ApiCall call) {
+        if (outcome instanceof ChangeOutcome.Accepted) {
+            return ApiAnswer.ok();
+        }
+        if (outcome instanceof ChangeOutcome.VersionConflict conflict) {
+            return ApiAnswer.error(
+                    HttpStatus.PRECONDITION_FAILED_412, "the current version is " + conflict.currentVersion());
+        }
+        if (outcome instanceof ChangeOutcome.Invalid invalid) {
+            return ApiAnswer.invalid(invalid.faults());
+        }
+        if (outcome instanceof ChangeOutcome.NotPrimary elsewhere) {
+            return toPrimary(elsewhere.primary(), call);
+        }
+        return ApiAnswer.unavailable(((ChangeOutcome.Unknown) outcome).reason());
+    }
+
+    private ApiAnswer toAnswer(ReadOutcome outcome, ApiCall call) {
+        if (outcome instanceof ReadOutcome.Current current) {
+            return ApiAnswer.ok(ConfigurationChecks.toJson(current.document()));
+        }
+        if (outcome instanceof ReadOutcome.NotPrimary elsewhere) {
+            return toPrimary(elsewhere.primary(), call);
+        }
+        return ApiAnswer.unavailable(((ReadOutcome.Unavailable) outcome).reason());
+    }
+
+    /** A primary that is this process itself has only just been lost or not begun yet: the caller should look on. */
+    private ApiAnswer toPrimary(Optional<SocketAddress> primary, ApiCall call) {
+        if (primary.isEmpty() || primary.get().equals(self)) {
+            return ApiAnswer.unavailable("no primary is known");
+        }
+        return ApiAnswer.redirect(primary.get(), call.path());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/pinewick/control/ControllerException.java
@@ -0,0 +1,18 @@
+package pinewick.control;
+
+/** A controller could not be started. Names the step and, where there is one, the address or path it was about. */
+public final class ControllerException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final String step;
+
+    public ControllerException(String step, String subject, Throwable cause) {
+        super(step + " (" + subject + ") failed: " + cause.getMessage(), cause);
+        this.step = step;
+    }
+
+    /** What was being done, for example {@code listen}. */
+    public String step() {
+        return step;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -0,0 +1,150 @@
+package pinewick.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+
+/**
+ * Takes what replicas say of themselves. A heartbeat that brings nothing new only proves life; news is published to the
+ * fleet. The announcement of an end is acknowledged only once another controller holds it, because from the
+ * acknowledgement on no router may send the replica a request, whatever becomes of this process.
+ *
+ * <p>If no other controller confirms in time, the replica is told to call another one. A controller that has had no other
+ * one in sight for the whole of {@code contact_ms} acknowledges by itself: it is then the only one of its core or has lost
+ * the majority of it, and a refusal would leave the replica without any acknowledgement.
+ *
+ * <p>Owned by the control loop.
+ */
+final class ReplicaRegistry {
+    /** How long another controller has to confirm an announced end, milliseconds; a replica waits for one second. */
+    static final long CONFIRMATION_MS = 600;
+
+    /** Stands for the address of a replica that deregistered before anything else was known of it. */
+    static final SocketAddress NO_ADDRESS = new SocketAddress("0.0.0.0", 1);
+
+    private static final long BEFORE_ANY_CALL = -1;
+
+    private final FleetAccess fleet;
+    private final TaskLoop loop;
+    private final double contactMs;
+    private final Map<String, Presence> presences = new HashMap<>();
+    private double lastCompanyMs;
+
+    /** What this process alone knows of an instance. */
+    private static final class Presence {
+        private long lastCallSequence = BEFORE_ANY_CALL;
+        private ReplicaState confirmed = ReplicaState.READY;
+    }
+
+    /**
+     * @param contactMs after how long without any other controller in sight this process counts as the only one
+     */
+    ReplicaRegistry(FleetAccess fleet, TaskLoop loop, double contactMs) {
+        this.fleet = fleet;
+        this.loop = loop;
+        this.contactMs = contactMs;
+        this.lastCompanyMs = loop.nowMs();
+    }
+
+    /** Takes a heartbeat; {@code acknowledge} is called once, on the control loop. */
+    void heartbeat(ReplicaRecord heard, Consumer<Acknowledgement> acknowledge) {
+        Presence presence = presences.computeIfAbsent(heard.instanceId(), id -> new Presence());
+        if (heard.callSequence() >= presence.lastCallSequence) {
+            presence.lastCallSequence = heard.callSequence();
+            fleet.heard(heard.instanceId());
+        }
+        ReplicaRecord known = fleet.replica(heard.instanceId());
+        ReplicaRecord merged = known == null ? heard : ReplicaRecord.merge(known, heard);
+        boolean news = known == null || RecordChanges.isNews(known, merged);
+        if (heard.state() != ReplicaState.READY) {
+            announceEnd(merged, presence, news, acknowledge);
+            return;
+        }
+        if (news) {
+            fleet.publish(merged, () -> {});
+        }
+        acknowledge.accept(Acknowledgement.HELD);
+    }
+
+    /** Takes the deregistration of an instance; {@code acknowledge} is called once, on the control loop. */
+    void deregister(String instanceId, Consumer<Acknowledgement> acknowledge) {
+        Presence presence = presences.computeIfAbsent(instanceId, id -> new Presence());
+        ReplicaRecord known = fleet.replica(instanceId);
+        ReplicaRecord gone = known == null ? unknownAndGone(instanceId) : known.withState(ReplicaState.GONE);
+        announceEnd(gone, presence, !gone.equals(known), acknowledge);
+    }
+
+    /** Looks for other controllers, and drops what is kept of instances that the fleet has forgotten. */
+    void onTick() {
+        hasCompany();
+        presences.keySet().removeIf(id -> fleet.replica(id) == null);
+    }
+
+    private void announceEnd(
+            ReplicaRecord record, Presence presence, boolean news, Consumer<Acknowledgement> acknowledge) {
+        if (!news && presence.confirmed.compareTo(record.state()) >= 0) {
+            acknowledge.accept(Acknowledgement.HELD);
+            return;
+        }
+        OnceOnly answer = new OnceOnly(acknowledge);
+        fleet.publish(record, () -> {
+            if (presence.confirmed.compareTo(record.state()) < 0) {
+                presence.confirmed = record.state();
+            }
+            answer.accept(Acknowledgement.HELD);
+        });
+        if (!answer.isGiven()) {
+            loop.schedule(() -> answer.accept(withoutConfirmation()), CONFIRMATION_MS);
+        }
+    }
+
+    private Acknowledgement withoutConfirmation() {
+        boolean alone = !hasCompany() && loop.nowMs() - lastCompanyMs >= contactMs;
+        return alone ? Acknowledgement.HELD : Acknowledgement.NOT_CONFIRMED;
+    }
+
+    private boolean hasCompany() {
+        boolean company = !fleet.otherControllers().isEmpty();
+        if (company) {
+            lastCompanyMs = loop.nowMs();
+        }
+        return company;
+    }
+
+    /**
+     * Another controller may know the instance, and so may routers: what is published wins over their records by its
+     * state and leaves the rest to them, because of its low call sequence.
+     */
+    private static ReplicaRecord unknownAndGone(String instanceId) {
+        return new ReplicaRecord(
+                instanceId, "", NO_ADDRESS, "", "", 0, ReplicaState.GONE, 0, Stage.NONE, List.of(), BEFORE_ANY_CALL,
+                false);
+    }
+
+    /** Passes on the first of several answers. */
+    private static final class OnceOnly implements Consumer<Acknowledgement> {
+        private final Consumer<Acknowledgement> target;
+        private boolean given;
+
+        OnceOnly(Consumer<Acknowledgement> target) {
+            this.target = target;
+        }
+
+        boolean isGiven() {
+            return given;
+        }
+
+        @Override
+        public void accept(Acknowledgement acknowledgement) {
+            if (!given) {
+                given = true;
+                target.accept(acknowledgement);
+            }
+        }
+    }
+}
