--- a/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -54,21 +54,33 @@
     /** Takes a heartbeat; {@code acknowledge} is called once, on the control loop. */
     void heartbeat(ReplicaRecord heard, Consumer<Acknowledgement> acknowledge) {
         Presence presence = presences.computeIfAbsent(heard.instanceId(), id -> new Presence());
-        if (heard.callSequence() >= presence.lastCallSequence) {
+        ReplicaRecord known = fleet.replica(heard.instanceId());
+        boolean late = known != null
+                && heard.callSequence() < Math.max(presence.lastCallSequence, known.callSequence());
+        if (!late) {
             presence.lastCallSequence = heard.callSequence();
             fleet.heard(heard.instanceId());
         }
-        ReplicaRecord known = fleet.replica(heard.instanceId());
-        ReplicaRecord merged = known == null ? heard : ReplicaRecord.merge(known, heard);
-        boolean news = known == null || RecordChanges.isNews(known, merged);
-        if (heard.state() != ReplicaState.READY) {
-            announceEnd(merged, presence, news, acknowledge);
+        ReplicaRecord merged = late ? known : joined(known, heard);
+        if (heard.state() == ReplicaState.READY) {
+            if (known == null || RecordChanges.isNews(known, merged)) {
+                fleet.publish(merged, () -> {});
+            }
+            acknowledge.accept(Acknowledgement.HELD);
             return;
         }
-        if (news) {
-            fleet.publish(merged, () -> {});
-        }
-        acknowledge.accept(Acknowledgement.HELD);
+        ReplicaRecord ending = withEnd(merged, heard.state());
+        boolean news = known == null || RecordChanges.isNews(known, ending);
+        announceEnd(ending, presence, news, acknowledge);
+    }
+
+    private static ReplicaRecord joined(ReplicaRecord known, ReplicaRecord heard) {
+        return known == null ? heard : ReplicaRecord.merge(known, heard);
+    }
+
+    /** An announced end is taken even from a late call. */
+    private static ReplicaRecord withEnd(ReplicaRecord record, ReplicaState end) {
+        return record.state().compareTo(end) >= 0 ? record : record.withState(end);
     }
 
     /** Takes the deregistration of an instance; {@code acknowledge} is called once, on the control loop. */
--- /dev/null
+++ b/control/src/test/java/pinewick/control/ApiServerTest.java
@@ -0,0 +1,192 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.SocketAddress;
+
+/** The HTTP server on loopback sockets, with endpoints that a test answers by itself. */
+class ApiServerTest {
+    private static final long BODY_DEADLINE_MS = 150;
+
+    private final Map<ApiOperation, ApiEndpoint> endpoints = new EnumMap<>(ApiOperation.class);
+    private ApiServer server;
+    private SocketAddress address;
+
+    @BeforeEach
+    void start() throws ControllerException, IOException {
+        for (ApiOperation operation : ApiOperation.values()) {
+            endpoints.put(operation, (call, answer) -> answer.accept(echo(operation, call)));
+        }
+        restart();
+    }
+
+    @AfterEach
+    void stop() throws ControllerException {
+        server.stop();
+    }
+
+    private void restart() throws ControllerException, IOException {
+        if (server != null) {
+            server.stop();
+        }
+        address = new SocketAddress("127.0.0.1", freePort());
+        server = new ApiServer(address, endpoints, BODY_DEADLINE_MS);
+        server.start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static ApiAnswer echo(ApiOperation operation, ApiCall call) {
+        String text = operation + "|" + call.subject() + "|" + call.baseVersion() + "|" + call.body().length;
+        return ApiAnswer.error(200, text);
+    }
+
+    @Test
+    void callsReachTheirEndpoints() throws IOException {
+        HttpCaller.Answer beat = HttpCaller.call(address, "POST", "/instances/i-1/heartbeat", "{}");
+        assertEquals("{\"error\":\"HEARTBEAT|i-1|null|2\"}", beat.body());
+        HttpCaller.Answer leave = HttpCaller.call(address, "POST", "/instances/i-1/deregister", "");
+        assertEquals("{\"error\":\"DEREGISTER|i-1|null|0\"}", leave.body());
+        HttpCaller.Answer update =
+                HttpCaller.call(address, "POST", "/config/update", "{}", "X-Pinewick-Base-Version: 7");
+        assertEquals("{\"error\":\"UPDATE_CONFIGURATION||7|2\"}", update.body());
+        HttpCaller.Answer read = HttpCaller.call(address, "GET", "/config/read", "");
+        assertEquals("{\"error\":\"READ_CONFIGURATION||null|0\"}", read.body());
+    }
+
+    @Test
+    void headersAreFew() throws IOException {
+        HttpCaller.Answer answer = HttpCaller.call(address, "GET", "/status", "");
+        assertEquals("application/json", answer.headers().get("content-type"));
+        assertFalse(answer.headers().containsKey("server"));
+        assertFalse(answer.headers().containsKey("date"));
+    }
+
+    @Test
+    void aConnectionServesManyCalls() throws IOException {
+        try (HttpCaller caller = new HttpCaller(address)) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(200, caller.call("POST", "/instances/i-1/heartbeat", "{}").status());
+            }
+        }
+    }
+
+    @Test
+    void aBodyMayComeInPieces() throws IOException {
+        try (HttpCaller caller = new HttpCaller(address)) {
+            caller.send("POST /config/replace HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n");
+            caller.send("3\r\nabc\r\n");
+            caller.send("2\r\nde\r\n0\r\n\r\n");
+            assertEquals("{\"error\":\"REPLACE_CONFIGURATION||null|5\"}", caller.receive().body());
+        }
+    }
+
+    @Test
+    void unknownPathsAndMethodsAreRefused() throws IOException {
+        assertEquals(404, HttpCaller.call(address, "GET", "/", "").status());
+        assertEquals(400, HttpCaller.call(address, "POST", "/instances//heartbeat", "{}").status(), "ambiguous path");
+        assertEquals(404, HttpCaller.call(address, "POST", "/instances/i/x/heartbeat", "{}").status());
+        assertEquals(404, HttpCaller.call(address, "POST", "/instances/heartbeat", "{}").status());
+        assertEquals(405, HttpCaller.call(address, "GET", "/config/update", "").status());
+        assertEquals(405, HttpCaller.call(address, "POST", "/config/read", "{}").status());
+    }
+
+    @Test
+    void aBodyThatIsAnnouncedTooLargeIsRefusedUnread() throws IOException {
+        try (HttpCaller caller = new HttpCaller(address)) {
+            caller.send("POST /instances/i-1/heartbeat HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999\r\n\r\n");
+            assertEquals(413, caller.receive().status());
+            assertTrue(caller.closedByPeer());
+        }
+    }
+
+    @Test
+    void aBodyThatGrowsTooLargeIsRefused() throws IOException {
+        try (HttpCaller caller = new HttpCaller(address)) {
+            caller.send("POST /instances/i-1/heartbeat HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String piece = "x".repeat(0x8000);
+            caller.send("8000\r\n" + piece + "\r\n8000\r\n" + piece + "\r\n1\r\nx\r\n");
+            assertEquals(413, caller.receive().status());
+        }
+    }
+
+    @Test
+    void aBodyOfFourMebibytesIsTaken() throws IOException {
+        String body = "x".repeat(4 * 1024 * 1024);
+        HttpCaller.Answer answer = HttpCaller.call(address, "POST", "/config/replace", body);
+        assertEquals("{\"error\":\"REPLACE_CONFIGURATION||null|4194304\"}", answer.body());
+    }
+
+    @Test
+    void aCallerThatDawdlesIsToldSoWhileOthersAreServed() throws IOException {
+        try (HttpCaller slow = new HttpCaller(address);
+                HttpCaller quick = new HttpCaller(address)) {
+            slow.send("POST /config/replace HTTP/1.1\r\nHost: c\r\nContent-Length: 10\r\n\r\nabc");
+            assertEquals(200, quick.call("POST", "/instances/i-1/heartbeat", "{}").status());
+            assertEquals(408, slow.receive().status());
+            assertTrue(slow.closedByPeer());
+            assertEquals(200, quick.call("POST", "/instances/i-1/heartbeat", "{}").status());
+        }
+        assertEquals(0, server.callsInProgress());
+    }
+
+    @Test
+    void aLateAnswerFromAnotherThreadIsWritten() throws Exception {
+        CompletableFuture<Consumer<ApiAnswer>> pending = new CompletableFuture<>();
+        endpoints.put(ApiOperation.READ_CONFIGURATION, (call, answer) -> pending.complete(answer));
+        restart();
+        try (HttpCaller caller = new HttpCaller(address)) {
+            caller.send("GET /config/read HTTP/1.1\r\nHost: c\r\n\r\n");
+            Consumer<ApiAnswer> answer = pending.get();
+            assertEquals(1, server.callsInProgress());
+            answer.accept(ApiAnswer.unavailable("x"));
+            answer.accept(ApiAnswer.ok());
+            assertEquals(503, caller.receive().status());
+            assertEquals(200, caller.call("GET", "/status", "").status());
+        }
+    }
+
+    @Test
+    void aCallerThatLeftDoesNotDisturbOthers() throws Exception {
+        CompletableFuture<Consumer<ApiAnswer>> pending = new CompletableFuture<>();
+        endpoints.put(ApiOperation.READ_CONFIGURATION, (call, answer) -> pending.complete(answer));
+        restart();
+        Consumer<ApiAnswer> answer = leaveBeforeTheAnswer(pending);
+        answer.accept(ApiAnswer.ok(new byte[100_000]));
+        assertEquals(200, HttpCaller.call(address, "GET", "/status", "").status());
+        assertEquals(0, server.callsInProgress());
+    }
+
+    private Consumer<ApiAnswer> leaveBeforeTheAnswer(CompletableFuture<Consumer<ApiAnswer>> pending)
+            throws IOException, InterruptedException, ExecutionException {
+        try (HttpCaller caller = new HttpCaller(address)) {
+            caller.send("GET /config/read HTTP/1.1\r\nHost: c\r\n\r\n");
+            return pending.get();
+        }
+    }
+
+    @Test
+    void whileStoppingNewCallsAreSentOn() throws IOException {
+        server.refuseNewCalls();
+        HttpCaller.Answer answer = HttpCaller.call(address, "POST", "/instances/i-1/heartbeat", "{}");
+        assertEquals(503, answer.status());
+        assertEquals("close", answer.headers().get("connection"));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/pinewick/control/ConfigurationEndpointsTest.java
@@ -0,0 +1,148 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.ConfigurationFault;
+import pinewick.model.SocketAddress;
+import pinewick.replication.ChangeOutcome;
+import pinewick.replication.ConfigurationChange;
+import pinewick.replication.ReadOutcome;
+import pinewick.replication.ReplicatedConfiguration;
+
+/** Outcomes of the replicated configuration as answers to the operator. */
+class ConfigurationEndpointsTest {
+    private static final SocketAddress SELF = new SocketAddress("10.1.0.13", 8166);
+    private static final SocketAddress OTHER = new SocketAddress("10.2.0.43", 8166);
+    private static final long DEADLINE_MS = 4_000;
+
+    private final ManualLoop loop = new ManualLoop(0);
+    private final FakeConfiguration store = new FakeConfiguration();
+    private Optional<ReplicatedConfiguration> loaded = Optional.of(store);
+    private final ConfigurationEndpoints endpoints = new ConfigurationEndpoints(() -> loaded, loop, SELF, DEADLINE_MS);
+    private final List<ApiAnswer> answers = new ArrayList<>();
+
+    private ApiAnswer update(String baseVersion) {
+        ApiCall call = new ApiCall("/config/update", "", baseVersion, new byte[] {'{', '}'});
+        endpoints.update(call, answers::add);
+        loop.advance(0);
+        return answers.get(answers.size() - 1);
+    }
+
+    private ApiAnswer read() {
+        endpoints.read(new ApiCall("/config/read", "", null, new byte[0]), answers::add);
+        loop.advance(0);
+        return answers.get(answers.size() - 1);
+    }
+
+    private static String text(ApiAnswer answer) {
+        return new String(answer.body(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void acceptedIsOk() {
+        store.changeOutcome = new ChangeOutcome.Accepted(9);
+        assertEquals(200, update("7").status());
+        ConfigurationChange change = store.changes.get(0);
+        assertEquals(ConfigurationChange.Kind.UPDATE, change.kind());
+        assertEquals(7, change.baseVersion());
+        assertArrayEquals(new byte[] {'{', '}'}, change.body());
+    }
+
+    @Test
+    void replacementsAreToldFromUpdates() {
+        store.changeOutcome = new ChangeOutcome.Accepted(9);
+        endpoints.replace(new ApiCall("/config/replace", "", "0", new byte[0]), answers::add);
+        loop.advance(0);
+        assertEquals(ConfigurationChange.Kind.REPLACE, store.changes.get(0).kind());
+    }
+
+    @Test
+    void aConflictNamesTheCurrentVersion() {
+        store.changeOutcome = new ChangeOutcome.VersionConflict(12);
+        ApiAnswer answer = update("7");
+        assertEquals(412, answer.status());
+        assertTrue(text(answer).contains("12"));
+    }
+
+    @Test
+    void everyFaultIsListed() {
+        store.changeOutcome = new ChangeOutcome.Invalid(List.of(
+                new ConfigurationFault("routes/r-1", "service", "is not known"),
+                new ConfigurationFault("routes/r-2", "timeout_ms", "is 0")));
+        ApiAnswer answer = update("7");
+        assertEquals(400, answer.status());
+        assertTrue(text(answer).contains("routes/r-1") && text(answer).contains("timeout_ms"));
+    }
+
+    @Test
+    void anotherPrimaryIsARedirection() {
+        store.changeOutcome = new ChangeOutcome.NotPrimary(Optional.of(OTHER));
+        ApiAnswer answer = update("7");
+        assertEquals(307, answer.status());
+        assertEquals(Optional.of("http://10.2.0.43:8166/config/update"), answer.location());
+        store.readOutcome = new ReadOutcome.NotPrimary(Optional.of(OTHER));
+        assertEquals(Optional.of("http://10.2.0.43:8166/config/read"), read().location());
+    }
+
+    @Test
+    void noPrimaryOrThisProcessItselfIsNoRedirection() {
+        store.changeOutcome = new ChangeOutcome.NotPrimary(Optional.empty());
+        assertEquals(503, update("7").status());
+        store.changeOutcome = new ChangeOutcome.NotPrimary(Optional.of(SELF));
+        assertEquals(503, update("7").status());
+    }
+
+    @Test
+    void unknownIsNoClearAnswer() {
+        store.changeOutcome = new ChangeOutcome.Unknown("lost the majority");
+        assertEquals(503, update("7").status());
+        store.readOutcome = new ReadOutcome.Unavailable("lost the majority");
+        assertEquals(503, read().status());
+    }
+
+    @Test
+    void readAnswersTheWholeDocument() {
+        store.readOutcome = new ReadOutcome.Current(ConfigurationDocument.EMPTY);
+        ApiAnswer answer = read();
+        assertEquals(200, answer.status());
+        assertTrue(text(answer).contains("\"version\":0"));
+    }
+
+    @Test
+    void silenceEndsAtTheDeadline() {
+        endpoints.update(new ApiCall("/config/update", "", "7", new byte[0]), answers::add);
+        loop.advance(DEADLINE_MS - 1);
+        assertEquals(List.of(), answers);
+        loop.advance(1);
+        assertEquals(503, answers.get(0).status());
+    }
+
+    @Test
+    void beforeTheStoreIsLoadedTheOperatorIsSentOn() {
+        loaded = Optional.empty();
+        assertEquals(503, update("7").status());
+        assertEquals(503, read().status());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", " ", "x", "-1", "1.5", "+3", "9999999999999999999", "7,8"})
+    void aGarbledBaseVersionIsABadCall(String baseVersion) {
+        assertEquals(400, update(baseVersion).status());
+        assertEquals(List.of(), store.changes);
+    }
+
+    @Test
+    void aMissingBaseVersionIsABadCall() {
+        assertEquals(400, update(null).status());
+    }
+}
--- /dev/null
+++ b/control/src/test/java/pinewick/control/FakeFleet.java
@@ -0,0 +1,82 @@
+package pinewick.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.SocketAddress;
+
+/** A fleet in memory: records what is published and lets a test decide when another controller confirms. */
+final class FakeFleet implements FleetAccess {
+    static final SocketAddress OTHER_CONTROLLER = new SocketAddress("10.2.0.4", 7721);
+
+    final List<ReplicaRecord> published = new ArrayList<>();
+    final Set<SocketAddress> controllers = new HashSet<>(Set.of(OTHER_CONTROLLER));
+    private final Map<String, ReplicaRecord> records = new HashMap<>();
+    private final Map<String, Double> heardMs = new HashMap<>();
+    private final List<Runnable> confirmations = new ArrayList<>();
+    private final DoubleSupplier nowMs;
+
+    FakeFleet(DoubleSupplier nowMs) {
+        this.nowMs = nowMs;
+    }
+
+    /** Another controller confirms everything published so far. */
+    void confirmAll() {
+        List<Runnable> due = List.copyOf(confirmations);
+        confirmations.clear();
+        due.forEach(Runnable::run);
+    }
+
+    /** A record arrives from another process. */
+    void learn(ReplicaRecord record) {
+        records.merge(record.instanceId(), record, ReplicaRecord::merge);
+    }
+
+    /** Another controller heard from an instance. */
+    void heardAt(String instanceId, double atMs) {
+        heardMs.merge(instanceId, atMs, Math::max);
+    }
+
+    @Override
+    public Collection<ReplicaRecord> replicas() {
+        return records.values();
+    }
+
+    @Override
+    public ReplicaRecord replica(String instanceId) {
+        return records.get(instanceId);
+    }
+
+    @Override
+    public void publish(ReplicaRecord record, Runnable heldElsewhere) {
+        learn(record);
+        published.add(record);
+        confirmations.add(heldElsewhere);
+    }
+
+    @Override
+    public void heard(String instanceId) {
+        heardAt(instanceId, nowMs.getAsDouble());
+    }
+
+    @Override
+    public double lastHeardMs(String instanceId) {
+        return heardMs.getOrDefault(instanceId, NEVER);
+    }
+
+    @Override
+    public void forget(String instanceId) {
+        records.remove(instanceId);
+    }
+
+    @Override
+    public Set<SocketAddress> otherControllers() {
+        return controllers;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
@@ -0,0 +1,209 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+
+/** What a replica's calls change, and when they are acknowledged. */
+class ReplicaRegistryTest {
+    private static final double CONTACT_MS = 3_000;
+    private static final String ID = "i-7f3a91c2";
+
+    private final ManualLoop loop = new ManualLoop(10_000);
+    private final FakeFleet fleet = new FakeFleet(loop::nowMs);
+    private final ReplicaRegistry registry = new ReplicaRegistry(fleet, loop, CONTACT_MS);
+    private final List<Acknowledgement> answers = new ArrayList<>();
+
+    @Test
+    void newInstanceIsPublishedAndAcknowledgedAtOnce() {
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        assertEquals(List.of(Acknowledgement.HELD), answers);
+        assertEquals(List.of(Replicas.ready(ID, 1)), fleet.published);
+    }
+
+    @Test
+    void plainHeartbeatsOnlyProveLife() {
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        loop.advance(1_200);
+        registry.heartbeat(Replicas.ready(ID, 2), answers::add);
+        assertEquals(1, fleet.published.size());
+        assertEquals(2, answers.size());
+        assertEquals(loop.nowMs(), fleet.lastHeardMs(ID));
+    }
+
+    @Test
+    void lateHeartbeatIsAcknowledgedAndChangesNothing() {
+        registry.heartbeat(Replicas.ready(ID, 7), answers::add);
+        loop.advance(1_200);
+        registry.heartbeat(Replicas.cold(ID, 6, 900), answers::add);
+        assertEquals(1, fleet.published.size());
+        assertEquals(Replicas.ready(ID, 7), fleet.replica(ID));
+        assertEquals(loop.nowMs() - 1_200, fleet.lastHeardMs(ID));
+        assertEquals(List.of(Acknowledgement.HELD, Acknowledgement.HELD), answers);
+    }
+
+    @Test
+    void lateHeartbeatAfterPlainOnesIsKnownByTheLastCallHeard() {
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        registry.heartbeat(Replicas.ready(ID, 9), answers::add);
+        loop.advance(100);
+        registry.heartbeat(Replicas.ready(ID, 5), answers::add);
+        assertEquals(loop.nowMs() - 100, fleet.lastHeardMs(ID));
+        registry.heartbeat(Replicas.cold(ID, 6, 900), answers::add);
+        assertEquals(1, fleet.published.size(), "older than call 9");
+    }
+
+    @Test
+    void coldReplicaIsPublishedOnceMoreWhenItIsWarm() {
+        registry.heartbeat(Replicas.cold(ID, 1, 4_000), answers::add);
+        registry.heartbeat(Replicas.cold(ID, 2, 2_800), answers::add);
+        registry.heartbeat(Replicas.cold(ID, 3, 0), answers::add);
+        assertEquals(2, fleet.published.size());
+        assertEquals(0, fleet.replica(ID).coldRemainingMs());
+    }
+
+    @Test
+    void lapsedReplicaComesBackWithItsNextHeartbeat() {
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        fleet.learn(Replicas.ready(ID, 1).withLapsed(true));
+        registry.heartbeat(Replicas.ready(ID, 2), answers::add);
+        assertFalse(fleet.replica(ID).lapsed());
+        assertEquals(2, fleet.published.size());
+    }
+
+    @Test
+    void drainingIsAcknowledgedOnlyOnceAnotherControllerHoldsIt() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS - 1);
+        assertEquals(List.of(), answers);
+        fleet.confirmAll();
+        assertEquals(List.of(Acknowledgement.HELD), answers);
+        loop.advance(CONTACT_MS);
+        assertEquals(1, answers.size(), "one answer a call");
+    }
+
+    @Test
+    void drainingWithoutConfirmationSendsTheReplicaToAnotherController() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+        assertEquals(ReplicaState.DRAINING, fleet.replica(ID).state(), "told to the fleet all the same");
+        fleet.confirmAll();
+        assertEquals(1, answers.size(), "one answer a call");
+    }
+
+    @Test
+    void confirmedDrainIsAcknowledgedAtOnceWhenItIsSaidAgain() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        fleet.confirmAll();
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(List.of(Acknowledgement.HELD, Acknowledgement.HELD), answers);
+        assertEquals(1, fleet.published.size());
+    }
+
+    @Test
+    void unconfirmedDrainIsPublishedAgainWhenItIsSaidAgain() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(2, fleet.published.size());
+        fleet.confirmAll();
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED, Acknowledgement.HELD), answers);
+    }
+
+    @Test
+    void drainLearntFromAnotherProcessStillNeedsAConfirmation() {
+        fleet.learn(Replicas.draining(ID, 4));
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(List.of(), answers);
+        fleet.confirmAll();
+        assertEquals(List.of(Acknowledgement.HELD), answers);
+    }
+
+    @Test
+    void anAnnouncedEndIsNeverUnlearnt() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        fleet.confirmAll();
+        registry.heartbeat(Replicas.ready(ID, 5), answers::add);
+        registry.heartbeat(Replicas.ready(ID, 3), answers::add);
+        assertEquals(ReplicaState.DRAINING, fleet.replica(ID).state());
+        assertEquals(3, answers.size());
+    }
+
+    @Test
+    void aLateDrainIsTakenBecauseItIsAnEnd() {
+        registry.heartbeat(Replicas.ready(ID, 6), answers::add);
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(ReplicaState.DRAINING, fleet.replica(ID).state());
+        assertEquals(1, answers.size());
+        fleet.confirmAll();
+        assertEquals(2, answers.size());
+    }
+
+    @Test
+    void deregistrationNeedsAConfirmationOfItsOwn() {
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        fleet.confirmAll();
+        registry.deregister(ID, answers::add);
+        assertEquals(1, answers.size());
+        fleet.confirmAll();
+        assertEquals(2, answers.size());
+        assertEquals(ReplicaState.GONE, fleet.replica(ID).state());
+        registry.deregister(ID, answers::add);
+        assertEquals(3, answers.size(), "said again: known and confirmed");
+    }
+
+    @Test
+    void deregistrationOfAnUnknownInstanceLeavesATraceThatAnyRecordMergesWith() {
+        registry.deregister(ID, answers::add);
+        fleet.confirmAll();
+        assertEquals(List.of(Acknowledgement.HELD), answers);
+        ReplicaRecord real = Replicas.ready(ID, 0);
+        ReplicaRecord joined = ReplicaRecord.merge(fleet.replica(ID), real);
+        assertEquals(real.withState(ReplicaState.GONE), joined);
+        assertEquals(joined, ReplicaRecord.merge(real, fleet.replica(ID)));
+    }
+
+    @Test
+    void aControllerThatHasLongBeenAloneAcknowledgesByItself() {
+        fleet.controllers.clear();
+        loop.advance(CONTACT_MS);
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        assertEquals(List.of(), answers, "another one may still appear");
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.HELD), answers);
+    }
+
+    @Test
+    void aControllerThatLostTheOthersJustNowDoesNot() {
+        loop.advance(60_000);
+        registry.onTick();
+        fleet.controllers.clear();
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+    }
+
+    @Test
+    void aControllerThatStartedJustNowDoesNot() {
+        fleet.controllers.clear();
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+    }
+
+    @Test
+    void whatIsForgottenByTheFleetStartsAfresh() {
+        registry.heartbeat(Replicas.ready(ID, 9), answers::add);
+        fleet.forget(ID);
+        registry.onTick();
+        registry.heartbeat(Replicas.ready(ID, 2), answers::add);
+        assertTrue(fleet.published.contains(Replicas.ready(ID, 2)));
+    }
+}
