--- a/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -63,6 +63,9 @@
         }
         ReplicaRecord merged = late ? known : joined(known, heard);
         if (heard.state() == ReplicaState.READY) {
+            if (known == null) {
+                lapsePredecessors(heard);
+            }
             if (known == null || RecordChanges.isNews(known, merged)) {
                 fleet.publish(merged, () -> {});
             }
@@ -74,6 +77,19 @@
         announceEnd(ending, presence, news, acknowledge);
     }
 
+    /**
+     * Two processes cannot listen at one address: whatever was there before the new instance has ended. Marked as lapsed
+     * and not as gone, because a heartbeat takes that back should it be wrong.
+     */
+    private void lapsePredecessors(ReplicaRecord newcomer) {
+        List<ReplicaRecord> predecessors = fleet.replicas().stream()
+                .filter(other -> other.address().equals(newcomer.address()))
+                .filter(other -> !other.instanceId().equals(newcomer.instanceId()))
+                .filter(other -> other.state() != ReplicaState.GONE && !other.lapsed())
+                .toList();
+        predecessors.forEach(predecessor -> fleet.publish(predecessor.withLapsed(true), () -> {}));
+    }
+
     private static ReplicaRecord joined(ReplicaRecord known, ReplicaRecord heard) {
         return known == null ? heard : ReplicaRecord.merge(known, heard);
     }
--- /dev/null
+++ b/control/src/test/java/pinewick/control/LivenessJudgeTest.java
@@ -0,0 +1,175 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+
+/** When silence means that a replica is down, and when it means that nobody listened. */
+class LivenessJudgeTest {
+    private static final double HEARTBEAT_MS = 1_200;
+    private static final double CONTACT_MS = 3_000;
+    private static final double LOOK_MS = 500;
+    private static final double SILENCE_MS = LivenessJudge.SILENT_PERIODS * HEARTBEAT_MS;
+
+    private final LivenessJudge judge = new LivenessJudge(HEARTBEAT_MS, CONTACT_MS, 0);
+    private final Map<String, ReplicaRecord> records = new HashMap<>();
+    private final Map<String, Double> heardMs = new HashMap<>();
+    private final List<String> silent = new ArrayList<>();
+    private Set<SocketAddress> controllers = Set.of(FakeFleet.OTHER_CONTROLLER);
+    private double nowMs;
+
+    private void add(String service, int count) {
+        for (int i = 0; i < count; i++) {
+            String id = service + "-" + i;
+            records.put(id, Replicas.ofService(id, service));
+        }
+    }
+
+    /** Looks again and again; replicas that are not silent are heard from all the time. */
+    private List<String> lapsedWithin(double milliseconds) {
+        List<String> lapsed = new ArrayList<>();
+        for (double end = nowMs + milliseconds; nowMs < end; ) {
+            nowMs += LOOK_MS;
+            lapsed.addAll(look());
+        }
+        return lapsed;
+    }
+
+    private List<String> look() {
+        records.keySet().stream().filter(id -> !silent.contains(id)).forEach(id -> heardMs.put(id, nowMs));
+        HeartbeatTimes times = id -> heardMs.getOrDefault(id, HeartbeatTimes.NEVER);
+        List<ReplicaRecord> lapsed = judge.judge(records.values(), times, controllers, nowMs);
+        lapsed.forEach(record -> records.put(record.instanceId(), record));
+        return lapsed.stream().map(ReplicaRecord::instanceId).toList();
+    }
+
+    @Test
+    void oneSilentReplicaLapsesAfterItsPeriods() {
+        add("s", 4);
+        assertEquals(List.of(), lapsedWithin(20_000));
+        silent.add("s-2");
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS - LOOK_MS));
+        assertEquals(List.of("s-2"), lapsedWithin(2 * LOOK_MS));
+        assertEquals(List.of(), lapsedWithin(20_000), "told once");
+    }
+
+    @Test
+    void theOnlyReplicaOfAServiceMayLapse() {
+        add("s", 1);
+        add("t", 1);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
+    }
+
+    @Test
+    void halfAServiceMayLapseAtOnceWhileTheRestIsHeardWell() {
+        add("s", 6);
+        add("t", 3);
+        lapsedWithin(20_000);
+        silent.addAll(List.of("s-0", "s-1", "s-2", "s-3"));
+        assertEquals(4, lapsedWithin(SILENCE_MS + LOOK_MS).size());
+    }
+
+    @Test
+    void whenAServiceFallsSilentAsAWholeOnlyAThirdLapsesAtATime() {
+        add("s", 6);
+        add("t", 12);
+        lapsedWithin(20_000);
+        silent.addAll(List.of("s-0", "s-1", "s-2", "s-3", "s-4", "s-5"));
+        assertEquals(2, lapsedWithin(SILENCE_MS + LivenessJudge.BURST_MS).size());
+        assertTrue(lapsedWithin(4 * LivenessJudge.BURST_MS).size() <= 4);
+    }
+
+    @Test
+    void whenMostOfTheFleetIsSilentOnlyAThirdLapsesAtATime() {
+        add("s", 9);
+        lapsedWithin(20_000);
+        silent.addAll(List.of("s-0", "s-1", "s-2", "s-3", "s-4", "s-5", "s-6"));
+        assertEquals(3, lapsedWithin(SILENCE_MS + LOOK_MS).size());
+    }
+
+    @Test
+    void heartbeatsThatAnotherControllerHeardCount() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        lapsedWithin(SILENCE_MS - 2 * LOOK_MS);
+        heardMs.put("s-0", nowMs);
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS - LOOK_MS));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void afterItsStartSilenceCountsFromWhenARecordWasSeen() {
+        add("s", 3);
+        silent.add("s-0");
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void afterAPauseOfItsOwnNothingLapsesUntilReplicasHadTheirTime() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        nowMs += 30_000;
+        silent.addAll(List.of("s-0", "s-1", "s-2"));
+        assertEquals(List.of(), look());
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS - LOOK_MS));
+        silent.removeAll(List.of("s-1", "s-2"));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void theLossOfAnotherControllerGivesItsReplicasTimeToCallThisOne() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        lapsedWithin(SILENCE_MS - LOOK_MS);
+        controllers = Set.of();
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void anotherControllerThatComesIsNoDisturbance() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        lapsedWithin(SILENCE_MS - LOOK_MS);
+        controllers = Set.of(FakeFleet.OTHER_CONTROLLER, new SocketAddress("10.3.0.4", 7721));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void drainingReplicasLapseAndThoseGoneDoNot() {
+        add("s", 5);
+        lapsedWithin(20_000);
+        records.put("s-0", records.get("s-0").withState(ReplicaState.DRAINING));
+        records.put("s-1", records.get("s-1").withState(ReplicaState.GONE));
+        silent.addAll(List.of("s-0", "s-1"));
+        assertEquals(List.of("s-0"), lapsedWithin(20_000));
+    }
+
+    @Test
+    void aReplicaThatCameBackMayLapseAgain() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
+        silent.clear();
+        records.put("s-0", records.get("s-0").withLapsed(false));
+        assertEquals(List.of(), lapsedWithin(20_000));
+        silent.add("s-0");
+        assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
+    }
+}
--- a/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
+++ b/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
@@ -77,6 +77,17 @@
         assertEquals(2, fleet.published.size());
     }
 
+    @Test
+    void aNewInstanceAtAnAddressEndsTheOneBeforeUntilThatIsHeardAgain() {
+        registry.heartbeat(Replicas.ready("i-old", 5), answers::add);
+        registry.heartbeat(Replicas.ready("i-new", 1), answers::add);
+        assertTrue(fleet.replica("i-old").lapsed());
+        assertFalse(fleet.replica("i-new").lapsed());
+        registry.heartbeat(Replicas.ready("i-old", 6), answers::add);
+        assertFalse(fleet.replica("i-old").lapsed());
+        assertFalse(fleet.replica("i-new").lapsed());
+    }
+
     @Test
     void drainingIsAcknowledgedOnlyOnceAnotherControllerHoldsIt() {
         registry.heartbeat(Replicas.draining(ID, 4), answers::add);
