--- a/control/src/main/java/pinewick/control/ApiHandler.java
+++ b/control/src/main/java/pinewick/control/ApiHandler.java
@@ -22,7 +22,10 @@
     private static final String BASE_VERSION = "X-Pinewick-Base-Version";
     private static final String JSON = "application/json";
 
+    private static final long MOST_BODY_BYTES = 10 * 1024 * 1024;
+
     private final Map<ApiOperation, ApiEndpoint> endpoints;
+    private final BodyBudget bodies = new BodyBudget(MOST_BODY_BYTES);
     private final long bodyDeadlineMs;
     private final AtomicInteger callsInProgress = new AtomicInteger();
     private volatile boolean closing;
@@ -69,6 +72,7 @@
         private final Response response;
         private final Callback callback;
         private final AtomicBoolean answered = new AtomicBoolean();
+        private final BodyBudget.Share memory = bodies.newShare();
         private ApiOperation.Match match;
 
         Exchange(Request request, Response response, Callback callback) {
@@ -81,7 +85,8 @@
         void readBody(ApiOperation.Match found) {
             match = found;
             int maxBytes = found.operation().maxBodyBytes();
-            BodyReader.read(request, maxBytes, bodyDeadlineMs, getServer().getScheduler(), this);
+            BodyReader reader = new BodyReader(request, maxBytes, memory, this);
+            reader.start(getServer().getScheduler(), bodyDeadlineMs);
         }
 
         @Override
@@ -103,6 +108,11 @@
             endAndClose(ApiAnswer.error(HttpStatus.PAYLOAD_TOO_LARGE_413, "body over " + maxBytes + " bytes"));
         }
 
+        @Override
+        public void noRoom() {
+            endAndClose(ApiAnswer.unavailable("too many calls with large bodies at once"));
+        }
+
         @Override
         public void late() {
             endAndClose(ApiAnswer.error(HttpStatus.REQUEST_TIMEOUT_408, "body not sent in time"));
@@ -110,8 +120,7 @@
 
         @Override
         public void failed(Throwable cause) {
-            if (answered.compareAndSet(false, true)) {
-                callsInProgress.decrementAndGet();
+            if (firstAnswer()) {
                 callback.failed(cause);
             }
         }
@@ -122,10 +131,9 @@
         }
 
         private void end(ApiAnswer answer) {
-            if (!answered.compareAndSet(false, true)) {
+            if (!firstAnswer()) {
                 return;
             }
-            callsInProgress.decrementAndGet();
             response.setStatus(answer.status());
             answer.location().ifPresent(location -> response.getHeaders().put(HttpHeader.LOCATION, location));
             if (answer.body().length > 0) {
@@ -134,5 +142,14 @@
             response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length);
             response.write(true, ByteBuffer.wrap(answer.body()), callback);
         }
+
+        private boolean firstAnswer() {
+            boolean first = answered.compareAndSet(false, true);
+            if (first) {
+                memory.release();
+                callsInProgress.decrementAndGet();
+            }
+            return first;
+        }
     }
 }
--- a/control/src/main/java/pinewick/control/BodyReader.java
+++ b/control/src/main/java/pinewick/control/BodyReader.java
@@ -1,6 +1,6 @@
 package pinewick.control;
 
-import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.Content;
@@ -9,8 +9,8 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Reads the body of one request without holding a thread. Ends in exactly one call of its {@link Listener}: the whole
- * body, a body that is too large, a connection that broke, or a deadline that passed.
+ * Reads the body of one request without holding a thread. Ends in exactly one call of its {@link Listener}: with the whole
+ * body, or with the reason why there is none.
  */
 final class BodyReader implements Invocable.Task {
     /** Told how the reading ended. */
@@ -21,6 +21,9 @@
         /** The body is larger than allowed; the rest of it has not been read. */
         void tooLarge();
 
+        /** There is no memory for the body at present; the rest of it has not been read. */
+        void noRoom();
+
         /** The body has not arrived in time. */
         void late();
 
@@ -28,33 +31,41 @@
         void failed(Throwable cause);
     }
 
-    private static final int FIRST_CAPACITY = 512;
-
     private final Request request;
     private final int maxBytes;
+    private final BodyBudget.Share memory;
     private final Listener listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(FIRST_CAPACITY);
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile Scheduler.Task deadline;
-
-    private BodyReader(Request request, int maxBytes, Listener listener) {
+    private byte[] body = {};
+    private int length;
+
+    /**
+     * @param maxBytes the largest body
+     * @param memory where the memory for the body is taken from; the caller gives it back
+     */
+    BodyReader(Request request, int maxBytes, BodyBudget.Share memory, Listener listener) {
         this.request = request;
         this.maxBytes = maxBytes;
+        this.memory = memory;
         this.listener = listener;
     }
 
     /** Starts to read; the listener is told within {@code deadlineMs}. */
-    static void read(Request request, int maxBytes, long deadlineMs, Scheduler scheduler, Listener listener) {
-        if (request.getLength() > maxBytes) {
-            listener.tooLarge();
+    void start(Scheduler scheduler, long deadlineMs) {
+        long announced = request.getLength();
+        if (announced > maxBytes) {
+            end(listener::tooLarge);
             return;
         }
-        BodyReader reader = new BodyReader(request, maxBytes, listener);
-        if (reader.readAvailable()) {
+        if (announced > 0 && !ensureCapacity((int) announced)) {
+            end(listener::noRoom);
             return;
         }
-        reader.deadline = scheduler.schedule(reader::onDeadline, deadlineMs, TimeUnit.MILLISECONDS);
-        request.demand(reader);
+        if (!readAvailable()) {
+            deadline = scheduler.schedule(() -> end(listener::late), deadlineMs, TimeUnit.MILLISECONDS);
+            request.demand(this);
+        }
     }
 
     @Override
@@ -65,9 +76,6 @@
     /** More of the body has arrived. */
     @Override
     public void run() {
-        if (ended.get()) {
-            return;
-        }
         if (!readAvailable()) {
             request.demand(this);
         }
@@ -90,26 +98,36 @@
             end(() -> listener.failed(chunk.getFailure()));
             return;
         }
-        boolean fits = body.size() + chunk.remaining() <= maxBytes;
-        if (fits) {
+        if ((long) length + chunk.remaining() > maxBytes) {
+            end(listener::tooLarge);
+        } else if (!ensureCapacity(length + chunk.remaining())) {
+            end(listener::noRoom);
+        } else {
             append(chunk);
         }
         chunk.release();
-        if (!fits) {
-            end(listener::tooLarge);
-        } else if (chunk.isLast()) {
-            end(() -> listener.complete(body.toByteArray()));
-        }
     }
 
     private void append(Content.Chunk chunk) {
-        byte[] bytes = new byte[chunk.remaining()];
-        chunk.get(bytes, 0, bytes.length);
-        body.writeBytes(bytes);
+        int count = chunk.remaining();
+        chunk.get(body, length, count);
+        length += count;
+        if (chunk.isLast()) {
+            byte[] whole = length == body.length ? body : Arrays.copyOf(body, length);
+            end(() -> listener.complete(whole));
+        }
     }
 
-    private void onDeadline() {
-        end(listener::late);
+    private boolean ensureCapacity(int needed) {
+        if (needed <= body.length) {
+            return true;
+        }
+        int capacity = Math.max(needed, Math.min(maxBytes, 2 * body.length));
+        if (!memory.take(capacity - body.length)) {
+            return false;
+        }
+        body = Arrays.copyOf(body, capacity);
+        return true;
     }
 
     private void end(Runnable ending) {
