--- a/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -1,8 +1,10 @@
 package pinewick.control;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
@@ -27,11 +29,14 @@
     /** Stands for the address of a replica that deregistered before anything else was known of it. */
     static final SocketAddress NO_ADDRESS = new SocketAddress("0.0.0.0", 1);
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int LOG_PAUSE_SECONDS = 5;
     private static final long BEFORE_ANY_CALL = -1;
 
     private final FleetAccess fleet;
     private final TaskLoop loop;
     private final double contactMs;
+    private final RegistryCounters counters;
     private final Map<String, Presence> presences = new HashMap<>();
     private double lastCompanyMs;
 
@@ -44,10 +49,11 @@
     /**
      * @param contactMs after how long without any other controller in sight this process counts as the only one
      */
-    ReplicaRegistry(FleetAccess fleet, TaskLoop loop, double contactMs) {
+    ReplicaRegistry(FleetAccess fleet, TaskLoop loop, double contactMs, RegistryCounters counters) {
         this.fleet = fleet;
         this.loop = loop;
         this.contactMs = contactMs;
+        this.counters = counters;
         this.lastCompanyMs = loop.nowMs();
     }
 
@@ -57,7 +63,10 @@
         ReplicaRecord known = fleet.replica(heard.instanceId());
         boolean late = known != null
                 && heard.callSequence() < Math.max(presence.lastCallSequence, known.callSequence());
-        if (!late) {
+        counters.countHeartbeat();
+        if (late) {
+            counters.countLateHeartbeat();
+        } else {
             presence.lastCallSequence = heard.callSequence();
             fleet.heard(heard.instanceId());
         }
@@ -67,7 +76,7 @@
                 lapsePredecessors(heard);
             }
             if (known == null || RecordChanges.isNews(known, merged)) {
-                fleet.publish(merged, () -> {});
+                publish(merged, () -> {});
             }
             acknowledge.accept(Acknowledgement.HELD);
             return;
@@ -87,7 +96,7 @@
                 .filter(other -> !other.instanceId().equals(newcomer.instanceId()))
                 .filter(other -> other.state() != ReplicaState.GONE && !other.lapsed())
                 .toList();
-        predecessors.forEach(predecessor -> fleet.publish(predecessor.withLapsed(true), () -> {}));
+        predecessors.forEach(predecessor -> publish(predecessor.withLapsed(true), () -> {}));
     }
 
     private static ReplicaRecord joined(ReplicaRecord known, ReplicaRecord heard) {
@@ -120,20 +129,38 @@
             return;
         }
         OnceOnly answer = new OnceOnly(acknowledge);
-        fleet.publish(record, () -> {
+        publish(record, () -> {
             if (presence.confirmed.compareTo(record.state()) < 0) {
                 presence.confirmed = record.state();
             }
+            counters.countEndConfirmed();
             answer.accept(Acknowledgement.HELD);
         });
         if (!answer.isGiven()) {
-            loop.schedule(() -> answer.accept(withoutConfirmation()), CONFIRMATION_MS);
+            loop.schedule(() -> endWithoutConfirmation(record, answer), CONFIRMATION_MS);
         }
     }
 
-    private Acknowledgement withoutConfirmation() {
+    private void endWithoutConfirmation(ReplicaRecord record, OnceOnly answer) {
+        if (answer.isGiven()) {
+            return;
+        }
         boolean alone = !hasCompany() && loop.nowMs() - lastCompanyMs >= contactMs;
-        return alone ? Acknowledgement.HELD : Acknowledgement.NOT_CONFIRMED;
+        if (alone) {
+            counters.countEndAcknowledgedAlone();
+            answer.accept(Acknowledgement.HELD);
+            return;
+        }
+        counters.countEndUnconfirmed();
+        logger.atWarning().atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log(
+                "confirm %s of %s: no other controller within %d ms (%d times so far)",
+                record.state(), record.instanceId(), CONFIRMATION_MS, counters.endsUnconfirmed());
+        answer.accept(Acknowledgement.NOT_CONFIRMED);
+    }
+
+    private void publish(ReplicaRecord record, Runnable heldElsewhere) {
+        counters.countPublished();
+        fleet.publish(record, heldElsewhere);
     }
 
     private boolean hasCompany() {
--- /dev/null
+++ b/control/src/main/java/pinewick/control/StatusReport.java
@@ -0,0 +1,109 @@
+package pinewick.control;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import pinewick.membership.NodeDescriptor;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+
+/** The state of one controller, for the people who run it. */
+final class StatusReport {
+    private static final double MS_A_SECOND = 1_000;
+
+    private final JsonObject report = new JsonObject();
+
+    /** Which process this is, and for how long it runs. */
+    StatusReport node(String name, String zone, double uptimeMs) {
+        report.addProperty("node", name);
+        report.addProperty("zone", zone);
+        report.addProperty("uptime_s", Math.round(uptimeMs / MS_A_SECOND));
+        return this;
+    }
+
+    /**
+     * The configuration as this process sees it.
+     *
+     * @param loaded whether the store has been loaded
+     */
+    StatusReport configuration(
+            boolean loaded, long version, Optional<SocketAddress> primary, Optional<Long> leadingEpoch) {
+        JsonObject section = new JsonObject();
+        section.addProperty("store_loaded", loaded);
+        section.addProperty("version", version);
+        primary.ifPresent(address -> section.addProperty("primary", address.toString()));
+        leadingEpoch.ifPresent(epoch -> section.addProperty("leading_epoch", epoch));
+        report.add("configuration", section);
+        return this;
+    }
+
+    /** The other processes. */
+    StatusReport fleet(boolean synchronised, int routers, int routersAtMost, List<NodeDescriptor> peers) {
+        JsonObject section = new JsonObject();
+        section.addProperty("synchronised", synchronised);
+        section.addProperty("routers", routers);
+        section.addProperty("routers_at_most", routersAtMost);
+        JsonArray list = new JsonArray();
+        for (NodeDescriptor peer : peers) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("address", peer.address().toString());
+            entry.addProperty("role", peer.role().name().toLowerCase(Locale.ROOT));
+            entry.addProperty("zone", peer.zone());
+            list.add(entry);
+        }
+        section.add("peers", list);
+        report.add("fleet", section);
+        return this;
+    }
+
+    /** Replicas by service and state. */
+    StatusReport replicas(Collection<ReplicaRecord> records) {
+        Map<String, Map<ReplicaState, Integer>> states = new TreeMap<>();
+        Map<String, Integer> lapsed = new TreeMap<>();
+        for (ReplicaRecord record : records) {
+            states.computeIfAbsent(record.service(), name -> new EnumMap<>(ReplicaState.class))
+                    .merge(record.state(), 1, Integer::sum);
+            lapsed.merge(record.service(), record.lapsed() ? 1 : 0, Integer::sum);
+        }
+        JsonObject section = new JsonObject();
+        states.forEach((service, counts) -> section.add(service, serviceEntry(counts, lapsed.get(service))));
+        report.add("replicas", section);
+        return this;
+    }
+
+    private static JsonObject serviceEntry(Map<ReplicaState, Integer> counts, int lapsed) {
+        JsonObject entry = new JsonObject();
+        for (ReplicaState state : ReplicaState.values()) {
+            entry.addProperty(state.name().toLowerCase(Locale.ROOT), counts.getOrDefault(state, 0));
+        }
+        entry.addProperty("lapsed", lapsed);
+        return entry;
+    }
+
+    /** What replicas have told this process. */
+    StatusReport registry(RegistryCounters counters) {
+        JsonObject section = new JsonObject();
+        section.addProperty("heartbeats", counters.heartbeats());
+        section.addProperty("late_heartbeats", counters.lateHeartbeats());
+        section.addProperty("records_published", counters.published());
+        section.addProperty("ends_confirmed", counters.endsConfirmed());
+        section.addProperty("ends_unconfirmed", counters.endsUnconfirmed());
+        section.addProperty("ends_acknowledged_alone", counters.endsAcknowledgedAlone());
+        section.addProperty("found_silent", counters.lapsed());
+        report.add("registry", section);
+        return this;
+    }
+
+    /** The report as JSON. */
+    byte[] toJson() {
+        return report.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
+++ b/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
@@ -17,7 +17,8 @@
 
     private final ManualLoop loop = new ManualLoop(10_000);
     private final FakeFleet fleet = new FakeFleet(loop::nowMs);
-    private final ReplicaRegistry registry = new ReplicaRegistry(fleet, loop, CONTACT_MS);
+    private final RegistryCounters counters = new RegistryCounters();
+    private final ReplicaRegistry registry = new ReplicaRegistry(fleet, loop, CONTACT_MS, counters);
     private final List<Acknowledgement> answers = new ArrayList<>();
 
     @Test
