Rehearsal of both programs for the class archive; tests of settings, signals, commands and logs

Cause: a start without a class archive is slow, and the programs' shell had no tests. Change: the build plays a short life of a controller and a router on loopback (configuration, heartbeats, requests, generations, an update) and records the classes; a step that fails is logged and does not fail the build.

--- a/system/src/main/java/pinewick/system/Commands.java
+++ b/system/src/main/java/pinewick/system/Commands.java
@@ -1,21 +1,19 @@
 package pinewick.system;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.net.HttpURLConnection;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
+import java.util.Map;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.InvalidConfigurationException;
 import pinewick.model.NodeSettings;
-import pinewick.model.RoutingTable;
+import pinewick.model.SocketAddress;
 
 /** The command line. */
 @Command(
@@ -24,14 +22,17 @@
         versionProvider = Commands.ManifestVersion.class,
         description = "Router fleet for split prefill and decode: routers, controllers and their tools.")
 final class Commands implements Runnable {
-    private static final Duration STATUS_TIME_OUT = Duration.ofSeconds(5);
-
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     /** Runs one command and returns its exit code. */
     static int run(String... words) {
-        return new CommandLine(new Commands()).execute(words);
+        return line().execute(words);
+    }
+
+    /** The parser of the command line. */
+    static CommandLine line() {
+        return new CommandLine(new Commands());
     }
 
     @Override
@@ -66,10 +67,8 @@
     int checkConfiguration(@Parameters(paramLabel = "FILE") Path file) {
         try {
             ConfigurationDocument document = ConfigurationChecks.parseReplacement(Files.readAllBytes(file));
-            RoutingTable table = ConfigurationChecks.toRoutingTable(document);
-            int routes = document.sections().get("routes").size();
-            spec.commandLine().getOut().println("configuration " + table.version() + " is sound: " + routes
-                    + " routes, " + table.services().size() + " services");
+            spec.commandLine().getOut().println("configuration " + document.version() + " is sound: "
+                    + count(document, "routes") + " routes, " + count(document, "services") + " services");
             return ProgramRunner.DONE;
         } catch (InvalidConfigurationException e) {
             e.faults().forEach(spec.commandLine().getErr()::println);
@@ -80,23 +79,30 @@
         }
     }
 
-    @Command(name = "status", description = "Asks a process how it is.")
+    private static int count(ConfigurationDocument document, String section) {
+        return document.sections().getOrDefault(section, Map.of()).size();
+    }
+
+    @Command(name = "status", description = "Asks a controller for its state, or a router whether it is ready.")
     int status(@Parameters(paramLabel = "ADDRESS", description = "HOST:PORT of its readiness or control_plane address")
             String address) {
-        HttpClient client = HttpClient.newBuilder().connectTimeout(STATUS_TIME_OUT).build();
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/ready"))
-                .timeout(STATUS_TIME_OUT)
-                .build();
+        SocketAddress process;
+        try {
+            process = SocketAddress.parse(address);
+        } catch (IllegalArgumentException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+        }
         try {
-            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
-            spec.commandLine().getOut().println(response.statusCode() + " " + response.body());
-            return response.statusCode() == 200 ? ProgramRunner.DONE : ProgramRunner.FAILED;
+            HttpCall.Answer answer = HttpCall.get(process, "/status").send();
+            if (answer.status() == HttpURLConnection.HTTP_NOT_FOUND) {
+                answer = HttpCall.get(process, "/ready").send();
+            }
+            spec.commandLine().getOut().println(answer.status() + " " + answer.body());
+            return answer.status() == HttpURLConnection.HTTP_OK ? ProgramRunner.DONE : ProgramRunner.FAILED;
         } catch (IOException e) {
             spec.commandLine().getErr().println(address + " does not answer: " + e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            return ProgramRunner.FAILED;
         }
-        return ProgramRunner.FAILED;
     }
 
     @Command(name = "version", description = "Tells the version.")
@@ -105,9 +111,10 @@
         return ProgramRunner.DONE;
     }
 
-    @Command(name = "rehearse", hidden = true, description = "Plays a short life of both programs, for the class archive.")
-    int rehearse() {
-        return new Rehearsal().run();
+    @Command(name = "rehearse", hidden = true, description = "Plays a short life of both programs.")
+    int rehearse(@Option(names = "--strict", description = "fail if a step of it fails") boolean strict) {
+        int code = new Rehearsal().run();
+        return strict ? code : ProgramRunner.DONE;
     }
 
     /** The version in the jar's manifest. */
--- /dev/null
+++ b/system/src/main/java/pinewick/system/HttpCall.java
@@ -0,0 +1,56 @@
+package pinewick.system;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.HttpURLConnection;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import pinewick.model.SocketAddress;
+
+/** One HTTP call of the tools, on a connection of its own. */
+record HttpCall(SocketAddress address, String method, String path, Map<String, String> headers, String body) {
+    private static final int CONNECT_TIME_OUT_MS = 1_000;
+    private static final int READ_TIME_OUT_MS = 5_000;
+
+    /** A status and a body. */
+    record Answer(int status, String body) {}
+
+    static HttpCall get(SocketAddress address, String path) {
+        return new HttpCall(address, "GET", path, Map.of(), "");
+    }
+
+    /**
+     * Sends the call and reads the whole answer.
+     *
+     * @throws IOException if there is no connection, or no whole answer in time
+     */
+    Answer send() throws IOException {
+        URL url = new URL("http", address.host(), address.port(), path);
+        HttpURLConnection connection = (HttpURLConnection) url.openConnection();
+        connection.setConnectTimeout(CONNECT_TIME_OUT_MS);
+        connection.setReadTimeout(READ_TIME_OUT_MS);
+        connection.setRequestMethod(method);
+        connection.setRequestProperty("Connection", "close");
+        headers.forEach(connection::setRequestProperty);
+        if (!body.isEmpty()) {
+            writeBody(connection);
+        }
+        int status = connection.getResponseCode();
+        try (InputStream stream = status < HttpURLConnection.HTTP_BAD_REQUEST
+                ? connection.getInputStream()
+                : connection.getErrorStream()) {
+            return new Answer(status, stream == null ? "" : new String(stream.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    private void writeBody(HttpURLConnection connection) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        connection.setDoOutput(true);
+        connection.setFixedLengthStreamingMode(bytes.length);
+        try (OutputStream stream = connection.getOutputStream()) {
+            stream.write(bytes);
+        }
+    }
+}
--- a/system/src/main/java/pinewick/system/LogLine.java
+++ b/system/src/main/java/pinewick/system/LogLine.java
@@ -19,7 +19,7 @@
         line.append(' ').append(letter(record.getLevel())).append(' ');
         String name = String.valueOf(record.getLoggerName());
         line.append(name, name.lastIndexOf('.') + 1, name.length()).append(": ");
-        appendOnOneLine(line, formatMessage(record));
+        appendOnOneLine(line, String.valueOf(formatMessage(record)));
         if (record.getThrown() != null) {
             appendChain(line, record.getThrown());
         }
--- a/system/src/main/java/pinewick/system/LogSetup.java
+++ b/system/src/main/java/pinewick/system/LogSetup.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -13,6 +14,10 @@
 
 /** Sends the log to standard output, a line and a write a record. */
 final class LogSetup {
+    /** Libraries that tell much of their ordinary life. Held here, because the log manager forgets loggers nobody holds. */
+    private static final List<Logger> LIBRARIES =
+            List.of(Logger.getLogger("org.eclipse.jetty"), Logger.getLogger("jetbrains.exodus"));
+
     private LogSetup() {}
 
     /** Replaces whatever handlers there are. */
@@ -21,6 +26,9 @@
         Logger root = Logger.getLogger("");
         root.setLevel(Level.INFO);
         root.addHandler(new LineHandler(new FileOutputStream(FileDescriptor.out)));
+        for (Logger library : LIBRARIES) {
+            library.setLevel(Level.WARNING);
+        }
     }
 
     /** Writes each record as a line of its own. */
--- a/system/src/main/java/pinewick/system/Main.java
+++ b/system/src/main/java/pinewick/system/Main.java
@@ -15,8 +15,14 @@
         return switch (command) {
             case "router" -> ProgramRunner.run(Program::router);
             case "controller" -> ProgramRunner.run(Program::controller);
-            case "rehearse" -> new Rehearsal().run();
+            case "rehearse" -> rehearse();
             default -> Commands.run(words);
         };
     }
+
+    /** Whatever comes of it, the build goes on: the archive only makes the start quicker. */
+    private static int rehearse() {
+        new Rehearsal().run();
+        return ProgramRunner.DONE;
+    }
 }
--- /dev/null
+++ b/system/src/main/java/pinewick/system/RehearsalStage.java
@@ -0,0 +1,113 @@
+package pinewick.system;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
+import pinewick.model.NodeSettings;
+import pinewick.model.SocketAddress;
+
+/** What the rehearsal stands on: free ports and stand-in replicas on loopback, a folder, and settings for both programs. */
+final class RehearsalStage implements Closeable {
+    private static final int TRIES_FOR_PORTS = 50;
+    private static final int LOWEST_PAIR = 20_000;
+    private static final int HIGHEST_PAIR = 30_000;
+
+    private final InetAddress host = InetAddress.getByName("127.0.0.1");
+    private final int internalPort = freePairOfPorts();
+    private final SocketAddress frontend = freeAddress();
+    private final SocketAddress readiness = freeAddress();
+    private final SocketAddress controlPlane = freeAddress();
+    private final Path folder;
+    private final List<StandInReplica> replicas;
+
+    /** @param parent where the folder is made, removed again by {@link #close} */
+    RehearsalStage(Path parent) throws IOException {
+        folder = Files.createTempDirectory(parent, "rehearsal");
+        replicas = List.of(
+                new StandInReplica("i-prefill", "prefill", host),
+                new StandInReplica("i-decode", "decode", host),
+                new StandInReplica("i-plain", "", host));
+    }
+
+    SocketAddress frontend() {
+        return frontend;
+    }
+
+    SocketAddress readiness() {
+        return readiness;
+    }
+
+    SocketAddress controlPlane() {
+        return controlPlane;
+    }
+
+    List<StandInReplica> replicas() {
+        return replicas;
+    }
+
+    NodeSettings routerSettings() throws InvalidSettingsException {
+        String listen = "frontend = \"" + frontend + "\"\nreadiness = \"" + readiness + "\"\n";
+        return settings("router", "frontend", "", listen);
+    }
+
+    NodeSettings controllerSettings() throws InvalidSettingsException {
+        String listen = "control_plane = \"" + controlPlane + "\"\n";
+        return settings("controller", "control_plane", "data_directory = '" + folder + "'\n", listen);
+    }
+
+    private NodeSettings settings(String role, String serves, String more, String listen)
+            throws InvalidSettingsException {
+        String text = "node_name = \"rehearsal\"\nrole = \"" + role + "\"\nserves = [\"" + serves + "\"]\n"
+                + "ip_address = \"" + host.getHostAddress() + "\"\nzone = \"z\"\nregion = \"r\"\n"
+                + "internal_port_range = [" + internalPort + "," + (internalPort + 1) + "]\n"
+                + "seed_nodes = [\"" + controlPlane + "\"]\nfirst_start = true\n"
+                + "counts_for_quorum = " + !more.isEmpty() + "\nheartbeat_ms = 1000\n" + more
+                + "[zones]\nz = \"r\"\n[listen_addresses]\n" + listen + "[limits]\nfile_descriptors = 1024\n"
+                + "[bounds]\ngrace_period_s = 1\nretry_budget_slack = 20\n";
+        return SettingsReader.parse(text, "rehearsal of " + role);
+    }
+
+    private SocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, host)) {
+            return new SocketAddress(host.getHostAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Two neighbouring ports, looked for below those that the kernel gives away. */
+    private int freePairOfPorts() throws IOException {
+        for (int tries = 0; tries < TRIES_FOR_PORTS; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PAIR, HIGHEST_PAIR);
+            if (isFree(port) && isFree(port + 1)) {
+                return port;
+            }
+        }
+        throw new IOException("no two neighbouring ports are free on " + host);
+    }
+
+    private boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, host)) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (StandInReplica replica : replicas) {
+            replica.close();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- a/system/src/main/java/pinewick/system/SettingsReader.java
+++ b/system/src/main/java/pinewick/system/SettingsReader.java
@@ -105,17 +105,13 @@
 
     private static int[] internalPorts(TomlFields root) {
         String key = "internal_port_range";
-        String remedy = "give the first and the last of at least " + INTERNAL_PORTS_NEEDED + " free ports, as [7720,7735]";
-        List<Object> range = root.list(key, "two ports");
-        if (!root.has(key)) {
-            root.fault(key, "is missing; " + remedy);
-            return new int[2];
-        }
+        List<Object> range = root.list(key).orElse(List.of());
         if (range.size() == 2 && range.get(0) instanceof Long first && range.get(1) instanceof Long last
                 && first > 0 && last <= HIGHEST_PORT && last - first + 1 >= INTERNAL_PORTS_NEEDED) {
             return new int[] {first.intValue(), last.intValue()};
         }
-        root.fault(key, "is " + range + "; " + remedy);
+        root.fault(key, "is " + root.written(key) + "; give the first and the last of at least " + INTERNAL_PORTS_NEEDED
+                + " free ports, as [7720,7735]");
         return new int[2];
     }
 
@@ -131,7 +127,7 @@
     private static List<SocketAddress> seedNodes(TomlFields root) {
         String key = "seed_nodes";
         List<SocketAddress> seeds = root.addresses(key);
-        if (!root.has(key) || (root.list(key, "addresses").isEmpty())) {
+        if (!root.has(key) || root.list(key).map(List::isEmpty).orElse(false)) {
             root.fault(key, "names nobody; give control_plane addresses of controllers, as [\"10.1.0.13:8166\"]");
         }
         return seeds;
--- a/system/src/main/java/pinewick/system/TomlFields.java
+++ b/system/src/main/java/pinewick/system/TomlFields.java
@@ -40,6 +40,12 @@
         return new TomlFields(path + key + ".", null, faults);
     }
 
+    /** How the value of a field is written, {@code missing} if it is absent. */
+    String written(String key) {
+        Object value = value(key);
+        return value instanceof TomlArray array ? array.toList().toString() : value == null ? "missing" : value.toString();
+    }
+
     void fault(String key, String sentence) {
         faults.add(new SettingsFault(path + key, sentence));
     }
@@ -104,7 +110,10 @@
 
     List<String> texts(String key) {
         List<String> texts = new ArrayList<>();
-        for (Object element : list(key, "a list of texts")) {
+        if (has(key) && list(key).isEmpty()) {
+            fault(key, "is " + written(key) + "; give a list of texts");
+        }
+        for (Object element : list(key).orElse(List.of())) {
             if (element instanceof String text) {
                 texts.add(text);
             } else {
@@ -123,19 +132,16 @@
     }
 
     Optional<SocketAddress> address(String key) {
-        return has(key) ? parse(key, text(key, "")) : Optional.empty();
+        if (value(key) instanceof String text) {
+            return parse(key, text);
+        }
+        text(key, "");
+        return Optional.empty();
     }
 
-    /** The elements of a list; none if it is absent or something else. */
-    List<Object> list(String key, String kind) {
-        Object value = value(key);
-        if (value instanceof TomlArray array) {
-            return array.toList();
-        }
-        if (value != null) {
-            fault(key, "is " + value + "; give " + kind);
-        }
-        return List.of();
+    /** The elements of a list, as they are; empty if it is absent or something else. */
+    Optional<List<Object>> list(String key) {
+        return value(key) instanceof TomlArray array ? Optional.of(array.toList()) : Optional.empty();
     }
 
     /** Every text of this table by its key. */
--- /dev/null
+++ b/system/src/test/java/pinewick/system/CommandsTest.java
@@ -0,0 +1,104 @@
+package pinewick.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+class CommandsTest {
+    @TempDir
+    private Path folder;
+
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... words) {
+        CommandLine line = Commands.line();
+        line.setOut(new PrintWriter(out, true));
+        line.setErr(new PrintWriter(err, true));
+        return line.execute(words);
+    }
+
+    private String file(String text) throws IOException {
+        return Files.writeString(folder.resolve("file"), text).toString();
+    }
+
+    @Test
+    void checksSettings() throws IOException {
+        assertEquals(0, run("check-settings", file(SampleSettings.ROUTER)));
+        assertEquals("settings of frontend-sala-mi-1 in sala-mi are sound", out.toString().strip());
+    }
+
+    @Test
+    void tellsEveryFaultOfSettingsOnALineOfItsOwn() throws IOException {
+        String text = SampleSettings.ROUTER.replace("heartbeat_ms = 1200", "heartbeat_ms = true").replace("zone = ", "zone_ = ");
+
+        assertEquals(2, run("check-settings", file(text)));
+        assertEquals(
+                "zone is missing; name the zone of this machine\nheartbeat_ms is true; give a number from 0 up",
+                err.toString().strip());
+    }
+
+    @Test
+    void checksAConfiguration() throws IOException {
+        assertEquals(0, run("check-config", file("{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"s\"}]}")));
+        assertEquals("configuration 3 is sound: 0 routes, 1 services", out.toString().strip());
+    }
+
+    @Test
+    void tellsTheFaultsOfAConfiguration() throws IOException {
+        assertEquals(2, run("check-config", file("{\"version\":0,\"routes\":[],\"services\":[{}]}")));
+        assertEquals(
+                "services[0].name: is missing or no text; give each item a name\n"
+                        + "configuration.version: 0 is not a whole number above 0",
+                err.toString().strip());
+    }
+
+    @Test
+    void tellsOfAFileThatCannotBeRead() {
+        assertEquals(2, run("check-config", folder.resolve("none").toString()));
+        assertTrue(err.toString().strip().endsWith("; name a readable file"), err.toString());
+    }
+
+    @Test
+    void asksAProcessHowItIs() throws IOException {
+        try (StandInReplica process = new StandInReplica("i", "", InetAddress.getByName("127.0.0.1"))) {
+            assertEquals(0, run("status", process.address().toString()));
+        }
+        assertEquals("200 plain", out.toString().strip());
+    }
+
+    @Test
+    void tellsThatAProcessDoesNotAnswer() throws IOException {
+        StandInReplica process = new StandInReplica("i", "", InetAddress.getByName("127.0.0.1"));
+        process.close();
+
+        assertEquals(1, run("status", process.address().toString()));
+        assertTrue(err.toString().startsWith(process.address() + " does not answer: "), err.toString());
+        assertEquals(2, run("status", "nowhere"));
+    }
+
+    @Test
+    void tellsTheVersion() {
+        assertEquals(0, run("version"));
+        assertTrue(out.toString().startsWith("pinewick-system "), out.toString());
+    }
+
+    @Test
+    void refusesUnknownWordsAndHidesTheRehearsal() {
+        assertEquals(2, run("dance"));
+        assertEquals(2, run());
+        assertEquals(0, run("--help"));
+        assertTrue(out.toString().contains("check-settings"));
+        assertFalse(out.toString().contains("rehearse"));
+    }
+}
--- /dev/null
+++ b/system/src/test/java/pinewick/system/ProgramRunnerTest.java
@@ -0,0 +1,104 @@
+package pinewick.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pinewick.model.NodeSettings;
+import pinewick.model.SocketAddress;
+
+class ProgramRunnerTest {
+    @TempDir
+    private Path folder;
+
+    private final List<String> calls = new ArrayList<>();
+    private final BlockingQueue<ProcessEvent> events = new LinkedBlockingQueue<>();
+
+    /** Notes what it is asked, and fails at one step. */
+    private final class NotingProgram implements Program {
+        private final String failingStep;
+
+        NotingProgram(String failingStep) {
+            this.failingStep = failingStep;
+        }
+
+        @Override
+        public void start() throws IOException {
+            note("start");
+        }
+
+        @Override
+        public void stop() throws IOException {
+            note("stop");
+        }
+
+        @Override
+        public void updateSeeds(List<SocketAddress> seeds) {
+            calls.add("seeds " + seeds);
+        }
+
+        private void note(String step) throws IOException {
+            calls.add(step);
+            if (step.equals(failingStep)) {
+                throw new IOException(step + " (10.1.0.10:8161) fails");
+            }
+        }
+    }
+
+    private int run(String settings, String failingStep) throws IOException {
+        Path file = Files.writeString(folder.resolve("node.toml"), settings);
+        return new ProgramRunner(file, (NodeSettings read) -> new NotingProgram(failingStep), events).run();
+    }
+
+    @Test
+    void startsAndStopsAtTheSignal() throws IOException {
+        events.add(ProcessEvent.STOP);
+
+        assertEquals(0, run(SampleSettings.ROUTER, ""));
+        assertEquals(List.of("start", "stop"), calls);
+    }
+
+    @Test
+    void handsOverOtherSeedsBeforeItStops() throws IOException {
+        Path file = Files.writeString(folder.resolve("node.toml"), SampleSettings.ROUTER);
+        events.add(ProcessEvent.REREAD_SETTINGS);
+        events.add(ProcessEvent.STOP);
+        Program.Factory factory = settings -> {
+            rewrite(file, SampleSettings.ROUTER.replaceFirst("seed_nodes = .*", "seed_nodes = [\"10.9.9.9:8166\"]"));
+            return new NotingProgram("");
+        };
+
+        assertEquals(0, new ProgramRunner(file, factory, events).run());
+        assertEquals(List.of("start", "seeds [10.9.9.9:8166]", "stop"), calls);
+    }
+
+    private static void rewrite(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void endsWithTwoForFaultySettings() throws IOException {
+        assertEquals(2, run("node_name = 1", ""));
+        assertEquals(List.of(), calls);
+    }
+
+    @Test
+    void endsWithOneWhenTheProgramCannotStartOrStop() throws IOException {
+        events.add(ProcessEvent.STOP);
+
+        assertEquals(1, run(SampleSettings.ROUTER, "start"));
+        assertEquals(1, run(SampleSettings.ROUTER, "stop"));
+        assertEquals(List.of("start", "start", "stop"), calls);
+    }
+}
--- /dev/null
+++ b/system/src/test/java/pinewick/system/RehearsalStageTest.java
@@ -0,0 +1,46 @@
+package pinewick.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pinewick.model.NodeSettings;
+
+class RehearsalStageTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void givesBothProgramsSoundSettingsThatFitTogether() throws IOException, InvalidSettingsException {
+        try (RehearsalStage stage = new RehearsalStage(folder)) {
+            NodeSettings router = stage.routerSettings();
+            NodeSettings controller = stage.controllerSettings();
+
+            assertEquals(Optional.of(stage.frontend()), router.frontend());
+            assertEquals(Optional.of(stage.readiness()), router.readiness());
+            assertEquals(Optional.of(stage.controlPlane()), controller.controlPlane());
+            assertEquals(List.of(stage.controlPlane()), router.seedNodes());
+            assertEquals(router.controllerPort(), controller.controllerPort());
+            assertTrue(Files.isDirectory(controller.dataDirectory().orElseThrow()));
+            assertEquals(3, stage.replicas().size());
+        }
+    }
+
+    @Test
+    void leavesNothingBehind() throws IOException, InvalidSettingsException {
+        RehearsalStage stage = new RehearsalStage(folder);
+        Files.writeString(stage.controllerSettings().dataDirectory().orElseThrow().resolve("store"), "x");
+        stage.close();
+
+        try (Stream<Path> left = Files.list(folder)) {
+            assertEquals(0, left.count());
+        }
+    }
+}
