--- a/system/src/main/java/pinewick/system/Commands.java
+++ b/system/src/main/java/pinewick/system/Commands.java
@@ -42,12 +42,12 @@
 
     @Command(name = "router", description = "Runs a router with the settings file that PINEWICK_CONFIG names.")
     int router() {
-        return ProgramRunner.run(Program::router);
+        return ProgramRunner.run(Program.Kind.ROUTER);
     }
 
     @Command(name = "controller", description = "Runs a controller with the settings file that PINEWICK_CONFIG names.")
     int controller() {
-        return ProgramRunner.run(Program::controller);
+        return ProgramRunner.run(Program.Kind.CONTROLLER);
     }
 
     @Command(name = "check-settings", description = "Reads a settings file as a program would, and tells every fault.")
--- a/system/src/main/java/pinewick/system/Main.java
+++ b/system/src/main/java/pinewick/system/Main.java
@@ -13,8 +13,8 @@
     private static int run(String[] words) {
         String command = words.length == 1 ? words[0] : "";
         return switch (command) {
-            case "router" -> ProgramRunner.run(Program::router);
-            case "controller" -> ProgramRunner.run(Program::controller);
+            case "router" -> ProgramRunner.run(Program.Kind.ROUTER);
+            case "controller" -> ProgramRunner.run(Program.Kind.CONTROLLER);
             case "rehearse" -> rehearse();
             default -> Commands.run(words);
         };
--- a/system/src/main/java/pinewick/system/Program.java
+++ b/system/src/main/java/pinewick/system/Program.java
@@ -23,6 +23,29 @@
         Program create(NodeSettings settings);
     }
 
+    /** The two kinds of program. */
+    enum Kind {
+        ROUTER("frontend", Program::router),
+        CONTROLLER("control_plane", Program::controller);
+
+        private final String service;
+        private final Factory factory;
+
+        Kind(String service, Factory factory) {
+            this.service = service;
+            this.factory = factory;
+        }
+
+        /** What it serves, by the name in the settings. */
+        String service() {
+            return service;
+        }
+
+        Factory factory() {
+            return factory;
+        }
+    }
+
     static Program router(NodeSettings settings) {
         Router router = new Router(settings);
         return new Program() {
--- a/system/src/main/java/pinewick/system/ProgramRunner.java
+++ b/system/src/main/java/pinewick/system/ProgramRunner.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -21,23 +22,31 @@
     private static final long SETTINGS_POLL_SECONDS = 1;
 
     private final Path settingsFile;
+    private final String service;
     private final Program.Factory factory;
     private final BlockingQueue<ProcessEvent> events;
 
-    ProgramRunner(Path settingsFile, Program.Factory factory, BlockingQueue<ProcessEvent> events) {
+    /**
+     * @param settingsFile read once at the start, and watched
+     * @param service what the program serves; settings that do not name it are refused
+     * @param factory makes the program
+     * @param events what the platform asks
+     */
+    ProgramRunner(Path settingsFile, String service, Program.Factory factory, BlockingQueue<ProcessEvent> events) {
         this.settingsFile = settingsFile;
+        this.service = service;
         this.factory = factory;
         this.events = events;
     }
 
     /** Runs a program with the settings file of the environment, and returns its exit code. */
-    static int run(Program.Factory factory) {
+    static int run(Program.Kind kind) {
         LogSetup.install();
         BlockingQueue<ProcessEvent> events = new LinkedBlockingQueue<>();
         Signal.handle(new Signal("TERM"), signal -> events.add(ProcessEvent.STOP));
         Signal.handle(new Signal("INT"), signal -> events.add(ProcessEvent.STOP));
         Signal.handle(new Signal("HUP"), signal -> events.add(ProcessEvent.REREAD_SETTINGS));
-        return new ProgramRunner(SettingsReader.pathFromEnvironment(), factory, events).run();
+        return new ProgramRunner(SettingsReader.pathFromEnvironment(), kind.service(), kind.factory(), events).run();
     }
 
     /** Starts the program, waits for its end, and returns the exit code. */
@@ -45,6 +54,7 @@
         NodeSettings settings;
         try {
             settings = SettingsReader.read(settingsFile);
+            requireService(settings);
         } catch (InvalidSettingsException e) {
             e.faults().forEach(System.err::println);
             return MISUSED;
@@ -63,6 +73,13 @@
         }
     }
 
+    private void requireService(NodeSettings settings) throws InvalidSettingsException {
+        if (!settings.serves().contains(service)) {
+            String sentence = "does not name " + service + "; start this program in a role that serves it";
+            throw new InvalidSettingsException(List.of(new SettingsFault("serves", sentence)));
+        }
+    }
+
     private void waitForEnd(SettingsWatcher watcher) throws InterruptedException {
         while (true) {
             ProcessEvent event = events.poll(SETTINGS_POLL_SECONDS, TimeUnit.SECONDS);
--- a/system/src/test/java/pinewick/system/ProgramRunnerTest.java
+++ b/system/src/test/java/pinewick/system/ProgramRunnerTest.java
@@ -54,7 +54,7 @@
 
     private int run(String settings, String failingStep) throws IOException {
         Path file = Files.writeString(folder.resolve("node.toml"), settings);
-        return new ProgramRunner(file, (NodeSettings read) -> new NotingProgram(failingStep), events).run();
+        return new ProgramRunner(file, "frontend", (NodeSettings read) -> new NotingProgram(failingStep), events).run();
     }
 
     @Test
@@ -75,7 +75,7 @@
             return new NotingProgram("");
         };
 
-        assertEquals(0, new ProgramRunner(file, factory, events).run());
+        assertEquals(0, new ProgramRunner(file, "frontend", factory, events).run());
         assertEquals(List.of("start", "seeds [10.9.9.9:8166]", "stop"), calls);
     }
 
@@ -93,6 +93,12 @@
         assertEquals(List.of(), calls);
     }
 
+    @Test
+    void refusesSettingsOfARoleThatServesSomethingElse() throws IOException {
+        assertEquals(2, run(SampleSettings.CONTROLLER, ""));
+        assertEquals(List.of(), calls);
+    }
+
     @Test
     void endsWithOneWhenTheProgramCannotStartOrStop() throws IOException {
         events.add(ProcessEvent.STOP);
