--- a/system/src/main/java/pinewick/system/SettingsWatcher.java
+++ b/system/src/main/java/pinewick/system/SettingsWatcher.java
@@ -25,6 +25,7 @@
     private String stamp = "";
     private String text = "";
     private int pollsSinceReading;
+    private boolean unreadable;
 
     /**
      * @param file the settings file
@@ -52,12 +53,16 @@
         pollsSinceReading = 0;
         try {
             String now = Files.readString(file);
+            unreadable = false;
             if (!now.equals(text)) {
                 text = now;
                 handOver(SettingsReader.parse(now, file.toString()));
             }
         } catch (IOException e) {
-            logger.atWarning().log("settings file can't be read again, going on with the last: %s", e);
+            if (!unreadable) {
+                logger.atWarning().log("settings file can't be read again, going on with the last: %s", e);
+            }
+            unreadable = true;
         } catch (InvalidSettingsException e) {
             logger.atWarning().log("changed settings file is faulty, going on with the last: %s", e.faults());
         }
