--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -16,7 +16,7 @@
 
 /**
  * Spreads the configuration: a process to which a version is new pushes it to a few peers at once and tells a few more
- * one tick later. A push carries the difference from the version before if that is small, else only the number; whoever
+ * in each of the next two ticks. A push carries the difference from the version before if that is small, else only the number; whoever
  * lacks the base asks for a difference from what it has.
  */
 final class ConfigurationSpread {
@@ -25,7 +25,11 @@
 
     private static final int ORIGIN_FANOUT = 12;
     private static final int FANOUT = 4;
-    private static final double PULL_TIMEOUT_MS = 300;
+    /** Ticks after the first push in which the number is told to a few more peers. */
+    private static final int LATER_WAVES = 2;
+    private static final double PULL_TIMEOUT_MS = 250;
+    /** So many pulls wait for the plain time-out: a datagram was lost. Later ones wait longer: the body may be large. */
+    private static final int QUICK_PULLS = 3;
     private static final int MOST_DOUBLINGS = 3;
     private static final int MAX_SOURCES = 16;
     private static final byte[] NO_BODY = {};
@@ -36,7 +40,7 @@
     private final RandomGenerator random;
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final Map<SocketAddress, Long> sources = new LinkedHashMap<>();
-    private boolean tellAgain;
+    private int wavesLeft;
     private int pulls;
     private double pulledAtMs;
     private SocketAddress lastSource;
@@ -69,7 +73,7 @@
         targets.addAll(peers.randomPeers(ORIGIN_FANOUT));
         ConfigurationUpdate push = push(history.previousVersion());
         targets.forEach(target -> outbox.send(target, push));
-        tellAgain = true;
+        wavesLeft = LATER_WAVES;
     }
 
     private ConfigurationUpdate push(long base) {
@@ -82,17 +86,21 @@
     }
 
     void onTick(double nowMs) {
-        if (tellAgain) {
-            tellAgain = false;
+        if (wavesLeft > 0) {
+            wavesLeft--;
             ConfigurationUpdate header = header();
             peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, header));
         }
-        double timeout = PULL_TIMEOUT_MS * (1 << Math.min(Math.max(pulls - 1, 0), MOST_DOUBLINGS));
-        if (!sources.isEmpty() && nowMs - pulledAtMs >= timeout) {
+        if (!sources.isEmpty() && nowMs - pulledAtMs >= pullTimeoutMs()) {
             pull(nowMs);
         }
     }
 
+    private double pullTimeoutMs() {
+        int doublings = Math.min(Math.max(pulls - QUICK_PULLS, 0), MOST_DOUBLINGS);
+        return PULL_TIMEOUT_MS * (1 << doublings);
+    }
+
     /** A peer has shown that it holds a version. */
     void shown(SocketAddress peer, long version, double nowMs) {
         if (version < version()) {
@@ -138,7 +146,7 @@
         sources.values().removeIf(shown -> shown <= version());
         pulls = 0;
         peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, push(update.baseVersion())));
-        tellAgain = true;
+        wavesLeft = LATER_WAVES;
     }
 
     private boolean take(ConfigurationUpdate update) {
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -1,7 +1,9 @@
 package pinewick.dissemination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,18 +23,22 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Spreads replica records: what is new here is pushed to a few peers at the next tick and to a few more one tick later;
- * what a digest shows to differ is exchanged.
+ * Spreads replica records: what is new here is pushed to a few peers at the next tick and named to a few more in the
+ * two ticks after; what a digest shows to differ is exchanged.
  */
 final class ReplicaSpread {
     private static final int FIRST_FANOUT = 4;
     private static final int ORIGIN_FANOUT = 8;
-    private static final int SECOND_FANOUT = 2;
+    private static final int LATER_FANOUT = 4;
+    private static final int FANOUT_OF_MANY = 2;
+    /** Ticks after the first push in which records are named to a few more peers. */
+    private static final int LATER_WAVES = 2;
     /** Beyond so many records in one tick only a few peers are told; digests do the rest. */
     private static final int MANY_RECORDS = 16;
     private static final int SMALL_FLEET = 60;
     private static final int RECORDS_A_DATAGRAM = 8;
     private static final int MOST_DATAGRAMS = 6;
+    private static final byte[] NO_BUCKETS = {};
 
     private final FleetState state;
     private final PeerSampling peers;
@@ -41,7 +47,7 @@
     private final ReplicaDigest digest;
     private final Set<String> arisen = new LinkedHashSet<>();
     private final Set<String> heardOf = new LinkedHashSet<>();
-    private Set<String> pushedOnce = new LinkedHashSet<>();
+    private final Deque<Set<String>> pushed = new ArrayDeque<>();
 
     ReplicaSpread(FleetState state, PeerSampling peers, Outbox outbox) {
         this.state = state;
@@ -82,24 +88,51 @@
         if (gone.expire(state, nowMs)) {
             digest.invalidate();
         }
-        Set<String> again = pushedOnce;
-        pushedOnce = new LinkedHashSet<>(arisen);
-        pushedOnce.addAll(heardOf);
-        boolean many = pushedOnce.size() > MANY_RECORDS;
+        nameAgain();
+        pushNews(nowMs);
+    }
+
+    /** Names what was pushed in the ticks before to a few more peers, which ask for what they lack. */
+    private void nameAgain() {
+        for (Set<String> ids : pushed) {
+            if (ids.isEmpty()) {
+                continue;
+            }
+            List<SummaryEntry> entries = new ArrayList<>();
+            for (String id : ids) {
+                ReplicaRecord record = state.replica(id);
+                if (record != null) {
+                    entries.add(new SummaryEntry(id, (int) ReplicaContent.hash(record)));
+                }
+            }
+            ReplicaSummary summary = new ReplicaSummary(NO_BUCKETS, entries);
+            peers.randomPeers(LATER_FANOUT).forEach(peer -> outbox.send(peer, summary));
+        }
+    }
+
+    private void pushNews(double nowMs) {
+        Set<String> news = new LinkedHashSet<>(arisen);
+        news.addAll(heardOf);
+        heardOf.removeAll(arisen);
+        boolean many = news.size() > MANY_RECORDS;
         if (!arisen.isEmpty()) {
             Set<SocketAddress> targets = new LinkedHashSet<>(peers.controllers());
             targets.addAll(peers.randomPeers(many ? FIRST_FANOUT : ORIGIN_FANOUT));
             push(arisen, targets, nowMs);
         }
-        heardOf.removeAll(arisen);
         if (!heardOf.isEmpty()) {
-            push(heardOf, peers.randomPeers(many ? SECOND_FANOUT : FIRST_FANOUT), nowMs);
-        }
-        if (!again.isEmpty() && again.size() <= MANY_RECORDS) {
-            push(again, peers.randomPeers(SECOND_FANOUT), nowMs);
+            push(heardOf, peers.randomPeers(many ? FANOUT_OF_MANY : FIRST_FANOUT), nowMs);
         }
         arisen.clear();
         heardOf.clear();
+        rememberForLaterWaves(many ? Set.of() : news);
+    }
+
+    private void rememberForLaterWaves(Set<String> news) {
+        pushed.addFirst(news);
+        if (pushed.size() > LATER_WAVES) {
+            pushed.removeLast();
+        }
     }
 
     private void push(Set<String> ids, Iterable<SocketAddress> targets, double nowMs) {
