--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -538,6 +538,11 @@
         return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
     }
 
+    /** The epoch that this process leads or believes to lead, whether or not it has begun. */
+    Optional<Long> leadingNumber() {
+        return leadership.map(leading -> leading.number().counter());
+    }
+
     @Override
     public Optional<Long> leadingEpoch() {
         double now = clock.steadyMs();
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/FaultPlan.java
@@ -0,0 +1,256 @@
+package pinewick.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Troubles of a day, drawn by chance. Disks are lost only within what the deployment says is tolerated. */
+final class FaultPlan {
+    /** A machine counts as lost for so long after its return. */
+    private static final double CATCH_UP_MS = 4_000;
+
+    private final World world;
+    private final double endMs;
+    boolean acknowledgementTriggers;
+    private int seenAcknowledged;
+
+    FaultPlan(World world, double endMs) {
+        this.world = world;
+        this.endMs = endMs;
+    }
+
+    void begin(double firstMs) {
+        world.at(firstMs, this::strike);
+        world.at(firstMs, this::watchAcknowledgements);
+    }
+
+    private void strike() {
+        if (world.nowMs() >= endMs) {
+            return;
+        }
+        trouble(world.random.nextInt(17));
+        world.after(world.between(50, 2_500), this::strike);
+    }
+
+    /** Some faults come right after an acknowledgement. */
+    private void watchAcknowledgements() {
+        if (world.nowMs() >= endMs) {
+            return;
+        }
+        if (acknowledgementTriggers && world.checker.acknowledged > seenAcknowledged && world.chance(0.2)) {
+            switch (world.random.nextInt(4)) {
+                case 0, 1 -> wipeWhileTheOthersLosePower();
+                case 2 -> killAll();
+                default -> killPrimary();
+            }
+        }
+        seenAcknowledged = world.checker.acknowledged;
+        world.after(1, this::watchAcknowledgements);
+    }
+
+    private void trouble(int kind) {
+        switch (kind) {
+            case 0, 1 -> kill(anyCalm());
+            case 2 -> killPrimary();
+            case 3 -> killAll();
+            case 4 -> wipe(anyCalm());
+            case 5 -> wipeWhileTheOthersLosePower();
+            case 6 -> freeze(anyCalm());
+            case 7 -> freeze(calm(world.primary()));
+            case 8 -> disk(anyCalm(), SimulatedDisk.Mode.SLOW);
+            case 9 -> disk(anyCalm(), SimulatedDisk.Mode.STALLED);
+            case 10 -> disk(anyCalm(), SimulatedDisk.Mode.FULL);
+            case 11 -> disk(calm(world.primary()), SimulatedDisk.Mode.STALLED);
+            case 12 -> cutOff(anyCalm());
+            case 13 -> cutOneWay();
+            case 14 -> replace(anyCalm(), world.chance(0.5));
+            case 15 -> restartGracefully(anyCalm());
+            default -> replace(calm(world.primary()), world.chance(0.5));
+        }
+    }
+
+    private List<Machine> present() {
+        return world.machines.stream().filter(machine -> !machine.removed).toList();
+    }
+
+    private long lost() {
+        return present().stream()
+                .filter(machine -> machine.troubledUntilMs > world.nowMs())
+                .count();
+    }
+
+    /** A machine that may get into trouble now, or null. */
+    private Machine anyCalm() {
+        List<Machine> present = present();
+        return calm(present.get(world.random.nextInt(present.size())));
+    }
+
+    private Machine calm(Machine machine) {
+        boolean allowed = machine != null
+                && machine.running()
+                && machine.troubledUntilMs <= world.nowMs()
+                && lost() < world.toleratedMachines;
+        return allowed ? machine : null;
+    }
+
+    private void troubled(Machine machine, double forMs) {
+        machine.troubledUntilMs = Math.max(machine.troubledUntilMs, world.nowMs() + forMs + CATCH_UP_MS);
+    }
+
+    private void restartLater(Machine machine, double delayMs) {
+        troubled(machine, delayMs);
+        world.after(delayMs, () -> machine.start(false));
+    }
+
+    private void kill(Machine machine) {
+        if (machine != null) {
+            machine.kill();
+            restartLater(machine, world.between(50, 3_000));
+        }
+    }
+
+    private void killPrimary() {
+        kill(calm(world.primary()));
+    }
+
+    /** Whatever is tolerated, every process may be killed, or lose power, at once; the disks stay. */
+    private void killAll() {
+        for (Machine machine : present()) {
+            machine.thaw();
+            machine.kill();
+            restartLater(machine, world.between(50, 1_000));
+        }
+    }
+
+    private void wipe(Machine machine) {
+        if (machine == null) {
+            return;
+        }
+        machine.wipe();
+        boolean voter = world.variant == BrokenVariant.VOTES_ON_AN_EMPTY_DISK;
+        double delayMs = world.between(50, 2_000);
+        troubled(machine, delayMs);
+        world.after(delayMs, () -> machine.start(voter));
+    }
+
+    private void wipeWhileTheOthersLosePower() {
+        if (lost() > 0) {
+            return;
+        }
+        List<Machine> machines = new ArrayList<>(present());
+        java.util.Collections.shuffle(machines, world.random);
+        int wiped = 1 + world.random.nextInt(Math.max(1, world.toleratedMachines));
+        for (int index = 0; index < machines.size(); index++) {
+            Machine machine = machines.get(index);
+            if (index < Math.min(wiped, world.toleratedMachines)) {
+                wipe(machine);
+            } else {
+                machine.kill();
+                restartLater(machine, world.between(50, 1_500));
+            }
+        }
+    }
+
+    private void freeze(Machine machine) {
+        if (machine != null) {
+            double forMs = world.between(100, 4_000);
+            troubled(machine, forMs);
+            machine.freeze();
+            world.after(forMs, machine::thaw);
+        }
+    }
+
+    private void disk(Machine machine, SimulatedDisk.Mode mode) {
+        if (machine == null) {
+            return;
+        }
+        double forMs = world.between(200, 4_000);
+        troubled(machine, forMs);
+        world.note(machine + " disk " + mode);
+        machine.disk.slowMs = world.between(20, 900);
+        machine.disk.mode = mode;
+        world.after(forMs, () -> {
+            world.note(machine + " disk good");
+            machine.disk.mode = SimulatedDisk.Mode.GOOD;
+        });
+    }
+
+    private void cutOff(Machine machine) {
+        if (machine == null) {
+            return;
+        }
+        double forMs = world.between(100, 4_000);
+        troubled(machine, forMs);
+        boolean inbound = world.chance(0.7);
+        boolean outbound = !inbound || world.chance(0.6);
+        world.note(machine + " cut off, inbound " + inbound + ", outbound " + outbound);
+        for (Machine other : present()) {
+            cutLater(other, machine, inbound, forMs);
+            cutLater(machine, other, outbound, forMs);
+        }
+    }
+
+    private void cutLater(Machine from, Machine to, boolean wanted, double forMs) {
+        if (wanted) {
+            world.cut(from, to);
+            world.after(forMs, () -> world.join(from, to));
+        }
+    }
+
+    private void cutOneWay() {
+        Machine machine = anyCalm();
+        if (machine != null) {
+            List<Machine> present = present();
+            Machine other = present.get(world.random.nextInt(present.size()));
+            double forMs = world.between(100, 5_000);
+            troubled(machine, forMs);
+            world.note("cut from " + machine + " to " + other);
+            cutLater(machine, other, true, forMs);
+        }
+    }
+
+    /** Taken away forever; an empty machine at another address takes its place. */
+    private void replace(Machine machine, boolean planned) {
+        if (machine == null) {
+            return;
+        }
+        double leaveMs = planned ? world.between(100, 1_500) : 0;
+        double startMs = leaveMs + world.between(0, 1_500);
+        troubled(machine, startMs);
+        if (planned) {
+            machine.leave();
+        }
+        Machine successor = world.addMachine();
+        successor.troubledUntilMs = world.nowMs() + startMs + CATCH_UP_MS;
+        successor.seeds = world.chance(0.5)
+                ? machine.seeds
+                : present().stream().limit(3).map(present -> present.address).toList();
+        world.after(leaveMs, () -> {
+            world.note(machine + " removed, " + successor + " in its place");
+            machine.kill();
+            machine.removed = true;
+        });
+        world.after(startMs, () -> successor.start(false));
+    }
+
+    private void restartGracefully(Machine machine) {
+        if (machine != null) {
+            double leaveMs = world.between(50, 1_500);
+            double downMs = world.between(50, 1_500);
+            troubled(machine, leaveMs + downMs);
+            machine.leave();
+            world.after(leaveMs, machine::kill);
+            world.after(leaveMs + downMs, () -> machine.start(false));
+        }
+    }
+
+    /** Ends every trouble. */
+    void heal() {
+        world.note("all troubles end");
+        world.joinAll();
+        for (Machine machine : present()) {
+            machine.disk.mode = SimulatedDisk.Mode.GOOD;
+            machine.thaw();
+            machine.start(false);
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/Machine.java
@@ -0,0 +1,211 @@
+package pinewick.replication;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.Message;
+import pinewick.model.SocketAddress;
+
+/** One simulated machine: a disk, and a process that may be down or frozen. */
+final class Machine {
+    final World world;
+    final SocketAddress address;
+    final SocketAddress operatorApi;
+    final SimulatedDisk disk = new SimulatedDisk();
+    List<SocketAddress> seeds = List.of();
+    /** Until then this machine counts as lost. */
+    double troubledUntilMs;
+
+    boolean removed;
+    private ReplicationNode node;
+    private SimulatedStore store;
+    private int generation;
+    private boolean running;
+    private boolean frozen;
+    private final Deque<Runnable> held = new ArrayDeque<>();
+    private ConfigurationDocument newest = ConfigurationDocument.EMPTY;
+
+    Machine(World world, SocketAddress address, SocketAddress operatorApi) {
+        this.world = world;
+        this.address = address;
+        this.operatorApi = operatorApi;
+    }
+
+    boolean running() {
+        return running;
+    }
+
+    boolean frozen() {
+        return frozen;
+    }
+
+    boolean isGeneration(int asked) {
+        return running && generation == asked;
+    }
+
+    ReplicationNode node() {
+        return node;
+    }
+
+    boolean leads() {
+        return running && node.leadingNumber().isPresent();
+    }
+
+    long epoch() {
+        return node.leadingNumber().get();
+    }
+
+    void start(boolean firstStart) {
+        if (removed || running) {
+            return;
+        }
+        generation++;
+        running = true;
+        frozen = false;
+        held.clear();
+        newest = ConfigurationDocument.EMPTY;
+        int current = generation;
+        store = new SimulatedStore(world, this, current);
+        ReplicationSettings settings = new ReplicationSettings(
+                address, operatorApi, seeds, firstStart, world.toleratedMachines, world.ackMs, world.leaseMs);
+        node = new ReplicationNode(
+                settings,
+                store,
+                (peer, message) -> world.transmit(this, peer, message),
+                new java.util.Random(world.random.nextLong()),
+                new ReplicationListener() {
+                    @Override
+                    public void committed(ConfigurationDocument document) {
+                        newest = document;
+                        world.checker.committed(Machine.this, document);
+                    }
+
+                    @Override
+                    public void noted(String event) {
+                        world.note(address + " " + event);
+                    }
+                });
+        world.note(address + " starts, first " + firstStart);
+        node.start(world.nowMs());
+        world.after(world.between(0, 50), () -> tick(current));
+        world.after(500, () -> run(current, this::learnControllers));
+    }
+
+    private void learnControllers() {
+        List<SocketAddress> known = new ArrayList<>();
+        for (Machine other : world.machines) {
+            if (other != this && !other.removed && world.chance(0.7)) {
+                known.add(other.address);
+            }
+        }
+        node.knownControllers(known);
+    }
+
+    private void tick(int current) {
+        if (!isGeneration(current)) {
+            return;
+        }
+        run(current, () -> {
+            node.onTick(world.nowMs());
+            world.checker.lease(this, node.leadingEpoch(), world.nowMs(), world.leaseMs);
+        });
+        world.after(frozen ? 50 : world.between(49, 53), () -> tick(current));
+    }
+
+    /** Runs something in the process; later, if it is frozen. */
+    void run(int current, Runnable task) {
+        if (!isGeneration(current)) {
+            return;
+        }
+        if (!frozen) {
+            task.run();
+        } else if (held.size() < 2_000) {
+            held.add(() -> {
+                if (isGeneration(current)) {
+                    task.run();
+                }
+            });
+        }
+    }
+
+    void deliver(SocketAddress sender, Message message) {
+        run(generation, () -> node.onMessage(sender, message, world.nowMs()));
+    }
+
+    /** The process ends without a word; what it had asked the disk for may be there. */
+    void kill() {
+        if (running) {
+            world.note(address + " killed");
+            running = false;
+            store.crash();
+        }
+    }
+
+    void wipe() {
+        kill();
+        world.note(address + " loses its disk");
+        disk.wipe();
+    }
+
+    void freeze() {
+        world.note(address + " frozen");
+        frozen = true;
+    }
+
+    void thaw() {
+        if (!frozen) {
+            return;
+        }
+        world.note(address + " thaws");
+        frozen = false;
+        List<Runnable> backlog = new ArrayList<>(held);
+        held.clear();
+        backlog.forEach(Runnable::run);
+    }
+
+    void leave() {
+        if (running) {
+            world.note(address + " is asked to end");
+            run(generation, () -> node.leave(world.nowMs()));
+        }
+    }
+
+    /** As the operator's connection brings it: nothing happens at a machine that is down, and late at a frozen one. */
+    void submit(Change change, Consumer<ChangeOutcome> callback) {
+        run(generation, () -> {
+            boolean leading = node.leadingNumber().isPresent();
+            long epoch = leading ? epoch() : -1;
+            boolean stale = change.base() != newest.version();
+            if (leading && stale && world.variant == BrokenVariant.REFUSES_A_RESENT_CHANGE
+                    || leading && change.base() > newest.version()
+                            && world.variant == BrokenVariant.REFUSES_WITHOUT_CONFIRMATION) {
+                callback.accept(new ChangeOutcome.VersionConflict(newest.version()));
+                return;
+            }
+            node.submit(change.asSubmitted(), outcome -> {
+                if (outcome instanceof ChangeOutcome.Accepted) {
+                    world.checker.acknowledgedBy(this, leads() ? epoch() : epoch);
+                }
+                callback.accept(outcome);
+            });
+        });
+    }
+
+    void read(Consumer<ReadOutcome> callback) {
+        run(generation, () -> {
+            if (leads() && world.variant == BrokenVariant.READS_WITHOUT_CONFIRMATION) {
+                callback.accept(new ReadOutcome.Current(newest));
+                return;
+            }
+            node.read(callback);
+        });
+    }
+
+    @Override
+    public String toString() {
+        return address.host();
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
@@ -0,0 +1,102 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Plays many days of trouble, each from a seed, and holds what was seen against what must hold. */
+class ReplicationSimulationTest {
+    /** How many days are played; more with {@code -Dreplication.seeds=N}, from {@code -Dreplication.first=N} on. */
+    private static final int SEEDS = Integer.getInteger("replication.seeds", 1_000);
+
+    private static final int FIRST = Integer.getInteger("replication.first", 0);
+    private static final int SEEDS_FOR_A_VARIANT = 3_000;
+    private static final double TROUBLE_FROM_MS = 2_000;
+    private static final double TROUBLE_UNTIL_MS = 14_000;
+    private static final double CALM_AT_MS = 20_000;
+    private static final double ANSWER_MS = 3_000;
+
+    @Test
+    void whatIsAcknowledgedStaysAndWhatIsRefusedNeverComes() {
+        long acknowledged = 0;
+        long refused = 0;
+        long reads = 0;
+        for (int seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            World world = play(seed, BrokenVariant.NONE);
+            acknowledged += world.checker.acknowledged;
+            refused += world.checker.refused;
+            reads += world.checker.reads;
+        }
+        System.out.println("days " + SEEDS + ", acknowledged " + acknowledged + ", refused " + refused + ", reads " + reads);
+        assertTrue(acknowledged > 5L * SEEDS, "too little happened: " + acknowledged);
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void aBrokenVariantIsCaught(BrokenVariant variant) {
+        for (int seed = 0; seed < SEEDS_FOR_A_VARIANT; seed++) {
+            try {
+                play(seed, variant);
+            } catch (AssertionError caught) {
+                System.out.println(variant + " caught by seed " + seed + ": " + caught.getMessage().lines().findFirst().get());
+                return;
+            }
+        }
+        fail(variant + " was not caught");
+    }
+
+    static World play(long seed, BrokenVariant variant) {
+        World world = null;
+        try {
+            world = newWorld(seed, variant);
+            FaultPlan faults = new FaultPlan(world, TROUBLE_UNTIL_MS);
+            faults.acknowledgementTriggers = world.chance(0.5);
+            faults.begin(TROUBLE_FROM_MS);
+            Operator first = new Operator(world);
+            Operator second = new Operator(world);
+            world.at(500, () -> first.work(TROUBLE_UNTIL_MS));
+            if (world.chance(0.6)) {
+                world.at(700, () -> second.work(TROUBLE_UNTIL_MS));
+            }
+            world.runUntil(TROUBLE_UNTIL_MS);
+            faults.heal();
+            world.lossShare = 0;
+            world.runUntil(CALM_AT_MS);
+            faults.heal();
+            endCalmly(world, first);
+            return world;
+        } catch (HistoryChecker.Violation violation) {
+            throw new AssertionError(violation.getMessage() + "; seed " + seed + "\n" + world.history(), violation);
+        } catch (AssertionError | RuntimeException stuck) {
+            throw new AssertionError(stuck + "; seed " + seed + "\n" + world.history(), stuck);
+        }
+    }
+
+    private static World newWorld(long seed, BrokenVariant variant) {
+        boolean large = seed % 4 == 3;
+        World world = new World(seed, large ? 2 : 1);
+        world.variant = variant;
+        Tampering.apply(world);
+        world.lossShare = world.chance(0.5) ? 0 : world.between(0, 0.05);
+        world.duplicateShare = world.between(0, 0.05);
+        world.lateShare = world.chance(0.5) ? 0 : world.between(0, 0.05);
+        world.found(large ? 5 : 3 + (seed % 8 == 5 ? 1 : 0));
+        return world;
+    }
+
+    /** When nothing is amiss any more, a change is taken and read back. */
+    private static void endCalmly(World world, Operator operator) {
+        operator.answerLossShare = 0;
+        boolean[] ended = new boolean[2];
+        operator.read(() -> ended[0] = true);
+        world.runUntil(() -> ended[0], ANSWER_MS);
+        operator.submit(operator.properChange(), () -> ended[1] = true);
+        world.runUntil(() -> ended[1], ANSWER_MS);
+        ended[0] = false;
+        operator.read(() -> ended[0] = true);
+        world.runUntil(() -> ended[0], ANSWER_MS);
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/SimulatedDisk.java
@@ -0,0 +1,44 @@
+package pinewick.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** What survives a loss of power. */
+final class SimulatedDisk {
+    /** How a disk behaves at present. */
+    enum Mode {
+        GOOD,
+        SLOW,
+        STALLED,
+        FULL
+    }
+
+    Mode mode = Mode.GOOD;
+    double slowMs;
+    private StoredHead head;
+    private StoredSnapshot snapshot;
+    private final List<StoredChange> changes = new ArrayList<>();
+
+    void apply(StableWrite write) {
+        head = write.head();
+        if (write.content() instanceof StableWrite.Replaced replaced) {
+            snapshot = replaced.snapshot();
+            changes.clear();
+        } else if (write.content() instanceof StableWrite.Appended appended) {
+            changes.add(appended.change());
+        }
+    }
+
+    LoadedState load() {
+        return head == null
+                ? LoadedState.EMPTY
+                : new LoadedState(Optional.of(new StoredState(head, snapshot, changes)), false);
+    }
+
+    void wipe() {
+        head = null;
+        snapshot = null;
+        changes.clear();
+    }
+}
