--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -181,6 +181,10 @@
 
     /** s of a request that reads or fetches so many tokens and makes so many. */
     double engineServiceMs(ServiceTimeModel model, double tokens, int outputTokens, double nowMs) {
+        if (!tuning.serviceByRequest()) {
+            double own = lowest.get() < Double.POSITIVE_INFINITY ? lowest.get() : pool.averageLowestMs(nowMs);
+            return own < Double.POSITIVE_INFINITY ? own : model.predict(tokens);
+        }
         double speed = lowestSpeed.get() < Double.POSITIVE_INFINITY ? lowestSpeed.get() : 1;
         double step = lowestStep.get() < Double.POSITIVE_INFINITY ? lowestStep.get() : pool.averageStepMs(nowMs);
         return model.predict(tokens) * Math.max(FASTEST, Math.min(SLOWEST, speed)) + step * outputTokens;
@@ -212,6 +216,7 @@
     void began(ReplicaSelector.Call call) {
         outstanding++;
         begunSince++;
+        pool.began(call.beganAtMs());
         call.linkAfter(newestWaiting);
         newestWaiting = call;
         if (oldestWaiting == null) {
@@ -269,8 +274,8 @@
         heardAtMs = nowMs;
     }
 
-    /** A plain request took this long. */
-    void answeredPlain(double tookMs, double nowMs) {
+    /** An answer took this long. */
+    void lowestOf(double tookMs, double nowMs) {
         lowest.add(nowMs, tookMs, LOWEST_WINDOW_MS);
     }
 
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -16,6 +16,7 @@
     private final ServiceTimeModel[] models = new ServiceTimeModel[CallKind.values().length];
     private final List<ReplicaMeasurements> members = new ArrayList<>();
     private EngineSpec engine;
+    private final SmoothedRate calls = new SmoothedRate();
     private double averagedAtMs = Double.NaN;
     private double averageExcessMs;
     private double averageLowestMs;
@@ -73,6 +74,20 @@
         return models[kind.ordinal()];
     }
 
+    /** This router has begun a call to one of them. */
+    void began(double nowMs) {
+        calls.add(nowMs);
+    }
+
+    /**
+     * The time that others lose, all together, while a replica is held for this long: those that come meanwhile, half of it
+     * each on average.
+     */
+    double delayOfOthersMs(double heldMs, int routers, double nowMs) {
+        double callsPerMs = calls.perMs(nowMs) * routers / Math.max(1, members.size());
+        return callsPerMs * heldMs * heldMs / 2;
+    }
+
     /** R - s of the replicas heard from; 0 if there is none. */
     double averageExcessMs(double nowMs) {
         average(nowMs);
--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -31,6 +31,10 @@
     private static final double TRUSTED_AGE_MS = 2_000;
     /** A miss is told from waiting by at least this time. */
     private static final double LEAST_MISS_MS = 20;
+    /** And lies within these factors of what reading the part should take. */
+    private static final double LEAST_MISS = 0.7;
+
+    private static final double MOST_MISS = 2;
 
     private final RandomGenerator random;
     private final SelectionTuning tuning;
@@ -144,6 +148,7 @@
             return Optional.empty();
         }
         PromptChain prompt = chain(request);
+        if (DEBUG && prompt.promptTokens() > 8000) debug(request, prompt, nowMs);
         int keptSomewhere = Math.min(prompt.sharedTokens(), mostCached(prompt));
         Lowest whole = lowestWhole(request, prompt, keptSomewhere, nowMs);
         Lowest prefill = lowestPrefill(request, prompt, nowMs);
@@ -152,7 +157,12 @@
             Lowest fetched = lowestFetched(request, prompt, reader.zone(), nowMs);
             int cached = prefills.measurements[prefill.index].cache().cachedTokens(prompt);
             double price = PriceModel.rereadPrice(Math.max(0, keptSomewhere - cached))
-                    + movePrice(request, prompt, reader.zone(), fetched.index);
+                    + movePrice(request, prompt, reader.zone(), fetched.index)
+                    + delayOfOthers(
+                            prefills.measurements[prefill.index],
+                            CallKind.PREFILL,
+                            prompt.promptTokens() - cached,
+                            nowMs);
             if (prefill.score + fetched.score + price < whole.score) {
                 return Optional.of(new Pair(Optional.of(reader), decodes.records[fetched.index]));
             }
@@ -228,6 +238,23 @@
         }
     }
 
+    static boolean DEBUG;
+    private void debug(RequestShape request, PromptChain prompt, double nowMs) {
+        StringBuilder b = new StringBuilder(String.format("%.0f prompt %d shared %d%n", nowMs, prompt.promptTokens(), prompt.sharedTokens()));
+        for (CandidateList l : new CandidateList[] {prefills, decodes}) {
+            for (int i = 0; i < l.size; i++) {
+                ReplicaMeasurements m = l.measurements[i];
+                double read = readMs(m, l == prefills ? CallKind.PREFILL : CallKind.DECODE_WHOLE, request, prompt, nowMs);
+                b.append(String.format("   %s cached %d os %d n %.1f q %.1f busy %.2f excess %.0f overdue %.0f s read %.0f score %.0f", l.records[i].instanceId(), m.cache().cachedTokens(prompt), m.outstanding(), m.sendingRouters(nowMs, routers), m.queue(nowMs), m.busyShare(nowMs), m.excessMs(nowMs, request.outputTokens()), m.overdueMs(nowMs), read, m.score(read, request.outputTokens(), routers, nowMs)));
+                if (l == decodes) { double f = fetchMs(m, l.records[i], request, prompt, "a", nowMs); b.append(String.format(" fetched s %.0f score %.0f", f, m.score(f, request.outputTokens(), routers, nowMs))); }
+                ServiceTimeModel mod = m.pool().model(l == prefills ? CallKind.PREFILL : CallKind.DECODE_WHOLE);
+                ServiceTimeModel mf = m.pool().model(CallKind.DECODE_FETCHED);
+                b.append(String.format(" model %.0f+%.4f/tok, fetched %.0f+%.5f%n", mod.fixedMs(), mod.paceMs(), mf.fixedMs(), mf.paceMs()));
+            }
+        }
+        System.out.print(b);
+    }
+
     private Lowest lowestPlain(RequestShape request, double nowMs) {
         Lowest lowest = new Lowest();
         for (int each = 0; each < decodes.size; each++) {
@@ -266,8 +293,7 @@
             ReplicaMeasurements measured = decodes.measurements[each];
             double service = readMs(measured, CallKind.DECODE_WHOLE, request, prompt, nowMs);
             int uncached = prompt.promptTokens() - measured.cache().cachedTokens(prompt);
-            double reading = measured.pool().model(CallKind.DECODE_WHOLE).paceMs() * uncached;
-            double others = tuning.interference() * reading * measured.inProgress();
+            double others = delayOfOthers(measured, CallKind.DECODE_WHOLE, uncached, nowMs);
             int again = Math.max(0, keptSomewhere - (prompt.promptTokens() - uncached));
             double price = PriceModel.rereadPrice(again) + zonePrice(decodes.records[each], request.promptTokens());
             lowest.offer(
@@ -276,6 +302,12 @@
         return lowest;
     }
 
+    /** What reading so many tokens takes from the calls that come meanwhile. */
+    private double delayOfOthers(ReplicaMeasurements measured, CallKind kind, int tokens, double nowMs) {
+        double heldMs = measured.pool().model(kind).paceMs() * tokens;
+        return tuning.interference() * measured.pool().delayOfOthersMs(heldMs, routers, nowMs);
+    }
+
     private double readMs(
             ReplicaMeasurements measured, CallKind kind, RequestShape request, PromptChain prompt, double nowMs) {
         ServiceTimeModel model = measured.pool().model(kind, request, firstGuessMs(request));
@@ -537,13 +569,13 @@
         private void answered(double nowMs) {
             double took = nowMs - beganAtMs;
             measured.alive(nowMs);
-            measured.measured(Math.max(0, took - serviceMs), nowMs);
+            double missed = kind == CallKind.PLAIN ? 0 : judgeBelief(took);
+            measured.measured(Math.max(0, took - serviceMs - missed), nowMs);
+            measured.lowestOf(took, nowMs);
             if (kind == CallKind.PLAIN) {
-                measured.answeredPlain(took, nowMs);
                 return;
             }
             learnPace(took, nowMs);
-            judgeBelief(took);
             beliefs.used(instanceId, prompt, nowMs);
         }
 
@@ -566,21 +598,28 @@
             return doubtful;
         }
 
-        /** An answer that came as late as if nothing had been cached, and no sooner, tells that it was not. */
-        private void judgeBelief(double took) {
+        /**
+         * An answer that came as late as if nothing had been cached, and no later, tells that it was not.
+         *
+         * @return the time that reading it took, 0 if it was cached
+         */
+        private double judgeBelief(double took) {
             if (cachedParts == 0 || kind == CallKind.DECODE_FETCHED) {
-                return;
+                return 0;
             }
             double missMs = measured.pool().model(kind).paceMs() * (prompt.promptTokens() - tokens);
             if (missMs < LEAST_MISS_MS) {
-                return;
+                return 0;
             }
-            double usual = serviceMs + measured.ownExcessMs();
-            if (took > usual + 0.7 * missMs && took < usual + 3 * missMs) {
+            double beyond = took - serviceMs - measured.ownExcessMs();
+            if (beyond > LEAST_MISS * missMs && beyond < MOST_MISS * missMs) {
                 measured.cache().provedGone(cachedUsedAtMs);
-            } else if (took < usual + 0.3 * missMs) {
+                return missMs;
+            }
+            if (beyond < (1 - LEAST_MISS) * missMs) {
                 measured.cache().provedKept();
             }
+            return 0;
         }
 
         /** A time-out or an error counts as the full time-out. */
--- a/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
+++ b/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
@@ -1,40 +1,45 @@
 package pinewick.selection;
 
 /**
- * The time that calls of one kind take by the tokens that they read or move: a fixed part and a pace, learnt from answers.
- * A regression with forgetting, in which an answer above the line weighs less than one below it, so that waiting counts
- * little.
+ * The time that calls of one kind take by the tokens that they read or move: a fixed part and a pace, learnt from recent
+ * answers. The line is a quantile regression: a quarter of the answers lie below it, since the others waited. The answers
+ * are kept by size, so that many short ones don't crowd out the long ones that tell the pace.
  */
 final class ServiceTimeModel {
-    private static final double FORGET = 0.98;
-    private static final double WEIGHT_ABOVE = 0.15;
-    private static final double FIRST_WEIGHT = 0.05;
-    /** Tokens at which an answer's weight is halved, since its spread grows with its length. */
-    private static final double HALF_WEIGHT_TOKENS = 4_000;
+    private static final double QUANTILE = 0.25;
+    /** First sizes of the groups after the first one, in tokens. */
+    private static final double[] GROUP_FROM = {256, 1_024, 4_096, 16_384};
 
-    private static final double LEAST_MS = 0.1;
+    private static final int GROUPS = GROUP_FROM.length + 1;
+    private static final int GROUP_SIZE = 8;
+    private static final int GUESSES = 2;
+    private static final int POINTS = GROUPS * GROUP_SIZE + GUESSES;
+    private static final double GUESS_WEIGHT = 0.1;
+    /** The line is fitted anew at every answer up to this count, then at each of this many. */
+    private static final int REFIT_EVERY = 4;
 
-    private double weight;
-    private double sumTokens;
-    private double sumTime;
-    private double sumTokensTokens;
-    private double sumTokensTime;
+    private final double[] tokens = new double[POINTS];
+    private final double[] times = new double[POINTS];
+    private final double[] weights = new double[POINTS];
+    private final int[] added = new int[GROUPS];
+    private int samples;
     private double fixedMs;
     private double paceMs;
-    private int samples;
 
     /** The first guess: a fixed part, and so much more for a prompt of so many tokens. */
-    void guess(int tokens, double fixed, double forTokens) {
-        put(0, fixed, FIRST_WEIGHT);
-        if (tokens > 0) {
-            put(tokens, fixed + forTokens, FIRST_WEIGHT);
+    void guess(int forTokens, double fixed, double more) {
+        int first = POINTS - GUESSES;
+        put(first, 0, fixed, GUESS_WEIGHT);
+        if (forTokens > 0) {
+            put(first + 1, forTokens, fixed + more, GUESS_WEIGHT);
+            paceMs = more / forTokens;
         }
-        solve();
+        fixedMs = fixed;
     }
 
     /** Whether there is neither a guess nor an answer. */
     boolean empty() {
-        return weight == 0;
+        return weights[POINTS - GUESSES] == 0 && samples == 0;
     }
 
     int samples() {
@@ -42,8 +47,8 @@
     }
 
     /** Expected time without waiting. */
-    double predict(double tokens) {
-        return fixedMs + paceMs * tokens;
+    double predict(double forTokens) {
+        return fixedMs + paceMs * forTokens;
     }
 
     double paceMs() {
@@ -55,34 +60,58 @@
     }
 
     /** An answer took this long, of which waiting is unknown. */
-    void learn(double tokens, double timeMs, double trust) {
-        double side = samples > 0 && timeMs > predict(tokens) ? WEIGHT_ABOVE : 1;
-        weight *= FORGET;
-        sumTokens *= FORGET;
-        sumTime *= FORGET;
-        sumTokensTokens *= FORGET;
-        sumTokensTime *= FORGET;
-        put(tokens, timeMs, trust * side / (1 + tokens / HALF_WEIGHT_TOKENS));
+    void learn(double forTokens, double timeMs, double trust) {
+        int group = 0;
+        while (group < GROUP_FROM.length && forTokens >= GROUP_FROM[group]) {
+            group++;
+        }
+        put(group * GROUP_SIZE + added[group] % GROUP_SIZE, forTokens, timeMs, trust);
+        added[group]++;
         samples++;
-        solve();
+        if (samples <= 2 * REFIT_EVERY || samples % REFIT_EVERY == 0) {
+            fit();
+        }
     }
 
-    private void put(double tokens, double timeMs, double its) {
-        weight += its;
-        sumTokens += its * tokens;
-        sumTime += its * timeMs;
-        sumTokensTokens += its * tokens * tokens;
-        sumTokensTime += its * tokens * timeMs;
+    private void put(int point, double forTokens, double timeMs, double weight) {
+        tokens[point] = forTokens;
+        times[point] = timeMs;
+        weights[point] = weight;
+    }
+
+    /** The best line goes through two of the points, or through one and the origin, or has no slope. */
+    private void fit() {
+        double least = Double.POSITIVE_INFINITY;
+        for (int one = 0; one < POINTS; one++) {
+            if (weights[one] == 0) {
+                continue;
+            }
+            for (int other = one; other < POINTS; other++) {
+                if (weights[other] == 0) {
+                    continue;
+                }
+                double spread = tokens[other] - tokens[one];
+                double pace = spread == 0 ? 0 : (times[other] - times[one]) / spread;
+                double fixed = times[one] - pace * tokens[one];
+                if (pace < 0 || fixed < 0) {
+                    continue;
+                }
+                double loss = loss(fixed, pace, least);
+                if (loss < least) {
+                    least = loss;
+                    fixedMs = fixed;
+                    paceMs = pace;
+                }
+            }
+        }
     }
 
-    private void solve() {
-        double spread = weight * sumTokensTokens - sumTokens * sumTokens;
-        double covariance = weight * sumTokensTime - sumTokens * sumTime;
-        paceMs = spread > 1e-9 ? Math.max(0, covariance / spread) : 0;
-        fixedMs = (sumTime - paceMs * sumTokens) / weight;
-        if (fixedMs < LEAST_MS) {
-            fixedMs = LEAST_MS;
-            paceMs = Math.max(0, (sumTokensTime - LEAST_MS * sumTokens) / sumTokensTokens);
+    private double loss(double fixed, double pace, double enough) {
+        double loss = 0;
+        for (int point = 0; point < POINTS && loss < enough; point++) {
+            double above = times[point] - fixed - pace * tokens[point];
+            loss += weights[point] * (above > 0 ? QUANTILE * above : (QUANTILE - 1) * above);
         }
+        return loss;
     }
 }
--- /dev/null
+++ b/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -0,0 +1,332 @@
+package pinewick.selection;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import pinewick.model.EngineSpec;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.Route;
+import pinewick.model.RouteKind;
+import pinewick.model.Stage;
+
+/** Routers with a selector each, replicas with engines, and clients, in virtual time. */
+final class VirtualFleet {
+    /** One kind of request: a shared part and an own one, in tokens. */
+    record Kind(Route route, double perSecond, int shared, int things, int own, double spread, int out, int pauseMs) {}
+
+    /** What a run is made of. */
+    record Setting(
+            int routers,
+            int prefills,
+            int decodes,
+            List<Kind> kinds,
+            SelectionTuning tuning,
+            boolean reports,
+            boolean hints,
+            double reportEveryMs,
+            long seed) {}
+
+    /** What came of one kind of request. */
+    static final class Outcome {
+        int asked;
+        int inTime;
+        int late;
+        int failed;
+        int viaPrefill;
+        int pauses;
+        final List<Double> firstMs = new ArrayList<>();
+
+        double quantile(double share) {
+            double[] sorted = firstMs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+            return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, share * sorted.length)];
+        }
+    }
+
+    static final EngineSpec SPEC = new EngineSpec(12, 555_966, 18_432, 180_000, 11, 5, 2.3);
+    static final String[] ZONES = {"a", "b", "c"};
+    private static final double NETWORK_MS = 0.4;
+    private static final double CLIENT_MS = 3;
+    private static final double REPORT_LAG_MS = 100;
+    private static final double GOSSIP_MS = 250;
+
+    final VirtualTime time = new VirtualTime();
+    final List<VirtualEngine> engines = new ArrayList<>();
+    final List<ReplicaSelector> selectors = new ArrayList<>();
+    final Map<String, Outcome> outcomes = new HashMap<>();
+    final SplittableRandom chance;
+    final Setting setting;
+    private final Map<String, VirtualEngine> byId = new HashMap<>();
+    private List<ReplicaRecord> records;
+    double movedGigabytes;
+    private long nextOwnPart = 1L << 40;
+    private double measureFromMs;
+
+    VirtualFleet(Setting setting) {
+        this.setting = setting;
+        chance = new SplittableRandom(setting.seed);
+        double[] speeds = {1.0, 1.0, 1.3};
+        int count = setting.prefills + setting.decodes;
+        for (int each = 0; each < count; each++) {
+            Stage stage = each < setting.prefills ? Stage.PREFILL : Stage.DECODE;
+            VirtualEngine engine = new VirtualEngine(time, "e" + each, ZONES[each % 3], stage, SPEC,
+                    VirtualEngine.Figures.USUAL, speeds[(each / 3) % 3]);
+            engines.add(engine);
+            byId.put(engine.record.instanceId(), engine);
+        }
+        records = engines.stream().map(engine -> engine.record).toList();
+        for (int router = 0; router < setting.routers; router++) {
+            ReplicaSelector selector = new ReplicaSelector(chance.split(), setting.tuning);
+            selector.setRouterCount(setting.routers);
+            selector.setPlace(ZONES[router % 3], Map.of("a", "r", "b", "r", "c", "r"));
+            selector.setEngine("lm", SPEC);
+            selectors.add(selector);
+        }
+        setting.kinds.forEach(kind -> outcomes.put(kind.route.name(), new Outcome()));
+    }
+
+    static Route route(String name, int targetMs, int timeoutMs, int priority) {
+        return new Route(name, "h", "/", RouteKind.STREAMING, timeoutMs, targetMs, priority,
+                List.of(new Route.WeightedService("lm", 1)), 2, true, false, 150);
+    }
+
+    static List<Kind> usualKinds(double factor, double burst) {
+        return List.of(
+                new Kind(route("long", 300, 5_000, 0), 22.6 * factor, 13_300, 121, 3_720, 1.1, 11, 150),
+                new Kind(route("short", 400, 3_000, 1), 100 * factor * burst, 92, 1_213, 291, 1.4, 4, 150));
+    }
+
+    /** Runs for so long after a warm-up that is not measured. */
+    void run(double warmUpMs, double lengthMs) {
+        measureFromMs = warmUpMs;
+        for (Kind kind : setting.kinds) {
+            scheduleArrival(kind);
+        }
+        if (setting.reports) {
+            scheduleReports();
+        }
+        if (setting.hints) {
+            scheduleHints();
+        }
+        time.runUntil(warmUpMs + lengthMs);
+    }
+
+    private void scheduleArrival(Kind kind) {
+        double gap = -Math.log(1 - chance.nextDouble()) * 1_000 / kind.perSecond;
+        time.after(gap, () -> {
+            arrive(kind);
+            scheduleArrival(kind);
+        });
+    }
+
+    private void scheduleReports() {
+        time.after(setting.reportEveryMs, () -> {
+            for (VirtualEngine engine : engines) {
+                if (!engine.dark) {
+                    LoadReport taken = engine.report(time.now() + REPORT_LAG_MS + 30);
+                    time.after(REPORT_LAG_MS + 30, () ->
+                            selectors.forEach(each -> each.report(engine.record.instanceId(), taken)));
+                }
+            }
+            scheduleReports();
+        });
+    }
+
+    private void scheduleHints() {
+        time.after(500, () -> {
+            for (ReplicaSelector from : selectors) {
+                List<PrefixHint> hints = from.beliefs().takeHints(400, time.now());
+                double sentAt = time.now();
+                time.after(GOSSIP_MS, () -> selectors.forEach(to -> {
+                    if (to != from) {
+                        hints.forEach(hint -> to.beliefs().learn(
+                                new PrefixHint(hint.instanceId(), hint.chainHash(), hint.tokens(),
+                                        hint.ageMs() + (int) GOSSIP_MS, hint.ballastTokens()),
+                                sentAt + GOSSIP_MS));
+                    }
+                }));
+            }
+            scheduleHints();
+        });
+    }
+
+    private double lognormal(double mean, double spread) {
+        double normal = chance.split().nextGaussian();
+        return mean * Math.exp(spread * normal - spread * spread / 2);
+    }
+
+    private int thing(int things) {
+        return Math.min(things - 1, (int) (things * Math.pow(chance.nextDouble(), 1 / 0.7)));
+    }
+
+    private void arrive(Kind kind) {
+        int thing = thing(kind.things);
+        long id = kind.route.name().hashCode() * 100_000L + thing;
+        int shared = (int) Math.max(16, kind.shared * (0.3 + 1.4 * ((thing * 0.618) % 1)));
+        int own = (int) Math.max(1, Math.min(14.0 * kind.own, lognormal(kind.own, kind.spread)));
+        int out = (int) Math.max(1, Math.min(4.0 * kind.out, lognormal(kind.out, 1.0)));
+        List<PromptPart> parts = List.of(new PromptPart(id, shared), new PromptPart(nextOwnPart++, own));
+        RequestShape request = new RequestShape(kind.route, "lm", true, "m", shared + own, 4 * kind.out, parts,
+                time.now(), time.now() + kind.route.timeoutMs());
+        new Exchange(kind, request, out, selectors.get(chance.nextInt(selectors.size()))).start();
+    }
+
+    /** One request from its arrival to its end. */
+    private final class Exchange {
+        final Kind kind;
+        final RequestShape request;
+        final int out;
+        final ReplicaSelector selector;
+        final double arrivedAt = time.now();
+        final boolean counted = time.now() >= measureFromMs;
+        final Outcome outcome;
+        double lastEventAt;
+        boolean first = true;
+        boolean inTime = true;
+        boolean over;
+
+        Exchange(Kind kind, RequestShape request, int out, ReplicaSelector selector) {
+            this.kind = kind;
+            this.request = request;
+            this.out = out;
+            this.selector = selector;
+            outcome = counted ? outcomes.get(kind.route.name()) : new Outcome();
+        }
+
+        void start() {
+            outcome.asked++;
+            Optional<Pair> pair = selector.choose(request, records, Set.of(), time.now());
+            if (pair.isEmpty()) {
+                outcome.failed++;
+            } else if (pair.get().prefill().isPresent()) {
+                outcome.viaPrefill++;
+                prefill(pair.get().prefill().get());
+            } else {
+                decode(pair.get().decode(), null);
+            }
+        }
+
+        void prefill(ReplicaRecord reader) {
+            ReplicaSelector.Call call = selector.begin(reader, CallKind.PREFILL, request, time.now());
+            VirtualEngine.Job job = new VirtualEngine.Job(request.parts(), 1, true);
+            giveUp(call);
+            job.onDone = () -> time.after(NETWORK_MS, () -> {
+                if (over) {
+                    return;
+                }
+                call.ended(CallEnding.ANSWERED, time.now());
+                selector.chooseDecode(request, reader, records, Set.of(), time.now())
+                        .ifPresent(replica -> decode(replica, reader));
+            });
+            job.onRejected = () -> fail(call, CallEnding.REJECTED);
+            time.after(NETWORK_MS, () -> byId.get(reader.instanceId()).take(job));
+        }
+
+        void decode(ReplicaRecord replica, ReplicaRecord reader) {
+            CallKind callKind = reader == null ? CallKind.DECODE_WHOLE : CallKind.DECODE_FETCHED;
+            ReplicaSelector.Call call = reader == null
+                    ? selector.begin(replica, callKind, request, time.now())
+                    : selector.begin(replica, callKind, request, reader.zone(), time.now());
+            VirtualEngine.Job job = new VirtualEngine.Job(request.parts(), out, false);
+            giveUp(call);
+            job.onFirst = () -> time.after(NETWORK_MS, () -> event(call));
+            job.onEvent = job.onFirst;
+            job.onDone = () -> time.after(NETWORK_MS, () -> done(call));
+            job.onRejected = () -> fail(call, CallEnding.REJECTED);
+            VirtualEngine engine = byId.get(replica.instanceId());
+            if (reader == null) {
+                time.after(NETWORK_MS, () -> engine.take(job));
+            } else {
+                double factor = reader.zone().equals(replica.zone()) ? 1 : 2;
+                double bytes = (double) job.promptTokens * SPEC.kvTokenBytes();
+                job.moveMs = factor * bytes * 8 / (SPEC.linkBandwidthMbps() * 1e3);
+                movedGigabytes += counted ? bytes / 1e9 : 0;
+                time.after(NETWORK_MS, () -> engine.takeFetched(job));
+            }
+        }
+
+        void giveUp(ReplicaSelector.Call call) {
+            time.after(2_000, () -> {
+                if (first && !over) {
+                    fail(call, CallEnding.ABANDONED);
+                }
+            });
+        }
+
+        void fail(ReplicaSelector.Call call, CallEnding ending) {
+            if (!over) {
+                over = true;
+                outcome.failed++;
+                call.ended(ending, time.now());
+            }
+        }
+
+        void event(ReplicaSelector.Call call) {
+            if (over) {
+                return;
+            }
+            if (first) {
+                first = false;
+                call.firstEvent(time.now());
+                double took = time.now() - arrivedAt + 2 * CLIENT_MS;
+                outcome.firstMs.add(took);
+                inTime = took <= kind.route.targetLatencyMs();
+            } else {
+                call.event(time.now());
+                if (time.now() - lastEventAt > kind.pauseMs) {
+                    outcome.pauses++;
+                    inTime = false;
+                }
+            }
+            lastEventAt = time.now();
+        }
+
+        void done(ReplicaSelector.Call call) {
+            if (over) {
+                return;
+            }
+            over = true;
+            call.ended(CallEnding.ANSWERED, time.now());
+            if (inTime) {
+                outcome.inTime++;
+            } else {
+                outcome.late++;
+            }
+        }
+    }
+
+    /** One line of figures. */
+    String figures() {
+        StringBuilder line = new StringBuilder();
+        for (Kind kind : setting.kinds) {
+            Outcome its = outcomes.get(kind.route.name());
+            line.append(String.format("%s in time %.3f late %.3f lost %.3f via prefill %.2f p50 %.0f p95 %.0f p99 %.0f"
+                            + " pauses %d | ",
+                    kind.route.name(), its.inTime / (double) its.asked, its.late / (double) its.asked,
+                    its.failed / (double) its.asked, its.viaPrefill / (double) its.asked, its.quantile(0.5),
+                    its.quantile(0.95), its.quantile(0.99), its.pauses));
+        }
+        double total = time.now();
+        long shared = engines.stream().mapToLong(engine -> engine.sharedTokensRead).sum();
+        line.append(String.format("shared read %.1f Mtok, moved %.1f GB, busy %s", shared / 1e6, movedGigabytes,
+                Arrays.toString(engines.stream().mapToLong(each -> Math.round(100 * each.busyMs / total)).toArray())));
+        return line.toString();
+    }
+
+    /** Worth earned of worth owed, with half for late answers; long requests count one and a half times. */
+    double worth() {
+        double earned = 0;
+        double owed = 0;
+        for (Kind kind : setting.kinds) {
+            Outcome its = outcomes.get(kind.route.name());
+            double worth = kind.route.priority() == 0 ? 3 : 2;
+            earned += worth * (its.inTime + 0.5 * its.late);
+            owed += worth * its.asked;
+        }
+        return earned / owed;
+    }
+}
