--- a/system/src/main/java/pinewick/system/Rehearsal.java
+++ b/system/src/main/java/pinewick/system/Rehearsal.java
@@ -18,11 +18,13 @@
     private static final long LONGEST_PLAY_SECONDS = 40;
     private static final int TRIES_A_STEP = 40;
     private static final long PAUSE_BETWEEN_TRIES_MS = 100;
+    private static final int TRIES_BETWEEN_HEARTBEATS = 8;
     private static final int REQUESTS_OF_A_KIND = 20;
     private static final int OK = 200;
 
     private volatile boolean over;
     private volatile boolean failed;
+    private int callSequence;
 
     /** A condition that comes true after some tries. */
     private interface Step {
@@ -63,27 +65,31 @@
     }
 
     private void playOn(RehearsalStage stage) throws InterruptedException {
-        step("configuration", () -> post(stage.controlPlane(), "/config/replace", 0, wholeConfiguration(stage)) == OK);
-        step("heartbeats", () -> heartbeats(stage, 1));
-        step("readiness", () -> HttpCall.get(stage.readiness(), "/ready").send().status() == OK);
-        step("plain request", () -> plainRequest(stage, "first") == OK);
-        step("generation", () -> generation(stage, "first") == OK);
+        step(stage, "configuration", () -> post(stage.controlPlane(), "/config/replace", 0, wholeConfiguration(stage)) == OK);
+        step(stage, "heartbeats", () -> heartbeats(stage));
+        step(stage, "readiness", () -> HttpCall.get(stage.readiness(), "/ready").send().status() == OK);
+        step(stage, "plain request", () -> plainRequest(stage, "first") == OK);
+        step(stage, "generation", () -> generation(stage, "first") == OK);
         for (int number = 0; number < REQUESTS_OF_A_KIND; number++) {
             String id = "again-" + number;
             succeeds(() -> plainRequest(stage, id) == OK && generation(stage, id) == OK);
         }
-        step("update", () -> post(stage.controlPlane(), "/config/update", 1, "{\"version\":2}") == OK);
-        step("read", () -> HttpCall.get(stage.controlPlane(), "/config/read").send().status() == OK);
-        step("second heartbeats", () -> heartbeats(stage, 2));
+        step(stage, "update", () -> post(stage.controlPlane(), "/config/update", 1, "{\"version\":2}") == OK);
+        step(stage, "read", () -> HttpCall.get(stage.controlPlane(), "/config/read").send().status() == OK);
+        step(stage, "second heartbeats", () -> heartbeats(stage));
     }
 
-    private void step(String name, Step step) throws InterruptedException {
+    /** Tries a step again and again; meanwhile the replicas go on with their heartbeats. */
+    private void step(RehearsalStage stage, String name, Step step) throws InterruptedException {
         for (int tries = 0; tries < TRIES_A_STEP; tries++) {
             if (succeeds(step)) {
                 logger.atInfo().log("rehearsed %s", name);
                 return;
             }
             Thread.sleep(PAUSE_BETWEEN_TRIES_MS);
+            if (tries % TRIES_BETWEEN_HEARTBEATS == 0) {
+                succeeds(() -> heartbeats(stage));
+            }
         }
         failed = true;
         logger.atWarning().log("step '%s' did not succeed in %d tries", name, TRIES_A_STEP);
@@ -103,7 +109,8 @@
         return new HttpCall(address, "POST", path, headers, body).send().status();
     }
 
-    private static boolean heartbeats(RehearsalStage stage, int callSequence) throws IOException {
+    private boolean heartbeats(RehearsalStage stage) throws IOException {
+        callSequence++;
         boolean acknowledged = true;
         for (StandInReplica replica : stage.replicas()) {
             boolean plain = replica.stage().isEmpty();
