--- a/model/src/main/java/pinewick/model/ItemFields.java
+++ b/model/src/main/java/pinewick/model/ItemFields.java
@@ -14,6 +14,8 @@
  */
 final class ItemFields {
     private static final int LONGEST_NUMBER = 40;
+    /** Digits that always fit into an {@code int}. */
+    private static final int LONGEST_PLAIN_NUMBER = 9;
     private static final BigDecimal LARGEST_INT = BigDecimal.valueOf(Integer.MAX_VALUE);
     private static final BigDecimal LARGEST_LONG = BigDecimal.valueOf(Long.MAX_VALUE);
 
@@ -79,22 +81,25 @@
 
     /** A number held to {@code lowest} and the range of {@code int}; fractions are rounded up. */
     int wholeNumber(String field, int lowest, int byDefault) {
-        return number(field)
-                .map(value -> value.setScale(0, RoundingMode.CEILING)
-                        .max(BigDecimal.valueOf(lowest))
-                        .min(LARGEST_INT)
-                        .intValue())
-                .orElse(byDefault);
+        return (int) heldNumber(field, lowest, LARGEST_INT, byDefault);
     }
 
     /** As {@link #wholeNumber}, in the range of {@code long}. */
     long longNumber(String field, long lowest, long byDefault) {
-        return number(field)
-                .map(value -> value.setScale(0, RoundingMode.CEILING)
-                        .max(BigDecimal.valueOf(lowest))
-                        .min(LARGEST_LONG)
-                        .longValue())
-                .orElse(byDefault);
+        return heldNumber(field, lowest, LARGEST_LONG, byDefault);
+    }
+
+    private long heldNumber(String field, long lowest, BigDecimal highest, long byDefault) {
+        int plain = plainNumber(object.get(field));
+        if (plain >= 0) {
+            return Math.max(lowest, plain);
+        }
+        Optional<BigDecimal> number = number(field);
+        if (number.isEmpty()) {
+            return byDefault;
+        }
+        BigDecimal whole = number.get().setScale(0, RoundingMode.CEILING);
+        return whole.max(BigDecimal.valueOf(lowest)).min(highest).longValue();
     }
 
     double fraction(String field, double byDefault) {
@@ -139,6 +144,10 @@
 
     /** The number that a JSON value holds, unless it is something else or its text is out of all proportion. */
     static Optional<BigDecimal> toNumber(JsonElement element) {
+        int plain = plainNumber(element);
+        if (plain >= 0) {
+            return Optional.of(BigDecimal.valueOf(plain));
+        }
         if (!(element instanceof JsonPrimitive value) || !value.isNumber()) {
             return Optional.empty();
         }
@@ -154,4 +163,24 @@
             return Optional.empty();
         }
     }
+
+    /** The number written in a few digits and nothing else, which nearly all are; -1 for any other value. */
+    private static int plainNumber(JsonElement element) {
+        if (!(element instanceof JsonPrimitive value) || !value.isNumber()) {
+            return -1;
+        }
+        String text = value.getAsString();
+        if (text.isEmpty() || text.length() > LONGEST_PLAIN_NUMBER) {
+            return -1;
+        }
+        int number = 0;
+        for (int index = 0; index < text.length(); index++) {
+            int digit = text.charAt(index) - '0';
+            if (digit < 0 || digit > 9) {
+                return -1;
+            }
+            number = number * 10 + digit;
+        }
+        return number;
+    }
 }
--- a/model/src/main/java/pinewick/model/RouteBuilder.java
+++ b/model/src/main/java/pinewick/model/RouteBuilder.java
@@ -1,5 +1,6 @@
 package pinewick.model;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
@@ -8,14 +9,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /** Builds a {@link Route} from the operator's item, and tells every fault of it. */
 final class RouteBuilder {
+    private static final int SHORTEST_TIMEOUT_MS = 1;
     /** The sum to which weights are scaled that are not whole numbers. */
     private static final BigDecimal SCALED_SUM = BigDecimal.valueOf(1_000_000);
 
+    private static final Map<String, RouteKind> KINDS = Map.of(
+            "idempotent", RouteKind.IDEMPOTENT,
+            "non_idempotent", RouteKind.NON_IDEMPOTENT,
+            "streaming", RouteKind.STREAMING);
     private static final BigDecimal LARGEST_SUM = BigDecimal.valueOf(Integer.MAX_VALUE);
 
     private final ItemFields fields;
@@ -60,10 +67,9 @@
 
     private RouteKind kind() {
         String text = fields.requiredText("route_kind");
-        for (RouteKind kind : RouteKind.values()) {
-            if (kind.name().toLowerCase(Locale.ROOT).equals(text)) {
-                return kind;
-            }
+        RouteKind kind = KINDS.get(text);
+        if (kind != null) {
+            return kind;
         }
         if (!text.isEmpty()) {
             fields.fault("route_kind", "'" + text + "' is none of idempotent, non_idempotent, streaming");
@@ -74,33 +80,39 @@
     private int timeoutMs() {
         if (!fields.has("timeout_ms")) {
             fields.fault("timeout_ms", "is missing; give a time above 0");
-            return 1;
+            return SHORTEST_TIMEOUT_MS;
         }
         Optional<BigDecimal> timeout = fields.number("timeout_ms");
-        if (timeout.isPresent() && timeout.get().signum() <= 0) {
+        if (timeout.isEmpty()) {
+            return SHORTEST_TIMEOUT_MS;
+        }
+        if (timeout.get().signum() <= 0) {
             fields.fault("timeout_ms", "is " + timeout.get().toPlainString() + "; give a time above 0");
         }
-        return timeout.isEmpty() ? 1 : fields.wholeNumber("timeout_ms", 1, 1);
+        return fields.wholeNumber("timeout_ms", SHORTEST_TIMEOUT_MS, SHORTEST_TIMEOUT_MS);
     }
 
     private List<Route.WeightedService> split() {
-        Optional<String> service = fields.text("service").filter(name -> !name.isEmpty());
-        service.ifPresent(name -> requireKnown("service", name));
-        if (!fields.list("traffic_split").isEmpty()) {
-            return weightedServices();
+        String service = fields.text("service").orElse("");
+        if (!service.isEmpty()) {
+            requireKnown("service", service);
+        }
+        JsonArray split = fields.list("traffic_split");
+        if (!split.isEmpty()) {
+            return weightedServices(split);
         }
         if (service.isEmpty()) {
             fields.fault("service", "is missing, and so is traffic_split; name a service");
             return List.of();
         }
-        return List.of(new Route.WeightedService(service.get(), 1));
+        return List.of(new Route.WeightedService(service, 1));
     }
 
-    private List<Route.WeightedService> weightedServices() {
+    private List<Route.WeightedService> weightedServices(JsonArray split) {
         List<String> names = new ArrayList<>();
         List<BigDecimal> weights = new ArrayList<>();
         int index = 0;
-        for (JsonElement entry : fields.list("traffic_split")) {
+        for (JsonElement entry : split) {
             String place = "traffic_split[" + index++ + "]";
             if (entry instanceof JsonObject object) {
                 readWeightedService(place, object, names, weights);
@@ -108,7 +120,10 @@
                 fields.fault(place, "is not an object with service and weight");
             }
         }
-        BigDecimal sum = weights.stream().reduce(BigDecimal.ZERO, BigDecimal::add);
+        BigDecimal sum = BigDecimal.ZERO;
+        for (BigDecimal weight : weights) {
+            sum = sum.add(weight);
+        }
         if (sum.signum() <= 0) {
             fields.fault("traffic_split", "has weights that add up to " + sum.toPlainString() + "; give one above 0");
             return List.of();
@@ -135,8 +150,10 @@
 
     private static List<Route.WeightedService> toWholeWeights(
             List<String> names, List<BigDecimal> weights, BigDecimal sum) {
-        boolean whole = sum.compareTo(LARGEST_SUM) <= 0
-                && weights.stream().allMatch(weight -> weight.stripTrailingZeros().scale() <= 0);
+        boolean whole = sum.compareTo(LARGEST_SUM) <= 0;
+        for (BigDecimal weight : weights) {
+            whole &= weight.scale() <= 0 || weight.remainder(BigDecimal.ONE).signum() == 0;
+        }
         List<Route.WeightedService> split = new ArrayList<>();
         for (int index = 0; index < names.size(); index++) {
             BigDecimal weight = weights.get(index);
