Troubles of a fleet in the simulation; ends that a peer has missed are told to it

Found by the tests: a router cut off for longer than records of ended replicas are kept took such a replica for running for good; a peer that has forgotten it now says so.

--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
@@ -11,6 +11,8 @@
 /** The last configurations that this process held, and the differences to the newest as they are sent. */
 final class ConfigurationHistory {
     private static final int KEPT = 8;
+    /** Older documents are given up while all together hold more items: large ones cost memory. */
+    private static final int MAX_ITEMS = 8_000;
 
     private final TreeMap<Long, ConfigurationDocument> documents = new TreeMap<>();
     private final Map<Long, ConfigurationUpdate> updatesByBase = new HashMap<>();
@@ -19,11 +21,25 @@
     synchronized void add(ConfigurationDocument document) {
         documents.put(document.version(), document);
         updatesByBase.clear();
-        while (documents.size() > KEPT) {
+        while (documents.size() > KEPT || documents.size() > 1 && itemCount() > MAX_ITEMS) {
             documents.pollFirstEntry();
         }
     }
 
+    private int itemCount() {
+        return documents.values().stream()
+                .flatMap(document -> document.sections().values().stream())
+                .mapToInt(Map::size)
+                .sum();
+    }
+
+    /** Keeps the bytes of an update that led to the newest document, to be sent on. */
+    synchronized void remember(ConfigurationUpdate update) {
+        if (!documents.isEmpty() && update.version() == documents.lastKey()) {
+            updatesByBase.put(update.baseVersion(), update);
+        }
+    }
+
     /** The version before the newest, {@link ConfigurationDelta#WHOLE} if none was held. */
     synchronized long previousVersion() {
         Long previous = documents.isEmpty() ? null : documents.lowerKey(documents.lastKey());
@@ -32,6 +48,10 @@
 
     /** What turns a version into the newest one; the whole newest one where that version is not known any more. */
     synchronized ConfigurationUpdate updateFrom(long version) {
+        ConfigurationUpdate remembered = updatesByBase.get(version);
+        if (remembered != null) {
+            return remembered;
+        }
         long base = documents.containsKey(version) ? version : ConfigurationDelta.WHOLE;
         return updatesByBase.computeIfAbsent(base, this::encode);
     }
--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -143,6 +143,7 @@
             shown(sender, update.version(), nowMs);
             return;
         }
+        history.remember(update);
         sources.values().removeIf(shown -> shown <= version());
         pulls = 0;
         peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, push(update.baseVersion())));
--- a/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -32,6 +32,7 @@
                 ReplicaRequest.class,
                 SnapshotRequest.class,
                 ReplicaSnapshot.class,
+                ForgottenReplicas.class,
                 HeartbeatNote.class,
                 HeartbeatBatch.class));
         return types;
@@ -101,6 +102,9 @@
     /** Every replica record of the sender. */
     public record ReplicaSnapshot(List<SpreadRecord> records) implements Message {}
 
+    /** Instances that ended so long ago that the sender keeps no record of them any more. */
+    public record ForgottenReplicas(List<String> instanceIds) implements Message {}
+
     /**
      * A heartbeat that a controller heard.
      *
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -6,6 +6,7 @@
 import pinewick.dissemination.FleetMessages.ConfigurationPull;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
 import pinewick.dissemination.FleetMessages.Digest;
+import pinewick.dissemination.FleetMessages.ForgottenReplicas;
 import pinewick.dissemination.FleetMessages.HeartbeatBatch;
 import pinewick.dissemination.FleetMessages.ReplicaHeld;
 import pinewick.dissemination.FleetMessages.ReplicaRequest;
@@ -34,6 +35,8 @@
     private static final double DIGEST_MS = 500;
     private static final double DIGEST_JITTER = 0.2;
     private static final double PRUNE_MS = 10_000;
+    /** Taken for the number of routers by a process that knows no peer yet. */
+    private static final int UPPER_BOUND_OF_A_STRANGER = 1_000;
 
     private final FleetState state;
     private final Outbox outbox;
@@ -46,6 +49,7 @@
     private final Joining joining;
     private double nextDigestAtMs;
     private double nextPruneAtMs;
+    private volatile double tickedAtMs;
     private volatile boolean synchronised;
     private volatile int routerCount = 1;
     private volatile int routerCountUpperBound = 1;
@@ -74,11 +78,17 @@
             public void configurationChanged(ConfigurationDocument document) {
                 configuration.changed(document);
             }
+
+            @Override
+            public void replicaChanged(ReplicaRecord record) {
+                replicas.changed(record, tickedAtMs);
+            }
         });
     }
 
     /** Time has passed. */
     public void onTick(double nowMs) {
+        tickedAtMs = nowMs;
         sampling.onTick(nowMs);
         configuration.onTick(nowMs);
         replicas.onTick(nowMs);
@@ -92,7 +102,8 @@
         }
         synchronised = joining.done();
         routerCount = sampling.routerCount(nowMs);
-        routerCountUpperBound = sampling.routerCountUpperBound(nowMs);
+        int upperBound = sampling.routerCountUpperBound(nowMs);
+        routerCountUpperBound = synchronised ? upperBound : Math.max(upperBound, UPPER_BOUND_OF_A_STRANGER);
         peers = sampling.peers();
     }
 
@@ -143,6 +154,8 @@
             replicas.onSummary(sender, summary, nowMs);
         } else if (message instanceof ReplicaRequest request) {
             replicas.onRequest(sender, request, nowMs);
+        } else if (message instanceof ForgottenReplicas forgotten) {
+            replicas.onForgotten(forgotten, nowMs);
         } else if (message instanceof SnapshotRequest) {
             replicas.onSnapshotRequest(sender, nowMs);
         } else if (message instanceof ReplicaSnapshot snapshot) {
--- a/dissemination/src/main/java/pinewick/dissemination/GoneReplicas.java
+++ b/dissemination/src/main/java/pinewick/dissemination/GoneReplicas.java
@@ -1,8 +1,8 @@
 package pinewick.dissemination;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
 
@@ -18,7 +18,7 @@
 
     private static final int MAX_FORGOTTEN = 8_192;
 
-    private final Map<String, Double> goneAtMs = new HashMap<>();
+    private final Map<String, Double> goneAtMs = new ConcurrentHashMap<>();
     private final Map<String, Boolean> forgotten = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
--- a/dissemination/src/main/java/pinewick/dissemination/Joining.java
+++ b/dissemination/src/main/java/pinewick/dissemination/Joining.java
@@ -24,19 +24,23 @@
     private static final double PATIENCE_MS = 1_000;
     private static final double PATIENCE_WITHOUT_CONFIGURATION_MS = 3_000;
     private static final double SNAPSHOT_TIMEOUT_MS = 400;
+    /** An answer counts for so long: its sender may have ended, or know more by now. */
+    private static final double ANSWER_MS = 2_000;
     private static final int PEERS_ASKED = 3;
 
     private final List<SocketAddress> seeds;
     private final PeerSampling peers;
     private final Outbox outbox;
     private final RandomGenerator random;
-    private final Map<SocketAddress, Digest> answers = new LinkedHashMap<>();
+    private final Map<SocketAddress, Answer> answers = new LinkedHashMap<>();
     private double firstAnswerAtMs = Double.NaN;
     private double askedAtMs = Double.NEGATIVE_INFINITY;
     private double snapshotAskedAtMs = Double.NEGATIVE_INFINITY;
     private boolean snapshotTaken;
     private boolean done;
 
+    private record Answer(Digest digest, double atMs) {}
+
     Joining(List<SocketAddress> seeds, PeerSampling peers, Outbox outbox, RandomGenerator random) {
         this.seeds = seeds.stream()
                 .filter(seed -> !seed.equals(peers.self().address()))
@@ -59,6 +63,7 @@
         if (done) {
             return;
         }
+        answers.values().removeIf(answer -> nowMs - answer.atMs > ANSWER_MS);
         List<SocketAddress> usable = usableAnswers(nowMs);
         if (!usable.isEmpty()) {
             goOn(usable, own, nowMs);
@@ -85,7 +90,7 @@
         if (Double.isNaN(firstAnswerAtMs)) {
             firstAnswerAtMs = nowMs;
         }
-        answers.put(sender, digest);
+        answers.put(sender, new Answer(digest, nowMs));
     }
 
     private List<SocketAddress> usableAnswers(double nowMs) {
@@ -93,8 +98,8 @@
         if (Double.isNaN(firstAnswerAtMs) || nowMs - firstAnswerAtMs < GATHER_MS) {
             return usable;
         }
-        answers.forEach((peer, digest) -> {
-            if (digest.synchronised()) {
+        answers.forEach((peer, answer) -> {
+            if (answer.digest.synchronised()) {
                 usable.add(peer);
             }
         });
@@ -107,11 +112,14 @@
     }
 
     private long newestShown() {
-        return answers.values().stream().mapToLong(Digest::configurationVersion).max().orElse(0);
+        return answers.values().stream()
+                .mapToLong(answer -> answer.digest.configurationVersion())
+                .max()
+                .orElse(0);
     }
 
     private void goOn(List<SocketAddress> usable, Digest own, double nowMs) {
-        boolean nothingToTake = usable.stream().allMatch(peer -> sameRecords(answers.get(peer), own));
+        boolean nothingToTake = usable.stream().allMatch(peer -> sameRecords(answers.get(peer).digest, own));
         if (!snapshotTaken && !nothingToTake) {
             if (nowMs - snapshotAskedAtMs >= SNAPSHOT_TIMEOUT_MS) {
                 snapshotAskedAtMs = nowMs;
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import pinewick.dissemination.FleetMessages.BucketHashes;
+import pinewick.dissemination.FleetMessages.ForgottenReplicas;
 import pinewick.dissemination.FleetMessages.ReplicaRequest;
 import pinewick.dissemination.FleetMessages.ReplicaSnapshot;
 import pinewick.dissemination.FleetMessages.ReplicaSummary;
@@ -38,6 +39,7 @@
     private static final int SMALL_FLEET = 60;
     private static final int RECORDS_A_DATAGRAM = 8;
     private static final int MOST_DATAGRAMS = 6;
+    private static final double SNAPSHOT_PAUSE_MS = 400;
     private static final byte[] NO_BUCKETS = {};
 
     private final FleetState state;
@@ -47,6 +49,7 @@
     private final ReplicaDigest digest;
     private final Set<String> arisen = new LinkedHashSet<>();
     private final Set<String> heardOf = new LinkedHashSet<>();
+    private double snapshotAskedAtMs = Double.NEGATIVE_INFINITY;
     private final Deque<Set<String>> pushed = new ArrayDeque<>();
 
     ReplicaSpread(FleetState state, PeerSampling peers, Outbox outbox) {
@@ -60,6 +63,13 @@
         return digest;
     }
 
+    /** A record has changed, from wherever. */
+    void changed(ReplicaRecord record, double nowMs) {
+        if (record.state() == ReplicaState.GONE) {
+            gone.noteGone(record.instanceId(), nowMs);
+        }
+    }
+
     /** Merges a record that arose here; returns whether routers have to be told. */
     boolean arose(ReplicaRecord record, double nowMs) {
         boolean significant = take(new SpreadRecord(record, 0), nowMs);
@@ -183,7 +193,7 @@
     void reconcile(SocketAddress peer, int peerCount, double nowMs) {
         int count = digest.count(nowMs);
         if (count == 0) {
-            outbox.send(peer, new SnapshotRequest());
+            askForSnapshot(peer, nowMs);
         } else if (count <= SMALL_FLEET && peerCount <= SMALL_FLEET) {
             sendSummary(peer, ReplicaDigest.allBuckets(), nowMs);
         } else {
@@ -191,6 +201,13 @@
         }
     }
 
+    private void askForSnapshot(SocketAddress peer, double nowMs) {
+        if (nowMs - snapshotAskedAtMs >= SNAPSHOT_PAUSE_MS) {
+            snapshotAskedAtMs = nowMs;
+            outbox.send(peer, new SnapshotRequest());
+        }
+    }
+
     private void sendSummary(SocketAddress peer, BitSet buckets, double nowMs) {
         outbox.send(peer, new ReplicaSummary(buckets.toByteArray(), digest.entries(buckets, nowMs)));
     }
@@ -207,13 +224,16 @@
         BitSet buckets = BitSet.valueOf(summary.buckets());
         Set<String> listed = new HashSet<>();
         List<String> wanted = new ArrayList<>();
+        List<String> forgotten = new ArrayList<>();
         List<SpreadRecord> offered = new ArrayList<>();
         for (SummaryEntry entry : summary.entries()) {
             listed.add(entry.instanceId());
             ReplicaRecord held = state.replica(entry.instanceId());
-            if (held == null && !gone.isForgotten(entry.instanceId())) {
+            if (held == null && gone.isForgotten(entry.instanceId())) {
+                forgotten.add(entry.instanceId());
+            } else if (held == null) {
                 wanted.add(entry.instanceId());
-            } else if (held != null && (int) ReplicaContent.hash(held) != entry.contentHash()) {
+            } else if ((int) ReplicaContent.hash(held) != entry.contentHash()) {
                 wanted.add(entry.instanceId());
                 offered.add(spread(held, nowMs));
             }
@@ -228,6 +248,21 @@
         if (!wanted.isEmpty()) {
             outbox.send(sender, new ReplicaRequest(wanted));
         }
+        if (!forgotten.isEmpty()) {
+            outbox.send(sender, new ForgottenReplicas(forgotten));
+        }
+    }
+
+    /** A peer knows of ends that this process has missed. */
+    void onForgotten(ForgottenReplicas forgotten, double nowMs) {
+        for (String id : forgotten.instanceIds()) {
+            ReplicaRecord held = state.replica(id);
+            if (held != null) {
+                gone.noteGone(id, nowMs - GoneReplicas.DIGEST_MS);
+                state.merge(held.withState(ReplicaState.GONE));
+            }
+        }
+        digest.invalidate();
     }
 
     void onRequest(SocketAddress sender, ReplicaRequest request, double nowMs) {
--- /dev/null
+++ b/dissemination/src/test/java/pinewick/dissemination/ControllerExchangeTest.java
@@ -0,0 +1,128 @@
+package pinewick.dissemination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pinewick.dissemination.FleetSimulation.Process;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+
+/** What controllers tell each other: confirmed records, heartbeats, lapses. */
+class ControllerExchangeTest {
+    private static final ReplicaRecord READY = TestRecords.ready("i-1", 1);
+
+    private static FleetSimulation settled(long seed, int controllers, int routers) {
+        FleetSimulation fleet = FleetSimulation.started(seed, controllers, routers);
+        fleet.run(6_000);
+        return fleet;
+    }
+
+    private static boolean heldWithin(FleetSimulation fleet, Process origin, ReplicaRecord record, double limitMs) {
+        boolean[] held = new boolean[1];
+        origin.node.publish(record, () -> held[0] = true, origin.localMs());
+        return fleet.runUntil(() -> held[0], limitMs) <= limitMs;
+    }
+
+    @Test
+    void aConfirmedRecordIsHeldByAnotherController() {
+        FleetSimulation fleet = settled(1, 3, 3);
+        Process origin = fleet.controllers.get(0);
+        assertTrue(heldWithin(fleet, origin, READY, 100));
+        assertTrue(heldWithin(fleet, origin, TestRecords.draining(READY, 2), 100));
+        long holders = fleet.controllers.stream()
+                .filter(process -> process != origin && process.state.replica("i-1") != null)
+                .filter(process -> process.state.replica("i-1").state() == ReplicaState.DRAINING)
+                .count();
+        assertTrue(holders >= 1);
+    }
+
+    @Test
+    void aRecordThatIsKnownAlreadyIsConfirmedAgain() {
+        FleetSimulation fleet = settled(2, 3, 3);
+        Process origin = fleet.controllers.get(0);
+        ReplicaRecord draining = TestRecords.draining(READY, 2);
+        assertTrue(heldWithin(fleet, origin, draining, 100));
+        assertTrue(heldWithin(fleet, origin, draining, 100));
+        assertTrue(heldWithin(fleet, fleet.controllers.get(1), draining, 100));
+    }
+
+    @Test
+    void lostConfirmationsAreAskedForAgain() {
+        for (int seed = 0; seed < 50; seed++) {
+            FleetSimulation fleet = settled(100 + seed, 3, 3);
+            fleet.loss = 0.3;
+            assertTrue(heldWithin(fleet, fleet.controllers.get(0), READY, 1_000), "seed " + seed);
+        }
+    }
+
+    @Test
+    void oneControllerCutOffDoesNotHoldUpTheConfirmation() {
+        FleetSimulation fleet = settled(3, 3, 3);
+        fleet.cutOff.add(fleet.controllers.get(1).address());
+        assertTrue(heldWithin(fleet, fleet.controllers.get(0), READY, 100));
+    }
+
+    @Test
+    void aControllerCutOffFromTheOthersGetsNoConfirmationNotEvenFromRouters() {
+        FleetSimulation fleet = settled(4, 3, 3);
+        Process alone = fleet.controllers.get(0);
+        fleet.cut = (from, to) -> fleet.controllers.stream().anyMatch(other -> other != alone
+                && (from.equals(alone.address()) && to.equals(other.address())
+                        || to.equals(alone.address()) && from.equals(other.address())));
+        assertFalse(heldWithin(fleet, alone, READY, 3_000));
+        assertTrue(fleet.routers.stream().allMatch(router -> router.state.replica("i-1") != null));
+    }
+
+    @Test
+    void heartbeatsAreKnownToAllControllersAndCostRoutersNothing() {
+        FleetSimulation fleet = settled(5, 3, 9);
+        Process origin = fleet.controllers.get(0);
+        origin.node.publish(READY, null, origin.localMs());
+        fleet.run(3_000);
+        fleet.resetCounts();
+        for (int sequence = 2; sequence < 12; sequence++) {
+            origin.node.publish(TestRecords.withSequence(READY, sequence), null, origin.localMs());
+            origin.node.heard("i-1", sequence, origin.localMs());
+            fleet.run(1_200);
+        }
+        assertFalse(fleet.messagesByType.containsKey("ReplicaUpdate"), fleet.messagesByType.toString());
+        assertFalse(fleet.messagesByType.containsKey("ReplicaSummary"), fleet.messagesByType.toString());
+        for (Process controller : fleet.controllers) {
+            double ageMs = controller.localMs() - controller.node.lastHeardMs("i-1");
+            assertEquals(1_200, ageMs, 5, "heard " + ageMs + " ms ago");
+            assertEquals(11, controller.state.replica("i-1").callSequence());
+        }
+        assertEquals(Double.NEGATIVE_INFINITY, origin.node.lastHeardMs("i-2"));
+    }
+
+    @Test
+    void aLapseThatAnotherControllerKnowsToBeOutdatedIsCorrected() {
+        FleetSimulation fleet = settled(6, 3, 9);
+        Process hearing = fleet.controllers.get(0);
+        Process judging = fleet.controllers.get(1);
+        hearing.node.publish(READY, null, hearing.localMs());
+        fleet.run(3_000);
+        hearing.node.publish(TestRecords.withSequence(READY, 2), null, hearing.localMs());
+        judging.node.publish(READY.withLapsed(true), null, judging.localMs());
+        fleet.run(1_500);
+        fleet.all().forEach(process -> assertFalse(process.state.replica("i-1").lapsed()));
+    }
+
+    @Test
+    void aLapseEndsWithTheNextHeartbeatAtAnyController() {
+        FleetSimulation fleet = settled(7, 3, 9);
+        Process first = fleet.controllers.get(0);
+        Process second = fleet.controllers.get(1);
+        first.node.publish(READY, null, first.localMs());
+        fleet.run(1_000);
+        first.node.publish(READY.withLapsed(true), null, first.localMs());
+        fleet.run(1_000);
+        fleet.all().forEach(process -> assertTrue(process.state.replica("i-1").lapsed()));
+        second.node.heard("i-1", 2, second.localMs());
+        second.node.publish(TestRecords.withSequence(READY, 2), null, second.localMs());
+        fleet.run(1_000);
+        fleet.all().forEach(process -> assertFalse(process.state.replica("i-1").lapsed()));
+    }
+}
--- /dev/null
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSizeTest.java
@@ -0,0 +1,96 @@
+package pinewick.dissemination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pinewick.dissemination.FleetSimulation.Process;
+import pinewick.membership.NodeRole;
+
+/** The count of routers, from which each takes its share of what the fleet may spend. */
+class FleetSizeTest {
+    /** What all routers together take, as a multiple of what the fleet may spend. */
+    private static double sumOfShares(FleetSimulation fleet) {
+        return fleet.routers.stream()
+                .filter(router -> router.alive)
+                .mapToDouble(router -> 1.0 / router.node.routerCountUpperBound())
+                .sum();
+    }
+
+    @Test
+    void largeFleetsAreCountedCloselyAndNeverUndercountedByTheBound() {
+        for (int routers : new int[] {84, 420}) {
+            FleetSimulation fleet = FleetSimulation.started(routers, 5, routers);
+            fleet.loss = 0.02;
+            fleet.run(40_000);
+            double lowest = Double.MAX_VALUE;
+            double highest = 0;
+            for (Process process : fleet.all()) {
+                int estimate = process.node.routerCount();
+                int bound = process.node.routerCountUpperBound();
+                lowest = Math.min(lowest, estimate);
+                highest = Math.max(highest, bound);
+                assertEquals(routers, estimate, 0.1 * routers);
+                assertTrue(bound >= routers && bound <= 1.3 * routers, "bound " + bound + " of " + routers);
+            }
+            System.out.printf("%d routers: least estimate %.0f, highest bound %.0f, shares %.2f%n",
+                    routers, lowest, highest, sumOfShares(fleet));
+        }
+    }
+
+    @Test
+    void theSharesOfAGrowingFleetStayWithinTheBudget() {
+        for (int routers : new int[] {9, 84}) {
+            FleetSimulation fleet = FleetSimulation.started(routers + 1, 3, routers);
+            fleet.run(40_000);
+            double most = sumOfShares(fleet);
+            for (int i = routers; i < routers + routers / 2; i++) {
+                fleet.startRouter(i, 1);
+            }
+            for (int i = 0; i < 60; i++) {
+                fleet.run(250);
+                most = Math.max(most, sumOfShares(fleet));
+            }
+            System.out.printf("%d routers and half as many more: most shares %.2f%n", routers, most);
+            assertTrue(most <= 1.1, "shares " + most);
+        }
+    }
+
+    @Test
+    void theBoundOutlastsACutOfHalfAMinute() {
+        for (int routers : new int[] {9, 84}) {
+            FleetSimulation fleet = FleetSimulation.started(routers + 2, 3, routers);
+            fleet.run(40_000);
+            fleet.cut = (from, to) -> from.hashCode() % 2 != to.hashCode() % 2;
+            fleet.run(30_000);
+            assertTrue(sumOfShares(fleet) <= 1, "shares " + sumOfShares(fleet));
+        }
+    }
+
+    @Test
+    void aFleetThatShrankIsCountedAnewAfterAWhile() {
+        FleetSimulation fleet = FleetSimulation.started(7, 3, 84);
+        fleet.run(20_000);
+        fleet.routers.subList(40, 84).forEach(Process::kill);
+        fleet.run(130_000);
+        for (Process process : fleet.inTouch()) {
+            assertEquals(40, process.node.routerCount(), 4);
+            assertTrue(process.node.routerCountUpperBound() >= 40 && process.node.routerCountUpperBound() <= 55);
+        }
+    }
+
+    @Test
+    void everyProcessKnowsControllersAllTheTime() {
+        FleetSimulation fleet = FleetSimulation.started(8, 9, 84);
+        fleet.loss = 0.02;
+        fleet.run(6_000);
+        fleet.controllers.subList(0, 4).forEach(Process::kill);
+        fleet.run(30_000);
+        for (Process process : fleet.inTouch()) {
+            long controllers = process.node.peers().stream()
+                    .filter(peer -> peer.role() == NodeRole.CONTROLLER)
+                    .count();
+            assertEquals(process.descriptor.role() == NodeRole.CONTROLLER ? 4 : 5, controllers);
+        }
+    }
+}
--- /dev/null
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetTroubleTest.java
@@ -0,0 +1,315 @@
+package pinewick.dissemination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pinewick.dissemination.FleetSimulation.Process;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+
+/** Restarts, cuts, doubled and late messages, departures, on a simulated fleet. */
+class FleetTroubleTest {
+    /** Within this time after a heal every machine counts as in touch. */
+    private static final double CONTACT_MS = 3_000;
+
+    private static FleetSimulation settled(long seed, int controllers, int routers) {
+        FleetSimulation fleet = FleetSimulation.started(seed, controllers, routers);
+        fleet.loss = 0.02;
+        fleet.run(6_000);
+        return fleet;
+    }
+
+    private static void commit(Process origin, ConfigurationDocument document) {
+        origin.state.offer(document);
+        origin.node.configurationCommitted(origin.localMs());
+    }
+
+    private static void publish(Process origin, ReplicaRecord record) {
+        origin.node.publish(record, null, origin.localMs());
+    }
+
+    private static Predicate<Process> hasVersion(long version) {
+        return process -> process.state.configuration().version() == version;
+    }
+
+    private static Predicate<Process> hasState(String instanceId, ReplicaState state) {
+        return process -> {
+            ReplicaRecord record = process.state.replica(instanceId);
+            return record != null && record.state() == state;
+        };
+    }
+
+    private static Predicate<Process> knows(SocketAddress address) {
+        return process -> process.address().equals(address)
+                || process.node.peers().stream().anyMatch(peer -> peer.address().equals(address));
+    }
+
+    private static void assertAll(FleetSimulation fleet, double limitMs, Predicate<Process> condition) {
+        double tookMs = fleet.runUntilAll(condition, limitMs);
+        assertTrue(tookMs <= limitMs, () -> "within " + limitMs + " ms; missing at " + fleet.inTouch().stream()
+                .filter(condition.negate())
+                .map(Process::address)
+                .toList());
+    }
+
+    @Test
+    void aSmallFleetIsKnownWholeAndCountedExactly() {
+        FleetSimulation fleet = settled(1, 3, 9);
+        for (Process process : fleet.all()) {
+            assertEquals(11, process.node.peers().size());
+            assertEquals(9, process.node.routerCount());
+            assertTrue(process.node.routerCountUpperBound() >= 9);
+            assertTrue(process.node.synchronised());
+        }
+    }
+
+    @Test
+    void aRestartWithALowerIncarnationIsTakenUpAgain() {
+        FleetSimulation fleet = FleetSimulation.started(2, 3, 9);
+        fleet.controllers.get(1).kill();
+        fleet.routers.get(4).kill();
+        fleet.startController(1, 1_000);
+        fleet.startRouter(4, 1_000);
+        fleet.run(6_000);
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(5, 3));
+        fleet.controllers.get(1).kill();
+        fleet.routers.get(4).kill();
+        fleet.run(500);
+        Process controller = fleet.startController(1, 900);
+        Process router = fleet.startRouter(4, 900);
+        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
+                && hasVersion(5).test(process)
+                && incarnationOf(process, controller.address()) > 1_000
+                && incarnationOf(process, router.address()) > 1_000);
+    }
+
+    private static long incarnationOf(Process process, SocketAddress address) {
+        if (process.address().equals(address)) {
+            return Long.MAX_VALUE;
+        }
+        return process.node.peers().stream()
+                .filter(peer -> peer.address().equals(address))
+                .mapToLong(peer -> peer.incarnation())
+                .findAny()
+                .orElse(-1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {9, 84})
+    void twoSidesThatWereCutAgreeSoonAfterTheyAreJoined(int routers) {
+        FleetSimulation fleet = settled(3, 3, routers);
+        ReplicaRecord ready = TestRecords.ready("i-1", 1);
+        publish(fleet.controllers.get(0), ready);
+        assertAll(fleet, 1_000, hasState("i-1", ReplicaState.READY));
+        Set<SocketAddress> left = fleet.all().stream()
+                .filter(process -> process.address().hashCode() % 2 == 0)
+                .map(Process::address)
+                .collect(Collectors.toSet());
+        left.add(fleet.controllers.get(0).address());
+        left.remove(fleet.controllers.get(1).address());
+        left.remove(fleet.controllers.get(2).address());
+        fleet.cut = (from, to) -> left.contains(from) != left.contains(to);
+        fleet.run(20_000);
+        publish(fleet.controllers.get(0), TestRecords.draining(ready, 2));
+        commit(fleet.controllers.get(1), TestDocuments.withRoutes(9, 40));
+        fleet.run(20_000);
+        fleet.cut = (from, to) -> false;
+        assertAll(fleet, CONTACT_MS, hasVersion(9).and(hasState("i-1", ReplicaState.DRAINING)));
+        List<SocketAddress> controllers =
+                fleet.controllers.stream().map(Process::address).toList();
+        controllers.forEach(controller -> assertAll(fleet, CONTACT_MS, knows(controller)));
+    }
+
+    @Test
+    void aRouterThatWasCutOffAloneLearnsWhatItMissed() {
+        FleetSimulation fleet = settled(4, 3, 9);
+        Process router = fleet.routers.get(3);
+        fleet.cutOff.add(router.address());
+        fleet.run(30_000);
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(4, 10));
+        fleet.run(2_000);
+        assertFalse(hasVersion(4).test(router));
+        fleet.cutOff.clear();
+        assertAll(fleet, CONTACT_MS, hasVersion(4));
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(6, 10));
+        assertAll(fleet, 1_000, hasVersion(6));
+    }
+
+    @Test
+    void doubledLateAndLostMessagesNeverTakeAnythingBack() {
+        FleetSimulation fleet = settled(5, 3, 20);
+        fleet.loss = 0.2;
+        fleet.duplicates = 0.3;
+        fleet.jitterMs = 400;
+        fleet.all().forEach(FleetTroubleTest::failOnAnyStepBack);
+        for (int round = 1; round <= 10; round++) {
+            Process origin = fleet.controllers.get(round % 3);
+            commit(origin, TestDocuments.withRoutes(round, 30, round));
+            for (int i = 0; i < 5; i++) {
+                publish(origin, TestRecords.ready("i-" + i, round));
+            }
+            fleet.run(200);
+        }
+        for (int i = 0; i < 5; i++) {
+            publish(fleet.controllers.get(i % 3), TestRecords.draining(TestRecords.ready("i-" + i, 10), 11));
+            fleet.run(100);
+            publish(fleet.controllers.get((i + 1) % 3), TestRecords.ready("i-" + i, 10));
+        }
+        assertAll(fleet, 20_000, hasVersion(10));
+        for (int i = 0; i < 5; i++) {
+            assertAll(fleet, 20_000, hasState("i-" + i, ReplicaState.DRAINING));
+        }
+    }
+
+    private static void failOnAnyStepBack(Process process) {
+        long[] version = new long[1];
+        process.state.addListener(new FleetStateListener() {
+            @Override
+            public void configurationChanged(ConfigurationDocument document) {
+                assertTrue(document.version() > version[0]);
+                version[0] = document.version();
+            }
+
+            @Override
+            public void replicaChanged(ReplicaRecord record) {
+                assertEquals(record, process.state.replica(record.instanceId()));
+                if (record.callSequence() >= 11) {
+                    assertEquals(ReplicaState.DRAINING, record.state());
+                }
+            }
+        });
+    }
+
+    @Test
+    void aProcessThatLeavesIsForgottenAtOnceAndMayComeBack() {
+        FleetSimulation fleet = settled(6, 3, 9);
+        Process leaver = fleet.routers.get(2);
+        leaver.node.leave(leaver.localMs());
+        leaver.kill();
+        fleet.run(200);
+        fleet.inTouch().forEach(process -> assertFalse(knows(leaver.address()).test(process)));
+        fleet.run(3_000);
+        fleet.inTouch().forEach(process -> assertFalse(knows(leaver.address()).test(process)));
+        fleet.inTouch().forEach(process -> assertEquals(8, process.node.routerCount()));
+        fleet.startRouter(2, 1);
+        assertAll(fleet, CONTACT_MS, knows(leaver.address()));
+    }
+
+    @Test
+    void aProcessThatWasKilledIsDroppedWithinSeconds() {
+        FleetSimulation fleet = settled(7, 3, 9);
+        fleet.run(20_000);
+        Process killed = fleet.routers.get(2);
+        Process controller = fleet.controllers.get(2);
+        killed.kill();
+        controller.kill();
+        double tookMs = fleet.runUntilAll(
+                knows(killed.address()).or(knows(controller.address())).negate(), 20_000);
+        assertTrue(tookMs <= 20_000);
+        fleet.run(10_000);
+        fleet.inTouch().forEach(process -> assertEquals(9, process.node.peers().size()));
+    }
+
+    @Test
+    void routersTeachControllersThatWereAllKilled() {
+        FleetSimulation fleet = settled(8, 3, 9);
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(7, 400));
+        publish(fleet.controllers.get(0), TestRecords.ready("i-1", 1));
+        publish(fleet.controllers.get(1), TestRecords.draining(TestRecords.ready("i-2", 1), 2));
+        fleet.run(2_000);
+        fleet.controllers.forEach(Process::kill);
+        fleet.run(15_000);
+        for (int i = 0; i < 3; i++) {
+            fleet.startController(i, 2);
+        }
+        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
+                && hasVersion(7).test(process)
+                && hasState("i-1", ReplicaState.READY).test(process)
+                && hasState("i-2", ReplicaState.DRAINING).test(process));
+    }
+
+    @Test
+    void aRouterThatStartsAgainWhileControllersAreDownLearnsFromRouters() {
+        FleetSimulation fleet = settled(9, 3, 9);
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(7, 400));
+        publish(fleet.controllers.get(0), TestRecords.ready("i-1", 1));
+        fleet.run(2_000);
+        fleet.controllers.forEach(Process::kill);
+        fleet.routers.get(5).kill();
+        fleet.run(15_000);
+        fleet.startRouter(5, 2);
+        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
+                && hasVersion(7).test(process)
+                && hasState("i-1", ReplicaState.READY).test(process));
+    }
+
+    @Test
+    void aWholeFleetThatStartsAtOnceIsSynchronised() {
+        FleetSimulation fleet = FleetSimulation.started(10, 3, 9);
+        fleet.controllers.forEach(controller -> controller.state.offer(TestDocuments.withRoutes(3, 20)));
+        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised() && hasVersion(3).test(process));
+    }
+
+    @Test
+    void aStarterTakesNoConfigurationOlderThanWhatItsPeersShow() {
+        FleetSimulation fleet = settled(11, 3, 9);
+        commit(fleet.controllers.get(0), TestDocuments.withRoutes(7, 20));
+        fleet.run(2_000);
+        fleet.routers.get(1).kill();
+        fleet.run(1_000);
+        Process stale = fleet.controllers.get(2);
+        stale.kill();
+        Process restarted = fleet.startController(2, 2);
+        restarted.state.offer(TestDocuments.withRoutes(5, 20));
+        Process router = fleet.startRouter(1, 2);
+        double tookMs = fleet.runUntil(router.node::synchronised, CONTACT_MS);
+        assertTrue(tookMs <= CONTACT_MS);
+        assertEquals(7, router.state.configuration().version());
+    }
+
+    @Test
+    void recordsOfReplicasThatAreGoneAreForgottenEverywhereAndStayForgotten() {
+        FleetSimulation fleet = settled(12, 3, 9);
+        ReplicaRecord ready = TestRecords.ready("i-1", 1);
+        publish(fleet.controllers.get(0), ready);
+        fleet.run(2_000);
+        Process late = fleet.routers.get(0);
+        publish(fleet.controllers.get(1), TestRecords.gone(ready, 2));
+        fleet.run(30_000);
+        fleet.cutOff.add(late.address());
+        fleet.run(20_000);
+        assertEquals(ReplicaState.GONE, late.state.replica("i-1").state());
+        fleet.cutOff.clear();
+        fleet.run(12_000);
+        fleet.all().forEach(process -> assertEquals(null, process.state.replica("i-1")));
+        fleet.run(60_000);
+        fleet.all().forEach(process -> assertEquals(null, process.state.replica("i-1")));
+    }
+
+    @Test
+    void aRouterCutOffBeforeTheEndOfAReplicaDoesNotBringItBack() {
+        FleetSimulation fleet = settled(13, 3, 9);
+        ReplicaRecord ready = TestRecords.ready("i-1", 1);
+        publish(fleet.controllers.get(0), ready);
+        fleet.run(2_000);
+        Process late = fleet.routers.get(0);
+        fleet.cutOff.add(late.address());
+        publish(fleet.controllers.get(1), TestRecords.gone(ready, 2));
+        fleet.run(90_000);
+        fleet.cutOff.clear();
+        double tookMs = fleet.runUntil(() -> hasState("i-1", ReplicaState.GONE).test(late), CONTACT_MS);
+        assertTrue(tookMs <= CONTACT_MS);
+        fleet.run(12_000);
+        fleet.all().forEach(process -> assertEquals(null, process.state.replica("i-1")));
+    }
+}
--- a/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
+++ b/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
@@ -16,9 +16,13 @@
     static final double EPOCH_MS = 15_000;
     /** The upper bound is the highest value of so long a time. */
     static final double HOLD_MS = 60_000;
-    /** So long after its own start a process takes the bound double: others may have started with it. */
-    static final double YOUNG_MS = 15_000;
+    /**
+     * So long after its own start a process takes the bound several times: others may have started with it, and those
+     * that run do not count them yet.
+     */
+    static final double YOUNG_MS = 8_000;
 
+    private static final int YOUNG_FACTOR = 4;
     private static final int BITS = 1_024;
     private static final double IN_USE_MS = 2 * EPOCH_MS;
     private static final double DEVIATIONS = 3;
@@ -71,7 +75,7 @@
 
     /** The bits for a message, null while the view is enough. */
     SizeSketch sketch(double nowMs) {
-        return inUse(nowMs) ? new SizeSketch(epoch, bits.toByteArray()) : null;
+        return inUse(nowMs) ? new SizeSketch(epoch, bits.toByteArray(), (int) Math.round(lastEpochEstimate)) : null;
     }
 
     /** Joins the bits of a peer. */
@@ -84,6 +88,7 @@
             startEpoch(sketch.epoch(), nowMs);
         }
         if (sketch.epoch() == epoch) {
+            lastEpochEstimate = Math.max(lastEpochEstimate, sketch.countBefore());
             bits.or(BitSet.valueOf(sketch.bits()));
         }
     }
@@ -108,7 +113,7 @@
             highest = Math.max(highest, sample.upperBound);
         }
         boolean young = nowMs - startedAtMs < YOUNG_MS;
-        return (int) Math.max(1, Math.ceil(young ? 2 * highest : highest));
+        return (int) Math.max(1, Math.ceil(young ? YOUNG_FACTOR * highest : highest));
     }
 
     private double currentUpperBound(double nowMs) {
--- a/membership/src/main/java/pinewick/membership/LostPeers.java
+++ b/membership/src/main/java/pinewick/membership/LostPeers.java
@@ -74,10 +74,10 @@
         return true;
     }
 
-    /** The incarnation at which an address was lost, or {@link Long#MIN_VALUE}. */
-    long incarnationOf(SocketAddress address) {
+    /** The entry that an address would have to exceed to be admitted again, or null. */
+    PeerEntry entryOf(SocketAddress address) {
         Loss loss = losses.get(address);
-        return loss == null ? Long.MIN_VALUE : loss.node.incarnation();
+        return loss == null ? null : new PeerEntry(loss.node, loss.heartbeat);
     }
 
     /** Addresses worth trying again. */
--- a/membership/src/main/java/pinewick/membership/MembershipMessages.java
+++ b/membership/src/main/java/pinewick/membership/MembershipMessages.java
@@ -40,8 +40,9 @@
      *
      * @param epoch number of the count; a higher one restarts it
      * @param bits the joined bits
+     * @param countBefore what the epoch before came to
      */
-    public record SizeSketch(int epoch, byte[] bits) {}
+    public record SizeSketch(int epoch, byte[] bits, int countBefore) {}
 
     /**
      * Offers a part of the sender's view and asks for one of the receiver's.
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -274,14 +274,10 @@
     private void addReminderOfLaterLife(PeerEntry entry, List<PeerEntry> sample) {
         NodeDescriptor node = entry.node();
         KnownPeer known = viewOf(node).get(node.address());
-        long highest = lost.incarnationOf(node.address());
-        if (known != null) {
-            highest = Math.max(highest, known.node().incarnation());
-        }
-        boolean leftInThisLife = highest == node.incarnation() && !lost.admits(entry) && known == null;
-        if (highest > node.incarnation() || leftInThisLife) {
-            NodeDescriptor later = new NodeDescriptor(node.address(), highest, node.role(), node.zone());
-            sample.add(new PeerEntry(later, Long.MAX_VALUE));
+        if (known != null && known.entry().newerThan(entry)) {
+            sample.add(known.entry());
+        } else if (!lost.admits(entry)) {
+            sample.add(lost.entryOf(node.address()));
         }
     }
 
