--- /dev/null
+++ b/transport/src/test/java/pinewick/transport/OutgoingConnectionTest.java
@@ -0,0 +1,188 @@
+package pinewick.transport;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.util.Arrays;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Deadlines of a connection: the sockets are real, the time is handed in. */
+class OutgoingConnectionTest {
+    private static final byte[] SMALL = {1, 2, 3};
+    private static final int MEGABYTE = 1 << 20;
+
+    private final TransportCounters counters = new TransportCounters();
+    private Selector selector;
+    private ServerSocket server;
+    private OutgoingConnection connection;
+
+    @BeforeEach
+    void open() throws IOException {
+        selector = Selector.open();
+        server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+        connection = new OutgoingConnection(
+                (InetSocketAddress) server.getLocalSocketAddress(), selector, counters);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        connection.close();
+        server.close();
+        selector.close();
+    }
+
+    /** Handles what the selector reports, at one moment, until something holds. */
+    private void selectUntil(BooleanSupplier condition, double nowMs) throws IOException {
+        while (!condition.getAsBoolean()) {
+            selector.select(key -> ((ChannelHandler) key.attachment()).ready(nowMs));
+        }
+    }
+
+    private void sendSmall(double nowMs) throws IOException {
+        long sent = counters.framesSent();
+        connection.enqueue(SMALL, nowMs);
+        connection.service(nowMs);
+        selectUntil(() -> counters.framesSent() > sent, nowMs);
+    }
+
+    private static byte[] readFrame(DataInputStream in) throws IOException {
+        byte[] frame = new byte[in.readInt()];
+        in.readFully(frame);
+        return frame;
+    }
+
+    @Test
+    void aFrameIsWrittenWithItsLengthInFront() throws IOException {
+        sendSmall(0);
+        try (Socket accepted = server.accept()) {
+            assertArrayEquals(SMALL, readFrame(new DataInputStream(accepted.getInputStream())));
+        }
+    }
+
+    @Test
+    void anIdleConnectionIsClosed() throws IOException {
+        sendSmall(0);
+        connection.sweep(OutgoingConnection.IDLE_MS);
+        assertTrue(connection.active());
+        connection.sweep(OutgoingConnection.IDLE_MS + 1);
+        assertFalse(connection.active());
+        assertEquals(0, counters.failedConnections());
+    }
+
+    @Test
+    void aStuckWriteEndsTheConnectionAndTheFrameIsSentAgainWhole() throws IOException {
+        byte[] large = new byte[8 * MEGABYTE];
+        Arrays.fill(large, (byte) 7);
+        connection.enqueue(large, 0);
+        connection.service(0);
+        Socket stuck = server.accept();
+        selectUntil(() -> selector.keys().stream().anyMatch(key -> key.isValid() && key.interestOps() == 5), 0);
+        connection.sweep(OutgoingConnection.STUCK_WRITE_MS - 1);
+        assertEquals(0, counters.failedConnections());
+        connection.sweep(OutgoingConnection.STUCK_WRITE_MS + 1);
+        assertEquals(1, counters.failedConnections());
+        assertTrue(connection.waits());
+
+        double againAtMs = OutgoingConnection.STUCK_WRITE_MS + OutgoingConnection.REDIAL_PAUSE_MS + 2;
+        connection.sweep(againAtMs);
+        Thread writer = new Thread(() -> {
+            try {
+                selectUntil(() -> counters.framesSent() == 1, againAtMs);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        writer.start();
+        try (Socket accepted = server.accept()) {
+            assertArrayEquals(large, readFrame(new DataInputStream(accepted.getInputStream())));
+        }
+        DataInputStream fromStuck = new DataInputStream(stuck.getInputStream());
+        assertThrows(EOFException.class, () -> readFrame(fromStuck));
+        stuck.close();
+    }
+
+    @Test
+    void aDialWithoutAnAnswerIsGivenUp() throws IOException {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            SocketChannel[] fillers = new SocketChannel[4];
+            for (int i = 0; i < fillers.length; i++) {
+                fillers[i] = SocketChannel.open();
+                fillers[i].configureBlocking(false);
+                fillers[i].connect(full.getLocalSocketAddress());
+            }
+            OutgoingConnection hanging = new OutgoingConnection(
+                    (InetSocketAddress) full.getLocalSocketAddress(), selector, counters);
+            hanging.enqueue(SMALL, 0);
+            hanging.service(0);
+            hanging.sweep(OutgoingConnection.CONNECT_TIMEOUT_MS);
+            assertEquals(0, counters.failedConnections());
+            hanging.sweep(OutgoingConnection.CONNECT_TIMEOUT_MS + 1);
+            assertEquals(1, counters.failedConnections());
+            assertTrue(hanging.waits(), "the frame waits for the next dial");
+            hanging.sweep(OutgoingConnection.STALE_MS + 1);
+            assertFalse(hanging.active(), "a stale frame is not sent any more");
+            assertEquals(1, counters.dropped());
+            for (SocketChannel filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    @Test
+    void aPeerThatStartsShortlyAfterGetsWhatWaits() throws IOException {
+        int port = server.getLocalPort();
+        server.close();
+        connection.enqueue(SMALL, 0);
+        connection.service(0);
+        selectUntil(() -> counters.failedConnections() == 1, 0);
+        connection.service(1);
+        assertEquals(1, counters.failedConnections(), "no dial right after a failed one");
+        server = new ServerSocket(port, 5, InetAddress.getByName("127.0.0.1"));
+        connection.sweep(OutgoingConnection.REDIAL_PAUSE_MS + 1);
+        selectUntil(() -> counters.framesSent() == 1, OutgoingConnection.REDIAL_PAUSE_MS + 1);
+        try (Socket accepted = server.accept()) {
+            assertArrayEquals(SMALL, readFrame(new DataInputStream(accepted.getInputStream())));
+        }
+    }
+
+    @Test
+    void anEndOfThePeerIsNoticedAndTheNextFrameGoesOverANewConnection() throws IOException {
+        sendSmall(0);
+        server.accept().close();
+        selectUntil(() -> counters.failedConnections() == 1, 1);
+        sendSmall(OutgoingConnection.REDIAL_PAUSE_MS + 1);
+        try (Socket accepted = server.accept()) {
+            assertArrayEquals(SMALL, readFrame(new DataInputStream(accepted.getInputStream())));
+        }
+    }
+
+    @Test
+    void theOldestFramesAreDroppedWhenTheQueueIsFull() {
+        PeerQueue queue = new PeerQueue(3, 100);
+        for (byte i = 0; i < 5; i++) {
+            queue.add(new byte[] {i}, i);
+        }
+        assertEquals(2, queue.poll().frame()[0]);
+        assertEquals(1, queue.add(new byte[99], 5));
+        assertEquals(4, queue.poll().frame()[0]);
+        assertEquals(1, queue.add(new byte[5_000], 6), "a frame above the bound stands alone");
+        PeerQueue.QueuedFrame large = queue.poll();
+        assertFalse(queue.putBack(large));
+        assertTrue(queue.isEmpty());
+    }
+}
