A connection whose peer confirms no reading for 1.5 s is dialled anew

Cause: behind a cut or without power a machine takes nothing, yet small frames vanish in the local buffers, and after the return they wait for a retransmission that has backed off. A receiver now writes one byte a turn back. Ruled out: keep-alive probes, which stay silent while data is outstanding, and TCP_USER_TIMEOUT, which Java 17 does not offer.

--- a/transport/src/main/java/pinewick/transport/IncomingConnection.java
+++ b/transport/src/main/java/pinewick/transport/IncomingConnection.java
@@ -5,12 +5,18 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 
-/** A connection that a peer dialled: frames are read from it, nothing is written. */
+/**
+ * A connection that a peer dialled: frames are read from it. A byte is written back when frames have been read, so that
+ * the peer can tell a process that reads from one that is frozen or gone, whose machine may still take bytes.
+ */
 final class IncomingConnection implements ChannelHandler {
     /** A peer closes after a shorter time; one that did not is gone. */
     static final double IDLE_MS = 30_000;
 
+    private static final byte[] CONFIRMATION = {1};
     private static final int USUAL_BUFFER_BYTES = 4_096;
+    /** A long frame is confirmed as it comes, with so long between. */
+    private static final double CONFIRM_MS = 250;
 
     private final SocketChannel channel;
     private final InetSocketAddress remote;
@@ -18,6 +24,8 @@
     private final TransportCounters counters;
     private ByteBuffer buffer = ByteBuffer.allocate(USUAL_BUFFER_BYTES);
     private double lastReadMs;
+    private double confirmedAtMs;
+    private long framesTaken;
     private boolean open = true;
 
     IncomingConnection(SocketChannel channel, FrameReceiver receiver, TransportCounters counters, double nowMs)
@@ -27,15 +35,20 @@
         this.receiver = receiver;
         this.counters = counters;
         this.lastReadMs = nowMs;
+        this.confirmedAtMs = nowMs;
     }
 
     @Override
     public void ready(double nowMs) {
         lastReadMs = nowMs;
         try {
+            long framesBefore = framesTaken;
             int count = channel.read(buffer);
             if (count < 0 || !takeFrames()) {
                 close();
+            } else if (framesTaken > framesBefore || nowMs - confirmedAtMs >= CONFIRM_MS) {
+                confirmedAtMs = nowMs;
+                channel.write(ByteBuffer.wrap(CONFIRMATION));
             }
         } catch (IOException e) {
             close();
@@ -56,6 +69,7 @@
                 return true;
             }
             int start = buffer.position() + Integer.BYTES;
+            framesTaken++;
             counters.framesReceived.increment();
             receiver.receive(remote, buffer.array(), start, length);
             buffer.position(start + length);
--- a/transport/src/main/java/pinewick/transport/OutgoingConnection.java
+++ b/transport/src/main/java/pinewick/transport/OutgoingConnection.java
@@ -11,11 +11,14 @@
 /**
  * The connection on which this process writes to one peer: dialled when there is something to write, closed when it was
  * idle, and dialled again after a failure. A frame that was written in part is sent again whole on the next connection;
- * the peer cannot have read it. Runs on the selector's thread; only the queue is filled by others.
+ * the peer cannot have read it. The peer writes a byte back when it has read: where none comes in time, the machine may be
+ * cut off or without power while the local buffers still take bytes, and retransmissions come ever more rarely; a new
+ * connection notices its return sooner. Runs on the selector's thread; only the queue is filled by others.
  */
 final class OutgoingConnection implements ChannelHandler {
     static final double CONNECT_TIMEOUT_MS = 700;
     static final double STUCK_WRITE_MS = 1_500;
+    static final double CONFIRMATION_TIMEOUT_MS = 1_500;
     static final double IDLE_MS = 10_000;
     static final double REDIAL_PAUSE_MS = 100;
     /** A frame that waited for a connection for longer is not sent any more. */
@@ -23,11 +26,11 @@
 
     private static final int MAX_QUEUED_FRAMES = 512;
     private static final int MAX_QUEUED_BYTES = 10 << 20;
-    private static final ByteBuffer SCRATCH = ByteBuffer.allocate(256);
 
     private final InetSocketAddress peer;
     private final Selector selector;
     private final TransportCounters counters;
+    private final ByteBuffer scratch = ByteBuffer.allocate(64);
     private final PeerQueue queue = new PeerQueue(MAX_QUEUED_FRAMES, MAX_QUEUED_BYTES);
 
     private SocketChannel channel;
@@ -37,6 +40,8 @@
     private ByteBuffer[] currentBuffers;
     private double dialledAtMs;
     private double progressAtMs;
+    /** When the first frame was written of which no reading was confirmed, NaN if there is none. */
+    private double unconfirmedSinceMs = Double.NaN;
     private double redialAtMs = Double.NEGATIVE_INFINITY;
 
     OutgoingConnection(InetSocketAddress peer, Selector selector, TransportCounters counters) {
@@ -94,7 +99,7 @@
             if (key.isConnectable() && channel.finishConnect()) {
                 key.interestOps(SelectionKey.OP_READ);
                 opened(nowMs);
-            } else if (key.isReadable() && peerClosed()) {
+            } else if (key.isReadable() && !readConfirmation()) {
                 fail(nowMs);
             } else if (key.isWritable()) {
                 write(nowMs);
@@ -104,10 +109,11 @@
         }
     }
 
-    /** Peers write nothing on this connection; what can be read is its end. */
-    private boolean peerClosed() throws IOException {
-        SCRATCH.clear();
-        return channel.read(SCRATCH) < 0;
+    /** Takes the peer's confirmations; returns false at the end of the connection. */
+    private boolean readConfirmation() throws IOException {
+        scratch.clear();
+        unconfirmedSinceMs = Double.NaN;
+        return channel.read(scratch) >= 0;
     }
 
     private void write(double nowMs) {
@@ -122,6 +128,9 @@
                 }
                 counters.framesSent.increment();
                 current = null;
+                if (Double.isNaN(unconfirmedSinceMs)) {
+                    unconfirmedSinceMs = nowMs;
+                }
             }
             key.interestOps(SelectionKey.OP_READ);
         } catch (IOException e) {
@@ -149,6 +158,8 @@
             if (nowMs - progressAtMs > STUCK_WRITE_MS) {
                 fail(nowMs);
             }
+        } else if (nowMs - unconfirmedSinceMs > CONFIRMATION_TIMEOUT_MS) {
+            fail(nowMs);
         } else if (nowMs - progressAtMs > IDLE_MS) {
             close();
         }
@@ -168,6 +179,7 @@
         current = null;
         currentBuffers = null;
         connected = false;
+        unconfirmedSinceMs = Double.NaN;
         key = null;
         if (channel != null) {
             try {
@@ -179,9 +191,10 @@
         }
     }
 
-    /** Whether it dials, or has frames that wait. */
+    /** Whether it dials, or has frames that wait to be written or confirmed. */
     boolean waits() {
-        return channel != null && !connected || current != null || !queue.isEmpty();
+        boolean dials = channel != null && !connected;
+        return dials || current != null || !queue.isEmpty() || !Double.isNaN(unconfirmedSinceMs);
     }
 
     /** Whether there is anything to look after. */
--- a/transport/src/test/java/pinewick/transport/OutgoingConnectionTest.java
+++ b/transport/src/test/java/pinewick/transport/OutgoingConnectionTest.java
@@ -77,6 +77,8 @@
     @Test
     void anIdleConnectionIsClosed() throws IOException {
         sendSmall(0);
+        server.accept().getOutputStream().write(1);
+        selectUntil(() -> !connection.waits(), 1);
         connection.sweep(OutgoingConnection.IDLE_MS);
         assertTrue(connection.active());
         connection.sweep(OutgoingConnection.IDLE_MS + 1);
@@ -84,6 +86,17 @@
         assertEquals(0, counters.failedConnections());
     }
 
+    @Test
+    void aPeerThatConfirmsNothingIsDialledAgain() throws IOException {
+        sendSmall(0);
+        connection.sweep(OutgoingConnection.CONFIRMATION_TIMEOUT_MS);
+        assertEquals(0, counters.failedConnections());
+        assertTrue(connection.waits());
+        connection.sweep(OutgoingConnection.CONFIRMATION_TIMEOUT_MS + 1);
+        assertEquals(1, counters.failedConnections());
+        assertFalse(connection.active(), "a frame that was written whole is not sent twice");
+    }
+
     @Test
     void aStuckWriteEndsTheConnectionAndTheFrameIsSentAgainWhole() throws IOException {
         byte[] large = new byte[8 * MEGABYTE];
