--- a/dataplane/src/main/java/pinewick/dataplane/AttemptLedger.java
+++ b/dataplane/src/main/java/pinewick/dataplane/AttemptLedger.java
@@ -1,5 +1,7 @@
 package pinewick.dataplane;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import pinewick.selection.RetryBudget;
 
 /**
@@ -10,8 +12,8 @@
     private final String service;
     private final int maxAttempts;
     private final RetryBudget budget;
+    private final Deque<Double> paidAtMs = new ArrayDeque<>();
     private int arrivals;
-    private int paid;
     private boolean prefillTakenUp;
 
     AttemptLedger(String service, int maxAttempts, RetryBudget budget) {
@@ -25,21 +27,28 @@
         if (arrivals + 1 > maxAttempts) {
             return false;
         }
-        while (paid < arrivals) {
+        while (paidAtMs.size() < arrivals) {
             if (!budget.tryTake(service, nowMs)) {
                 return false;
             }
-            paid++;
+            paidAtMs.push(nowMs);
         }
         arrivals++;
         return true;
     }
 
-    /** The arrival reserved last did not come about; what was paid stays with this request. */
+    /** The arrival reserved last did not come about; what was paid stays with this request until its end. */
     void cancel() {
         arrivals--;
     }
 
+    /** The request has ended: what was paid for nothing goes back. */
+    void close() {
+        while (paidAtMs.size() > Math.max(0, arrivals - 1)) {
+            budget.giveBack(service, paidAtMs.pop());
+        }
+    }
+
     /** A prefill call was answered with a handle. */
     void prefillTakenUp() {
         if (!prefillTakenUp) {
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -58,6 +58,8 @@
             SerialExecutor serial,
             Timers timers,
             RetryBudget budget,
+            ReplicaSelector selector,
+            PairChooser chooser,
             RandomGenerator random,
             Consumer<RequestLimits> onLimits) {
         this.onLimits = onLimits;
@@ -65,7 +67,7 @@
         this.timers = timers;
         this.random = random;
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
-        this.services = new DataPlaneServices(new ReplicaSelector(random), budget, directory, pool, timers, random);
+        this.services = new DataPlaneServices(selector, chooser, budget, directory, pool, timers, random);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -98,6 +100,8 @@
     private void putInForce(RoutingTable next) {
         boolean otherLimits = !next.limits().equals(routingTable.limits());
         routingTable = next;
+        next.services().values().forEach(service ->
+                service.engine().ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
         if (otherLimits) {
             onLimits.accept(next.limits());
         }
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
@@ -7,6 +7,7 @@
 /** What every request's lifecycle works with. All of it is used on the data plane's executor only. */
 record DataPlaneServices(
         ReplicaSelector selector,
+        PairChooser chooser,
         RetryBudget budget,
         ReplicaDirectory directory,
         ReplicaCalls calls,
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -38,6 +38,7 @@
     private final DataPlaneServices services;
     private final ReplicaRecord replica;
     private final CallKind kind;
+    private final String readAtZone;
     private ReplicaSelector.Call measured;
     private UpstreamCall upstream;
     private Timers.Timer patience;
@@ -46,11 +47,18 @@
     private ByteArrayOutputStream kept;
     private boolean firstEventSeen;
 
-    ReplicaCall(RequestLifecycle lifecycle, DataPlaneServices services, ReplicaRecord replica, CallKind kind) {
+    /** @param readAtZone where the prompt is read */
+    ReplicaCall(
+            RequestLifecycle lifecycle,
+            DataPlaneServices services,
+            ReplicaRecord replica,
+            CallKind kind,
+            String readAtZone) {
         this.lifecycle = lifecycle;
         this.services = services;
         this.replica = replica;
         this.kind = kind;
+        this.readAtZone = readAtZone;
     }
 
     ReplicaRecord replica() {
@@ -71,7 +79,7 @@
     }
 
     void begin(UpstreamRequest request) {
-        measured = services.selector().begin(replica, kind, lifecycle.shape(), now());
+        measured = services.selector().begin(replica, kind, lifecycle.shape(), readAtZone, now());
         upstream = services.calls().send(replica, request, this);
         if (kind == CallKind.PREFILL || lifecycle.shape().route().repeatable()) {
             patience = services.timers().schedule(patienceMs(), () -> lifecycle.tryAnother(this));
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaConnections.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaConnections.java
@@ -45,7 +45,7 @@
             if (candidate.isUsable(nowMs())) {
                 return candidate;
             }
-            candidate.close();
+            candidate.closeNow();
         }
         return null;
     }
@@ -54,9 +54,9 @@
     void connected(UpstreamConnection connection) {
         UpstreamExchange exchange = nextWaiting();
         if (exchange == null) {
-            connection.close();
+            connection.closeNow();
         } else if (!pool.takesRequests(replica)) {
-            connection.close();
+            connection.closeNow();
             exchange.notSent(CallListener.NotSent.REPLICA_LEFT);
         } else {
             connection.send(exchange);
@@ -94,7 +94,7 @@
     void sweep(double nowMs) {
         for (UpstreamConnection connection : idle.toArray(UpstreamConnection[]::new)) {
             if (connection.hasExpired(nowMs)) {
-                connection.close();
+                connection.closeNow();
             }
         }
     }
@@ -102,7 +102,7 @@
     /** Closes every connection at rest. */
     void closeIdle() {
         for (UpstreamConnection connection : idle.toArray(UpstreamConnection[]::new)) {
-            connection.close();
+            connection.closeNow();
         }
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaDirectory.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaDirectory.java
@@ -23,11 +23,11 @@
         byService.computeIfAbsent(record.service(), service -> new HashMap<>()).put(record.instanceId(), record);
     }
 
-    /** Replicas of a service that take requests and hold the model; an empty model name asks for none. */
-    List<ReplicaRecord> candidates(String service, String model) {
+    /** Replicas of a service that take requests. */
+    List<ReplicaRecord> candidates(String service) {
         List<ReplicaRecord> candidates = new ArrayList<>();
         for (ReplicaRecord record : byService.getOrDefault(service, Map.of()).values()) {
-            if (record.takesRequests() && holds(record, model)) {
+            if (record.takesRequests()) {
                 candidates.add(record);
             }
         }
@@ -46,10 +46,4 @@
         ReplicaRecord now = byService.getOrDefault(replica.service(), Map.of()).get(replica.instanceId());
         return now != null && now.takesRequests();
     }
-
-    private static boolean holds(ReplicaRecord record, String model) {
-        return model.isEmpty()
-                || record.models().isEmpty()
-                || record.models().stream().anyMatch(held -> held.name().equals(model));
-    }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -1,6 +1,7 @@
 package pinewick.dataplane;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -50,7 +51,6 @@
     /** No prefill replica is asked any more: the decode replica reads the prompt itself. */
     private boolean readWhole;
     private ReplicaCall active;
-    private ReplicaRecord plannedDecode;
     private PrefillHandle handle;
     private Timers.Timer deadlineTimer;
 
@@ -133,15 +133,17 @@
     }
 
     private Optional<Pair> choose() {
-        return services.selector()
-                .choose(shape, services.directory().candidates(shape.service(), shape.model()), excluded, now());
+        return services.chooser().choose(shape, candidates(), excluded, now());
+    }
+
+    private List<ReplicaRecord> candidates() {
+        return services.directory().candidates(shape.service());
     }
 
     private void begin(Pair pair) {
         boolean readFirst =
                 pair.prefill().isPresent() && handle == null && !readWhole && phase == Phase.WAITING;
         if (readFirst) {
-            plannedDecode = pair.decode();
             call(pair.prefill().get(), CallKind.PREFILL);
         } else {
             callDecode(pair.decode());
@@ -154,7 +156,8 @@
     }
 
     private void call(ReplicaRecord replica, CallKind kind) {
-        active = new ReplicaCall(this, services, replica, kind);
+        String readAt = kind == CallKind.DECODE_FETCHED ? handle.holder().zone() : replica.zone();
+        active = new ReplicaCall(this, services, replica, kind, readAt);
         active.begin(upstreamRequest(replica, kind));
     }
 
@@ -257,10 +260,10 @@
         active = null;
         handle = made;
         ledger.prefillTakenUp();
-        if (!services.directory().takesRequests(plannedDecode)) {
-            attempt(this::giveUp);
-        } else if (ledger.reserve(now())) {
-            callDecode(plannedDecode);
+        Optional<ReplicaRecord> decode =
+                services.chooser().chooseDecode(shape, made.holder(), candidates(), excluded, now());
+        if (decode.isPresent() && ledger.reserve(now())) {
+            callDecode(decode.get());
         } else {
             giveUp();
         }
@@ -361,6 +364,7 @@
         phase = Phase.ENDED;
         deadlineTimer.cancel();
         releaseHandle();
+        ledger.close();
         onEnded.accept(this);
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -11,6 +11,7 @@
 import pinewick.dissemination.FleetNode;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
+import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RetryBudget;
 
 /**
@@ -51,8 +52,16 @@
         NodeSettings.Bounds bounds = settings.bounds();
         RetryBudget budget = new RetryBudget(
                 bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.budgetWindowSeconds() * MILLISECONDS);
+        ReplicaSelector selector = new ReplicaSelector(random.split());
+        selector.setPlace(settings.zone(), settings.zones());
         dataPlane = new DataPlane(
-                serial, new JettyTimers(scheduler, serial), budget, random.split(), limits -> front.setLimits(limits));
+                serial,
+                new JettyTimers(scheduler, serial),
+                budget,
+                selector,
+                PairChooser.of(selector),
+                random.split(),
+                limits -> front.setLimits(limits));
         front = new HttpFront(
                 dataPlane, this::isReady, scheduler, addressOf("frontend"), addressOf("readiness"));
         front.start();
@@ -102,6 +111,9 @@
      * needs to notice; what is under way is waited for; the rest is answered.
      */
     public void stop() {
+        if (stopping) {
+            return;
+        }
         long endsAt = System.nanoTime()
                 + TimeUnit.MILLISECONDS.toNanos(
                         (long) (settings.bounds().gracePeriodSeconds() * MILLISECONDS) - CLOSING_MS);
--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamConnection.java
@@ -43,7 +43,8 @@
     private boolean closed;
     private boolean fillInterested;
     private boolean paused;
-    private boolean writing;
+    /** Cleared on the thread that wrote, so that an answer cannot overtake it. */
+    private volatile boolean writing;
     private boolean spoilt;
     private boolean used;
     private double idleUntilMs;
@@ -132,7 +133,7 @@
         headLength = head.remaining();
         Callback callback = Callback.from(
                 InvocationType.NON_BLOCKING,
-                () -> serial.execute(() -> writing = false),
+                () -> writing = false,
                 cause -> serial.execute(() -> writeFailed(cause)));
         if (next.request().body().length == 0) {
             getEndPoint().write(callback, head);
@@ -146,7 +147,7 @@
         if (exchange != null && head.remaining() == headLength) {
             UpstreamExchange unsent = exchange;
             unsent.assign(null);
-            close();
+            closeNow();
             owner.start(unsent);
         } else {
             fail("write failed: " + cause);
@@ -209,7 +210,7 @@
     private void parse(ByteBuffer buffer) {
         while (buffer.hasRemaining() && !closed) {
             if (exchange == null) {
-                close();
+                closeNow();
                 return;
             }
             parser.parseNext(buffer);
@@ -236,7 +237,7 @@
         if (keepAlive && !spoilt && !writing && !moreBytes) {
             owner.released(this);
         } else {
-            close();
+            closeNow();
         }
         answered.complete();
     }
@@ -353,14 +354,19 @@
     private void fail(String reason) {
         UpstreamExchange broken = exchange;
         exchange = null;
-        close();
+        closeNow();
         if (broken != null) {
             broken.broken(reason);
         }
     }
 
+    /** Jetty's way to close it, on any thread. */
     @Override
     public void close() {
+        serial.execute(this::closeNow);
+    }
+
+    void closeNow() {
         if (!closed) {
             closed = true;
             exchange = null;
--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamExchange.java
@@ -43,7 +43,7 @@
         if (!ended) {
             ended = true;
             if (connection != null) {
-                connection.close();
+                connection.closeNow();
             }
         }
     }
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/ForcedChooser.java
@@ -0,0 +1,43 @@
+package pinewick.dataplane;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import pinewick.model.ReplicaRecord;
+import pinewick.selection.Pair;
+import pinewick.selection.RequestShape;
+
+/** Chooses what a test has put in order, else what the selection would. Never one that is excluded or not a candidate. */
+record ForcedChooser(PairChooser own, Queue<String> forced) implements PairChooser {
+    @Override
+    public Optional<Pair> choose(
+            RequestShape request, Collection<ReplicaRecord> candidates, Set<String> excluded, double nowMs) {
+        String next = forced.poll();
+        if (next == null) {
+            return own.choose(request, candidates, excluded, nowMs);
+        }
+        int plus = next.indexOf('+');
+        ReplicaRecord decode = find(next.substring(plus + 1), candidates, excluded);
+        return Optional.of(plus < 0
+                ? new Pair(Optional.empty(), decode)
+                : new Pair(Optional.of(find(next.substring(0, plus), candidates, excluded)), decode));
+    }
+
+    @Override
+    public Optional<ReplicaRecord> chooseDecode(
+            RequestShape request,
+            ReplicaRecord reader,
+            Collection<ReplicaRecord> candidates,
+            Set<String> excluded,
+            double nowMs) {
+        return own.chooseDecode(request, reader, candidates, excluded, nowMs);
+    }
+
+    private static ReplicaRecord find(String id, Collection<ReplicaRecord> candidates, Set<String> excluded) {
+        return candidates.stream()
+                .filter(candidate -> candidate.instanceId().equals(id) && !excluded.contains(id))
+                .findFirst()
+                .orElseThrow(() -> new IllegalStateException(id + " cannot be chosen"));
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
@@ -5,11 +5,17 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 
 /** One end of a connection, played by hand. Every wait is bounded. */
 final class RawSocket implements AutoCloseable {
     private static final int PATIENCE_MS = 10_000;
+    private static final int SHORT_WAIT_MS = 20;
+    private static final int MOST_TURNS = 500;
+    private static final int HELD_UP_MS = 300;
 
     private final Socket socket;
     private final InputStream in;
@@ -51,6 +57,46 @@
         }
     }
 
+    /** Sends until the other side's end is felt; true if it came within a bounded number of turns. */
+    boolean isClosedByPeerWhileSending(IntFunction<String> textOfTurn) throws IOException {
+        socket.setSoTimeout(SHORT_WAIT_MS);
+        for (int turn = 0; turn < MOST_TURNS; turn++) {
+            try {
+                send(textOfTurn.apply(turn));
+                if (in.read() < 0) {
+                    return true;
+                }
+            } catch (SocketTimeoutException e) {
+                // still open: the next turn
+            } catch (IOException e) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Sends on a thread of its own until the other side takes no more for a while. */
+    void sendUntilHeldUp(String text) throws Exception {
+        AtomicInteger sent = new AtomicInteger();
+        Thread sender = new Thread(() -> {
+            try {
+                while (true) {
+                    send(text);
+                    sent.incrementAndGet();
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+        int before;
+        do {
+            before = sent.get();
+            sender.join(HELD_UP_MS);
+        } while (sent.get() != before);
+    }
+
     /** Closes with a reset in place of an orderly end. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/RepeatTest.java
@@ -0,0 +1,169 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.Stage;
+
+/** What is sent to a second replica, and what the client is told where none may be asked. */
+class RepeatTest {
+    private TestRouter router;
+    private ScriptedReplica first;
+    private ScriptedReplica second;
+    private RawSocket client;
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        first = router.replica("i-1", "plain", Stage.NONE);
+        second = router.replica("i-2", "plain", Stage.NONE);
+        client = router.client();
+        router.force("i-1");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    private RawSocket send(String kind, int maxAttempts) throws Exception {
+        router.configure(TestRouter.plainRoute(kind, maxAttempts));
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        return upstream;
+    }
+
+    private void assertServedBySecond() throws Exception {
+        RawSocket upstream = second.accept();
+        HttpText.Message seen = upstream.read();
+        assertEquals("q1", seen.field("X-Pinewick-Request-Id"));
+        assertEquals("i-2", seen.field("X-Pinewick-Expected-Instance"));
+        assertEquals("body", seen.body());
+        upstream.send(ScriptedReplica.answer(200, "q1", "from the second"));
+        HttpText.Message answer = client.read();
+        assertEquals(200, answer.status());
+        assertEquals("from the second", answer.body());
+    }
+
+    private void assertRefused() throws Exception {
+        HttpText.Message answer = client.read();
+        assertEquals(503, answer.status());
+        assertNull(answer.field("X-Pinewick-Server-Signature"));
+        double seconds = Double.parseDouble(answer.field("Retry-After"));
+        assertTrue(seconds > 0 && seconds < 1, "Retry-After " + seconds);
+    }
+
+    @Test
+    void aRejectedRequestGoesToAnotherReplica() throws Exception {
+        send("non_idempotent", 2).send(ScriptedReplica.rejection("q1"));
+        assertServedBySecond();
+    }
+
+    @Test
+    void aRejectionWithoutFurtherAttemptsIsARefusal() throws Exception {
+        send("non_idempotent", 1).send(ScriptedReplica.rejection("q1"));
+        assertRefused();
+    }
+
+    @Test
+    void rejectionsEverywhereAreARefusal() throws Exception {
+        send("non_idempotent", 3).send(ScriptedReplica.rejection("q1"));
+        RawSocket upstream = second.accept();
+        upstream.read();
+        upstream.send(ScriptedReplica.rejection("q1"));
+        assertRefused();
+    }
+
+    @Test
+    void anotherInstanceAtTheAddressHasNotRunIt() throws Exception {
+        send("non_idempotent", 2)
+                .send("HTTP/1.1 421 Misdirected Request\r\nX-Pinewick-Request-Id: q1\r\n"
+                        + "X-Pinewick-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n");
+        assertServedBySecond();
+    }
+
+    @Test
+    void aRejectionCutOffInItsBodyIsOne() throws Exception {
+        RawSocket upstream = send("non_idempotent", 2);
+        upstream.send("HTTP/1.1 503 Full\r\nX-Pinewick-Request-Id: q1\r\nX-Pinewick-Not-Executed: 1\r\n"
+                + "Content-Length: 100\r\n\r\nonly");
+        upstream.reset();
+        assertServedBySecond();
+    }
+
+    @Test
+    void whatMayHaveRunIsNotRepeatedUnlessItMayBe() throws Exception {
+        send("non_idempotent", 2).reset();
+        assertEquals(502, client.read().status());
+    }
+
+    @Test
+    void anIdempotentRequestIsRepeatedAfterAReset() throws Exception {
+        send("idempotent", 2).reset();
+        assertServedBySecond();
+    }
+
+    @Test
+    void anIdempotentRequestIsRepeatedAfterAFailureOfTheReplica() throws Exception {
+        send("idempotent", 2).send(ScriptedReplica.answer(500, "q1", "failed"));
+        assertServedBySecond();
+    }
+
+    @Test
+    void aFailureThatCannotBeRepeatedIsPassedOn() throws Exception {
+        send("idempotent", 1).send(ScriptedReplica.answer(500, "q1", "failed"));
+        HttpText.Message answer = client.read();
+        assertEquals(500, answer.status());
+        assertEquals("failed", answer.body());
+        assertEquals("stamp-q1", answer.field("X-Pinewick-Server-Signature"));
+    }
+
+    @Test
+    void aRejectionAfterAPossibleRunIsNoPromise() throws Exception {
+        send("idempotent", 2).reset();
+        RawSocket upstream = second.accept();
+        upstream.read();
+        upstream.send(ScriptedReplica.rejection("q1"));
+        assertEquals(502, client.read().status());
+    }
+
+    @Test
+    void aDeadPortIsNoAttempt() throws Exception {
+        router.configure(TestRouter.plainRoute("non_idempotent", 1));
+        first.close();
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        assertServedBySecond();
+    }
+
+    @Test
+    void deadPortsEverywhereAreARefusal() throws Exception {
+        router.configure(TestRouter.plainRoute("non_idempotent", 1));
+        first.close();
+        second.close();
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        assertRefused();
+    }
+
+    @Test
+    void aSilentReplicaEndsInATimeOut() throws Exception {
+        router.configure(TestRouter.plainRoute("non_idempotent", 2));
+        client.send("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n"
+                + "X-Pinewick-Deadline-Ms: 150\r\nContent-Length: 0\r\n\r\n");
+        RawSocket upstream = first.accept();
+        upstream.read();
+        assertEquals(504, client.read().status());
+        assertTrue(upstream.isClosedByPeer());
+    }
+
+    @Test
+    void aSilentReplicaIsGivenUpWhereTheRequestMayBeRepeated() throws Exception {
+        RawSocket upstream = send("idempotent", 2);
+        assertServedBySecond();
+        assertTrue(upstream.isClosedByPeer());
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/ScriptedReplica.java
+++ b/dataplane/src/test/java/pinewick/dataplane/ScriptedReplica.java
@@ -20,11 +20,15 @@
     private long callSequence = 1;
 
     ScriptedReplica(String instanceId, String service, Stage stage) throws IOException {
+        this(instanceId, service, stage, new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")));
+        listener.setSoTimeout(PATIENCE_MS);
+    }
+
+    private ScriptedReplica(String instanceId, String service, Stage stage, ServerSocket listener) {
         this.instanceId = instanceId;
         this.service = service;
         this.stage = stage;
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        listener.setSoTimeout(PATIENCE_MS);
+        this.listener = listener;
     }
 
     ReplicaRecord record() {
@@ -36,6 +40,11 @@
                 instanceId, service, address(), "zone", "v1", 12, state, 0, stage, List.of(), callSequence++, false);
     }
 
+    /** The same address with another instance behind it. */
+    ScriptedReplica successor(String id) {
+        return new ScriptedReplica(id, service, stage, listener);
+    }
+
     SocketAddress address() {
         return new SocketAddress("127.0.0.1", listener.getLocalPort());
     }
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -0,0 +1,173 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.Stage;
+
+/** Streams that break: before their first event, within one, and between two. */
+class StreamTest {
+    private TestRouter router;
+    private ScriptedReplica first;
+    private ScriptedReplica second;
+    private RawSocket client;
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        first = router.replica("i-1", "lm", Stage.DECODE);
+        second = router.replica("i-2", "lm", Stage.DECODE);
+        client = router.client();
+        router.force("i-1");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: token " + id + "\n\n";
+    }
+
+    private RawSocket begin(boolean resumable, int maxAttempts, String... fields) throws Exception {
+        router.configure(TestRouter.streamRoute(resumable, maxAttempts));
+        client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt", fields));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        upstream.send(ScriptedReplica.streamHead("q1"));
+        return upstream;
+    }
+
+    private void passOne(RawSocket upstream) throws Exception {
+        upstream.send(ScriptedReplica.chunk(event(1)));
+        HttpText.Message head = client.readHead();
+        assertEquals(200, head.status());
+        assertEquals("stamp-q1", head.field("X-Pinewick-Server-Signature"));
+        assertEquals(event(1), client.readChunk());
+    }
+
+    private void assertAborted() {
+        assertThrows(IOException.class, client::readChunk);
+    }
+
+    @Test
+    void aStreamThatBreaksBeforeItsFirstEventFailsCleanly() throws Exception {
+        RawSocket upstream = begin(false, 2);
+        upstream.send(ScriptedReplica.chunk("id: 1\ndata: hal"));
+        upstream.reset();
+        assertEquals(502, client.read().status());
+    }
+
+    @Test
+    void aBrokenStreamDoesNotLookComplete() throws Exception {
+        RawSocket upstream = begin(false, 2);
+        passOne(upstream);
+        upstream.send(ScriptedReplica.chunk("id: 2\ndata: hal"));
+        upstream.close();
+        assertAborted();
+    }
+
+    @Test
+    void aResumableStreamGoesOnAtAnotherReplicaAfterTheLastWholeEvent() throws Exception {
+        RawSocket upstream = begin(true, 2);
+        passOne(upstream);
+        upstream.send(ScriptedReplica.chunk("id: 2\ndata: hal"));
+        upstream.reset();
+        RawSocket next = second.accept();
+        HttpText.Message seen = next.read();
+        assertEquals("1", seen.field("Last-Event-Id"));
+        assertEquals("prompt", seen.body());
+        next.send(ScriptedReplica.streamHead("q1", "X-Second: head"));
+        next.send(ScriptedReplica.chunk(event(1) + event(2)));
+        assertEquals(event(2), client.readChunk());
+        next.send(ScriptedReplica.chunk(event(3)) + ScriptedReplica.lastChunk());
+        assertEquals(event(3), client.readChunk());
+        assertEquals("", client.readChunk());
+    }
+
+    @Test
+    void aResumableStreamWithoutAnEventBeginsAnewAfterTheClientsOwnLastEvent() throws Exception {
+        RawSocket upstream = begin(true, 2, "Last-Event-Id: 12");
+        upstream.reset();
+        RawSocket next = second.accept();
+        assertEquals("12", next.read().field("Last-Event-Id"));
+        next.send(ScriptedReplica.streamHead("q1") + ScriptedReplica.chunk(event(13)) + ScriptedReplica.lastChunk());
+        HttpText.Message answer = client.read();
+        assertEquals(200, answer.status());
+        assertEquals(event(13), answer.body());
+    }
+
+    @Test
+    void withoutFurtherAttemptsABrokenResumableStreamIsAborted() throws Exception {
+        RawSocket upstream = begin(true, 1);
+        passOne(upstream);
+        upstream.reset();
+        assertAborted();
+    }
+
+    @Test
+    void whenTheSecondReplicaRejectsItTheStreamIsAborted() throws Exception {
+        RawSocket upstream = begin(true, 2);
+        passOne(upstream);
+        upstream.reset();
+        RawSocket next = second.accept();
+        next.read();
+        next.send(ScriptedReplica.rejection("q1"));
+        assertAborted();
+    }
+
+    @Test
+    void aStreamWithoutAnyEventIsPassedOnWhole() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        upstream.send(ScriptedReplica.lastChunk());
+        HttpText.Message answer = client.read();
+        assertEquals(200, answer.status());
+        assertEquals("", answer.body());
+    }
+
+    @Test
+    void anUnstampedStreamIsNotPassedOn() throws Exception {
+        router.configure(TestRouter.streamRoute(false, 1));
+        client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt"));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        upstream.send("HTTP/1.1 200 OK\r\nX-Pinewick-Request-Id: q1\r\nContent-Type: text/event-stream\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + ScriptedReplica.chunk(event(1)));
+        HttpText.Message answer = client.read();
+        assertEquals(502, answer.status());
+        assertNull(answer.field("X-Pinewick-Server-Signature"));
+    }
+
+    @Test
+    void whenTheClientLeavesTheReplicaIsToldByItsConnection() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        passOne(upstream);
+        client.reset();
+        assertTrue(upstream.isClosedByPeerWhileSending(turn -> ScriptedReplica.chunk(event(turn + 2))));
+    }
+
+    @Test
+    void aClientThatDoesNotReadHoldsTheReplicaUpAndNotTheRouter() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        passOne(upstream);
+        String large = "data: " + "x".repeat(64 * 1024) + "\n\n";
+        upstream.sendUntilHeldUp(ScriptedReplica.chunk(large));
+        // Another client is served meanwhile.
+        router.force("i-2");
+        RawSocket other = router.client();
+        other.send(TestRouter.request("POST", "/lm/g", "q2", "prompt"));
+        RawSocket next = second.accept();
+        next.read();
+        next.send(ScriptedReplica.streamHead("q2") + ScriptedReplica.chunk(event(1)) + ScriptedReplica.lastChunk());
+        assertEquals(event(1), other.read().body());
+        // Once the first one reads, the events come.
+        assertEquals(large, client.readChunk().substring(0, large.length()));
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import pinewick.dissemination.FleetState;
 import pinewick.model.ConfigurationChecks;
@@ -12,6 +14,7 @@
 import pinewick.model.ReplicaState;
 import pinewick.model.SocketAddress;
 import pinewick.model.Stage;
+import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RetryBudget;
 
 /** A router's data plane on loopback, with a fleet state that the test fills by hand. */
@@ -22,19 +25,41 @@
     final DataPlane dataPlane;
     final HttpFront front;
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
+    private final Queue<String> forcedPairs = new ConcurrentLinkedQueue<>();
     private final List<AutoCloseable> toClose = new ArrayList<>();
 
     TestRouter() throws Exception {
         SerialExecutor serial = new SerialExecutor();
         scheduler.start();
         JettyTimers timers = new JettyTimers(scheduler, serial);
-        dataPlane = new DataPlane(serial, timers, new RetryBudget(0.2, 50, 10_000), new SplittableRandom(7), limits -> {});
+        ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(7));
+        PairChooser own = PairChooser.of(selector);
+        dataPlane = new DataPlane(
+                serial,
+                timers,
+                budget(),
+                selector,
+                new ForcedChooser(own, forcedPairs),
+                new SplittableRandom(8),
+                limits -> {});
         SocketAddress anyPort = new SocketAddress("127.0.0.1", 0);
         front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort);
         front.start();
         dataPlane.follow(state, front.upstream());
     }
 
+    /** A budget whose first window is over, so that its slack can be spent. */
+    private static RetryBudget budget() {
+        RetryBudget budget = new RetryBudget(0.2, 50, 10_000);
+        budget.onRequest("none", System.nanoTime() / 1e6 - 20_000);
+        return budget;
+    }
+
+    /** The next choices in order, before the selection is asked: instance ids, or PREFILL+DECODE. */
+    void force(String... pairs) {
+        forcedPairs.addAll(List.of(pairs));
+    }
+
     /** Puts a configuration in force: routes in JSON, without the fields that all of them share. */
     void configure(String... routes) throws InvalidConfigurationException {
         String json = """
