--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -0,0 +1,79 @@
+package pinewick.dataplane;
+
+import java.util.function.IntSupplier;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.internal.HttpConnection;
+
+/**
+ * Jetty's connection to a client, with three differences: chunks are sent whole, a connection at rest is not read before
+ * something comes, and a request's head must come within a time.
+ */
+final class ClientConnection extends HttpConnection {
+    private static final double NANOS_A_MILLISECOND = 1e6;
+
+    private final IntSupplier headerTimeoutMs;
+    private long headBeganNanos;
+
+    private ClientConnection(
+            HttpConfiguration configuration, Connector connector, EndPoint endPoint, IntSupplier headerTimeoutMs) {
+        super(configuration, connector, endPoint);
+        this.headerTimeoutMs = headerTimeoutMs;
+    }
+
+    /** Makes such connections. */
+    static final class Factory extends HttpConnectionFactory {
+        private final IntSupplier headerTimeoutMs;
+
+        Factory(HttpConfiguration configuration, IntSupplier headerTimeoutMs) {
+            super(configuration);
+            this.headerTimeoutMs = headerTimeoutMs;
+        }
+
+        @Override
+        public Connection newConnection(Connector connector, EndPoint endPoint) {
+            ClientConnection connection =
+                    new ClientConnection(getHttpConfiguration(), connector, endPoint, headerTimeoutMs);
+            connection.setUseInputDirectByteBuffers(isUseInputDirectByteBuffers());
+            connection.setUseOutputDirectByteBuffers(isUseOutputDirectByteBuffers());
+            return configure(connection, connector, endPoint);
+        }
+    }
+
+    @Override
+    protected HttpGenerator newHttpGenerator() {
+        HttpGenerator generator = new PromptChunkGenerator();
+        generator.setMaxHeaderBytes(getHttpConfiguration().getResponseHeaderSize());
+        return generator;
+    }
+
+    /** An answer was completed: looks for the next request. */
+    @Override
+    public void run() {
+        if (isRequestBufferEmpty() && getParser().isStart() && getEndPoint().isOpen()) {
+            fillInterested();
+        } else {
+            super.run();
+        }
+    }
+
+    @Override
+    public void onFillable() {
+        super.onFillable();
+        if (!isInHead()) {
+            headBeganNanos = 0;
+        } else if (headBeganNanos == 0) {
+            headBeganNanos = System.nanoTime();
+        } else if ((System.nanoTime() - headBeganNanos) / NANOS_A_MILLISECOND > headerTimeoutMs.getAsInt()) {
+            getEndPoint().close();
+        }
+    }
+
+    private boolean isInHead() {
+        return getHttpChannel().getRequest() == null && !getParser().isStart() && !getParser().isTerminated();
+    }
+}
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -45,7 +45,11 @@
         server = new Server(threadPool(), scheduler, new ArrayByteBufferPool());
         server.setStopTimeout(0);
         configure();
-        frontend = new RouterConnector(server, scheduler, new HttpConnectionFactory(configuration));
+        frontend = new RouterConnector(
+                server,
+                scheduler,
+                new ClientConnection.Factory(
+                        configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()));
         listenAt(frontend, frontendAddress);
         readiness = new ServerConnector(
                 server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -92,13 +92,13 @@
             return;
         }
         ByteBuffer content = takeWaiting();
+        int length = content.remaining();
         if (streamEnded) {
             over = true;
             response.write(true, content, callback);
             return;
         }
         writing = true;
-        int length = content.remaining();
         response.write(false, content, Callback.from(
                 org.eclipse.jetty.util.thread.Invocable.InvocationType.NON_BLOCKING,
                 () -> serial.execute(() -> written(length)),
@@ -106,14 +106,16 @@
     }
 
     private ByteBuffer takeWaiting() {
-        if (waiting.size() <= 1) {
-            return waiting.isEmpty() ? BufferUtil.EMPTY_BUFFER : ByteBuffer.wrap(waiting.poll());
+        if (waiting.isEmpty()) {
+            return BufferUtil.EMPTY_BUFFER;
+        }
+        int total = 0;
+        for (byte[] piece : waiting) {
+            total += piece.length;
         }
-        int total = waiting.stream().mapToInt(piece -> piece.length).sum();
-        ByteBuffer joined = ByteBuffer.allocate(total);
-        waiting.forEach(joined::put);
+        ByteBuffer joined = PromptChunkGenerator.withLineEnd(waiting, total);
         waiting.clear();
-        return joined.flip();
+        return joined;
     }
 
     private void written(int length) {
--- a/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -30,7 +30,14 @@
     private static final int ONE_SELECTOR = 1;
 
     RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http) {
-        super(server, null, scheduler, null, NO_ACCEPTOR_THREAD, ONE_SELECTOR, http);
+        super(
+                server,
+                new ConnectionExecutor(server.getThreadPool()),
+                scheduler,
+                null,
+                NO_ACCEPTOR_THREAD,
+                ONE_SELECTOR,
+                http);
     }
 
     @Override
--- a/dataplane/src/test/java/pinewick/dataplane/HttpText.java
+++ b/dataplane/src/test/java/pinewick/dataplane/HttpText.java
@@ -54,16 +54,10 @@
         return length == null ? "" : readBytes(in, Integer.parseInt(length));
     }
 
-    /** One chunk, empty for the last. Jetty sends the line end of a chunk with the next one, so it is read then. */
+    /** One chunk with its line end, empty for the last. */
     static String readChunk(InputStream in) throws IOException {
-        String size = readLine(in);
-        if (size.isEmpty()) {
-            size = readLine(in);
-        }
-        String chunk = readBytes(in, Integer.parseInt(size.trim(), 16));
-        if (chunk.isEmpty()) {
-            readLine(in);
-        }
+        String chunk = readBytes(in, Integer.parseInt(readLine(in).trim(), 16));
+        readLine(in);
         return chunk;
     }
 
