--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -14,20 +14,24 @@
 
 /** Reads one client request whole, within the limits in force, and hands it to the data plane. */
 final class ClientIntake implements Invocable.Task {
+    private static final String RETRY_AFTER_SECONDS = "0.5";
     private static final int FIRST_BODY_BYTES = 4 * 1024;
 
     private final DataPlane dataPlane;
     private final Request request;
     private final Response response;
+    private final Callback unadmitted;
     private final Callback callback;
     private final int mostBodyBytes;
     private ByteArrayOutputStream body;
+    private long keptBytes;
 
     ClientIntake(DataPlane dataPlane, Request request, Response response, Callback callback) {
         this.dataPlane = dataPlane;
         this.request = request;
         this.response = response;
-        this.callback = callback;
+        this.unadmitted = callback;
+        this.callback = Callback.from(callback, () -> dataPlane.admission().leave(keptBytes));
         this.mostBodyBytes = dataPlane.routingTable().limits().maxBodyBytes();
     }
 
@@ -54,10 +58,10 @@
                 return;
             }
             boolean last = chunk.isLast();
-            boolean fits = take(chunk.getByteBuffer());
+            Runnable refusal = take(chunk.getByteBuffer());
             chunk.release();
-            if (!fits) {
-                refuseTooLarge();
+            if (refusal != null) {
+                refusal.run();
                 return;
             }
             if (last) {
@@ -67,20 +71,43 @@
         }
     }
 
-    private boolean take(ByteBuffer content) {
-        if (!content.hasRemaining()) {
-            return true;
+    /** Keeps a piece of the body; returns how it is refused, or null. */
+    private Runnable take(ByteBuffer content) {
+        int length = content.remaining();
+        if (length == 0) {
+            return null;
         }
         if (body == null) {
-            body = new ByteArrayOutputStream(Math.max(content.remaining(), FIRST_BODY_BYTES));
+            body = new ByteArrayOutputStream(Math.max(length, FIRST_BODY_BYTES));
         }
-        if (body.size() + content.remaining() > mostBodyBytes) {
-            return false;
+        if (body.size() + length > mostBodyBytes) {
+            return this::refuseTooLarge;
         }
-        byte[] bytes = new byte[content.remaining()];
+        if (!dataPlane.admission().keep(length)) {
+            return () -> refuseForNow(callback);
+        }
+        keptBytes += length;
+        byte[] bytes = new byte[length];
         content.get(bytes);
         body.writeBytes(bytes);
-        return true;
+        return null;
+    }
+
+    /** Begins to read, unless too many requests are under way. */
+    void start() {
+        if (dataPlane.admission().enter()) {
+            run();
+        } else {
+            refuseForNow(unadmitted);
+        }
+    }
+
+    /** The request has not run: a later try may find room. */
+    private void refuseForNow(Callback told) {
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        response.getHeaders().put(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+        response.write(true, null, told);
     }
 
     private void refuseTooLarge() {
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -1,12 +1,13 @@
 package pinewick.dataplane;
 
 import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -15,6 +16,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import pinewick.dissemination.FleetState;
 import pinewick.dissemination.FleetStateListener;
@@ -46,7 +48,9 @@
     private final ReplicaDirectory directory = new ReplicaDirectory();
     private final UpstreamPool pool;
     private final DataPlaneServices services;
-    private final Set<RequestLifecycle> underWay = new HashSet<>();
+    private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final Admission admission = new Admission();
+    private final ByteBuffer probe = BufferUtil.allocateDirect(1);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
@@ -67,7 +71,8 @@
         this.timers = timers;
         this.random = random;
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
-        this.services = new DataPlaneServices(selector, chooser, budget, directory, pool, timers, random);
+        this.services = new DataPlaneServices(
+                selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -141,9 +146,16 @@
         return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
     }
 
-    /** Closes connections to replicas that have rested long enough. */
+    /** Closes connections to replicas that have rested long enough, and notices clients that have left. */
     void sweep() {
-        serial.execute(pool::sweep);
+        serial.execute(() -> {
+            pool.sweep();
+            List.copyOf(underWay.values()).forEach(client -> client.probe(probe));
+        });
+    }
+
+    Admission admission() {
+        return admission;
     }
 
     // ---- requests
@@ -155,7 +167,7 @@
     }
 
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
-        JettyClientExchange client = new JettyClientExchange(response, callback, serial, stopping);
+        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
         Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
         if (service.isEmpty()) {
@@ -168,9 +180,9 @@
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
-        underWay.add(lifecycle);
+        underWay.put(lifecycle, client);
         request.addIdleTimeoutListener(timeout -> false);
-        request.addFailureListener(failure -> serial.execute(lifecycle::onClientGone));
+        request.addFailureListener(failure -> serial.execute(() -> client.gone(failure)));
         lifecycle.start();
     }
 
@@ -265,6 +277,6 @@
 
     /** Answers whatever has not been answered. */
     void answerTheRest() {
-        serial.execute(() -> List.copyOf(underWay).forEach(RequestLifecycle::onShutdown));
+        serial.execute(() -> List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown));
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
@@ -9,6 +9,7 @@
         ReplicaSelector selector,
         PairChooser chooser,
         RetryBudget budget,
+        HandleHealth handles,
         ReplicaDirectory directory,
         ReplicaCalls calls,
         Timers timers,
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -129,7 +129,7 @@
                 response.setStatus(ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
                 response.write(true, null, callback);
             } else {
-                new ClientIntake(dataPlane, request, response, callback).run();
+                new ClientIntake(dataPlane, request, response, callback).start();
             }
             return true;
         }
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -4,31 +4,44 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable.InvocationType;
 
 /**
  * A client's request on Jetty's side. One write is out at a time; what comes meanwhile goes with the next. Used on the
  * data plane's executor only.
  */
 final class JettyClientExchange implements ClientExchange {
+    private final Request request;
     private final Response response;
     private final Callback callback;
     private final SerialExecutor serial;
-    private final boolean lastOfConnection;
+    private final BooleanSupplier lastOfConnection;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private RequestLifecycle lifecycle;
     private long pendingBytes;
     private boolean writing;
     private boolean streamEnded;
     private boolean over;
+    private boolean nextRequestCame;
 
     /** @param lastOfConnection whether the client is told to use the connection no more */
-    JettyClientExchange(Response response, Callback callback, SerialExecutor serial, boolean lastOfConnection) {
+    JettyClientExchange(
+            Request request,
+            Response response,
+            Callback callback,
+            SerialExecutor serial,
+            BooleanSupplier lastOfConnection) {
+        this.request = request;
         this.response = response;
         this.callback = callback;
         this.serial = serial;
@@ -40,6 +53,31 @@
         this.lifecycle = lifecycle;
     }
 
+    /**
+     * Notices whether the client has closed its connection, which Jetty would not before the next write. A byte of a next
+     * request is handed to the connection.
+     *
+     * @param probe room for one byte
+     */
+    void probe(ByteBuffer probe) {
+        Connection connection = request.getConnectionMetaData().getConnection();
+        if (over || nextRequestCame || !(connection instanceof Connection.UpgradeTo next)) {
+            return;
+        }
+        BufferUtil.clear(probe);
+        try {
+            int filled = connection.getEndPoint().fill(probe);
+            if (filled < 0) {
+                gone(new EofException("the client has closed its connection"));
+            } else if (filled > 0) {
+                nextRequestCame = true;
+                next.onUpgradeTo(probe);
+            }
+        } catch (IOException e) {
+            gone(e);
+        }
+    }
+
     @Override
     public void answer(int status, HttpFields fields, byte[] body) {
         over = true;
@@ -55,7 +93,7 @@
     private void setHead(int status, HttpFields fields) {
         response.setStatus(status);
         response.getHeaders().add(fields);
-        if (lastOfConnection) {
+        if (lastOfConnection.getAsBoolean()) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
         }
     }
@@ -100,9 +138,9 @@
         }
         writing = true;
         response.write(false, content, Callback.from(
-                org.eclipse.jetty.util.thread.Invocable.InvocationType.NON_BLOCKING,
+                InvocationType.NON_BLOCKING,
                 () -> serial.execute(() -> written(length)),
-                cause -> serial.execute(() -> writeFailed(cause))));
+                cause -> serial.execute(() -> gone(cause))));
     }
 
     private ByteBuffer takeWaiting() {
@@ -127,7 +165,8 @@
         }
     }
 
-    private void writeFailed(Throwable cause) {
+    /** The client's connection has failed. */
+    void gone(Throwable cause) {
         if (!over) {
             over = true;
             waiting.clear();
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -26,6 +26,9 @@
     /** Bytes waiting for the client beyond which nothing more is read from the replica. */
     static final long MOST_PENDING_BYTES = 256 * 1024;
 
+    /** A handle older than this is not offered a second time. */
+    private static final double FRESH_HANDLE_MS = 1_000;
+
     private static final double SHORTEST_RETRY_AFTER_SECONDS = 0.15;
     private static final double RETRY_AFTER_SPREAD_SECONDS = 0.25;
     private static final double MILLISECONDS = 1e3;
@@ -50,6 +53,7 @@
     private boolean mayHaveRun;
     /** No prefill replica is asked any more: the decode replica reads the prompt itself. */
     private boolean readWhole;
+    private boolean handleRejected;
     private ReplicaCall active;
     private PrefillHandle handle;
     private Timers.Timer deadlineTimer;
@@ -142,7 +146,8 @@
 
     private void begin(Pair pair) {
         boolean readFirst =
-                pair.prefill().isPresent() && handle == null && !readWhole && phase == Phase.WAITING;
+                pair.prefill().isPresent() && handle == null && !readWhole && phase == Phase.WAITING
+                        && services.handles().mayHandOver(shape.service(), now());
         if (readFirst) {
             call(pair.prefill().get(), CallKind.PREFILL);
         } else {
@@ -193,12 +198,22 @@
         if (call.kind() == CallKind.PREFILL) {
             readWhole = true;
         } else if (call.kind() == CallKind.DECODE_FETCHED) {
-            releaseHandle();
-            readWhole = true;
+            onFetchRejected();
         }
         attempt(this::giveUp);
     }
 
+    /** The decode replica was full, or the handle is gone: which of them it does not say. */
+    private void onFetchRejected() {
+        services.handles().rejected(shape.service(), now());
+        readWhole = true;
+        boolean fresh = now() - handle.madeAtMs() < FRESH_HANDLE_MS;
+        if (!fresh || handleRejected || !services.handles().mayOfferAgain(shape.service())) {
+            releaseHandle();
+        }
+        handleRejected = true;
+    }
+
     /** Bytes went out, and no answer that may be passed on came. */
     void onFailed(ReplicaCall call) {
         active = null;
@@ -271,6 +286,7 @@
 
     /** A decode replica has begun to answer, so it has fetched the handle. */
     void onHandleTaken() {
+        services.handles().fetched(shape.service());
         handle = null;
     }
 
--- a/dataplane/src/test/java/pinewick/dataplane/HandOverTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/HandOverTest.java
@@ -127,16 +127,64 @@
     }
 
     @Test
-    void aHandleThatADecodeReplicaCouldNotTakeIsFreed() throws Exception {
-        ScriptedReplica fourth = new ScriptedReplica("d-4", "lm", Stage.DECODE);
+    void aHandleThatADecodeReplicaCouldNotTakeIsOfferedToAnother() throws Exception {
         RawSocket reading = askPrefill();
         reading.send(ScriptedReplica.answer(200, "q1", HANDLE));
         RawSocket decoding = askDecode(decode, handle());
-        router.state.merge(fourth.record());
+        ScriptedReplica other = router.replica("d-2", "lm", Stage.DECODE);
+        decoding.send(ScriptedReplica.rejection("q1"));
+        serve(askDecode(other, handle()));
+        // It was taken, so it is not freed: the next thing on the kept connection is the next prompt.
+        router.force("p-1+d-1");
+        client.send(TestRouter.request("POST", "/lm/g", "q2", "prompt"));
+        assertEquals("prefill", reading.read().field("X-Pinewick-Serving-Stage"));
+    }
+
+    @Test
+    void aHandleThatTwoDecodeReplicasCouldNotTakeIsFreed() throws Exception {
+        router.configure(TestRouter.streamRoute(false, 3));
+        RawSocket reading = askPrefill();
+        reading.send(ScriptedReplica.answer(200, "q1", HANDLE));
+        RawSocket decoding = askDecode(decode, handle());
+        ScriptedReplica second = router.replica("d-2", "lm", Stage.DECODE);
+        decoding.send(ScriptedReplica.rejection("q1"));
+        decoding = askDecode(second, handle());
+        ScriptedReplica third = router.replica("d-3", "lm", Stage.DECODE);
         decoding.send(ScriptedReplica.rejection("q1"));
         assertFreed(reading);
-        serve(askDecode(fourth, null));
-        fourth.close();
+        serve(askDecode(third, null));
+    }
+
+    @Test
+    void aHandleIsFreedWhenNoFurtherAttemptIsAllowed() throws Exception {
+        router.configure(TestRouter.streamRoute(false, 1));
+        RawSocket reading = askPrefill();
+        reading.send(ScriptedReplica.answer(200, "q1", HANDLE));
+        askDecode(decode, handle()).send(ScriptedReplica.rejection("q1"));
+        assertFreed(reading);
+        assertEquals(503, client.read().status());
+    }
+
+    @Test
+    void whileNoDecodeReplicaCanFetchPromptsTheyAreReadWhole() throws Exception {
+        router.configure(TestRouter.streamRoute(false, 1));
+        RawSocket reading = null;
+        RawSocket decoding = null;
+        for (int turn = 0; turn < 3; turn++) {
+            client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt"));
+            reading = reading == null ? prefill.accept() : reading;
+            assertEquals("prefill", reading.read().field("X-Pinewick-Serving-Stage"));
+            reading.send(ScriptedReplica.answer(200, "q1", HANDLE));
+            decoding = decoding == null ? decode.accept() : decoding;
+            assertEquals(handle(), decoding.read().field("Kv-From"));
+            decoding.send(ScriptedReplica.rejection("q1"));
+            assertFreed(reading);
+            assertEquals(503, client.read().status());
+            router.force("p-1+d-1");
+        }
+        client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt"));
+        assertNull(decoding.read().field("Kv-From"));
+        serve(decoding);
     }
 
     @Test
--- a/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
@@ -75,6 +75,20 @@
         return false;
     }
 
+    /** Runs a step over and over until the other side's end is felt; true if it came within a bounded number of turns. */
+    boolean isClosedByPeerWhile(Runnable step) throws IOException {
+        socket.setSoTimeout(SHORT_WAIT_MS);
+        for (int turn = 0; turn < MOST_TURNS; turn++) {
+            step.run();
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                // still open: the next turn
+            }
+        }
+        return false;
+    }
+
     /** Sends on a thread of its own until the other side takes no more for a while. */
     void sendUntilHeldUp(String text) throws Exception {
         AtomicInteger sent = new AtomicInteger();
--- a/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -153,6 +153,26 @@
         assertTrue(upstream.isClosedByPeerWhileSending(turn -> ScriptedReplica.chunk(event(turn + 2))));
     }
 
+    @Test
+    void aClientThatLeavesBeforeTheFirstEventIsNoticed() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        client.close();
+        assertTrue(upstream.isClosedByPeerWhile(router.dataPlane::sweep));
+    }
+
+    @Test
+    void aClientThatSendsItsNextRequestEarlyHasNotLeft() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        client.send(TestRouter.request("POST", "/elsewhere/x", "q2", ""));
+        router.dataPlane.sweep();
+        router.dataPlane.sweep();
+        upstream.send(ScriptedReplica.chunk(event(1)) + ScriptedReplica.lastChunk());
+        assertEquals(event(1), client.read().body());
+        HttpText.Message second = client.read();
+        assertEquals(404, second.status());
+        assertEquals("q2", second.field("X-Pinewick-Request-Id"));
+    }
+
     @Test
     void aClientThatDoesNotReadHoldsTheReplicaUpAndNotTheRouter() throws Exception {
         RawSocket upstream = begin(false, 1);
