--- a/control/src/test/java/pinewick/control/ControllerTest.java
+++ b/control/src/test/java/pinewick/control/ControllerTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +24,8 @@
     private static final String BEAT = "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\","
             + "\"version\":\"v1\",\"slots\":12,\"state\":\"%s\",\"cold_remaining_ms\":0,\"call_sequence\":%d}";
 
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
+
     @TempDir
     private Path directory;
 
@@ -62,8 +65,10 @@
 
     /** Asks a controller for its status until it shows what is awaited. */
     private JsonObject awaitStatus(int machine, Predicate<JsonObject> awaited) throws IOException {
+        long endNanos = System.nanoTime() + PATIENCE_NANOS;
         JsonObject status = status(machine);
         while (!awaited.test(status)) {
+            assertTrue(System.nanoTime() < endNanos, "not in time at machine " + machine + ": " + status);
             Thread.onSpinWait();
             status = status(machine);
         }
