--- a/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -32,6 +32,7 @@
                 ReplicaRequest.class,
                 SnapshotRequest.class,
                 ReplicaSnapshot.class,
+                ForgottenReplicas.class,
                 HeartbeatNote.class,
                 HeartbeatBatch.class));
         return types;
@@ -55,7 +56,7 @@
      *
      * @param baseVersion the version that {@code body} applies to
      * @param version the version it leads to
-     * @param body the deflated difference; empty if the receiver is to ask for it
+     * @param body the difference, as {@link pinewick.model.ConfigurationChecks#writeDelta} writes it; empty if the receiver is to ask for it
      */
     public record ConfigurationUpdate(long baseVersion, long version, byte[] body) implements Message {}
 
@@ -101,6 +102,9 @@
     /** Every replica record of the sender. */
     public record ReplicaSnapshot(List<SpreadRecord> records) implements Message {}
 
+    /** Instances that ended so long ago that the sender keeps no record of them any more. */
+    public record ForgottenReplicas(List<String> instanceIds) implements Message {}
+
     /**
      * A heartbeat that a controller heard.
      *
