--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -47,6 +47,8 @@
     private NetworkTransport transport;
     private FleetNode node;
     private ReplicaRegistry registry;
+    private pinewick.storage.XodusStore store;
+    private pinewick.replication.ReplicationNode replication;
     private Housekeeping housekeeping;
     private ApiServer api;
 
@@ -77,6 +79,23 @@
         SplittableRandom random = new SplittableRandom();
         node = new FleetNode(self(), settings.seedControllers(), state, transport, random);
         GossipFleet fleet = new GossipFleet(node, state, loop);
+        store = new pinewick.storage.XodusStore(settings.dataDirectory().orElseThrow(), loop::execute);
+        replication = new pinewick.replication.ReplicationNode(
+                new pinewick.replication.ReplicationSettings(
+                        self().address(), apiAddress, settings.seedControllers(), settings.firstStart(),
+                        settings.toleratedMachines(), settings.bounds().ackMs(), settings.bounds().leaseMs()),
+                store, transport, random, new pinewick.replication.ReplicationListener() {
+                    @Override
+                    public void committed(pinewick.model.ConfigurationDocument document) {
+                        if (state.offer(document)) {
+                            node.configurationCommitted(loop.nowMs());
+                        }
+                    }
+                    @Override
+                    public void noted(String event) {
+                        logger.atInfo().log("replication: %s", event);
+                    }
+                });
         registry = new ReplicaRegistry(fleet, loop, settings.bounds().contactMs(), counters);
         LivenessJudge judge =
                 new LivenessJudge(settings.heartbeatMs(), settings.bounds().contactMs(), loop.nowMs());
@@ -87,7 +106,8 @@
     private NetworkTransport openTransport() throws ControllerException {
         SocketAddress internal = new SocketAddress(settings.ipAddress(), settings.controllerPort());
         try {
-            return new NetworkTransport(internal, new MessageCodec(FleetMessages.types()));
+            return new NetworkTransport(internal, new MessageCodec(java.util.stream.Stream.concat(
+                    FleetMessages.types().stream(), pinewick.replication.ReplicationMessages.types().stream()).toList()));
         } catch (TransportException e) {
             throw new ControllerException("open the transport", internal.toString(), e);
         }
@@ -101,7 +121,7 @@
     private Map<ApiOperation, ApiEndpoint> endpoints(SocketAddress apiAddress) {
         ReplicaEndpoints replicas = new ReplicaEndpoints(registry, loop);
         ConfigurationEndpoints configuration = new ConfigurationEndpoints(
-                Optional::empty, loop, apiAddress, settings.bounds().ackMs());
+                () -> Optional.of(replication), loop, apiAddress, settings.bounds().ackMs());
         Map<ApiOperation, ApiEndpoint> endpoints = new EnumMap<>(ApiOperation.class);
         endpoints.put(ApiOperation.HEARTBEAT, replicas::heartbeat);
         endpoints.put(ApiOperation.DEREGISTER, replicas::deregister);
@@ -114,6 +134,7 @@
 
     private void startLoops() {
         transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message)));
+        loop.execute(() -> replication.start(loop.nowMs()));
         loop.execute(this::tick);
         loop.repeat(this::tick, FleetNode.TICK_MS);
         loop.repeat(housekeeping::run, Housekeeping.PERIOD_MS);
@@ -121,10 +142,12 @@
 
     private void tick() {
         node.onTick(loop.nowMs());
+        replication.onTick(loop.nowMs());
     }
 
     private void onMessage(SocketAddress sender, Message message) {
-        if (!node.onMessage(sender, message, loop.nowMs())) {
+        if (!node.onMessage(sender, message, loop.nowMs())
+                && !replication.onMessage(sender, message, loop.nowMs())) {
             logger.atFine().log("message of %s from %s has no taker", message.getClass(), sender);
         }
     }
@@ -162,7 +185,10 @@
         }
         if (api != null) {
             api.refuseNewCalls();
-            onLoop(() -> node.leave(loop.nowMs()));
+            onLoop(() -> {
+                replication.leave(loop.nowMs());
+                node.leave(loop.nowMs());
+            });
             api.awaitCalls(LAST_CALLS_MS);
         }
         close();
