A record that shows a newer call proves life before the time of the heartbeat is known

Cause: one of three controllers lapsed a replica again between two looks, because the record with the newer call reached it before the batch of heartbeat times. Ruled out: faster batches, which leave the race.

--- a/control/src/main/java/pinewick/control/LivenessJudge.java
+++ b/control/src/main/java/pinewick/control/LivenessJudge.java
@@ -42,12 +42,15 @@
 
     private final double heartbeatMs;
     private final double contactMs;
-    private final Map<String, Double> firstSeenMs = new HashMap<>();
+    private final Map<String, Sighting> sightings = new HashMap<>();
     private final Map<String, Deque<Double>> lapsesByService = new HashMap<>();
     private Set<SocketAddress> controllers = Set.of();
     private double steadySinceMs;
     private double lastLookMs;
 
+    /** The newest call of an instance that its record has shown, and when it did so first. */
+    private record Sighting(long callSequence, double atMs) {}
+
     /**
      * @param heartbeatMs how often a replica sends heartbeats
      * @param contactMs how long a disturbance of this process makes its own view doubtful
@@ -102,18 +105,29 @@
 
     private List<ReplicaRecord> liveRecords(Collection<ReplicaRecord> records, double nowMs) {
         List<ReplicaRecord> live = new ArrayList<>();
-        Set<String> liveIds = new HashSet<>();
+        Set<String> runningIds = new HashSet<>();
         for (ReplicaRecord record : records) {
-            if (record.state() != ReplicaState.GONE && !record.lapsed()) {
+            if (record.state() == ReplicaState.GONE) {
+                continue;
+            }
+            runningIds.add(record.instanceId());
+            noteSighting(record, nowMs);
+            if (!record.lapsed()) {
                 live.add(record);
-                liveIds.add(record.instanceId());
-                firstSeenMs.putIfAbsent(record.instanceId(), nowMs);
             }
         }
-        firstSeenMs.keySet().retainAll(liveIds);
+        sightings.keySet().retainAll(runningIds);
         return live;
     }
 
+    /** A record may show a newer call before the controller that took it has told when it did. */
+    private void noteSighting(ReplicaRecord record, double nowMs) {
+        Sighting known = sightings.get(record.instanceId());
+        if (known == null || record.callSequence() > known.callSequence) {
+            sightings.put(record.instanceId(), new Sighting(record.callSequence(), nowMs));
+        }
+    }
+
     private boolean mayLapse(String service, Hearing hearing, double nowMs) {
         if (hearing.isGood() && hearing.hearsOneOf(service)) {
             return true;
@@ -150,7 +164,8 @@
         }
 
         double silenceMs(ReplicaRecord record) {
-            double heardMs = Math.max(times.lastHeardMs(record.instanceId()), firstSeenMs.get(record.instanceId()));
+            double sightingMs = sightings.get(record.instanceId()).atMs();
+            double heardMs = Math.max(times.lastHeardMs(record.instanceId()), sightingMs);
             return nowMs - Math.max(heardMs, steadySinceMs);
         }
 
--- a/control/src/test/java/pinewick/control/LivenessJudgeTest.java
+++ b/control/src/test/java/pinewick/control/LivenessJudgeTest.java
@@ -160,6 +160,45 @@
         assertEquals(List.of("s-0"), lapsedWithin(20_000));
     }
 
+    /** Found in a run of three controllers: one of them lapsed the replica again before it was told of the heartbeat. */
+    @Test
+    void aRecordWithANewerCallProvesLifeBeforeTheTimeOfTheHeartbeatIsKnown() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        lapsedWithin(SILENCE_MS - LOOK_MS);
+        records.put("s-0", withCall(records.get("s-0"), 2));
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS));
+        assertEquals(List.of("s-0"), lapsedWithin(2 * LOOK_MS));
+    }
+
+    @Test
+    void aReplicaThatCameBackBetweenTwoLooksIsNotLapsedAgain() {
+        add("s", 3);
+        lapsedWithin(20_000);
+        silent.add("s-0");
+        assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
+        lapsedWithin(20_000);
+        records.put("s-0", withCall(records.get("s-0").withLapsed(false), 2));
+        assertEquals(List.of(), lapsedWithin(SILENCE_MS));
+    }
+
+    private static ReplicaRecord withCall(ReplicaRecord record, long callSequence) {
+        return new ReplicaRecord(
+                record.instanceId(),
+                record.service(),
+                record.address(),
+                record.zone(),
+                record.softwareVersion(),
+                record.slots(),
+                record.state(),
+                record.coldRemainingMs(),
+                record.stage(),
+                record.models(),
+                callSequence,
+                record.lapsed());
+    }
+
     @Test
     void aReplicaThatCameBackMayLapseAgain() {
         add("s", 3);
@@ -167,7 +206,7 @@
         silent.add("s-0");
         assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
         silent.clear();
-        records.put("s-0", records.get("s-0").withLapsed(false));
+        records.put("s-0", withCall(records.get("s-0").withLapsed(false), 2));
         assertEquals(List.of(), lapsedWithin(20_000));
         silent.add("s-0");
         assertEquals(List.of("s-0"), lapsedWithin(SILENCE_MS + LOOK_MS));
