--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -15,6 +15,7 @@
 /** Reads one client request whole, within the limits in force, and hands it to the data plane. */
 final class ClientIntake implements Invocable.Task {
     private static final String RETRY_AFTER_SECONDS = "0.5";
+    private static final int DELETE_CHARACTER = 0x7f;
     private static final int FIRST_BODY_BYTES = 4 * 1024;
 
     private final DataPlane dataPlane;
@@ -118,7 +119,7 @@
     private void complete() {
         HttpFields fields = request.getHeaders();
         List<String> ids = fields.getValuesList(HeaderNames.REQUEST_ID);
-        if (ids.size() != 1 || ids.get(0).isEmpty()) {
+        if (ids.size() != 1 || ids.get(0).isEmpty() || !isPlainText(request.getHttpURI().getPathQuery())) {
             answer(HttpStatus.BAD_REQUEST_400);
             return;
         }
@@ -132,6 +133,11 @@
         dataPlane.accept(read, request, response, callback);
     }
 
+    /** Jetty has decoded other bytes, so they could not be sent on as they came. */
+    private static boolean isPlainText(String target) {
+        return target != null && target.chars().allMatch(each -> each > ' ' && each < DELETE_CHARACTER);
+    }
+
     private void answer(int status) {
         response.setStatus(status);
         response.write(true, null, callback);
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import pinewick.model.ReplicaRecord;
+import pinewick.model.RouteKind;
 import pinewick.selection.CallEnding;
 import pinewick.selection.CallKind;
 import pinewick.selection.Pair;
@@ -227,7 +228,7 @@
         releaseHandle();
         readWhole = true;
         boolean mayGoOn = phase == Phase.STREAMING
-                ? shape.route().resumable() && call.passesEvents()
+                ? shape.route().kind() == RouteKind.STREAMING && shape.route().resumable() && call.passesEvents()
                 : shape.route().repeatable();
         if (mayGoOn) {
             attempt(this::giveUp);
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/LifecycleWorld.java
@@ -0,0 +1,94 @@
+package pinewick.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.eclipse.jetty.http.HttpFields;
+import pinewick.model.EngineSpec;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.Route;
+import pinewick.model.RouteKind;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+import pinewick.selection.Pair;
+import pinewick.selection.ReplicaSelector;
+import pinewick.selection.RequestShape;
+import pinewick.selection.RetryBudget;
+
+/** One request's lifecycle with everything around it played. */
+final class LifecycleWorld {
+    static final double TIMEOUT_MS = 4_000;
+    static final double TARGET_MS = 300;
+
+    final VirtualTimers timers = new VirtualTimers();
+    final PlayedCalls calls = new PlayedCalls();
+    final RecordedClient client = new RecordedClient();
+    final ReplicaDirectory directory = new ReplicaDirectory();
+    final List<RequestLifecycle> ended = new ArrayList<>();
+    final RequestLifecycle lifecycle;
+    final Route route;
+
+    LifecycleWorld(RouteKind kind, boolean resumable, boolean generation, int maxAttempts, long seed) {
+        route = new Route(
+                "r", "h", "/", kind, (int) TIMEOUT_MS, (int) TARGET_MS, 1,
+                List.of(new Route.WeightedService("s", 1)), maxAttempts, false, resumable, 150);
+        for (int i = 0; i < 4; i++) {
+            directory.update(replica("d-" + i, generation ? Stage.DECODE : Stage.NONE));
+            directory.update(replica("p-" + i, generation ? Stage.PREFILL : Stage.NONE));
+        }
+        ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(seed));
+        if (generation) {
+            selector.setEngine("s", new EngineSpec(12, 500_000, 18_432, 1_000, 10, 5, 2));
+        }
+        DataPlaneServices services = new DataPlaneServices(
+                selector, alwaysHandOver(PairChooser.of(selector)), budget(), new HandleHealth(), directory, calls,
+                timers, new SplittableRandom(seed + 1));
+        double now = timers.nowMs();
+        RequestShape shape = new RequestShape(
+                route, "s", generation, "", generation ? 1_000 : 0, generation ? 20 : 0, List.of(), now,
+                now + TIMEOUT_MS);
+        ClientRequest request = new ClientRequest("q1", "POST", "/x", HttpFields.build(), UpstreamRequest.NO_BODY);
+        lifecycle = new RequestLifecycle(request, shape, client, services, ended::add);
+    }
+
+    private static ReplicaRecord replica(String id, Stage stage) {
+        return new ReplicaRecord(
+                id, "s", new SocketAddress("10.0.0.1", 80), "z", "v", 12, ReplicaState.READY, 0, stage, List.of(), 1,
+                false);
+    }
+
+    private RetryBudget budget() {
+        RetryBudget budget = new RetryBudget(0.2, 50, 100);
+        budget.onRequest("s", timers.nowMs() - 1_000);
+        return budget;
+    }
+
+    /** The selection's choice, but with a prefill replica wherever there is one. */
+    private PairChooser alwaysHandOver(PairChooser own) {
+        return new PairChooser() {
+            @Override
+            public Optional<Pair> choose(
+                    RequestShape shape,
+                    java.util.Collection<ReplicaRecord> candidates,
+                    java.util.Set<String> excluded,
+                    double nowMs) {
+                Optional<ReplicaRecord> prefill = candidates.stream()
+                        .filter(each -> each.stage() == Stage.PREFILL && !excluded.contains(each.instanceId()))
+                        .findFirst();
+                return own.choose(shape, candidates, excluded, nowMs).map(pair -> new Pair(prefill, pair.decode()));
+            }
+
+            @Override
+            public Optional<ReplicaRecord> chooseDecode(
+                    RequestShape shape,
+                    ReplicaRecord reader,
+                    java.util.Collection<ReplicaRecord> candidates,
+                    java.util.Set<String> excluded,
+                    double nowMs) {
+                return own.chooseDecode(shape, reader, candidates, excluded, nowMs);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
@@ -0,0 +1,165 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pinewick.model.RequestLimits;
+import pinewick.model.Stage;
+
+/** What clients may send, and what is told to whom sends more. */
+class LimitsTest {
+    private TestRouter router;
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        router.configure(TestRouter.plainRoute("non_idempotent", 1));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    @Test
+    void aBodyBeyondTheLimitIsRefusedByItsLength() throws Exception {
+        RawSocket client = router.client();
+        client.send("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n"
+                + "Content-Length: 70000\r\n\r\n");
+        HttpText.Message answer = client.read();
+        assertEquals(413, answer.status());
+        assertEquals("close", answer.field("Connection"));
+    }
+
+    @Test
+    void aChunkedBodyBeyondTheLimitIsRefused() throws Exception {
+        RawSocket client = router.client();
+        client.send("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + ScriptedReplica.chunk("x".repeat(65_000)));
+        client.send("3e8\r\n" + "x".repeat(1000));
+        assertEquals(413, client.read().status());
+    }
+
+    @Test
+    void aHeadBeyondTheLimitIsRefused() throws Exception {
+        router.front.setLimits(new RequestLimits(2_048, 65_536, 3_000, 15_000));
+        RawSocket client = router.client();
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "", "X-Large: " + "x".repeat(4_000)));
+        assertEquals(431, client.read().status());
+    }
+
+    @Test
+    void aRequestWithoutAnIdIsRefused() throws Exception {
+        RawSocket client = router.client();
+        client.send("GET /plain/x HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+        assertEquals(400, client.read().status());
+        client.send("GET /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: a\r\n"
+                + "X-Pinewick-Request-Id: b\r\n\r\n");
+        assertEquals(400, client.read().status());
+    }
+
+    @Test
+    void aSecondRequestCannotBeSmuggledInAFirst() throws Exception {
+        RawSocket client = router.client();
+        client.send("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n"
+                + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /plain/y HTTP/1.1\r\n"
+                + "Host: shop.example\r\nX-Pinewick-Request-Id: q2\r\n\r\n");
+        assertEquals(400, client.read().status());
+        assertTrue(client.isClosedByPeer());
+    }
+
+    @Test
+    void pathsAreSentAsTheyCame() throws Exception {
+        ScriptedReplica replica = router.replica("i-1", "plain", Stage.NONE);
+        RawSocket client = router.client();
+        RawSocket upstream = null;
+        for (String target : new String[] {
+            "/plain/../plain/./a//b", "/plain/%2e%2E/%2f%FF", "/plain/a;p=1/..;/b?q=?&r=%zz", "/plain/|{}\\^`"
+        }) {
+            client.send(TestRouter.request("POST", target, "q1", "b"));
+            upstream = upstream == null ? replica.accept() : upstream;
+            assertEquals("POST " + target + " HTTP/1.1", upstream.read().firstLine());
+            upstream.send(ScriptedReplica.answer(200, "q1", ""));
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/plain/%00", "/plain/%zz", "*", "/plain/\u00e9", "/plain/x?\u00c3\u00a9"})
+    void targetsThatAreNoneAreRefused(String target) throws Exception {
+        router.replica("i-1", "plain", Stage.NONE);
+        RawSocket client = router.client();
+        client.send(TestRouter.request("POST", target, "q1", ""));
+        assertEquals(400, client.read().status());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET", "HEAD", "DELETE", "PUT", "OPTIONS", "PATCH", "BREW"})
+    void methodsAreSentAsTheyCame(String method) throws Exception {
+        ScriptedReplica replica = router.replica("i-1", "plain", Stage.NONE);
+        RawSocket client = router.client();
+        client.send(method + " /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n\r\n");
+        RawSocket upstream = replica.accept();
+        HttpText.Message seen = upstream.readHead();
+        assertEquals(method + " /plain/x HTTP/1.1", seen.firstLine());
+        String whole = ScriptedReplica.answer(200, "q1", "12345");
+        upstream.send(method.equals("HEAD") ? whole.substring(0, whole.length() - 5) : whole);
+        HttpText.Message head = client.readHead();
+        assertEquals(200, head.status());
+        assertEquals("5", head.field("Content-Length"));
+    }
+
+    @Test
+    void fieldValuesAreSentAsTheyCame() throws Exception {
+        ScriptedReplica replica = router.replica("i-1", "plain", Stage.NONE);
+        RawSocket client = router.client();
+        String value = "a  b;c=\"\u00e9\u00fc\u00c3\u00a9\", ,x";
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "b", "X-Odd: " + value, "X-Odd: second", "X-Empty:"));
+        RawSocket upstream = replica.accept();
+        HttpText.Message seen = upstream.read();
+        assertEquals(value, seen.field("X-Odd"));
+        assertTrue(seen.fields().contains("X-Odd: second"));
+        assertEquals("", seen.field("X-Empty"));
+        upstream.send(ScriptedReplica.answer(200, "q1", "", "X-Odd: " + value));
+        assertEquals(value, client.read().field("X-Odd"));
+    }
+
+    @Test
+    void admissionIsBoundedByRequestsAndBytes() {
+        Admission admission = new Admission(2, 100);
+        assertTrue(admission.enter());
+        assertTrue(admission.enter());
+        assertFalse(admission.enter());
+        assertTrue(admission.keep(80));
+        assertFalse(admission.keep(30));
+        admission.leave(80);
+        assertTrue(admission.enter());
+        assertTrue(admission.keep(30));
+    }
+
+    @Test
+    void aConnectionTellsHowLongItMayRest() {
+        assertEquals(4_000, UpstreamConnection.idleMs("timeout=5"));
+        assertEquals(500, UpstreamConnection.idleMs("timeout=1, max=100"));
+        assertEquals(9_000, UpstreamConnection.idleMs("max=3, Timeout=10"));
+        assertEquals(500, UpstreamConnection.idleMs("timeout=soon"));
+        assertEquals(500, UpstreamConnection.idleMs(null));
+    }
+
+    @Test
+    void handleIdsThatCouldReachBeyondAPathAreNotTaken() {
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a1-b_c\"}".getBytes(), 0).isPresent());
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a/../b\"}".getBytes(), 0).isEmpty());
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":null}".getBytes(), 0).isEmpty());
+        assertTrue(PrefillHandle.parse(null, "[1]".getBytes(), 0).isEmpty());
+        assertTrue(PrefillHandle.parse(null, "{".getBytes(), 0).isEmpty());
+        assertNull(PrefillHandle.parse(null, new byte[0], 0).orElse(null));
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/PlayedCalls.java
@@ -0,0 +1,139 @@
+package pinewick.dataplane;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import pinewick.model.ReplicaRecord;
+
+/** Calls to replicas whose course a test plays. */
+final class PlayedCalls implements ReplicaCalls {
+    final List<PlayedCall> all = new ArrayList<>();
+
+    /** One call and what has happened to it. */
+    static final class PlayedCall implements UpstreamCall {
+        final ReplicaRecord replica;
+        final UpstreamRequest request;
+        private final CallListener listener;
+        boolean sent;
+        boolean over;
+        boolean rejected;
+        boolean headSeen;
+        boolean paused;
+        int nextEvent;
+
+        PlayedCall(ReplicaRecord replica, UpstreamRequest request, CallListener listener) {
+            this.replica = replica;
+            this.request = request;
+            this.listener = listener;
+            String last = request.fields().get(HeaderNames.LAST_EVENT_ID);
+            nextEvent = last == null ? 1 : Integer.parseInt(last) + 1;
+        }
+
+        boolean isPrefill() {
+            return request.fields().contains(HeaderNames.SERVING_STAGE);
+        }
+
+        boolean isRelease() {
+            return request.method().equals("DELETE");
+        }
+
+        /** Whether the replica may have run the request because of this call. */
+        boolean mayHaveRun() {
+            return sent && !rejected && !isPrefill() && !isRelease();
+        }
+
+        @Override
+        public boolean isSent() {
+            return sent;
+        }
+
+        @Override
+        public void abort() {
+            over = true;
+        }
+
+        @Override
+        public void pauseReading() {
+            paused = true;
+        }
+
+        @Override
+        public void resumeReading() {
+            paused = false;
+        }
+
+        void notSent(CallListener.NotSent reason) {
+            over = true;
+            listener.onNotSent(reason);
+        }
+
+        void reject() {
+            sent = true;
+            rejected = true;
+            head(503, HttpFields.build().add(HeaderNames.NOT_EXECUTED, "1"));
+            complete();
+        }
+
+        void head(int status, HttpFields.Mutable fields) {
+            sent = true;
+            headSeen = true;
+            fields.add(HeaderNames.REQUEST_ID, request.expectedId());
+            listener.onHead(new ResponseHead(status, fields, true));
+        }
+
+        void signedHead(int status, String... more) {
+            HttpFields.Mutable fields = HttpFields.build().add(HeaderNames.SERVER_SIGNATURE, replica.instanceId());
+            for (int i = 0; i + 1 < more.length; i += 2) {
+                fields.add(more[i], more[i + 1]);
+            }
+            head(status, fields);
+        }
+
+        void streamHead() {
+            signedHead(200, "Content-Type", "text/event-stream");
+        }
+
+        void content(String text) {
+            if (!over) {
+                listener.onContent(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+            }
+        }
+
+        void complete() {
+            if (!over) {
+                over = true;
+                listener.onComplete();
+            }
+        }
+
+        void answer(int status, String body) {
+            signedHead(status);
+            content(body);
+            complete();
+        }
+
+        void breakOff() {
+            sent = true;
+            over = true;
+            listener.onBroken("played");
+        }
+    }
+
+    @Override
+    public UpstreamCall send(ReplicaRecord replica, UpstreamRequest request, CallListener listener) {
+        PlayedCall call = new PlayedCall(replica, request, listener);
+        all.add(call);
+        return call;
+    }
+
+    PlayedCall last() {
+        return all.get(all.size() - 1);
+    }
+
+    /** Calls that can still bring something, those that free handles left out. */
+    List<PlayedCall> open() {
+        return all.stream().filter(call -> !call.over && !call.isRelease()).toList();
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/RecordedClient.java
@@ -0,0 +1,73 @@
+package pinewick.dataplane;
+
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpFields;
+
+/** A client that keeps what it is told. */
+final class RecordedClient implements ClientExchange {
+    /** How an answer came to its end. */
+    enum Ending {
+        NONE,
+        ANSWERED,
+        STREAMED,
+        ABORTED
+    }
+
+    Ending ending = Ending.NONE;
+    int status;
+    HttpFields fields;
+    final StringBuilder body = new StringBuilder();
+    boolean begun;
+    long pendingBytes;
+
+    @Override
+    public void answer(int answerStatus, HttpFields answerFields, byte[] answerBody) {
+        require(!begun);
+        end(Ending.ANSWERED);
+        status = answerStatus;
+        fields = answerFields;
+        body.append(new String(answerBody, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void beginStream(int answerStatus, HttpFields answerFields) {
+        require(!begun && ending == Ending.NONE);
+        begun = true;
+        status = answerStatus;
+        fields = answerFields;
+    }
+
+    @Override
+    public void passOn(byte[] piece) {
+        require(begun && ending == Ending.NONE);
+        body.append(new String(piece, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void endStream() {
+        require(begun);
+        end(Ending.STREAMED);
+    }
+
+    @Override
+    public void abort() {
+        require(begun);
+        end(Ending.ABORTED);
+    }
+
+    @Override
+    public long pendingBytes() {
+        return pendingBytes;
+    }
+
+    private void end(Ending how) {
+        require(ending == Ending.NONE);
+        ending = how;
+    }
+
+    private static void require(boolean condition) {
+        if (!condition) {
+            throw new AssertionError("the client was told something out of turn");
+        }
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/ReplicaConnectionsTest.java
@@ -0,0 +1,164 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.ByteBuffer;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+
+/** Connections to one replica while they are being made, with the network played. */
+class ReplicaConnectionsTest {
+    private static final Executor DIRECT = Runnable::run;
+
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("test", true);
+    private final ReplicaDirectory directory = new ReplicaDirectory();
+    private final UpstreamPool pool =
+            new UpstreamPool(new SerialExecutor(), new VirtualTimers(), directory, service -> 2);
+    private final PlayedNetwork network = new PlayedNetwork();
+
+    /** Connections that a test lets come about, or not. */
+    private final class PlayedNetwork implements UpstreamConnector {
+        private final Deque<ConnectionMaker> makers = new ArrayDeque<>();
+        private final Deque<Runnable> failures = new ArrayDeque<>();
+
+        @Override
+        public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
+            makers.add(factory);
+            failures.add(onFailure);
+        }
+
+        ByteArrayEndPoint accept() {
+            failures.poll();
+            ByteArrayEndPoint endPoint = new ByteArrayEndPoint(scheduler, 0);
+            endPoint.setGrowOutput(true);
+            UpstreamConnection connection = (UpstreamConnection) makers.poll().make(endPoint, DIRECT);
+            endPoint.setConnection(connection);
+            endPoint.onOpen();
+            connection.onOpen();
+            return endPoint;
+        }
+
+        void refuse() {
+            makers.poll();
+            failures.poll().run();
+        }
+    }
+
+    /** Notes how a call ends. */
+    private static final class Outcome implements CallListener {
+        private final List<String> events = new ArrayList<>();
+
+        @Override
+        public void onNotSent(NotSent reason) {
+            events.add(reason.name());
+        }
+
+        @Override
+        public void onHead(ResponseHead head) {
+            events.add("head " + head.status());
+        }
+
+        @Override
+        public void onContent(ByteBuffer content) {}
+
+        @Override
+        public void onComplete() {
+            events.add("complete");
+        }
+
+        @Override
+        public void onBroken(String reason) {
+            events.add("broken");
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        scheduler.start();
+        pool.setConnector(network);
+        directory.update(replica(ReplicaState.READY));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        scheduler.stop();
+    }
+
+    private static ReplicaRecord replica(ReplicaState state) {
+        return new ReplicaRecord(
+                "i-1", "s", new SocketAddress("127.0.0.1", 9), "z", "v", 4, state, 0, Stage.NONE, List.of(), 1, false);
+    }
+
+    private UpstreamCall send(String id, Outcome outcome) {
+        return pool.send(
+                replica(ReplicaState.READY),
+                new UpstreamRequest("POST", "/x", HttpFields.build().add("X-Id", id), new byte[0], id),
+                outcome);
+    }
+
+    @Test
+    void aReplicaThatAnnouncesItsEndWhileAConnectionIsMadeGetsNoRequest() {
+        Outcome outcome = new Outcome();
+        send("q1", outcome);
+        directory.update(replica(ReplicaState.DRAINING));
+        ByteArrayEndPoint endPoint = network.accept();
+        assertEquals(List.of("REPLICA_LEFT"), outcome.events);
+        assertEquals("", endPoint.getOutputString());
+    }
+
+    @Test
+    void noMoreThanTheShareOfConnectionsIsMade() {
+        Outcome first = new Outcome();
+        Outcome second = new Outcome();
+        Outcome third = new Outcome();
+        send("q1", first);
+        send("q2", second);
+        send("q3", third);
+        assertEquals(List.of("NO_CONNECTION_FREE"), third.events);
+        network.refuse();
+        assertEquals(List.of("NOT_CONNECTED"), first.events);
+        Outcome fourth = new Outcome();
+        send("q4", fourth);
+        assertEquals(List.of(), fourth.events);
+    }
+
+    @Test
+    void aCallThatIsAbortedWhileItsConnectionIsMadeSendsNothing() {
+        Outcome outcome = new Outcome();
+        UpstreamCall call = send("q1", outcome);
+        call.abort();
+        ByteArrayEndPoint endPoint = network.accept();
+        assertEquals("", endPoint.getOutputString());
+        assertEquals(List.of(), outcome.events);
+    }
+
+    @Test
+    void aCallWhoseConnectionWasAbortedByAnotherIsStillSent() {
+        Outcome first = new Outcome();
+        Outcome second = new Outcome();
+        UpstreamCall aborted = send("q1", first);
+        UpstreamCall kept = send("q2", second);
+        aborted.abort();
+        ByteArrayEndPoint endPoint = network.accept();
+        assertEquals(true, kept.isSent());
+        assertEquals(true, endPoint.getOutputString().contains("X-Id: q2"));
+        network.refuse();
+        assertEquals(List.of(), second.events);
+        assertNull(network.makers.poll());
+    }
+}
