--- a/system/src/main/java/pinewick/system/Main.java
+++ b/system/src/main/java/pinewick/system/Main.java
@@ -13,10 +13,16 @@
     private static int run(String[] words) {
         String command = words.length == 1 ? words[0] : "";
         return switch (command) {
-            case "router" -> ProgramRunner.run(Program::router);
-            case "controller" -> ProgramRunner.run(Program::controller);
-            case "rehearse" -> new Rehearsal().run();
+            case "router" -> ProgramRunner.run(Program.Kind.ROUTER);
+            case "controller" -> ProgramRunner.run(Program.Kind.CONTROLLER);
+            case "rehearse" -> rehearse();
             default -> Commands.run(words);
         };
     }
+
+    /** Whatever comes of it, the build goes on: the archive only makes the start quicker. */
+    private static int rehearse() {
+        new Rehearsal().run();
+        return ProgramRunner.DONE;
+    }
 }
