Selection split by concern; n is the number of routers and q the queue alone, after trials in virtual time

Cause: with n counted from reports, and prompts that run at a prefill replica counted as its queue, a report half a second old made all routers avoid the same replica.

--- /dev/null
+++ b/selection/src/main/java/pinewick/selection/LowestScore.java
@@ -0,0 +1,36 @@
+package pinewick.selection;
+
+import java.util.random.RandomGenerator;
+
+/** Keeps the lowest score that was offered; equal ones win by chance. */
+final class LowestScore {
+    static final int NONE = -1;
+
+    private final RandomGenerator random;
+    private int index = NONE;
+    private double score = Double.POSITIVE_INFINITY;
+    private int ties;
+
+    LowestScore(RandomGenerator random) {
+        this.random = random;
+    }
+
+    void offer(int candidate, double its) {
+        if (index == NONE || its < score) {
+            index = candidate;
+            score = its;
+            ties = 1;
+        } else if (its == score && random.nextInt(++ties) == 0) {
+            index = candidate;
+        }
+    }
+
+    /** The candidate, {@link #NONE} if there was none. */
+    int index() {
+        return index;
+    }
+
+    double score() {
+        return score;
+    }
+}
--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -1,7 +1,6 @@
 package pinewick.selection;
 
 import pinewick.model.ReplicaRecord;
-import pinewick.model.Stage;
 
 /** What one router has measured of one replica, and what follows for the terms of its score. */
 final class ReplicaMeasurements {
@@ -25,17 +24,20 @@
 
     private int outstanding;
     private int streaming;
-    private ReplicaSelector.Call oldestWaiting;
-    private ReplicaSelector.Call newestWaiting;
+    private CallMeasurement oldestWaiting;
+    private CallMeasurement newestWaiting;
     private double heardAtMs = Double.NEGATIVE_INFINITY;
 
     private boolean heard;
     private double excessMs;
-    private double stepExcessMs;
     private double measuredAtMs;
-    private RecentLowest lowest = new RecentLowest();
-    private RecentLowest lowestSpeed = new RecentLowest();
-    private RecentLowest lowestStep = new RecentLowest();
+    private double stepExcessMs;
+    private double steppedAtMs;
+    private double linkExcessMs;
+    private double linkMeasuredAtMs;
+    private final RecentLowest lowest = new RecentLowest();
+    private final RecentLowest lowestSpeed = new RecentLowest();
+    private final RecentLowest lowestStep = new RecentLowest();
 
     private LoadReport report;
     private int begunSince;
@@ -81,16 +83,28 @@
     }
 
     /** R - s: the smoothed time beyond s, faded to its kind's average while it is not heard, or overdue silence. */
-    double excessMs(double nowMs, int outputTokens) {
-        double average = pool.averageExcessMs(nowMs);
-        double own = average;
+    double excessMs(double nowMs) {
+        double own = pool.averageExcessMs(nowMs);
         if (heard) {
-            double kept = Math.pow(0.5, Math.max(0, nowMs - measuredAtMs) / tuning.excessHalfLifeMs());
-            own = average + (excessMs + stepExcessMs * outputTokens - average) * kept;
+            own += (excessMs - own) * kept(nowMs - measuredAtMs);
         }
         return Math.max(own, overdueMs(nowMs));
     }
 
+    /** By how much a token lately took longer than at the best of recent times. */
+    double stepExcessMs(double nowMs) {
+        return stepExcessMs * kept(nowMs - steppedAtMs);
+    }
+
+    /** By how much moves of memory that it took part in were late. */
+    double linkExcessMs(double nowMs) {
+        return linkExcessMs * kept(nowMs - linkMeasuredAtMs);
+    }
+
+    private double kept(double ageMs) {
+        return Math.pow(0.5, Math.max(0, ageMs) / tuning.excessHalfLifeMs());
+    }
+
     /** How long an answer has been overdue: a hung replica sends nothing, so its silence has to tell. */
     double overdueMs(double nowMs) {
         double overdue = 0;
@@ -126,22 +140,22 @@
     }
 
     /**
-     * The queue: by the report, else what this router has in flight there. A prefill replica reads one prompt after
-     * another, so those that run there are a queue as well; at others only what does not fit the slots.
+     * The queue: by the report, less what this router has seen end since or with what it has begun beyond the slots; else
+     * what this router has in flight there. A report counts less as it ages.
      */
     double queue(double nowMs) {
         double weight = reportWeight(nowMs);
         if (weight == 0) {
             return outstanding;
         }
-        double reported;
-        if (pool.stage() == Stage.PREFILL) {
-            reported = inProgress();
-        } else {
-            double left = report.waiting() + Math.min(0, begunSince - endedSince);
-            reported = Math.max(left, inProgress() - slots);
-        }
-        return weight * Math.max(0, reported) + (1 - weight) * outstanding;
+        double left = report.waiting() + Math.min(0, begunSince - endedSince);
+        double reported = Math.max(0, Math.max(left, inProgress() - slots));
+        return weight * reported + (1 - weight) * outstanding;
+    }
+
+    /** Whether its slots are taken, as far as is known. */
+    boolean full() {
+        return inProgress() >= slots;
     }
 
     /** The larger of the shares of its slots and of its memory that are in use; 0 without a report. */
@@ -155,22 +169,11 @@
         return weight * Math.max(ofSlots, ofMemory);
     }
 
-    /** Routers that can have calls at the replica now: no more than there are calls in it. */
-    double sendingRouters(double nowMs, int routers) {
-        if (!tuning.countSendingRouters()) {
-            return routers;
-        }
-        double weight = reportWeight(nowMs);
-        double sending = Math.min(routers, Math.max(1, inProgress()));
-        return routers + weight * (sending - routers);
-    }
-
-    /** R - s + q̂³·s. */
-    double score(double serviceMs, int outputTokens, int routers, double nowMs) {
-        double congestion = 1
-                + outstanding * sendingRouters(nowMs, routers)
-                + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
-        return excessMs(nowMs, outputTokens) + congestion * congestion * congestion * serviceMs;
+    /** R - s + q̂³·s, for an s and an R - s of the request. */
+    double score(double serviceMs, double beyondServiceMs, int routers, double nowMs) {
+        double congestion =
+                1 + (double) outstanding * routers + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
+        return beyondServiceMs + congestion * congestion * congestion * serviceMs;
     }
 
     /** s of a plain request: the lowest recent answer time. */
@@ -180,14 +183,14 @@
     }
 
     /** s of a request that reads or fetches so many tokens and makes so many. */
-    double engineServiceMs(ServiceTimeModel model, double tokens, int outputTokens, double nowMs) {
+    double engineServiceMs(double expectedMs, double outputTokens, double nowMs) {
         if (!tuning.serviceByRequest()) {
             double own = lowest.get() < Double.POSITIVE_INFINITY ? lowest.get() : pool.averageLowestMs(nowMs);
-            return own < Double.POSITIVE_INFINITY ? own : model.predict(tokens);
+            return own < Double.POSITIVE_INFINITY ? own : expectedMs;
         }
         double speed = lowestSpeed.get() < Double.POSITIVE_INFINITY ? lowestSpeed.get() : 1;
         double step = lowestStep.get() < Double.POSITIVE_INFINITY ? lowestStep.get() : pool.averageStepMs(nowMs);
-        return model.predict(tokens) * Math.max(FASTEST, Math.min(SLOWEST, speed)) + step * outputTokens;
+        return expectedMs * Math.max(FASTEST, Math.min(SLOWEST, speed)) + step * outputTokens;
     }
 
     /** Whether it is kept out after failures; one whose rest is over takes one request at a time. */
@@ -213,7 +216,7 @@
         }
     }
 
-    void began(ReplicaSelector.Call call) {
+    void began(CallMeasurement call) {
         outstanding++;
         begunSince++;
         pool.began(call.beganAtMs());
@@ -225,7 +228,7 @@
     }
 
     /** The call no longer waits for its first event. */
-    private void heardFirst(ReplicaSelector.Call call) {
+    private void heardFirst(CallMeasurement call) {
         if (oldestWaiting == call) {
             oldestWaiting = call.newer();
         }
@@ -236,7 +239,7 @@
     }
 
     /** A stream has begun. */
-    void firstEvent(ReplicaSelector.Call call, double nowMs) {
+    void firstEvent(CallMeasurement call, double nowMs) {
         heardFirst(call);
         streaming++;
         heardAtMs = nowMs;
@@ -247,7 +250,7 @@
         heardAtMs = nowMs;
     }
 
-    void ended(ReplicaSelector.Call call, boolean wasStreaming) {
+    void ended(CallMeasurement call, boolean wasStreaming) {
         outstanding--;
         if (report != null && call.beganAtMs() < report.atMs()) {
             endedSince++;
@@ -261,13 +264,22 @@
         }
     }
 
-    /** An answer took this long to its first event, or whole, beyond s. */
+    /** An answer took so much longer than s, to its first event or whole. */
     void measured(double beyondMs, double nowMs) {
-        excessMs = heard ? excessMs + tuning.smoothing() * (beyondMs - excessMs) : beyondMs;
+        double beyond = Math.max(0, beyondMs);
+        excessMs = heard ? excessMs + tuning.smoothing() * (beyond - excessMs) : beyond;
         heard = true;
         measuredAtMs = nowMs;
     }
 
+    /** An answer with a move of memory took so much longer than s; what waiting at this replica explains is left out. */
+    void measuredLink(double beyondMs, double nowMs) {
+        double beyond = Math.max(0, beyondMs - excessMs(nowMs));
+        double before = linkExcessMs(nowMs);
+        linkExcessMs = before + tuning.smoothing() * (beyond - before);
+        linkMeasuredAtMs = nowMs;
+    }
+
     /** An answer came, so it is alive. */
     void alive(double nowMs) {
         failures = 0;
@@ -275,7 +287,7 @@
     }
 
     /** An answer took this long. */
-    void lowestOf(double tookMs, double nowMs) {
+    void answerTook(double tookMs, double nowMs) {
         lowest.add(nowMs, tookMs, LOWEST_WINDOW_MS);
     }
 
@@ -289,6 +301,7 @@
         lowestStep.add(nowMs, perTokenMs, LOWEST_WINDOW_MS);
         double beyond = Math.max(0, perTokenMs - lowestStep.get());
         stepExcessMs += tuning.smoothing() * (beyond - stepExcessMs);
+        steppedAtMs = nowMs;
     }
 
     /** A call failed: after several in a row the replica rests, longer each time. */
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -9,14 +9,21 @@
 final class ReplicaPool {
     /** Pages: a decode replica reads at about half the pace of a prefill replica. */
     private static final double WHOLE_READ_FACTOR = 2;
-    /** Of the first guess, the part for the first step of a prompt that was read elsewhere. */
-    private static final double FIRST_STEP_SHARE = 0.25;
+    /** Of the first guess, the part that does not depend on tokens. */
+    private static final double FIXED_SHARE = 0.25;
+
+    /** Of the most tokens that a request may make, those that it is expected to make, at first. */
+    private static final double FIRST_OUTPUT_SHARE = 0.5;
+
+    private static final double OUTPUT_WEIGHT = 0.05;
 
     private final Stage stage;
     private final ServiceTimeModel[] models = new ServiceTimeModel[CallKind.values().length];
     private final List<ReplicaMeasurements> members = new ArrayList<>();
     private EngineSpec engine;
+    private ServiceTimeModel otherReaders;
     private final SmoothedRate calls = new SmoothedRate();
+    private double outputShare = FIRST_OUTPUT_SHARE;
     private double averagedAtMs = Double.NaN;
     private double averageExcessMs;
     private double averageLowestMs;
@@ -51,23 +58,39 @@
         averagedAtMs = Double.NaN;
     }
 
-    /** The times of this kind of call, with a first guess from this request where nothing was measured. */
-    ServiceTimeModel model(CallKind kind, RequestShape request, double firstGuessMs) {
-        ServiceTimeModel model = models[kind.ordinal()];
-        if (model.empty()) {
-            int tokens = request.promptTokens();
-            if (kind == CallKind.DECODE_FETCHED && engine != null) {
-                double bytes = (double) tokens * engine.kvTokenBytes();
-                model.guess(tokens, firstGuessMs * FIRST_STEP_SHARE, PriceModel.moveMs(bytes, engine.linkBandwidthMbps()));
-            } else if (kind == CallKind.DECODE_WHOLE) {
-                model.guess(tokens, FIRST_STEP_SHARE * firstGuessMs, WHOLE_READ_FACTOR * firstGuessMs);
-            } else if (kind == CallKind.PREFILL) {
-                model.guess(tokens, FIRST_STEP_SHARE * firstGuessMs, (1 - FIRST_STEP_SHARE) * firstGuessMs);
-            } else {
-                model.guess(0, firstGuessMs, 0);
-            }
+    /**
+     * The time that a call of this kind takes for so many tokens read or moved. Where its pace has not been measured, it is
+     * taken from the kind that reads as well, and without that from the first guess for the whole request.
+     */
+    double expectedMs(CallKind kind, RequestShape request, double tokens, double firstGuessMs) {
+        ServiceTimeModel own = models[kind.ordinal()];
+        if (own.paceKnown()) {
+            return own.predict(tokens);
         }
-        return model;
+        double fixed = own.samples() > 0 ? own.fixedMs() : FIXED_SHARE * firstGuessMs;
+        return fixed + paceMs(kind, request, firstGuessMs) * tokens;
+    }
+
+    /** Time of one token read or moved; see {@link #expectedMs}. */
+    double paceMs(CallKind kind, RequestShape request, double firstGuessMs) {
+        ServiceTimeModel own = models[kind.ordinal()];
+        if (own.paceKnown()) {
+            return own.paceMs();
+        }
+        if (kind == CallKind.DECODE_FETCHED) {
+            return engine == null ? 0 : PriceModel.moveMs(engine.kvTokenBytes(), engine.linkBandwidthMbps());
+        }
+        double factor = kind == CallKind.DECODE_WHOLE ? WHOLE_READ_FACTOR : 1 / WHOLE_READ_FACTOR;
+        if (otherReaders != null && otherReaders.paceKnown()) {
+            return factor * otherReaders.paceMs();
+        }
+        double guess = (1 - FIXED_SHARE) * firstGuessMs / Math.max(1, request.promptTokens());
+        return kind == CallKind.DECODE_WHOLE ? factor * guess : guess;
+    }
+
+    /** The times of the kind of call that reads prompts at the other stage. */
+    void setOtherReaders(ServiceTimeModel other) {
+        otherReaders = other;
     }
 
     ServiceTimeModel model(CallKind kind) {
@@ -88,6 +111,18 @@
         return callsPerMs * heldMs * heldMs / 2;
     }
 
+    /** A stream of a request had so many tokens. */
+    void made(RequestShape request, int outputTokens) {
+        if (request.outputTokens() > 0) {
+            outputShare += OUTPUT_WEIGHT * (Math.min(1, (double) outputTokens / request.outputTokens()) - outputShare);
+        }
+    }
+
+    /** The tokens that a request is expected to make; it says only the most. */
+    double expectedOutput(RequestShape request) {
+        return outputShare * request.outputTokens();
+    }
+
     /** R - s of the replicas heard from; 0 if there is none. */
     double averageExcessMs(double nowMs) {
         average(nowMs);
--- a/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
+++ b/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
@@ -12,9 +12,11 @@
 
     private static final int GROUPS = GROUP_FROM.length + 1;
     private static final int GROUP_SIZE = 8;
-    private static final int GUESSES = 2;
-    private static final int POINTS = GROUPS * GROUP_SIZE + GUESSES;
-    private static final double GUESS_WEIGHT = 0.1;
+    private static final int POINTS = GROUPS * GROUP_SIZE;
+    /** The pace is known from so many answers in the groups of long ones. */
+    private static final int ENOUGH_LONG = 2;
+
+    private static final int FIRST_LONG_GROUP = 2;
     /** The line is fitted anew at every answer up to this count, then at each of this many. */
     private static final int REFIT_EVERY = 4;
 
@@ -23,29 +25,19 @@
     private final double[] weights = new double[POINTS];
     private final int[] added = new int[GROUPS];
     private int samples;
+    private int longSamples;
     private double fixedMs;
     private double paceMs;
 
-    /** The first guess: a fixed part, and so much more for a prompt of so many tokens. */
-    void guess(int forTokens, double fixed, double more) {
-        int first = POINTS - GUESSES;
-        put(first, 0, fixed, GUESS_WEIGHT);
-        if (forTokens > 0) {
-            put(first + 1, forTokens, fixed + more, GUESS_WEIGHT);
-            paceMs = more / forTokens;
-        }
-        fixedMs = fixed;
-    }
-
-    /** Whether there is neither a guess nor an answer. */
-    boolean empty() {
-        return weights[POINTS - GUESSES] == 0 && samples == 0;
-    }
-
     int samples() {
         return samples;
     }
 
+    /** Whether answers of long prompts have told the pace. */
+    boolean paceKnown() {
+        return longSamples >= ENOUGH_LONG;
+    }
+
     /** Expected time without waiting. */
     double predict(double forTokens) {
         return fixedMs + paceMs * forTokens;
@@ -68,6 +60,7 @@
         put(group * GROUP_SIZE + added[group] % GROUP_SIZE, forTokens, timeMs, trust);
         added[group]++;
         samples++;
+        longSamples += group >= FIRST_LONG_GROUP ? 1 : 0;
         if (samples <= 2 * REFIT_EVERY || samples % REFIT_EVERY == 0) {
             fit();
         }
--- a/selection/src/test/java/pinewick/selection/SelectionExperiment.java
+++ b/selection/src/test/java/pinewick/selection/SelectionExperiment.java
@@ -14,7 +14,6 @@
                 new Variant("default", usual, true, true),
                 new Variant("no hints", usual, true, false),
                 new Variant("no reports", usual, false, true),
-                new Variant("n all routers", usual.withCountSendingRouters(false), true, true),
                 new Variant("s lowest answer", usual.withServiceByRequest(false), true, true),
                 new Variant("no busy share", usual.withBusyWeight(0), true, true));
         double[][] loads = {{0.8, 1}, {1.6, 1}, {1.6, 1.9}};
@@ -35,7 +34,7 @@
         String figures = "";
         int seeds = 3;
         for (int seed = 1; seed <= seeds; seed++) {
-            VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(fleet[0], fleet[1], fleet[2],
+            VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(fleet[0], fleet[0], fleet[1], fleet[2],
                     VirtualFleet.usualKinds(load[0], load[1]), variant.tuning, variant.reports, variant.hints, 500,
                     seed));
             run.run(5_000, 25_000);
--- a/selection/src/test/java/pinewick/selection/VirtualFleet.java
+++ b/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -22,6 +22,7 @@
     /** What a run is made of. */
     record Setting(
             int routers,
+            int countedRouters,
             int prefills,
             int decodes,
             List<Kind> kinds,
@@ -81,7 +82,7 @@
         records = engines.stream().map(engine -> engine.record).toList();
         for (int router = 0; router < setting.routers; router++) {
             ReplicaSelector selector = new ReplicaSelector(chance.split(), setting.tuning);
-            selector.setRouterCount(setting.routers);
+            selector.setRouterCount(setting.countedRouters);
             selector.setPlace(ZONES[router % 3], Map.of("a", "r", "b", "r", "c", "r"));
             selector.setEngine("lm", SPEC);
             selectors.add(selector);
@@ -230,7 +231,7 @@
             CallKind callKind = reader == null ? CallKind.DECODE_WHOLE : CallKind.DECODE_FETCHED;
             ReplicaSelector.Call call = reader == null
                     ? selector.begin(replica, callKind, request, time.now())
-                    : selector.begin(replica, callKind, request, reader.zone(), time.now());
+                    : selector.beginFetched(replica, reader, request, time.now());
             VirtualEngine.Job job = new VirtualEngine.Job(request.parts(), out, false);
             giveUp(call);
             job.onFirst = () -> time.after(NETWORK_MS, () -> event(call));
