--- a/model/src/main/java/pinewick/model/ConfigurationChecks.java
+++ b/model/src/main/java/pinewick/model/ConfigurationChecks.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Reads the operator's bodies and checks them. A body is refused only for what makes a configuration invalid; fields and
- * sections that this release does not know are kept as they came.
+ * Reads the operator's bodies and checks them. A body is refused only for what makes a configuration invalid; fields
+ * and sections that this release does not know are kept as they came.
  */
 public final class ConfigurationChecks {
     private ConfigurationChecks() {}
@@ -26,8 +26,8 @@
 
     /**
      * Reads an update ({@code POST /config/update}) and applies it to {@code base}; the result is checked as a whole.
-     * Names to remove that are not there are ignored; fields beside {@code upserts} and {@code removals} replace those of
-     * {@code base}.
+     * Names to remove that are not there are ignored; fields beside {@code upserts} and {@code removals} replace
+     * those of {@code base}.
      *
      * @throws InvalidConfigurationException with every fault
      */
--- a/model/src/main/java/pinewick/model/ConfigurationDelta.java
+++ b/model/src/main/java/pinewick/model/ConfigurationDelta.java
@@ -53,8 +53,8 @@
     }
 
     /**
-     * Applies this to {@code base}: first the removals, then the upserts, which stay in place or go to the end. A section
-     * that the removals leave empty and that has no upserts ceases to exist.
+     * Applies this to {@code base}: first the removals, then the upserts, which stay in place or go to the end. A
+     * section that the removals leave empty and that has no upserts ceases to exist.
      *
      * @throws IllegalArgumentException if {@code base} has another version than {@link #baseVersion}
      */
--- a/model/src/main/java/pinewick/model/ConfigurationDocument.java
+++ b/model/src/main/java/pinewick/model/ConfigurationDocument.java
@@ -8,10 +8,10 @@
 import java.util.Map;
 
 /**
- * A whole configuration as the operator sent it: lists of named items by section ({@code routes}, {@code services}, and
- * any section a later release of the platform adds), and the remaining fields ({@code limits}). Items keep their JSON to
- * the letter, fields that this release does not know included, so that what is read back is what was sent. Immutable:
- * nobody changes the JSON that it hands out.
+ * A whole configuration as the operator sent it: lists of named items by section ({@code routes}, {@code services},
+ * and any section a later release of the platform adds), and the remaining fields ({@code limits}). Items keep their
+ * JSON to the letter, fields that this release does not know included, so that what is read back is what was sent.
+ * Immutable: nobody changes the JSON that it hands out.
  */
 public final class ConfigurationDocument {
     /** The document before the first change: version 0, nothing in it. */
--- a/model/src/main/java/pinewick/model/DeltaFormat.java
+++ b/model/src/main/java/pinewick/model/DeltaFormat.java
@@ -17,9 +17,9 @@
 import java.util.zip.Inflater;
 
 /**
- * Deltas as bytes: a byte that names the format, a checksum of what follows it, and the delta. In the format {@link #PLAIN}
- * that is JSON text; in {@link #DEFLATED} it is the length of the text and the deflated text. Texts too short to gain anything
- * stay plain.
+ * Deltas as bytes: a byte that names the format, a checksum of what follows it, and the delta. In the format {@link
+ * #PLAIN} that is JSON text; in {@link #DEFLATED} it is the length of the text and the deflated text. Texts too short
+ * to gain anything stay plain.
  */
 final class DeltaFormat {
     private static final byte PLAIN = 1;
--- a/model/src/main/java/pinewick/model/ItemFields.java
+++ b/model/src/main/java/pinewick/model/ItemFields.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /**
- * Typed access to the fields of one item. A field of the wrong type becomes a fault and reads as its default; {@code null}
- * counts as absent.
+ * Typed access to the fields of one item. A field of the wrong type becomes a fault and reads as its default; {@code
+ * null} counts as absent.
  */
 final class ItemFields {
     private static final int LONGEST_NUMBER = 40;
--- a/model/src/main/java/pinewick/model/JsonText.java
+++ b/model/src/main/java/pinewick/model/JsonText.java
@@ -52,8 +52,8 @@
     }
 
     /**
-     * Whether two values are written alike: the same members in the same order, and numbers with the same text. Gson's own
-     * comparison takes 1 and 1.0, or two large numbers that a {@code double} can't tell apart, for equal.
+     * Whether two values are written alike: the same members in the same order, and numbers with the same text.
+     * Gson's own comparison takes 1 and 1.0, or two large numbers that a {@code double} can't tell apart, for equal.
      */
     static boolean alike(JsonElement left, JsonElement right) {
         if (left == right) {
--- a/model/src/main/java/pinewick/model/ReplicaRecord.java
+++ b/model/src/main/java/pinewick/model/ReplicaRecord.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What one replica instance last said of itself. Records of one instance are ordered by {@code callSequence}; see {@link
- * #merge}.
+ * What one replica instance last said of itself. Records of one instance are ordered by {@code callSequence}; see
+ * {@link #merge}.
  *
  * @param instanceId the id of this start of the replica
  * @param service name of the service it belongs to
--- a/model/src/main/java/pinewick/model/RoutingTable.java
+++ b/model/src/main/java/pinewick/model/RoutingTable.java
@@ -37,8 +37,8 @@
     }
 
     /**
-     * The route of {@code host} whose prefix begins {@code path} and is longest. Because prefixes end with a slash, only the
-     * parts of the path up to one of its slashes are looked up.
+     * The route of {@code host} whose prefix begins {@code path} and is longest. Because prefixes end with a slash,
+     * only the parts of the path up to one of its slashes are looked up.
      */
     public Optional<Route> find(String host, String path) {
         HostRoutes routes = routesByHost.get(host);
--- a/model/src/main/java/pinewick/model/SectionDifference.java
+++ b/model/src/main/java/pinewick/model/SectionDifference.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 /**
- * What turns the items of one section into others, order included: names to remove first, then items that replace those
- * of their name in place or go to the end.
+ * What turns the items of one section into others, order included: names to remove first, then items that replace
+ * those of their name in place or go to the end.
  */
 record SectionDifference(List<String> removals, Map<String, JsonObject> upserts) {
 
--- a/model/src/test/java/pinewick/model/AcceptedConfigurationTest.java
+++ b/model/src/test/java/pinewick/model/AcceptedConfigurationTest.java
@@ -67,7 +67,9 @@
 
     @Test
     void scalesWeightsThatAreFractions() throws InvalidConfigurationException {
-        String body = Documents.WHOLE.replace("\"weight\":90", "\"weight\":0.75").replace("\"weight\":10", "\"weight\":0.25");
+        String body = Documents.WHOLE
+                .replace("\"weight\":90", "\"weight\":0.75")
+                .replace("\"weight\":10", "\"weight\":0.25");
         RoutingTable table =
                 ConfigurationChecks.toRoutingTable(ConfigurationChecks.parseReplacement(Documents.bytes(body)));
 
--- a/model/src/test/java/pinewick/model/ConfigurationDeltaTest.java
+++ b/model/src/test/java/pinewick/model/ConfigurationDeltaTest.java
@@ -15,8 +15,10 @@
     @Test
     void carriesOnlyTheItemThatChanged() throws InvalidConfigurationException {
         ConfigurationDocument from = Documents.whole();
-        ConfigurationDocument to = ConfigurationChecks.parseReplacement(
-                Documents.bytes(Documents.WHOLE.replace("\"version\":7", "\"version\":9").replace("3000,\"target", "3000.0,\"target")));
+        String changed = Documents.WHOLE
+                .replace("\"version\":7", "\"version\":9")
+                .replace("3000,\"target", "3000.0,\"target");
+        ConfigurationDocument to = ConfigurationChecks.parseReplacement(Documents.bytes(changed));
         ConfigurationDelta delta = ConfigurationDelta.between(from, to);
 
         assertNotEquals(from, to);
@@ -56,7 +58,8 @@
     void isNotReadFromBytesThatAreSpoilt() throws InvalidConfigurationException {
         ConfigurationDocument whole = Documents.whole();
         for (ConfigurationDelta delta : List.of(
-                ConfigurationDelta.between(ConfigurationDocument.EMPTY, whole), ConfigurationDelta.between(whole, whole))) {
+                ConfigurationDelta.between(ConfigurationDocument.EMPTY, whole),
+                ConfigurationDelta.between(whole, whole))) {
             byte[] sound = ConfigurationChecks.writeDelta(delta);
             for (int bit = 0; bit < sound.length * Byte.SIZE; bit++) {
                 byte[] spoilt = Arrays.copyOf(sound, sound.length);
--- a/model/src/test/java/pinewick/model/ConfigurationDocumentTest.java
+++ b/model/src/test/java/pinewick/model/ConfigurationDocumentTest.java
@@ -9,8 +9,8 @@
 
 class ConfigurationDocumentTest {
     private static ConfigurationDocument withExtra(String value) throws InvalidConfigurationException {
-        return ConfigurationChecks.parseReplacement(
-                Documents.bytes("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"x\":" + value + "}],\"x\":" + value + "}"));
+        String body = "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"x\":VALUE}],\"x\":VALUE}";
+        return ConfigurationChecks.parseReplacement(Documents.bytes(body.replace("VALUE", value)));
     }
 
     @ParameterizedTest
--- a/model/src/test/java/pinewick/model/GeneratedDocuments.java
+++ b/model/src/test/java/pinewick/model/GeneratedDocuments.java
@@ -13,7 +13,8 @@
 final class GeneratedDocuments {
     private static final int MOST_ITEMS = 6;
     private static final List<String> VALUES = List.of(
-            "1", "1.0", "1e0", "9007199254740992", "9007199254740993", "0.1", "-0", "null", "true", "\"1\"", "\"\u00e9\\u2028\\\"\"",
+            "1", "1.0", "1e0", "9007199254740992", "9007199254740993", "0.1", "-0", "null", "true", "\"1\"",
+            "\"\u00e9\\u2028\\\"\"",
             "[1,1.0]", "[]", "{}", "{\"a\":1,\"b\":2}", "{\"b\":2,\"a\":1}");
 
     private GeneratedDocuments() {}
@@ -23,11 +24,15 @@
         Arbitrary<Map<String, Map<String, JsonObject>>> sections =
                 Arbitraries.maps(Arbitraries.of("routes", "services", "mirrors"), items());
         Arbitrary<Map<String, JsonElement>> fields =
-                Arbitraries.maps(Arbitraries.of("limits", "notes"), Arbitraries.of(VALUES).map(GeneratedDocuments::parse));
+                Arbitraries.maps(Arbitraries.of("limits", "notes"), values());
         return Combinators.combine(sections, fields)
                 .as((inSections, beside) -> new ConfigurationDocument(version, inSections, beside));
     }
 
+    private static Arbitrary<JsonElement> values() {
+        return Arbitraries.of(VALUES).map(GeneratedDocuments::parse);
+    }
+
     private static Arbitrary<Map<String, JsonObject>> items() {
         Arbitrary<List<String>> names =
                 Arbitraries.of("a", "b", "c", "d", "e", "f").list().uniqueElements().ofMaxSize(MOST_ITEMS);
--- a/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
+++ b/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
@@ -16,7 +16,8 @@
 class RefusedConfigurationTest {
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
-        "\"service\":\"s-2\",\"max|\"service\":\"s-9\",\"max|routes/r-2.service: 's-9' is not a service of this configuration",
+        "\"service\":\"s-2\",\"max|\"service\":\"s-9\",\"max|"
+                + "routes/r-2.service: 's-9' is not a service of this configuration",
         "\"service\":\"s-1\",\"weight\":90|\"service\":\"s-9\",\"weight\":90|"
                 + "routes/r-1.traffic_split[0].service: 's-9' is not a service of this configuration",
         "/b/|/a/|routes/r-2.path_prefix: has the host and prefix of route 'r-1'; change one of them",
@@ -119,7 +120,8 @@
         "", " ", "null", "7", "[]", "\"{}\"", "{'version':1,'routes':[],'services':[]}",
         "{version:1,\"routes\":[],\"services\":[]}", "{\"version\":1;\"routes\":[],\"services\":[]}",
         "{\"version\":1,\"routes\":[],\"services\":[],}", "{\"version\":1,\"routes\":[,],\"services\":[]}",
-        "{\"version\":1,\"routes\":[],\"services\":[],\"x\":NaN}", "{\"version\":1,\"routes\":[],\"services\":[],\"x\":TRUE}",
+        "{\"version\":1,\"routes\":[],\"services\":[],\"x\":NaN}",
+        "{\"version\":1,\"routes\":[],\"services\":[],\"x\":TRUE}",
         "{\"version\":1,/* */\"routes\":[],\"services\":[]}", "{\"version\":01,\"routes\":[],\"services\":[]}"
     })
     void refusesWhatIsNotStrictlyJson(String body) {
--- a/model/src/test/java/pinewick/model/RoutingTableTest.java
+++ b/model/src/test/java/pinewick/model/RoutingTableTest.java
@@ -15,7 +15,10 @@
     private static String find(String host, String path) {
         RoutingTable table = new RoutingTable(
                 1,
-                List.of(route("root", "a.example", "/"), route("x", "a.example", "/x/"), route("xy", "a.example", "/x/y/"),
+                List.of(
+                        route("root", "a.example", "/"),
+                        route("x", "a.example", "/x/"),
+                        route("xy", "a.example", "/x/y/"),
                         route("other", "b.example", "/x/")),
                 List.of(),
                 RequestLimits.DEFAULT);
--- a/model/src/test/java/pinewick/model/UpdateTest.java
+++ b/model/src/test/java/pinewick/model/UpdateTest.java
@@ -27,7 +27,8 @@
     void addsReplacesAndRemovesItemsByName() throws InvalidConfigurationException {
         ConfigurationDocument base = Documents.whole();
         ConfigurationDocument next = updated("{\"version\":9,\"upserts\":{\"routes\":[" + ROUTE_3 + ","
-                + ROUTE_3.replace("r-3", "r-1").replace("/c/", "/d/") + "]},\"removals\":{\"routes\":[\"r-2\",\"r-old\"]}}");
+                + ROUTE_3.replace("r-3", "r-1").replace("/c/", "/d/")
+                + "]},\"removals\":{\"routes\":[\"r-2\",\"r-old\"]}}");
 
         assertEquals(9, next.version());
         assertEquals(List.of("r-1", "r-3"), List.copyOf(next.sections().get("routes").keySet()));
--- a/system/src/main/java/pinewick/system/LogLine.java
+++ b/system/src/main/java/pinewick/system/LogLine.java
@@ -5,8 +5,8 @@
 import java.util.logging.LogRecord;
 
 /**
- * One line a record: the time of day (UTC), the level's first letter, the class, the message, and for an exception its chain
- * of causes with the place where the last one arose.
+ * One line a record: the time of day (UTC), the level's first letter, the class, the message, and for an exception
+ * its chain of causes with the place where the last one arose.
  */
 final class LogLine extends Formatter {
     private static final long MILLIS_A_DAY = 86_400_000L;
--- a/system/src/main/java/pinewick/system/LogSetup.java
+++ b/system/src/main/java/pinewick/system/LogSetup.java
@@ -14,7 +14,10 @@
 
 /** Sends the log to standard output, a line and a write a record. */
 final class LogSetup {
-    /** Libraries that tell much of their ordinary life. Held here, because the log manager forgets loggers nobody holds. */
+    /**
+     * Libraries that tell much of their ordinary life. Held here, because the log manager forgets loggers nobody
+     * holds.
+     */
     private static final List<Logger> LIBRARIES =
             List.of(Logger.getLogger("org.eclipse.jetty"), Logger.getLogger("jetbrains.exodus"));
 
--- a/system/src/main/java/pinewick/system/ProgramRunner.java
+++ b/system/src/main/java/pinewick/system/ProgramRunner.java
@@ -9,7 +9,10 @@
 import pinewick.model.NodeSettings;
 import sun.misc.Signal;
 
-/** Runs one program from its settings file until SIGTERM. The thread that calls it waits for signals and watches the file. */
+/**
+ * Runs one program from its settings file until SIGTERM. The thread that calls it waits for signals and watches the
+ * file.
+ */
 final class ProgramRunner {
     /** Everything went as asked. */
     static final int DONE = 0;
--- a/system/src/main/java/pinewick/system/Rehearsal.java
+++ b/system/src/main/java/pinewick/system/Rehearsal.java
@@ -9,9 +9,9 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Plays a short life of both programs on loopback, so that the classes they use are loaded and the virtual machine writes them
- * to its archive when it ends. Of no use beside the build. A step that fails is logged, and the play goes on without it, which
- * costs the programs some time at their start and nothing else.
+ * Plays a short life of both programs on loopback, so that the classes they use are loaded and the virtual machine
+ * writes them to its archive when it ends. Of no use beside the build. A step that fails is logged, and the play goes
+ * on without it, which costs the programs some time at their start and nothing else.
  */
 final class Rehearsal {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -65,7 +65,8 @@
     }
 
     private void playOn(RehearsalStage stage) throws InterruptedException {
-        step(stage, "configuration", () -> post(stage.controlPlane(), "/config/replace", 0, wholeConfiguration(stage)) == OK);
+        String whole = wholeConfiguration(stage);
+        step(stage, "configuration", () -> post(stage.controlPlane(), "/config/replace", 0, whole) == OK);
         step(stage, "heartbeats", () -> heartbeats(stage));
         step(stage, "readiness", () -> HttpCall.get(stage.readiness(), "/ready").send().status() == OK);
         step(stage, "plain request", () -> plainRequest(stage, "first") == OK);
@@ -116,7 +117,8 @@
             boolean plain = replica.stage().isEmpty();
             String engine = plain
                     ? ""
-                    : "\"stage\":\"" + replica.stage() + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],";
+                    : "\"stage\":\"" + replica.stage() + "\","
+                            + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],";
             String body = "{\"service\":\"" + (plain ? "plain" : "engine") + "\",\"address\":\"" + replica.address()
                     + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,"
                     + engine + "\"call_sequence\":" + callSequence + "}";
--- a/system/src/main/java/pinewick/system/RehearsalStage.java
+++ b/system/src/main/java/pinewick/system/RehearsalStage.java
@@ -13,7 +13,10 @@
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
 
-/** What the rehearsal stands on: free ports and stand-in replicas on loopback, a folder, and settings for both programs. */
+/**
+ * What the rehearsal stands on: free ports and stand-in replicas on loopback, a folder, and settings for both
+ * programs.
+ */
 final class RehearsalStage implements Closeable {
     private static final int TRIES_FOR_PORTS = 50;
     private static final int LOWEST_PAIR = 20_000;
--- a/system/src/main/java/pinewick/system/SettingsReader.java
+++ b/system/src/main/java/pinewick/system/SettingsReader.java
@@ -15,8 +15,8 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Reads and checks the settings file of a process. Fields that are not known are ignored; figures of rules that are not in
- * force may be absent and take defaults.
+ * Reads and checks the settings file of a process. Fields that are not known are ignored; figures of rules that are
+ * not in force may be absent and take defaults.
  */
 public final class SettingsReader {
     /** Names the settings file. */
--- a/system/src/main/java/pinewick/system/SettingsWatcher.java
+++ b/system/src/main/java/pinewick/system/SettingsWatcher.java
@@ -10,9 +10,10 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Notices that the settings file has changed and hands over the seeds of the new one. The file's time and size are looked
- * at on each poll; every few polls, and after a signal, the file itself is read, because a time may be too coarse to tell two
- * writes apart. A file that is faulty is told of once and left unheeded: the process goes on with what it has.
+ * Notices that the settings file has changed and hands over the seeds of the new one. The file's time and size are
+ * looked at on each poll; every few polls, and after a signal, the file itself is read, because a time may be too
+ * coarse to tell two writes apart. A file that is faulty is told of once and left unheeded: the process goes on with
+ * what it has.
  */
 final class SettingsWatcher {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/system/src/main/java/pinewick/system/StandInReplica.java
+++ b/system/src/main/java/pinewick/system/StandInReplica.java
@@ -14,8 +14,8 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Answers as a replica would, for the rehearsal: one request a connection at a time, health and load reports, prompts that are
- * read, streams of two events, and plain bodies.
+ * Answers as a replica would, for the rehearsal: one request a connection at a time, health and load reports, prompts
+ * that are read, streams of two events, and plain bodies.
  */
 final class StandInReplica implements Closeable {
     private static final String SIGNATURE = "X-Pinewick-Server-Signature: rehearsal\r\n";
--- a/system/src/main/java/pinewick/system/TomlFields.java
+++ b/system/src/main/java/pinewick/system/TomlFields.java
@@ -10,8 +10,8 @@
 import pinewick.model.SocketAddress;
 
 /**
- * Typed access to one table of a settings file. What is missing or of the wrong type becomes a fault and reads as a default,
- * so that all faults are told at once.
+ * Typed access to one table of a settings file. What is missing or of the wrong type becomes a fault and reads as a
+ * default, so that all faults are told at once.
  */
 final class TomlFields {
     private final String path;
@@ -43,7 +43,10 @@
     /** How the value of a field is written, {@code missing} if it is absent. */
     String written(String key) {
         Object value = value(key);
-        return value instanceof TomlArray array ? array.toList().toString() : value == null ? "missing" : value.toString();
+        if (value instanceof TomlArray array) {
+            return array.toList().toString();
+        }
+        return value == null ? "missing" : value.toString();
     }
 
     void fault(String key, String sentence) {
--- a/system/src/test/java/pinewick/system/CommandsTest.java
+++ b/system/src/test/java/pinewick/system/CommandsTest.java
@@ -40,7 +40,9 @@
 
     @Test
     void tellsEveryFaultOfSettingsOnALineOfItsOwn() throws IOException {
-        String text = SampleSettings.ROUTER.replace("heartbeat_ms = 1200", "heartbeat_ms = true").replace("zone = ", "zone_ = ");
+        String text = SampleSettings.ROUTER
+                .replace("heartbeat_ms = 1200", "heartbeat_ms = true")
+                .replace("zone = ", "zone_ = ");
 
         assertEquals(2, run("check-settings", file(text)));
         assertEquals(
--- a/system/src/test/java/pinewick/system/SettingsReaderTest.java
+++ b/system/src/test/java/pinewick/system/SettingsReaderTest.java
@@ -139,7 +139,8 @@
         String text = SampleSettings.ROUTER.replaceFirst("seed_nodes = .*", "seed_nodes = []");
 
         assertEquals(
-                List.of("seed_nodes names nobody; give control_plane addresses of controllers, as [\"10.1.0.13:8166\"]"),
+                List.of("seed_nodes names nobody; give control_plane addresses of controllers, "
+                        + "as [\"10.1.0.13:8166\"]"),
                 faultsOf(text));
     }
 
