--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -38,7 +38,7 @@
     private final DataPlaneServices services;
     private final ReplicaRecord replica;
     private final CallKind kind;
-    private final String readAtZone;
+    private final ReplicaRecord reader;
     private ReplicaSelector.Call measured;
     private UpstreamCall upstream;
     private Timers.Timer patience;
@@ -47,18 +47,18 @@
     private ByteArrayOutputStream kept;
     private boolean firstEventSeen;
 
-    /** @param readAtZone where the prompt is read */
+    /** @param reader the replica that has read the prompt, null unless the call fetches it from there */
     ReplicaCall(
             RequestLifecycle lifecycle,
             DataPlaneServices services,
             ReplicaRecord replica,
             CallKind kind,
-            String readAtZone) {
+            ReplicaRecord reader) {
         this.lifecycle = lifecycle;
         this.services = services;
         this.replica = replica;
         this.kind = kind;
-        this.readAtZone = readAtZone;
+        this.reader = reader;
     }
 
     ReplicaRecord replica() {
@@ -79,7 +79,9 @@
     }
 
     void begin(UpstreamRequest request) {
-        measured = services.selector().begin(replica, kind, lifecycle.shape(), readAtZone, now());
+        measured = kind == CallKind.DECODE_FETCHED
+                ? services.selector().beginFetched(replica, reader, lifecycle.shape(), now())
+                : services.selector().begin(replica, kind, lifecycle.shape(), now());
         upstream = services.calls().send(replica, request, this);
         if (kind == CallKind.PREFILL || lifecycle.shape().route().repeatable()) {
             patience = services.timers().schedule(patienceMs(), () -> lifecycle.tryAnother(this));
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -162,8 +162,8 @@
     }
 
     private void call(ReplicaRecord replica, CallKind kind) {
-        String readAt = kind == CallKind.DECODE_FETCHED ? handle.holder().zone() : replica.zone();
-        active = new ReplicaCall(this, services, replica, kind, readAt);
+        ReplicaRecord reader = kind == CallKind.DECODE_FETCHED ? handle.holder() : null;
+        active = new ReplicaCall(this, services, replica, kind, reader);
         active.begin(upstreamRequest(replica, kind));
     }
 
