--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.List;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -15,6 +16,12 @@
 /** Reads one client request whole, within the limits in force, and hands it to the data plane. */
 final class ClientIntake implements Invocable.Task {
     private static final String RETRY_AFTER_SECONDS = "0.5";
+    /** Two spaces, the version, a line end, and the empty line. */
+    private static final int REQUEST_LINE_BYTES = 14;
+
+    /** A colon, a space and a line end. */
+    private static final int FIELD_BYTES = 4;
+
     private static final int DELETE_CHARACTER = 0x7f;
     private static final int FIRST_BODY_BYTES = 4 * 1024;
 
@@ -118,6 +125,10 @@
 
     private void complete() {
         HttpFields fields = request.getHeaders();
+        if (headBytes(fields) > dataPlane.routingTable().limits().maxHeaderBytes()) {
+            answer(HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431);
+            return;
+        }
         List<String> ids = fields.getValuesList(HeaderNames.REQUEST_ID);
         if (ids.size() != 1 || ids.get(0).isEmpty() || !isPlainText(request.getHttpURI().getPathQuery())) {
             answer(HttpStatus.BAD_REQUEST_400);
@@ -133,6 +144,16 @@
         dataPlane.accept(read, request, response, callback);
     }
 
+    /** Length of the head as it came, but for spaces that Jetty has taken out. */
+    private int headBytes(HttpFields fields) {
+        int bytes = request.getMethod().length() + request.getHttpURI().getPathQuery().length() + REQUEST_LINE_BYTES;
+        for (HttpField field : fields) {
+            int value = field.getValue() == null ? 0 : field.getValue().length();
+            bytes += field.getName().length() + value + FIELD_BYTES;
+        }
+        return bytes;
+    }
+
     /** Jetty has decoded other bytes, so they could not be sent on as they came. */
     private static boolean isPlainText(String target) {
         return target != null && target.chars().allMatch(each -> each > ' ' && each < DELETE_CHARACTER);
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -207,17 +208,22 @@
         return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
     }
 
-    /** Draws a service by the route's weights. */
+    /** Draws a service by the route's weights; those without a replica are left out while another has one. */
     private Optional<String> drawService(Route route) {
-        int total = 0;
-        for (Route.WeightedService each : route.split()) {
-            total += each.weight();
+        if (route.split().size() == 1) {
+            return Optional.of(route.split().get(0).service());
         }
-        if (total <= 0) {
-            return Optional.empty();
-        }
-        int drawn = random.nextInt(total);
-        for (Route.WeightedService each : route.split()) {
+        Optional<String> served = draw(route, service -> !directory.candidates(service).isEmpty());
+        return served.isPresent() ? served : draw(route, service -> true);
+    }
+
+    private Optional<String> draw(Route route, Predicate<String> allowed) {
+        List<Route.WeightedService> services = route.split().stream()
+                .filter(each -> each.weight() > 0 && allowed.test(each.service()))
+                .toList();
+        int total = services.stream().mapToInt(Route.WeightedService::weight).sum();
+        int drawn = total == 0 ? 0 : random.nextInt(total);
+        for (Route.WeightedService each : services) {
             drawn -= each.weight();
             if (drawn < 0) {
                 return Optional.of(each.service());
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -25,6 +25,9 @@
     private static final int FEWEST_THREADS = 2;
     private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
     private static final int RESPONSE_HEADER_BYTES = 8 * 1024;
+    /** Longest head that a connection reads at all; the limit in force may change while it is open. */
+    private static final int PARSED_HEADER_BYTES = 64 * 1024;
+
     private static final int ACCEPT_QUEUE = 1024;
 
     private final DataPlane dataPlane;
@@ -82,10 +85,11 @@
         server.addConnector(connector);
     }
 
-    /** Limits for connections that are opened from now on. */
+    /** Limits in force from now on; the length of a head is checked when it has come. */
     void setLimits(RequestLimits limits) {
-        configuration.setRequestHeaderSize(limits.maxHeaderBytes());
+        configuration.setRequestHeaderSize(Math.max(PARSED_HEADER_BYTES, limits.maxHeaderBytes()));
         frontend.setIdleTimeout(limits.idleTimeoutMs());
+        frontend.getConnectedEndPoints().forEach(endPoint -> endPoint.setIdleTimeout(limits.idleTimeoutMs()));
     }
 
     void start() throws RouterException {
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import pinewick.model.ReplicaRecord;
+import pinewick.model.Route;
+import pinewick.model.RouteKind;
 import pinewick.selection.CallEnding;
 import pinewick.selection.CallKind;
 import pinewick.selection.ReplicaSelector;
@@ -20,6 +22,11 @@
     private static final double PATIENCE_OF_TARGET = 1.5;
     private static final double LONGEST_PATIENCE_OF_TIME_LEFT = 0.6;
 
+    /** A client gives a stream up after two seconds of silence or more. */
+    private static final double LONGEST_SILENCE_MS = 1_000;
+
+    private static final double SILENCE_OF_GAP_AIM = 5;
+
     /** What is done with the answer's body. */
     private enum Mode {
         /** No head yet. */
@@ -46,6 +53,8 @@
     private ResponseHead head;
     private ByteArrayOutputStream kept;
     private boolean firstEventSeen;
+    private double lastEventAtMs;
+    private boolean heldUp;
 
     /** @param reader the replica that has read the prompt, null unless the call fetches it from there */
     ReplicaCall(
@@ -105,13 +114,20 @@
     }
 
     void pauseReading() {
+        heldUp = true;
         upstream.pauseReading();
     }
 
     void resumeReading() {
+        heldUp = false;
         upstream.resumeReading();
     }
 
+    /** Whether nothing is read because the client does not take what it was sent. */
+    boolean isHeldUpByClient() {
+        return heldUp;
+    }
+
     @Override
     public void onNotSent(NotSent reason) {
         ended(reason == NotSent.NOT_CONNECTED ? CallEnding.NOT_CONNECTED : CallEnding.ABANDONED);
@@ -193,10 +209,29 @@
             firstEventSeen = true;
             cancelPatience();
             measured.firstEvent(now());
+            lastEventAtMs = now();
+            watchForSilence();
         }
+        lastEventAtMs = now();
         lifecycle.passOn(this, events);
     }
 
+    /** A resumable stream that has fallen silent goes on elsewhere before its client gives it up. */
+    private void watchForSilence() {
+        Route route = lifecycle.shape().route();
+        if (!route.resumable() || route.kind() != RouteKind.STREAMING) {
+            return;
+        }
+        double longest = Math.max(LONGEST_SILENCE_MS, SILENCE_OF_GAP_AIM * route.gapAimMs());
+        double left = lastEventAtMs + longest - now();
+        patience = services.timers().schedule(left > 0 ? left : longest, () -> {
+            boolean silent = now() - lastEventAtMs >= longest;
+            if (!silent || !lifecycle.tryAnother(this)) {
+                watchForSilence();
+            }
+        });
+    }
+
     @Override
     public void onComplete() {
         switch (mode) {
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaConnections.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaConnections.java
@@ -55,7 +55,7 @@
         UpstreamExchange exchange = nextWaiting();
         if (exchange == null) {
             connection.closeNow();
-        } else if (!pool.takesRequests(replica)) {
+        } else if (!pool.mayStillBeSent(replica)) {
             connection.closeNow();
             exchange.notSent(CallListener.NotSent.REPLICA_LEFT);
         } else {
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaDirectory.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaDirectory.java
@@ -23,15 +23,21 @@
         byService.computeIfAbsent(record.service(), service -> new HashMap<>()).put(record.instanceId(), record);
     }
 
-    /** Replicas of a service that take requests. */
+    /**
+     * Replicas of a service that take requests. If all have lapsed, all that have not announced their end are tried: it
+     * may be the heartbeats that fail, and not the replicas.
+     */
     List<ReplicaRecord> candidates(String service) {
         List<ReplicaRecord> candidates = new ArrayList<>();
+        List<ReplicaRecord> lapsed = new ArrayList<>();
         for (ReplicaRecord record : byService.getOrDefault(service, Map.of()).values()) {
             if (record.takesRequests()) {
                 candidates.add(record);
+            } else if (record.state() == ReplicaState.READY) {
+                lapsed.add(record.withLapsed(false));
             }
         }
-        return candidates;
+        return candidates.isEmpty() ? lapsed : candidates;
     }
 
     /** Every replica of every service that has not gone. */
@@ -41,9 +47,9 @@
         return all;
     }
 
-    /** Whether a request may still be sent to this replica. */
-    boolean takesRequests(ReplicaRecord replica) {
+    /** Whether a request for which this replica was chosen may still be sent: it has not announced its end. */
+    boolean mayStillBeSent(ReplicaRecord replica) {
         ReplicaRecord now = byService.getOrDefault(replica.service(), Map.of()).get(replica.instanceId());
-        return now != null && now.takesRequests();
+        return now != null && now.state() == ReplicaState.READY;
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -254,7 +254,7 @@
 
     /** The call has been silent for long, and another replica may be asked. Returns whether it is. */
     boolean tryAnother(ReplicaCall call) {
-        if (call != active || phase != Phase.WAITING) {
+        if (call != active || call.isHeldUpByClient()) {
             return false;
         }
         excluded.add(call.replica().instanceId());
--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamPool.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamPool.java
@@ -74,8 +74,8 @@
         return connectionLimit.applyAsInt(replica.service());
     }
 
-    boolean takesRequests(ReplicaRecord replica) {
-        return directory.takesRequests(replica);
+    boolean mayStillBeSent(ReplicaRecord replica) {
+        return directory.mayStillBeSent(replica);
     }
 
     /** One buffer for all connections: what is read into it is dealt with before the next read. */
--- a/dataplane/src/test/java/pinewick/dataplane/RepeatTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RepeatTest.java
@@ -149,6 +149,27 @@
         assertRefused();
     }
 
+    @Test
+    void lapsedReplicasAreTriedWhenThereAreNoOthers() throws Exception {
+        router.state.merge(first.record().withLapsed(true));
+        router.state.merge(second.record().withLapsed(true));
+        send("non_idempotent", 1).send(ScriptedReplica.answer(200, "q1", "alive"));
+        assertEquals("alive", client.read().body());
+    }
+
+    @Test
+    void aServiceOfASplitWithoutReplicasGivesWayToTheOther() throws Exception {
+        router.configure("{\"name\":\"split\",\"hostname\":\"shop.example\",\"path_prefix\":\"/plain/\","
+                + "\"route_kind\":\"non_idempotent\",\"timeout_ms\":5000,\"target_latency_ms\":400,\"priority\":1,"
+                + "\"traffic_split\":[{\"service\":\"lm\",\"weight\":99},{\"service\":\"plain\",\"weight\":1}],"
+                + "\"max_attempts\":1,\"session_affinity\":false,\"resumable\":false,\"gap_aim_ms\":0}");
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        upstream.send(ScriptedReplica.answer(200, "q1", "from the other"));
+        assertEquals("from the other", client.read().body());
+    }
+
     @Test
     void aSilentReplicaEndsInATimeOut() throws Exception {
         router.configure(TestRouter.plainRoute("non_idempotent", 2));
--- a/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -153,6 +153,18 @@
         assertTrue(upstream.isClosedByPeerWhileSending(turn -> ScriptedReplica.chunk(event(turn + 2))));
     }
 
+    @Test
+    void aResumableStreamThatFallsSilentGoesOnAtAnotherReplica() throws Exception {
+        RawSocket upstream = begin(true, 2);
+        passOne(upstream);
+        RawSocket next = second.accept();
+        assertEquals("1", next.read().field("Last-Event-Id"));
+        assertTrue(upstream.isClosedByPeer());
+        next.send(ScriptedReplica.streamHead("q1") + ScriptedReplica.chunk(event(2)) + ScriptedReplica.lastChunk());
+        assertEquals(event(2), client.readChunk());
+        assertEquals("", client.readChunk());
+    }
+
     @Test
     void aClientThatLeavesBeforeTheFirstEventIsNoticed() throws Exception {
         RawSocket upstream = begin(false, 1);
