--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -162,8 +162,8 @@
     }
 
     private void call(ReplicaRecord replica, CallKind kind) {
-        String readAt = kind == CallKind.DECODE_FETCHED ? handle.holder().zone() : replica.zone();
-        active = new ReplicaCall(this, services, replica, kind, readAt);
+        ReplicaRecord reader = kind == CallKind.DECODE_FETCHED ? handle.holder() : null;
+        active = new ReplicaCall(this, services, replica, kind, reader);
         active.begin(upstreamRequest(replica, kind));
     }
 
@@ -254,7 +254,7 @@
 
     /** The call has been silent for long, and another replica may be asked. Returns whether it is. */
     boolean tryAnother(ReplicaCall call) {
-        if (call != active || phase != Phase.WAITING) {
+        if (call != active || call.isHeldUpByClient()) {
             return false;
         }
         excluded.add(call.replica().instanceId());
