--- a/control/src/test/java/pinewick/control/Loopback.java
+++ b/control/src/test/java/pinewick/control/Loopback.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
 
@@ -17,6 +19,7 @@
     /** Addresses of up to this many controllers are tried for free ports. */
     private static final int MACHINES = 4;
 
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final int CONTACT_MS = 1_000;
     private static final int HEARTBEAT_MS = 400;
 
@@ -30,26 +33,39 @@
 
     private static int freePort() throws IOException {
         while (true) {
-            try (ServerSocket probe = new ServerSocket()) {
-                probe.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
-                if (freeEverywhere(probe.getLocalPort())) {
-                    return probe.getLocalPort();
-                }
+            int port = anyPort();
+            if (IntStream.rangeClosed(1, MACHINES).allMatch(machine -> isFree(machine, port))) {
+                return port;
             }
         }
     }
 
-    private static boolean freeEverywhere(int port) {
-        for (int machine = 1; machine <= MACHINES; machine++) {
-            try (DatagramSocket datagrams = new DatagramSocket(new InetSocketAddress(host(machine), port))) {
-                if (machine > 1) {
-                    new ServerSocket(port, 1, InetAddress.getByName(host(machine))).close();
-                }
-            } catch (IOException e) {
-                return false;
+    private static int anyPort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host(1)))) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** Waits until a controller that was closed has let go of its internal address. */
+    void awaitReleased(int machine) {
+        long endNanos = System.nanoTime() + PATIENCE_NANOS;
+        while (!isFree(machine, internalPort)) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("machine " + machine + " has not let go of its address");
             }
+            Thread.onSpinWait();
+        }
+    }
+
+    private static boolean isFree(int machine, int port) {
+        InetSocketAddress address = new InetSocketAddress(host(machine), port);
+        try (DatagramSocket datagrams = new DatagramSocket(address);
+                ServerSocket server = new ServerSocket()) {
+            server.bind(address);
+            return datagrams.isBound();
+        } catch (IOException e) {
+            return false;
         }
-        return true;
     }
 
     private static String host(int machine) {
--- a/control/src/test/java/pinewick/control/ThreeControllers.java
+++ b/control/src/test/java/pinewick/control/ThreeControllers.java
@@ -52,15 +52,18 @@
     /** Stops one as SIGTERM does. */
     void stop(int machine) {
         running.remove(machine).stop();
+        loopback.awaitReleased(machine);
     }
 
     /** Ends one as SIGKILL does. */
     void kill(int machine) {
         running.remove(machine).close();
+        loopback.awaitReleased(machine);
     }
 
     void killAll() {
         running.values().forEach(Controller::close);
+        running.keySet().forEach(loopback::awaitReleased);
         running.clear();
         awaitDisksAtRest();
     }
