--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -51,6 +51,7 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
@@ -76,7 +77,8 @@
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services = new DataPlaneServices(
                 selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
-        this.reports = new ReportPoller(services, selector::report);
+        this.sharing = new LoadSharing(selector);
+        this.reports = new ReportPoller(services, sharing::onReport);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -167,6 +169,16 @@
         });
     }
 
+    /** Hands over what this router has learnt of replicas since the last call, if anything. */
+    void shareLoad(Consumer<LoadNews> tell) {
+        serial.execute(() -> sharing.takeNews(timers.nowMs()).ifPresent(tell));
+    }
+
+    /** Another router tells what it saw of replicas. */
+    void onNews(LoadNews news) {
+        serial.execute(() -> sharing.onNews(news, timers.nowMs()));
+    }
+
     Admission admission() {
         return admission;
     }
--- a/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -1,12 +1,15 @@
 package pinewick.dataplane;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages;
 import pinewick.dissemination.FleetNode;
 import pinewick.dissemination.FleetState;
 import pinewick.membership.NodeDescriptor;
 import pinewick.membership.NodeRole;
+import pinewick.model.Message;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
 import pinewick.transport.ControlLoop;
@@ -24,7 +27,7 @@
     FleetLink(NodeSettings settings, RandomGenerator random) throws RouterException {
         SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
         try {
-            transport = new NetworkTransport(local, new MessageCodec(FleetMessages.types()));
+            transport = new NetworkTransport(local, new MessageCodec(messageTypes()));
         } catch (TransportException e) {
             throw new RouterException("listening to peers", local.toString(), e);
         }
@@ -33,11 +36,31 @@
         node = new FleetNode(self, settings.seedControllers(), state, transport, random);
     }
 
-    void start() {
-        transport.start((sender, message) -> loop.execute(() -> node.onMessage(sender, message, loop.nowMs())));
+    private static List<Class<?>> messageTypes() {
+        List<Class<?>> types = new ArrayList<>(FleetMessages.types());
+        types.addAll(LoadNews.types());
+        return types;
+    }
+
+    /** @param onNews told what other routers saw of replicas, on the control loop */
+    void start(Consumer<LoadNews> onNews) {
+        transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message, onNews)));
         loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
     }
 
+    private void onMessage(SocketAddress sender, Message message, Consumer<LoadNews> onNews) {
+        if (message instanceof LoadNews news) {
+            onNews.accept(news);
+        } else {
+            node.onMessage(sender, message, loop.nowMs());
+        }
+    }
+
+    /** Sends to the other routers known at this moment. May be called on any thread. */
+    void tellRouters(LoadNews news) {
+        loop.execute(() -> otherRouters().forEach(router -> transport.send(router, news)));
+    }
+
     FleetState state() {
         return state;
     }
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -23,6 +23,8 @@
     private static final long REFRESH_MS = 500;
 
     /** How often each replica is asked for its load, by all routers together. */
+    /** How often routers tell each other what they saw of replicas. */
+    private static final long SHARE_MS = 200;
     private static final long REPORT_MS = 400;
 
     /** The platform asks for readiness every second and stops sending connections after two misses. */
@@ -69,9 +71,10 @@
                 dataPlane, this::isReady, scheduler, addressOf("frontend"), addressOf("readiness"));
         front.start();
         dataPlane.follow(fleet.state(), front.upstream());
-        fleet.start();
+        fleet.start(dataPlane::onNews);
         fleet.repeat(this::refresh, REFRESH_MS);
         fleet.repeat(this::pollReports, REPORT_MS);
+        fleet.repeat(() -> dataPlane.shareLoad(fleet::tellRouters), SHARE_MS);
     }
 
     private void startTimers() throws RouterException {
--- a/selection/src/main/java/pinewick/selection/PrefixCacheBeliefs.java
+++ b/selection/src/main/java/pinewick/selection/PrefixCacheBeliefs.java
@@ -16,6 +16,8 @@
     public static final int MOST_ENTRIES = 4_000;
     /** Hints that wait to be told; beyond this the oldest are dropped. */
     private static final int MOST_HINTS = 1_024;
+    /** Prompts that share fewer tokens than this with others are read sooner than told. */
+    private static final int WORTH_TELLING_TOKENS = 512;
     /** Older news is not worth telling. */
     private static final double HINT_AGE_MS = 5_000;
 
@@ -53,6 +55,9 @@
 
     void used(String instanceId, PromptChain chain, double nowMs) {
         belief(instanceId).used(chain, nowMs);
+        if (chain.sharedTokens() < WORTH_TELLING_TOKENS) {
+            return;
+        }
         int last = chain.length() - 1;
         for (int part = 0; part < last; part++) {
             int ballast = part == 0 ? chain.tokens(last) : 0;
