A replica is judged by the controller that heard it last; a cut-off controller sends replicas on once

Cause: in a cut between controllers, each side would have lapsed the replicas that talk to the other, and routers that reach both sides would have seen them flap. An announced end is acknowledged alone only if the replica came back after it was sent on. While no primary is known, the operator's calls are kept for up to 700 ms. Ruled out: membership as the sign of company, since a peer that is cut off comes back through third parties.

--- a/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
+++ b/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
@@ -11,8 +11,17 @@
 import pinewick.replication.ReadOutcome;
 import pinewick.replication.ReplicatedConfiguration;
 
-/** The calls of the operator: changes of the configuration, and reading it. */
+/**
+ * The calls of the operator: changes of the configuration, and reading it. While no primary is known, as during an
+ * election, a call is kept for as long as the operator waits for an answer, since each refusal would lengthen its pauses.
+ */
 final class ConfigurationEndpoints {
+    /** How long a call is kept while no primary is known, milliseconds; the operator waits for one second. */
+    static final long NO_PRIMARY_MS = 700;
+
+    /** How often a primary is looked for meanwhile, milliseconds. */
+    static final long RETRY_MS = 50;
+
     private static final int MOST_VERSION_DIGITS = 18;
 
     private final ReplicatedConfiguration configuration;
@@ -45,8 +54,7 @@
 
     /** {@code GET /config/read}. */
     void read(ApiCall call, Consumer<ApiAnswer> answer) {
-        answerInTime(
-                answer, reply -> configuration.read(outcome -> reply.accept(toAnswer(outcome, call))));
+        answerInTime(answer, reply -> read(call, loop.nowMs() + NO_PRIMARY_MS, reply));
     }
 
     private void change(ConfigurationChange.Kind kind, ApiCall call, Consumer<ApiAnswer> answer) {
@@ -56,8 +64,34 @@
             return;
         }
         ConfigurationChange change = new ConfigurationChange(kind, baseVersion.get(), call.body());
-        answerInTime(
-                answer, reply -> configuration.submit(change, outcome -> reply.accept(toAnswer(outcome, call))));
+        answerInTime(answer, reply -> submit(change, call, loop.nowMs() + NO_PRIMARY_MS, reply));
+    }
+
+    private void submit(ConfigurationChange change, ApiCall call, double untilMs, Consumer<ApiAnswer> reply) {
+        configuration.submit(change, outcome -> {
+            boolean noPrimary = outcome instanceof ChangeOutcome.NotPrimary elsewhere && !isElsewhere(elsewhere.primary());
+            if (noPrimary && loop.nowMs() < untilMs) {
+                loop.schedule(() -> submit(change, call, untilMs, reply), RETRY_MS);
+            } else {
+                reply.accept(toAnswer(outcome, call));
+            }
+        });
+    }
+
+    private void read(ApiCall call, double untilMs, Consumer<ApiAnswer> reply) {
+        configuration.read(outcome -> {
+            boolean noPrimary = outcome instanceof ReadOutcome.NotPrimary elsewhere && !isElsewhere(elsewhere.primary());
+            if (noPrimary && loop.nowMs() < untilMs) {
+                loop.schedule(() -> read(call, untilMs, reply), RETRY_MS);
+            } else {
+                reply.accept(toAnswer(outcome, call));
+            }
+        });
+    }
+
+    /** A primary that is this process itself has only just been lost, or has not begun yet. */
+    private boolean isElsewhere(Optional<SocketAddress> primary) {
+        return primary.isPresent() && !primary.get().equals(self);
     }
 
     private static Optional<Long> parseVersion(String text) {
@@ -114,11 +148,9 @@
         return ApiAnswer.unavailable(((ReadOutcome.Unavailable) outcome).reason());
     }
 
-    /** A primary that is this process itself has only just been lost or not begun yet: the caller should look on. */
     private ApiAnswer toPrimary(Optional<SocketAddress> primary, ApiCall call) {
-        if (primary.isEmpty() || primary.get().equals(self)) {
-            return ApiAnswer.unavailable("no primary is known");
-        }
-        return ApiAnswer.redirect(primary.get(), call.path());
+        return isElsewhere(primary)
+                ? ApiAnswer.redirect(primary.get(), call.path())
+                : ApiAnswer.unavailable("no primary is known");
     }
 }
--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -63,12 +63,14 @@
     private final FleetState state = new FleetState();
     private final RegistryCounters counters = new RegistryCounters();
     private final double startedAtMs = loop.nowMs();
+    private final ControllerContact contact = new ControllerContact(startedAtMs);
     private final CountDownLatch detached = new CountDownLatch(1);
     private final AtomicBoolean stopped = new AtomicBoolean();
     private NetworkTransport transport;
     private FleetNode node;
     private ReplicationNode replication;
     private CommittedConfigurations configurations;
+    private GossipFleet fleet;
     private ReplicaRegistry registry;
     private Housekeeping housekeeping;
     private StableStore store;
@@ -143,9 +145,9 @@
     }
 
     private void assembleRegistry() {
-        GossipFleet fleet = new GossipFleet(node, state, loop);
+        fleet = new GossipFleet(node, state, loop);
         double contactMs = settings.bounds().contactMs();
-        registry = new ReplicaRegistry(fleet, loop, contactMs, counters);
+        registry = new ReplicaRegistry(fleet, loop, contact, contactMs, counters);
         LivenessJudge judge = new LivenessJudge(settings.heartbeatMs(), contactMs, loop.nowMs());
         housekeeping = new Housekeeping(fleet, registry, judge, counters, replication::knownControllers, loop);
     }
@@ -184,6 +186,12 @@
 
     private void onMessage(SocketAddress sender, Message message) {
         double nowMs = loop.nowMs();
+        if (sender.port() == settings.controllerPort()) {
+            contact.heard(nowMs);
+        }
+        if (message instanceof FleetMessages.HeartbeatBatch batch) {
+            fleet.heardBy(sender, batch);
+        }
         boolean handled = replication.onMessage(sender, message, nowMs)
                 || (!left && node.onMessage(sender, message, nowMs));
         if (!handled) {
--- a/control/src/main/java/pinewick/control/FleetAccess.java
+++ b/control/src/main/java/pinewick/control/FleetAccess.java
@@ -26,6 +26,9 @@
     /** Notes that an instance was heard from just now. */
     void heard(String instanceId, long callSequence);
 
+    /** Drops what is kept beside the records of instances that have none any more. */
+    void prune();
+
     /** Internal addresses of the other controllers that are believed to be running. */
     Set<SocketAddress> otherControllers();
 }
--- a/control/src/main/java/pinewick/control/GossipFleet.java
+++ b/control/src/main/java/pinewick/control/GossipFleet.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
+import pinewick.dissemination.FleetMessages.HeartbeatBatch;
 import pinewick.dissemination.FleetNode;
 import pinewick.dissemination.FleetState;
 import pinewick.membership.NodeDescriptor;
@@ -15,6 +17,7 @@
     private final FleetNode node;
     private final FleetState state;
     private final TaskLoop loop;
+    private final HeartbeatReporters reporters = new HeartbeatReporters();
 
     GossipFleet(FleetNode node, FleetState state, TaskLoop loop) {
         this.node = node;
@@ -22,6 +25,11 @@
         this.loop = loop;
     }
 
+    /** Another controller told which instances it heard. */
+    void heardBy(SocketAddress controller, HeartbeatBatch batch) {
+        reporters.heardBy(controller, batch, loop.nowMs());
+    }
+
     @Override
     public Collection<ReplicaRecord> replicas() {
         return state.replicas();
@@ -45,6 +53,7 @@
     @Override
     public void heard(String instanceId, long callSequence) {
         node.heard(instanceId, callSequence, loop.nowMs());
+        reporters.heardHere(instanceId, loop.nowMs());
     }
 
     @Override
@@ -52,6 +61,16 @@
         return node.lastHeardMs(instanceId);
     }
 
+    @Override
+    public Optional<SocketAddress> lastHeardBy(String instanceId) {
+        return reporters.reporterOf(instanceId);
+    }
+
+    @Override
+    public void prune() {
+        reporters.retain(id -> state.replica(id) != null);
+    }
+
     @Override
     public Set<SocketAddress> otherControllers() {
         Set<SocketAddress> controllers = new HashSet<>();
--- a/control/src/main/java/pinewick/control/Housekeeping.java
+++ b/control/src/main/java/pinewick/control/Housekeeping.java
@@ -44,6 +44,7 @@
         Set<SocketAddress> controllers = fleet.otherControllers();
         controllerListener.accept(controllers);
         registry.onTick();
+        fleet.prune();
         List<ReplicaRecord> lapsed = judge.judge(fleet.replicas(), fleet, controllers, loop.nowMs());
         lapsed.forEach(this::publishLapsed);
     }
--- a/control/src/main/java/pinewick/control/LivenessJudge.java
+++ b/control/src/main/java/pinewick/control/LivenessJudge.java
@@ -19,6 +19,7 @@
  * a replica, the judge doubts itself first:
  *
  * <ul>
+ *   <li>A replica is judged by the controller that heard it last; by others only once that one is not running any more.
  *   <li>After its own start, a pause of its own, or the loss of another controller, silence counts from that moment on,
  *       and nothing lapses before {@code contact_ms} have passed.
  *   <li>Within a short time at most a third of a service's replicas lapse, unless most replicas of the fleet and at least
@@ -85,7 +86,9 @@
         List<ReplicaRecord> lapsed = new ArrayList<>();
         for (ReplicaRecord record : live) {
             boolean silent = hearing.silenceMs(record) > SILENT_PERIODS * heartbeatMs;
-            if (silent && mayLapse(record.service(), hearing, nowMs)) {
+            boolean watchedByAnother =
+                    times.lastHeardBy(record.instanceId()).filter(otherControllers::contains).isPresent();
+            if (silent && !watchedByAnother && mayLapse(record.service(), hearing, nowMs)) {
                 lapsesByService.computeIfAbsent(record.service(), name -> new ArrayDeque<>()).add(nowMs);
                 lapsed.add(record.withLapsed(true));
             }
--- a/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -16,9 +16,14 @@
  * fleet. The announcement of an end is acknowledged only once another controller holds it, because from the
  * acknowledgement on no router may send the replica a request, whatever becomes of this process.
  *
- * <p>If no other controller confirms in time, the replica is told to call another one. A controller that has had no other
- * one in sight for the whole of {@code contact_ms} acknowledges by itself: it is then the only one of its core or has lost
- * the majority of it, and a refusal would leave the replica without any acknowledgement.
+ * <p>If no other controller confirms in time, the replica is told to call another one. A controller that has heard no
+ * other one for the whole of {@code contact_ms} acknowledges by itself, but only to a replica that has come back after it
+ * was sent on, or if there never was another one: a controller cut off from the majority thereby sends the replica to
+ * those who can reach every router, and the last one that runs leaves no replica without an answer. The rules on draining
+ * replicas bind neither: such a controller is not in touch, unless it is the only one there ever was.
+ *
+ * <p>In the same way a cut-off controller sends a replica that is ready on to another one, once, though it notes what it
+ * has heard.
  *
  * <p>Owned by the control loop.
  */
@@ -26,6 +31,9 @@
     /** How long another controller has to confirm an announced end, milliseconds; a replica waits for one second. */
     static final long CONFIRMATION_MS = 600;
 
+    /** Without any other controller for this long, this one sends replicas on, milliseconds. */
+    static final double CUT_OFF_MS = 1_500;
+
     /** Stands for the address of a replica that deregistered before anything else was known of it. */
     static final SocketAddress NO_ADDRESS = new SocketAddress("0.0.0.0", 1);
 
@@ -35,26 +43,33 @@
 
     private final FleetAccess fleet;
     private final TaskLoop loop;
+    private final ControllerContact contact;
     private final double contactMs;
     private final RegistryCounters counters;
     private final Map<String, Presence> presences = new HashMap<>();
-    private double lastCompanyMs;
 
     /** What this process alone knows of an instance. */
     private static final class Presence {
         private long lastCallSequence = BEFORE_ANY_CALL;
         private ReplicaState confirmed = ReplicaState.READY;
+        private boolean sentOn;
     }
 
     /**
-     * @param contactMs after how long without any other controller in sight this process counts as the only one
+     * @param contact tells whether other controllers are heard
+     * @param contactMs after how long without any this process counts as the only one
      */
-    ReplicaRegistry(FleetAccess fleet, TaskLoop loop, double contactMs, RegistryCounters counters) {
+    ReplicaRegistry(
+            FleetAccess fleet,
+            TaskLoop loop,
+            ControllerContact contact,
+            double contactMs,
+            RegistryCounters counters) {
         this.fleet = fleet;
         this.loop = loop;
+        this.contact = contact;
         this.contactMs = contactMs;
         this.counters = counters;
-        this.lastCompanyMs = loop.nowMs();
     }
 
     /** Takes a heartbeat; {@code acknowledge} is called once, on the control loop. */
@@ -78,7 +93,7 @@
             if (known == null || RecordChanges.isNews(known, merged)) {
                 publish(merged);
             }
-            acknowledge.accept(Acknowledgement.HELD);
+            acknowledge.accept(mayBeBetterKnownElsewhere(presence));
             return;
         }
         ReplicaRecord ending = withEnd(merged, heard.state());
@@ -86,6 +101,13 @@
         announceEnd(ending, presence, news, acknowledge);
     }
 
+    private Acknowledgement mayBeBetterKnownElsewhere(Presence presence) {
+        boolean cutOff = contact.everHeard() && contact.silenceMs(loop.nowMs()) >= CUT_OFF_MS;
+        boolean sendOn = cutOff && !presence.sentOn;
+        presence.sentOn = cutOff;
+        return sendOn ? Acknowledgement.NOT_CONFIRMED : Acknowledgement.HELD;
+    }
+
     /**
      * Two processes cannot listen at one address: whatever was there before the new instance has ended. Marked as lapsed
      * and not as gone, because a heartbeat takes that back should it be wrong.
@@ -116,9 +138,9 @@
         announceEnd(gone, presence, !gone.equals(known), acknowledge);
     }
 
-    /** Looks for other controllers, and drops what is kept of instances that the fleet has forgotten. */
+    /** Drops what is kept of instances that the fleet has forgotten; to be called a few times a second. */
     void onTick() {
-        hasCompany();
+        contact.silenceMs(loop.nowMs());
         presences.keySet().removeIf(id -> fleet.replica(id) == null);
     }
 
@@ -138,20 +160,22 @@
             answer.accept(Acknowledgement.HELD);
         });
         if (!answer.isGiven()) {
-            loop.schedule(() -> endWithoutConfirmation(record, answer), CONFIRMATION_MS);
+            loop.schedule(() -> endWithoutConfirmation(record, presence, answer), CONFIRMATION_MS);
         }
     }
 
-    private void endWithoutConfirmation(ReplicaRecord record, OnceOnly answer) {
+    private void endWithoutConfirmation(ReplicaRecord record, Presence presence, OnceOnly answer) {
         if (answer.isGiven()) {
             return;
         }
-        boolean alone = !hasCompany() && loop.nowMs() - lastCompanyMs >= contactMs;
-        if (alone) {
+        boolean alone = contact.silenceMs(loop.nowMs()) >= contactMs;
+        boolean othersTried = presence.sentOn || !contact.everHeard();
+        if (alone && othersTried) {
             counters.countEndAcknowledgedAlone();
             answer.accept(Acknowledgement.HELD);
             return;
         }
+        presence.sentOn = true;
         counters.countEndUnconfirmed();
         logger.atWarning().atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log(
                 "confirm %s of %s: no other controller within %d ms (%d times so far)",
@@ -164,14 +188,6 @@
         fleet.publish(record);
     }
 
-    private boolean hasCompany() {
-        boolean company = !fleet.otherControllers().isEmpty();
-        if (company) {
-            lastCompanyMs = loop.nowMs();
-        }
-        return company;
-    }
-
     /**
      * Another controller may know the instance, and so may routers: what is published wins over their records by its
      * state and leaves the rest to them, because of its low call sequence.
--- /dev/null
+++ b/control/src/test/java/pinewick/control/HeartbeatReportersTest.java
@@ -0,0 +1,48 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import pinewick.dissemination.FleetMessages.HeartbeatBatch;
+import pinewick.dissemination.FleetMessages.HeartbeatNote;
+import pinewick.model.SocketAddress;
+
+/** Who heard a replica last. */
+class HeartbeatReportersTest {
+    private static final SocketAddress SECOND = new SocketAddress("10.2.0.4", 7721);
+    private static final SocketAddress THIRD = new SocketAddress("10.3.0.4", 7721);
+
+    private final HeartbeatReporters reporters = new HeartbeatReporters();
+
+    private static HeartbeatBatch batch(String instanceId, int ageMs) {
+        return new HeartbeatBatch(List.of(new HeartbeatNote(instanceId, 1, ageMs)));
+    }
+
+    @Test
+    void theLatestCallCountsNotTheLatestBatch() {
+        reporters.heardBy(SECOND, batch("i-1", 50), 1_000);
+        reporters.heardBy(THIRD, batch("i-1", 300), 1_100);
+        assertEquals(Optional.of(SECOND), reporters.reporterOf("i-1"));
+        reporters.heardBy(THIRD, batch("i-1", 10), 1_200);
+        assertEquals(Optional.of(THIRD), reporters.reporterOf("i-1"));
+    }
+
+    @Test
+    void whatWasHeardHereIsReportedByNobodyElse() {
+        reporters.heardBy(SECOND, batch("i-1", 50), 1_000);
+        reporters.heardHere("i-1", 1_100);
+        assertEquals(Optional.empty(), reporters.reporterOf("i-1"));
+        reporters.heardBy(SECOND, batch("i-1", 200), 1_200);
+        assertEquals(Optional.empty(), reporters.reporterOf("i-1"), "heard before");
+        assertEquals(Optional.empty(), reporters.reporterOf("i-2"), "never heard");
+    }
+
+    @Test
+    void instancesWithoutARecordAreDropped() {
+        reporters.heardBy(SECOND, batch("i-1", 50), 1_000);
+        reporters.retain(id -> false);
+        assertEquals(Optional.empty(), reporters.reporterOf("i-1"));
+    }
+}
