--- a/control/src/main/java/pinewick/control/ApiHandler.java
+++ b/control/src/main/java/pinewick/control/ApiHandler.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
@@ -102,8 +101,12 @@
             String baseVersion = request.getHeaders().get(BASE_VERSION);
             String path = request.getHttpURI().getPathQuery();
             ApiCall call = new ApiCall(path, match.instanceId(), baseVersion, body);
-            Consumer<ApiAnswer> answer = this::end;
-            endpoints.get(match.operation()).handle(call, answer);
+            try {
+                endpoints.get(match.operation()).handle(call, this::end);
+            } catch (RuntimeException e) {
+                end(ApiAnswer.error(HttpStatus.INTERNAL_SERVER_ERROR_500, "the call has failed"));
+                throw e;
+            }
         }
 
         @Override
--- a/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
+++ b/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
@@ -107,7 +107,7 @@
 
     /** Runs a call on the loop; without an outcome in time, the caller is sent on. */
     private void answerInTime(Consumer<ApiAnswer> answer, Consumer<Consumer<ApiAnswer>> storeCall) {
-        loop.execute(() -> {
+        LoopCall.run(loop, answer, () -> {
             AtomicBoolean answered = new AtomicBoolean();
             Consumer<ApiAnswer> once = first -> {
                 if (answered.compareAndSet(false, true)) {
--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -200,7 +200,7 @@
     }
 
     private void status(ApiCall call, Consumer<ApiAnswer> answer) {
-        loop.execute(() -> answer.accept(ApiAnswer.ok(statusReport().toJson())));
+        LoopCall.run(loop, answer, () -> answer.accept(ApiAnswer.ok(statusReport().toJson())));
     }
 
     private StatusReport statusReport() {
--- a/control/src/main/java/pinewick/control/HeartbeatParser.java
+++ b/control/src/main/java/pinewick/control/HeartbeatParser.java
@@ -41,7 +41,7 @@
         JsonElement root;
         try {
             root = JsonParser.parseString(new String(body, StandardCharsets.UTF_8));
-        } catch (JsonParseException | NumberFormatException | StackOverflowError e) {
+        } catch (JsonParseException | NumberFormatException e) {
             throw new InvalidHeartbeatException("body", "is not JSON");
         }
         if (!root.isJsonObject()) {
--- a/control/src/main/java/pinewick/control/ProcessLoop.java
+++ b/control/src/main/java/pinewick/control/ProcessLoop.java
@@ -6,8 +6,8 @@
 import pinewick.transport.ControlLoop;
 
 /**
- * The control loop of a process. A task that fails is logged and does not end the loop; once the loop is closed, tasks
- * are dropped.
+ * The control loop of a process. A task that fails, be it for want of memory, is logged and does not end the loop; once
+ * the loop is closed, tasks are dropped.
  */
 final class ProcessLoop implements TaskLoop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -43,7 +43,7 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 logger.atSevere().withCause(e).atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log("loop task failed");
             }
         };
--- a/control/src/main/java/pinewick/control/ReplicaEndpoints.java
+++ b/control/src/main/java/pinewick/control/ReplicaEndpoints.java
@@ -22,12 +22,14 @@
             answer.accept(ApiAnswer.badField(e.field(), e.getMessage()));
             return;
         }
-        loop.execute(() -> registry.heartbeat(heard, outcome -> answer.accept(toAnswer(outcome))));
+        LoopCall.run(loop, answer, () -> registry.heartbeat(heard, outcome -> answer.accept(toAnswer(outcome))));
     }
 
     /** {@code POST /instances/ID/deregister}. */
     void deregister(ApiCall call, Consumer<ApiAnswer> answer) {
-        loop.execute(() -> registry.deregister(call.subject(), outcome -> answer.accept(toAnswer(outcome))));
+        String instanceId = call.subject();
+        LoopCall.run(
+                loop, answer, () -> registry.deregister(instanceId, outcome -> answer.accept(toAnswer(outcome))));
     }
 
     private static ApiAnswer toAnswer(Acknowledgement outcome) {
--- a/control/src/test/java/pinewick/control/ApiServerTest.java
+++ b/control/src/test/java/pinewick/control/ApiServerTest.java
@@ -184,6 +184,17 @@
         }
     }
 
+    @Test
+    void aCallThatFailsIsAnswered() throws Exception {
+        endpoints.put(ApiOperation.READ_CONFIGURATION, (call, answer) -> {
+            throw new IllegalStateException("a fault that the test makes");
+        });
+        restart();
+        assertEquals(500, HttpCaller.call(address, "GET", "/config/read", "").status());
+        server.awaitCalls(PATIENCE_MS);
+        assertEquals(0, server.callsInProgress());
+    }
+
     @Test
     void aCallerThatLeftDoesNotDisturbOthers() throws Exception {
         CompletableFuture<Consumer<ApiAnswer>> pending = new CompletableFuture<>();
--- a/control/src/test/java/pinewick/control/HeartbeatParserTest.java
+++ b/control/src/test/java/pinewick/control/HeartbeatParserTest.java
@@ -72,4 +72,10 @@
     void whatIsNoObjectIsABadBody(String body) {
         assertEquals("body", assertThrows(InvalidHeartbeatException.class, () -> parse(body)).field());
     }
+
+    @Test
+    void deepNestingIsABadBody() {
+        String body = "{\"service\":".repeat(10_000);
+        assertEquals("body", assertThrows(InvalidHeartbeatException.class, () -> parse(body)).field());
+    }
 }
