Selection: admission control, busy share by memory, experiment over loads with and without each term

Cause: slots are all taken wherever a queue is reported, so their share only doubled q. Ruled out: refusing first tries that would be late; refusing by the clients' two seconds of patience.

--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -1,5 +1,6 @@
 package pinewick.selection;
 
+import pinewick.model.EngineSpec;
 import pinewick.model.ReplicaRecord;
 
 /** What one router has measured of one replica, and what follows for the terms of its score. */
@@ -14,6 +15,10 @@
     private static final double STREAM_PAUSE_MS = 300;
 
     private static final double FIRST_REST_MS = 200;
+    /** A report tells this long whether places are taken. */
+    private static final double REPORT_HOLDS_MS = 2_500;
+
+    private static final double MS_PER_SECOND = 1_000;
     private static final int MOST_DOUBLINGS = 4;
     private static final int FAILURES_TO_EJECT = 2;
 
@@ -117,14 +122,13 @@
         return Math.max(0, overdue);
     }
 
-    /** How much the last report still counts: 1 when it is fresh, 0 when it is stale or there is none. */
+    /** How much the last report still counts: from 1, halved as often as a queue goes; 0 without a report. */
     double reportWeight(double nowMs) {
         if (report == null) {
             return 0;
         }
-        double age = nowMs - report.atMs();
-        double weight = (tuning.reportStaleMs() - age) / (tuning.reportStaleMs() - tuning.reportFreshMs());
-        return Math.max(0, Math.min(1, weight));
+        double age = Math.max(0, nowMs - report.atMs());
+        return Math.pow(0.5, age / (tuning.reportHalfLife() * pool.meanAnswerMs()));
     }
 
     LoadReport report() {
@@ -139,6 +143,16 @@
         return Math.max(outstanding, report.running() + report.waiting() + begunSince - endedSince);
     }
 
+    int slots() {
+        return slots;
+    }
+
+    /** Calls that are likely at the replica: by a report that is not old, else as many for each router as for this one. */
+    double likelyInProgress(int routers, double nowMs) {
+        boolean told = report != null && nowMs - report.atMs() < REPORT_HOLDS_MS;
+        return told ? inProgress() : (double) outstanding * routers;
+    }
+
     /**
      * The queue: by the report, less what this router has seen end since or with what it has begun beyond the slots; else
      * what this router has in flight there. A report counts less as it ages.
@@ -158,15 +172,16 @@
         return inProgress() >= slots;
     }
 
-    /** The larger of the shares of its slots and of its memory that are in use; 0 without a report. */
+    /**
+     * The share of its memory that is in use; 0 without a report. The share of its slots would tell nothing, as all are taken
+     * wherever there is a queue.
+     */
     double busyShare(double nowMs) {
         double weight = reportWeight(nowMs);
-        if (weight == 0) {
+        if (weight == 0 || report.kvTotal() <= 0) {
             return 0;
         }
-        double ofSlots = Math.min(1, inProgress() / slots);
-        double ofMemory = report.kvTotal() <= 0 ? 0 : (double) report.kvUsed() / report.kvTotal();
-        return weight * Math.max(ofSlots, ofMemory);
+        return weight * Math.min(1, (double) report.kvUsed() / report.kvTotal());
     }
 
     /** R - s + q̂³·s, for an s and an R - s of the request. */
@@ -203,9 +218,13 @@
         return failures >= FAILURES_TO_EJECT && nowMs >= restUntilMs && outstanding == 0;
     }
 
-    /** Whether it is changing its stage, by a report that is not old. */
+    /** Whether it is changing its stage, by a report that is not older than such a change lasts. */
     boolean changesStage(double nowMs) {
-        return report != null && report.busy() && reportWeight(nowMs) > 0;
+        EngineSpec engine = pool.engine();
+        return report != null
+                && report.busy()
+                && engine != null
+                && nowMs - report.atMs() < engine.switchTimeSeconds() * MS_PER_SECOND;
     }
 
     void reported(LoadReport newReport) {
@@ -289,6 +308,7 @@
     /** An answer took this long. */
     void answerTook(double tookMs, double nowMs) {
         lowest.add(nowMs, tookMs, LOWEST_WINDOW_MS);
+        pool.answerTook(tookMs);
     }
 
     /** An answer took this many times what its kind takes. */
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -15,6 +15,8 @@
     /** Of the most tokens that a request may make, those that it is expected to make, at first. */
     private static final double FIRST_OUTPUT_SHARE = 0.5;
 
+    private static final double ANSWER_WEIGHT = 0.05;
+    private static final double LEAST_ANSWER_MS = 20;
     private static final double OUTPUT_WEIGHT = 0.05;
 
     private final Stage stage;
@@ -23,6 +25,7 @@
     private EngineSpec engine;
     private ServiceTimeModel otherReaders;
     private final SmoothedRate calls = new SmoothedRate();
+    private double meanAnswerMs;
     private double outputShare = FIRST_OUTPUT_SHARE;
     private double averagedAtMs = Double.NaN;
     private double averageExcessMs;
@@ -111,6 +114,16 @@
         return callsPerMs * heldMs * heldMs / 2;
     }
 
+    /** An answer took so long. */
+    void answerTook(double tookMs) {
+        meanAnswerMs += meanAnswerMs == 0 ? tookMs : ANSWER_WEIGHT * (tookMs - meanAnswerMs);
+    }
+
+    /** What answers lately took, waiting included: a queue that was reported has gone after about as long. */
+    double meanAnswerMs() {
+        return Math.max(LEAST_ANSWER_MS, meanAnswerMs);
+    }
+
     /** A stream of a request had so many tokens. */
     void made(RequestShape request, int outputTokens) {
         if (request.outputTokens() > 0) {
--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -110,6 +111,25 @@
         return Optional.of(decodes.replica(scores(request, nowMs).fetched(decodes, reader).index()));
     }
 
+    /** How busy the replicas are that may take a request. */
+    ServiceLoad load(RequestShape request, Collection<ReplicaRecord> candidates, double nowMs) {
+        collect(request, candidates, Set.of(), nowMs);
+        double places = 0;
+        double taken = 0;
+        double waiting = 0;
+        for (CandidateList list : List.of(prefills, decodes)) {
+            for (int each = 0; each < list.size(); each++) {
+                ReplicaMeasurements measured = list.measured(each);
+                double there = measured.likelyInProgress(routers, nowMs);
+                places += measured.slots();
+                taken += Math.min(measured.slots(), there);
+                waiting += Math.max(0, there - measured.slots());
+            }
+        }
+        RequestScores scores = scores(request, nowMs);
+        return new ServiceLoad(places, taken, waiting, scores.shortestWaitMs(decodes), scores.shortestServiceMs(decodes));
+    }
+
     private RequestScores scores(RequestShape request, double nowMs) {
         return new RequestScores(tuning, random, place, routers, request, chain(request), nowMs);
     }
--- a/selection/src/main/java/pinewick/selection/RequestScores.java
+++ b/selection/src/main/java/pinewick/selection/RequestScores.java
@@ -88,6 +88,28 @@
         return lowest;
     }
 
+    /** The shortest R - s of those that make answers; 0 without any. */
+    double shortestWaitMs(CandidateList candidates) {
+        double shortest = Double.POSITIVE_INFINITY;
+        for (int each = 0; each < candidates.size(); each++) {
+            shortest = Math.min(shortest, candidates.measured(each).excessMs(nowMs));
+        }
+        return candidates.size() == 0 ? 0 : shortest;
+    }
+
+    /** The shortest s of the request where one replica does it all; 0 without any. */
+    double shortestServiceMs(CandidateList candidates) {
+        double shortest = Double.POSITIVE_INFINITY;
+        for (int each = 0; each < candidates.size(); each++) {
+            ReplicaMeasurements measured = candidates.measured(each);
+            double service = request.generation()
+                    ? readMs(measured, CallKind.DECODE_WHOLE)
+                    : measured.plainServiceMs(firstGuessMs(request), nowMs);
+            shortest = Math.min(shortest, service);
+        }
+        return candidates.size() == 0 ? 0 : shortest;
+    }
+
     /** What reading the prompt at this replica costs others: their delay, and tokens that some replica keeps. */
     double readingPrice(ReplicaMeasurements measured, CallKind kind, int keptSomewhere) {
         int cached = measured.cache().cachedTokens(prompt);
--- a/selection/src/main/java/pinewick/selection/SelectionTuning.java
+++ b/selection/src/main/java/pinewick/selection/SelectionTuning.java
@@ -8,8 +8,7 @@
  * @param busyWeight factor of the busy share that scales the reported queue
  * @param serviceByRequest whether s is the request's own service time, or the lowest recent answer time whatever its size
  * @param excessHalfLifeMs time in which R - s of a replica that is not heard from falls half way to its kind's average
- * @param reportFreshMs a report counts in full up to this age
- * @param reportStaleMs and not at all from this age on
+ * @param reportHalfLife a report counts half after so many times the mean answer time of its kind
  * @param interference weight of the delay that a prompt's reading brings to the calls that come meanwhile
  */
 public record SelectionTuning(
@@ -17,27 +16,23 @@
         double busyWeight,
         boolean serviceByRequest,
         double excessHalfLifeMs,
-        double reportFreshMs,
-        double reportStaleMs,
+        double reportHalfLife,
         double interference) {
     /** What routers run with. */
-    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, 2_000, 0, 1_500, 0.5);
+    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, 2_000, 0.5, 0.5);
 
     /** The same with another busy weight. */
     public SelectionTuning withBusyWeight(double other) {
-        return new SelectionTuning(smoothing, other, serviceByRequest, excessHalfLifeMs,
-                reportFreshMs, reportStaleMs, interference);
+        return new SelectionTuning(smoothing, other, serviceByRequest, excessHalfLifeMs, reportHalfLife, interference);
     }
 
     /** The same with another stand-in for s. */
     public SelectionTuning withServiceByRequest(boolean other) {
-        return new SelectionTuning(smoothing, busyWeight, other, excessHalfLifeMs,
-                reportFreshMs, reportStaleMs, interference);
+        return new SelectionTuning(smoothing, busyWeight, other, excessHalfLifeMs, reportHalfLife, interference);
     }
 
     /** The same with another charge for reading between the tokens of others. */
     public SelectionTuning withInterference(double other) {
-        return new SelectionTuning(smoothing, busyWeight, serviceByRequest, excessHalfLifeMs,
-                reportFreshMs, reportStaleMs, other);
+        return new SelectionTuning(smoothing, busyWeight, serviceByRequest, excessHalfLifeMs, reportHalfLife, other);
     }
 }
--- a/selection/src/test/java/pinewick/selection/SelectionExperiment.java
+++ b/selection/src/test/java/pinewick/selection/SelectionExperiment.java
@@ -1,46 +1,74 @@
 package pinewick.selection;
 
+import java.util.ArrayList;
 import java.util.List;
 
-/** Prints the figures of a virtual fleet with and without each term. Run by hand; takes a minute. */
+/**
+ * Prints the figures of a virtual fleet with and without each term of the score, over loads and sizes. Run by hand; takes a
+ * minute or two. The argument {@code large} plays 84 routers.
+ */
 public final class SelectionExperiment {
+    private static final int WARM_UP_MS = 4_000;
+    private static final int LENGTH_MS = 20_000;
+
     private SelectionExperiment() {}
 
-    private record Variant(String name, SelectionTuning tuning, boolean reports, boolean hints) {}
+    private record Variant(
+            String name, SelectionTuning tuning, int countedRouters, boolean reports, boolean hints, boolean admission) {}
 
-    public static void main(String[] arguments) {
+    private record Load(double factor, double burst) {}
+
+    private static List<Variant> variants(int routers) {
         SelectionTuning usual = SelectionTuning.DEFAULT;
-        List<Variant> variants = List.of(
-                new Variant("default", usual, true, true),
-                new Variant("no hints", usual, true, false),
-                new Variant("no reports", usual, false, true),
-                new Variant("s lowest answer", usual.withServiceByRequest(false), true, true),
-                new Variant("no busy share", usual.withBusyWeight(0), true, true));
-        double[][] loads = {{0.8, 1}, {1.6, 1}, {1.6, 1.9}};
-        int[][] fleets = {{9, 2, 6}, {9, 3, 5}};
+        List<Variant> variants = new ArrayList<>();
+        variants.add(new Variant("all terms", usual, routers, true, true, false));
+        variants.add(new Variant("n = 1", usual, 1, true, true, false));
+        variants.add(new Variant("no reports", usual, routers, false, true, false));
+        variants.add(new Variant("no busy share", usual.withBusyWeight(0), routers, true, true, false));
+        variants.add(new Variant("s = lowest answer", usual.withServiceByRequest(false), routers, true, true, false));
+        variants.add(new Variant("no hints", usual, routers, true, false, false));
+        variants.add(new Variant("no delay of others", usual.withInterference(0), routers, true, true, false));
+        variants.add(new Variant("admission", usual, routers, true, true, true));
+        return variants;
+    }
+
+    public static void main(String[] arguments) {
+        boolean large = arguments.length > 0 && arguments[0].equals("large");
+        int[][] fleets = large ? new int[][] {{84, 12, 27}} : new int[][] {{9, 2, 6}, {9, 3, 5}};
+        Load[] loads = {new Load(0.55, 1), new Load(0.9, 1), new Load(1.1, 1), new Load(1.1, 1.9), new Load(1.6, 1)};
+        int seeds = large ? 2 : 8;
         for (int[] fleet : fleets) {
-            for (double[] load : loads) {
-                System.out.println("== routers " + fleet[0] + " prefill " + fleet[1] + " decode " + fleet[2] + " load "
-                        + load[0] + " burst " + load[1]);
-                for (Variant variant : variants) {
-                    print(variant, fleet, load);
+            for (Load load : loads) {
+                System.out.printf("== %d routers, %d prefill, %d decode, load %.2f, short requests times %.1f%n",
+                        fleet[0], fleet[1], fleet[2], load.factor, load.burst);
+                for (Variant variant : variants(fleet[0])) {
+                    System.out.printf("%-20s %s%n", variant.name, figures(variant, fleet, load, seeds, large ? 5 : 1));
                 }
             }
         }
     }
 
-    private static void print(Variant variant, int[] fleet, double[] load) {
+    private static String figures(Variant variant, int[] fleet, Load load, int seeds, double scale) {
         double worth = 0;
-        String figures = "";
-        int seeds = 3;
+        double longInTime = 0;
+        double shortInTime = 0;
+        double viaPrefill = 0;
+        double moved = 0;
+        double sharedRead = 0;
         for (int seed = 1; seed <= seeds; seed++) {
-            VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(fleet[0], fleet[0], fleet[1], fleet[2],
-                    VirtualFleet.usualKinds(load[0], load[1]), variant.tuning, variant.reports, variant.hints, 500,
-                    seed));
-            run.run(5_000, 25_000);
+            VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(
+                    fleet[0], variant.countedRouters, fleet[1], fleet[2],
+                    VirtualFleet.usualKinds(load.factor * scale, load.burst), variant.tuning, variant.reports,
+                    variant.hints, variant.admission, 1_000, seed));
+            run.run(WARM_UP_MS, LENGTH_MS);
             worth += run.worth() / seeds;
-            figures = run.figures();
+            longInTime += run.share("long", outcome -> outcome.inTime) / seeds;
+            shortInTime += run.share("short", outcome -> outcome.inTime) / seeds;
+            viaPrefill += run.share("long", outcome -> outcome.viaPrefill) / seeds;
+            moved += run.movedGigabytes / seeds;
+            sharedRead += run.sharedTokensRead() / 1e6 / seeds;
         }
-        System.out.printf("%-16s worth %.3f  %s%n", variant.name, worth, figures);
+        return String.format("worth %.3f  long in time %.3f  short in time %.3f  long by prefill %.2f  moved %.0f GB"
+                + "  shared read %.1f Mtok", worth, longInTime, shortInTime, viaPrefill, moved, sharedRead);
     }
 }
--- a/selection/src/test/java/pinewick/selection/VirtualEngine.java
+++ b/selection/src/test/java/pinewick/selection/VirtualEngine.java
@@ -88,6 +88,20 @@
         return waiting.size() + running.size();
     }
 
+    /** Falls silent: what it has is lost, what comes is not answered; then it goes on as if new. */
+    void darken(double forMs) {
+        dark = true;
+        waiting.clear();
+        running.clear();
+        time.after(forMs, () -> {
+            dark = false;
+            kept.clear();
+            keptTokens = 0;
+            stepping = false;
+            movesUntilMs = 0;
+        });
+    }
+
     /** Takes a call that is to be read here. */
     void take(Job job) {
         if (dark) {
@@ -110,6 +124,9 @@
         double begins = Math.max(time.now(), movesUntilMs);
         movesUntilMs = begins + figures.moveSetupMs + job.moveMs;
         time.after(movesUntilMs - time.now(), () -> {
+            if (dark) {
+                return;
+            }
             keep(job.parts);
             waiting.add(job);
             job.unread = -1;
@@ -156,7 +173,11 @@
         }
         double stepTook = took * speed;
         busyMs += stepTook;
-        time.after(stepTook, () -> finish(ready));
+        time.after(stepTook, () -> {
+            if (!dark) {
+                finish(ready);
+            }
+        });
     }
 
     private void finish(List<Job> ready) {
--- a/selection/src/test/java/pinewick/selection/VirtualFleet.java
+++ b/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToIntFunction;
 import pinewick.model.EngineSpec;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.Route;
@@ -29,6 +30,7 @@
             SelectionTuning tuning,
             boolean reports,
             boolean hints,
+            boolean admission,
             double reportEveryMs,
             long seed) {}
 
@@ -40,6 +42,9 @@
         int failed;
         int viaPrefill;
         int pauses;
+        int refused;
+        int inTimeLater;
+        int refusedTwice;
         final List<Double> firstMs = new ArrayList<>();
 
         double quantile(double share) {
@@ -58,6 +63,7 @@
     final VirtualTime time = new VirtualTime();
     final List<VirtualEngine> engines = new ArrayList<>();
     final List<ReplicaSelector> selectors = new ArrayList<>();
+    final List<AdmissionControl> admissions = new ArrayList<>();
     final Map<String, Outcome> outcomes = new HashMap<>();
     final SplittableRandom chance;
     final Setting setting;
@@ -86,6 +92,7 @@
             selector.setPlace(ZONES[router % 3], Map.of("a", "r", "b", "r", "c", "r"));
             selector.setEngine("lm", SPEC);
             selectors.add(selector);
+            admissions.add(new AdmissionControl(selector, chance.split()));
         }
         setting.kinds.forEach(kind -> outcomes.put(kind.route.name(), new Outcome()));
     }
@@ -116,6 +123,11 @@
         time.runUntil(warmUpMs + lengthMs);
     }
 
+    /** One replica falls silent for a while. */
+    void darken(int engine, double atMs, double forMs) {
+        time.after(atMs - time.now(), () -> engines.get(engine).darken(forMs));
+    }
+
     private void scheduleArrival(Kind kind) {
         double gap = -Math.log(1 - chance.nextDouble()) * 1_000 / kind.perSecond;
         time.after(gap, () -> {
@@ -173,7 +185,7 @@
         List<PromptPart> parts = List.of(new PromptPart(id, shared), new PromptPart(nextOwnPart++, own));
         RequestShape request = new RequestShape(kind.route, "lm", true, "m", shared + own, 4 * kind.out, parts,
                 time.now(), time.now() + kind.route.timeoutMs());
-        new Exchange(kind, request, out, selectors.get(chance.nextInt(selectors.size()))).start();
+        new Exchange(kind, request, out, chance.nextInt(selectors.size()), false).start();
     }
 
     /** One request from its arrival to its end. */
@@ -184,22 +196,36 @@
         final ReplicaSelector selector;
         final double arrivedAt = time.now();
         final boolean counted = time.now() >= measureFromMs;
-        final Outcome outcome;
+        Outcome outcome;
         double lastEventAt;
         boolean first = true;
         boolean inTime = true;
         boolean over;
 
-        Exchange(Kind kind, RequestShape request, int out, ReplicaSelector selector) {
+        final int router;
+        final boolean later;
+
+        Exchange(Kind kind, RequestShape request, int out, int router, boolean later) {
             this.kind = kind;
             this.request = request;
             this.out = out;
-            this.selector = selector;
+            this.router = router;
+            this.later = later;
+            selector = selectors.get(router);
             outcome = counted ? outcomes.get(kind.route.name()) : new Outcome();
         }
 
+        void countFor(Outcome other) {
+            outcome = other;
+        }
+
         void start() {
-            outcome.asked++;
+            outcome.asked += later ? 0 : 1;
+            if (setting.admission
+                    && admissions.get(router).decide(request, records, time.now()) instanceof Decision.Refuse refusal) {
+                refused(refusal);
+                return;
+            }
             Optional<Pair> pair = selector.choose(request, records, Set.of(), time.now());
             if (pair.isEmpty()) {
                 outcome.failed++;
@@ -211,6 +237,24 @@
             }
         }
 
+        void refused(Decision.Refuse refusal) {
+            over = true;
+            if (later) {
+                outcome.refusedTwice++;
+                outcome.failed++;
+                return;
+            }
+            outcome.refused++;
+            time.after(refusal.retryAfterSeconds() * 1_000 + 2 * CLIENT_MS, () -> {
+                RequestShape again = new RequestShape(request.route(), request.service(), true, request.model(),
+                        request.promptTokens(), request.outputTokens(), request.parts(), time.now(),
+                        request.deadlineAtMs());
+                Exchange next = new Exchange(kind, again, out, chance.nextInt(selectors.size()), true);
+                next.countFor(outcome);
+                next.start();
+            });
+        }
+
         void prefill(ReplicaRecord reader) {
             ReplicaSelector.Call call = selector.begin(reader, CallKind.PREFILL, request, time.now());
             VirtualEngine.Job job = new VirtualEngine.Job(request.parts(), 1, true);
@@ -292,7 +336,9 @@
             }
             over = true;
             call.ended(CallEnding.ANSWERED, time.now());
-            if (inTime) {
+            if (inTime && later) {
+                outcome.inTimeLater++;
+            } else if (inTime) {
                 outcome.inTime++;
             } else {
                 outcome.late++;
@@ -300,15 +346,27 @@
         }
     }
 
+    /** A count of one kind of request, as a share of those asked. */
+    double share(String kind, ToIntFunction<Outcome> count) {
+        Outcome its = outcomes.get(kind);
+        return its.asked == 0 ? 0 : count.applyAsInt(its) / (double) its.asked;
+    }
+
+    /** Shared parts that were read, by all engines and from the start, in tokens. */
+    long sharedTokensRead() {
+        return engines.stream().mapToLong(engine -> engine.sharedTokensRead).sum();
+    }
+
     /** One line of figures. */
     String figures() {
         StringBuilder line = new StringBuilder();
         for (Kind kind : setting.kinds) {
             Outcome its = outcomes.get(kind.route.name());
-            line.append(String.format("%s in time %.3f late %.3f lost %.3f via prefill %.2f p50 %.0f p95 %.0f p99 %.0f"
+            line.append(String.format("%s in time %.3f late %.3f lost %.3f refused %.3f later in time %.3f twice %.3f via prefill %.2f p50 %.0f p95 %.0f p99 %.0f"
                             + " pauses %d | ",
                     kind.route.name(), its.inTime / (double) its.asked, its.late / (double) its.asked,
-                    its.failed / (double) its.asked, its.viaPrefill / (double) its.asked, its.quantile(0.5),
+                    its.failed / (double) its.asked, its.refused / (double) its.asked,
+                    its.inTimeLater / (double) its.asked, its.refusedTwice / (double) its.asked, its.viaPrefill / (double) its.asked, its.quantile(0.5),
                     its.quantile(0.95), its.quantile(0.99), its.pauses));
         }
         double total = time.now();
@@ -325,7 +383,7 @@
         for (Kind kind : setting.kinds) {
             Outcome its = outcomes.get(kind.route.name());
             double worth = kind.route.priority() == 0 ? 3 : 2;
-            earned += worth * (its.inTime + 0.5 * its.late);
+            earned += worth * (its.inTime + 0.75 * its.inTimeLater + 0.5 * its.late - 0.3 * its.refusedTwice);
             owed += worth * its.asked;
         }
         return earned / owed;
