Queue terms count in batches of slots; overload refused at once; no 404 before a configuration

Cause: with nine routers one own call in flight made q̂ 10 and its cube 1,000, so that a replica that kept the prompt was passed over for one that had to read it anew; under a burst 5.6 million shared tokens were read again.

--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -31,6 +31,8 @@
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
 import pinewick.model.SocketAddress;
+import pinewick.selection.AdmissionControl;
+import pinewick.selection.Decision;
 import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RequestShape;
 import pinewick.selection.RetryBudget;
@@ -42,6 +44,8 @@
 final class DataPlane implements FleetStateListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FEWEST_CONNECTIONS = 4;
+    /** When clients of a router that has no configuration yet may come back. */
+    private static final double BEFORE_CONFIGURATION_RETRY_SECONDS = 0.3;
     private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
 
     private final SerialExecutor serial;
@@ -51,6 +55,7 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final AdmissionControl admissionControl;
     private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
@@ -77,6 +82,7 @@
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services = new DataPlaneServices(
                 selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.admissionControl = new AdmissionControl(selector, random);
         this.sharing = new LoadSharing(selector);
         this.reports = new ReportPoller(services, sharing::onReport);
     }
@@ -191,8 +197,20 @@
         serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
     }
 
+    /** The request has not run and never will; the client may come back after a while. */
+    private static void answerNotRun(JettyClientExchange client, ClientRequest read, double retryAfterSeconds) {
+        HttpFields.Mutable fields = HttpFields.build();
+        fields.add(HeaderNames.REQUEST_ID, read.id());
+        fields.add(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+        client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+    }
+
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
         JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
+        if (routingTable.version() == 0) {
+            answerNotRun(client, read, BEFORE_CONFIGURATION_RETRY_SECONDS);
+            return;
+        }
         Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
         if (service.isEmpty()) {
@@ -203,6 +221,12 @@
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
+        Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
+        if (decision instanceof Decision.Refuse refusal) {
+            services.budget().onRequest(service.get(), timers.nowMs());
+            answerNotRun(client, read, refusal.retryAfterSeconds());
+            return;
+        }
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.put(lifecycle, client);
--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -184,10 +184,13 @@
         return weight * Math.min(1, (double) report.kvUsed() / report.kvTotal());
     }
 
-    /** R - s + q̂³·s, for an s and an R - s of the request. */
+    /**
+     * R - s + q̂³·s, for an s and an R - s of the request. A replica works on {@code slots} requests at a time, so both terms
+     * of the queue count in batches of as many.
+     */
     double score(double serviceMs, double beyondServiceMs, int routers, double nowMs) {
-        double congestion =
-                1 + (double) outstanding * routers + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
+        double ahead = (double) outstanding * routers + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
+        double congestion = 1 + ahead / slots;
         return beyondServiceMs + congestion * congestion * congestion * serviceMs;
     }
 
--- a/selection/src/main/java/pinewick/selection/RetryBudget.java
+++ b/selection/src/main/java/pinewick/selection/RetryBudget.java
@@ -88,6 +88,14 @@
         return false;
     }
 
+    /** Returns what was taken at {@code takenAtMs} for an arrival that never happened. */
+    public void giveBack(String service, double takenAtMs) {
+        ServiceCounts counts = counts(service);
+        if (!counts.fromSlack.takeBack(takenAtMs)) {
+            counts.fromRequests.takeBack(takenAtMs);
+        }
+    }
+
     private int effectiveBound(double nowMs) {
         return nowMs - boundFellAtMs < windowMs ? Math.max(boundBefore, upperBound) : upperBound;
     }
--- a/selection/src/main/java/pinewick/selection/WindowCount.java
+++ b/selection/src/main/java/pinewick/selection/WindowCount.java
@@ -21,6 +21,17 @@
         counts[advance(nowMs)] += amount;
     }
 
+    /** Takes one event of {@code atMs} back; false if none is counted there, or it lies before the window. */
+    boolean takeBack(double atMs) {
+        long bucket = (long) Math.floor(atMs / bucketMs);
+        int index = (int) Math.floorMod(bucket, (long) counts.length);
+        if (bucket > newest || newest - bucket >= counts.length || counts[index] == 0) {
+            return false;
+        }
+        counts[index]--;
+        return true;
+    }
+
     /** At least what fell into the last {@code windowMs}: the bucket at its edge counts whole. */
     int atLeast(double windowMs, double nowMs) {
         return sum((int) Math.ceil(windowMs / bucketMs) + 1, nowMs);
