--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -42,6 +43,7 @@
 final class DataPlane implements FleetStateListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FEWEST_CONNECTIONS = 4;
+    private static final String RETRY_AFTER_SECONDS = "0.2";
     private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
 
     private final SerialExecutor serial;
@@ -56,11 +58,16 @@
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
+    private final BooleanSupplier informed;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
+    private boolean over;
     private int routerCountUpperBound = 1;
 
-    /** @param onLimits told of the limits in force when they change */
+    /**
+     * @param informed whether the configuration known here is the fleet's, so that a route it lacks does not exist
+     * @param onLimits told of the limits in force when they change
+     */
     DataPlane(
             SerialExecutor serial,
             Timers timers,
@@ -68,8 +75,10 @@
             ReplicaSelector selector,
             PairChooser chooser,
             RandomGenerator random,
+            BooleanSupplier informed,
             Consumer<RequestLimits> onLimits) {
         this.onLimits = onLimits;
+        this.informed = informed;
         this.serial = serial;
         this.timers = timers;
         this.random = random;
@@ -183,11 +192,8 @@
         JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
         Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
-        if (service.isEmpty()) {
-            client.answer(
-                    HttpStatus.NOT_FOUND_404,
-                    HttpFields.build().add(HeaderNames.REQUEST_ID, read.id()),
-                    UpstreamRequest.NO_BODY);
+        if (over || service.isEmpty()) {
+            refuse(client, read.id());
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
@@ -199,6 +205,17 @@
         lifecycle.start();
     }
 
+    /** No route, as far as this router knows; one that does not know enough promises that the request has not run. */
+    private void refuse(ClientExchange client, String id) {
+        HttpFields.Mutable fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
+        if (!over && informed.getAsBoolean()) {
+            client.answer(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
+        } else {
+            fields.add(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
+            client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+        }
+    }
+
     private static String hostOf(Request request) {
         String host = request.getHeaders().get(HttpHeader.HOST);
         if (host == null) {
@@ -293,8 +310,11 @@
         }
     }
 
-    /** Answers whatever has not been answered. */
+    /** Answers whatever has not been answered, and refuses what still comes. */
     void answerTheRest() {
-        serial.execute(() -> List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown));
+        serial.execute(() -> {
+            over = true;
+            List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown);
+        });
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -28,6 +29,8 @@
     /** Longest head that a connection reads at all; the limit in force may change while it is open. */
     private static final int PARSED_HEADER_BYTES = 64 * 1024;
 
+    private static final int FEWEST_CLIENT_CONNECTIONS = 100;
+    private static final int MOST_CLIENT_CONNECTIONS = 3_000;
     private static final int ACCEPT_QUEUE = 1024;
 
     private final DataPlane dataPlane;
@@ -37,12 +40,14 @@
     private final ServerConnector readiness;
     private final HttpConfiguration configuration = new HttpConfiguration();
 
+    /** @param mostClientConnections further clients wait in the kernel's queue until others have left */
     HttpFront(
             DataPlane dataPlane,
             BooleanSupplier ready,
             Scheduler scheduler,
             SocketAddress frontendAddress,
-            SocketAddress readinessAddress) {
+            SocketAddress readinessAddress,
+            int mostClientConnections) {
         this.dataPlane = dataPlane;
         this.ready = ready;
         server = new Server(threadPool(), scheduler, new ArrayByteBufferPool());
@@ -54,6 +59,8 @@
                 new ClientConnection.Factory(
                         configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()));
         listenAt(frontend, frontendAddress);
+        frontend.addBean(new ConnectionLimit(
+                Math.max(FEWEST_CLIENT_CONNECTIONS, Math.min(MOST_CLIENT_CONNECTIONS, mostClientConnections)), frontend));
         readiness = new ServerConnector(
                 server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
         listenAt(readiness, readinessAddress);
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -28,6 +28,9 @@
     /** The platform asks for readiness every second and stops sending connections after two misses. */
     private static final long NOTICE_MS = 2_500;
 
+    /** Descriptors that clients' connections may not take: files, peers, replicas. */
+    private static final int OTHER_DESCRIPTORS = 900;
+
     /** Of the grace period, what is left for closing after the last answer. */
     private static final long CLOSING_MS = 1_000;
 
@@ -64,14 +67,21 @@
                 selector,
                 PairChooser.of(selector),
                 random.split(),
+                this::isInformed,
                 limits -> front.setLimits(limits));
         front = new HttpFront(
-                dataPlane, this::isReady, scheduler, addressOf("frontend"), addressOf("readiness"));
+                dataPlane,
+                this::isReady,
+                scheduler,
+                addressOf("frontend"),
+                addressOf("readiness"),
+                settings.limits().fileDescriptors() - OTHER_DESCRIPTORS);
         front.start();
         dataPlane.follow(fleet.state(), front.upstream());
         fleet.start();
         fleet.repeat(this::refresh, REFRESH_MS);
         fleet.repeat(this::pollReports, REPORT_MS);
+        WarmUp.run(addressOf("frontend"), addressOf("readiness"), dataPlane.services());
     }
 
     private void startTimers() throws RouterException {
@@ -91,7 +101,11 @@
     }
 
     private boolean isReady() {
-        return !stopping && fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
+        return !stopping && isInformed();
+    }
+
+    private boolean isInformed() {
+        return fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
     }
 
     private void refresh() {
--- a/dataplane/src/test/java/pinewick/dataplane/FirstPathTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/FirstPathTest.java
@@ -97,6 +97,30 @@
         assertNull(answer.field("X-Pinewick-Server-Signature"));
     }
 
+    @Test
+    void aRouterThatDoesNotKnowAllRoutesYetDeniesNone() throws Exception {
+        router.informed = false;
+        RawSocket client = router.client();
+        client.send(TestRouter.request("POST", "/elsewhere/x", "n1", "body"));
+        assertEquals(503, client.read().status());
+    }
+
+    @Test
+    void whatIsUnderWayAtTheEndIsAnsweredByWhatIsKnownOfIt() throws Exception {
+        ScriptedReplica replica = router.replica("i-1", "plain", Stage.NONE);
+        RawSocket client = router.client();
+        client.send(TestRouter.request("POST", "/plain/x", "e1", "body"));
+        replica.accept().read();
+        router.dataPlane.beginStopping();
+        router.dataPlane.answerTheRest();
+        HttpText.Message answer = client.read();
+        assertEquals(502, answer.status());
+        assertEquals("close", answer.field("Connection"));
+        RawSocket late = router.client();
+        late.send(TestRouter.request("POST", "/plain/x", "e2", "body"));
+        assertEquals(503, late.read().status());
+    }
+
     @Test
     void withoutReplicasTheRequestIsRefusedAtOnceAsNotRun() throws Exception {
         RawSocket client = router.client();
--- a/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -151,6 +153,25 @@
         assertEquals(value, client.read().field("X-Odd"));
     }
 
+    @Test
+    void furtherClientsWaitUntilOthersHaveLeft() throws Exception {
+        List<RawSocket> clients = new ArrayList<>();
+        for (int i = 0; i < TestRouter.MOST_CLIENTS; i++) {
+            RawSocket client = router.client();
+            client.send(TestRouter.request("POST", "/elsewhere/x", "c" + i, ""));
+            assertEquals(404, client.read().status());
+            clients.add(client);
+        }
+        RawSocket waiting = router.client();
+        waiting.send(TestRouter.request("POST", "/elsewhere/x", "late", ""));
+        clients.get(0).send(TestRouter.request("POST", "/elsewhere/x", "again", ""));
+        assertEquals("again", clients.get(0).read().field("X-Pinewick-Request-Id"));
+        for (RawSocket client : clients) {
+            client.close();
+        }
+        assertEquals("late", waiting.read().field("X-Pinewick-Request-Id"));
+    }
+
     @Test
     void admissionIsBoundedByRequestsAndBytes() {
         Admission admission = new Admission(2, 100);
--- a/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -20,10 +20,12 @@
 /** A router's data plane on loopback, with a fleet state that the test fills by hand. */
 final class TestRouter implements AutoCloseable {
     static final String HOST = "shop.example";
+    static final int MOST_CLIENTS = 200;
 
     final FleetState state = new FleetState();
     final DataPlane dataPlane;
     final HttpFront front;
+    volatile boolean informed = true;
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private final Queue<String> forcedPairs = new ConcurrentLinkedQueue<>();
     private final List<AutoCloseable> toClose = new ArrayList<>();
@@ -41,9 +43,10 @@
                 selector,
                 new ForcedChooser(own, forcedPairs),
                 new SplittableRandom(8),
+                () -> informed,
                 limits -> {});
         SocketAddress anyPort = new SocketAddress("127.0.0.1", 0);
-        front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort);
+        front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort, MOST_CLIENTS);
         front.start();
         dataPlane.follow(state, front.upstream());
     }
