Connections beyond the limit are closed unread by the selector itself

Jetty's ConnectionLimit, tried first, lost the listening socket under load: with no acceptor thread it registers the channel again while its cancelled key is still there, fails, and closes the channel.

--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -5,7 +5,6 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
-import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -40,7 +39,7 @@
     private final ServerConnector readiness;
     private final HttpConfiguration configuration = new HttpConfiguration();
 
-    /** @param mostClientConnections further clients wait in the kernel's queue until others have left */
+    /** @param mostClientConnections connections of further clients are closed unread, so that they go elsewhere */
     HttpFront(
             DataPlane dataPlane,
             BooleanSupplier ready,
@@ -57,10 +56,9 @@
                 server,
                 scheduler,
                 new ClientConnection.Factory(
-                        configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()));
+                        configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()),
+                Math.max(FEWEST_CLIENT_CONNECTIONS, Math.min(MOST_CLIENT_CONNECTIONS, mostClientConnections)));
         listenAt(frontend, frontendAddress);
-        frontend.addBean(new ConnectionLimit(
-                Math.max(FEWEST_CLIENT_CONNECTIONS, Math.min(MOST_CLIENT_CONNECTIONS, mostClientConnections)), frontend));
         readiness = new ServerConnector(
                 server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
         listenAt(readiness, readinessAddress);
--- a/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -29,7 +31,14 @@
     private static final int NO_ACCEPTOR_THREAD = 0;
     private static final int ONE_SELECTOR = 1;
 
-    RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http) {
+    private final AtomicInteger clients = new AtomicInteger();
+    private final int mostClients;
+
+    /**
+     * @param mostClients a connection beyond these is closed before anything is read from it; Jetty's own limit stops
+     *     accepting, and with a selector that accepts it may lose the listening socket over it
+     */
+    RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http, int mostClients) {
         super(
                 server,
                 new ConnectionExecutor(server.getThreadPool()),
@@ -38,6 +47,7 @@
                 NO_ACCEPTOR_THREAD,
                 ONE_SELECTOR,
                 http);
+        this.mostClients = mostClients;
     }
 
     @Override
@@ -51,7 +61,7 @@
     public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
         SocketChannel channel = null;
         try {
-            channel = SocketChannel.open();
+            channel = SocketChannel.open(StandardProtocolFamily.INET);
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             Outgoing outgoing = new Outgoing(factory, onFailure);
@@ -74,6 +84,15 @@
             super(executor, scheduler, selectors);
         }
 
+        @Override
+        protected void accepted(SelectableChannel channel) throws IOException {
+            if (clients.get() >= mostClients) {
+                IO.close(channel);
+            } else {
+                super.accepted(channel);
+            }
+        }
+
         @Override
         protected SocketChannelEndPoint newEndPoint(
                 SelectableChannel channel, ManagedSelector selector, SelectionKey key) throws IOException {
@@ -104,6 +123,7 @@
         @Override
         protected void endPointOpened(EndPoint endPoint) {
             if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                clients.incrementAndGet();
                 super.endPointOpened(endPoint);
             }
         }
@@ -111,6 +131,7 @@
         @Override
         protected void endPointClosed(EndPoint endPoint) {
             if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                clients.decrementAndGet();
                 super.endPointClosed(endPoint);
             }
         }
