--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -44,8 +45,7 @@
 final class DataPlane implements FleetStateListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FEWEST_CONNECTIONS = 4;
-    /** When clients of a router that has no configuration yet may come back. */
-    private static final double BEFORE_CONFIGURATION_RETRY_SECONDS = 0.3;
+    private static final String RETRY_AFTER_SECONDS = "0.2";
     private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
 
     private final SerialExecutor serial;
@@ -62,11 +62,16 @@
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
+    private final BooleanSupplier informed;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
+    private boolean over;
     private int routerCountUpperBound = 1;
 
-    /** @param onLimits told of the limits in force when they change */
+    /**
+     * @param informed whether the configuration known here is the fleet's, so that a route it lacks does not exist
+     * @param onLimits told of the limits in force when they change
+     */
     DataPlane(
             SerialExecutor serial,
             Timers timers,
@@ -74,8 +79,10 @@
             ReplicaSelector selector,
             PairChooser chooser,
             RandomGenerator random,
+            BooleanSupplier informed,
             Consumer<RequestLimits> onLimits) {
         this.onLimits = onLimits;
+        this.informed = informed;
         this.serial = serial;
         this.timers = timers;
         this.random = random;
@@ -110,15 +117,16 @@
                 }
             });
         } catch (InvalidConfigurationException e) {
-            LOG.atSevere().withCause(e).log("Configuration %d cannot be read; the one before stays", document.version());
+            LOG.atSevere().withCause(e).log(
+                    "Configuration %d cannot be read; the one before stays", document.version());
         }
     }
 
     private void putInForce(RoutingTable next) {
         boolean otherLimits = !next.limits().equals(routingTable.limits());
         routingTable = next;
-        next.services().values().forEach(service ->
-                service.engine().ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
+        next.services().values().forEach(service -> service.engine()
+                .ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
         if (otherLimits) {
             onLimits.accept(next.limits());
         }
@@ -154,7 +162,8 @@
 
     /** Most connections that this router may hold to one replica of a service. */
     private int connectionLimit(String service) {
-        int ofAll = routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
+        int ofAll =
+                routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
         return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
     }
 
@@ -207,17 +216,11 @@
 
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
         JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
-        if (routingTable.version() == 0) {
-            answerNotRun(client, read, BEFORE_CONFIGURATION_RETRY_SECONDS);
-            return;
-        }
-        Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        Optional<Route> route =
+                routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
-        if (service.isEmpty()) {
-            client.answer(
-                    HttpStatus.NOT_FOUND_404,
-                    HttpFields.build().add(HeaderNames.REQUEST_ID, read.id()),
-                    UpstreamRequest.NO_BODY);
+        if (over || service.isEmpty()) {
+            refuse(client, read.id());
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
@@ -235,6 +238,17 @@
         lifecycle.start();
     }
 
+    /** No route, as far as this router knows; one that does not know enough promises that the request has not run. */
+    private void refuse(ClientExchange client, String id) {
+        HttpFields.Mutable fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
+        if (!over && informed.getAsBoolean()) {
+            client.answer(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
+        } else {
+            fields.add(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
+            client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+        }
+    }
+
     private static String hostOf(Request request) {
         String host = request.getHeaders().get(HttpHeader.HOST);
         if (host == null) {
@@ -249,7 +263,8 @@
         if (route.split().size() == 1) {
             return Optional.of(route.split().get(0).service());
         }
-        Optional<String> served = draw(route, service -> !directory.candidates(service).isEmpty());
+        Optional<String> served =
+                draw(route, service -> !directory.candidates(service).isEmpty());
         return served.isPresent() ? served : draw(route, service -> true);
     }
 
@@ -269,10 +284,8 @@
     }
 
     private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
-        boolean generation = routingTable
-                .service(service)
-                .flatMap(ServiceSpec::engine)
-                .isPresent();
+        boolean generation =
+                routingTable.service(service).flatMap(ServiceSpec::engine).isPresent();
         PromptHeaders prompt = PromptHeaders.parse(fields);
         double held = Math.min(route.timeoutMs(), deadlineMs(fields));
         return new RequestShape(
@@ -329,8 +342,11 @@
         }
     }
 
-    /** Answers whatever has not been answered. */
+    /** Answers whatever has not been answered, and refuses what still comes. */
     void answerTheRest() {
-        serial.execute(() -> List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown));
+        serial.execute(() -> {
+            over = true;
+            List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown);
+        });
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -30,6 +30,9 @@
     /** The platform asks for readiness every second and stops sending connections after two misses. */
     private static final long NOTICE_MS = 2_500;
 
+    /** Descriptors that clients' connections may not take: files, peers, replicas. */
+    private static final int OTHER_DESCRIPTORS = 900;
+
     /** Of the grace period, what is left for closing after the last answer. */
     private static final long CLOSING_MS = 1_000;
 
@@ -50,7 +53,8 @@
      * @throws RouterException if an address cannot be used
      */
     public void start() throws RouterException {
-        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ settings.nodeName().hashCode());
+        SplittableRandom random =
+                new SplittableRandom(System.nanoTime() ^ settings.nodeName().hashCode());
         fleet = new FleetLink(settings, random.split());
         startTimers();
         SerialExecutor serial = new SerialExecutor();
@@ -66,15 +70,22 @@
                 selector,
                 PairChooser.of(selector),
                 random.split(),
+                this::isInformed,
                 limits -> front.setLimits(limits));
         front = new HttpFront(
-                dataPlane, this::isReady, scheduler, addressOf("frontend"), addressOf("readiness"));
+                dataPlane,
+                this::isReady,
+                scheduler,
+                addressOf("frontend"),
+                addressOf("readiness"),
+                settings.limits().fileDescriptors() - OTHER_DESCRIPTORS);
         front.start();
         dataPlane.follow(fleet.state(), front.upstream());
         fleet.start(dataPlane::onNews);
         fleet.repeat(this::refresh, REFRESH_MS);
         fleet.repeat(this::pollReports, REPORT_MS);
         fleet.repeat(() -> dataPlane.shareLoad(fleet::tellRouters), SHARE_MS);
+        WarmUp.run(addressOf("frontend"), addressOf("readiness"), dataPlane.services());
     }
 
     private void startTimers() throws RouterException {
@@ -94,7 +105,11 @@
     }
 
     private boolean isReady() {
-        return !stopping && fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
+        return !stopping && isInformed();
+    }
+
+    private boolean isInformed() {
+        return fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
     }
 
     private void refresh() {
@@ -107,7 +122,10 @@
         dataPlane.pollReports(fleet.self(), fleet.otherRouters());
     }
 
-    /** The settings file has changed; only the seeds may differ in one life of a process, and they matter at its start. */
+    /**
+     * The settings file has changed; only the seeds may differ in one life of a process, and they matter at its
+     * start.
+     */
     public void settingsChanged(NodeSettings changed) {
         updateSeeds(changed.seedNodes());
     }
@@ -118,8 +136,8 @@
     }
 
     /**
-     * Ends within the grace period: not ready at once; connections that still come are served for as long as the platform
-     * needs to notice; what is under way is waited for; the rest is answered.
+     * Ends within the grace period: not ready at once; connections that still come are served for as long as the
+     * platform needs to notice; what is under way is waited for; the rest is answered.
      */
     public void stop() {
         if (stopping) {
