--- a/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -25,9 +25,6 @@
  * through one thread and one wake-up.
  */
 final class RouterConnector extends ServerConnector implements UpstreamConnector {
-    /** A SYN that was dropped is sent again after a second at the earliest; another replica is sooner. */
-    static final int CONNECT_TIMEOUT_MS = 400;
-
     private static final int NO_ACCEPTOR_THREAD = 0;
     private static final int ONE_SELECTOR = 1;
 
@@ -52,13 +49,11 @@
 
     @Override
     protected SelectorManager newSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
-        SelectorManager manager = new TwoWayManager(executor, scheduler, selectors);
-        manager.setConnectTimeout(CONNECT_TIMEOUT_MS);
-        return manager;
+        return new TwoWayManager(executor, scheduler, selectors);
     }
 
     @Override
-    public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
+    public void connect(InetSocketAddress address, int timeoutMs, ConnectionMaker factory, Runnable onFailure) {
         SocketChannel channel = null;
         try {
             channel = SocketChannel.open(StandardProtocolFamily.INET);
@@ -68,6 +63,7 @@
             if (channel.connect(address)) {
                 getSelectorManager().accept(channel, outgoing);
             } else {
+                getSelectorManager().setConnectTimeout(timeoutMs);
                 getSelectorManager().connect(channel, outgoing);
             }
         } catch (IOException | RuntimeException e) {
--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamConnector.java
@@ -10,10 +10,11 @@
     /**
      * Opens a connection without blocking.
      *
+     * @param timeoutMs how long it may take
      * @param factory makes the connection once the address has accepted
      * @param onFailure run if no connection comes about
      */
-    void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure);
+    void connect(InetSocketAddress address, int timeoutMs, ConnectionMaker factory, Runnable onFailure);
 
     /** Makes the protocol's side of an open connection. */
     @FunctionalInterface
--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamPool.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamPool.java
@@ -18,6 +18,7 @@
     private final ToIntFunction<String> connectionLimit;
     private final Map<String, ReplicaConnections> byInstance = new HashMap<>();
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER_BYTES);
+    private final ConnectTimes connectTimes = new ConnectTimes();
     private UpstreamConnector connector;
 
     /** @param connectionLimit most connections that this router may hold to one replica of a service */
@@ -64,10 +65,16 @@
 
     void connect(ReplicaConnections connections) {
         ReplicaRecord replica = connections.replica();
+        double beganAtMs = timers.nowMs();
         connector.connect(
                 new InetSocketAddress(
                         replica.address().host(), replica.address().port()),
-                (endPoint, executor) -> new UpstreamConnection(endPoint, executor, connections, serial),
+                connectTimes.timeoutMs(),
+                (endPoint, executor) -> {
+                    double tookMs = timers.nowMs() - beganAtMs;
+                    serial.execute(() -> connectTimes.connected(tookMs));
+                    return new UpstreamConnection(endPoint, executor, connections, serial);
+                },
                 () -> serial.execute(connections::connectFailed));
     }
 
--- a/dataplane/src/test/java/pinewick/dataplane/ReplicaConnectionsTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/ReplicaConnectionsTest.java
@@ -37,7 +37,7 @@
         private final Deque<Runnable> failures = new ArrayDeque<>();
 
         @Override
-        public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
+        public void connect(InetSocketAddress address, int timeoutMs, ConnectionMaker factory, Runnable onFailure) {
             makers.add(factory);
             failures.add(onFailure);
         }
@@ -121,6 +121,20 @@
         assertEquals("", endPoint.getOutputString());
     }
 
+    @Test
+    void connectionsAreWaitedForAsLongAsTheyHaveTakenLately() {
+        ConnectTimes times = new ConnectTimes();
+        assertEquals(ConnectTimes.LONGEST_MS, times.timeoutMs());
+        for (int i = 0; i < 300; i++) {
+            times.connected(1);
+        }
+        assertEquals(ConnectTimes.SHORTEST_MS, times.timeoutMs());
+        times.connected(30);
+        assertEquals(240, times.timeoutMs());
+        times.connected(200);
+        assertEquals(ConnectTimes.LONGEST_MS, times.timeoutMs());
+    }
+
     @Test
     void noMoreThanTheShareOfConnectionsIsMade() {
         Outcome first = new Outcome();
