--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -32,6 +32,8 @@
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
 import pinewick.model.SocketAddress;
+import pinewick.selection.AdmissionControl;
+import pinewick.selection.Decision;
 import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RequestShape;
 import pinewick.selection.RetryBudget;
@@ -53,6 +55,8 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final AdmissionControl admissionControl;
+    private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
@@ -83,9 +87,11 @@
         this.timers = timers;
         this.random = random;
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
-        this.services =
-                new DataPlaneServices(selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
-        this.reports = new ReportPoller(services, selector::report);
+        this.services = new DataPlaneServices(
+                selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.admissionControl = new AdmissionControl(selector, random);
+        this.sharing = new LoadSharing(selector);
+        this.reports = new ReportPoller(services, sharing::onReport);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -178,6 +184,16 @@
         });
     }
 
+    /** Hands over what this router has learnt of replicas since the last call, if anything. */
+    void shareLoad(Consumer<LoadNews> tell) {
+        serial.execute(() -> sharing.takeNews(timers.nowMs()).ifPresent(tell));
+    }
+
+    /** Another router tells what it saw of replicas. */
+    void onNews(LoadNews news) {
+        serial.execute(() -> sharing.onNews(news, timers.nowMs()));
+    }
+
     Admission admission() {
         return admission;
     }
@@ -190,6 +206,14 @@
         serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
     }
 
+    /** The request has not run and never will; the client may come back after a while. */
+    private static void answerNotRun(JettyClientExchange client, ClientRequest read, double retryAfterSeconds) {
+        HttpFields.Mutable fields = HttpFields.build();
+        fields.add(HeaderNames.REQUEST_ID, read.id());
+        fields.add(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+        client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+    }
+
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
         JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
         Optional<Route> route =
@@ -200,6 +224,12 @@
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
+        Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
+        if (decision instanceof Decision.Refuse refusal) {
+            services.budget().onRequest(service.get(), timers.nowMs());
+            answerNotRun(client, read, refusal.retryAfterSeconds());
+            return;
+        }
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.put(lifecycle, client);
--- a/selection/src/main/java/pinewick/selection/WindowCount.java
+++ b/selection/src/main/java/pinewick/selection/WindowCount.java
@@ -21,12 +21,15 @@
         counts[advance(nowMs)] += amount;
     }
 
-    /** Undoes an {@link #add} of that time, unless the window has left it behind. */
-    void takeBack(int amount, double addedAtMs) {
-        long bucket = (long) Math.floor(addedAtMs / bucketMs);
-        if (newest - bucket < counts.length) {
-            counts[(int) Math.floorMod(bucket, (long) counts.length)] -= amount;
+    /** Takes one event of {@code atMs} back; false if none is counted there, or it lies before the window. */
+    boolean takeBack(double atMs) {
+        long bucket = (long) Math.floor(atMs / bucketMs);
+        int index = (int) Math.floorMod(bucket, (long) counts.length);
+        if (bucket > newest || newest - bucket >= counts.length || counts[index] == 0) {
+            return false;
         }
+        counts[index]--;
+        return true;
     }
 
     /** At least what fell into the last {@code windowMs}: the bucket at its edge counts whole. */
