--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -45,7 +45,11 @@
 final class DataPlane implements FleetStateListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FEWEST_CONNECTIONS = 4;
-    private static final String RETRY_AFTER_SECONDS = "0.2";
+    private static final double MILLISECONDS = 1e3;
+
+    /** When clients of a router that does not know the fleet's routes yet may come back. */
+    private static final double UNINFORMED_RETRY_SECONDS = 0.2;
+
     private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
 
     private final SerialExecutor serial;
@@ -87,8 +91,8 @@
         this.timers = timers;
         this.random = random;
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
-        this.services = new DataPlaneServices(
-                selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.services =
+                new DataPlaneServices(selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
         this.admissionControl = new AdmissionControl(selector, random);
         this.sharing = new LoadSharing(selector);
         this.reports = new ReportPoller(services, sharing::onReport);
@@ -207,10 +211,11 @@
     }
 
     /** The request has not run and never will; the client may come back after a while. */
-    private static void answerNotRun(JettyClientExchange client, ClientRequest read, double retryAfterSeconds) {
+    private static void answerNotRun(ClientExchange client, String id, double retryAfterSeconds) {
         HttpFields.Mutable fields = HttpFields.build();
-        fields.add(HeaderNames.REQUEST_ID, read.id());
-        fields.add(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+        fields.add(HeaderNames.REQUEST_ID, id);
+        fields.add(
+                HttpHeader.RETRY_AFTER, Double.toString(Math.round(retryAfterSeconds * MILLISECONDS) / MILLISECONDS));
         client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
     }
 
@@ -227,7 +232,7 @@
         Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
         if (decision instanceof Decision.Refuse refusal) {
             services.budget().onRequest(service.get(), timers.nowMs());
-            answerNotRun(client, read, refusal.retryAfterSeconds());
+            answerNotRun(client, read.id(), refusal.retryAfterSeconds());
             return;
         }
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
@@ -240,12 +245,11 @@
 
     /** No route, as far as this router knows; one that does not know enough promises that the request has not run. */
     private void refuse(ClientExchange client, String id) {
-        HttpFields.Mutable fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
         if (!over && informed.getAsBoolean()) {
+            HttpFields fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
             client.answer(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
         } else {
-            fields.add(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
-            client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+            answerNotRun(client, id, UNINFORMED_RETRY_SECONDS);
         }
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/LoadNews.java
+++ b/dataplane/src/main/java/pinewick/dataplane/LoadNews.java
@@ -7,8 +7,8 @@
 import pinewick.selection.PrefixHint;
 
 /**
- * What one router tells the others of replicas: the load reports that it asked for, and what it saw of prefix caches. Hints
- * only: a router that never hears any decides by its own sight.
+ * What one router tells the others of replicas: the load reports that it asked for, and what it saw of prefix caches.
+ * Hints only: a router that never hears any decides by its own sight.
  *
  * @param reports load reports since the last message
  * @param hints prompts that replicas have read or fetched since the last message
--- a/dataplane/src/main/java/pinewick/dataplane/LoadSharing.java
+++ b/dataplane/src/main/java/pinewick/dataplane/LoadSharing.java
@@ -10,8 +10,8 @@
 import pinewick.selection.ReplicaSelector;
 
 /**
- * Gathers what this router learnt of replicas for the other routers, and takes in what they tell. Without I/O; used on the
- * data plane's executor only.
+ * Gathers what this router learnt of replicas for the other routers, and takes in what they tell. Without I/O; used
+ * on the data plane's executor only.
  */
 final class LoadSharing {
     /** Hints in one message: it fits a datagram. */
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -22,9 +22,10 @@
     private static final double MILLISECONDS = 1e3;
     private static final long REFRESH_MS = 500;
 
-    /** How often each replica is asked for its load, by all routers together. */
     /** How often routers tell each other what they saw of replicas. */
     private static final long SHARE_MS = 200;
+
+    /** How often each replica is asked for its load, by all routers together. */
     private static final long REPORT_MS = 400;
 
     /** The platform asks for readiness every second and stops sending connections after two misses. */
