--- /dev/null
+++ b/selection/src/test/java/pinewick/selection/VirtualFleetTest.java
@@ -0,0 +1,111 @@
+package pinewick.selection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The whole of the selection against a queueing model of engines, in virtual time: the figures are those of its seeds. */
+class VirtualFleetTest {
+    private static final int SEEDS = 4;
+
+    private record Figures(double worth, double longInTime, double shortInTime, double longByPrefill) {}
+
+    private static VirtualFleet fleet(SelectionTuning tuning, int countedRouters, boolean hints, double load, long seed) {
+        return new VirtualFleet(new VirtualFleet.Setting(9, countedRouters, 3, 5, VirtualFleet.usualKinds(load, 1),
+                tuning, true, hints, true, 1_000, seed));
+    }
+
+    private static Figures play(SelectionTuning tuning, int countedRouters, boolean hints, double load) {
+        double[] sums = new double[4];
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            VirtualFleet run = fleet(tuning, countedRouters, hints, load, seed);
+            run.run(4_000, 15_000);
+            sums[0] += run.worth() / SEEDS;
+            sums[1] += run.share("long", outcome -> outcome.inTime) / SEEDS;
+            sums[2] += run.share("short", outcome -> outcome.inTime) / SEEDS;
+            sums[3] += run.share("long", outcome -> outcome.viaPrefill) / SEEDS;
+        }
+        return new Figures(sums[0], sums[1], sums[2], sums[3]);
+    }
+
+    private static Figures usual(double load) {
+        return play(SelectionTuning.DEFAULT, 9, true, load);
+    }
+
+    @Test
+    void aQuietDayIsServedInTime() {
+        Figures figures = usual(0.55);
+        assertTrue(figures.worth > 0.955, figures.toString());
+        assertTrue(figures.shortInTime > 0.985, figures.toString());
+        assertTrue(figures.longByPrefill > 0.4, figures.toString());
+    }
+
+    @Test
+    void aBusyDayIsServedMostlyInTime() {
+        Figures figures = usual(1.1);
+        assertTrue(figures.worth > 0.93, figures.toString());
+        assertTrue(figures.shortInTime > 0.96, figures.toString());
+    }
+
+    @Test
+    void outstandingCallsTimesRoutersKeepRoutersApart() {
+        Figures with = usual(1.1);
+        Figures without = play(SelectionTuning.DEFAULT, 1, true, 1.1);
+        assertTrue(with.worth > without.worth, with + " against " + without);
+    }
+
+    @Test
+    void theRequestsOwnServiceTimeServesBetterThanTheLowestAnswerTime() {
+        Figures with = usual(1.1);
+        Figures without = play(SelectionTuning.DEFAULT.withServiceByRequest(false), 9, true, 1.1);
+        assertTrue(with.worth > without.worth + 0.05, with + " against " + without);
+    }
+
+    @Test
+    void hintsOfOtherRoutersFindKeptPrefixes() {
+        Figures with = usual(0.9);
+        Figures without = play(SelectionTuning.DEFAULT, 9, false, 0.9);
+        assertTrue(with.longInTime > without.longInTime + 0.1, with + " against " + without);
+    }
+
+    @Test
+    void theDelayOfOthersKeepsDecodeReplicasFromReading() {
+        Figures with = usual(1.1);
+        Figures without = play(SelectionTuning.DEFAULT.withInterference(0), 9, true, 1.1);
+        assertTrue(with.worth > without.worth, with + " against " + without);
+        assertTrue(with.longByPrefill > without.longByPrefill, with + " against " + without);
+    }
+
+    @Test
+    void aReplicaThatGoesDarkCostsAboutOneRequestOfEachRouter() {
+        int lost = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            VirtualFleet run = fleet(SelectionTuning.DEFAULT, 9, true, 0.9, seed);
+            run.darken(5, 10_000, 4_500);
+            run.run(8_000, 8_000);
+            lost += run.outcomes.values().stream().mapToInt(outcome -> outcome.failed).sum();
+        }
+        assertTrue(lost <= 18 * SEEDS, "lost " + lost + " in " + SEEDS + " runs");
+    }
+
+    @Test
+    void theSameSeedGivesTheSameFigures() {
+        String[] figures = new String[2];
+        for (int each = 0; each < 2; each++) {
+            VirtualFleet run = fleet(SelectionTuning.DEFAULT, 9, true, 0.9, 5);
+            run.run(2_000, 4_000);
+            figures[each] = run.figures();
+        }
+        assertEquals(figures[0], figures[1]);
+    }
+
+    @Test
+    void withoutPrefillReplicasDecodeReplicasReadThemselves() {
+        VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(3, 3, 0, 6, VirtualFleet.usualKinds(0.4, 1),
+                SelectionTuning.DEFAULT, true, true, true, 1_000, 1));
+        run.run(2_000, 5_000);
+        assertEquals(0, run.share("long", outcome -> outcome.failed), 1e-9);
+        assertEquals(0, run.share("long", outcome -> outcome.viaPrefill), 1e-9);
+    }
+}
