--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -0,0 +1,312 @@
+package pinewick.dataplane;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import pinewick.dissemination.FleetState;
+import pinewick.dissemination.FleetStateListener;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.InvalidConfigurationException;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.RequestLimits;
+import pinewick.model.Route;
+import pinewick.model.RoutingTable;
+import pinewick.model.ServiceSpec;
+import pinewick.model.SocketAddress;
+import pinewick.selection.ReplicaSelector;
+import pinewick.selection.RequestShape;
+import pinewick.selection.RetryBudget;
+
+/**
+ * Everything of the data plane that requests share: the routing table in force, the replicas, the requests under way.
+ * Follows {@link FleetState}.
+ */
+final class DataPlane implements FleetStateListener {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int FEWEST_CONNECTIONS = 4;
+    private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
+
+    private final SerialExecutor serial;
+    private final Timers timers;
+    private final RandomGenerator random;
+    private final ReplicaDirectory directory = new ReplicaDirectory();
+    private final UpstreamPool pool;
+    private final DataPlaneServices services;
+    private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final LoadSharing sharing;
+    private final ReportPoller reports;
+    private final Admission admission = new Admission();
+    private final ByteBuffer probe = BufferUtil.allocateDirect(1);
+    private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
+    private final Consumer<RequestLimits> onLimits;
+    private volatile RoutingTable routingTable = RoutingTable.EMPTY;
+    private volatile boolean stopping;
+    private int routerCountUpperBound = 1;
+
+    /** @param onLimits told of the limits in force when they change */
+    DataPlane(
+            SerialExecutor serial,
+            Timers timers,
+            RetryBudget budget,
+            ReplicaSelector selector,
+            PairChooser chooser,
+            RandomGenerator random,
+            Consumer<RequestLimits> onLimits) {
+        this.onLimits = onLimits;
+        this.serial = serial;
+        this.timers = timers;
+        this.random = random;
+        this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
+        this.services = new DataPlaneServices(
+                selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.sharing = new LoadSharing(selector);
+        this.reports = new ReportPoller(services, sharing::onReport);
+    }
+
+    /** Takes over what is known, and follows every change. */
+    void follow(FleetState state, UpstreamConnector connector) {
+        pool.setConnector(connector);
+        state.addListener(this);
+        configurationChanged(state.configuration());
+        state.replicas().forEach(this::replicaChanged);
+    }
+
+    // ---- what the fleet knows
+
+    @Override
+    public void configurationChanged(ConfigurationDocument document) {
+        if (document.version() == 0) {
+            return;
+        }
+        try {
+            RoutingTable next = ConfigurationChecks.toRoutingTable(document);
+            serial.execute(() -> {
+                if (next.version() > routingTable.version()) {
+                    putInForce(next);
+                }
+            });
+        } catch (InvalidConfigurationException e) {
+            LOG.atSevere().withCause(e).log("Configuration %d cannot be read; the one before stays", document.version());
+        }
+    }
+
+    private void putInForce(RoutingTable next) {
+        boolean otherLimits = !next.limits().equals(routingTable.limits());
+        routingTable = next;
+        next.services().values().forEach(service ->
+                service.engine().ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
+        if (otherLimits) {
+            onLimits.accept(next.limits());
+        }
+    }
+
+    @Override
+    public void replicaChanged(ReplicaRecord record) {
+        serial.execute(() -> {
+            directory.update(record);
+            if (record.state() == ReplicaState.GONE) {
+                pool.closeIdle(record.instanceId());
+                services.selector().forget(record.instanceId());
+            }
+        });
+    }
+
+    /** How many routers share the replicas and the retry budget. */
+    void setRouterCounts(int count, int upperBound) {
+        serial.execute(() -> {
+            routerCountUpperBound = Math.max(1, upperBound);
+            services.selector().setRouterCount(Math.max(1, count));
+            services.budget().setRouterCount(routerCountUpperBound);
+        });
+    }
+
+    RoutingTable routingTable() {
+        return routingTable;
+    }
+
+    DataPlaneServices services() {
+        return services;
+    }
+
+    /** Most connections that this router may hold to one replica of a service. */
+    private int connectionLimit(String service) {
+        int ofAll = routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
+        return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
+    }
+
+    /** Closes connections to replicas that have rested long enough, and notices clients that have left. */
+    void sweep() {
+        serial.execute(() -> {
+            pool.sweep();
+            List.copyOf(underWay.values()).forEach(client -> client.probe(probe));
+        });
+    }
+
+    /** Asks replicas for their load, where it is this router's turn. */
+    void pollReports(SocketAddress self, List<SocketAddress> otherRouters) {
+        serial.execute(() -> {
+            if (!stopping) {
+                reports.poll(self, otherRouters);
+            }
+        });
+    }
+
+    /** Hands over what this router has learnt of replicas since the last call, if anything. */
+    void shareLoad(Consumer<LoadNews> tell) {
+        serial.execute(() -> sharing.takeNews(timers.nowMs()).ifPresent(tell));
+    }
+
+    /** Another router tells what it saw of replicas. */
+    void onNews(LoadNews news) {
+        serial.execute(() -> sharing.onNews(news, timers.nowMs()));
+    }
+
+    Admission admission() {
+        return admission;
+    }
+
+    // ---- requests
+
+    /** Takes a request that was read whole. May be called on any thread. */
+    void accept(ClientRequest read, Request request, Response response, Callback callback) {
+        double arrivedAtMs = request.getBeginNanoTime() / 1e6;
+        serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
+    }
+
+    private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
+        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
+        Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        Optional<String> service = route.flatMap(this::drawService);
+        if (service.isEmpty()) {
+            client.answer(
+                    HttpStatus.NOT_FOUND_404,
+                    HttpFields.build().add(HeaderNames.REQUEST_ID, read.id()),
+                    UpstreamRequest.NO_BODY);
+            return;
+        }
+        RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
+        RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
+        client.setLifecycle(lifecycle);
+        underWay.put(lifecycle, client);
+        request.addIdleTimeoutListener(timeout -> false);
+        request.addFailureListener(failure -> serial.execute(() -> client.gone(failure)));
+        lifecycle.start();
+    }
+
+    private static String hostOf(Request request) {
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        if (host == null) {
+            return "";
+        }
+        int colon = host.lastIndexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
+    }
+
+    /** Draws a service by the route's weights; those without a replica are left out while another has one. */
+    private Optional<String> drawService(Route route) {
+        if (route.split().size() == 1) {
+            return Optional.of(route.split().get(0).service());
+        }
+        Optional<String> served = draw(route, service -> !directory.candidates(service).isEmpty());
+        return served.isPresent() ? served : draw(route, service -> true);
+    }
+
+    private Optional<String> draw(Route route, Predicate<String> allowed) {
+        List<Route.WeightedService> services = route.split().stream()
+                .filter(each -> each.weight() > 0 && allowed.test(each.service()))
+                .toList();
+        int total = services.stream().mapToInt(Route.WeightedService::weight).sum();
+        int drawn = total == 0 ? 0 : random.nextInt(total);
+        for (Route.WeightedService each : services) {
+            drawn -= each.weight();
+            if (drawn < 0) {
+                return Optional.of(each.service());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
+        boolean generation = routingTable
+                .service(service)
+                .flatMap(ServiceSpec::engine)
+                .isPresent();
+        PromptHeaders prompt = PromptHeaders.parse(fields);
+        double held = Math.min(route.timeoutMs(), deadlineMs(fields));
+        return new RequestShape(
+                route,
+                service,
+                generation,
+                generation ? prompt.model() : "",
+                generation ? prompt.promptTokens() : 0,
+                generation ? prompt.outputTokens() : 0,
+                generation ? prompt.parts() : List.of(),
+                arrivedAtMs,
+                arrivedAtMs + held);
+    }
+
+    private static double deadlineMs(HttpFields fields) {
+        String told = fields.get(HeaderNames.DEADLINE_MS);
+        if (told == null) {
+            return NO_DEADLINE_MS;
+        }
+        try {
+            return Math.max(1, Double.parseDouble(told.trim()));
+        } catch (NumberFormatException e) {
+            return NO_DEADLINE_MS;
+        }
+    }
+
+    // ---- the end
+
+    /** From now on each answer closes its connection. */
+    void beginStopping() {
+        stopping = true;
+    }
+
+    /** Completes once no request is under way. */
+    CompletableFuture<Void> whenIdle() {
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        serial.execute(() -> {
+            waitingForIdle.add(idle);
+            tellIfIdle();
+        });
+        return idle;
+    }
+
+    private void ended(RequestLifecycle lifecycle) {
+        underWay.remove(lifecycle);
+        tellIfIdle();
+    }
+
+    private void tellIfIdle() {
+        if (underWay.isEmpty() && !waitingForIdle.isEmpty()) {
+            List<CompletableFuture<Void>> told = List.copyOf(waitingForIdle);
+            waitingForIdle.clear();
+            told.forEach(idle -> idle.complete(null));
+        }
+    }
+
+    /** Answers whatever has not been answered. */
+    void answerTheRest() {
+        serial.execute(() -> List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown));
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
@@ -0,0 +1,124 @@
+package pinewick.dataplane;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
+
+/** One end of a connection, played by hand. Every wait is bounded. */
+final class RawSocket implements AutoCloseable {
+    private static final int PATIENCE_MS = 10_000;
+    private static final int SHORT_WAIT_MS = 20;
+    private static final int MOST_TURNS = 500;
+    private static final int HELD_UP_MS = 300;
+
+    private final Socket socket;
+    private final InputStream in;
+
+    RawSocket(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    static RawSocket connect(int port) throws IOException {
+        return new RawSocket(new Socket(InetAddress.getByName("127.0.0.1"), port));
+    }
+
+    void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    HttpText.Message read() throws IOException {
+        return HttpText.read(in);
+    }
+
+    HttpText.Message readHead() throws IOException {
+        return HttpText.readHead(in);
+    }
+
+    String readChunk() throws IOException {
+        return HttpText.readChunk(in);
+    }
+
+    /** Waits for the other side's end; true if nothing came before it. A reset counts as an end. */
+    boolean isClosedByPeer() {
+        try {
+            return in.read() < 0;
+        } catch (IOException e) {
+            return !(e instanceof java.net.SocketTimeoutException);
+        }
+    }
+
+    /** Sends until the other side's end is felt; true if it came within a bounded number of turns. */
+    boolean isClosedByPeerWhileSending(IntFunction<String> textOfTurn) throws IOException {
+        socket.setSoTimeout(SHORT_WAIT_MS);
+        for (int turn = 0; turn < MOST_TURNS; turn++) {
+            try {
+                send(textOfTurn.apply(turn));
+                if (in.read() < 0) {
+                    return true;
+                }
+            } catch (SocketTimeoutException e) {
+                // still open: the next turn
+            } catch (IOException e) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Runs a step over and over until the other side's end is felt; true if it came within a bounded number of turns. */
+    boolean isClosedByPeerWhile(Runnable step) throws IOException {
+        socket.setSoTimeout(SHORT_WAIT_MS);
+        for (int turn = 0; turn < MOST_TURNS; turn++) {
+            step.run();
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                // still open: the next turn
+            }
+        }
+        return false;
+    }
+
+    /** Sends on a thread of its own until the other side takes no more for a while. */
+    void sendUntilHeldUp(String text) throws Exception {
+        AtomicInteger sent = new AtomicInteger();
+        Thread sender = new Thread(() -> {
+            try {
+                while (true) {
+                    send(text);
+                    sent.incrementAndGet();
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+        int before;
+        do {
+            before = sent.get();
+            sender.join(HELD_UP_MS);
+        } while (sent.get() != before);
+    }
+
+    /** Closes with a reset in place of an orderly end. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
