Retry budget gives back what was not sent; selection formatted and linted

Which part it came from does not matter to the sum: both are booked at the same time. The property test now gives back by chance.

--- a/selection/src/main/java/pinewick/selection/AdmissionControl.java
+++ b/selection/src/main/java/pinewick/selection/AdmissionControl.java
@@ -7,13 +7,14 @@
 import pinewick.model.ReplicaRecord;
 
 /**
- * Decides at once whether a request is offered to a replica or refused. Refused is only what its service cannot serve before
- * its client gives up, and only while the places of the service are really taken. What is expected is judged by the mean of
- * the route, not by a request's own size, so that long requests have the same chance as short ones; the less urgent are
- * refused first. A later try, after a refusal, is not refused again unless it is hopeless even without waiting.
+ * Decides at once whether a request is offered to a replica or refused. Refused is only what its service cannot serve
+ * before its client gives up, and only while the places of the service are really taken. What is expected is judged
+ * by the mean of the route, not by a request's own size, so that long requests have the same chance as short ones;
+ * the less urgent are refused first. A later try, after a refusal, is not refused again unless it is hopeless even
+ * without waiting.
  *
- * <p>More refusals than these lost worth in every overload of the virtual fleet: clients come back once, so that a refusal
- * only moves the load, and a late answer earns half.
+ * <p>More refusals than these lost worth in every overload of the virtual fleet: clients come back once, so that a
+ * refusal only moves the load, and a late answer earns half.
  */
 public final class AdmissionControl {
     /** Each step down in urgency takes this part off the time that a request may be expected to take. */
--- a/selection/src/main/java/pinewick/selection/CacheBelief.java
+++ b/selection/src/main/java/pinewick/selection/CacheBelief.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 
 /**
- * What one replica's prefix cache is believed to hold: prompt parts in the order of their last use, within the memory of
- * the replica. Holds its entries in arrays, so that looking up allocates nothing.
+ * What one replica's prefix cache is believed to hold: prompt parts in the order of their last use, within the memory
+ * of the replica. Holds its entries in arrays, so that looking up allocates nothing.
  */
 final class CacheBelief {
     private static final int NONE = -1;
--- a/selection/src/main/java/pinewick/selection/PriceModel.java
+++ b/selection/src/main/java/pinewick/selection/PriceModel.java
@@ -1,8 +1,8 @@
 package pinewick.selection;
 
 /**
- * The prices of a choice as the time that avoiding them is worth. Prices are in units of a request's worth; deployments
- * differ in them, so these are of their usual size, and small beside the times that the score compares.
+ * The prices of a choice as the time that avoiding them is worth. Prices are in units of a request's worth;
+ * deployments differ in them, so these are of their usual size, and small beside the times that the score compares.
  */
 final class PriceModel {
     /** Time that one unit of worth is taken for. */
--- a/selection/src/main/java/pinewick/selection/PromptChain.java
+++ b/selection/src/main/java/pinewick/selection/PromptChain.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The parts of one prompt as a chain: each part is named by a hash over its own id and those of every part before it, so
- * that equal hashes mean equal prefixes.
+ * The parts of one prompt as a chain: each part is named by a hash over its own id and those of every part before it,
+ * so that equal hashes mean equal prefixes.
  */
 final class PromptChain {
     private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -147,15 +147,18 @@
         return slots;
     }
 
-    /** Calls that are likely at the replica: by a report that is not old, else as many for each router as for this one. */
+    /**
+     * Calls that are likely at the replica: by a report that is not old, else as many for each router as for this
+     * one.
+     */
     double likelyInProgress(int routers, double nowMs) {
         boolean told = report != null && nowMs - report.atMs() < REPORT_HOLDS_MS;
         return told ? inProgress() : (double) outstanding * routers;
     }
 
     /**
-     * The queue: by the report, less what this router has seen end since or with what it has begun beyond the slots; else
-     * what this router has in flight there. A report counts less as it ages.
+     * The queue: by the report, less what this router has seen end since or with what it has begun beyond the slots;
+     * else what this router has in flight there. A report counts less as it ages.
      */
     double queue(double nowMs) {
         double weight = reportWeight(nowMs);
@@ -173,8 +176,8 @@
     }
 
     /**
-     * The share of its memory that is in use; 0 without a report. The share of its slots would tell nothing, as all are taken
-     * wherever there is a queue.
+     * The share of its memory that is in use; 0 without a report. The share of its slots would tell nothing, as all
+     * are taken wherever there is a queue.
      */
     double busyShare(double nowMs) {
         double weight = reportWeight(nowMs);
@@ -291,7 +294,9 @@
         measuredAtMs = nowMs;
     }
 
-    /** An answer with a move of memory took so much longer than s; what waiting at this replica explains is left out. */
+    /**
+     * An answer with a move of memory took so much longer than s; what waiting at this replica explains is left out.
+     */
     void measuredLink(double beyondMs, double nowMs) {
         double beyond = Math.max(0, beyondMs - excessMs(nowMs));
         double before = linkExcessMs(nowMs);
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * The time that a call of this kind takes for so many tokens read or moved. Where its pace has not been measured, it is
-     * taken from the kind that reads as well, and without that from the first guess for the whole request.
+     * The time that a call of this kind takes for so many tokens read or moved. Where its pace has not been measured,
+     * it is taken from the kind that reads as well, and without that from the first guess for the whole request.
      */
     double expectedMs(CallKind kind, RequestShape request, double tokens, double firstGuessMs) {
         ServiceTimeModel own = models[kind.ordinal()];
@@ -106,8 +106,8 @@
     }
 
     /**
-     * The time that others lose, all together, while a replica is held for this long: those that come meanwhile, half of it
-     * each on average.
+     * The time that others lose, all together, while a replica is held for this long: those that come meanwhile, half
+     * of it each on average.
      */
     double delayOfOthersMs(double heldMs, int routers, double nowMs) {
         double callsPerMs = calls.perMs(nowMs) * routers / Math.max(1, members.size());
--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -75,7 +75,8 @@
         }
         RequestScores scores = scores(request, nowMs);
         if (!request.generation()) {
-            return Optional.of(new Pair(Optional.empty(), decodes.replica(scores.plain(decodes).index())));
+            return Optional.of(new Pair(
+                    Optional.empty(), decodes.replica(scores.plain(decodes).index())));
         }
         int kept = keptSomewhere(chain(request));
         LowestScore whole = scores.whole(decodes, kept);
@@ -108,7 +109,8 @@
         if (decodes.size() == 0) {
             return Optional.empty();
         }
-        return Optional.of(decodes.replica(scores(request, nowMs).fetched(decodes, reader).index()));
+        return Optional.of(
+                decodes.replica(scores(request, nowMs).fetched(decodes, reader).index()));
     }
 
     /** How busy the replicas are that may take a request. */
@@ -127,15 +129,15 @@
             }
         }
         RequestScores scores = scores(request, nowMs);
-        return new ServiceLoad(places, taken, waiting, scores.shortestWaitMs(decodes), scores.shortestServiceMs(decodes));
+        return new ServiceLoad(
+                places, taken, waiting, scores.shortestWaitMs(decodes), scores.shortestServiceMs(decodes));
     }
 
     private RequestScores scores(RequestShape request, double nowMs) {
         return new RequestScores(tuning, random, place, routers, request, chain(request), nowMs);
     }
 
-    private double movePrice(
-            RequestScores scores, RequestShape request, ReplicaRecord reader, ReplicaRecord decode) {
+    private double movePrice(RequestScores scores, RequestShape request, ReplicaRecord reader, ReplicaRecord decode) {
         EngineSpec engine = engines.get(request.service());
         return engine == null ? 0 : scores.movePrice(engine, reader, decode);
     }
@@ -163,7 +165,9 @@
     }
 
     private static boolean holdsModel(ReplicaRecord replica, RequestShape request) {
-        if (!request.generation() || request.model().isEmpty() || replica.models().isEmpty()) {
+        if (!request.generation()
+                || request.model().isEmpty()
+                || replica.models().isEmpty()) {
             return true;
         }
         for (int each = 0; each < replica.models().size(); each++) {
--- a/selection/src/main/java/pinewick/selection/RequestScores.java
+++ b/selection/src/main/java/pinewick/selection/RequestScores.java
@@ -4,7 +4,9 @@
 import pinewick.model.EngineSpec;
 import pinewick.model.ReplicaRecord;
 
-/** The scores of the candidates for one request: s of each kind of call, with the small prices that go with a choice. */
+/**
+ * The scores of the candidates for one request: s of each kind of call, with the small prices that go with a choice.
+ */
 final class RequestScores {
     /** R and s start at this part of the route's target. */
     private static final double FIRST_GUESS = 0.1;
@@ -45,7 +47,8 @@
             ReplicaMeasurements measured = candidates.measured(each);
             double service = measured.plainServiceMs(firstGuessMs(request), nowMs);
             double score = measured.score(service, measured.excessMs(nowMs), routers, nowMs);
-            lowest.offer(each, score + place.requestPrice(candidates.replica(each).zone(), 0));
+            lowest.offer(
+                    each, score + place.requestPrice(candidates.replica(each).zone(), 0));
         }
         return lowest;
     }
@@ -81,8 +84,8 @@
             ReplicaMeasurements measured = candidates.measured(each);
             double service = readMs(measured, CallKind.DECODE_WHOLE);
             double excess = measured.excessMs(nowMs) + stepExcessMs(measured);
-            double price = price(candidates.replica(each))
-                    + readingPrice(measured, CallKind.DECODE_WHOLE, keptSomewhere);
+            double price =
+                    price(candidates.replica(each)) + readingPrice(measured, CallKind.DECODE_WHOLE, keptSomewhere);
             lowest.offer(each, measured.score(service, excess, routers, nowMs) + price);
         }
         return lowest;
@@ -143,8 +146,7 @@
     /** A move carries the whole prompt, whatever its goal keeps. */
     private double fetchMs(ReplicaMeasurements measured, ReplicaRecord replica, ReplicaRecord reader) {
         double moved = prompt.promptTokens() * place.moveFactor(reader.zone(), replica.zone());
-        double expected =
-                measured.pool().expectedMs(CallKind.DECODE_FETCHED, request, moved, firstGuessMs(request));
+        double expected = measured.pool().expectedMs(CallKind.DECODE_FETCHED, request, moved, firstGuessMs(request));
         return measured.engineServiceMs(expected, measured.pool().expectedOutput(request), nowMs);
     }
 }
--- a/selection/src/main/java/pinewick/selection/RetryBudget.java
+++ b/selection/src/main/java/pinewick/selection/RetryBudget.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 
 /**
- * This router's part of the retry budget that all routers share: arrivals at a service beyond the first of each request
- * stay under ratio times its requests plus slack, over every window of {@code windowMs}.
+ * This router's part of the retry budget that all routers share: arrivals at a service beyond the first of each
+ * request stay under ratio times its requests plus slack, over every window of {@code windowMs}.
  *
- * <p>Each router spends from its own requests and from an equal part of the slack, so the sum holds without a word between
- * routers.
+ * <p>Each router spends from its own requests and from an equal part of the slack, so the sum holds without a word
+ * between routers.
  *
  * <ul>
- *   <li>From requests: over each half window at most half the ratio times the requests in it. A window is two halves, and
- *       the requests of each lie in that window or in the one half a window before it, of which the rule takes the larger:
- *       twice the half of it, however the traffic changes.
+ *   <li>From requests: over each half window at most half the ratio times the requests in it. A window is two halves,
+ *       and the requests of each lie in that window or in the one half a window before it, of which the rule takes the
+ *       larger: twice the half of it, however the traffic changes.
  *   <li>From the slack: over each window an equal part by the most routers of the last window. A router that has just
  *       started has none for one window, since what its earlier life, or a router that is gone, spent may still count.
  * </ul>
@@ -88,6 +88,17 @@
         return false;
     }
 
+    /**
+     * Returns what was taken at {@code takenAtMs} for an arrival that never happened. From which part it came does not
+     * matter to the sum, as both have the same time.
+     */
+    public void giveBack(String service, double takenAtMs) {
+        ServiceCounts counts = counts(service);
+        if (!counts.fromSlack.takeBack(takenAtMs)) {
+            counts.fromRequests.takeBack(takenAtMs);
+        }
+    }
+
     private int effectiveBound(double nowMs) {
         return nowMs - boundFellAtMs < windowMs ? Math.max(boundBefore, upperBound) : upperBound;
     }
--- a/selection/src/main/java/pinewick/selection/SelectionTuning.java
+++ b/selection/src/main/java/pinewick/selection/SelectionTuning.java
@@ -6,7 +6,8 @@
  *
  * @param smoothing weight of one answer in R
  * @param busyWeight factor of the busy share that scales the reported queue
- * @param serviceByRequest whether s is the request's own service time, or the lowest recent answer time whatever its size
+ * @param serviceByRequest whether s is the request's own service time, or the lowest recent answer time whatever
+ *     its size
  * @param excessHalfLifeMs time in which R - s of a replica that is not heard from falls half way to its kind's average
  * @param reportHalfLife a report counts half after so many times the mean answer time of its kind
  * @param interference weight of the delay that a prompt's reading brings to the calls that come meanwhile
--- a/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
+++ b/selection/src/main/java/pinewick/selection/ServiceTimeModel.java
@@ -1,9 +1,9 @@
 package pinewick.selection;
 
 /**
- * The time that calls of one kind take by the tokens that they read or move: a fixed part and a pace, learnt from recent
- * answers. The line is a quantile regression: a quarter of the answers lie below it, since the others waited. The answers
- * are kept by size, so that many short ones don't crowd out the long ones that tell the pace.
+ * The time that calls of one kind take by the tokens that they read or move: a fixed part and a pace, learnt from
+ * recent answers. The line is a quantile regression: a quarter of the answers lie below it, since the others waited.
+ * The answers are kept by size, so that many short ones don't crowd out the long ones that tell the pace.
  */
 final class ServiceTimeModel {
     private static final double QUANTILE = 0.25;
--- a/selection/src/main/java/pinewick/selection/WindowCount.java
+++ b/selection/src/main/java/pinewick/selection/WindowCount.java
@@ -21,6 +21,17 @@
         counts[advance(nowMs)] += amount;
     }
 
+    /** Undoes one event of that time; false if there is none, or the window has left it behind. */
+    boolean takeBack(double addedAtMs) {
+        long bucket = (long) Math.floor(addedAtMs / bucketMs);
+        int index = (int) Math.floorMod(bucket, (long) counts.length);
+        if (bucket > newest || newest - bucket >= counts.length || counts[index] == 0) {
+            return false;
+        }
+        counts[index]--;
+        return true;
+    }
+
     /** At least what fell into the last {@code windowMs}: the bucket at its edge counts whole. */
     int atLeast(double windowMs, double nowMs) {
         return sum((int) Math.ceil(windowMs / bucketMs) + 1, nowMs);
--- a/selection/src/test/java/pinewick/selection/AdmissionControlTest.java
+++ b/selection/src/test/java/pinewick/selection/AdmissionControlTest.java
@@ -28,8 +28,16 @@
     }
 
     private static RequestShape request(long id, int own, int priority, double timeMs, double nowMs) {
-        return new RequestShape(Shapes.route("p" + priority, 300, 5_000, priority), "s", true, "m", 16 + own, 40,
-                List.of(new PromptPart(1, 16), new PromptPart(1_000 + id, own)), nowMs, nowMs + timeMs);
+        return new RequestShape(
+                Shapes.route("p" + priority, 300, 5_000, priority),
+                "s",
+                true,
+                "m",
+                16 + own,
+                40,
+                List.of(new PromptPart(1, 16), new PromptPart(1_000 + id, own)),
+                nowMs,
+                nowMs + timeMs);
     }
 
     /** Every replica answers this late, and reports so many at work and waiting. */
@@ -73,8 +81,8 @@
     }
 
     private void report(int running, int waiting, double nowMs) {
-        replicas.forEach(each -> selector.report(
-                each.instanceId(), Shapes.report(Stage.DECODE, waiting, running, 0.5, nowMs)));
+        replicas.forEach(
+                each -> selector.report(each.instanceId(), Shapes.report(Stage.DECODE, waiting, running, 0.5, nowMs)));
     }
 
     @Test
--- a/selection/src/test/java/pinewick/selection/ChoiceCost.java
+++ b/selection/src/test/java/pinewick/selection/ChoiceCost.java
@@ -29,8 +29,9 @@
                     now += 10;
                     serve(selector, admission, replicas, Shapes.generation(each % 120, 13_000, 3_000, now), now);
                 }
-                System.out.printf("%d candidates: %.1f microseconds a request%n", count,
-                        (System.nanoTime() - from) / 1e3 / requests);
+                System.out.printf(
+                        "%d candidates: %.1f microseconds a request%n",
+                        count, (System.nanoTime() - from) / 1e3 / requests);
             }
         }
     }
@@ -45,7 +46,8 @@
         Pair pair = selector.choose(request, replicas, Set.of(), now).orElseThrow();
         if (pair.prefill().isPresent()) {
             selector.begin(pair.prefill().get(), CallKind.PREFILL, request, now).ended(CallEnding.ANSWERED, now + 50);
-            ReplicaSelector.Call call = selector.beginFetched(pair.decode(), pair.prefill().get(), request, now + 50);
+            ReplicaSelector.Call call =
+                    selector.beginFetched(pair.decode(), pair.prefill().get(), request, now + 50);
             call.firstEvent(now + 100);
             call.ended(CallEnding.ANSWERED, now + 120);
         } else {
--- a/selection/src/test/java/pinewick/selection/PrefixCacheBeliefsTest.java
+++ b/selection/src/test/java/pinewick/selection/PrefixCacheBeliefsTest.java
@@ -24,7 +24,8 @@
         List<PrefixHint> hints = here.takeHints(10, 150);
         assertEquals(2, hints.size());
         assertEquals(70, hints.stream().mapToInt(PrefixHint::ballastTokens).sum());
-        assertTrue(hints.stream().allMatch(hint -> hint.ageMs() == 50 && hint.instanceId().equals("a")));
+        assertTrue(hints.stream()
+                .allMatch(hint -> hint.ageMs() == 50 && hint.instanceId().equals("a")));
         hints.forEach(hint -> there.learn(hint, 1_000));
         assertEquals(800, there.cachedTokens("a", PROMPT));
         assertEquals(870, there.belief("a").heldTokens());
@@ -36,7 +37,7 @@
     void theNewestHintsGoFirstAndOldOnesNotAtAll() {
         PrefixCacheBeliefs beliefs = beliefs();
         for (int each = 0; each < 20; each++) {
-            beliefs.used("a", List.of(new PromptPart(each, 10), new PromptPart(1_000 + each, 10)), each);
+            beliefs.used("a", List.of(new PromptPart(each, 600), new PromptPart(1_000 + each, 10)), each);
         }
         List<PrefixHint> hints = beliefs.takeHints(3, 19);
         assertEquals(List.of(0, 1, 2), hints.stream().map(PrefixHint::ageMs).toList());
@@ -44,6 +45,15 @@
         assertTrue(beliefs.takeHints(3, 10_000).isEmpty());
     }
 
+    @Test
+    void promptsThatShareLittleAreNotTold() {
+        PrefixCacheBeliefs beliefs = beliefs();
+        beliefs.used("a", List.of(new PromptPart(1, 300), new PromptPart(2, 200), new PromptPart(3, 9_000)), 0);
+        assertTrue(beliefs.takeHints(10, 0).isEmpty());
+        beliefs.used("a", List.of(new PromptPart(1, 300), new PromptPart(4, 300), new PromptPart(3, 9_000)), 0);
+        assertEquals(2, beliefs.takeHints(10, 0).size(), "a small part before the rest is told as well");
+    }
+
     @Test
     void anInstanceThatHasGoneIsForgotten() {
         PrefixCacheBeliefs beliefs = beliefs();
@@ -60,7 +70,7 @@
         PrefixCacheBeliefs beliefs = new PrefixCacheBeliefs(100);
         beliefs.setCapacity("a", Long.MAX_VALUE / 4);
         for (int each = 0; each < 5_000; each++) {
-            beliefs.used("a", List.of(new PromptPart(each, 10), new PromptPart(100_000 + each, 10)), each);
+            beliefs.used("a", List.of(new PromptPart(each, 600), new PromptPart(100_000 + each, 10)), each);
         }
         assertEquals(100, beliefs.belief("a").size());
         assertTrue(beliefs.takeHints(10_000, 5_000).size() <= 1_024);
--- a/selection/src/test/java/pinewick/selection/ReplicaMeasurementsTest.java
+++ b/selection/src/test/java/pinewick/selection/ReplicaMeasurementsTest.java
@@ -21,8 +21,17 @@
     }
 
     private CallMeasurement begin(ReplicaMeasurements at, double nowMs) {
-        return new CallMeasurement("a", at, null, beliefs, new SplittableRandom(1), CallKind.PLAIN, Shapes.plain(nowMs),
-                PromptChain.EMPTY, 1, nowMs);
+        return new CallMeasurement(
+                "a",
+                at,
+                null,
+                beliefs,
+                new SplittableRandom(1),
+                CallKind.PLAIN,
+                Shapes.plain(nowMs),
+                PromptChain.EMPTY,
+                1,
+                nowMs);
     }
 
     private void answer(ReplicaMeasurements at, double fromMs, double tookMs) {
--- a/selection/src/test/java/pinewick/selection/ReplicaSelectorTest.java
+++ b/selection/src/test/java/pinewick/selection/ReplicaSelectorTest.java
@@ -34,14 +34,21 @@
     }
 
     private String plain(List<ReplicaRecord> candidates, double nowMs) {
-        return selector.choose(Shapes.plain(nowMs), candidates, Set.of(), nowMs).orElseThrow().decode().instanceId();
+        return selector.choose(Shapes.plain(nowMs), candidates, Set.of(), nowMs)
+                .orElseThrow()
+                .decode()
+                .instanceId();
     }
 
     private void answerPlain(ReplicaRecord replica, double fromMs, double tookMs) {
-        selector.begin(replica, CallKind.PLAIN, Shapes.plain(fromMs), fromMs).ended(CallEnding.ANSWERED, fromMs + tookMs);
+        selector.begin(replica, CallKind.PLAIN, Shapes.plain(fromMs), fromMs)
+                .ended(CallEnding.ANSWERED, fromMs + tookMs);
     }
 
-    /** Makes known what calls take: a read token 0.01 ms at prefill and 0.02 ms at decode replicas, a move nearly nothing. */
+    /**
+     * Makes known what calls take: a read token 0.01 ms at prefill and 0.02 ms at decode replicas, a move nearly
+     * nothing.
+     */
     private void learnPaces(List<ReplicaRecord> fleet) {
         for (int each = 0; each < 8; each++) {
             int tokens = 2_000 * (each + 1);
@@ -113,8 +120,10 @@
             Pair pair = selector.choose(request, candidates, Set.of("tried"), 0).orElseThrow();
             assertEquals("fit", pair.decode().instanceId());
         }
-        assertTrue(selector.choose(request, candidates.subList(0, 3), Set.of(), 0).isEmpty());
-        assertTrue(selector.choose(request, List.of(candidates.get(5)), Set.of(), 0).isEmpty());
+        assertTrue(
+                selector.choose(request, candidates.subList(0, 3), Set.of(), 0).isEmpty());
+        assertTrue(selector.choose(request, List.of(candidates.get(5)), Set.of(), 0)
+                .isEmpty());
         assertTrue(selector.choose(request, List.of(), Set.of(), 0).isEmpty());
     }
 
@@ -135,19 +144,23 @@
         selector.setEngine("s", Shapes.ENGINE);
         learnPaces(fleet);
         RequestShape request = Shapes.generation(1, 10_000, 500, 1_000);
-        ReplicaRecord first = selector.choose(request, fleet, Set.of(), 1_000).orElseThrow().decode();
+        ReplicaRecord first =
+                selector.choose(request, fleet, Set.of(), 1_000).orElseThrow().decode();
         ReplicaSelector.Call call = selector.begin(first, CallKind.DECODE_WHOLE, request, 1_000);
         call.firstEvent(1_230);
         call.ended(CallEnding.ANSWERED, 1_230);
         for (int each = 0; each < 20; each++) {
             RequestShape next = Shapes.generation(1, 10_000, 500, 1_500);
-            assertEquals(first, selector.choose(next, fleet, Set.of(), 1_500).orElseThrow().decode());
+            assertEquals(
+                    first,
+                    selector.choose(next, fleet, Set.of(), 1_500).orElseThrow().decode());
         }
         selector.forget(first.instanceId());
         int elsewhere = 0;
         for (int each = 0; each < 20; each++) {
             RequestShape next = Shapes.generation(1, 10_000, 500, 1_500);
-            elsewhere += selector.choose(next, fleet, Set.of(), 1_500).orElseThrow().decode() == first ? 0 : 1;
+            elsewhere +=
+                    selector.choose(next, fleet, Set.of(), 1_500).orElseThrow().decode() == first ? 0 : 1;
         }
         assertTrue(elsewhere > 5, "a new instance at its place has nothing kept");
     }
@@ -157,8 +170,10 @@
         List<ReplicaRecord> fleet = fleet(2, 3);
         selector.setEngine("s", Shapes.ENGINE);
         learnPaces(fleet);
-        Pair ofLong = selector.choose(Shapes.generation(1, 12_000, 4_000, 1_000), fleet, Set.of(), 1_000).orElseThrow();
-        Pair ofShort = selector.choose(Shapes.generation(2, 90, 300, 1_000), fleet, Set.of(), 1_000).orElseThrow();
+        Pair ofLong = selector.choose(Shapes.generation(1, 12_000, 4_000, 1_000), fleet, Set.of(), 1_000)
+                .orElseThrow();
+        Pair ofShort = selector.choose(Shapes.generation(2, 90, 300, 1_000), fleet, Set.of(), 1_000)
+                .orElseThrow();
         assertEquals(Stage.PREFILL, ofLong.prefill().orElseThrow().stage());
         assertEquals(Stage.DECODE, ofLong.decode().stage());
         assertEquals(Optional.empty(), ofShort.prefill());
@@ -172,7 +187,8 @@
         ReplicaSelector.Call call = selector.begin(fleet.get(2), CallKind.DECODE_WHOLE, brief, 0);
         call.firstEvent(30);
         call.ended(CallEnding.ANSWERED, 30);
-        Pair pair = selector.choose(Shapes.generation(1, 12_000, 4_000, 100), fleet, Set.of(), 100).orElseThrow();
+        Pair pair = selector.choose(Shapes.generation(1, 12_000, 4_000, 100), fleet, Set.of(), 100)
+                .orElseThrow();
         assertTrue(pair.decode().stage() == Stage.DECODE);
         RequestShape large = Shapes.generation(3, 12_000, 4_000, 100);
         for (int each = 0; each < 3; each++) {
@@ -180,7 +196,8 @@
             whole.firstEvent(450);
             whole.ended(CallEnding.ANSWERED, 450);
         }
-        Pair next = selector.choose(Shapes.generation(4, 12_000, 4_000, 500), fleet, Set.of(), 500).orElseThrow();
+        Pair next = selector.choose(Shapes.generation(4, 12_000, 4_000, 500), fleet, Set.of(), 500)
+                .orElseThrow();
         assertTrue(next.prefill().isPresent(), "what decode replicas take tells that prefill replicas take half");
     }
 
@@ -197,8 +214,8 @@
             Pair pair = selector.choose(request, fleet, Set.of(), now).orElseThrow();
             byPrefill += pair.prefill().isPresent() ? 1 : 0;
             for (ReplicaRecord decode : fleet.subList(2, 5)) {
-                ReplicaSelector.Call brief = selector.begin(decode, CallKind.DECODE_WHOLE,
-                        Shapes.generation(2, 90, 300, now), now);
+                ReplicaSelector.Call brief =
+                        selector.begin(decode, CallKind.DECODE_WHOLE, Shapes.generation(2, 90, 300, now), now);
                 brief.firstEvent(now + 150);
                 brief.ended(CallEnding.ANSWERED, now + 150);
             }
@@ -235,7 +252,8 @@
     void anEjectedReplicaIsNotChosenUntilItsRestIsOver() {
         List<ReplicaRecord> candidates = replicas(Stage.NONE, 3);
         candidates.forEach(each -> answerPlain(each, 0, 50));
-        selector.begin(candidates.get(0), CallKind.PLAIN, Shapes.plain(100), 100).ended(CallEnding.NOT_CONNECTED, 101);
+        selector.begin(candidates.get(0), CallKind.PLAIN, Shapes.plain(100), 100)
+                .ended(CallEnding.NOT_CONNECTED, 101);
         for (int each = 0; each < 100; each++) {
             assertFalse(plain(candidates, 110).equals("none0"));
         }
@@ -266,17 +284,32 @@
         learnPaces(fleet);
         RequestShape request = Shapes.generation(1, 12_000, 4_000, 1_000);
         selector.begin(fleet.get(1), CallKind.DECODE_WHOLE, Shapes.generation(2, 90, 300, 1_000), 1_000);
-        assertEquals(fleet.get(2),
-                selector.chooseDecode(request, fleet.get(0), fleet, Set.of(), 1_000).orElseThrow());
-        assertEquals(fleet.get(1),
-                selector.chooseDecode(request, fleet.get(0), fleet, Set.of("decode1"), 1_000).orElseThrow());
+        assertEquals(
+                fleet.get(2),
+                selector.chooseDecode(request, fleet.get(0), fleet, Set.of(), 1_000)
+                        .orElseThrow());
+        assertEquals(
+                fleet.get(1),
+                selector.chooseDecode(request, fleet.get(0), fleet, Set.of("decode1"), 1_000)
+                        .orElseThrow());
     }
 
     @Test
     void amongEqualsTheOwnZoneIsCheaper() {
         ReplicaRecord here = Shapes.replica("here", Stage.NONE);
-        ReplicaRecord there = new ReplicaRecord("there", "s", here.address(), "y", "v1", 12, ReplicaState.READY, 0,
-                Stage.NONE, here.models(), 1, false);
+        ReplicaRecord there = new ReplicaRecord(
+                "there",
+                "s",
+                here.address(),
+                "y",
+                "v1",
+                12,
+                ReplicaState.READY,
+                0,
+                Stage.NONE,
+                here.models(),
+                1,
+                false);
         selector.setPlace("z", Map.of("z", "r", "y", "r"));
         for (int each = 0; each < 50; each++) {
             assertEquals("here", plain(List.of(there, here), 0));
@@ -294,6 +327,7 @@
         selector.choose(request, List.of(asPrefill, other), Set.of(), 10);
         call.firstEvent(300);
         call.ended(CallEnding.ANSWERED, 310);
-        assertTrue(selector.choose(request, List.of(asPrefill, other), Set.of(), 320).isPresent());
+        assertTrue(selector.choose(request, List.of(asPrefill, other), Set.of(), 320)
+                .isPresent());
     }
 }
--- a/selection/src/test/java/pinewick/selection/RetryBudgetTest.java
+++ b/selection/src/test/java/pinewick/selection/RetryBudgetTest.java
@@ -69,6 +69,20 @@
         assertTrue(budget.tryTake(SERVICE, 4_000));
     }
 
+    @Test
+    void whatNeverHappenedIsGivenBack() {
+        RetryBudget budget = new RetryBudget(0, 50, WINDOW_MS);
+        budget.setRouterCount(9);
+        budget.started(0);
+        assertEquals(5, takeAll(budget, 20_000));
+        budget.giveBack(SERVICE, 20_000);
+        assertEquals(1, takeAll(budget, 25_000));
+        assertEquals(0, takeAll(budget, 29_000));
+        budget.giveBack(SERVICE, 4_000);
+        assertEquals(0, takeAll(budget, 29_000), "long gone from the window");
+        assertEquals(4, takeAll(budget, 30_500), "the one of 25,000 is still in it");
+    }
+
     private static int takeAll(RetryBudget budget, double nowMs) {
         int taken = 0;
         while (budget.tryTake(SERVICE, nowMs)) {
@@ -78,8 +92,8 @@
     }
 
     /**
-     * Greedy routers that come, go and start again, in traffic that comes in bursts with holes: the sum over all of them stays
-     * within the rule in every window.
+     * Greedy routers that come, go and start again, in traffic that comes in bursts with holes: the sum over all of
+     * them stays within the rule in every window.
      */
     @Property(tries = 150)
     void theSumOfAllRoutersStaysWithinTheRule(
@@ -118,15 +132,21 @@
             boolean spree = random.nextInt(10) == 0;
             for (RetryBudget each : routers) {
                 while (spree && each != null && each.tryTake(SERVICE, now)) {
+                    if (random.nextInt(8) == 0) {
+                        each.giveBack(SERVICE, now);
+                        break;
+                    }
                     extras.add(now);
                 }
             }
         }
         for (double end : extras) {
             double from = end - WINDOW_MS;
-            double counted = Math.max(within(requests, from, end),
-                    Math.max(within(requests, from - WINDOW_MS, from), within(requests, from - WINDOW_MS / 2,
-                            end - WINDOW_MS / 2)));
+            double counted = Math.max(
+                    within(requests, from, end),
+                    Math.max(
+                            within(requests, from - WINDOW_MS, from),
+                            within(requests, from - WINDOW_MS / 2, end - WINDOW_MS / 2)));
             int spent = within(extras, from, end);
             assertTrue(spent <= ratio * counted + slack, spent + " extras with " + counted + " requests at " + end);
         }
--- a/selection/src/test/java/pinewick/selection/SelectionExperiment.java
+++ b/selection/src/test/java/pinewick/selection/SelectionExperiment.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Prints the figures of a virtual fleet with and without each term of the score, over loads and sizes. Run by hand; takes a
- * minute or two. The argument {@code large} plays 84 routers.
+ * Prints the figures of a virtual fleet with and without each term of the score, over loads and sizes. Run by hand;
+ * takes a minute or two. The argument {@code large} plays 84 routers.
  */
 public final class SelectionExperiment {
     private static final int WARM_UP_MS = 4_000;
@@ -14,7 +14,12 @@
     private SelectionExperiment() {}
 
     private record Variant(
-            String name, SelectionTuning tuning, int countedRouters, boolean reports, boolean hints, boolean admission) {}
+            String name,
+            SelectionTuning tuning,
+            int countedRouters,
+            boolean reports,
+            boolean hints,
+            boolean admission) {}
 
     private record Load(double factor, double burst) {}
 
@@ -39,7 +44,8 @@
         int seeds = large ? 2 : 8;
         for (int[] fleet : fleets) {
             for (Load load : loads) {
-                System.out.printf("== %d routers, %d prefill, %d decode, load %.2f, short requests times %.1f%n",
+                System.out.printf(
+                        "== %d routers, %d prefill, %d decode, load %.2f, short requests times %.1f%n",
                         fleet[0], fleet[1], fleet[2], load.factor, load.burst);
                 for (Variant variant : variants(fleet[0])) {
                     System.out.printf("%-20s %s%n", variant.name, figures(variant, fleet, load, seeds, large ? 5 : 1));
@@ -57,9 +63,17 @@
         double sharedRead = 0;
         for (int seed = 1; seed <= seeds; seed++) {
             VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(
-                    fleet[0], variant.countedRouters, fleet[1], fleet[2],
-                    VirtualFleet.usualKinds(load.factor * scale, load.burst), variant.tuning, variant.reports,
-                    variant.hints, variant.admission, 1_000, seed));
+                    fleet[0],
+                    variant.countedRouters,
+                    fleet[1],
+                    fleet[2],
+                    VirtualFleet.usualKinds(load.factor * scale, load.burst),
+                    variant.tuning,
+                    variant.reports,
+                    variant.hints,
+                    variant.admission,
+                    1_000,
+                    seed));
             run.run(WARM_UP_MS, LENGTH_MS);
             worth += run.worth() / seeds;
             longInTime += run.share("long", outcome -> outcome.inTime) / seeds;
@@ -68,7 +82,9 @@
             moved += run.movedGigabytes / seeds;
             sharedRead += run.sharedTokensRead() / 1e6 / seeds;
         }
-        return String.format("worth %.3f  long in time %.3f  short in time %.3f  long by prefill %.2f  moved %.0f GB"
-                + "  shared read %.1f Mtok", worth, longInTime, shortInTime, viaPrefill, moved, sharedRead);
+        return String.format(
+                "worth %.3f  long in time %.3f  short in time %.3f  long by prefill %.2f  moved %.0f GB"
+                        + "  shared read %.1f Mtok",
+                worth, longInTime, shortInTime, viaPrefill, moved, sharedRead);
     }
 }
--- a/selection/src/test/java/pinewick/selection/Shapes.java
+++ b/selection/src/test/java/pinewick/selection/Shapes.java
@@ -16,8 +16,19 @@
     private Shapes() {}
 
     static Route route(String name, int targetMs, int timeoutMs, int priority) {
-        return new Route(name, "host", "/", RouteKind.STREAMING, timeoutMs, targetMs, priority,
-                List.of(new Route.WeightedService("s", 1)), 2, true, false, 150);
+        return new Route(
+                name,
+                "host",
+                "/",
+                RouteKind.STREAMING,
+                timeoutMs,
+                targetMs,
+                priority,
+                List.of(new Route.WeightedService("s", 1)),
+                2,
+                true,
+                false,
+                150);
     }
 
     static RequestShape plain(double nowMs) {
@@ -27,8 +38,8 @@
     /** A request with one shared part and one of its own. */
     static RequestShape generation(long sharedId, int shared, int own, double nowMs) {
         List<PromptPart> parts = List.of(new PromptPart(sharedId, shared), new PromptPart(1_000_000 + sharedId, own));
-        return new RequestShape(route("generation", 300, 5_000, 0), "s", true, "m", shared + own, 40, parts, nowMs,
-                nowMs + 5_000);
+        return new RequestShape(
+                route("generation", 300, 5_000, 0), "s", true, "m", shared + own, 40, parts, nowMs, nowMs + 5_000);
     }
 
     static ReplicaRecord replica(String id, Stage stage) {
@@ -36,8 +47,19 @@
     }
 
     static ReplicaRecord replica(String id, Stage stage, ReplicaState state, String model) {
-        return new ReplicaRecord(id, "s", new SocketAddress("10.0.0.1", 80), "z", "v1", 12, state, 0, stage,
-                List.of(new ReplicaRecord.ModelVersion(model, 1)), 1, false);
+        return new ReplicaRecord(
+                id,
+                "s",
+                new SocketAddress("10.0.0.1", 80),
+                "z",
+                "v1",
+                12,
+                state,
+                0,
+                stage,
+                List.of(new ReplicaRecord.ModelVersion(model, 1)),
+                1,
+                false);
     }
 
     static LoadReport report(Stage stage, int waiting, int running, double memoryShare, double atMs) {
--- a/selection/src/test/java/pinewick/selection/VirtualEngine.java
+++ b/selection/src/test/java/pinewick/selection/VirtualEngine.java
@@ -71,13 +71,25 @@
     private double movesUntilMs;
     private boolean stepping;
 
-    VirtualEngine(VirtualTime time, String id, String zone, Stage stage, EngineSpec spec, Figures figures, double speed) {
+    VirtualEngine(
+            VirtualTime time, String id, String zone, Stage stage, EngineSpec spec, Figures figures, double speed) {
         this.time = time;
         this.spec = spec;
         this.figures = figures;
         this.speed = speed;
-        this.record = new ReplicaRecord(id, "lm", new SocketAddress("10.0.0.1", 80), zone, "v1", spec.slots(),
-                ReplicaState.READY, 0, stage, List.of(new ReplicaRecord.ModelVersion("m", 1)), 1, false);
+        this.record = new ReplicaRecord(
+                id,
+                "lm",
+                new SocketAddress("10.0.0.1", 80),
+                zone,
+                "v1",
+                spec.slots(),
+                ReplicaState.READY,
+                0,
+                stage,
+                List.of(new ReplicaRecord.ModelVersion("m", 1)),
+                1,
+                false);
     }
 
     boolean prefill() {
@@ -136,8 +148,8 @@
 
     LoadReport report(double receivedAtMs) {
         long used = running.stream().mapToLong(job -> job.promptTokens).sum();
-        return new LoadReport(record.stage(), false, 0, waiting.size(), running.size(), used, spec.kvCacheTokens(), 0,
-                receivedAtMs);
+        return new LoadReport(
+                record.stage(), false, 0, waiting.size(), running.size(), used, spec.kvCacheTokens(), 0, receivedAtMs);
     }
 
     private void step() {
@@ -247,5 +259,4 @@
             oldest.remove();
         }
     }
-
 }
--- a/selection/src/test/java/pinewick/selection/VirtualFleet.java
+++ b/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -48,7 +48,8 @@
         final List<Double> firstMs = new ArrayList<>();
 
         double quantile(double share) {
-            double[] sorted = firstMs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+            double[] sorted =
+                    firstMs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
             return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, share * sorted.length)];
         }
     }
@@ -80,8 +81,14 @@
         int count = setting.prefills + setting.decodes;
         for (int each = 0; each < count; each++) {
             Stage stage = each < setting.prefills ? Stage.PREFILL : Stage.DECODE;
-            VirtualEngine engine = new VirtualEngine(time, "e" + each, ZONES[each % 3], stage, SPEC,
-                    VirtualEngine.Figures.USUAL, speeds[(each / 3) % 3]);
+            VirtualEngine engine = new VirtualEngine(
+                    time,
+                    "e" + each,
+                    ZONES[each % 3],
+                    stage,
+                    SPEC,
+                    VirtualEngine.Figures.USUAL,
+                    speeds[(each / 3) % 3]);
             engines.add(engine);
             byId.put(engine.record.instanceId(), engine);
         }
@@ -98,8 +105,19 @@
     }
 
     static Route route(String name, int targetMs, int timeoutMs, int priority) {
-        return new Route(name, "h", "/", RouteKind.STREAMING, timeoutMs, targetMs, priority,
-                List.of(new Route.WeightedService("lm", 1)), 2, true, false, 150);
+        return new Route(
+                name,
+                "h",
+                "/",
+                RouteKind.STREAMING,
+                timeoutMs,
+                targetMs,
+                priority,
+                List.of(new Route.WeightedService("lm", 1)),
+                2,
+                true,
+                false,
+                150);
     }
 
     static List<Kind> usualKinds(double factor, double burst) {
@@ -141,8 +159,9 @@
             for (VirtualEngine engine : engines) {
                 if (!engine.dark) {
                     LoadReport taken = engine.report(time.now() + REPORT_LAG_MS + 30);
-                    time.after(REPORT_LAG_MS + 30, () ->
-                            selectors.forEach(each -> each.report(engine.record.instanceId(), taken)));
+                    time.after(
+                            REPORT_LAG_MS + 30,
+                            () -> selectors.forEach(each -> each.report(engine.record.instanceId(), taken)));
                 }
             }
             scheduleReports();
@@ -154,14 +173,21 @@
             for (ReplicaSelector from : selectors) {
                 List<PrefixHint> hints = from.beliefs().takeHints(400, time.now());
                 double sentAt = time.now();
-                time.after(GOSSIP_MS, () -> selectors.forEach(to -> {
-                    if (to != from) {
-                        hints.forEach(hint -> to.beliefs().learn(
-                                new PrefixHint(hint.instanceId(), hint.chainHash(), hint.tokens(),
-                                        hint.ageMs() + (int) GOSSIP_MS, hint.ballastTokens()),
-                                sentAt + GOSSIP_MS));
-                    }
-                }));
+                time.after(
+                        GOSSIP_MS,
+                        () -> selectors.forEach(to -> {
+                            if (to != from) {
+                                hints.forEach(hint -> to.beliefs()
+                                        .learn(
+                                                new PrefixHint(
+                                                        hint.instanceId(),
+                                                        hint.chainHash(),
+                                                        hint.tokens(),
+                                                        hint.ageMs() + (int) GOSSIP_MS,
+                                                        hint.ballastTokens()),
+                                                sentAt + GOSSIP_MS));
+                            }
+                        }));
             }
             scheduleHints();
         });
@@ -183,8 +209,16 @@
         int own = (int) Math.max(1, Math.min(14.0 * kind.own, lognormal(kind.own, kind.spread)));
         int out = (int) Math.max(1, Math.min(4.0 * kind.out, lognormal(kind.out, 1.0)));
         List<PromptPart> parts = List.of(new PromptPart(id, shared), new PromptPart(nextOwnPart++, own));
-        RequestShape request = new RequestShape(kind.route, "lm", true, "m", shared + own, 4 * kind.out, parts,
-                time.now(), time.now() + kind.route.timeoutMs());
+        RequestShape request = new RequestShape(
+                kind.route,
+                "lm",
+                true,
+                "m",
+                shared + own,
+                4 * kind.out,
+                parts,
+                time.now(),
+                time.now() + kind.route.timeoutMs());
         new Exchange(kind, request, out, chance.nextInt(selectors.size()), false).start();
     }
 
@@ -246,8 +280,15 @@
             }
             outcome.refused++;
             time.after(refusal.retryAfterSeconds() * 1_000 + 2 * CLIENT_MS, () -> {
-                RequestShape again = new RequestShape(request.route(), request.service(), true, request.model(),
-                        request.promptTokens(), request.outputTokens(), request.parts(), time.now(),
+                RequestShape again = new RequestShape(
+                        request.route(),
+                        request.service(),
+                        true,
+                        request.model(),
+                        request.promptTokens(),
+                        request.outputTokens(),
+                        request.parts(),
+                        time.now(),
                         request.deadlineAtMs());
                 Exchange next = new Exchange(kind, again, out, chance.nextInt(selectors.size()), true);
                 next.countFor(outcome);
@@ -362,17 +403,33 @@
         StringBuilder line = new StringBuilder();
         for (Kind kind : setting.kinds) {
             Outcome its = outcomes.get(kind.route.name());
-            line.append(String.format("%s in time %.3f late %.3f lost %.3f refused %.3f later in time %.3f twice %.3f via prefill %.2f p50 %.0f p95 %.0f p99 %.0f"
+            line.append(String.format(
+                    "%s in time %.3f late %.3f lost %.3f refused %.3f later in time %.3f twice %.3f via prefill %.2f"
+                            + " p50 %.0f p95 %.0f p99 %.0f"
                             + " pauses %d | ",
-                    kind.route.name(), its.inTime / (double) its.asked, its.late / (double) its.asked,
-                    its.failed / (double) its.asked, its.refused / (double) its.asked,
-                    its.inTimeLater / (double) its.asked, its.refusedTwice / (double) its.asked, its.viaPrefill / (double) its.asked, its.quantile(0.5),
-                    its.quantile(0.95), its.quantile(0.99), its.pauses));
+                    kind.route.name(),
+                    its.inTime / (double) its.asked,
+                    its.late / (double) its.asked,
+                    its.failed / (double) its.asked,
+                    its.refused / (double) its.asked,
+                    its.inTimeLater / (double) its.asked,
+                    its.refusedTwice / (double) its.asked,
+                    its.viaPrefill / (double) its.asked,
+                    its.quantile(0.5),
+                    its.quantile(0.95),
+                    its.quantile(0.99),
+                    its.pauses));
         }
         double total = time.now();
-        long shared = engines.stream().mapToLong(engine -> engine.sharedTokensRead).sum();
-        line.append(String.format("shared read %.1f Mtok, moved %.1f GB, busy %s", shared / 1e6, movedGigabytes,
-                Arrays.toString(engines.stream().mapToLong(each -> Math.round(100 * each.busyMs / total)).toArray())));
+        long shared =
+                engines.stream().mapToLong(engine -> engine.sharedTokensRead).sum();
+        line.append(String.format(
+                "shared read %.1f Mtok, moved %.1f GB, busy %s",
+                shared / 1e6,
+                movedGigabytes,
+                Arrays.toString(engines.stream()
+                        .mapToLong(each -> Math.round(100 * each.busyMs / total))
+                        .toArray())));
         return line.toString();
     }
 
--- a/selection/src/test/java/pinewick/selection/VirtualFleetTest.java
+++ b/selection/src/test/java/pinewick/selection/VirtualFleetTest.java
@@ -5,15 +5,19 @@
 
 import org.junit.jupiter.api.Test;
 
-/** The whole of the selection against a queueing model of engines, in virtual time: the figures are those of its seeds. */
+/**
+ * The whole of the selection against a queueing model of engines, in virtual time: the figures are those of its
+ * seeds.
+ */
 class VirtualFleetTest {
     private static final int SEEDS = 4;
 
     private record Figures(double worth, double longInTime, double shortInTime, double longByPrefill) {}
 
-    private static VirtualFleet fleet(SelectionTuning tuning, int countedRouters, boolean hints, double load, long seed) {
-        return new VirtualFleet(new VirtualFleet.Setting(9, countedRouters, 3, 5, VirtualFleet.usualKinds(load, 1),
-                tuning, true, hints, true, 1_000, seed));
+    private static VirtualFleet fleet(
+            SelectionTuning tuning, int countedRouters, boolean hints, double load, long seed) {
+        return new VirtualFleet(new VirtualFleet.Setting(
+                9, countedRouters, 3, 5, VirtualFleet.usualKinds(load, 1), tuning, true, hints, true, 1_000, seed));
     }
 
     private static Figures play(SelectionTuning tuning, int countedRouters, boolean hints, double load) {
@@ -84,7 +88,9 @@
             VirtualFleet run = fleet(SelectionTuning.DEFAULT, 9, true, 0.9, seed);
             run.darken(5, 10_000, 4_500);
             run.run(8_000, 8_000);
-            lost += run.outcomes.values().stream().mapToInt(outcome -> outcome.failed).sum();
+            lost += run.outcomes.values().stream()
+                    .mapToInt(outcome -> outcome.failed)
+                    .sum();
         }
         assertTrue(lost <= 18 * SEEDS, "lost " + lost + " in " + SEEDS + " runs");
     }
@@ -102,8 +108,8 @@
 
     @Test
     void withoutPrefillReplicasDecodeReplicasReadThemselves() {
-        VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(3, 3, 0, 6, VirtualFleet.usualKinds(0.4, 1),
-                SelectionTuning.DEFAULT, true, true, true, 1_000, 1));
+        VirtualFleet run = new VirtualFleet(new VirtualFleet.Setting(
+                3, 3, 0, 6, VirtualFleet.usualKinds(0.4, 1), SelectionTuning.DEFAULT, true, true, true, 1_000, 1));
         run.run(2_000, 5_000);
         assertEquals(0, run.share("long", outcome -> outcome.failed), 1e-9);
         assertEquals(0, run.share("long", outcome -> outcome.viaPrefill), 1e-9);
