--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -28,6 +28,8 @@
     /** Longest head that a connection reads at all; the limit in force may change while it is open. */
     private static final int PARSED_HEADER_BYTES = 64 * 1024;
 
+    private static final int FEWEST_CLIENT_CONNECTIONS = 100;
+    private static final int MOST_CLIENT_CONNECTIONS = 3_000;
     private static final int ACCEPT_QUEUE = 1024;
 
     private final DataPlane dataPlane;
@@ -37,12 +39,14 @@
     private final ServerConnector readiness;
     private final HttpConfiguration configuration = new HttpConfiguration();
 
+    /** @param mostClientConnections connections of further clients are closed unread, so that they go elsewhere */
     HttpFront(
             DataPlane dataPlane,
             BooleanSupplier ready,
             Scheduler scheduler,
             SocketAddress frontendAddress,
-            SocketAddress readinessAddress) {
+            SocketAddress readinessAddress,
+            int mostClientConnections) {
         this.dataPlane = dataPlane;
         this.ready = ready;
         server = new Server(threadPool(), scheduler, new ArrayByteBufferPool());
@@ -52,10 +56,10 @@
                 server,
                 scheduler,
                 new ClientConnection.Factory(
-                        configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()));
+                        configuration, () -> dataPlane.routingTable().limits().headerTimeoutMs()),
+                Math.max(FEWEST_CLIENT_CONNECTIONS, Math.min(MOST_CLIENT_CONNECTIONS, mostClientConnections)));
         listenAt(frontend, frontendAddress);
-        readiness = new ServerConnector(
-                server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
+        readiness = new ServerConnector(server, null, scheduler, null, 0, 1, new HttpConnectionFactory(configuration));
         listenAt(readiness, readinessAddress);
         server.setHandler(new Entry());
         setLimits(RequestLimits.DEFAULT);
--- a/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -20,10 +20,12 @@
 /** A router's data plane on loopback, with a fleet state that the test fills by hand. */
 final class TestRouter implements AutoCloseable {
     static final String HOST = "shop.example";
+    static final int MOST_CLIENTS = 200;
 
     final FleetState state = new FleetState();
     final DataPlane dataPlane;
     final HttpFront front;
+    volatile boolean informed = true;
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private final Queue<String> forcedPairs = new ConcurrentLinkedQueue<>();
     private final List<AutoCloseable> toClose = new ArrayList<>();
@@ -41,9 +43,10 @@
                 selector,
                 new ForcedChooser(own, forcedPairs),
                 new SplittableRandom(8),
+                () -> informed,
                 limits -> {});
         SocketAddress anyPort = new SocketAddress("127.0.0.1", 0);
-        front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort);
+        front = new HttpFront(dataPlane, () -> true, scheduler, anyPort, anyPort, MOST_CLIENTS);
         front.start();
         dataPlane.follow(state, front.upstream());
     }
@@ -66,7 +69,8 @@
     }
 
     void configureWithHeaderLimit(int maxHeaderBytes, String... routes) throws InvalidConfigurationException {
-        String json = """
+        String json =
+                """
                 {"version":%d,"routes":[%s],"services":[
                 {"name":"plain","health_check_path":"/health","max_connections":40,"protocol":"h1","tls":false},
                 {"name":"lm","health_check_path":"/health","max_connections":40,"protocol":"h1","tls":false,
@@ -74,7 +78,7 @@
                  "stride":10,"handle_ttl_s":5.0,"switch_time_s":2.0,"models":[{"name":"m"}]}}],
                 "limits":{"max_header_bytes":%d,"max_body_bytes":65536,"header_timeout_ms":3000,
                 "idle_timeout_ms":15000}}"""
-                .formatted(state.configuration().version() + 1, String.join(",", routes), maxHeaderBytes);
+                        .formatted(state.configuration().version() + 1, String.join(",", routes), maxHeaderBytes);
         state.offer(ConfigurationChecks.parseReplacement(json.getBytes(StandardCharsets.UTF_8)));
     }
 
@@ -117,7 +121,11 @@
         for (String field : fields) {
             text.append(field).append("\r\n");
         }
-        return text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body).toString();
+        return text.append("Content-Length: ")
+                .append(body.length())
+                .append("\r\n\r\n")
+                .append(body)
+                .toString();
     }
 
     @Override
