--- a/selection/src/main/java/pinewick/selection/WindowCount.java
+++ b/selection/src/main/java/pinewick/selection/WindowCount.java
@@ -21,9 +21,9 @@
         counts[advance(nowMs)] += amount;
     }
 
-    /** Takes one event of {@code atMs} back; false if none is counted there, or it lies before the window. */
-    boolean takeBack(double atMs) {
-        long bucket = (long) Math.floor(atMs / bucketMs);
+    /** Undoes one event of that time; false if there is none, or the window has left it behind. */
+    boolean takeBack(double addedAtMs) {
+        long bucket = (long) Math.floor(addedAtMs / bucketMs);
         int index = (int) Math.floorMod(bucket, (long) counts.length);
         if (bucket > newest || newest - bucket >= counts.length || counts[index] == 0) {
             return false;
