--- a/replication/src/test/java/pinewick/replication/FaultPlan.java
+++ b/replication/src/test/java/pinewick/replication/FaultPlan.java
@@ -10,10 +10,11 @@
 
     private final World world;
     private final double endMs;
-    boolean acknowledgementTriggers;
+    boolean eventTriggers;
     /** Whether troubles that spare the disks come to any number of machines at once. */
     boolean wild;
     private int seenAcknowledged;
+    private long seenEpoch;
 
     FaultPlan(World world, double endMs) {
         this.world = world;
@@ -22,7 +23,7 @@
 
     void begin(double firstMs) {
         world.at(firstMs, this::strike);
-        world.at(firstMs, this::watchAcknowledgements);
+        world.at(firstMs, this::watch);
     }
 
     private void strike() {
@@ -34,11 +35,11 @@
     }
 
     /** Some faults come right after an acknowledgement. */
-    private void watchAcknowledgements() {
+    private void watch() {
         if (world.nowMs() >= endMs) {
             return;
         }
-        if (acknowledgementTriggers && world.checker.acknowledged > seenAcknowledged && world.chance(0.2)) {
+        if (eventTriggers && world.checker.acknowledged > seenAcknowledged && world.chance(0.2)) {
             switch (world.random.nextInt(4)) {
                 case 0, 1 -> wipeWhileTheOthersLosePower();
                 case 2 -> killAll();
@@ -46,7 +47,28 @@
             }
         }
         seenAcknowledged = world.checker.acknowledged;
-        world.after(1, this::watchAcknowledgements);
+        watchEpochs();
+        world.after(1, this::watch);
+    }
+
+    /** Others come right after an epoch has begun. */
+    private void watchEpochs() {
+        Machine primary = world.primary();
+        if (primary == null || primary.epoch() == seenEpoch) {
+            return;
+        }
+        seenEpoch = primary.epoch();
+        if (!eventTriggers || !world.chance(0.3)) {
+            return;
+        }
+        double delayMs = world.between(0, 6);
+        switch (world.random.nextInt(5)) {
+            case 0 -> world.after(delayMs, () -> kill(sparing(primary)));
+            case 1 -> world.after(delayMs, this::killAll);
+            case 2 -> world.after(delayMs, () -> cutOff(sparing(primary)));
+            case 3 -> world.after(delayMs, () -> freeze(sparing(primary)));
+            default -> world.after(delayMs, () -> disk(sparing(primary), SimulatedDisk.Mode.FULL));
+        }
     }
 
     private void trouble(int kind) {
--- a/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
+++ b/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
@@ -56,7 +56,7 @@
         try {
             world = newWorld(seed, variant);
             FaultPlan faults = new FaultPlan(world, TROUBLE_UNTIL_MS);
-            faults.acknowledgementTriggers = world.chance(0.5);
+            faults.eventTriggers = world.chance(0.5);
             faults.wild = world.chance(0.4);
             faults.begin(TROUBLE_FROM_MS);
             Operator first = new Operator(world);
--- a/replication/src/test/java/pinewick/replication/SimulatedStore.java
+++ b/replication/src/test/java/pinewick/replication/SimulatedStore.java
@@ -58,8 +58,7 @@
                     step();
                 }
             });
-            case FULL -> world.after(0.3, () -> end(() -> {}, () -> write.onFailed.accept(
-                    new StorageException(StorageException.Kind.FULL, "write", null))));
+            case FULL -> world.after(0.3, () -> refuse(write));
             default -> {
                 double delayMs = world.between(0.8, 2.5) + (disk.mode == SimulatedDisk.Mode.SLOW ? disk.slowMs : 0);
                 world.after(delayMs, () -> end(() -> disk.apply(write.write), write.onDone));
@@ -67,6 +66,13 @@
         }
     }
 
+    /** A write that failed may be on the disk all the same. */
+    private void refuse(Write write) {
+        StorageException full = new StorageException(StorageException.Kind.FULL, "write", null);
+        Runnable effect = world.chance(0.2) ? () -> machine.disk.apply(write.write) : () -> {};
+        end(effect, () -> write.onFailed.accept(full));
+    }
+
     private void end(Runnable effect, Runnable completion) {
         if (!machine.isGeneration(generation)) {
             return;
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/WitnessTest.java
@@ -0,0 +1,158 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.Message;
+import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Accept;
+import pinewick.replication.ReplicationMessages.Accepted;
+import pinewick.replication.ReplicationMessages.Established;
+import pinewick.replication.ReplicationMessages.Heartbeat;
+import pinewick.replication.ReplicationMessages.HeartbeatReply;
+import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.Promise;
+import pinewick.replication.ReplicationMessages.Refusal;
+
+/** What a witness promises and accepts, message by message. */
+class WitnessTest {
+    private static final SocketAddress SELF = SocketAddress.parse("10.0.0.1:7721");
+    private static final SocketAddress OTHER = SocketAddress.parse("10.0.0.2:7721");
+    private static final SocketAddress THIRD = SocketAddress.parse("10.0.0.3:7721");
+    private static final List<SocketAddress> SEEDS = List.of(SELF, OTHER, THIRD);
+
+    private final List<Message> sent = new ArrayList<>();
+    private final List<Runnable> writes = new ArrayList<>();
+    private final SimulatedDisk disk = new SimulatedDisk();
+    private final ReplicationNode node = new ReplicationNode(
+            new ReplicationSettings(SELF, SELF, SEEDS, true, 1, 4_000, 3_000),
+            new HeldStore(),
+            (peer, message) -> sent.add(message),
+            new Random(1),
+            new ReplicationListener() {
+                @Override
+                public void committed(ConfigurationDocument document) {}
+            });
+
+    /** A store whose writes end when the test says so. */
+    private final class HeldStore implements StableStore {
+        @Override
+        public void load(Consumer<LoadedState> onLoaded, Consumer<StorageException> onFailed) {
+            writes.add(() -> onLoaded.accept(disk.load()));
+        }
+
+        @Override
+        public void persist(StableWrite write, Runnable onDone, Consumer<StorageException> onFailed) {
+            writes.add(() -> {
+                disk.apply(write);
+                onDone.run();
+            });
+        }
+    }
+
+    private void started() {
+        node.start(0);
+        finishWrites();
+        sent.clear();
+    }
+
+    private void finishWrites() {
+        while (!writes.isEmpty()) {
+            writes.remove(0).run();
+        }
+    }
+
+    private <T extends Message> T lastSent(Class<T> type) {
+        return assertInstanceOf(type, sent.get(sent.size() - 1));
+    }
+
+    private static EpochNumber number(long counter, SocketAddress proposer) {
+        return new EpochNumber(counter, proposer.toString());
+    }
+
+    private static EpochRecord record(EpochNumber number) {
+        EpochRecord founding = EpochRecord.founding(SEEDS);
+        return new EpochRecord(
+                number, number.proposer(), founding.inSync(), founding.members(), founding.members());
+    }
+
+    @Test
+    void promisesOnceItIsOnDisk() {
+        started();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        assertTrue(sent.isEmpty(), "nothing is said before the disk has it");
+        finishWrites();
+        Promise promise = lastSent(Promise.class);
+        assertEquals(number(5, OTHER), promise.number());
+        assertEquals(EpochNumber.FOUNDING, promise.accepted().number());
+        assertEquals(number(5, OTHER), disk.load().stored().orElseThrow().head().promised());
+    }
+
+    @Test
+    void promisesTheSameNumberAgainToItsProposerOnly() {
+        started();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        finishWrites();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 20);
+        lastSent(Promise.class);
+        node.onMessage(THIRD, new Prepare(number(5, THIRD), false), 30);
+        finishWrites();
+        assertEquals(number(5, OTHER), lastSent(Refusal.class).promised());
+    }
+
+    @Test
+    void acceptsNothingBelowItsPromise() {
+        started();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        finishWrites();
+        node.onMessage(THIRD, new Accept(record(number(4, THIRD))), 20);
+        finishWrites();
+        lastSent(Refusal.class);
+        node.onMessage(OTHER, new Accept(record(number(5, OTHER))), 30);
+        finishWrites();
+        assertEquals(number(5, OTHER), lastSent(Accepted.class).number());
+    }
+
+    @Test
+    void learnsNothingBelowItsPromise() {
+        started();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        finishWrites();
+        node.onMessage(THIRD, new Established(record(number(4, THIRD))), 20);
+        finishWrites();
+        assertEquals(number(5, OTHER), disk.load().stored().orElseThrow().head().promised());
+        assertEquals(EpochNumber.FOUNDING, disk.load().stored().orElseThrow().head().accepted().number());
+    }
+
+    @Test
+    void whileThePrimaryIsHeardNobodyElseGetsAPromise() {
+        started();
+        node.onMessage(OTHER, new Established(record(number(1, OTHER))), 10);
+        finishWrites();
+        node.onMessage(OTHER, new Heartbeat(number(1, OTHER), 1, StateTag.NONE, OTHER), 20);
+        assertEquals(1, lastSent(HeartbeatReply.class).round());
+        node.onMessage(THIRD, new Prepare(number(2, THIRD), false), 30);
+        finishWrites();
+        lastSent(Refusal.class);
+        node.onMessage(THIRD, new Prepare(number(2, THIRD), true), 40);
+        finishWrites();
+        lastSent(Promise.class);
+    }
+
+    @Test
+    void aRestartKeepsThePromise() {
+        started();
+        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        finishWrites();
+        StoredState stored = disk.load().stored().orElseThrow();
+        assertEquals(SELF.toString(), stored.head().identity());
+        assertEquals(number(5, OTHER), stored.head().promised());
+    }
+}
