--- a/storage/src/main/java/pinewick/storage/XodusFiles.java
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -18,6 +18,7 @@
 import jetbrains.exodus.env.Store;
 import jetbrains.exodus.env.StoreConfig;
 import jetbrains.exodus.env.Transaction;
+import jetbrains.exodus.log.LogConfig;
 import pinewick.replication.StableWrite;
 import pinewick.replication.StoredChange;
 import pinewick.replication.StoredHead;
@@ -62,7 +63,11 @@
                 .setEnvCloseForcedly(true)
                 .setEnvGatherStatistics(false)
                 .setManagementEnabled(false);
-        return new XodusFiles(Environments.newInstance(folder.toFile(), config));
+        // One thread of one process uses the folder. A lock would stay behind when opening fails, and the next try would
+        // fail for it alone.
+        LogConfig logConfig = new LogConfig().setLocation(folder.toString());
+        logConfig.setLockIgnored(true);
+        return new XodusFiles(Environments.newInstance(logConfig, config));
     }
 
     private Store openStore(String name) {
--- a/storage/src/main/java/pinewick/storage/XodusStore.java
+++ b/storage/src/main/java/pinewick/storage/XodusStore.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import jetbrains.exodus.ExodusException;
 import pinewick.replication.LoadedState;
@@ -23,6 +24,9 @@
 public final class XodusStore implements StableStore, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** A disk in trouble is told of once in this time. */
+    private static final int QUIET_SECONDS = 5;
+
     private final StoreFolder folder;
     private final Executor completions;
     private final ExecutorService thread = Executors.newSingleThreadExecutor(task -> {
@@ -62,7 +66,7 @@
                 write(write);
                 completions.execute(onDone);
             } catch (StorageException e) {
-                LOGGER.atWarning().log("Storage: %s", e.getMessage());
+                LOGGER.atWarning().atMostEvery(QUIET_SECONDS, TimeUnit.SECONDS).log("Storage: %s", e.getMessage());
                 completions.execute(() -> onFailed.accept(e));
             }
         });
