--- a/selection/src/main/java/pinewick/selection/PriceModel.java
+++ b/selection/src/main/java/pinewick/selection/PriceModel.java
@@ -15,7 +15,7 @@
     private static final double BETWEEN_REGIONS = 10;
     private static final double DEAREST_MOVE = 3;
     /** Price of a token that is read though some replica keeps it. */
-    private static final double TOKEN_READ_AGAIN = 5e-6;
+    private static final double TOKEN_READ_AGAIN = 2e-4;
     /** Price of a gigabyte of requests and answers between zones. */
     private static final double GIGABYTE_BETWEEN_ZONES = 4_000;
     /** Bytes of a request that has none for its prompt, with its answer. */
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -12,6 +12,12 @@
     /** Of the first guess, the part that does not depend on tokens. */
     private static final double FIXED_SHARE = 0.25;
 
+    /**
+     * Time of reading a token at a prefill replica before any was measured, at the least: a tenth of the target alone says
+     * that long prompts are read in no time, and sends them to decode replicas.
+     */
+    private static final double FIRST_PACE_MS = 0.01;
+
     /** Of the most tokens that a request may make, those that it is expected to make, at first. */
     private static final double FIRST_OUTPUT_SHARE = 0.5;
 
@@ -87,7 +93,8 @@
         if (otherReaders != null && otherReaders.paceKnown()) {
             return factor * otherReaders.paceMs();
         }
-        double guess = (1 - FIXED_SHARE) * firstGuessMs / Math.max(1, request.promptTokens());
+        double ofGuess = (1 - FIXED_SHARE) * firstGuessMs / Math.max(1, request.promptTokens());
+        double guess = Math.max(ofGuess, FIRST_PACE_MS);
         return kind == CallKind.DECODE_WHOLE ? factor * guess : guess;
     }
 
