A body that is refused is still read, so that the answer arrives

Cause: the close with unread bytes reset the connection under a caller that was still sending, and the answer was lost (1 of 8 runs of ApiServerTest failed with a broken pipe). Before a known refusal the deadline answers with that refusal.

--- a/control/src/main/java/pinewick/control/BodyReader.java
+++ b/control/src/main/java/pinewick/control/BodyReader.java
@@ -18,10 +18,10 @@
         /** The whole body has arrived. */
         void complete(byte[] body);
 
-        /** The body is larger than allowed; the rest of it has not been read. */
+        /** The body is larger than allowed. */
         void tooLarge();
 
-        /** There is no memory for the body at present; the rest of it has not been read. */
+        /** There is no memory for the body at present. */
         void noRoom();
 
         /** The body has not arrived in time. */
@@ -31,6 +31,9 @@
         void failed(Throwable cause);
     }
 
+    /** A body that is refused is still read up to this size, bytes: a close with unread bytes may cost the answer. */
+    private static final long MOST_DISCARDED = 32L * 1024 * 1024;
+
     private final Request request;
     private final int maxBytes;
     private final BodyBudget.Share memory;
@@ -39,6 +42,8 @@
     private volatile Scheduler.Task deadline;
     private byte[] body = {};
     private int length;
+    private volatile Runnable refusal;
+    private long discarded;
 
     /**
      * @param maxBytes the largest body
@@ -54,16 +59,17 @@
     /** Starts to read; the listener is told within {@code deadlineMs}. */
     void start(Scheduler scheduler, long deadlineMs) {
         long announced = request.getLength();
-        if (announced > maxBytes) {
+        if (announced > MOST_DISCARDED) {
             end(listener::tooLarge);
             return;
         }
-        if (announced > 0 && !ensureCapacity((int) announced)) {
-            end(listener::noRoom);
-            return;
+        if (announced > maxBytes) {
+            refusal = listener::tooLarge;
+        } else if (announced > 0 && !ensureCapacity((int) announced)) {
+            refusal = listener::noRoom;
         }
         if (!readAvailable()) {
-            deadline = scheduler.schedule(() -> end(listener::late), deadlineMs, TimeUnit.MILLISECONDS);
+            deadline = scheduler.schedule(this::onDeadline, deadlineMs, TimeUnit.MILLISECONDS);
             request.demand(this);
         }
     }
@@ -98,16 +104,32 @@
             end(() -> listener.failed(chunk.getFailure()));
             return;
         }
-        if ((long) length + chunk.remaining() > maxBytes) {
-            end(listener::tooLarge);
-        } else if (!ensureCapacity(length + chunk.remaining())) {
-            end(listener::noRoom);
-        } else {
+        if (refusal == null) {
+            checkRoom(chunk.remaining());
+        }
+        if (refusal == null) {
             append(chunk);
+        } else {
+            discard(chunk);
         }
         chunk.release();
     }
 
+    private void checkRoom(int count) {
+        if ((long) length + count > maxBytes) {
+            refusal = listener::tooLarge;
+        } else if (!ensureCapacity(length + count)) {
+            refusal = listener::noRoom;
+        }
+    }
+
+    private void discard(Content.Chunk chunk) {
+        discarded += chunk.remaining();
+        if (chunk.isLast() || discarded > MOST_DISCARDED) {
+            end(refusal);
+        }
+    }
+
     private void append(Content.Chunk chunk) {
         int count = chunk.remaining();
         chunk.get(body, length, count);
@@ -130,6 +152,11 @@
         return true;
     }
 
+    private void onDeadline() {
+        Runnable known = refusal;
+        end(known == null ? listener::late : known);
+    }
+
     private void end(Runnable ending) {
         if (ended.compareAndSet(false, true)) {
             Scheduler.Task pending = deadline;
--- a/control/src/test/java/pinewick/control/ApiServerTest.java
+++ b/control/src/test/java/pinewick/control/ApiServerTest.java
@@ -141,6 +141,12 @@
         }
     }
 
+    @Test
+    void aBodyThatIsRefusedIsReadSoThatTheAnswerArrives() throws IOException {
+        HttpCaller.Answer answer = HttpCaller.call(address, "POST", "/config/replace", "x".repeat(8 * 1024 * 1024));
+        assertEquals(413, answer.status());
+    }
+
     @Test
     void aBodyOfFourMebibytesIsTaken() throws IOException {
         String body = "x".repeat(4 * 1024 * 1024);
