--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -31,6 +32,8 @@
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
 import pinewick.model.SocketAddress;
+import pinewick.selection.AdmissionControl;
+import pinewick.selection.Decision;
 import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RequestShape;
 import pinewick.selection.RetryBudget;
@@ -42,6 +45,11 @@
 final class DataPlane implements FleetStateListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FEWEST_CONNECTIONS = 4;
+    private static final double MILLISECONDS = 1e3;
+
+    /** When clients of a router that does not know the fleet's routes yet may come back. */
+    private static final double UNINFORMED_RETRY_SECONDS = 0.2;
+
     private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
 
     private final SerialExecutor serial;
@@ -51,16 +59,23 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final AdmissionControl admissionControl;
+    private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
+    private final BooleanSupplier informed;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
+    private boolean over;
     private int routerCountUpperBound = 1;
 
-    /** @param onLimits told of the limits in force when they change */
+    /**
+     * @param informed whether the configuration known here is the fleet's, so that a route it lacks does not exist
+     * @param onLimits told of the limits in force when they change
+     */
     DataPlane(
             SerialExecutor serial,
             Timers timers,
@@ -68,15 +83,19 @@
             ReplicaSelector selector,
             PairChooser chooser,
             RandomGenerator random,
+            BooleanSupplier informed,
             Consumer<RequestLimits> onLimits) {
         this.onLimits = onLimits;
+        this.informed = informed;
         this.serial = serial;
         this.timers = timers;
         this.random = random;
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
-        this.services = new DataPlaneServices(
-                selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
-        this.reports = new ReportPoller(services, selector::report);
+        this.services =
+                new DataPlaneServices(selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.admissionControl = new AdmissionControl(selector, random);
+        this.sharing = new LoadSharing(selector);
+        this.reports = new ReportPoller(services, sharing::onReport);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -102,15 +121,16 @@
                 }
             });
         } catch (InvalidConfigurationException e) {
-            LOG.atSevere().withCause(e).log("Configuration %d cannot be read; the one before stays", document.version());
+            LOG.atSevere().withCause(e).log(
+                    "Configuration %d cannot be read; the one before stays", document.version());
         }
     }
 
     private void putInForce(RoutingTable next) {
         boolean otherLimits = !next.limits().equals(routingTable.limits());
         routingTable = next;
-        next.services().values().forEach(service ->
-                service.engine().ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
+        next.services().values().forEach(service -> service.engine()
+                .ifPresent(engine -> services.selector().setEngine(service.name(), engine)));
         if (otherLimits) {
             onLimits.accept(next.limits());
         }
@@ -146,7 +166,8 @@
 
     /** Most connections that this router may hold to one replica of a service. */
     private int connectionLimit(String service) {
-        int ofAll = routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
+        int ofAll =
+                routingTable.service(service).map(ServiceSpec::maxConnections).orElse(0);
         return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
     }
 
@@ -167,6 +188,16 @@
         });
     }
 
+    /** Hands over what this router has learnt of replicas since the last call, if anything. */
+    void shareLoad(Consumer<LoadNews> tell) {
+        serial.execute(() -> sharing.takeNews(timers.nowMs()).ifPresent(tell));
+    }
+
+    /** Another router tells what it saw of replicas. */
+    void onNews(LoadNews news) {
+        serial.execute(() -> sharing.onNews(news, timers.nowMs()));
+    }
+
     Admission admission() {
         return admission;
     }
@@ -179,18 +210,31 @@
         serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
     }
 
+    /** The request has not run and never will; the client may come back after a while. */
+    private static void answerNotRun(ClientExchange client, String id, double retryAfterSeconds) {
+        HttpFields.Mutable fields = HttpFields.build();
+        fields.add(HeaderNames.REQUEST_ID, id);
+        fields.add(
+                HttpHeader.RETRY_AFTER, Double.toString(Math.round(retryAfterSeconds * MILLISECONDS) / MILLISECONDS));
+        client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
+    }
+
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
         JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
-        Optional<Route> route = routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        Optional<Route> route =
+                routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
-        if (service.isEmpty()) {
-            client.answer(
-                    HttpStatus.NOT_FOUND_404,
-                    HttpFields.build().add(HeaderNames.REQUEST_ID, read.id()),
-                    UpstreamRequest.NO_BODY);
+        if (over || service.isEmpty()) {
+            refuse(client, read.id());
             return;
         }
         RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
+        Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
+        if (decision instanceof Decision.Refuse refusal) {
+            services.budget().onRequest(service.get(), timers.nowMs());
+            answerNotRun(client, read.id(), refusal.retryAfterSeconds());
+            return;
+        }
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.put(lifecycle, client);
@@ -199,6 +243,16 @@
         lifecycle.start();
     }
 
+    /** No route, as far as this router knows; one that does not know enough promises that the request has not run. */
+    private void refuse(ClientExchange client, String id) {
+        if (!over && informed.getAsBoolean()) {
+            HttpFields fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
+            client.answer(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
+        } else {
+            answerNotRun(client, id, UNINFORMED_RETRY_SECONDS);
+        }
+    }
+
     private static String hostOf(Request request) {
         String host = request.getHeaders().get(HttpHeader.HOST);
         if (host == null) {
@@ -213,7 +267,8 @@
         if (route.split().size() == 1) {
             return Optional.of(route.split().get(0).service());
         }
-        Optional<String> served = draw(route, service -> !directory.candidates(service).isEmpty());
+        Optional<String> served =
+                draw(route, service -> !directory.candidates(service).isEmpty());
         return served.isPresent() ? served : draw(route, service -> true);
     }
 
@@ -233,10 +288,8 @@
     }
 
     private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
-        boolean generation = routingTable
-                .service(service)
-                .flatMap(ServiceSpec::engine)
-                .isPresent();
+        boolean generation =
+                routingTable.service(service).flatMap(ServiceSpec::engine).isPresent();
         PromptHeaders prompt = PromptHeaders.parse(fields);
         double held = Math.min(route.timeoutMs(), deadlineMs(fields));
         return new RequestShape(
@@ -293,8 +346,11 @@
         }
     }
 
-    /** Answers whatever has not been answered. */
+    /** Answers whatever has not been answered, and refuses what still comes. */
     void answerTheRest() {
-        serial.execute(() -> List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown));
+        serial.execute(() -> {
+            over = true;
+            List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown);
+        });
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -23,13 +25,17 @@
  * through one thread and one wake-up.
  */
 final class RouterConnector extends ServerConnector implements UpstreamConnector {
-    /** A SYN that was dropped is sent again after a second at the earliest; another replica is sooner. */
-    static final int CONNECT_TIMEOUT_MS = 400;
-
     private static final int NO_ACCEPTOR_THREAD = 0;
     private static final int ONE_SELECTOR = 1;
 
-    RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http) {
+    private final AtomicInteger clients = new AtomicInteger();
+    private final int mostClients;
+
+    /**
+     * @param mostClients a connection beyond these is closed before anything is read from it; Jetty's own limit stops
+     *     accepting, and with a selector that accepts it may lose the listening socket over it
+     */
+    RouterConnector(Server server, Scheduler scheduler, HttpConnectionFactory http, int mostClients) {
         super(
                 server,
                 new ConnectionExecutor(server.getThreadPool()),
@@ -38,26 +44,26 @@
                 NO_ACCEPTOR_THREAD,
                 ONE_SELECTOR,
                 http);
+        this.mostClients = mostClients;
     }
 
     @Override
     protected SelectorManager newSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
-        SelectorManager manager = new TwoWayManager(executor, scheduler, selectors);
-        manager.setConnectTimeout(CONNECT_TIMEOUT_MS);
-        return manager;
+        return new TwoWayManager(executor, scheduler, selectors);
     }
 
     @Override
-    public void connect(InetSocketAddress address, ConnectionMaker factory, Runnable onFailure) {
+    public void connect(InetSocketAddress address, int timeoutMs, ConnectionMaker factory, Runnable onFailure) {
         SocketChannel channel = null;
         try {
-            channel = SocketChannel.open();
+            channel = SocketChannel.open(StandardProtocolFamily.INET);
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             Outgoing outgoing = new Outgoing(factory, onFailure);
             if (channel.connect(address)) {
                 getSelectorManager().accept(channel, outgoing);
             } else {
+                getSelectorManager().setConnectTimeout(timeoutMs);
                 getSelectorManager().connect(channel, outgoing);
             }
         } catch (IOException | RuntimeException e) {
@@ -74,6 +80,15 @@
             super(executor, scheduler, selectors);
         }
 
+        @Override
+        protected void accepted(SelectableChannel channel) throws IOException {
+            if (clients.get() >= mostClients) {
+                IO.close(channel);
+            } else {
+                super.accepted(channel);
+            }
+        }
+
         @Override
         protected SocketChannelEndPoint newEndPoint(
                 SelectableChannel channel, ManagedSelector selector, SelectionKey key) throws IOException {
@@ -104,6 +119,7 @@
         @Override
         protected void endPointOpened(EndPoint endPoint) {
             if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                clients.incrementAndGet();
                 super.endPointOpened(endPoint);
             }
         }
@@ -111,6 +127,7 @@
         @Override
         protected void endPointClosed(EndPoint endPoint) {
             if (!(endPoint.getConnection() instanceof UpstreamConnection)) {
+                clients.decrementAndGet();
                 super.endPointClosed(endPoint);
             }
         }
--- a/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -151,6 +154,39 @@
         assertEquals(value, client.read().field("X-Odd"));
     }
 
+    @Test
+    void connectionsBeyondTheLimitAreClosedUnreadUntilOthersHaveLeft() throws Exception {
+        List<RawSocket> clients = new ArrayList<>();
+        for (int i = 0; i < TestRouter.MOST_CLIENTS; i++) {
+            RawSocket client = router.client();
+            client.send(TestRouter.request("POST", "/elsewhere/x", "c" + i, ""));
+            assertEquals(404, client.read().status());
+            clients.add(client);
+        }
+        for (int i = 0; i < 50; i++) {
+            assertTrue(router.client().isClosedByPeer());
+        }
+        clients.get(0).send(TestRouter.request("POST", "/elsewhere/x", "again", ""));
+        assertEquals("again", clients.get(0).read().field("X-Pinewick-Request-Id"));
+        for (RawSocket client : clients) {
+            client.close();
+        }
+        assertEquals("late", askUntilServed("late"));
+    }
+
+    /** The id in the answer to a request that is sent until its connection is not closed unread. */
+    private String askUntilServed(String id) throws Exception {
+        for (int turn = 0; turn < 10_000; turn++) {
+            try (RawSocket client = RawSocket.connect(router.front.frontendPort())) {
+                client.send(TestRouter.request("POST", "/elsewhere/x", id, ""));
+                return client.read().field("X-Pinewick-Request-Id");
+            } catch (IOException e) {
+                // closed unread: the next turn
+            }
+        }
+        return null;
+    }
+
     @Test
     void admissionIsBoundedByRequestsAndBytes() {
         Admission admission = new Admission(2, 100);
@@ -175,9 +211,12 @@
 
     @Test
     void handleIdsThatCouldReachBeyondAPathAreNotTaken() {
-        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a1-b_c\"}".getBytes(), 0).isPresent());
-        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a/../b\"}".getBytes(), 0).isEmpty());
-        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":null}".getBytes(), 0).isEmpty());
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a1-b_c\"}".getBytes(), 0)
+                .isPresent());
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":\"a/../b\"}".getBytes(), 0)
+                .isEmpty());
+        assertTrue(PrefillHandle.parse(null, "{\"prefill_handle\":null}".getBytes(), 0)
+                .isEmpty());
         assertTrue(PrefillHandle.parse(null, "[1]".getBytes(), 0).isEmpty());
         assertTrue(PrefillHandle.parse(null, "{".getBytes(), 0).isEmpty());
         assertNull(PrefillHandle.parse(null, new byte[0], 0).orElse(null));
--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -15,6 +15,8 @@
     /** Of the most tokens that a request may make, those that it is expected to make, at first. */
     private static final double FIRST_OUTPUT_SHARE = 0.5;
 
+    private static final double ANSWER_WEIGHT = 0.05;
+    private static final double LEAST_ANSWER_MS = 20;
     private static final double OUTPUT_WEIGHT = 0.05;
 
     private final Stage stage;
@@ -23,6 +25,7 @@
     private EngineSpec engine;
     private ServiceTimeModel otherReaders;
     private final SmoothedRate calls = new SmoothedRate();
+    private double meanAnswerMs;
     private double outputShare = FIRST_OUTPUT_SHARE;
     private double averagedAtMs = Double.NaN;
     private double averageExcessMs;
@@ -59,8 +62,8 @@
     }
 
     /**
-     * The time that a call of this kind takes for so many tokens read or moved. Where its pace has not been measured, it is
-     * taken from the kind that reads as well, and without that from the first guess for the whole request.
+     * The time that a call of this kind takes for so many tokens read or moved. Where its pace has not been measured,
+     * it is taken from the kind that reads as well, and without that from the first guess for the whole request.
      */
     double expectedMs(CallKind kind, RequestShape request, double tokens, double firstGuessMs) {
         ServiceTimeModel own = models[kind.ordinal()];
@@ -103,14 +106,24 @@
     }
 
     /**
-     * The time that others lose, all together, while a replica is held for this long: those that come meanwhile, half of it
-     * each on average.
+     * The time that others lose, all together, while a replica is held for this long: those that come meanwhile, half
+     * of it each on average.
      */
     double delayOfOthersMs(double heldMs, int routers, double nowMs) {
         double callsPerMs = calls.perMs(nowMs) * routers / Math.max(1, members.size());
         return callsPerMs * heldMs * heldMs / 2;
     }
 
+    /** An answer took so long. */
+    void answerTook(double tookMs) {
+        meanAnswerMs += meanAnswerMs == 0 ? tookMs : ANSWER_WEIGHT * (tookMs - meanAnswerMs);
+    }
+
+    /** What answers lately took, waiting included: a queue that was reported has gone after about as long. */
+    double meanAnswerMs() {
+        return Math.max(LEAST_ANSWER_MS, meanAnswerMs);
+    }
+
     /** A stream of a request had so many tokens. */
     void made(RequestShape request, int outputTokens) {
         if (request.outputTokens() > 0) {
--- a/selection/src/test/java/pinewick/selection/VirtualEngine.java
+++ b/selection/src/test/java/pinewick/selection/VirtualEngine.java
@@ -71,13 +71,25 @@
     private double movesUntilMs;
     private boolean stepping;
 
-    VirtualEngine(VirtualTime time, String id, String zone, Stage stage, EngineSpec spec, Figures figures, double speed) {
+    VirtualEngine(
+            VirtualTime time, String id, String zone, Stage stage, EngineSpec spec, Figures figures, double speed) {
         this.time = time;
         this.spec = spec;
         this.figures = figures;
         this.speed = speed;
-        this.record = new ReplicaRecord(id, "lm", new SocketAddress("10.0.0.1", 80), zone, "v1", spec.slots(),
-                ReplicaState.READY, 0, stage, List.of(new ReplicaRecord.ModelVersion("m", 1)), 1, false);
+        this.record = new ReplicaRecord(
+                id,
+                "lm",
+                new SocketAddress("10.0.0.1", 80),
+                zone,
+                "v1",
+                spec.slots(),
+                ReplicaState.READY,
+                0,
+                stage,
+                List.of(new ReplicaRecord.ModelVersion("m", 1)),
+                1,
+                false);
     }
 
     boolean prefill() {
@@ -88,6 +100,20 @@
         return waiting.size() + running.size();
     }
 
+    /** Falls silent: what it has is lost, what comes is not answered; then it goes on as if new. */
+    void darken(double forMs) {
+        dark = true;
+        waiting.clear();
+        running.clear();
+        time.after(forMs, () -> {
+            dark = false;
+            kept.clear();
+            keptTokens = 0;
+            stepping = false;
+            movesUntilMs = 0;
+        });
+    }
+
     /** Takes a call that is to be read here. */
     void take(Job job) {
         if (dark) {
@@ -110,6 +136,9 @@
         double begins = Math.max(time.now(), movesUntilMs);
         movesUntilMs = begins + figures.moveSetupMs + job.moveMs;
         time.after(movesUntilMs - time.now(), () -> {
+            if (dark) {
+                return;
+            }
             keep(job.parts);
             waiting.add(job);
             job.unread = -1;
@@ -119,8 +148,8 @@
 
     LoadReport report(double receivedAtMs) {
         long used = running.stream().mapToLong(job -> job.promptTokens).sum();
-        return new LoadReport(record.stage(), false, 0, waiting.size(), running.size(), used, spec.kvCacheTokens(), 0,
-                receivedAtMs);
+        return new LoadReport(
+                record.stage(), false, 0, waiting.size(), running.size(), used, spec.kvCacheTokens(), 0, receivedAtMs);
     }
 
     private void step() {
@@ -156,7 +185,11 @@
         }
         double stepTook = took * speed;
         busyMs += stepTook;
-        time.after(stepTook, () -> finish(ready));
+        time.after(stepTook, () -> {
+            if (!dark) {
+                finish(ready);
+            }
+        });
     }
 
     private void finish(List<Job> ready) {
@@ -226,5 +259,4 @@
             oldest.remove();
         }
     }
-
 }
