--- a/replication/src/main/java/pinewick/replication/ActiveClock.java
+++ b/replication/src/main/java/pinewick/replication/ActiveClock.java
@@ -1,8 +1,8 @@
 package pinewick.replication;
 
 /**
- * Two times. The steady one is the caller's. The active one leaves out spans in which this process did not run, so that
- * after a freeze nobody else is taken for silent.
+ * Two times. The steady one is the caller's. The active one leaves out spans in which this process did not run, so
+ * that after a freeze nobody else is taken for silent.
  */
 final class ActiveClock {
     /** Longer spans between two events count as this long: the process was frozen. */
--- a/replication/src/main/java/pinewick/replication/Ballot.java
+++ b/replication/src/main/java/pinewick/replication/Ballot.java
@@ -14,8 +14,8 @@
 import pinewick.replication.ReplicationMessages.Refusal;
 
 /**
- * One try to make a new epoch: asks the witnesses to promise a number, proposes a record built upon the highest one that
- * they have accepted, and stands once a quorum has accepted that.
+ * One try to make a new epoch: asks the witnesses to promise a number, proposes a record built upon the highest one
+ * that they have accepted, and stands once a quorum has accepted that.
  */
 final class Ballot {
     /** Messages without an answer are sent again after this long. */
--- a/replication/src/main/java/pinewick/replication/DurableState.java
+++ b/replication/src/main/java/pinewick/replication/DurableState.java
@@ -7,8 +7,8 @@
 import java.util.function.Supplier;
 
 /**
- * What this process has on disk. Steps are taken one at a time, in order; each is decided when its turn comes, from what
- * is durable then, so that memory and disk never differ.
+ * What this process has on disk. Steps are taken one at a time, in order; each is decided when its turn comes, from
+ * what is durable then, so that memory and disk never differ.
  */
 final class DurableState {
     /** A write that takes longer counts the disk as stalled. */
--- a/replication/src/main/java/pinewick/replication/EpochPlanner.java
+++ b/replication/src/main/java/pinewick/replication/EpochPlanner.java
@@ -31,7 +31,11 @@
 
     /** Upon the primary's own record, which stands: members may be replaced too. */
     Optional<EpochRecord> planChange(
-            EpochNumber number, EpochRecord highest, Map<String, Promise> promises, Leadership leadership, Replicas replicas) {
+            EpochNumber number,
+            EpochRecord highest,
+            Map<String, Promise> promises,
+            Leadership leadership,
+            Replicas replicas) {
         if (!highest.number().equals(leadership.number())) {
             return Optional.empty();
         }
@@ -48,8 +52,8 @@
     }
 
     /**
-     * Whoever promised the number and was in sync, or holds exactly what this process holds. None of them can confirm a
-     * change of an earlier epoch any more, and each has every change that was acknowledged.
+     * Whoever promised the number and was in sync, or holds exactly what this process holds. None of them can confirm
+     * a change of an earlier epoch any more, and each has every change that was acknowledged.
      */
     private List<String> inSync(EpochRecord base, List<Member> members, Map<String, Promise> promises) {
         String self = context.durable().identity();
--- a/replication/src/main/java/pinewick/replication/EpochRecord.java
+++ b/replication/src/main/java/pinewick/replication/EpochRecord.java
@@ -11,8 +11,8 @@
  * @param primary identity of the primary, empty in the founding epoch
  * @param inSync identities of those that must confirm each change, the primary included
  * @param members those whose majority decides
- * @param previousMembers the members before this epoch; until the record is known to be accepted, a decision needs their
- *     majority too
+ * @param previousMembers the members before this epoch; until the record is known to be accepted, a decision needs
+ *     their majority too
  */
 public record EpochRecord(
         EpochNumber number,
@@ -40,7 +40,7 @@
         return new EpochRecord(EpochNumber.FOUNDING, "", identities, members, members);
     }
 
-    /** Whether {@code identities} hold a majority of the members, and of the previous members where these still count. */
+    /** Whether these are a majority of the members, and of the previous members where they still count. */
     public boolean hasQuorum(Set<String> identities) {
         return isMajority(members, identities) && (isSettled() || isMajority(previousMembers, identities));
     }
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -31,6 +31,9 @@
     /** Without a quorum's confirmation for longer than this, the primary leads no more. */
     private static final double UNCONFIRMED_MS = 900;
 
+    /** A primary that has promised a higher number, and cannot make an epoch of it in this time, leads no more. */
+    private static final double LONGEST_CHANGE_MS = 1_500;
+
     /** For this long after a confirmed round was sent the lease is held. */
     static final double LEASE_VALID_MS = 700;
 
@@ -53,6 +56,7 @@
     private long round;
     private long confirmedRound;
     private double confirmedActiveMs;
+    private double changingSinceMs;
     private double confirmedSteadyMs = Double.NEGATIVE_INFINITY;
     private double lastHeartbeatMs = Double.NEGATIVE_INFINITY;
     private ConfigurationState committed = ConfigurationState.NONE;
@@ -67,6 +71,7 @@
         this.baseTag = context.durable().state().tag();
         this.target = new StateTag(record.number().counter(), 0);
         this.confirmedActiveMs = context.activeMs();
+        this.changingSinceMs = context.activeMs();
     }
 
     EpochRecord record() {
@@ -110,8 +115,15 @@
 
     /** Whether this process has to stop leading: its disk is in trouble, or no quorum confirms it. */
     boolean lost() {
-        return diskFailed || context.durable().stalled()
-                || (honoured() && context.activeMs() - confirmedActiveMs > UNCONFIRMED_MS);
+        if (diskFailed || context.durable().stalled()) {
+            return true;
+        }
+        double now = context.activeMs();
+        if (honoured()) {
+            changingSinceMs = now;
+            return now - confirmedActiveMs > UNCONFIRMED_MS;
+        }
+        return now - changingSinceMs > LONGEST_CHANGE_MS;
     }
 
     /** Whether a quorum has confirmed this epoch lately. */
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -26,8 +26,8 @@
 import pinewick.replication.ReplicationMessages.Status;
 
 /**
- * One controller's part in the replicated configuration: witness always, replica while in sync, primary at times. Owned
- * by the control loop, which calls every method and runs every completion of the store.
+ * One controller's part in the replicated configuration: witness always, replica while in sync, primary at times.
+ * Owned by the control loop, which calls every method and runs every completion of the store.
  */
 public final class ReplicationNode implements ReplicatedConfiguration {
     /** How often {@link #onTick} is to be called, milliseconds. */
@@ -44,15 +44,11 @@
     /** A primary that is about to end waits this long for a change under way. */
     private static final double HAND_OVER_MS = 500;
 
-    /** A primary that cannot make its next epoch within this time leads no more. */
-    private static final double LIMBO_MS = 1_500;
-
     private static final double CHANGE_PAUSE_MS = 150;
-    private static final double LOAD_RETRY_MS = 500;
     private static final double LEASE_MARGIN_MS = 100;
 
     private final ReplicationSettings settings;
-    private final StableStore store;
+    private final Startup startup;
     private final ActiveClock clock = new ActiveClock();
     private final Peers peers;
     private final DurableState durable;
@@ -67,12 +63,9 @@
     private final PrimaryRole primaryRole;
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Ballot> ballot = Optional.empty();
-    private boolean ready;
-    private double startRetryMs = Double.POSITIVE_INFINITY;
     private boolean leaving;
     private double leavingSinceMs;
     private double nextChangeMs;
-    private double limboSinceMs = Double.NaN;
     private double leaseFromMs = Double.POSITIVE_INFINITY;
     private long counterToBeat;
     private StateTag reported = StateTag.NONE;
@@ -93,10 +86,10 @@
             RandomGenerator random,
             ReplicationListener listener) {
         this.settings = settings;
-        this.store = store;
         this.peers = new Peers(settings.address(), settings.seeds(), outbox);
         this.durable = new DurableState(store, clock, this::advance);
         this.context = new Context(settings, clock, durable, peers, random, listener);
+        this.startup = new Startup(context, store, this::takePart);
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
@@ -108,47 +101,10 @@
     /** Begins: reads the disk, then takes part. */
     public void start(double nowMs) {
         clock.advance(nowMs);
-        load();
-    }
-
-    private void load() {
-        startRetryMs = Double.POSITIVE_INFINITY;
-        store.load(this::onLoaded, failure -> startRetryMs = clock.activeMs() + LOAD_RETRY_MS);
-    }
-
-    private void onLoaded(LoadedState loaded) {
-        if (loaded.stored().isPresent()) {
-            durable.restore(loaded.stored().get());
-            takePart();
-        } else if (settings.isFounder() && !loaded.damaged()) {
-            durable.begin(settings.address().toString());
-            found();
-        } else {
-            long high = context.random().nextLong();
-            long low = context.random().nextLong();
-            durable.begin(String.format("%016x%016x", high, low));
-            takePart();
-        }
-    }
-
-    /** A founder takes part once the founding record is on its disk. */
-    private void found() {
-        startRetryMs = Double.POSITIVE_INFINITY;
-        EpochRecord founding = EpochRecord.founding(settings.seeds());
-        ConfigurationState empty = ConfigurationState.NONE.withTag(StateTag.FOUNDING);
-        durable.submit(
-                () -> Optional.of(new DurableState.Step(founding.number(), founding, empty, Optional.empty())),
-                outcome -> {
-                    if (outcome == DurableState.Outcome.WRITTEN) {
-                        takePart();
-                    } else {
-                        startRetryMs = clock.activeMs() + LOAD_RETRY_MS;
-                    }
-                });
+        startup.begin();
     }
 
     private void takePart() {
-        ready = true;
         election.restart(0);
         context.listener().noted("store " + durable.identity() + " holds " + durable.state().tag());
         advance();
@@ -162,8 +118,8 @@
     /** Time has passed. */
     public void onTick(double nowMs) {
         clock.advance(nowMs);
-        if (!ready) {
-            retryStart();
+        if (!startup.ready()) {
+            startup.onTick();
             return;
         }
         durable.onTick();
@@ -177,21 +133,10 @@
         advance();
     }
 
-    private void retryStart() {
-        if (clock.activeMs() < startRetryMs) {
-            return;
-        }
-        if (durable.identity().isEmpty()) {
-            load();
-        } else {
-            found();
-        }
-    }
-
     /** Handles a message if it is of replication; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         clock.advance(nowMs);
-        if (!ready) {
+        if (!startup.ready()) {
             return message.getClass().getEnclosingClass() == ReplicationMessages.class;
         }
         boolean handled = handleAsWitness(sender, message)
@@ -347,7 +292,7 @@
 
     /** Does whatever can be done now. */
     private void advance() {
-        if (!ready) {
+        if (!startup.ready()) {
             return;
         }
         endBallot();
@@ -407,7 +352,6 @@
         });
         Leadership begun = new Leadership(context, won.proposal(), replicas);
         leadership = Optional.of(begun);
-        limboSinceMs = Double.NaN;
         changes.restart();
         reads.restart();
         context.listener().noted("leads epoch " + begun.number().counter() + ", in sync " + begun.record().inSync());
@@ -415,7 +359,7 @@
     }
 
     private void lead(Leadership leading) {
-        if (leading.lost() || inLimbo(leading)) {
+        if (leading.lost()) {
             resign(leading);
             return;
         }
@@ -429,17 +373,6 @@
         }
     }
 
-    private boolean inLimbo(Leadership leading) {
-        if (leading.honoured()) {
-            limboSinceMs = Double.NaN;
-            return false;
-        }
-        if (Double.isNaN(limboSinceMs)) {
-            limboSinceMs = clock.activeMs();
-        }
-        return clock.activeMs() - limboSinceMs > LIMBO_MS;
-    }
-
     private void change(Leadership leading, Set<String> wanted) {
         long counter = Math.max(durable.promised().counter(), counterToBeat);
         for (Replica replica : replicas.all()) {
--- a/replication/src/main/java/pinewick/replication/StateReceiver.java
+++ b/replication/src/main/java/pinewick/replication/StateReceiver.java
@@ -11,7 +11,7 @@
 import pinewick.replication.ReplicationMessages.StateReply;
 import pinewick.replication.ReplicationMessages.StateResult;
 
-/** Takes states from a primary: on disk first, then confirmed. Nothing is taken under a number below the promised one. */
+/** Takes states from a primary: on disk first, then confirmed; nothing under a number below the promised one. */
 final class StateReceiver {
     private final Context context;
 
--- a/replication/src/test/java/pinewick/replication/MembershipChangeTest.java
+++ b/replication/src/test/java/pinewick/replication/MembershipChangeTest.java
@@ -14,8 +14,8 @@
     private static final double BOUND_MS = 6_000;
 
     /**
-     * The primary takes a new store in for one that is silent. Just when it asks for acceptance, it is left alone with the
-     * new store; the two old ones come together. Both sides then try to have a change of their own accepted.
+     * The primary takes a new store in for one that is silent. Just when it asks for acceptance, it is left alone with
+     * the new store; the two old ones come together. Both sides then try to have a change of their own accepted.
      */
     private static World playCut(UnaryOperator<EpochRecord> onItsWay) {
         World world = new World(7, 1);
--- a/storage/src/main/java/pinewick/storage/StoreFolder.java
+++ b/storage/src/main/java/pinewick/storage/StoreFolder.java
@@ -43,7 +43,10 @@
         try {
             Files.createDirectories(directory);
             try (FileChannel channel = FileChannel.open(
-                    probe, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+                    probe,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE,
+                    StandardOpenOption.TRUNCATE_EXISTING)) {
                 channel.write(ByteBuffer.allocate(PROBE_BYTES));
                 channel.force(true);
             }
--- a/storage/src/main/java/pinewick/storage/XodusFiles.java
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -63,8 +63,8 @@
                 .setEnvCloseForcedly(true)
                 .setEnvGatherStatistics(false)
                 .setManagementEnabled(false);
-        // One thread of one process uses the folder. A lock would stay behind when opening fails, and the next try would
-        // fail for it alone.
+        // One thread of one process uses the folder. A lock would stay behind when opening fails, and the next try
+        // would fail for it alone.
         LogConfig logConfig = new LogConfig().setLocation(folder.toString());
         logConfig.setLockIgnored(true);
         return new XodusFiles(Environments.newInstance(logConfig, config));
--- a/storage/src/main/java/pinewick/storage/XodusStore.java
+++ b/storage/src/main/java/pinewick/storage/XodusStore.java
@@ -18,8 +18,8 @@
 import pinewick.replication.StoredState;
 
 /**
- * Keeps the state of a replica in a folder. One thread reads and writes; what calls end with is run by the executor that
- * was handed in. Files that cannot be read are set aside, and the disk counts as empty.
+ * Keeps the state of a replica in a folder. One thread reads and writes; what calls end with is run by the executor
+ * that was handed in. Files that cannot be read are set aside, and the disk counts as empty.
  */
 public final class XodusStore implements StableStore, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -98,7 +98,7 @@
             foundDamaged = true;
             throw new StorageException(Kind.FAILED, "open", cause);
         }
-        LOGGER.atSevere().withCause(cause).log("Storage: the files cannot be read; set aside, this disk counts as empty");
+        LOGGER.atSevere().withCause(cause).log("Storage: unreadable files are set aside; this disk counts as empty");
         folder.setAside();
         return new LoadedState(Optional.empty(), true);
     }
