--- a/replication/src/main/java/pinewick/replication/DurableState.java
+++ b/replication/src/main/java/pinewick/replication/DurableState.java
@@ -72,20 +72,25 @@
         identity = newIdentity;
     }
 
-    /** Goes on from what the disk holds. */
+    /**
+     * Goes on from what the disk holds.
+     *
+     * @throws IllegalArgumentException if the parts do not fit together; nothing has changed then
+     */
     void restore(StoredState stored) {
-        identity = stored.head().identity();
-        identityStored = true;
-        promised = stored.head().promised();
-        accepted = stored.head().accepted();
+        StoredHead head = stored.head();
         StoredSnapshot snapshot = stored.snapshot();
         ConfigurationState restored =
-                ConfigurationState.fromBytes(stored.head().tag(), snapshot.document(), snapshot.changes());
+                ConfigurationState.fromBytes(head.tag(), snapshot.document(), snapshot.changes());
         for (StoredChange change : stored.changes()) {
-            restored = restored.apply(stored.head().tag(), change.delta(), change.key());
+            restored = restored.apply(head.tag(), change.delta(), change.key());
             appendedBytes += change.delta().length;
         }
         state = restored;
+        identity = head.identity();
+        identityStored = true;
+        promised = head.promised();
+        accepted = head.accepted();
         appended = stored.changes().size();
         snapshotDue = false;
     }
--- a/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -8,12 +8,12 @@
 
 /** Decides upon changes and reads while this process leads. */
 final class PrimaryRole {
-    private final Context context;
+    private final CommitReport commitReport;
     private final ChangeQueue changes;
     private final ReadQueue reads;
 
-    PrimaryRole(Context context, ChangeQueue changes, ReadQueue reads) {
-        this.context = context;
+    PrimaryRole(CommitReport commitReport, ChangeQueue changes, ReadQueue reads) {
+        this.commitReport = commitReport;
         this.changes = changes;
         this.reads = reads;
     }
@@ -46,9 +46,7 @@
             return;
         }
         ConfigurationState state = leadership.committed();
-        if (state.document().version() > ConfigurationDocument.EMPTY.version()) {
-            context.listener().committed(state.document());
-        }
+        commitReport.onCommitted(state.tag());
         leadership.heartbeat();
         changes.committed(state);
     }
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import pinewick.model.ConfigurationDocument;
 import pinewick.model.Message;
 import pinewick.model.Outbox;
 import pinewick.model.SocketAddress;
@@ -61,14 +60,16 @@
     private final ChangeQueue changes = new ChangeQueue();
     private final ReadQueue reads = new ReadQueue();
     private final PrimaryRole primaryRole;
+    private final CommitReport commitReport;
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Ballot> ballot = Optional.empty();
+    private boolean advancing;
+    private boolean advanceWanted;
     private boolean leaving;
     private double leavingSinceMs;
     private double nextChangeMs;
     private double leaseFromMs = Double.POSITIVE_INFINITY;
     private long counterToBeat;
-    private StateTag reported = StateTag.NONE;
     private SocketAddress primaryAddress = ReplicationMessages.NO_ADDRESS;
     private Heartbeat lastHeartbeat;
 
@@ -95,7 +96,8 @@
         this.election = new Election(context);
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
-        this.primaryRole = new PrimaryRole(context, changes, reads);
+        this.commitReport = new CommitReport(context);
+        this.primaryRole = new PrimaryRole(commitReport, changes, reads);
     }
 
     /** Begins: reads the disk, then takes part. */
@@ -181,7 +183,7 @@
             heardOf(replicate.number());
             StateTag held = durable.state().tag();
             if (held.next().equals(replicate.tag())) {
-                report(held);
+                commitReport.onCommitted(held);
             }
             receiver.onReplicate(sender, replicate);
         } else if (message instanceof Resign resign) {
@@ -225,7 +227,7 @@
             election.onHeartbeat(heartbeat);
             lastHeartbeat = heartbeat;
             primaryAddress = sender;
-            report(heartbeat.committed());
+            commitReport.onCommitted(heartbeat.committed());
         }
         peers.send(sender, heartbeatReply(heartbeat));
     }
@@ -278,20 +280,24 @@
         }
     }
 
-    /** The state under this tag is committed: told on if it is the one held here. */
-    private void report(StateTag committed) {
-        ConfigurationState held = durable.state();
-        boolean known = !committed.equals(StateTag.NONE) && held.tag().equals(committed);
-        if (known && !reported.equals(committed)) {
-            reported = committed;
-            if (held.document().version() > ConfigurationDocument.EMPTY.version()) {
-                context.listener().committed(held.document());
+    /** Does whatever can be done now. A callback that calls in here again is served after it. */
+    private void advance() {
+        advanceWanted = true;
+        if (advancing) {
+            return;
+        }
+        advancing = true;
+        try {
+            while (advanceWanted) {
+                advanceWanted = false;
+                advanceOnce();
             }
+        } finally {
+            advancing = false;
         }
     }
 
-    /** Does whatever can be done now. */
-    private void advance() {
+    private void advanceOnce() {
         if (!startup.ready()) {
             return;
         }
--- a/replication/src/main/java/pinewick/replication/Startup.java
+++ b/replication/src/main/java/pinewick/replication/Startup.java
@@ -45,10 +45,9 @@
 
     private void onLoaded(LoadedState loaded) {
         DurableState durable = context.durable();
-        if (loaded.stored().isPresent()) {
-            durable.restore(loaded.stored().get());
+        if (loaded.stored().isPresent() && restored(loaded.stored().get())) {
             finish();
-        } else if (context.settings().isFounder() && !loaded.damaged()) {
+        } else if (loaded.stored().isEmpty() && context.settings().isFounder() && !loaded.damaged()) {
             durable.begin(context.settings().address().toString());
             found();
         } else {
@@ -59,6 +58,17 @@
         }
     }
 
+    /** A store whose content makes no sense counts as empty. */
+    private boolean restored(StoredState stored) {
+        try {
+            context.durable().restore(stored);
+            return true;
+        } catch (IllegalArgumentException e) {
+            context.listener().noted("the stored configuration cannot be read: " + e.getMessage());
+            return false;
+        }
+    }
+
     /** A founder takes part once the founding record is on its disk. */
     private void found() {
         retryAtMs = Double.POSITIVE_INFINITY;
--- a/storage/src/main/java/pinewick/storage/StoreFolder.java
+++ b/storage/src/main/java/pinewick/storage/StoreFolder.java
@@ -32,6 +32,18 @@
         return directory.resolve(LIVE);
     }
 
+    /** Makes the folder of the live files, so that its name survives a loss of power. */
+    void prepare() throws IOException {
+        if (!Files.exists(live())) {
+            Files.createDirectories(live());
+            syncNames(directory);
+            Path parent = directory.toAbsolutePath().getParent();
+            if (parent != null) {
+                syncNames(parent);
+            }
+        }
+    }
+
     /** Whether files were ever set aside here. */
     boolean hasDamaged() {
         return Files.exists(directory.resolve(DAMAGED));
@@ -67,14 +79,14 @@
                 Files.createDirectories(damaged);
                 delete(live());
             }
-            syncNames();
+            syncNames(directory);
         } catch (IOException e) {
             throw new StorageException(DiskFaults.kindOf(e), "set aside", e);
         }
     }
 
-    private void syncNames() throws IOException {
-        try (FileChannel names = FileChannel.open(directory, StandardOpenOption.READ)) {
+    private static void syncNames(Path folder) throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
             names.force(true);
         }
     }
--- a/storage/src/main/java/pinewick/storage/XodusFiles.java
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,8 +49,7 @@
         this.changes = openStore("changes");
     }
 
-    static XodusFiles open(Path folder) throws IOException {
-        Files.createDirectories(folder);
+    static XodusFiles open(Path folder) {
         EnvironmentConfig config = new EnvironmentConfig()
                 .setLogDurableWrite(true)
                 .setLogFileSize(LOG_FILE_KILOBYTES)
--- a/storage/src/main/java/pinewick/storage/XodusStore.java
+++ b/storage/src/main/java/pinewick/storage/XodusStore.java
@@ -117,6 +117,7 @@
 
     private XodusFiles open() throws IOException {
         if (files.isEmpty()) {
+            folder.prepare();
             files = Optional.of(XodusFiles.open(folder.live()));
         }
         return files.get();
