--- a/selection/src/main/java/pinewick/selection/CacheBelief.java
+++ b/selection/src/main/java/pinewick/selection/CacheBelief.java
@@ -24,6 +24,7 @@
     private long[] hashes = new long[FIRST_SIZE];
     private int[] tokens = new int[FIRST_SIZE];
     private double[] usedAt = new double[FIRST_SIZE];
+    private boolean[] shared = new boolean[FIRST_SIZE];
     private int[] newer = new int[FIRST_SIZE];
     private int[] older = new int[FIRST_SIZE];
     private int[] nextInBucket = new int[FIRST_SIZE];
@@ -84,14 +85,19 @@
 
     /** The replica has the whole chain now. Later parts count as older, since they give way first. */
     void used(PromptChain chain, double nowMs) {
+        boolean worthTelling = chain.worthTelling();
         for (int part = chain.length() - 1; part >= 0; part--) {
-            used(chain.hash(part), chain.tokens(part), nowMs);
+            used(chain.hash(part), chain.tokens(part), worthTelling && part < chain.length() - 1, nowMs);
         }
         shrink();
     }
 
-    /** One part was used at this time, which may be past. */
-    void used(long hash, int partTokens, double atMs) {
+    /**
+     * One part was used at this time, which may be past.
+     *
+     * @param worthTelling whether other routers should know of it
+     */
+    void used(long hash, int partTokens, boolean worthTelling, double atMs) {
         int entry = find(hash);
         if (entry != NONE) {
             if (usedAt[entry] > atMs) {
@@ -102,9 +108,23 @@
             entry = add(hash, partTokens);
         }
         usedAt[entry] = atMs;
+        shared[entry] |= worthTelling;
         link(entry);
     }
 
+    /** Shows what is kept, the newest first, until the visitor has enough. */
+    void visitNewest(Visitor visitor) {
+        int entry = newest;
+        while (entry != NONE && visitor.visit(hashes[entry], tokens[entry], shared[entry], usedAt[entry])) {
+            entry = older[entry];
+        }
+    }
+
+    /** Takes one kept part; false if it wants no more. */
+    interface Visitor {
+        boolean visit(long hash, int partTokens, boolean worthTelling, double usedAtMs);
+    }
+
     /** Evicts until what is held fits. */
     void shrink() {
         long bound = (long) (capacityTokens * share);
@@ -156,6 +176,7 @@
         }
         hashes[entry] = hash;
         tokens[entry] = partTokens;
+        shared[entry] = false;
         int bucket = bucket(hash);
         nextInBucket[entry] = buckets[bucket];
         buckets[bucket] = entry;
@@ -222,6 +243,7 @@
         hashes = Arrays.copyOf(hashes, length);
         tokens = Arrays.copyOf(tokens, length);
         usedAt = Arrays.copyOf(usedAt, length);
+        shared = Arrays.copyOf(shared, length);
         newer = Arrays.copyOf(newer, length);
         older = Arrays.copyOf(older, length);
         nextInBucket = Arrays.copyOf(nextInBucket, length);
--- a/selection/src/main/java/pinewick/selection/PrefixCacheBeliefs.java
+++ b/selection/src/main/java/pinewick/selection/PrefixCacheBeliefs.java
@@ -16,8 +16,6 @@
     public static final int MOST_ENTRIES = 4_000;
     /** Hints that wait to be told; beyond this the oldest are dropped. */
     private static final int MOST_HINTS = 1_024;
-    /** Prompts that share fewer tokens than this with others are read sooner than told. */
-    private static final int WORTH_TELLING_TOKENS = 512;
     /** Older news is not worth telling. */
     private static final double HINT_AGE_MS = 5_000;
 
@@ -55,7 +53,7 @@
 
     void used(String instanceId, PromptChain chain, double nowMs) {
         belief(instanceId).used(chain, nowMs);
-        if (chain.sharedTokens() < WORTH_TELLING_TOKENS) {
+        if (!chain.worthTelling()) {
             return;
         }
         int last = chain.length() - 1;
@@ -93,6 +91,30 @@
         return hints;
     }
 
+    /**
+     * What is known of all replicas, for a router that has just started: of each the parts that were used last, the
+     * newest first, up to so many in all.
+     */
+    public List<PrefixHint> snapshot(int most, double nowMs) {
+        List<PrefixHint> hints = new ArrayList<>();
+        int mostEach = most / Math.max(1, byInstance.size());
+        byInstance.forEach((instanceId, belief) -> {
+            int enough = hints.size() + mostEach;
+            int[] ballast = {0};
+            belief.visitNewest((hash, tokens, worthTelling, usedAtMs) -> {
+                if (worthTelling && hints.size() < enough) {
+                    hints.add(
+                            new PrefixHint(instanceId, hash, tokens, (int) Math.max(0, nowMs - usedAtMs), ballast[0]));
+                    ballast[0] = 0;
+                } else {
+                    ballast[0] += tokens;
+                }
+                return hints.size() < enough;
+            });
+        });
+        return hints;
+    }
+
     /** Takes in what another router saw. Passed over for replicas whose memory is not known. */
     public void learn(PrefixHint hint, double nowMs) {
         CacheBelief belief = byInstance.get(hint.instanceId());
@@ -101,9 +123,9 @@
         }
         double usedAt = nowMs - hint.ageMs();
         if (hint.ballastTokens() > 0) {
-            belief.used(~hint.chainHash() + Double.doubleToLongBits(usedAt), hint.ballastTokens(), usedAt);
+            belief.used(~hint.chainHash() + Double.doubleToLongBits(usedAt), hint.ballastTokens(), false, usedAt);
         }
-        belief.used(hint.chainHash(), hint.tokens(), usedAt);
+        belief.used(hint.chainHash(), hint.tokens(), true, usedAt);
         belief.shrink();
     }
 
--- a/selection/src/main/java/pinewick/selection/PromptChain.java
+++ b/selection/src/main/java/pinewick/selection/PromptChain.java
@@ -8,6 +8,9 @@
  */
 final class PromptChain {
     private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+    /** Prompts that share fewer tokens than this with others are read sooner than told. */
+    private static final int WORTH_TELLING_TOKENS = 512;
+
     static final PromptChain EMPTY = new PromptChain(List.of(), 0);
 
     private final long[] hashes;
@@ -62,4 +65,9 @@
         }
         return shared;
     }
+
+    /** Whether other routers should know where the shared parts are kept. */
+    boolean worthTelling() {
+        return sharedTokens() >= WORTH_TELLING_TOKENS;
+    }
 }
--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -26,6 +26,7 @@
     private final ReplicaPool pool;
     private final CacheBelief cache;
     private final int slots;
+    private final int batch;
 
     private int outstanding;
     private int streaming;
@@ -56,6 +57,7 @@
         this.pool = pool;
         this.cache = cache;
         this.slots = Math.max(1, replica.slots());
+        this.batch = tuning.countInBatches() ? slots : 1;
         pool.add(this);
     }
 
@@ -188,12 +190,12 @@
     }
 
     /**
-     * R - s + q̂³·s, for an s and an R - s of the request. A replica works on {@code slots} requests at a time, so both terms
-     * of the queue count in batches of as many.
+     * R - s + q̂³·s, for an s and an R - s of the request. A replica works on {@code slots} requests at a time, so both
+     * terms of the queue count in batches of as many.
      */
     double score(double serviceMs, double beyondServiceMs, int routers, double nowMs) {
         double ahead = (double) outstanding * routers + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
-        double congestion = 1 + ahead / slots;
+        double congestion = 1 + ahead / batch;
         return beyondServiceMs + congestion * congestion * congestion * serviceMs;
     }
 
--- a/selection/src/main/java/pinewick/selection/SelectionTuning.java
+++ b/selection/src/main/java/pinewick/selection/SelectionTuning.java
@@ -6,6 +6,7 @@
  *
  * @param smoothing weight of one answer in R
  * @param busyWeight factor of the busy share that scales the reported queue
+ * @param countInBatches whether os·n and q count in batches of a replica's slots
  * @param serviceByRequest whether s is the request's own service time, or the lowest recent answer time whatever
  *     its size
  * @param excessHalfLifeMs time in which R - s of a replica that is not heard from falls half way to its kind's average
@@ -15,25 +16,35 @@
 public record SelectionTuning(
         double smoothing,
         double busyWeight,
+        boolean countInBatches,
         boolean serviceByRequest,
         double excessHalfLifeMs,
         double reportHalfLife,
         double interference) {
     /** What routers run with. */
-    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, 2_000, 0.5, 0.5);
+    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, true, 2_000, 0.5, 0.5);
 
     /** The same with another busy weight. */
     public SelectionTuning withBusyWeight(double other) {
-        return new SelectionTuning(smoothing, other, serviceByRequest, excessHalfLifeMs, reportHalfLife, interference);
+        return new SelectionTuning(
+                smoothing, other, countInBatches, serviceByRequest, excessHalfLifeMs, reportHalfLife, interference);
+    }
+
+    /** The same with another unit of os·n and q. */
+    public SelectionTuning withCountInBatches(boolean other) {
+        return new SelectionTuning(
+                smoothing, busyWeight, other, serviceByRequest, excessHalfLifeMs, reportHalfLife, interference);
     }
 
     /** The same with another stand-in for s. */
     public SelectionTuning withServiceByRequest(boolean other) {
-        return new SelectionTuning(smoothing, busyWeight, other, excessHalfLifeMs, reportHalfLife, interference);
+        return new SelectionTuning(
+                smoothing, busyWeight, countInBatches, other, excessHalfLifeMs, reportHalfLife, interference);
     }
 
     /** The same with another charge for reading between the tokens of others. */
     public SelectionTuning withInterference(double other) {
-        return new SelectionTuning(smoothing, busyWeight, serviceByRequest, excessHalfLifeMs, reportHalfLife, other);
+        return new SelectionTuning(
+                smoothing, busyWeight, countInBatches, serviceByRequest, excessHalfLifeMs, reportHalfLife, other);
     }
 }
--- a/selection/src/test/java/pinewick/selection/PrefixCacheBeliefsTest.java
+++ b/selection/src/test/java/pinewick/selection/PrefixCacheBeliefsTest.java
@@ -65,6 +65,28 @@
         assertEquals(0, beliefs.cachedTokens("a", PROMPT), "a hint does not bring it back");
     }
 
+    @Test
+    void aRouterThatStartsLearnsWhatIsKept() {
+        PrefixCacheBeliefs here = beliefs();
+        PrefixCacheBeliefs there = beliefs();
+        here.used("a", PROMPT, 100);
+        here.used("a", List.of(new PromptPart(5, 40), new PromptPart(6, 60)), 110);
+        List<PromptPart> other = List.of(new PromptPart(7, 700), new PromptPart(8, 30));
+        here.used("a", other, 120);
+        here.snapshot(100, 200).forEach(hint -> there.learn(hint, 1_000));
+        assertEquals(800, there.cachedTokens("a", PROMPT));
+        assertEquals(700, there.cachedTokens("a", other));
+        assertEquals(
+                870 + 100 + 730 - 70,
+                there.belief("a").heldTokens(),
+                "what pushes others out is told as well, but for what is older than all that is told");
+        assertEquals(0, there.cachedTokens("a", List.of(new PromptPart(5, 40), new PromptPart(6, 60))));
+        assertEquals(
+                List.of(700),
+                here.snapshot(1, 200).stream().map(PrefixHint::tokens).toList(),
+                "the newest");
+    }
+
     @Test
     void memoryIsBounded() {
         PrefixCacheBeliefs beliefs = new PrefixCacheBeliefs(100);
--- a/selection/src/test/java/pinewick/selection/SelectionExperiment.java
+++ b/selection/src/test/java/pinewick/selection/SelectionExperiment.java
@@ -28,6 +28,7 @@
         List<Variant> variants = new ArrayList<>();
         variants.add(new Variant("all terms", usual, routers, true, true, false));
         variants.add(new Variant("n = 1", usual, 1, true, true, false));
+        variants.add(new Variant("queues not in batches", usual.withCountInBatches(false), routers, true, true, false));
         variants.add(new Variant("no reports", usual, routers, false, true, false));
         variants.add(new Variant("no busy share", usual.withBusyWeight(0), routers, true, true, false));
         variants.add(new Variant("s = lowest answer", usual.withServiceByRequest(false), routers, true, true, false));
