Selection: a prompt is fetched only by replicas of the same weights; replicas can be made known before the first choice

Cause: during a release a handle of one version would be offered to the other, and what a router that has just started is told of caches was passed over until its first request.

--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -55,6 +55,11 @@
         pools.getOrDefault(service, Map.of()).values().forEach(pool -> pool.setEngine(engine));
     }
 
+    /** A replica has become known: from now on hints and reports of it are taken in. */
+    public void know(ReplicaRecord replica) {
+        measurements(replica);
+    }
+
     /** What the prefix caches are believed to hold, for sharing with other routers. */
     public PrefixCacheBeliefs beliefs() {
         return beliefs;
@@ -84,6 +89,9 @@
         if (prefill.index() != LowestScore.NONE) {
             ReplicaRecord reader = prefills.replica(prefill.index());
             LowestScore fetched = scores.fetched(decodes, reader);
+            if (fetched.index() == LowestScore.NONE) {
+                return Optional.of(new Pair(Optional.empty(), decodes.replica(whole.index())));
+            }
             ReplicaRecord decode = decodes.replica(fetched.index());
             double price = scores.readingPrice(prefills.measured(prefill.index()), CallKind.PREFILL, kept)
                     + movePrice(scores, request, reader, decode);
--- a/selection/src/main/java/pinewick/selection/RequestScores.java
+++ b/selection/src/main/java/pinewick/selection/RequestScores.java
@@ -65,10 +65,14 @@
         return lowest;
     }
 
-    /** The best decode replica for a prompt that was read by {@code reader}. */
+    /** The best decode replica for a prompt that was read by {@code reader}, among those of the same weights. */
     LowestScore fetched(CandidateList candidates, ReplicaRecord reader) {
         LowestScore lowest = new LowestScore(random);
+        int version = weights(reader);
         for (int each = 0; each < candidates.size(); each++) {
+            if (weights(candidates.replica(each)) != version) {
+                continue;
+            }
             ReplicaMeasurements measured = candidates.measured(each);
             double service = fetchMs(measured, candidates.replica(each), reader);
             double excess = measured.excessMs(nowMs) + stepExcessMs(measured) + measured.linkExcessMs(nowMs);
@@ -128,6 +132,16 @@
         return PriceModel.movePrice(bytes, place.moveFactor(reader.zone(), decode.zone()));
     }
 
+    /** Version of the weights of the request's model, 0 if it is not told. */
+    private int weights(ReplicaRecord replica) {
+        for (int each = 0; each < replica.models().size(); each++) {
+            if (replica.models().get(each).name().equals(request.model())) {
+                return replica.models().get(each).version();
+            }
+        }
+        return 0;
+    }
+
     private double price(ReplicaRecord replica) {
         return place.requestPrice(replica.zone(), request.promptTokens());
     }
--- a/selection/src/test/java/pinewick/selection/ReplicaSelectorTest.java
+++ b/selection/src/test/java/pinewick/selection/ReplicaSelectorTest.java
@@ -296,6 +296,60 @@
                         .orElseThrow());
     }
 
+    @Test
+    void aPromptIsFetchedOnlyByReplicasOfTheSameWeights() {
+        ReplicaRecord reader = Shapes.replica("reader", Stage.PREFILL);
+        ReplicaRecord same = Shapes.replica("same", Stage.DECODE);
+        ReplicaRecord newer = new ReplicaRecord(
+                "newer",
+                "s",
+                same.address(),
+                "z",
+                "v2",
+                12,
+                ReplicaState.READY,
+                0,
+                Stage.DECODE,
+                List.of(new ReplicaRecord.ModelVersion("m", 2)),
+                1,
+                false);
+        selector.setEngine("s", Shapes.ENGINE);
+        RequestShape request = Shapes.generation(1, 12_000, 4_000, 0);
+        for (int each = 0; each < 50; each++) {
+            assertEquals(
+                    same,
+                    selector.chooseDecode(request, reader, List.of(same, newer), Set.of(), 0)
+                            .orElseThrow());
+        }
+        assertTrue(selector.chooseDecode(request, reader, List.of(newer), Set.of(), 0)
+                .isEmpty());
+        Pair pair =
+                selector.choose(request, List.of(reader, newer), Set.of(), 0).orElseThrow();
+        assertEquals(new Pair(Optional.empty(), newer), pair);
+    }
+
+    @Test
+    void hintsAreTakenInFromWhenAReplicaIsKnown() {
+        List<ReplicaRecord> fleet = fleet(0, 3);
+        selector.setEngine("s", Shapes.ENGINE);
+        learnPaces(fleet);
+        ReplicaRecord late = Shapes.replica("late", Stage.DECODE);
+        RequestShape request = Shapes.generation(1, 12_000, 400, 1_000);
+        PrefixCacheBeliefs there = new PrefixCacheBeliefs();
+        there.setCapacity("late", 500_000);
+        there.used("late", request.parts(), 900);
+        List<PrefixHint> hints = there.snapshot(10, 950);
+        hints.forEach(hint -> selector.beliefs().learn(hint, 950));
+        assertEquals(0, selector.beliefs().cachedTokens("late", request.parts()));
+        selector.know(late);
+        hints.forEach(hint -> selector.beliefs().learn(hint, 950));
+        List<ReplicaRecord> all = new ArrayList<>(fleet);
+        all.add(late);
+        assertEquals(
+                late,
+                selector.choose(request, all, Set.of(), 1_000).orElseThrow().decode());
+    }
+
     @Test
     void amongEqualsTheOwnZoneIsCheaper() {
         ReplicaRecord here = Shapes.replica("here", Stage.NONE);
