--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -114,11 +114,8 @@
             Set<String> excluded,
             double nowMs) {
         collect(request, candidates, excluded, nowMs);
-        if (decodes.size() == 0) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                decodes.replica(scores(request, nowMs).fetched(decodes, reader).index()));
+        LowestScore fetched = scores(request, nowMs).fetched(decodes, reader);
+        return fetched.index() == LowestScore.NONE ? Optional.empty() : Optional.of(decodes.replica(fetched.index()));
     }
 
     /** How busy the replicas are that may take a request. */
