--- a/selection/src/test/java/pinewick/selection/VirtualEngine.java
+++ b/selection/src/test/java/pinewick/selection/VirtualEngine.java
@@ -53,6 +53,9 @@
         }
     }
 
+    /** A part that is read again is priced within this time of its last use. */
+    static final double AGAIN_MS = 4_600;
+
     final EngineSpec spec;
     final Figures figures;
     final double speed;
@@ -70,9 +73,22 @@
     private long keptTokens;
     private double movesUntilMs;
     private boolean stepping;
+    /** When each prefix was last used at any engine; shared by all of a fleet. */
+    private final Map<Long, Double> usedAnywhereMs;
+
+    /** Shared parts read although some engine had used them a short while before. */
+    long sharedTokensReadAgain;
 
     VirtualEngine(
-            VirtualTime time, String id, String zone, Stage stage, EngineSpec spec, Figures figures, double speed) {
+            VirtualTime time,
+            String id,
+            String zone,
+            Stage stage,
+            EngineSpec spec,
+            Figures figures,
+            double speed,
+            Map<Long, Double> usedAnywhereMs) {
+        this.usedAnywhereMs = usedAnywhereMs;
         this.time = time;
         this.spec = spec;
         this.figures = figures;
@@ -233,6 +249,10 @@
         int shared = 0;
         for (int part = 0; part < job.parts.size() - 1; part++) {
             shared += job.parts.get(part).tokens();
+            Double usedMs = usedAnywhereMs.put(key(job.parts, part), time.now());
+            if (shared > cached && usedMs != null && time.now() - usedMs < AGAIN_MS) {
+                sharedTokensReadAgain += job.parts.get(part).tokens();
+            }
         }
         sharedTokensRead += Math.max(0, shared - cached);
         job.position = cached;
--- a/selection/src/test/java/pinewick/selection/VirtualFleet.java
+++ b/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -62,7 +62,11 @@
     private static final double REPORT_LAG_MS = 100;
     private static final double GOSSIP_MS = 250;
 
+    private static final double PRICE_OF_1000_TOKENS_READ_AGAIN = 0.16;
+    private static final double PRICE_OF_GIGABYTE_MOVED = 0.47;
+
     final VirtualTime time = new VirtualTime();
+    private final Map<Long, Double> usedAnywhereMs = new HashMap<>();
     final List<VirtualEngine> engines = new ArrayList<>();
     final List<ReplicaSelector> selectors = new ArrayList<>();
     final List<AdmissionControl> admissions = new ArrayList<>();
@@ -75,6 +79,8 @@
     private double shortFactor = 1;
     boolean snapshots = true;
     double movedGigabytes;
+    private double movePrices;
+    private long readAgainBefore;
     private long nextOwnPart = 1L << 40;
     private double measureFromMs;
 
@@ -92,7 +98,8 @@
                     stage,
                     SPEC,
                     VirtualEngine.Figures.USUAL,
-                    speeds[(each / 3) % 3]);
+                    speeds[(each / 3) % 3],
+                    usedAnywhereMs);
             engines.add(engine);
             byId.put(engine.record.instanceId(), engine);
         }
@@ -139,6 +146,8 @@
         if (setting.hints) {
             scheduleHints();
         }
+        time.runUntil(warmUpMs);
+        readAgainBefore = sharedTokensReadAgain();
         time.runUntil(warmUpMs + lengthMs);
     }
 
@@ -377,6 +386,7 @@
                 double bytes = (double) job.promptTokens * SPEC.kvTokenBytes();
                 job.moveMs = factor * bytes * 8 / (SPEC.linkBandwidthMbps() * 1e3);
                 movedGigabytes += counted ? bytes / 1e9 : 0;
+                movePrices += counted ? PRICE_OF_GIGABYTE_MOVED * factor * bytes / 1e9 : 0;
                 time.after(NETWORK_MS, () -> engine.takeFetched(job));
             }
         }
@@ -444,6 +454,13 @@
         return engines.stream().mapToLong(engine -> engine.sharedTokensRead).sum();
     }
 
+    /** Of these, those that some engine had used within the time that is priced. */
+    long sharedTokensReadAgain() {
+        return engines.stream()
+                .mapToLong(engine -> engine.sharedTokensReadAgain)
+                .sum();
+    }
+
     /** One line of figures. */
     String figures() {
         StringBuilder line = new StringBuilder();
@@ -481,7 +498,17 @@
 
     /** Worth earned of worth owed, with half for late answers; long requests count one and a half times. */
     double worth() {
-        double earned = 0;
+        return earned(0);
+    }
+
+    /** The same less the prices of moves and of shared parts read again. */
+    double netWorth() {
+        double tokens = sharedTokensReadAgain() - readAgainBefore;
+        return earned(movePrices + PRICE_OF_1000_TOKENS_READ_AGAIN * tokens / 1_000);
+    }
+
+    private double earned(double prices) {
+        double earned = -prices;
         double owed = 0;
         for (Kind kind : setting.kinds) {
             Outcome its = outcomes.get(kind.route.name());
