--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -159,7 +159,7 @@
         } else if (message instanceof SnapshotRequest) {
             replicas.onSnapshotRequest(sender, nowMs);
         } else if (message instanceof ReplicaSnapshot snapshot) {
-            replicas.onSnapshot(snapshot, nowMs);
+            replicas.onSnapshot(sender, snapshot, nowMs);
             joining.onSnapshot();
         } else {
             return false;
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -188,6 +188,7 @@
             }
         }
         send(sender, corrections);
+        tellForgottenOf(sender, update.records());
     }
 
     /** A peer's digest differs: starts the exchange of what differs. */
@@ -249,11 +250,24 @@
         if (!wanted.isEmpty()) {
             outbox.send(sender, new ReplicaRequest(wanted));
         }
-        if (!forgotten.isEmpty()) {
-            outbox.send(sender, new ForgottenReplicas(forgotten));
+        tellForgotten(sender, forgotten);
+    }
+
+    private void tellForgotten(SocketAddress peer, List<String> instanceIds) {
+        if (!instanceIds.isEmpty()) {
+            outbox.send(peer, new ForgottenReplicas(instanceIds));
         }
     }
 
+    /** Tells a peer which of the records that it sent belong to replicas that ended long ago. */
+    private void tellForgottenOf(SocketAddress peer, List<SpreadRecord> records) {
+        tellForgotten(peer, records.stream()
+                .map(SpreadRecord::record)
+                .filter(record -> record.state() != ReplicaState.GONE && gone.isForgotten(record.instanceId()))
+                .map(ReplicaRecord::instanceId)
+                .toList());
+    }
+
     /** A peer knows of ends that this process has missed. */
     void onForgotten(ForgottenReplicas forgotten, double nowMs) {
         for (String id : forgotten.instanceIds()) {
@@ -281,7 +295,8 @@
     }
 
     /** Takes all records of a peer; what is new by them is not pushed on. */
-    void onSnapshot(ReplicaSnapshot snapshot, double nowMs) {
+    void onSnapshot(SocketAddress sender, ReplicaSnapshot snapshot, double nowMs) {
         snapshot.records().forEach(spread -> take(spread, nowMs));
+        tellForgottenOf(sender, snapshot.records());
     }
 }
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -40,7 +40,7 @@
     private static final int CONTROLLER_TURN = 4;
     private static final double STALE_CONTROLLER_MS = 6_000;
     private static final int LOST_ROUTER_TURN = 3;
-    private static final int LEAVING_FANOUT = 3;
+    private static final int LEAVING_FANOUT = 5;
 
     private final List<SocketAddress> seeds;
     private final Outbox outbox;
@@ -48,6 +48,8 @@
     private final PartialView routers = new PartialView(ROUTER_CAPACITY);
     private final PartialView controllers = new PartialView(CONTROLLER_CAPACITY);
     private final LostPeers lost = new LostPeers();
+    /** Controllers in the view that have not spoken to this process yet; kept by controllers only. */
+    private final Set<SocketAddress> unmet = new LinkedHashSet<>();
 
     private NodeDescriptor self;
     private FleetSizeEstimator size;
@@ -131,7 +133,7 @@
         }
         if (nowMs >= nextRetryAtMs) {
             retryLost(nowMs);
-            nextRetryAtMs = nowMs + (self.role() == NodeRole.CONTROLLER ? CONTROLLER_RETRY_MS : ROUTER_RETRY_MS);
+            nextRetryAtMs = nowMs + retryPeriod();
         }
         int routersKnown = routers.size() + (self.role() == NodeRole.ROUTER ? 1 : 0);
         size.onTick(routersKnown, routers.full(), nowMs);
@@ -141,7 +143,7 @@
         if (Double.isNaN(startedAtMs)) {
             startedAtMs = nowMs;
             size = new FleetSizeEstimator(self, nowMs);
-            nextRetryAtMs = nowMs + ROUTER_RETRY_MS;
+            nextRetryAtMs = nowMs + retryPeriod();
         }
     }
 
@@ -154,6 +156,10 @@
         return period * (1 - JITTER / 2 + JITTER * random.nextDouble());
     }
 
+    private double retryPeriod() {
+        return self.role() == NodeRole.CONTROLLER ? CONTROLLER_RETRY_MS : ROUTER_RETRY_MS;
+    }
+
     private void shuffle(double nowMs) {
         round++;
         if (controllers.size() == 0) {
@@ -235,7 +241,9 @@
         retries++;
         Set<SocketAddress> missing = new LinkedHashSet<>(lost.worthRetrying(NodeRole.CONTROLLER, nowMs));
         missing.addAll(seeds);
-        missing.removeIf(address -> controllers.get(address) != null);
+        unmet.removeIf(address -> controllers.get(address) == null);
+        missing.addAll(unmet);
+        missing.removeIf(address -> controllers.get(address) != null && !unmet.contains(address));
         int count = self.role() == NodeRole.CONTROLLER ? missing.size() : 1;
         for (SocketAddress address : RandomChoice.draw(new ArrayList<>(missing), count, random)) {
             sendRequest(address, 0, nowMs);
@@ -296,16 +304,18 @@
 
     private void mergeFrom(
             SocketAddress sender, PeerEntry peer, List<PeerEntry> sample, Set<SocketAddress> offered, double nowMs) {
+        unmet.remove(sender);
         if (peer.node().address().equals(sender) && lost.heard(peer.node())) {
             viewOf(peer.node()).offer(peer, offered, nowMs);
         }
         for (PeerEntry entry : sample) {
             if (entry.node().address().equals(self.address())) {
-                outliveEarlierLife(entry, nowMs);
+                outliveEarlierLife(sender, entry, nowMs);
             } else if (lost.admits(entry)) {
                 boolean introduce = isNewController(entry.node());
                 viewOf(entry.node()).offer(entry, offered, nowMs);
                 if (introduce) {
+                    unmet.add(entry.node().address());
                     sendRequest(entry.node().address(), 0, nowMs);
                 }
             }
@@ -319,13 +329,15 @@
                 && controllers.get(node.address()) == null;
     }
 
-    /** An earlier life of this process had a higher incarnation: exceed it, so that peers take this one. */
-    private void outliveEarlierLife(PeerEntry entry, double nowMs) {
+    /** The sender knows an earlier life of this process: exceed its incarnation, so that peers take this one. */
+    private void outliveEarlierLife(SocketAddress sender, PeerEntry entry, double nowMs) {
         long incarnation = entry.node().incarnation();
         boolean laterThanNow = incarnation == self.incarnation() && entry.heartbeat() > ownEntry(nowMs).heartbeat();
         if (incarnation > self.incarnation() || laterThanNow) {
             self = new NodeDescriptor(self.address(), incarnation + 1, self.role(), self.zone());
-            nextShuffleAtMs = nowMs;
+        }
+        if (incarnation < self.incarnation()) {
+            sendRequest(sender, 0, nowMs);
         }
     }
 
--- a/membership/src/test/java/pinewick/membership/PeerSamplingTest.java
+++ b/membership/src/test/java/pinewick/membership/PeerSamplingTest.java
@@ -153,6 +153,38 @@
         assertEquals(6, sampling.self().incarnation());
     }
 
+    @Test
+    void aPeerThatKnowsAnEarlierLifeIsAskedAtOnceUnderTheLaterOne() {
+        sent.clear();
+        hear(router(1, 100), new PeerEntry(node(0, 9, NodeRole.ROUTER), 77));
+        ShuffleRequest request = sent.stream()
+                .map(Sent::message)
+                .filter(ShuffleRequest.class::isInstance)
+                .map(ShuffleRequest.class::cast)
+                .findAny()
+                .orElseThrow();
+        assertEquals(10, request.self().node().incarnation());
+    }
+
+    @Test
+    void aControllerGreetsAnotherUntilThatSpeaks() {
+        sampling = new PeerSampling(
+                node(0, 5, NodeRole.CONTROLLER), List.of(), (peer, message) -> sent.add(new Sent(peer, message)),
+                new Random(1));
+        sampling.onTick(nowMs);
+        SocketAddress other = controller(9, 0).node().address();
+        hear(router(1, 100), controller(9, 100));
+        assertEquals(1, requestsTo(other));
+        nowMs += 600;
+        sent.clear();
+        sampling.onTick(nowMs);
+        assertTrue(requestsTo(other) >= 1);
+        hear(controller(9, 200));
+        sent.clear();
+        hear(router(1, 200), controller(9, 150));
+        assertEquals(0, requestsTo(other));
+    }
+
     @Test
     void ownEntriesThatComeBackChangeNothing() {
         tickFor(500);
