lab scale: hollow routers and replicas beside real controllers, first form

Hollow routers run FleetNode, FleetState and NetworkTransport, many a process; replicas send heartbeats over HTTP. Measured are messages, bytes, CPU and memory per role, the time until changes and drains are known everywhere, and the loss of a controller. Ruled out: controllers inside the laboratory's process (their CPU and memory would not be told apart).

--- /dev/null
+++ b/lab/src/main/java/pinewick/lab/scale/FleetAddresses.java
@@ -0,0 +1,75 @@
+package pinewick.lab.scale;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import pinewick.model.SocketAddress;
+
+/**
+ * Where the processes of a fleet listen: each machine has a loopback address of its own, and all have the same ports.
+ *
+ * @param firstPort the first of the ports that all use
+ * @param controllers how many controllers there are
+ */
+record FleetAddresses(int firstPort, int controllers) {
+    /** Ports that one fleet needs. */
+    static final int PORTS = 8;
+
+    /** Internal ports that the settings name, of which the programs use the first two. */
+    static final int INTERNAL_PORTS = 4;
+
+    private static final int CONTROL_PLANE = 4;
+    private static final int FRONTEND = 5;
+    private static final int READINESS = 6;
+    private static final int REPLICAS_A_SUBNET = 200;
+    private static final int FIRST_REPLICA_SUBNET = 100;
+    private static final int REPLICA_PORT = 8_080;
+
+    static String controllerHost(int number) {
+        return "127.0.10." + (1 + number);
+    }
+
+    static String routerHost(int number) {
+        return "127.0.11." + (1 + number);
+    }
+
+    static String hollowHost(int worker, int number) {
+        return "127.0." + (20 + worker) + "." + (1 + number);
+    }
+
+    /** The address of the one process that stands for further controllers. */
+    SocketAddress observer() {
+        return new SocketAddress("127.0.10.100", firstPort + 1);
+    }
+
+    SocketAddress controller(int number) {
+        return new SocketAddress(controllerHost(number), firstPort + 1);
+    }
+
+    SocketAddress controlPlane(int number) {
+        return new SocketAddress(controllerHost(number), firstPort + CONTROL_PLANE);
+    }
+
+    SocketAddress frontend(int number) {
+        return new SocketAddress(routerHost(number), firstPort + FRONTEND);
+    }
+
+    SocketAddress readiness(int number) {
+        return new SocketAddress(routerHost(number), firstPort + READINESS);
+    }
+
+    /** What replicas say their address is; nobody listens there. */
+    static String replica(int number) {
+        int subnet = FIRST_REPLICA_SUBNET + number / REPLICAS_A_SUBNET;
+        return "127.0." + subnet + "." + (1 + number % REPLICAS_A_SUBNET) + ":" + REPLICA_PORT;
+    }
+
+    /** Internal addresses of the controllers, the seeds of all. */
+    List<SocketAddress> seeds() {
+        return IntStream.range(0, controllers).mapToObj(this::controller).toList();
+    }
+
+    /** Where replicas and the operator call. */
+    List<SocketAddress> controlPlanes() {
+        return IntStream.range(0, controllers).mapToObj(this::controlPlane).toList();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pinewick/lab/scale/FleetUnderTest.java
@@ -0,0 +1,212 @@
+package pinewick.lab.scale;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import pinewick.dissemination.FleetMessages;
+import pinewick.membership.NodeRole;
+import pinewick.transport.MessageCodec;
+import pinewick.transport.TransportException;
+
+/** Every process of one fleet: real controllers and routers, hollow routers, hollow replicas, and the operator. */
+final class FleetUnderTest implements AutoCloseable {
+    private static final int LOWEST_PORT = 20_000;
+    private static final int PORTS_TO_CHOOSE_FROM = 10_000;
+    private static final int TRIES = 50;
+    private static final long START_MS = 30_000;
+    private static final long POLL_MS = 20;
+    private static final int OK = 200;
+
+    private final ScalePlan plan;
+    private final Path folder;
+    private final FleetAddresses addresses;
+    private final HttpPeer http = new HttpPeer();
+    private final List<SystemProcess> controllers = new ArrayList<>();
+    private final List<SystemProcess> realRouters = new ArrayList<>();
+    private final HollowNode observer;
+    private final Operator operator;
+    private HollowFleet hollow;
+    private ReplicaSwarm swarm;
+
+    FleetUnderTest(ScalePlan plan, long seed, Path folder) throws IOException, TransportException {
+        this.plan = plan;
+        this.folder = folder;
+        addresses = new FleetAddresses(freePorts(), ScalePlan.CONTROLLERS);
+        observer = new HollowNode(
+                addresses.observer(), NodeRole.CONTROLLER, "zone-a2", addresses.seeds(), addresses.firstPort() + 1,
+                new MessageCodec(FleetMessages.types()), new SplittableRandom(seed));
+        operator = new Operator(http, addresses.controlPlanes(), observer);
+    }
+
+    /** The first of some ports that are free on one address, below those that the kernel hands out. */
+    private static int freePorts() throws IOException {
+        SplittableRandom random = new SplittableRandom();
+        for (int i = 0; i < TRIES; i++) {
+            int first = LOWEST_PORT + random.nextInt(PORTS_TO_CHOOSE_FROM / FleetAddresses.PORTS) * FleetAddresses.PORTS;
+            if (allFree(first)) {
+                return first;
+            }
+        }
+        throw new IOException("no free ports");
+    }
+
+    private static boolean allFree(int first) {
+        for (int port = first; port < first + FleetAddresses.PORTS; port++) {
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("0.0.0.0", port));
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Starts everything; returns once all have caught up with each other. */
+    void start(long seed) throws IOException, InterruptedException {
+        startControllers();
+        observer.start();
+        operator.replace(2);
+        hollow = new HollowFleet(plan, addresses, seed, folder);
+        for (int number = 0; number < plan.realRouters(); number++) {
+            Path settings = folder.resolve("router-" + number + ".toml");
+            Files.writeString(settings, SettingsText.router(addresses, number));
+            realRouters.add(process("router", settings, folder.resolve("router-" + number + ".log")));
+            realRouters.get(number).start();
+        }
+        hollow.awaitStart();
+        require(hollow.awaitFigures(
+                answers -> HollowFleet.sum(answers, "synchronised") == plan.routers(), START_MS), "routers to catch up");
+        for (int number = 0; number < plan.realRouters(); number++) {
+            awaitReady(number);
+        }
+    }
+
+    private void startControllers() throws IOException, InterruptedException {
+        for (int number = 0; number < ScalePlan.CONTROLLERS; number++) {
+            Path settings = folder.resolve("controller-" + number + ".toml");
+            Path data = Files.createDirectories(folder.resolve("data-" + number));
+            Files.writeString(settings, SettingsText.controller(addresses, number, data));
+            controllers.add(process("controller", settings, folder.resolve("controller-" + number + ".log")));
+            controllers.get(number).start();
+        }
+        for (int number = 0; number < ScalePlan.CONTROLLERS; number++) {
+            int each = number;
+            require(until(() -> reports(each), START_MS), "controller " + number + " to answer");
+        }
+    }
+
+    private SystemProcess process(String role, Path settings, Path log) {
+        return new SystemProcess(role, settings, log, plan.longestSeconds());
+    }
+
+    private boolean reports(int controller) {
+        try {
+            return http.report(addresses.controlPlane(controller)).isPresent();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Waits until a real router says that it is ready. */
+    void awaitReady(int router) throws InterruptedException {
+        require(until(() -> isReady(router), START_MS), "router " + router + " to be ready");
+    }
+
+    private boolean isReady(int router) {
+        try {
+            return http.status(addresses.readiness(router), "/ready") == OK;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Starts the replicas' heartbeats. */
+    ReplicaSwarm startReplicas() throws IOException {
+        swarm = new ReplicaSwarm(plan.replicas(), addresses.controlPlanes(), HollowReplica.HEARTBEAT_MS);
+        return swarm;
+    }
+
+    /** Waits for a condition; returns whether it came to be. */
+    static boolean until(BooleanSupplier holds, long longestMs) throws InterruptedException {
+        long deadlineNs = System.nanoTime() + longestMs * 1_000_000;
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > deadlineNs || Thread.currentThread().isInterrupted()) {
+                return false;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        return true;
+    }
+
+    private static void require(boolean held, String what) {
+        if (!held) {
+            throw new IllegalStateException("waited in vain for " + what);
+        }
+    }
+
+    ScalePlan plan() {
+        return plan;
+    }
+
+    FleetAddresses addresses() {
+        return addresses;
+    }
+
+    HttpPeer http() {
+        return http;
+    }
+
+    List<SystemProcess> controllers() {
+        return controllers;
+    }
+
+    List<SystemProcess> realRouters() {
+        return realRouters;
+    }
+
+    HollowNode observer() {
+        return observer;
+    }
+
+    Operator operator() {
+        return operator;
+    }
+
+    HollowFleet hollow() {
+        return hollow;
+    }
+
+    ReplicaSwarm swarm() {
+        return swarm;
+    }
+
+    /** Processor time of all processes but this one so far, milliseconds. */
+    double cpuMs() {
+        double real = Stream.concat(controllers.stream(), realRouters.stream())
+                .mapToDouble(process -> process.usage().cpuMs())
+                .sum();
+        return real + (hollow == null ? 0 : hollow.cpuMs());
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (swarm != null) {
+            swarm.close();
+        }
+        if (hollow != null) {
+            hollow.close();
+        }
+        realRouters.forEach(SystemProcess::close);
+        controllers.forEach(SystemProcess::close);
+        observer.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
@@ -0,0 +1,68 @@
+package pinewick.lab.scale;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import pinewick.model.SocketAddress;
+
+/** Plain calls to the fleet's HTTP interfaces. */
+final class HttpPeer {
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final int OK = 200;
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .followRedirects(HttpClient.Redirect.NORMAL)
+            .build();
+
+    /** The status of an answer, 0 for none. */
+    int status(SocketAddress peer, String path) throws InterruptedException {
+        try {
+            return client.send(get(peer, path), HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** The status of a controller; empty if it does not answer. */
+    Optional<JsonObject> report(SocketAddress controlPlane) throws InterruptedException {
+        try {
+            HttpResponse<String> answer = client.send(get(controlPlane, "/status"), HttpResponse.BodyHandlers.ofString());
+            return answer.statusCode() == OK
+                    ? Optional.of(JsonParser.parseString(answer.body()).getAsJsonObject())
+                    : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Sends a change of the configuration; returns the status of the answer, 0 for none. */
+    int change(SocketAddress controlPlane, String path, long baseVersion, byte[] body) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(uri(controlPlane, path))
+                .timeout(PATIENCE)
+                .header("Content-Type", "application/json")
+                .header("X-Pinewick-Base-Version", Long.toString(baseVersion))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static HttpRequest get(SocketAddress peer, String path) {
+        return HttpRequest.newBuilder(uri(peer, path)).timeout(PATIENCE).build();
+    }
+
+    private static URI uri(SocketAddress peer, String path) {
+        return URI.create("http://" + peer + path);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
@@ -0,0 +1,107 @@
+package pinewick.lab.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One process of the system's own programs, started as the deploy file says. A shell holds its life: it ends the program
+ * when the laboratory ends in whatever way, and in any case after a time.
+ */
+final class SystemProcess implements AutoCloseable {
+    private static final String GUARD = """
+            "$@" </dev/null >>"$PINEWICK_LAB_LOG" 2>&1 &
+            child=$!
+            echo $child
+            read -r -t "$PINEWICK_LAB_SECONDS" line
+            kill -9 $child
+            """;
+    private static final long EXIT_SECONDS = 5;
+
+    private final String role;
+    private final Path settings;
+    private final Path log;
+    private final long longestSeconds;
+    private Process guard;
+    private ProcessHandle program;
+    private long startedAtNs;
+    private boolean running;
+
+    /** @param longestSeconds after which it is ended whatever happens */
+    SystemProcess(String role, Path settings, Path log, long longestSeconds) {
+        this.role = role;
+        this.settings = settings;
+        this.log = log;
+        this.longestSeconds = longestSeconds;
+    }
+
+    void start() throws IOException {
+        List<String> words = new ArrayList<>(List.of("bash", "-c", GUARD, "guard"));
+        words.addAll(commandOf(role));
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
+        builder.environment().put("PINEWICK_CONFIG", settings.toString());
+        builder.environment().put("PINEWICK_LAB_LOG", log.toString());
+        builder.environment().put("PINEWICK_LAB_SECONDS", Long.toString(longestSeconds));
+        startedAtNs = System.nanoTime();
+        guard = builder.start();
+        BufferedReader output = new BufferedReader(new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
+        String pid = output.readLine();
+        program = ProcessHandle.of(Long.parseLong(pid)).orElseThrow(() -> new IOException(role + " ended at once"));
+        running = true;
+    }
+
+    /** The command of a role in the deploy file. */
+    private static List<String> commandOf(String role) throws IOException {
+        boolean inRole = false;
+        for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
+            inRole = line.startsWith("[") ? line.equals("[roles." + role + "]") : inRole;
+            if (inRole && line.startsWith("run = ")) {
+                String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+                return List.of(command.replaceFirst("^exec ", "").split(" "));
+            }
+        }
+        throw new IOException("deploy/system.toml has no role " + role);
+    }
+
+    long startedAtNs() {
+        return startedAtNs;
+    }
+
+    boolean running() {
+        return running && program.isAlive();
+    }
+
+    ProcessUsage usage() {
+        return ProcessUsage.of(program.pid());
+    }
+
+    /** As a loss of power: at once and without a word. */
+    void kill() throws InterruptedException {
+        running = false;
+        program.destroyForcibly();
+        guard.destroy();
+        guard.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (guard == null) {
+            return;
+        }
+        if (program != null) {
+            program.destroyForcibly();
+        }
+        try (OutputStream end = guard.getOutputStream()) {
+            end.flush();
+        } catch (IOException e) {
+            guard.destroy();
+        }
+    }
+}
