--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -29,6 +30,7 @@
 import pinewick.model.Route;
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
+import pinewick.model.SocketAddress;
 import pinewick.selection.ReplicaSelector;
 import pinewick.selection.RequestShape;
 import pinewick.selection.RetryBudget;
@@ -49,6 +51,7 @@
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final ReportPoller reports;
     private final Admission admission = new Admission();
     private final ByteBuffer probe = BufferUtil.allocateDirect(1);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
@@ -73,6 +76,7 @@
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services = new DataPlaneServices(
                 selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
+        this.reports = new ReportPoller(services, selector::report);
     }
 
     /** Takes over what is known, and follows every change. */
@@ -154,6 +158,15 @@
         });
     }
 
+    /** Asks replicas for their load, where it is this router's turn. */
+    void pollReports(SocketAddress self, List<SocketAddress> otherRouters) {
+        serial.execute(() -> {
+            if (!stopping) {
+                reports.poll(self, otherRouters);
+            }
+        });
+    }
+
     Admission admission() {
         return admission;
     }
@@ -195,17 +208,22 @@
         return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
     }
 
-    /** Draws a service by the route's weights. */
+    /** Draws a service by the route's weights; those without a replica are left out while another has one. */
     private Optional<String> drawService(Route route) {
-        int total = 0;
-        for (Route.WeightedService each : route.split()) {
-            total += each.weight();
-        }
-        if (total <= 0) {
-            return Optional.empty();
+        if (route.split().size() == 1) {
+            return Optional.of(route.split().get(0).service());
         }
-        int drawn = random.nextInt(total);
-        for (Route.WeightedService each : route.split()) {
+        Optional<String> served = draw(route, service -> !directory.candidates(service).isEmpty());
+        return served.isPresent() ? served : draw(route, service -> true);
+    }
+
+    private Optional<String> draw(Route route, Predicate<String> allowed) {
+        List<Route.WeightedService> services = route.split().stream()
+                .filter(each -> each.weight() > 0 && allowed.test(each.service()))
+                .toList();
+        int total = services.stream().mapToInt(Route.WeightedService::weight).sum();
+        int drawn = total == 0 ? 0 : random.nextInt(total);
+        for (Route.WeightedService each : services) {
             drawn -= each.weight();
             if (drawn < 0) {
                 return Optional.of(each.service());
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import pinewick.model.ReplicaRecord;
+import pinewick.model.RouteKind;
 import pinewick.selection.CallEnding;
 import pinewick.selection.CallKind;
 import pinewick.selection.Pair;
@@ -161,8 +162,8 @@
     }
 
     private void call(ReplicaRecord replica, CallKind kind) {
-        String readAt = kind == CallKind.DECODE_FETCHED ? handle.holder().zone() : replica.zone();
-        active = new ReplicaCall(this, services, replica, kind, readAt);
+        ReplicaRecord reader = kind == CallKind.DECODE_FETCHED ? handle.holder() : null;
+        active = new ReplicaCall(this, services, replica, kind, reader);
         active.begin(upstreamRequest(replica, kind));
     }
 
@@ -227,7 +228,7 @@
         releaseHandle();
         readWhole = true;
         boolean mayGoOn = phase == Phase.STREAMING
-                ? shape.route().resumable() && call.passesEvents()
+                ? shape.route().kind() == RouteKind.STREAMING && shape.route().resumable() && call.passesEvents()
                 : shape.route().repeatable();
         if (mayGoOn) {
             attempt(this::giveUp);
@@ -253,7 +254,7 @@
 
     /** The call has been silent for long, and another replica may be asked. Returns whether it is. */
     boolean tryAnother(ReplicaCall call) {
-        if (call != active || phase != Phase.WAITING) {
+        if (call != active || call.isHeldUpByClient()) {
             return false;
         }
         excluded.add(call.replica().instanceId());
