--- a/lab/src/main/java/pinewick/lab/scale/FleetRun.java
+++ b/lab/src/main/java/pinewick/lab/scale/FleetRun.java
@@ -103,6 +103,7 @@
         json.addProperty("allReplicasKnownMs", known ? Math.round((System.nanoTime() - fromNs) / 1e6) : -1);
         json.addProperty("replicasStartHollowCores",
                 SteadyState.round((fleet.hollow().cpuMs() - cpuMs) * 1e6 / (System.nanoTime() - fromNs)));
+        json.addProperty("replicasStartHeartbeatsFailed", fleet.swarm().takeHeartbeats().failed());
         say(known ? "all replicas are known to all" : "not all replicas became known to all");
     }
 
--- a/lab/src/main/java/pinewick/lab/scale/HollowReplica.java
+++ b/lab/src/main/java/pinewick/lab/scale/HollowReplica.java
@@ -42,7 +42,7 @@
     private final Tally tally;
     private final ByteBuffer answer = ByteBuffer.allocate(MOST_ANSWER_BYTES);
     private int incarnation;
-    private int controller;
+    private volatile int controller;
     private int failuresInARow;
     private long callSequence;
     private Phase phase = Phase.RESTING;
@@ -91,6 +91,11 @@
         dueAtMs = nowMs;
     }
 
+    /** The number of the controller that it sends its heartbeats to. */
+    int controller() {
+        return controller;
+    }
+
     long drainAskedNs() {
         return drainAskedNs;
     }
--- a/lab/src/main/java/pinewick/lab/scale/LossTrial.java
+++ b/lab/src/main/java/pinewick/lab/scale/LossTrial.java
@@ -2,37 +2,45 @@
 
 import com.google.gson.JsonObject;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import pinewick.model.SocketAddress;
 
 /** A controller is killed and comes back; routers are killed and start again. */
 final class LossTrial {
-    private static final int LOST = 1;
     private static final long LONGEST_MS = 20_000;
     private static final int RESTARTED_ROUTERS = 5;
     private static final double MS_A_SECOND = 1_000;
 
     private final FleetUnderTest fleet;
     private final DrainTrial drains;
+    private int lost;
 
     LossTrial(FleetUnderTest fleet, DrainTrial drains) {
         this.fleet = fleet;
         this.drains = drains;
     }
 
-    /** One controller is lost for a time. */
+    /** The controller that most replicas call is lost for a time. */
     JsonObject loseController() throws IOException, InterruptedException {
         JsonObject json = new JsonObject();
+        int[] replicas = fleet.swarm().replicasByController(ScalePlan.CONTROLLERS);
+        for (int number = 0; number < replicas.length; number++) {
+            lost = replicas[number] > replicas[lost] ? number : lost;
+        }
+        json.addProperty("replicasByControllerBefore", Arrays.toString(replicas));
         long lapsesBefore = HollowFleet.most(fleet.hollow().ask("figures"), "lapses");
         fleet.swarm().takeHeartbeats();
         double lostAtMs = HollowReplica.nowMs();
-        fleet.controllers().get(LOST).kill();
+        fleet.controllers().get(lost).kill();
         boolean allHeard = FleetUnderTest.until(() -> longestSilenceEndsAfter(lostAtMs), LONGEST_MS);
         json.addProperty("allReplicasHeardElsewhereMs", allHeard ? Math.round(HollowReplica.nowMs() - lostAtMs) : -1);
         json.add("drainsMeanwhile", DrainTrial.times(drains.drains(2, 1)));
         usageOfTheRest(json);
         json.addProperty("heartbeatsFailed", fleet.swarm().takeHeartbeats().failed());
         bringBack(json);
+        json.addProperty("replicasByControllerAfter",
+                Arrays.toString(fleet.swarm().replicasByController(ScalePlan.CONTROLLERS)));
         json.addProperty("replicasTakenForSilent", HollowFleet.most(fleet.hollow().ask("figures"), "lapses") - lapsesBefore);
         return json;
     }
@@ -53,11 +61,11 @@
     }
 
     private void bringBack(JsonObject json) throws IOException, InterruptedException {
-        SystemProcess lost = fleet.controllers().get(LOST);
-        lost.start();
-        SocketAddress address = fleet.addresses().controlPlane(LOST);
+        SystemProcess controller = fleet.controllers().get(lost);
+        controller.start();
+        SocketAddress address = fleet.addresses().controlPlane(lost);
         boolean back = FleetUnderTest.until(() -> hasCaughtUp(address), LONGEST_MS);
-        json.addProperty("backAndCaughtUpMs", back ? Math.round((System.nanoTime() - lost.startedAtNs()) / 1e6) : -1);
+        json.addProperty("backAndCaughtUpMs", back ? Math.round((System.nanoTime() - controller.startedAtNs()) / 1e6) : -1);
     }
 
     private boolean hasCaughtUp(SocketAddress controlPlane) {
--- a/lab/src/main/java/pinewick/lab/scale/ReplicaSwarm.java
+++ b/lab/src/main/java/pinewick/lab/scale/ReplicaSwarm.java
@@ -70,6 +70,13 @@
         selector.wakeup();
     }
 
+    /** How many replicas send their heartbeats to each controller. */
+    int[] replicasByController(int controllers) {
+        int[] counts = new int[controllers];
+        replicas.forEach(replica -> counts[replica.controller()]++);
+        return counts;
+    }
+
     /** The longest time since a replica's last acknowledged heartbeat, milliseconds. */
     double longestSilenceMs() {
         double nowMs = HollowReplica.nowMs();
--- a/lab/src/main/java/pinewick/lab/scale/SteadyState.java
+++ b/lab/src/main/java/pinewick/lab/scale/SteadyState.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonObject;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -49,6 +50,8 @@
         ReplicaSwarm.Heartbeats heartbeats = fleet.swarm().takeHeartbeats();
         double seconds = ms / MS_A_SECOND;
         json.addProperty("heartbeatsASecond", round(heartbeats.acknowledged() / seconds));
+        json.addProperty("replicasByController",
+                Arrays.toString(fleet.swarm().replicasByController(ScalePlan.CONTROLLERS)));
         json.addProperty("heartbeatsFailed", heartbeats.failed());
         json.addProperty("heartbeatMedianMs", round(heartbeats.medianMs()));
         json.addProperty("heartbeatP99Ms", round(heartbeats.p99Ms()));
