Reports are asked of engines only; no header cache a connection at controllers

Cause: lab scale, 2,200 replicas: Jetty's header cache took 95 KB a connection and ended the controllers' heap at 700; reports of plain services were priced and told nothing that calls in flight don't.

--- a/control/src/main/java/pinewick/control/ApiServer.java
+++ b/control/src/main/java/pinewick/control/ApiServer.java
@@ -51,6 +51,7 @@
 
     private ServerConnector connector() {
         HttpConfiguration http = new HttpConfiguration();
+        http.setHeaderCacheSize(0); // it takes 95 KB a connection, and thousands of replicas keep one
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setSendXPoweredBy(false);
--- a/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
@@ -48,12 +48,17 @@
      */
     void poll(SocketAddress self, List<SocketAddress> others) {
         for (ReplicaRecord replica : services.directory().all()) {
-            if (replica.takesRequests() && !asked.contains(replica.instanceId()) && ranksFirst(self, others, replica)) {
+            if (wantsReport(replica) && ranksFirst(self, others, replica)) {
                 new Question(replica).ask();
             }
         }
     }
 
+    /** Replicas without an engine are asked nothing: what is in flight there tells as much, and each question is priced. */
+    private boolean wantsReport(ReplicaRecord replica) {
+        return replica.stage() != Stage.NONE && replica.takesRequests() && !asked.contains(replica.instanceId());
+    }
+
     /** Whether {@code self} is the router that asks a replica. */
     static boolean ranksFirst(SocketAddress self, List<SocketAddress> others, ReplicaRecord replica) {
         long own = rank(self, replica);
