Logic split by concern: eight files of decisions, names of the field

Beside them stands what is only known and decides nothing, as SearcherState did: ReplicaState (its new name), QueryState, RouterState, ReplicaList, Plan. They keep fields, sums and the index of holders; every tuned value, score, bound and condition of a choice is under `policy`. Names: router, replica, backoff, canary, hedge, outstanding, warm-up for mixer, searcher, rest, scout, copy, out, cold. Logic.ring is timerFired, mixers is routers, Logic.Query is Query; Host.Listing.replica, Deployment.routers. Log texts stay.

Behaviour is the same.

--- a/core/src/main/java/pinewick/DeploymentTerms.java
+++ b/core/src/main/java/pinewick/DeploymentTerms.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /**
- * Reads the settings that open a mixer, and load reports, for every front; unknown keys are skipped, absent
+ * Reads the settings that open a router, and load reports, for every front end; unknown keys are skipped, absent
  * ones mean "not limited".
  */
 public final class DeploymentTerms {
--- a/core/src/main/java/pinewick/Host.java
+++ b/core/src/main/java/pinewick/Host.java
@@ -3,15 +3,15 @@
 import java.util.List;
 
 /**
- * What the decisions in {@link Logic} call, and the plain data they are handed. A front (today
- * {@code benchlink}) implements it once for each mixer. Times are seconds; ids stay as they came.
+ * What the decisions in {@link Logic} call, and the plain data they are handed. A front end (today
+ * {@code benchlink}) implements it once for each router. Times are seconds; ids stay as they came.
  */
 public interface Host {
     /** The clock of the events now being handled. */
     double now();
 
-    /** Sends a part to a searcher; {@code maxWait} is this launch's time-out. */
-    void launch(String part, String searcher, double maxWait);
+    /** Sends a part to a replica; {@code maxWait} is this launch's time-out. */
+    void launch(String part, String replica, double maxWait);
 
     /** Final answer from the parts that are in (or the end of the first of two steps). */
     void assemble(String query, boolean whole);
@@ -25,25 +25,25 @@
     /** Stops waiting for one launch. */
     void cancel(String part, int launch);
 
-    void probe(String searcher);
+    void probe(String replica);
 
-    /** Asks for {@link Logic#ring} after so many seconds. */
+    /** Asks for {@link Logic#timerFired} after so many seconds. */
     void timer(double in, long name);
 
-    /** Subscribes to changes of the list of searchers, or ends that. */
+    /** Subscribes to changes of the list of replicas, or ends that. */
     void track(boolean on);
 
-    /** This mixer's own eyes: a searcher's smoothed latency (seconds), its reported queue, and failures in a row. */
-    default void saw(String searcher, double pace, double queue, int failures) {
+    /** What this router measured: a replica's smoothed latency (seconds), reported queue, failures in a row. */
+    default void saw(String replica, double latency, double queue, int failures) {
     }
 
-    /** The latency other mixers see there, seconds; 0 where none is known. Late, and may be wrong. */
-    default double othersPace(String searcher) {
+    /** The latency other routers see there, seconds; 0 where none is known. Late, and may be wrong. */
+    default double othersPace(String replica) {
         return 0;
     }
 
-    /** Whether several other mixers saw it fail or leave after this time. Late, and may be wrong. */
-    default boolean othersWarn(String searcher, double since) {
+    /** Whether several other routers saw it fail or leave after this time. Late, and may be wrong. */
+    default boolean othersWarn(String replica, double since) {
         return false;
     }
 
@@ -68,11 +68,11 @@
     /** How a piece of the list relates to the list in hand. */
     enum ListForm { CHANGES, WHOLE, CACHED, FAILED }
 
-    /** One line of the list of searchers; {@code startedAt} 0 means long ago. */
-    record Listing(String searcher, int cell, String zone, Stage stage, double startedAt) {
+    /** One line of the list of replicas; {@code startedAt} 0 means long ago. */
+    record Listing(String replica, int cell, String zone, Stage stage, double startedAt) {
     }
 
-    /** A searcher's load report; a value that it does not carry is NaN. */
+    /** A replica's load report; a value that it does not carry is NaN. */
     record LoadReport(double pending, double inFlight, double busyShare, double servedRate) {
     }
 
@@ -90,10 +90,14 @@
     record RuleTerms(double drainGrace, double coldFrom, double coldTime, double overloadFactor,
                      double fallTime, double freeLaunches, double launchShare, double launchWindow,
                      double askWithin) {
+        /** The share of its full work that a replica may be sent so long after its start. */
+        double capacity(double age) {
+            return coldFrom + (1 - coldFrom) * Math.min(1, age / coldTime);
+        }
     }
 
-    /** What a deployment hands a mixer at its start. */
-    record Deployment(int mixers, String zone, double tick, List<GradeTerms> grades,
+    /** What a deployment hands a router at its start. */
+    record Deployment(int routers, String zone, double tick, List<GradeTerms> grades,
                       RuleTerms rules, boolean mustAsk,
                       boolean mayProbe, boolean mayCancel, boolean mayOverlap, boolean mayAdvise, boolean marksRetries,
                       double longestAdvice, int mostLaunches, int cells, int reach, int callSize,
--- a/core/src/main/java/pinewick/Launch.java
+++ b/core/src/main/java/pinewick/Launch.java
@@ -1,21 +1,22 @@
 package pinewick;
 
 /** One launch of a part: where it went, when, and what became of it. */
-final class Launch<S> {
-    final S searcher;
+final class Launch {
+    final Replica replica;
     final double sentAt;
     final double overdueAt;
-    final double ahead;
+    /** Parts known to be in the replica's queue before this one. */
+    final double queuedAhead;
     boolean over;
     boolean neverRan;
-    /** Whether it was still out when the part was launched again. */
-    boolean outAtNext;
+    /** Whether it was still outstanding when the part was launched again. */
+    boolean outstandingAtNext;
     boolean cancelled;
 
-    Launch(S searcher, double sentAt, double overdueAt, double ahead) {
-        this.searcher = searcher;
+    Launch(Replica replica, double sentAt, double overdueAt, double queuedAhead) {
+        this.replica = replica;
         this.sentAt = sentAt;
         this.overdueAt = overdueAt;
-        this.ahead = ahead;
+        this.queuedAhead = queuedAhead;
     }
 }
--- a/core/src/test/java/pinewick/ColdFleetTest.java
+++ b/core/src/test/java/pinewick/ColdFleetTest.java
@@ -38,11 +38,11 @@
 
         /** Takes a query of one part; launches to the cold searcher are counted. */
         int ask(SplittableRandom chance, boolean heavy) {
-            Logic.Query query = host.take("q" + queries++, 1);
+            Query query = host.take("q" + queries++, 1);
             return launches(query, chance, heavy);
         }
 
-        int launches(Logic.Query query, SplittableRandom chance, boolean heavy) {
+        int launches(Query query, SplittableRandom chance, boolean heavy) {
             int cold = 0;
             for (String line : host.said) {
                 if (line.startsWith("launch ")) {
@@ -58,7 +58,7 @@
         void step() {
             while (!answers.isEmpty() && (double) answers.peek()[0] <= host.clock) {
                 Object[] due = answers.poll();
-                ((Logic.Query) due[1]).settled((String) due[2], 0, Ending.FULFILLED, (double) due[3], null);
+                ((Query) due[1]).settled((String) due[2], 0, Ending.FULFILLED, (double) due[3], null);
             }
         }
 
--- a/core/src/test/java/pinewick/FakeHost.java
+++ b/core/src/test/java/pinewick/FakeHost.java
@@ -55,12 +55,12 @@
     }
 
     /** Takes a query of so many parts, named q-0, q-1, ..., and ends the batch. */
-    Logic.Query take(String query, int parts) {
+    Query take(String query, int parts) {
         return take(query, parts, 8);
     }
 
-    Logic.Query take(String query, int parts, double ttl) {
-        Logic.Query taken = logic.take(query, 0, ttl, parts, 0, false);
+    Query take(String query, int parts, double ttl) {
+        Query taken = logic.take(query, 0, ttl, parts, 0, false);
         for (int part = 0; part < parts; part++) {
             taken.part(query + "-" + part, part, 1.0 / parts);
         }
@@ -73,12 +73,12 @@
         double end = clock + seconds;
         while (clock < end) {
             clock += 0.02;
-            logic.ring(0);
+            logic.timerFired(0);
             logic.endOfBatch();
         }
     }
 
-    void ends(Logic.Query query, String part, int number, Ending ending, double took) {
+    void ends(Query query, String part, int number, Ending ending, double took) {
         query.settled(part, number, ending, took, null);
         logic.endOfBatch();
     }
@@ -86,7 +86,7 @@
     /** Answers one lone query of the searcher's, so that the module has heard it. */
     void warmUp(int queries, double took) {
         for (int each = 0; each < queries; each++) {
-            Logic.Query query = take("w" + clock + "-" + each, 1);
+            Query query = take("w" + clock + "-" + each, 1);
             clock += took;
             ends(query, "w" + (clock - took) + "-" + each + "-0", 0, Ending.FULFILLED, took);
         }
--- a/core/src/test/java/pinewick/LogicTest.java
+++ b/core/src/test/java/pinewick/LogicTest.java
@@ -26,7 +26,7 @@
         host.logic.probed("a", Ending.FULFILLED, queued(6));
         host.logic.probed("b", Ending.FULFILLED, queued(0));
         host.warmUp(4, 0.1);
-        Logic.Query first = host.take("q", 1);
+        Query first = host.take("q", 1);
         String quiet = host.where("q-0");
         first.settled("q-0", 0, Ending.FULFILLED, 0.1, queued(9));
         host.take("r", 1);
@@ -36,7 +36,7 @@
     @Test
     void everyQueryEndsOnceBeforeTheClientsTimeIsUp() {
         host.open("a", "b");
-        Logic.Query query = host.take("q", 2, 5);
+        Query query = host.take("q", 2, 5);
         assertEquals(1, host.count("timer 1 in 4.9"), "its end doesn't wait for the regular look");
         host.pass(4.99);
         assertEquals(1, host.count("decline q") + host.count("give up q"));
@@ -55,7 +55,7 @@
     void unrepeatablePartRunsAgainOnlyIfItNeverRan() {
         host.repeat = Host.Repeat.UNREPEATABLE;
         host.open("a", "b");
-        Logic.Query never = host.take("q", 1);
+        Query never = host.take("q", 1);
         host.ends(never, "q-0", 0, Ending.NOT_CONNECTED, 0.25);
         assertEquals(2, host.count("launch q-0"));
         host.ends(never, "q-0", 1, Ending.DROPPED, 0.1);
@@ -69,7 +69,7 @@
     void deduplicatedPartIsNotResentOutsideItsWindow() {
         host.repeat = Host.Repeat.DEDUPLICATED;
         host.open("a", "b");
-        Logic.Query query = host.take("q", 1);
+        Query query = host.take("q", 1);
         host.overlap = false;
         host.clock += 3.1;
         host.ends(query, "q-0", 0, Ending.DROPPED, 3.1);
@@ -97,7 +97,7 @@
         host.list(ListForm.CHANGES, Stage.READY, host.clock, "a");
         int sent = 0;
         for (int each = 0; each < 70; each++) {
-            Logic.Query query = host.take("q" + each, 1);
+            Query query = host.take("q" + each, 1);
             if (host.where("q" + each + "-0") != null) {
                 sent++;
                 host.ends(query, "q" + each + "-0", 0, Ending.FULFILLED, 0.02);
@@ -113,8 +113,8 @@
         host.leastShare = 0.5;
         host.overlap = false;
         host.open("a", "b");
-        Logic.Query enough = host.take("q", 3);
-        Logic.Query scant = host.take("r", 3);
+        Query enough = host.take("q", 3);
+        Query scant = host.take("r", 3);
         host.ends(enough, "q-0", 0, Ending.FULFILLED, 0.1);
         host.ends(enough, "q-0", 0, Ending.FULFILLED, 0.1);
         host.ends(enough, "q-1", 0, Ending.FULFILLED, 0.1);
@@ -130,7 +130,7 @@
         host.rules = new Host.RuleTerms(0.5, 1, 0, 2, 0, 2, 0.1, 10, 10);
         host.open("abcdefghijklmnopqrstuvwxyz".split(""));
         for (int each = 0; each < 10; each++) {
-            Logic.Query query = host.take("q" + each, 1);
+            Query query = host.take("q" + each, 1);
             host.ends(query, "q" + each + "-0", 0, Ending.ERROR, 0.01);
             host.clock += 0.7;
         }
@@ -149,7 +149,7 @@
         String other = host.where("q-0");
         assertNotEquals(hung, other);
         for (int each = 0; each < 3; each++) {
-            Logic.Query query = host.take("r" + each, 1);
+            Query query = host.take("r" + each, 1);
             assertEquals(other, host.where("r" + each + "-0"));
             host.ends(query, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
         }
@@ -159,10 +159,10 @@
     void aLostPartIsReplacedAndDoesNotCountAgainstItsSearcher() {
         host.open("a");
         host.warmUp(20, 0.1);
-        Logic.Query lost = host.take("q", 1);
+        Query lost = host.take("q", 1);
         host.pass(0.1);
         for (int each = 0; each < 5; each++) {
-            Logic.Query query = host.take("r" + each, 1);
+            Query query = host.take("r" + each, 1);
             host.pass(0.1);
             host.ends(query, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
         }
@@ -178,7 +178,7 @@
         host.overlap = false;
         host.open("a", "b");
         host.warmUp(20, 0.1);
-        Logic.Query query = host.take("q", 1);
+        Query query = host.take("q", 1);
         host.pass(1.1);
         assertEquals(1, host.count("cancel q-0 0"));
         assertEquals(1, host.count("launch q-0"));
@@ -189,11 +189,11 @@
     @Test
     void aShunnedSearcherIsTriedAgainOnceItsBadLatencyIsOld() {
         host.open("a", "b");
-        Logic.Query one = host.take("q", 1);
-        Logic.Query two = host.take("r", 1);
+        Query one = host.take("q", 1);
+        Query two = host.take("r", 1);
         host.ends(one, "q-0", 0, Ending.FULFILLED, 0.1);
         host.ends(two, "r-0", 0, Ending.FULFILLED, 0.1);
-        Logic.Query heavy = host.take("s", 1);
+        Query heavy = host.take("s", 1);
         String shunned = host.where("s-0");
         host.ends(heavy, "s-0", 0, Ending.FULFILLED, 1.9);
         host.clock += 20;
@@ -212,7 +212,7 @@
             host.logic.probed(each, Ending.FULFILLED, queued(0));
         }
         host.pass(0.02);
-        Logic.Query one = host.take("t", 3);
+        Query one = host.take("t", 3);
         for (int part = 0; part < 3; part++) {
             host.ends(one, "t-" + part, 0, Ending.FULFILLED, 0.1);
         }
@@ -270,9 +270,9 @@
     @Test
     void aWithdrawnQueryOrPartEndsTheQuery() {
         host.open("a", "b");
-        Logic.Query left = host.take("q", 1);
+        Query left = host.take("q", 1);
         left.withdrawn("q");
-        Logic.Query crippled = host.take("r", 2);
+        Query crippled = host.take("r", 2);
         crippled.withdrawn("r-1");
         assertEquals(0, host.count("decline q"));
         assertEquals(1, host.count("decline r"));
@@ -322,7 +322,7 @@
     void aQueryIsDeclinedOnceAWholeRunNoLongerFits() {
         host.open("a");
         for (int each = 0; each < 10; each++) {
-            Logic.Query query = host.take("w" + each, 1);
+            Query query = host.take("w" + each, 1);
             host.clock += 1;
             host.ends(query, "w" + each + "-0", 0, Ending.FULFILLED, 1);
         }
@@ -343,7 +343,7 @@
             host.warmUp(10, 0.1);
             host.take("hasty", 1, 1);
             assertEquals(marked ? 1 : 0, host.count("launch hasty-0"));
-            Logic.Query again = host.logic.take("again", 0, 1, 1, 0, true);
+            Query again = host.logic.take("again", 0, 1, 1, 0, true);
             again.part("again-0", 0, 1);
             host.logic.endOfBatch();
             assertEquals(1, host.count("decline again"), "its goal is over");
@@ -369,7 +369,7 @@
         host.open("a");
         for (double away : new double[] {1, 60}) {
             host.clock += 60;
-            Logic.Query query = host.take("q" + away, 1);
+            Query query = host.take("q" + away, 1);
             host.ends(query, "q" + away + "-0", 0, Host.Ending.ERROR, 0.1);
             host.list(Host.ListForm.CHANGES, Host.Stage.GONE, 0, "a");
             host.clock += away;
@@ -388,7 +388,7 @@
         for (Host.Ending ending : new Host.Ending[] {Host.Ending.DROPPED, Host.Ending.NOT_CONNECTED}) {
             FakeHost host = new FakeHost().open("a");
             host.warmUp(10, 0.2);
-            Logic.Query broken = host.take("q", 1);
+            Query broken = host.take("q", 1);
             host.ends(broken, "q-0", 0, ending, 0.1);
             host.pass(0.2);
             host.ends(broken, "q-0", 1, Host.Ending.FULFILLED, 0.2);
@@ -398,7 +398,7 @@
             assertEquals(ending == Host.Ending.DROPPED ? 4 : 1, host.count("launch s"), "after " + ending);
         }
         FakeHost young = new FakeHost().open("a");
-        Logic.Query first = young.take("q", 1);
+        Query first = young.take("q", 1);
         young.ends(first, "q-0", 0, Host.Ending.NOT_CONNECTED, 0.1);
         first.withdrawn("q");
         young.pass(0.6);
@@ -426,12 +426,12 @@
         host.overlap = false;
         host.open("a", "b");
         host.warmUp(20, 0.1);
-        Logic.Query query = host.take("q", 1);
+        Query query = host.take("q", 1);
         String hung = host.where("q-0");
         host.pass(1.1);
         host.ends(query, "q-0", 0, Ending.CANCELLED, 1.1);
         for (int each = 0; each < 3; each++) {
-            Logic.Query next = host.take("r" + each, 1);
+            Query next = host.take("r" + each, 1);
             assertNotEquals(hung, host.where("r" + each + "-0"));
             host.ends(next, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
         }
@@ -441,10 +441,10 @@
     void aStallOfThisMixerIsNotTakenForSlowSearchers() {
         host.open("a");
         host.warmUp(20, 0.1);
-        Logic.Query before = host.take("q", 4);
+        Query before = host.take("q", 4);
         assertEquals(4, host.count("launch q"));
         host.clock += 1.5;
-        host.logic.ring(0);
+        host.logic.timerFired(0);
         for (int part = 0; part < 4; part++) {
             before.settled("q-" + part, 0, Ending.FULFILLED, 1.5, null);
         }
@@ -458,11 +458,11 @@
     void aWideValuableQueryDoesNotStarveBehindNarrowOnes() {
         host.overlap = false;
         host.open("a", "b");
-        List<Logic.Query> first = new ArrayList<>();
+        List<Query> first = new ArrayList<>();
         for (int each = 0; each < 4; each++) {
             first.add(host.take("q" + each, 1));
         }
-        Logic.Query wide = host.logic.take("wide", 1, 8, 6, 0, false);
+        Query wide = host.logic.take("wide", 1, 8, 6, 0, false);
         for (int part = 0; part < 6; part++) {
             wide.part("wide-" + part, part, 1.0 / 6);
         }
@@ -516,7 +516,7 @@
         host.mixers = 60;
         host.open("a", "b");
         host.warmUp(20, 0.1);
-        Logic.Query slow = host.take("q", 1);
+        Query slow = host.take("q", 1);
         String where = host.where("q-0");
         for (int each = 0; each < 40; each++) {
             host.clock += 0.1;
@@ -525,7 +525,7 @@
         slow.settled("q-0", 0, Ending.FULFILLED, 4, queued(0));
         for (int each = 0; each < 3; each++) {
             host.clock += 1;
-            Logic.Query query = host.take("r" + each, 1);
+            Query query = host.take("r" + each, 1);
             assertNotEquals(where, host.where("r" + each + "-0"));
             host.ends(query, "r" + each + "-0", 0, Ending.FULFILLED, 0.1);
         }
@@ -538,7 +538,7 @@
         host.list(ListForm.CHANGES, Stage.READY, host.clock, "a");
         int used = 0;
         for (int each = 0; each < 40; each++) {
-            Logic.Query query = host.take("q" + each, 1);
+            Query query = host.take("q" + each, 1);
             long launched = host.count("launch q" + each);
             used += launched;
             host.clock += 2;
@@ -566,7 +566,7 @@
     void aWideQueryGetsCopiesOfTheFewPartsThatAreOverdue() {
         host.open("a", "b", "c", "d", "e", "f", "g", "h");
         host.warmUp(20, 0.1);
-        Logic.Query wide = host.take("q", 16);
+        Query wide = host.take("q", 16);
         for (int part = 2; part < 16; part++) {
             host.clock += 0.01;
             host.ends(wide, "q-" + part, 0, Ending.FULFILLED, 0.1);
@@ -586,7 +586,7 @@
             one.probing = true;
             one.seed = seed;
             one.open("a");
-            Logic.Query query = one.take("q", 1);
+            Query query = one.take("q", 1);
             one.logic.probed("a", Ending.FULFILLED, queued(0));
             one.pass(0.02);
             one.ends(query, "q-0", 0, Ending.ERROR, 0.1);
@@ -608,7 +608,7 @@
         host.open("a");
         host.warmUp(20, 0.1);
         for (int each = 0; each < 3; each++) {
-            Logic.Query query = host.take("q" + each, 1);
+            Query query = host.take("q" + each, 1);
             for (int number = 0; number < 4; number++) {
                 host.ends(query, "q" + each + "-0", number, Ending.NOT_CONNECTED, 0.25);
             }
@@ -620,8 +620,8 @@
     }
 
     /** Takes a query of one part; its searcher a answers the probe at once. */
-    private Logic.Query asked(String id) {
-        Logic.Query query = host.take(id, 1);
+    private Query asked(String id) {
+        Query query = host.take(id, 1);
         host.logic.probed("a", Ending.FULFILLED, queued(0));
         host.pass(0.1);
         return query;
@@ -632,9 +632,9 @@
         host.mixers = 100;
         host.probing = true;
         host.open("a");
-        Logic.Query first = asked("first");
+        Query first = asked("first");
         host.ends(first, "first-0", 0, Ending.FULFILLED, 0.1);
-        Logic.Query query = asked("q");
+        Query query = asked("q");
         for (int number = 0; number < 4; number++) {
             host.pass(2);
             host.ends(query, "q-0", number, Ending.TIMED_OUT, 2);
@@ -655,12 +655,12 @@
         host.warmUp(20, 0.1);
         for (int each = 0; each < 40; each++) {
             double took = each % 5 == 0 ? 1.4 : 0.1;
-            Logic.Query query = host.take("q" + each, 1);
+            Query query = host.take("q" + each, 1);
             host.pass(took);
             host.ends(query, "q" + each + "-0", 0, Ending.FULFILLED, took);
             host.pass(1.5);
         }
-        Logic.Query slow = host.take("s", 1);
+        Query slow = host.take("s", 1);
         host.pass(1);
         slow.settled("s-0", 0, Ending.FULFILLED, 3.9, queued(0));
         host.logic.endOfBatch();
@@ -694,7 +694,7 @@
         assertEquals("b", host.where("q-0"));
         assertEquals("b", host.where("q-1"));
         host.warned.put("b", host.clock);
-        Logic.Query last = host.take("r", 1);
+        Query last = host.take("r", 1);
         assertEquals(1, host.count("launch r-0"), "with all warned of, one part at a time goes all the same");
         String where = host.where("r-0");
         host.clock += 0.1;
@@ -708,13 +708,13 @@
         host.leastShare = 0.5;
         host.overlap = false;
         host.open("a", "b");
-        Logic.Query query = host.take("q", 3);
+        Query query = host.take("q", 3);
         double taken = host.clock;
         host.ends(query, "q-0", 0, Ending.FULFILLED, 0.1);
         host.ends(query, "q-1", 0, Ending.FULFILLED, 0.1);
         while (host.count("assemble q part") == 0 && host.clock < taken + 8) {
             host.clock += 0.005;
-            host.logic.ring(1);
+            host.logic.timerFired(1);
             host.logic.endOfBatch();
         }
         assertTrue(host.clock < taken + 2, "given " + (host.clock - taken) + " s after it came, its goal is 2 s");
@@ -741,7 +741,7 @@
         host.leastShare = 0.5;
         host.repeat = Host.Repeat.UNREPEATABLE;
         host.open("a", "b", "c");
-        Logic.Query query = host.take("q", 4);
+        Query query = host.take("q", 4);
         host.ends(query, "q-0", 0, Ending.ERROR, 0.1);
         assertEquals(0, host.count("give up q") + host.count("assemble q"));
         for (int part = 1; part < 4; part++) {
@@ -753,7 +753,7 @@
     @Test
     void aWideQueryThatBringsDownSearchersTakesTwoAlongNotAll() {
         host.open("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
-        Logic.Query deadly = host.take("q", 10);
+        Query deadly = host.take("q", 10);
         assertEquals(1, host.count("launch q"), "one part goes first");
         host.ends(deadly, lastOf(host), 0, Ending.DROPPED, 0.1);
         assertEquals(2, host.count("launch q"));
@@ -765,9 +765,9 @@
     @Test
     void afterACrashOnePartGoesFirstAndTheRestFollowItsAnswer() {
         host.open("a", "b", "c");
-        Logic.Query crashed = host.take("p", 1);
+        Query crashed = host.take("p", 1);
         host.ends(crashed, "p-0", 0, Ending.DROPPED, 0.1);
-        Logic.Query answered = host.take("q", 3);
+        Query answered = host.take("q", 3);
         assertEquals(1, host.count("launch q"));
         host.ends(answered, lastOf(host), 0, Ending.FULFILLED, 0.1);
         assertEquals(3, host.count("launch q"));
@@ -804,7 +804,7 @@
     void copiesAreNotSpentOnSeveralOverduePartsOnceTheLeastShareIsIn() {
         host.leastShare = 0.5;
         host.open("a", "b", "c", "d");
-        Logic.Query query = host.take("q", 8);
+        Query query = host.take("q", 8);
         for (int part = 0; part < 6; part++) {
             host.ends(query, "q-" + part, 0, Ending.FULFILLED, 0.1);
         }
@@ -821,7 +821,7 @@
         host.open("a", "b", "c");
         host.warmUp(12, 0.1);
         double taken = host.clock;
-        Logic.Query query = host.take("q", 1);
+        Query query = host.take("q", 1);
         host.pass(0.4);
         assertEquals(2, host.count("launch q-0"), "a copy of the overdue part");
         host.ends(query, "q-0", 0, Ending.NOT_CONNECTED, 0.4);
--- a/daemon/src/main/java/pinewick/benchlink/Mixer.java
+++ b/daemon/src/main/java/pinewick/benchlink/Mixer.java
@@ -10,6 +10,7 @@
 import pinewick.DeploymentTerms;
 import pinewick.Host;
 import pinewick.Logic;
+import pinewick.Query;
 
 /** One mixer on the wire: hands events to its own {@link Logic} and writes down what that asks for. */
 final class Mixer implements Host {
@@ -17,9 +18,9 @@
     private final Logic logic;
     private final Host.Deployment deployment;
     private final Map<String, Integer> gradeRows = new HashMap<>();
-    private final Map<Long, Logic.Query> byJob = new HashMap<>();
-    private final Map<String, Logic.Query> byId = new HashMap<>();
-    private final Map<Logic.Query, Wired> wired = new HashMap<>();
+    private final Map<Long, Query> byJob = new HashMap<>();
+    private final Map<String, Query> byId = new HashMap<>();
+    private final Map<Query, Wired> wired = new HashMap<>();
     private final StringBuilder reply = new StringBuilder();
     private final List<String> ended = new ArrayList<>();
     private long clock;
@@ -92,7 +93,7 @@
             }, entries);
             case "req" -> request(event);
             case "settled" -> {
-                Logic.Query query = byId.get(event.text("call"));
+                Query query = byId.get(event.text("call"));
                 if (query != null) {
                     query.settled(event.text("call"), (int) event.whole("go"), ending(event),
                         event.seconds("spent-ns", 0), report(event));
@@ -100,14 +101,14 @@
                 }
             }
             case "withdrawn" -> {
-                Logic.Query query = byId.get(event.text("call"));
+                Query query = byId.get(event.text("call"));
                 if (query != null) {
                     query.withdrawn(event.text("call"));
                     forget(query);
                 }
             }
             case "probe_done" -> logic.probed(event.text("searcher"), ending(event), report(event));
-            case "ring" -> logic.ring(event.whole("name"));
+            case "ring" -> logic.timerFired(event.whole("name"));
             default -> {
                 // Nothing that a mixer acts on: messages from peers, streams (no grade has them).
             }
@@ -122,7 +123,7 @@
             if (row == null) {
                 throw new IllegalArgumentException("unknown priority " + event.text("priority"));
             }
-            Logic.Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
+            Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
                 (int) event.number("share-or-count", 1), event.seconds("work-hint-ns", 0),
                 event.whole("again-by-client", 0) == 1);
             byId.put(id, query);
@@ -130,7 +131,7 @@
             wired.put(query, new Wired(job, new ArrayList<>(List.of(id))));
             return;
         }
-        Logic.Query query = byJob.get(job);
+        Query query = byJob.get(job);
         if (query != null) {
             byId.put(id, query);
             wired.get(query).ids().add(id);
@@ -139,7 +140,7 @@
     }
 
     /** Drops the ids of a query of which nothing more can be told. */
-    private void forget(Logic.Query query) {
+    private void forget(Query query) {
         if (query.over()) {
             Wired names = wired.remove(query);
             names.ids().forEach(byId::remove);
--- a/daemon/src/main/java/pinewick/life/Chain.java
+++ b/daemon/src/main/java/pinewick/life/Chain.java
@@ -64,7 +64,7 @@
         for (int each = 0; each < piece.listings().size(); each++) {
             Host.Listing entry = piece.listings().get(each);
             if (searchers.listed(entry, piece.addresses().get(each))) {
-                send.leaves(entry.searcher(), "address changed");
+                send.leaves(entry.replica(), "address changed");
             }
         }
         route.list(form, piece.listings());
--- a/daemon/src/main/java/pinewick/life/RegistryList.java
+++ b/daemon/src/main/java/pinewick/life/RegistryList.java
@@ -120,7 +120,7 @@
             keeperWire = new LeaseWire(loop, calls, given.mixersPrefix() + orders.name() + '@' + address,
                 "{\"addresses\":[\"" + address + "\"]}");
             keeper = new LeaseKeeper(terms.endpoints(), given.lease(), given.answer(), keeperWire, chance.split());
-            told = orders.deployment().mixers();
+            told = orders.deployment().routers();
             count = new MixerCount(told, loop.now(), given.lowerAfter());
         }
 
--- a/daemon/src/main/java/pinewick/life/StateLife.java
+++ b/daemon/src/main/java/pinewick/life/StateLife.java
@@ -95,13 +95,13 @@
 
     /** Searchers that a list named, be it an old one. */
     void knows(List<Host.Listing> listings) {
-        listings.forEach(each -> key(each.searcher()));
+        listings.forEach(each -> key(each.replica()));
     }
 
     /** What the list says; those that leave are told to the others, whose own list may come later. */
     void list(List<Host.Listing> listings) {
         for (Host.Listing each : listings) {
-            int key = key(each.searcher());
+            int key = key(each.replica());
             if (each.stage() != Host.Stage.READY && !mixedUp.contains(key)) {
                 state.saw(loop.now(), key, FactKind.LEAVES, each.stage() == Host.Stage.GONE ? 2 : 1, 0);
             }
--- a/daemon/src/main/java/pinewick/memory/OpenQuery.java
+++ b/daemon/src/main/java/pinewick/memory/OpenQuery.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.xnio.XnioExecutor;
-import pinewick.Logic;
+import pinewick.Query;
 
 /** A query that was taken: what came with it, what is out for it, and the handle on which news of it is a call. */
 public final class OpenQuery {
@@ -49,7 +49,7 @@
     public double workHint;
     /** Marked by its client as a later try. */
     public boolean again;
-    public Logic.Query handle;
+    public Query handle;
     /** The timer that ends the query if nothing else has. */
     public XnioExecutor.Key net;
     /** Answered, or left by its client: nothing more is sent for it. */
--- a/daemon/src/main/java/pinewick/memory/Searchers.java
+++ b/daemon/src/main/java/pinewick/memory/Searchers.java
@@ -16,11 +16,11 @@
 
     /** True where the address has changed. */
     public boolean listed(Host.Listing entry, InetSocketAddress address) {
-        stages.put(entry.searcher(), entry.stage());
+        stages.put(entry.replica(), entry.stage());
         if (address == null) {
             return false;
         }
-        InetSocketAddress before = addresses.put(entry.searcher(), address);
+        InetSocketAddress before = addresses.put(entry.replica(), address);
         return before != null && !before.equals(address);
     }
 
--- a/daemon/src/main/java/pinewick/stages/Route.java
+++ b/daemon/src/main/java/pinewick/stages/Route.java
@@ -77,7 +77,7 @@
 
     /** So many mixers live from now on, and so many may be sending at most. */
     public void mixers(int count, int most) {
-        logic.mixers(count, most);
+        logic.routers(count, most);
     }
 
     /** No more timers: these decisions are done with. */
@@ -133,7 +133,7 @@
         if (!over) {
             loop.after(in, "a timer", () -> {
                 if (!over) {
-                    logic.ring(name);
+                    logic.timerFired(name);
                 }
             });
         }
