FleetView and LogicTest split by concern, names of the field

Cause: files of 787 and 840 lines, each with several concerns. FleetView (389 lines) takes events in; FailureDetector (300) holds probes, suspicion and deaths as in SWIM and Lifeguard; MemberTable (211) the members, checksums and random choices; DatagramSender (208) composes and sends; IndirectProbe stands for an array of five numbers. Public methods and datagrams are as before; router, probe, gossip, pause, checksum stand for mixer, look, rumour, standing still, sum.

Ruled out: new names for the tests, as the count could then not be read from the diff.

--- a/core/src/test/java/pinewick/FakeHost.java
+++ b/core/src/test/java/pinewick/FakeHost.java
@@ -41,6 +41,11 @@
         return this;
     }
 
+    /** A load report of nothing but a queue. */
+    static Host.LoadReport queued(double parts) {
+        return new Host.LoadReport(parts, Double.NaN, Double.NaN, Double.NaN);
+    }
+
     void list(Host.ListForm form, Host.Stage stage, double startedAt, String... names) {
         List<Host.Listing> entries = new ArrayList<>();
         for (String name : names) {
