--- a/core/src/main/java/pinewick/FleetStats.java
+++ b/core/src/main/java/pinewick/FleetStats.java
@@ -1,5 +1,8 @@
 package pinewick;
 
+import pinewick.selection.CoarseTimes;
+import pinewick.selection.FoundAgain;
+
 /** What a router measured of its whole fleet, with what all measurements have in common. */
 final class FleetStats {
     static final double FIRST_GUESS = 0.1; // of the latency goal: any latency not yet measured
--- a/core/src/main/java/pinewick/Grade.java
+++ b/core/src/main/java/pinewick/Grade.java
@@ -1,5 +1,7 @@
 package pinewick;
 
+import pinewick.selection.CoarseTimes;
+
 /** A service grade: its terms, and how long its parts and queries were seen to take. */
 final class Grade {
     static final double LONGEST_HEDGE_DELAY = 0.5; // of the latency goal, like the next two
--- a/core/src/main/java/pinewick/ReplicaList.java
+++ b/core/src/main/java/pinewick/ReplicaList.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import pinewick.selection.SlidingSum;
 
 /** The replicas as they were last listed, which of them hold a shard, and how many parts came for each. */
 final class ReplicaList {
--- a/core/src/main/java/pinewick/ReplicaState.java
+++ b/core/src/main/java/pinewick/ReplicaState.java
@@ -1,6 +1,8 @@
 package pinewick;
 
 import java.util.LinkedHashSet;
+import pinewick.selection.RecentLowest;
+import pinewick.selection.SlidingSum;
 
 /** What one router was told of a replica and saw of it; what follows from that is decided in {@link Replica}. */
 class ReplicaState {
--- a/core/src/main/java/pinewick/RouterState.java
+++ b/core/src/main/java/pinewick/RouterState.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.SplittableRandom;
+import pinewick.selection.SlidingSum;
 
 /** What all decisions of one router share: its deployment, its queries and replicas, and what it measured. */
 final class RouterState {
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -0,0 +1,98 @@
+package pinewick.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import pinewick.dissemination.FleetMessages;
+import pinewick.dissemination.FleetNode;
+import pinewick.dissemination.FleetState;
+import pinewick.membership.NodeDescriptor;
+import pinewick.membership.NodeRole;
+import pinewick.model.Message;
+import pinewick.model.NodeSettings;
+import pinewick.model.SocketAddress;
+import pinewick.transport.ControlLoop;
+import pinewick.transport.MessageCodec;
+import pinewick.transport.NetworkTransport;
+import pinewick.transport.TransportException;
+
+/** A router's part in the fleet: the control loop, the sockets for internal messages, and what they learn. */
+final class FleetLink {
+    private final FleetState state = new FleetState();
+    private final ControlLoop loop = new ControlLoop();
+    private final NetworkTransport transport;
+    private final FleetNode node;
+
+    FleetLink(NodeSettings settings, RandomGenerator random) throws RouterException {
+        SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
+        try {
+            transport = new NetworkTransport(local, new MessageCodec(messageTypes()));
+        } catch (TransportException e) {
+            throw new RouterException("listening to peers", local.toString(), e);
+        }
+        NodeDescriptor self = new NodeDescriptor(
+                transport.localAddress(), System.currentTimeMillis(), NodeRole.ROUTER, settings.zone());
+        node = new FleetNode(self, settings.seedControllers(), state, transport, random);
+    }
+
+    private static List<Class<?>> messageTypes() {
+        List<Class<?>> types = new ArrayList<>(FleetMessages.types());
+        types.addAll(LoadNews.types());
+        return types;
+    }
+
+    /** @param onNews told what other routers saw of replicas, on the control loop */
+    void start(Consumer<LoadNews> onNews) {
+        transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message, onNews)));
+        loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
+    }
+
+    private void onMessage(SocketAddress sender, Message message, Consumer<LoadNews> onNews) {
+        if (message instanceof LoadNews news) {
+            onNews.accept(news);
+        } else {
+            node.onMessage(sender, message, loop.nowMs());
+        }
+    }
+
+    /** Sends to the other routers known at this moment. May be called on any thread. */
+    void tellRouters(LoadNews news) {
+        loop.execute(() -> otherRouters().forEach(router -> transport.send(router, news)));
+    }
+
+    FleetState state() {
+        return state;
+    }
+
+    FleetNode node() {
+        return node;
+    }
+
+    SocketAddress self() {
+        return transport.localAddress();
+    }
+
+    /** The other routers known at this moment. */
+    List<SocketAddress> otherRouters() {
+        return node.peers().stream()
+                .filter(peer -> peer.role() == NodeRole.ROUTER)
+                .map(NodeDescriptor::address)
+                .toList();
+    }
+
+    /** Runs a task over and over on the control loop. */
+    void repeat(Runnable task, long periodMs) {
+        loop.repeat(task, periodMs);
+    }
+
+    /** Tells the peers that this process ends. */
+    void leave() {
+        loop.execute(() -> node.leave(loop.nowMs()));
+    }
+
+    void close() {
+        transport.close();
+        loop.close();
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -0,0 +1,180 @@
+package pinewick.dataplane;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable.InvocationType;
+
+/**
+ * A client's request on Jetty's side. One write is out at a time; what comes meanwhile goes with the next. Used on the
+ * data plane's executor only.
+ */
+final class JettyClientExchange implements ClientExchange {
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final SerialExecutor serial;
+    private final BooleanSupplier lastOfConnection;
+    private final Deque<byte[]> waiting = new ArrayDeque<>();
+    private RequestLifecycle lifecycle;
+    private long pendingBytes;
+    private boolean writing;
+    private boolean streamEnded;
+    private boolean over;
+    private boolean nextRequestCame;
+
+    /** @param lastOfConnection whether the client is told to use the connection no more */
+    JettyClientExchange(
+            Request request,
+            Response response,
+            Callback callback,
+            SerialExecutor serial,
+            BooleanSupplier lastOfConnection) {
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.serial = serial;
+        this.lastOfConnection = lastOfConnection;
+    }
+
+    /** Whom to tell that the client has gone or has taken what was waiting. */
+    void setLifecycle(RequestLifecycle lifecycle) {
+        this.lifecycle = lifecycle;
+    }
+
+    /**
+     * Notices whether the client has closed its connection, which Jetty would not before the next write. A byte of a
+     * next request is handed to the connection.
+     *
+     * @param probe room for one byte
+     */
+    void probe(ByteBuffer probe) {
+        Connection connection = request.getConnectionMetaData().getConnection();
+        if (over || nextRequestCame || !(connection instanceof Connection.UpgradeTo next)) {
+            return;
+        }
+        BufferUtil.clear(probe);
+        try {
+            int filled = connection.getEndPoint().fill(probe);
+            if (filled < 0) {
+                gone(new EofException("the client has closed its connection"));
+            } else if (filled > 0) {
+                nextRequestCame = true;
+                next.onUpgradeTo(probe);
+            }
+        } catch (IOException e) {
+            gone(e);
+        }
+    }
+
+    @Override
+    public void answer(int status, HttpFields fields, byte[] body) {
+        over = true;
+        setHead(status, fields);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    @Override
+    public void beginStream(int status, HttpFields fields) {
+        setHead(status, fields);
+    }
+
+    private void setHead(int status, HttpFields fields) {
+        response.setStatus(status);
+        response.getHeaders().add(fields);
+        if (lastOfConnection.getAsBoolean()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+        }
+    }
+
+    @Override
+    public void passOn(byte[] piece) {
+        pendingBytes += piece.length;
+        waiting.add(piece);
+        writeNext();
+    }
+
+    @Override
+    public void endStream() {
+        streamEnded = true;
+        writeNext();
+    }
+
+    @Override
+    public void abort() {
+        if (!over) {
+            over = true;
+            waiting.clear();
+            callback.failed(new IOException("the replica broke the stream off"));
+        }
+    }
+
+    @Override
+    public long pendingBytes() {
+        return pendingBytes;
+    }
+
+    private void writeNext() {
+        if (writing || over || (waiting.isEmpty() && !streamEnded)) {
+            return;
+        }
+        ByteBuffer content = takeWaiting();
+        int length = content.remaining();
+        if (streamEnded) {
+            over = true;
+            response.write(true, content, callback);
+            return;
+        }
+        writing = true;
+        response.write(
+                false,
+                content,
+                Callback.from(
+                        InvocationType.NON_BLOCKING,
+                        () -> serial.execute(() -> written(length)),
+                        cause -> serial.execute(() -> gone(cause))));
+    }
+
+    private ByteBuffer takeWaiting() {
+        if (waiting.isEmpty()) {
+            return BufferUtil.EMPTY_BUFFER;
+        }
+        int total = 0;
+        for (byte[] piece : waiting) {
+            total += piece.length;
+        }
+        ByteBuffer joined = PromptChunkGenerator.withLineEnd(waiting, total);
+        waiting.clear();
+        return joined;
+    }
+
+    private void written(int length) {
+        writing = false;
+        pendingBytes -= length;
+        writeNext();
+        if (pendingBytes == 0) {
+            lifecycle.onClientDrained();
+        }
+    }
+
+    /** The client's connection has failed. */
+    void gone(Throwable cause) {
+        if (!over) {
+            over = true;
+            waiting.clear();
+            callback.failed(cause);
+            lifecycle.onClientGone();
+        }
+    }
+}
