--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -27,9 +27,11 @@
     private static final int FANOUT = 4;
     /** Ticks after the first push in which the number is told to a few more peers. */
     private static final int LATER_WAVES = 2;
+
     private static final double PULL_TIMEOUT_MS = 250;
     /** So many pulls wait for the plain time-out: a datagram was lost. Later ones wait longer: the body may be large. */
     private static final int QUICK_PULLS = 3;
+
     private static final int MOST_DOUBLINGS = 3;
     private static final int MAX_SOURCES = 16;
     private static final byte[] NO_BODY = {};
--- a/dissemination/src/main/java/pinewick/dissemination/FleetState.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetState.java
@@ -83,9 +83,18 @@
 
     private static ReplicaRecord withSequence(ReplicaRecord record, long callSequence) {
         return new ReplicaRecord(
-                record.instanceId(), record.service(), record.address(), record.zone(), record.softwareVersion(),
-                record.slots(), record.state(), record.coldRemainingMs(), record.stage(), record.models(),
-                callSequence, record.lapsed());
+                record.instanceId(),
+                record.service(),
+                record.address(),
+                record.zone(),
+                record.softwareVersion(),
+                record.slots(),
+                record.state(),
+                record.coldRemainingMs(),
+                record.stage(),
+                record.models(),
+                callSequence,
+                record.lapsed());
     }
 
     /** Rises with each change of a replica record that concerns routers. */
--- a/dissemination/src/main/java/pinewick/dissemination/HeartbeatNotes.java
+++ b/dissemination/src/main/java/pinewick/dissemination/HeartbeatNotes.java
@@ -48,8 +48,7 @@
         }
         sentAtMs = nowMs;
         List<HeartbeatNote> notes = new ArrayList<>();
-        unsent.forEach((id, heard) ->
-                notes.add(new HeartbeatNote(id, heard.callSequence, (int) (nowMs - heard.atMs))));
+        unsent.forEach((id, heard) -> notes.add(new HeartbeatNote(id, heard.callSequence, (int) (nowMs - heard.atMs))));
         unsent.clear();
         for (int from = 0; from < notes.size(); from += NOTES_A_DATAGRAM) {
             int to = Math.min(from + NOTES_A_DATAGRAM, notes.size());
--- a/dissemination/src/main/java/pinewick/dissemination/Joining.java
+++ b/dissemination/src/main/java/pinewick/dissemination/Joining.java
@@ -26,6 +26,7 @@
     private static final double SNAPSHOT_TIMEOUT_MS = 400;
     /** An answer counts for so long: its sender may have ended, or know more by now. */
     private static final double ANSWER_MS = 2_000;
+
     private static final int PEERS_ASKED = 3;
 
     private final List<SocketAddress> seeds;
@@ -77,8 +78,8 @@
     private void ask(Digest own) {
         Set<SocketAddress> targets = new LinkedHashSet<>(seeds);
         targets.addAll(peers.randomPeers(PEERS_ASKED));
-        Digest question = new Digest(
-                own.configurationVersion(), own.replicaCount(), own.replicaHash(), own.synchronised(), true);
+        Digest question =
+                new Digest(own.configurationVersion(), own.replicaCount(), own.replicaHash(), own.synchronised(), true);
         targets.forEach(target -> outbox.send(target, question));
     }
 
@@ -106,7 +107,8 @@
         double patience = newestShown() > 0 ? PATIENCE_MS : PATIENCE_WITHOUT_CONFIGURATION_MS;
         if (usable.isEmpty() && nowMs - firstAnswerAtMs >= patience) {
             usable.addAll(answers.keySet());
-            usable.removeIf(peer -> !seeds.contains(peer) && !peers.controllers().contains(peer));
+            usable.removeIf(
+                    peer -> !seeds.contains(peer) && !peers.controllers().contains(peer));
         }
         return usable;
     }
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -38,6 +38,7 @@
     private static final int MANY_RECORDS = 16;
     /** Up to so many records a summary of them all fits a datagram. */
     private static final int SMALL_FLEET = 45;
+
     private static final int RECORDS_A_DATAGRAM = 8;
     private static final int MOST_DATAGRAMS = 6;
     private static final double SNAPSHOT_PAUSE_MS = 400;
@@ -261,11 +262,13 @@
 
     /** Tells a peer which of the records that it sent belong to replicas that ended long ago. */
     private void tellForgottenOf(SocketAddress peer, List<SpreadRecord> records) {
-        tellForgotten(peer, records.stream()
-                .map(SpreadRecord::record)
-                .filter(record -> record.state() != ReplicaState.GONE && gone.isForgotten(record.instanceId()))
-                .map(ReplicaRecord::instanceId)
-                .toList());
+        tellForgotten(
+                peer,
+                records.stream()
+                        .map(SpreadRecord::record)
+                        .filter(record -> record.state() != ReplicaState.GONE && gone.isForgotten(record.instanceId()))
+                        .map(ReplicaRecord::instanceId)
+                        .toList());
     }
 
     /** A peer knows of ends that this process has missed. */
--- a/dissemination/src/test/java/pinewick/dissemination/ControllerExchangeTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/ControllerExchangeTest.java
@@ -68,9 +68,10 @@
     void aControllerCutOffFromTheOthersGetsNoConfirmationNotEvenFromRouters() {
         FleetSimulation fleet = settled(4, 3, 3);
         Process alone = fleet.controllers.get(0);
-        fleet.cut = (from, to) -> fleet.controllers.stream().anyMatch(other -> other != alone
-                && (from.equals(alone.address()) && to.equals(other.address())
-                        || to.equals(alone.address()) && from.equals(other.address())));
+        fleet.cut = (from, to) -> fleet.controllers.stream()
+                .anyMatch(other -> other != alone
+                        && (from.equals(alone.address()) && to.equals(other.address())
+                                || to.equals(alone.address()) && from.equals(other.address())));
         assertFalse(heldWithin(fleet, alone, READY, 3_000));
         assertTrue(fleet.routers.stream().allMatch(router -> router.state.replica("i-1") != null));
     }
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -73,7 +73,10 @@
         Process(SocketAddress address, NodeRole role, long incarnation) {
             descriptor = new NodeDescriptor(address, incarnation, role, "zone-" + address.hashCode() % 3);
             node = new FleetNode(
-                    descriptor, seeds, state, (peer, message) -> transmit(this, peer, message),
+                    descriptor,
+                    seeds,
+                    state,
+                    (peer, message) -> transmit(this, peer, message),
                     new Random(random.nextLong()));
             after(random.nextDouble() * FleetNode.TICK_MS, this::tick);
         }
@@ -139,8 +142,7 @@
         return start(routers, number, routerAddress(number), NodeRole.ROUTER, incarnation);
     }
 
-    private Process start(
-            List<Process> list, int number, SocketAddress address, NodeRole role, long incarnation) {
+    private Process start(List<Process> list, int number, SocketAddress address, NodeRole role, long incarnation) {
         Process process = new Process(address, role, incarnation);
         processes.put(address, process);
         if (number < list.size()) {
@@ -191,12 +193,14 @@
     /** Runs until every process in touch meets a condition; returns how long that took, or NaN. */
     double runUntilAll(Predicate<Process> condition, double limitMs) {
         List<Process> open = new ArrayList<>(inTouch());
-        return runUntil(() -> {
-            while (!open.isEmpty() && condition.test(open.get(open.size() - 1))) {
-                open.remove(open.size() - 1);
-            }
-            return open.isEmpty();
-        }, limitMs);
+        return runUntil(
+                () -> {
+                    while (!open.isEmpty() && condition.test(open.get(open.size() - 1))) {
+                        open.remove(open.size() - 1);
+                    }
+                    return open.isEmpty();
+                },
+                limitMs);
     }
 
     private void transmit(Process from, SocketAddress to, Message message) {
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSizeTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSizeTest.java
@@ -33,7 +33,8 @@
                 assertEquals(routers, estimate, 0.1 * routers);
                 assertTrue(bound >= routers && bound <= 1.3 * routers, "bound " + bound + " of " + routers);
             }
-            System.out.printf("%d routers: least estimate %.0f, highest bound %.0f, shares %.2f%n",
+            System.out.printf(
+                    "%d routers: least estimate %.0f, highest bound %.0f, shares %.2f%n",
                     routers, lowest, highest, sumOfShares(fleet));
         }
     }
@@ -85,10 +86,12 @@
         fleet.loss = 0.02;
         fleet.run(20_000);
         Process added = fleet.startController(9, 1);
-        double controllersMs = fleet.runUntilAll(process -> process.descriptor.role() == NodeRole.ROUTER
-                || process == added || knows(process, added), 5_000);
+        double controllersMs = fleet.runUntilAll(
+                process -> process.descriptor.role() == NodeRole.ROUTER || process == added || knows(process, added),
+                5_000);
         double allMs = fleet.runUntilAll(process -> process == added || knows(process, added), 20_000);
-        System.out.printf("a new controller: known to controllers after %.0f ms, to all after %.0f ms more%n",
+        System.out.printf(
+                "a new controller: known to controllers after %.0f ms, to all after %.0f ms more%n",
                 controllersMs, allMs);
         assertTrue(controllersMs <= 1_000, "controllers " + controllersMs);
         assertTrue(allMs <= 15_000, "all " + allMs);
--- a/dissemination/src/test/java/pinewick/dissemination/FleetTroubleTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetTroubleTest.java
@@ -56,10 +56,13 @@
 
     private static void assertAll(FleetSimulation fleet, double limitMs, Predicate<Process> condition) {
         double tookMs = fleet.runUntilAll(condition, limitMs);
-        assertTrue(tookMs <= limitMs, () -> "within " + limitMs + " ms; missing at " + fleet.inTouch().stream()
-                .filter(condition.negate())
-                .map(Process::address)
-                .toList());
+        assertTrue(
+                tookMs <= limitMs,
+                () -> "within " + limitMs + " ms; missing at "
+                        + fleet.inTouch().stream()
+                                .filter(condition.negate())
+                                .map(Process::address)
+                                .toList());
     }
 
     @Test
@@ -87,10 +90,13 @@
         fleet.run(500);
         Process controller = fleet.startController(1, 900);
         Process router = fleet.startRouter(4, 900);
-        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
-                && hasVersion(5).test(process)
-                && incarnationOf(process, controller.address()) > 1_000
-                && incarnationOf(process, router.address()) > 1_000);
+        assertAll(
+                fleet,
+                CONTACT_MS,
+                process -> process.node.synchronised()
+                        && hasVersion(5).test(process)
+                        && incarnationOf(process, controller.address()) > 1_000
+                        && incarnationOf(process, router.address()) > 1_000);
     }
 
     private static long incarnationOf(Process process, SocketAddress address) {
@@ -232,10 +238,13 @@
         for (int i = 0; i < 3; i++) {
             fleet.startController(i, 2);
         }
-        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
-                && hasVersion(7).test(process)
-                && hasState("i-1", ReplicaState.READY).test(process)
-                && hasState("i-2", ReplicaState.DRAINING).test(process));
+        assertAll(
+                fleet,
+                CONTACT_MS,
+                process -> process.node.synchronised()
+                        && hasVersion(7).test(process)
+                        && hasState("i-1", ReplicaState.READY).test(process)
+                        && hasState("i-2", ReplicaState.DRAINING).test(process));
     }
 
     @Test
@@ -248,16 +257,22 @@
         fleet.routers.get(5).kill();
         fleet.run(15_000);
         fleet.startRouter(5, 2);
-        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised()
-                && hasVersion(7).test(process)
-                && hasState("i-1", ReplicaState.READY).test(process));
+        assertAll(
+                fleet,
+                CONTACT_MS,
+                process -> process.node.synchronised()
+                        && hasVersion(7).test(process)
+                        && hasState("i-1", ReplicaState.READY).test(process));
     }
 
     @Test
     void aWholeFleetThatStartsAtOnceIsSynchronised() {
         FleetSimulation fleet = FleetSimulation.started(10, 3, 9);
         fleet.controllers.forEach(controller -> controller.state.offer(TestDocuments.withRoutes(3, 20)));
-        assertAll(fleet, CONTACT_MS, process -> process.node.synchronised() && hasVersion(3).test(process));
+        assertAll(
+                fleet,
+                CONTACT_MS,
+                process -> process.node.synchronised() && hasVersion(3).test(process));
     }
 
     @Test
--- a/dissemination/src/test/java/pinewick/dissemination/LoopbackFleetTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/LoopbackFleetTest.java
@@ -34,14 +34,19 @@
         private FleetNode node;
 
         RunningNode() throws TransportException {
-            transport = new NetworkTransport(new SocketAddress("127.0.0.1", 0), new MessageCodec(FleetMessages.types()));
+            transport =
+                    new NetworkTransport(new SocketAddress("127.0.0.1", 0), new MessageCodec(FleetMessages.types()));
         }
 
         void start(NodeRole role, List<SocketAddress> seeds) {
             NodeDescriptor self = new NodeDescriptor(transport.localAddress(), 1, role, "zone");
-            node = new FleetNode(self, seeds, state, transport, new Random(transport.localAddress().port()));
-            transport.start((sender, message) ->
-                    loop.execute(() -> node.onMessage(sender, message, loop.nowMs())));
+            node = new FleetNode(
+                    self,
+                    seeds,
+                    state,
+                    transport,
+                    new Random(transport.localAddress().port()));
+            transport.start((sender, message) -> loop.execute(() -> node.onMessage(sender, message, loop.nowMs())));
             loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
         }
 
@@ -121,8 +126,7 @@
         awaitAll(latches);
     }
 
-    private static CountDownLatch latch(
-            RunningNode node, Function<CountDownLatch, FleetStateListener> listener) {
+    private static CountDownLatch latch(RunningNode node, Function<CountDownLatch, FleetStateListener> listener) {
         CountDownLatch latch = new CountDownLatch(1);
         node.state.addListener(listener.apply(latch));
         return latch;
--- a/dissemination/src/test/java/pinewick/dissemination/ManyReplicasTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/ManyReplicasTest.java
@@ -25,8 +25,9 @@
         for (int i = 0; i < REPLICAS; i++) {
             Process controller = fleet.controllers.get(i % 5);
             ReplicaRecord record = TestRecords.ready("i-" + Integer.toHexString(i * 7_919 + 1_000_000), 1);
-            fleet.after(fleet.random.nextDouble() * HEARTBEAT_MS, () ->
-                    controller.node.publish(record, null, controller.localMs()));
+            fleet.after(
+                    fleet.random.nextDouble() * HEARTBEAT_MS,
+                    () -> controller.node.publish(record, null, controller.localMs()));
         }
         fleet.run(HEARTBEAT_MS);
         return fleet;
@@ -36,8 +37,12 @@
     void allReplicasRegisteringAtOnceAreKnownEverywhereSoon() {
         FleetSimulation fleet = withAllRegistered(1, 84);
         double tookMs = fleet.runUntilAll(hasAll(), 3_000);
-        double bytes = fleet.routers.stream().mapToLong(router -> router.bytesReceived).average().orElse(0);
-        System.out.printf("2,200 replicas at once, 84 routers: all known %.0f ms after the last, %.0f bytes a router%n",
+        double bytes = fleet.routers.stream()
+                .mapToLong(router -> router.bytesReceived)
+                .average()
+                .orElse(0);
+        System.out.printf(
+                "2,200 replicas at once, 84 routers: all known %.0f ms after the last, %.0f bytes a router%n",
                 tookMs, bytes);
         assertTrue(tookMs <= 2_000, "took " + tookMs);
         assertTrue(bytes < 5_000_000, "bytes " + bytes);
@@ -53,8 +58,8 @@
         double tookMs = fleet.runUntil(router.node::synchronised, 2_000);
         assertTrue(tookMs <= 1_000, "took " + tookMs);
         assertEquals(REPLICAS, router.state.replicas().size());
-        System.out.printf("restart with 2,200 replicas: synchronised after %.0f ms, %d bytes%n",
-                tookMs, router.bytesReceived);
+        System.out.printf(
+                "restart with 2,200 replicas: synchronised after %.0f ms, %d bytes%n", tookMs, router.bytesReceived);
         assertTrue(router.bytesReceived < 1_000_000, "bytes " + router.bytesReceived);
     }
 
@@ -67,7 +72,10 @@
         fleet.run(1_000);
         for (int i = 0; i < 5; i++) {
             Process controller = fleet.controllers.get(i % 5);
-            ReplicaRecord known = controller.state.replicas().stream().skip(i * 100L).findFirst().orElseThrow();
+            ReplicaRecord known = controller.state.replicas().stream()
+                    .skip(i * 100L)
+                    .findFirst()
+                    .orElseThrow();
             ReplicaRecord draining = TestRecords.draining(known, 2);
             controller.node.publish(draining, null, controller.localMs());
             fleet.run(500);
@@ -78,14 +86,14 @@
         fleet.cutOff.clear();
         double tookMs = fleet.runUntil(() -> sameContent(router, fleet.controllers.get(0)), 3_000);
         assertTrue(fleet.messagesByType.containsKey("BucketHashes"), fleet.messagesByType.toString());
-        System.out.printf("a few of 2,200 records missed: equal after %.0f ms, %d bytes%n",
-                tookMs, router.bytesReceived);
+        System.out.printf(
+                "a few of 2,200 records missed: equal after %.0f ms, %d bytes%n", tookMs, router.bytesReceived);
         assertTrue(tookMs <= 3_000, "took " + tookMs);
         assertTrue(router.bytesReceived < 60_000, "bytes " + router.bytesReceived);
     }
 
     private static boolean sameContent(Process left, Process right) {
-        return left.state.replicas().stream().allMatch(record ->
-                ReplicaContent.same(record, right.state.replica(record.instanceId())));
+        return left.state.replicas().stream()
+                .allMatch(record -> ReplicaContent.same(record, right.state.replica(record.instanceId())));
     }
 }
--- a/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
@@ -82,8 +82,10 @@
         ReplicaRecord record = TestRecords.draining(origin.state.replica(instanceId), 5);
         boolean[] held = new boolean[1];
         origin.node.publish(record, () -> held[0] = true, origin.localMs());
-        awaitAll(fleet, process -> process.state.replica(instanceId) != null
-                && process.state.replica(instanceId).state() == ReplicaState.DRAINING);
+        awaitAll(
+                fleet,
+                process -> process.state.replica(instanceId) != null
+                        && process.state.replica(instanceId).state() == ReplicaState.DRAINING);
         fleet.runUntil(() -> held[0], BOUND_MS);
         assertTrue(held[0], "another controller holds it");
     }
@@ -104,8 +106,13 @@
         double mean = (sent.getAverage() + received.getAverage()) / seconds;
         String text = String.format(
                 "%s: a router sends %.0f and receives %.0f bytes/s (most %.0f, %.0f), sends %.1f messages/s; shares %s",
-                what, sent.getAverage() / seconds, received.getAverage() / seconds, sent.getMax() / seconds,
-                received.getMax() / seconds, messages.getAverage() / seconds, fleet.messagesByType);
+                what,
+                sent.getAverage() / seconds,
+                received.getAverage() / seconds,
+                sent.getMax() / seconds,
+                received.getMax() / seconds,
+                messages.getAverage() / seconds,
+                fleet.messagesByType);
         System.out.println(text);
         assertTrue(mean < MOST_BYTES_A_SECOND, text);
         return text;
--- a/dissemination/src/test/java/pinewick/dissemination/TestRecords.java
+++ b/dissemination/src/test/java/pinewick/dissemination/TestRecords.java
@@ -12,9 +12,18 @@
 
     static ReplicaRecord ready(String instanceId, long callSequence) {
         return new ReplicaRecord(
-                instanceId, "huvo11a", new SocketAddress("10.128.0.9", 8080), "port-louis", "v1", 24,
-                ReplicaState.READY, 0, Stage.DECODE, List.of(new ReplicaRecord.ModelVersion("m", 1)),
-                callSequence, false);
+                instanceId,
+                "huvo11a",
+                new SocketAddress("10.128.0.9", 8080),
+                "port-louis",
+                "v1",
+                24,
+                ReplicaState.READY,
+                0,
+                Stage.DECODE,
+                List.of(new ReplicaRecord.ModelVersion("m", 1)),
+                callSequence,
+                false);
     }
 
     static ReplicaRecord draining(ReplicaRecord record, long callSequence) {
@@ -27,8 +36,17 @@
 
     static ReplicaRecord withSequence(ReplicaRecord record, long callSequence) {
         return new ReplicaRecord(
-                record.instanceId(), record.service(), record.address(), record.zone(), record.softwareVersion(),
-                record.slots(), record.state(), record.coldRemainingMs(), record.stage(), record.models(),
-                callSequence, record.lapsed());
+                record.instanceId(),
+                record.service(),
+                record.address(),
+                record.zone(),
+                record.softwareVersion(),
+                record.slots(),
+                record.state(),
+                record.coldRemainingMs(),
+                record.stage(),
+                record.models(),
+                callSequence,
+                record.lapsed());
     }
 }
--- a/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
+++ b/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
@@ -132,7 +132,8 @@
     }
 
     private static int bitOf(SocketAddress address, int epoch) {
-        long hash = (address.host().hashCode() * 31L + address.port()) * 0x9E3779B97F4A7C15L + epoch * 0xC2B2AE3D27D4EB4FL;
+        long hash =
+                (address.host().hashCode() * 31L + address.port()) * 0x9E3779B97F4A7C15L + epoch * 0xC2B2AE3D27D4EB4FL;
         hash = (hash ^ (hash >>> 30)) * 0xBF58476D1CE4E5B9L;
         hash = (hash ^ (hash >>> 27)) * 0x94D049BB133111EBL;
         return (int) ((hash ^ (hash >>> 31)) & (BITS - 1));
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -270,9 +270,8 @@
     }
 
     private void onRequest(SocketAddress sender, ShuffleRequest request, double nowMs) {
-        int controllerCount = request.self().node().role() == NodeRole.CONTROLLER
-                ? CONTROLLER_CAPACITY
-                : CONTROLLERS_IN_SAMPLE;
+        int controllerCount =
+                request.self().node().role() == NodeRole.CONTROLLER ? CONTROLLER_CAPACITY : CONTROLLERS_IN_SAMPLE;
         List<PeerEntry> sample = sampleFor(sender, controllerCount, nowMs);
         Set<SocketAddress> offered = offeredRouters(sample);
         addReminderOfLaterLife(request.self(), sample);
@@ -294,7 +293,9 @@
 
     private void onReply(SocketAddress sender, ShuffleReply reply, double nowMs) {
         Set<SocketAddress> offered = Set.of();
-        if (pending != null && pending.round == reply.round() && pending.target.node().address().equals(sender)) {
+        if (pending != null
+                && pending.round == reply.round()
+                && pending.target.node().address().equals(sender)) {
             offered = pending.offered;
             pending = null;
         }
@@ -332,7 +333,8 @@
     /** The sender knows an earlier life of this process: exceed its incarnation, so that peers take this one. */
     private void outliveEarlierLife(SocketAddress sender, PeerEntry entry, double nowMs) {
         long incarnation = entry.node().incarnation();
-        boolean laterThanNow = incarnation == self.incarnation() && entry.heartbeat() > ownEntry(nowMs).heartbeat();
+        boolean laterThanNow = incarnation == self.incarnation()
+                && entry.heartbeat() > ownEntry(nowMs).heartbeat();
         if (incarnation > self.incarnation() || laterThanNow) {
             self = new NodeDescriptor(self.address(), incarnation + 1, self.role(), self.zone());
         }
--- a/membership/src/test/java/pinewick/membership/PeerSamplingTest.java
+++ b/membership/src/test/java/pinewick/membership/PeerSamplingTest.java
@@ -30,7 +30,9 @@
     @BeforeEach
     void start() {
         sampling = new PeerSampling(
-                node(0, 5, NodeRole.ROUTER), List.of(SEED), (peer, message) -> sent.add(new Sent(peer, message)),
+                node(0, 5, NodeRole.ROUTER),
+                List.of(SEED),
+                (peer, message) -> sent.add(new Sent(peer, message)),
                 new Random(1));
         sampling.onTick(nowMs);
     }
@@ -49,8 +51,7 @@
     }
 
     private void hear(PeerEntry peer, PeerEntry... sample) {
-        sampling.onMessage(
-                peer.node().address(), new ShuffleRequest(1, peer, List.of(sample), null), nowMs);
+        sampling.onMessage(peer.node().address(), new ShuffleRequest(1, peer, List.of(sample), null), nowMs);
     }
 
     private void tickFor(double durationMs) {
@@ -134,8 +135,7 @@
     @Test
     void aLateWordOfAnEarlierLifesEndDoesNotEndTheLaterLife() {
         hear(new PeerEntry(node(1, 2, NodeRole.ROUTER), 10));
-        sampling.onMessage(
-                node(1, 1, NodeRole.ROUTER).address(), new Leaving(node(1, 1, NodeRole.ROUTER)), nowMs);
+        sampling.onMessage(node(1, 1, NodeRole.ROUTER).address(), new Leaving(node(1, 1, NodeRole.ROUTER)), nowMs);
         assertTrue(known().contains(node(1, 2, NodeRole.ROUTER).address()));
     }
 
@@ -169,7 +169,9 @@
     @Test
     void aControllerGreetsAnotherUntilThatSpeaks() {
         sampling = new PeerSampling(
-                node(0, 5, NodeRole.CONTROLLER), List.of(), (peer, message) -> sent.add(new Sent(peer, message)),
+                node(0, 5, NodeRole.CONTROLLER),
+                List.of(),
+                (peer, message) -> sent.add(new Sent(peer, message)),
                 new Random(1));
         sampling.onTick(nowMs);
         SocketAddress other = controller(9, 0).node().address();
--- a/model/src/main/java/pinewick/model/ConfigurationDocument.java
+++ b/model/src/main/java/pinewick/model/ConfigurationDocument.java
@@ -58,8 +58,7 @@
                 && sections.keySet().equals(that.sections.keySet())
                 && fields.keySet().equals(that.fields.keySet())
                 && fields.keySet().stream().allMatch(name -> JsonText.alike(fields.get(name), that.fields.get(name)))
-                && sections.keySet().stream()
-                        .allMatch(name -> sameItems(sections.get(name), that.sections.get(name)));
+                && sections.keySet().stream().allMatch(name -> sameItems(sections.get(name), that.sections.get(name)));
     }
 
     @Override
@@ -68,7 +67,8 @@
     }
 
     private static boolean sameItems(Map<String, JsonObject> left, Map<String, JsonObject> right) {
-        return left == right || (List.copyOf(left.keySet()).equals(List.copyOf(right.keySet()))
-                && left.keySet().stream().allMatch(name -> JsonText.alike(left.get(name), right.get(name))));
+        return left == right
+                || (List.copyOf(left.keySet()).equals(List.copyOf(right.keySet()))
+                        && left.keySet().stream().allMatch(name -> JsonText.alike(left.get(name), right.get(name))));
     }
 }
--- a/model/src/main/java/pinewick/model/DeltaFormat.java
+++ b/model/src/main/java/pinewick/model/DeltaFormat.java
@@ -144,8 +144,10 @@
         Map<String, Map<String, JsonObject>> upserts = new LinkedHashMap<>();
         json.getAsJsonObject(UPSERTS).entrySet().forEach(section -> {
             Map<String, JsonObject> items = new LinkedHashMap<>();
-            section.getValue().getAsJsonObject().entrySet().forEach(item ->
-                    items.put(item.getKey(), item.getValue().getAsJsonObject()));
+            section.getValue()
+                    .getAsJsonObject()
+                    .entrySet()
+                    .forEach(item -> items.put(item.getKey(), item.getValue().getAsJsonObject()));
             upserts.put(section.getKey(), items);
         });
         Map<String, List<String>> removals = new LinkedHashMap<>();
@@ -156,8 +158,7 @@
         });
         Map<String, JsonElement> fields = new LinkedHashMap<>();
         json.getAsJsonObject(FIELDS).entrySet().forEach(field -> fields.put(field.getKey(), field.getValue()));
-        return new ConfigurationDelta(
-                number(json, BASE), number(json, VERSION), upserts, removals, fields);
+        return new ConfigurationDelta(number(json, BASE), number(json, VERSION), upserts, removals, fields);
     }
 
     private static long number(JsonObject json, String name) {
--- a/model/src/main/java/pinewick/model/ItemFields.java
+++ b/model/src/main/java/pinewick/model/ItemFields.java
@@ -16,6 +16,7 @@
     private static final int LONGEST_NUMBER = 40;
     /** Digits that always fit into an {@code int}. */
     private static final int LONGEST_PLAIN_NUMBER = 9;
+
     private static final BigDecimal LARGEST_INT = BigDecimal.valueOf(Integer.MAX_VALUE);
     private static final BigDecimal LARGEST_LONG = BigDecimal.valueOf(Long.MAX_VALUE);
 
--- a/model/src/main/java/pinewick/model/ReplicaRecord.java
+++ b/model/src/main/java/pinewick/model/ReplicaRecord.java
@@ -64,15 +64,35 @@
     /** The same record with another {@code lapsed}. */
     public ReplicaRecord withLapsed(boolean nowLapsed) {
         return new ReplicaRecord(
-                instanceId, service, address, zone, softwareVersion, slots, state, coldRemainingMs, stage, models,
-                callSequence, nowLapsed);
+                instanceId,
+                service,
+                address,
+                zone,
+                softwareVersion,
+                slots,
+                state,
+                coldRemainingMs,
+                stage,
+                models,
+                callSequence,
+                nowLapsed);
     }
 
     /** The same record in another state. */
     public ReplicaRecord withState(ReplicaState next) {
         return new ReplicaRecord(
-                instanceId, service, address, zone, softwareVersion, slots, next, coldRemainingMs, stage, models,
-                callSequence, lapsed);
+                instanceId,
+                service,
+                address,
+                zone,
+                softwareVersion,
+                slots,
+                next,
+                coldRemainingMs,
+                stage,
+                models,
+                callSequence,
+                lapsed);
     }
 
     /**
--- a/model/src/main/java/pinewick/model/RouteBuilder.java
+++ b/model/src/main/java/pinewick/model/RouteBuilder.java
@@ -159,7 +159,9 @@
             BigDecimal weight = weights.get(index);
             int share = whole
                     ? weight.intValue()
-                    : weight.multiply(SCALED_SUM).divide(sum, 0, RoundingMode.CEILING).intValue();
+                    : weight.multiply(SCALED_SUM)
+                            .divide(sum, 0, RoundingMode.CEILING)
+                            .intValue();
             split.add(new Route.WeightedService(names.get(index), share));
         }
         return split;
--- a/model/src/main/java/pinewick/model/RoutingTable.java
+++ b/model/src/main/java/pinewick/model/RoutingTable.java
@@ -21,7 +21,9 @@
         this.version = version;
         this.limits = limits;
         for (Route route : routes) {
-            routesByHost.computeIfAbsent(route.hostname(), host -> new HostRoutes()).add(route);
+            routesByHost
+                    .computeIfAbsent(route.hostname(), host -> new HostRoutes())
+                    .add(route);
         }
         Map<String, ServiceSpec> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
--- a/model/src/main/java/pinewick/model/RoutingTableBuilder.java
+++ b/model/src/main/java/pinewick/model/RoutingTableBuilder.java
@@ -28,8 +28,9 @@
     RoutingTable build() {
         List<Route> routes = routes();
         List<ServiceSpec> services = new ArrayList<>();
-        items(SERVICES).forEach((name, item) -> services.add(
-                new ServiceBuilder(new ItemFields(SERVICES + "/" + name, item, faults), faults).build()));
+        items(SERVICES)
+                .forEach((name, item) -> services.add(
+                        new ServiceBuilder(new ItemFields(SERVICES + "/" + name, item, faults), faults).build()));
         return new RoutingTable(document.version(), routes, services, limits());
     }
 
@@ -40,7 +41,9 @@
             ItemFields fields = new ItemFields(ROUTES + "/" + name, item, faults);
             Route route = new RouteBuilder(fields, items(SERVICES).keySet()).build();
             String earlier = ownerOfPrefix.putIfAbsent(route.hostname() + " " + route.pathPrefix(), name);
-            if (earlier != null && !route.hostname().isEmpty() && !route.pathPrefix().isEmpty()) {
+            if (earlier != null
+                    && !route.hostname().isEmpty()
+                    && !route.pathPrefix().isEmpty()) {
                 fields.fault("path_prefix", "has the host and prefix of route '" + earlier + "'; change one of them");
             }
             routes.add(route);
--- a/model/src/test/java/pinewick/model/AcceptedConfigurationTest.java
+++ b/model/src/test/java/pinewick/model/AcceptedConfigurationTest.java
@@ -10,32 +10,35 @@
 /** Documents that are odd but legal, which must not be refused. */
 class AcceptedConfigurationTest {
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
-        "\"version\":7|\"version\":7.0",
-        "\"version\":7|\"version\":9007199254740993",
-        "\"protocol\":\"h1\"|\"protocol\":{\"kind\":\"h9\"}",
-        "\"tls\":false|\"tls\":null",
-        "\"limits\":|\"bounds\":",
-        "\"weight\":90|\"weight\":0",
-        "\"priority\":1|\"priority\":-1",
-        "\"max_attempts\":1|\"max_attempts\":0",
-        "\"timeout_ms\":3000|\"timeout_ms\":2999.5",
-        "\"timeout_ms\":3000|\"timeout_ms\":3e3",
-        "\"timeout_ms\":3000|\"timeout_ms\":99999999999",
-        "\"target_latency_ms\":500,|~~",
-        "\"max_connections\":110|\"weight\":110",
-        "\"engine\":{|\"engine\":null,\"motor\":{",
-        "\"service\":\"s-2\",\"max|\"service\":\"s-2\",\"traffic_split\":[],\"max",
-        "\"service\":\"s-2\",\"max|\"service\":\"s-2\",\"traffic_split\":null,\"max",
-        "\"traffic_split\":|\"service\":null,\"traffic_split\":",
-        "\"traffic_split\":|\"service\":\"\",\"traffic_split\":",
-        "\"limits\":{|\"regions\":[1,2],\"limits\":{",
-        "\"limits\":{|\"regions\":[{\"name\":\"a\"},{\"name\":\"a\"}],\"limits\":{",
-        "\"limits\":{|\"regions\":[{\"name\":\"a\"},{\"title\":\"a\"}],\"limits\":{",
-        "\"limits\":{|\"regions\":[],\"limits\":{",
-        "/b/|/a/b/",
-        "/b/|/",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '~',
+            value = {
+                "\"version\":7|\"version\":7.0",
+                "\"version\":7|\"version\":9007199254740993",
+                "\"protocol\":\"h1\"|\"protocol\":{\"kind\":\"h9\"}",
+                "\"tls\":false|\"tls\":null",
+                "\"limits\":|\"bounds\":",
+                "\"weight\":90|\"weight\":0",
+                "\"priority\":1|\"priority\":-1",
+                "\"max_attempts\":1|\"max_attempts\":0",
+                "\"timeout_ms\":3000|\"timeout_ms\":2999.5",
+                "\"timeout_ms\":3000|\"timeout_ms\":3e3",
+                "\"timeout_ms\":3000|\"timeout_ms\":99999999999",
+                "\"target_latency_ms\":500,|~~",
+                "\"max_connections\":110|\"weight\":110",
+                "\"engine\":{|\"engine\":null,\"motor\":{",
+                "\"service\":\"s-2\",\"max|\"service\":\"s-2\",\"traffic_split\":[],\"max",
+                "\"service\":\"s-2\",\"max|\"service\":\"s-2\",\"traffic_split\":null,\"max",
+                "\"traffic_split\":|\"service\":null,\"traffic_split\":",
+                "\"traffic_split\":|\"service\":\"\",\"traffic_split\":",
+                "\"limits\":{|\"regions\":[1,2],\"limits\":{",
+                "\"limits\":{|\"regions\":[{\"name\":\"a\"},{\"name\":\"a\"}],\"limits\":{",
+                "\"limits\":{|\"regions\":[{\"name\":\"a\"},{\"title\":\"a\"}],\"limits\":{",
+                "\"limits\":{|\"regions\":[],\"limits\":{",
+                "/b/|/a/b/",
+                "/b/|/",
+            })
     void takesWhatThePagesDoNotCallInvalid(String original, String replacement) throws InvalidConfigurationException {
         String body = Documents.WHOLE.replace(original, replacement).replace("\n", "");
 
@@ -60,16 +63,17 @@
         RoutingTable table =
                 ConfigurationChecks.toRoutingTable(ConfigurationChecks.parseReplacement(Documents.bytes(body)));
 
-        assertEquals(Integer.MAX_VALUE, table.find("shop.example", "/b/").orElseThrow().timeoutMs());
+        assertEquals(
+                Integer.MAX_VALUE,
+                table.find("shop.example", "/b/").orElseThrow().timeoutMs());
         assertEquals(1, table.find("shop.example", "/b/").orElseThrow().maxAttempts());
         assertEquals(1, table.find("shop.example", "/a/").orElseThrow().timeoutMs());
     }
 
     @Test
     void scalesWeightsThatAreFractions() throws InvalidConfigurationException {
-        String body = Documents.WHOLE
-                .replace("\"weight\":90", "\"weight\":0.75")
-                .replace("\"weight\":10", "\"weight\":0.25");
+        String body =
+                Documents.WHOLE.replace("\"weight\":90", "\"weight\":0.75").replace("\"weight\":10", "\"weight\":0.25");
         RoutingTable table =
                 ConfigurationChecks.toRoutingTable(ConfigurationChecks.parseReplacement(Documents.bytes(body)));
 
--- a/model/src/test/java/pinewick/model/ConfigurationDeltaPropertyTest.java
+++ b/model/src/test/java/pinewick/model/ConfigurationDeltaPropertyTest.java
@@ -52,8 +52,7 @@
     }
 
     @Property
-    void leavesItsBaseAsItWas(
-            @ForAll("older") ConfigurationDocument from, @ForAll("newer") ConfigurationDocument to) {
+    void leavesItsBaseAsItWas(@ForAll("older") ConfigurationDocument from, @ForAll("newer") ConfigurationDocument to) {
         String before = Documents.json(from);
         ConfigurationDelta.between(from, to).applyTo(from);
 
--- a/model/src/test/java/pinewick/model/ConfigurationDeltaTest.java
+++ b/model/src/test/java/pinewick/model/ConfigurationDeltaTest.java
@@ -15,9 +15,8 @@
     @Test
     void carriesOnlyTheItemThatChanged() throws InvalidConfigurationException {
         ConfigurationDocument from = Documents.whole();
-        String changed = Documents.WHOLE
-                .replace("\"version\":7", "\"version\":9")
-                .replace("3000,\"target", "3000.0,\"target");
+        String changed =
+                Documents.WHOLE.replace("\"version\":7", "\"version\":9").replace("3000,\"target", "3000.0,\"target");
         ConfigurationDocument to = ConfigurationChecks.parseReplacement(Documents.bytes(changed));
         ConfigurationDelta delta = ConfigurationDelta.between(from, to);
 
@@ -36,7 +35,9 @@
                 .replace("r-2", "r-1")
                 .replace("r-x", "r-2")));
 
-        assertEquals(Documents.json(to), Documents.json(ConfigurationDelta.between(from, to).applyTo(from)));
+        assertEquals(
+                Documents.json(to),
+                Documents.json(ConfigurationDelta.between(from, to).applyTo(from)));
     }
 
     @Test
--- a/model/src/test/java/pinewick/model/ConfigurationDocumentTest.java
+++ b/model/src/test/java/pinewick/model/ConfigurationDocumentTest.java
@@ -14,10 +14,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
-        "1|1.0", "1|1e0", "1|\"1\"", "9007199254740992|9007199254740993", "0.10|0.1", "true|\"true\"", "null|{}",
-        "[1,2]|[2,1]", "{\"a\":1,\"b\":2}|{\"b\":2,\"a\":1}", "[]|[null]",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '~',
+            value = {
+                "1|1.0",
+                "1|1e0",
+                "1|\"1\"",
+                "9007199254740992|9007199254740993",
+                "0.10|0.1",
+                "true|\"true\"",
+                "null|{}",
+                "[1,2]|[2,1]",
+                "{\"a\":1,\"b\":2}|{\"b\":2,\"a\":1}",
+                "[]|[null]",
+            })
     void tellsValuesApartThatAreWrittenDifferently(String left, String right) throws InvalidConfigurationException {
         assertNotEquals(withExtra(left), withExtra(right));
         assertEquals(withExtra(left), withExtra(left));
--- a/model/src/test/java/pinewick/model/GeneratedDocuments.java
+++ b/model/src/test/java/pinewick/model/GeneratedDocuments.java
@@ -13,9 +13,22 @@
 final class GeneratedDocuments {
     private static final int MOST_ITEMS = 6;
     private static final List<String> VALUES = List.of(
-            "1", "1.0", "1e0", "9007199254740992", "9007199254740993", "0.1", "-0", "null", "true", "\"1\"",
+            "1",
+            "1.0",
+            "1e0",
+            "9007199254740992",
+            "9007199254740993",
+            "0.1",
+            "-0",
+            "null",
+            "true",
+            "\"1\"",
             "\"\u00e9\\u2028\\\"\"",
-            "[1,1.0]", "[]", "{}", "{\"a\":1,\"b\":2}", "{\"b\":2,\"a\":1}");
+            "[1,1.0]",
+            "[]",
+            "{}",
+            "{\"a\":1,\"b\":2}",
+            "{\"b\":2,\"a\":1}");
 
     private GeneratedDocuments() {}
 
@@ -23,8 +36,7 @@
     static Arbitrary<ConfigurationDocument> ofVersion(long version) {
         Arbitrary<Map<String, Map<String, JsonObject>>> sections =
                 Arbitraries.maps(Arbitraries.of("routes", "services", "mirrors"), items());
-        Arbitrary<Map<String, JsonElement>> fields =
-                Arbitraries.maps(Arbitraries.of("limits", "notes"), values());
+        Arbitrary<Map<String, JsonElement>> fields = Arbitraries.maps(Arbitraries.of("limits", "notes"), values());
         return Combinators.combine(sections, fields)
                 .as((inSections, beside) -> new ConfigurationDocument(version, inSections, beside));
     }
@@ -34,18 +46,21 @@
     }
 
     private static Arbitrary<Map<String, JsonObject>> items() {
-        Arbitrary<List<String>> names =
-                Arbitraries.of("a", "b", "c", "d", "e", "f").list().uniqueElements().ofMaxSize(MOST_ITEMS);
-        return names.flatMap(chosen -> Arbitraries.of(VALUES).list().ofSize(chosen.size()).map(values -> {
-            Map<String, JsonObject> items = new LinkedHashMap<>();
-            for (int index = 0; index < chosen.size(); index++) {
-                JsonObject item = new JsonObject();
-                item.addProperty("name", chosen.get(index));
-                item.add("value", parse(values.get(index)));
-                items.put(chosen.get(index), item);
-            }
-            return items;
-        }));
+        Arbitrary<List<String>> names = Arbitraries.of("a", "b", "c", "d", "e", "f")
+                .list()
+                .uniqueElements()
+                .ofMaxSize(MOST_ITEMS);
+        return names.flatMap(
+                chosen -> Arbitraries.of(VALUES).list().ofSize(chosen.size()).map(values -> {
+                    Map<String, JsonObject> items = new LinkedHashMap<>();
+                    for (int index = 0; index < chosen.size(); index++) {
+                        JsonObject item = new JsonObject();
+                        item.addProperty("name", chosen.get(index));
+                        item.add("value", parse(values.get(index)));
+                        items.put(chosen.get(index), item);
+                    }
+                    return items;
+                }));
     }
 
     private static JsonElement parse(String text) {
--- a/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
+++ b/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
@@ -15,35 +15,38 @@
 /** What makes a configuration invalid, and how each fault names its item and field. */
 class RefusedConfigurationTest {
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
-        "\"service\":\"s-2\",\"max|\"service\":\"s-9\",\"max|"
-                + "routes/r-2.service: 's-9' is not a service of this configuration",
-        "\"service\":\"s-1\",\"weight\":90|\"service\":\"s-9\",\"weight\":90|"
-                + "routes/r-1.traffic_split[0].service: 's-9' is not a service of this configuration",
-        "/b/|/a/|routes/r-2.path_prefix: has the host and prefix of route 'r-1'; change one of them",
-        "\"timeout_ms\":3000|\"timeout_ms\":0|routes/r-2.timeout_ms: is 0; give a time above 0",
-        "\"timeout_ms\":3000|\"timeout_ms\":-5|routes/r-2.timeout_ms: is -5; give a time above 0",
-        "\"timeout_ms\":3000|\"timeout_ms\":null|routes/r-2.timeout_ms: is missing; give a time above 0",
-        "\"timeout_ms\":3000|\"timeout_ms\":\"x\"|routes/r-2.timeout_ms: is not a number within reason",
-        "\"timeout_ms\":3000|\"timeout_ms\":1e999999999|routes/r-2.timeout_ms: is not a number within reason",
-        "/b/|/b|routes/r-2.path_prefix: '/b' does not begin and end with a slash",
-        "/b/|b/|routes/r-2.path_prefix: 'b/' does not begin and end with a slash",
-        "non_idempotent|sometimes|routes/r-2.route_kind: 'sometimes' is none of idempotent, non_idempotent, streaming",
-        "\"name\":\"r-2\"|\"name\":\"r-1\"|routes/r-1.name: is used twice; give each item a name of its own",
-        "\"name\":\"s-2\"|\"name\":\"s-1\"|services/s-1.name: is used twice; give each item a name of its own",
-        "\"name\":\"r-2\"|\"name\":7|routes[1].name: is missing or no text; give each item a name",
-        "\"version\":7|\"version\":0|configuration.version: 0 is not a whole number above 0",
-        "\"version\":7|\"version\":-7|configuration.version: -7 is not a whole number above 0",
-        "\"version\":7|\"version\":7.5|configuration.version: 7.5 is not a whole number above 0",
-        "\"version\":7|\"version\":\"7\"|configuration.version: \"7\" is not a whole number above 0",
-        "\"version\":7|\"version\":99999999999999999999|"
-                + "configuration.version: 99999999999999999999 is not a whole number above 0",
-        "\"version\":7,|\"edition\":7,|configuration.version: is missing; give a whole number above 0",
-        "\"services\":|\"servers\":|configuration.services: is missing; give a list, which may be empty",
-        "\"max_connections\":110|\"max_connections\":true|services/s-2.max_connections: is not a number within reason",
-        "\"slots\":24|\"slots\":[]|services/s-1.engine.slots: is not a number within reason",
-        "\"max_body_bytes\":4194304|\"max_body_bytes\":\"4M\"|limits.max_body_bytes: is not a number within reason",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '~',
+            value = {
+                "\"service\":\"s-2\",\"max|\"service\":\"s-9\",\"max|"
+                        + "routes/r-2.service: 's-9' is not a service of this configuration",
+                "\"service\":\"s-1\",\"weight\":90|\"service\":\"s-9\",\"weight\":90|"
+                        + "routes/r-1.traffic_split[0].service: 's-9' is not a service of this configuration",
+                "/b/|/a/|routes/r-2.path_prefix: has the host and prefix of route 'r-1'; change one of them",
+                "\"timeout_ms\":3000|\"timeout_ms\":0|routes/r-2.timeout_ms: is 0; give a time above 0",
+                "\"timeout_ms\":3000|\"timeout_ms\":-5|routes/r-2.timeout_ms: is -5; give a time above 0",
+                "\"timeout_ms\":3000|\"timeout_ms\":null|routes/r-2.timeout_ms: is missing; give a time above 0",
+                "\"timeout_ms\":3000|\"timeout_ms\":\"x\"|routes/r-2.timeout_ms: is not a number within reason",
+                "\"timeout_ms\":3000|\"timeout_ms\":1e999999999|routes/r-2.timeout_ms: is not a number within reason",
+                "/b/|/b|routes/r-2.path_prefix: '/b' does not begin and end with a slash",
+                "/b/|b/|routes/r-2.path_prefix: 'b/' does not begin and end with a slash",
+                "non_idempotent|sometimes|routes/r-2.route_kind: 'sometimes' is none of idempotent, non_idempotent, streaming",
+                "\"name\":\"r-2\"|\"name\":\"r-1\"|routes/r-1.name: is used twice; give each item a name of its own",
+                "\"name\":\"s-2\"|\"name\":\"s-1\"|services/s-1.name: is used twice; give each item a name of its own",
+                "\"name\":\"r-2\"|\"name\":7|routes[1].name: is missing or no text; give each item a name",
+                "\"version\":7|\"version\":0|configuration.version: 0 is not a whole number above 0",
+                "\"version\":7|\"version\":-7|configuration.version: -7 is not a whole number above 0",
+                "\"version\":7|\"version\":7.5|configuration.version: 7.5 is not a whole number above 0",
+                "\"version\":7|\"version\":\"7\"|configuration.version: \"7\" is not a whole number above 0",
+                "\"version\":7|\"version\":99999999999999999999|"
+                        + "configuration.version: 99999999999999999999 is not a whole number above 0",
+                "\"version\":7,|\"edition\":7,|configuration.version: is missing; give a whole number above 0",
+                "\"services\":|\"servers\":|configuration.services: is missing; give a list, which may be empty",
+                "\"max_connections\":110|\"max_connections\":true|services/s-2.max_connections: is not a number within reason",
+                "\"slots\":24|\"slots\":[]|services/s-1.engine.slots: is not a number within reason",
+                "\"max_body_bytes\":4194304|\"max_body_bytes\":\"4M\"|limits.max_body_bytes: is not a number within reason",
+            })
     void tellsTheItemTheFieldAndTheRemedy(String original, String replacement, String fault) {
         String body = Documents.WHOLE.replace(original, replacement);
 
@@ -116,14 +119,24 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "", " ", "null", "7", "[]", "\"{}\"", "{'version':1,'routes':[],'services':[]}",
-        "{version:1,\"routes\":[],\"services\":[]}", "{\"version\":1;\"routes\":[],\"services\":[]}",
-        "{\"version\":1,\"routes\":[],\"services\":[],}", "{\"version\":1,\"routes\":[,],\"services\":[]}",
-        "{\"version\":1,\"routes\":[],\"services\":[],\"x\":NaN}",
-        "{\"version\":1,\"routes\":[],\"services\":[],\"x\":TRUE}",
-        "{\"version\":1,/* */\"routes\":[],\"services\":[]}", "{\"version\":01,\"routes\":[],\"services\":[]}"
-    })
+    @ValueSource(
+            strings = {
+                "",
+                " ",
+                "null",
+                "7",
+                "[]",
+                "\"{}\"",
+                "{'version':1,'routes':[],'services':[]}",
+                "{version:1,\"routes\":[],\"services\":[]}",
+                "{\"version\":1;\"routes\":[],\"services\":[]}",
+                "{\"version\":1,\"routes\":[],\"services\":[],}",
+                "{\"version\":1,\"routes\":[,],\"services\":[]}",
+                "{\"version\":1,\"routes\":[],\"services\":[],\"x\":NaN}",
+                "{\"version\":1,\"routes\":[],\"services\":[],\"x\":TRUE}",
+                "{\"version\":1,/* */\"routes\":[],\"services\":[]}",
+                "{\"version\":01,\"routes\":[],\"services\":[]}"
+            })
     void refusesWhatIsNotStrictlyJson(String body) {
         assertEquals(1, Documents.faultsOf(body).size());
     }
@@ -155,8 +168,8 @@
         ConfigurationDocument document = Documents.whole();
 
         ConfigurationChecks.requireNewer(document, 6);
-        InvalidConfigurationException refusal = assertThrows(
-                InvalidConfigurationException.class, () -> ConfigurationChecks.requireNewer(document, 7));
+        InvalidConfigurationException refusal =
+                assertThrows(InvalidConfigurationException.class, () -> ConfigurationChecks.requireNewer(document, 7));
         assertEquals("configuration.version: 7 is not higher than the current version 7", refusal.getMessage());
     }
 }
--- a/model/src/test/java/pinewick/model/ReplicaRecordPropertyTest.java
+++ b/model/src/test/java/pinewick/model/ReplicaRecordPropertyTest.java
@@ -58,8 +58,7 @@
     }
 
     @Property
-    void neverTakesAnAnnouncedEndBack(
-            @ForAll("records") ReplicaRecord left, @ForAll("records") ReplicaRecord right) {
+    void neverTakesAnAnnouncedEndBack(@ForAll("records") ReplicaRecord left, @ForAll("records") ReplicaRecord right) {
         ReplicaRecord merged = ReplicaRecord.merge(left, right);
 
         assertFalse(merged.state().compareTo(left.state()) < 0 || merged.state().compareTo(right.state()) < 0);
--- a/model/src/test/java/pinewick/model/RoutingTableTest.java
+++ b/model/src/test/java/pinewick/model/RoutingTableTest.java
@@ -8,8 +8,18 @@
 class RoutingTableTest {
     private static Route route(String name, String host, String prefix) {
         return new Route(
-                name, host, prefix, RouteKind.IDEMPOTENT, 1_000, 100, 0,
-                List.of(new Route.WeightedService("s", 1)), 1, false, false, 0);
+                name,
+                host,
+                prefix,
+                RouteKind.IDEMPOTENT,
+                1_000,
+                100,
+                0,
+                List.of(new Route.WeightedService("s", 1)),
+                1,
+                false,
+                false,
+                0);
     }
 
     private static String find(String host, String path) {
--- a/model/src/test/java/pinewick/model/UpdateTest.java
+++ b/model/src/test/java/pinewick/model/UpdateTest.java
@@ -18,8 +18,7 @@
     }
 
     private static List<String> faultsOf(String body) {
-        InvalidConfigurationException refusal =
-                assertThrows(InvalidConfigurationException.class, () -> updated(body));
+        InvalidConfigurationException refusal = assertThrows(InvalidConfigurationException.class, () -> updated(body));
         return refusal.faults().stream().map(ConfigurationFault::toString).toList();
     }
 
@@ -31,8 +30,11 @@
                 + "]},\"removals\":{\"routes\":[\"r-2\",\"r-old\"]}}");
 
         assertEquals(9, next.version());
-        assertEquals(List.of("r-1", "r-3"), List.copyOf(next.sections().get("routes").keySet()));
-        assertEquals("/d/", next.sections().get("routes").get("r-1").get("path_prefix").getAsString());
+        assertEquals(
+                List.of("r-1", "r-3"), List.copyOf(next.sections().get("routes").keySet()));
+        assertEquals(
+                "/d/",
+                next.sections().get("routes").get("r-1").get("path_prefix").getAsString());
         assertEquals(base.sections().get("services"), next.sections().get("services"));
         assertEquals(base.fields(), next.fields());
     }
@@ -124,12 +126,15 @@
 
     @Test
     void takesARouteOverThePrefixOfOneThatGoes() throws InvalidConfigurationException {
-        ConfigurationDocument next = updated("{\"version\":9,\"upserts\":{\"routes\":["
-                + ROUTE_3.replace("/c/", "/a/") + "]},\"removals\":{\"routes\":[\"r-1\"]}}");
+        ConfigurationDocument next = updated("{\"version\":9,\"upserts\":{\"routes\":[" + ROUTE_3.replace("/c/", "/a/")
+                + "]},\"removals\":{\"routes\":[\"r-1\"]}}");
 
         assertEquals(
                 "r-3",
-                ConfigurationChecks.toRoutingTable(next).find("shop.example", "/a/x").orElseThrow().name());
+                ConfigurationChecks.toRoutingTable(next)
+                        .find("shop.example", "/a/x")
+                        .orElseThrow()
+                        .name());
     }
 
     @Test
@@ -138,6 +143,8 @@
         ConfigurationDocument next = ConfigurationChecks.parseUpdate(
                 base, Documents.bytes("{\"version\":9,\"upserts\":{\"routes\":[" + ROUTE_3 + "]}}"));
 
-        assertSame(base.sections().get("routes").get("r-1"), next.sections().get("routes").get("r-1"));
+        assertSame(
+                base.sections().get("routes").get("r-1"),
+                next.sections().get("routes").get("r-1"));
     }
 }
--- a/replication/src/main/java/pinewick/replication/Ballot.java
+++ b/replication/src/main/java/pinewick/replication/Ballot.java
@@ -189,8 +189,8 @@
         double waitedMs = context.activeMs() - phaseSinceMs;
         long present = highest.inSync().stream().filter(promises::containsKey).count();
         boolean allWanted = promises.keySet().containsAll(wanted);
-        boolean enoughCopies =
-                present >= Math.min(context.settings().fewestCopies(), highest.inSync().size());
+        boolean enoughCopies = present
+                >= Math.min(context.settings().fewestCopies(), highest.inSync().size());
         return (enoughCopies && (allWanted || waitedMs >= WAIT_FOR_WANTED_MS)) || waitedMs >= WAIT_FOR_COPIES_MS;
     }
 
@@ -228,9 +228,6 @@
 
     private void sendAccept() {
         lastSentMs = context.activeMs();
-        context.peers()
-                .send(
-                        context.peers().everywhere(context.durable().accepted(), proposal),
-                        new Accept(proposal));
+        context.peers().send(context.peers().everywhere(context.durable().accepted(), proposal), new Accept(proposal));
     }
 }
--- a/replication/src/main/java/pinewick/replication/ChangeQueue.java
+++ b/replication/src/main/java/pinewick/replication/ChangeQueue.java
@@ -84,8 +84,8 @@
 
     /** A round has begun. */
     void asked(long round) {
-        refused.replaceAll(refusal ->
-                refusal.round == NOT_ASKED ? new Refused(refusal.entry, refusal.outcome, round) : refusal);
+        refused.replaceAll(
+                refusal -> refusal.round == NOT_ASKED ? new Refused(refusal.entry, refusal.outcome, round) : refusal);
     }
 
     /** A new epoch of this process: what was to be refused is decided upon again. */
@@ -114,8 +114,7 @@
         state.changes()
                 .versionOf(entry.identity.baseVersion, entry.identity.digest)
                 .ifPresentOrElse(
-                        version -> end(entry, new ChangeOutcome.Accepted(version)),
-                        () -> waiting.addFirst(entry));
+                        version -> end(entry, new ChangeOutcome.Accepted(version)), () -> waiting.addFirst(entry));
     }
 
     void end(Entry entry, ChangeOutcome outcome) {
@@ -148,8 +147,7 @@
         entries.clear();
         for (Entry entry : all) {
             boolean replicated = unknown.isPresent() && unknown.get() == entry;
-            ChangeOutcome ended =
-                    replicated ? new ChangeOutcome.Unknown("the primary changed meanwhile") : outcome;
+            ChangeOutcome ended = replicated ? new ChangeOutcome.Unknown("the primary changed meanwhile") : outcome;
             entry.waiters.forEach(waiter -> waiter.callback.accept(ended));
         }
     }
--- a/replication/src/main/java/pinewick/replication/ConfigurationState.java
+++ b/replication/src/main/java/pinewick/replication/ConfigurationState.java
@@ -25,8 +25,7 @@
     }
 
     static ConfigurationState fromBytes(StateTag tag, byte[] document, byte[] changes) {
-        ConfigurationDocument whole =
-                ConfigurationChecks.readDelta(document).applyTo(ConfigurationDocument.EMPTY);
+        ConfigurationDocument whole = ConfigurationChecks.readDelta(document).applyTo(ConfigurationDocument.EMPTY);
         return new ConfigurationState(tag, whole, AcceptedChanges.fromBytes(changes));
     }
 }
--- a/replication/src/main/java/pinewick/replication/DurableState.java
+++ b/replication/src/main/java/pinewick/replication/DurableState.java
@@ -80,8 +80,7 @@
     void restore(StoredState stored) {
         StoredHead head = stored.head();
         StoredSnapshot snapshot = stored.snapshot();
-        ConfigurationState restored =
-                ConfigurationState.fromBytes(head.tag(), snapshot.document(), snapshot.changes());
+        ConfigurationState restored = ConfigurationState.fromBytes(head.tag(), snapshot.document(), snapshot.changes());
         for (StoredChange change : stored.changes()) {
             restored = restored.apply(head.tag(), change.delta(), change.key());
             appendedBytes += change.delta().length;
@@ -145,9 +144,7 @@
     /** While the disk fails, tries it now and then. */
     void onTick() {
         if (failing && !busy && clock.activeMs() - failedMs >= PROBE_MS) {
-            submit(
-                    () -> Optional.of(new Step(promised, accepted, state, Optional.empty())),
-                    outcome -> {});
+            submit(() -> Optional.of(new Step(promised, accepted, state, Optional.empty())), outcome -> {});
         }
     }
 
@@ -167,24 +164,20 @@
     private void write(Task task, Step step) {
         busy = true;
         busySinceMs = clock.activeMs();
-        StoredHead head =
-                new StoredHead(identity, step.promised(), step.accepted(), step.state().tag());
+        StoredHead head = new StoredHead(
+                identity, step.promised(), step.accepted(), step.state().tag());
         StableWrite.Content content = contentOf(step);
-        store.persist(
-                new StableWrite(head, content),
-                () -> written(task, step, content),
-                failure -> failed(task));
+        store.persist(new StableWrite(head, content), () -> written(task, step, content), failure -> failed(task));
     }
 
     private StableWrite.Content contentOf(Step step) {
-        boolean replaced = step.state().document() != state.document() && step.change().isEmpty();
+        boolean replaced =
+                step.state().document() != state.document() && step.change().isEmpty();
         if (snapshotDue || replaced || step.change().filter(this::isFoldedIn).isPresent()) {
             return new StableWrite.Replaced(new StoredSnapshot(
                     step.state().documentBytes(), step.state().changes().toBytes()));
         }
-        return step.change()
-                .<StableWrite.Content>map(StableWrite.Appended::new)
-                .orElseGet(StableWrite.Unchanged::new);
+        return step.change().<StableWrite.Content>map(StableWrite.Appended::new).orElseGet(StableWrite.Unchanged::new);
     }
 
     private boolean isFoldedIn(StoredChange change) {
--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -88,7 +88,8 @@
         answers.clear();
         askedMs = Double.NEGATIVE_INFINITY;
         lostPauseMs = Math.min(LONGEST_PAUSE_MS, 2 * lostPauseMs);
-        dueMs = Math.max(dueMs, context.activeMs() + lostPauseMs * context.random().nextDouble());
+        dueMs = Math.max(
+                dueMs, context.activeMs() + lostPauseMs * context.random().nextDouble());
     }
 
     boolean hearsPrimary() {
--- a/replication/src/main/java/pinewick/replication/EpochPlanner.java
+++ b/replication/src/main/java/pinewick/replication/EpochPlanner.java
@@ -111,7 +111,8 @@
         return members.stream()
                 .filter(member -> replicas.get(member.identity()) != null)
                 .filter(member -> isReplaceable(replicas.get(member.identity()), now))
-                .max(Comparator.comparingDouble(member -> replicas.get(member.identity()).silentMs(now)));
+                .max(Comparator.comparingDouble(
+                        member -> replicas.get(member.identity()).silentMs(now)));
     }
 
     private static boolean isReplaceable(Replica replica, double now) {
@@ -159,8 +160,9 @@
     private boolean promisedHigher(Leadership leadership, Replicas replicas) {
         double now = context.activeMs();
         return replicas.all().stream()
-                .anyMatch(replica -> replica.promised().counter() > leadership.number().counter()
-                        && replica.silentMs(now) <= 2 * Leadership.HEARTBEAT_MS
-                        && leadership.record().hasMember(replica.identity()));
+                .anyMatch(replica ->
+                        replica.promised().counter() > leadership.number().counter()
+                                && replica.silentMs(now) <= 2 * Leadership.HEARTBEAT_MS
+                                && leadership.record().hasMember(replica.identity()));
     }
 }
--- a/replication/src/main/java/pinewick/replication/EpochRecord.java
+++ b/replication/src/main/java/pinewick/replication/EpochRecord.java
@@ -15,11 +15,7 @@
  *     their majority too
  */
 public record EpochRecord(
-        EpochNumber number,
-        String primary,
-        List<String> inSync,
-        List<Member> members,
-        List<Member> previousMembers) {
+        EpochNumber number, String primary, List<String> inSync, List<Member> members, List<Member> previousMembers) {
     /** What a store that was never taken in has accepted. */
     public static final EpochRecord NONE = new EpochRecord(EpochNumber.NONE, "", List.of(), List.of(), List.of());
 
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -201,7 +201,8 @@
     }
 
     private Heartbeat heartbeatMessage() {
-        return new Heartbeat(number(), round, committed.tag(), context.settings().operatorApi());
+        return new Heartbeat(
+                number(), round, committed.tag(), context.settings().operatorApi());
     }
 
     void onHeartbeatReply(HeartbeatReply reply) {
--- a/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -60,7 +60,8 @@
             return;
         }
         if (change.baseVersion() != state.document().version()) {
-            changes.refuse(entry, new ChangeOutcome.VersionConflict(state.document().version()));
+            changes.refuse(
+                    entry, new ChangeOutcome.VersionConflict(state.document().version()));
             return;
         }
         try {
--- a/replication/src/main/java/pinewick/replication/ReadQueue.java
+++ b/replication/src/main/java/pinewick/replication/ReadQueue.java
@@ -24,8 +24,8 @@
 
     /** A round has begun. */
     void asked(long round) {
-        waiters.replaceAll(waiter ->
-                waiter.round == NOT_ASKED ? new Waiter(waiter.deadlineMs, round, waiter.callback) : waiter);
+        waiters.replaceAll(
+                waiter -> waiter.round == NOT_ASKED ? new Waiter(waiter.deadlineMs, round, waiter.callback) : waiter);
     }
 
     /** Rounds up to this one are confirmed; the document is the newest committed one. */
--- a/replication/src/main/java/pinewick/replication/Replicas.java
+++ b/replication/src/main/java/pinewick/replication/Replicas.java
@@ -55,8 +55,9 @@
 
     void forgetSilentGuests(EpochRecord record) {
         double now = context.activeMs();
-        byIdentity.values().removeIf(replica ->
-                !record.hasMember(replica.identity()) && replica.silentMs(now) > GUEST_MS);
+        byIdentity
+                .values()
+                .removeIf(replica -> !record.hasMember(replica.identity()) && replica.silentMs(now) > GUEST_MS);
     }
 
     /** The highest round that a quorum has confirmed, this process counted in. */
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -108,7 +108,9 @@
 
     private void takePart() {
         election.restart(0);
-        context.listener().noted("store " + durable.identity() + " holds " + durable.state().tag());
+        context.listener()
+                .noted("store " + durable.identity() + " holds "
+                        + durable.state().tag());
         advance();
     }
 
@@ -338,7 +340,8 @@
             begin(current);
         } else if (current.phase() == Ballot.Phase.LOST) {
             ballot = Optional.empty();
-            context.listener().noted("lost the ballot for epoch " + current.number().counter());
+            context.listener()
+                    .noted("lost the ballot for epoch " + current.number().counter());
             counterToBeat = Math.max(counterToBeat, current.highestRefusal().counter());
             nextChangeMs = clock.activeMs() + CHANGE_PAUSE_MS * context.random().nextDouble();
             election.onLost();
@@ -360,7 +363,9 @@
         leadership = Optional.of(begun);
         changes.restart();
         reads.restart();
-        context.listener().noted("leads epoch " + begun.number().counter() + ", in sync " + begun.record().inSync());
+        context.listener()
+                .noted("leads epoch " + begun.number().counter() + ", in sync "
+                        + begun.record().inSync());
         begun.begin();
     }
 
--- a/replication/src/main/java/pinewick/replication/StateReceiver.java
+++ b/replication/src/main/java/pinewick/replication/StateReceiver.java
@@ -20,15 +20,23 @@
     }
 
     void onRetag(SocketAddress sender, Retag message) {
-        receive(sender, message.number(), message.tag(), held -> held.tag().equals(message.base())
-                ? Optional.of(new Received(held.withTag(message.tag()), Optional.empty()))
-                : Optional.empty());
+        receive(
+                sender,
+                message.number(),
+                message.tag(),
+                held -> held.tag().equals(message.base())
+                        ? Optional.of(new Received(held.withTag(message.tag()), Optional.empty()))
+                        : Optional.empty());
     }
 
     void onInstall(SocketAddress sender, Install message) {
-        receive(sender, message.number(), message.tag(), held -> Optional.of(new Received(
-                ConfigurationState.fromBytes(message.tag(), message.document(), message.changes()),
-                Optional.empty())));
+        receive(
+                sender,
+                message.number(),
+                message.tag(),
+                held -> Optional.of(new Received(
+                        ConfigurationState.fromBytes(message.tag(), message.document(), message.changes()),
+                        Optional.empty())));
     }
 
     void onReplicate(SocketAddress sender, Replicate message) {
@@ -70,7 +78,11 @@
             result = StateResult.HELD;
         }
         return new StateReply(
-                number, durable.identity(), result, durable.promised(), durable.state().tag());
+                number,
+                durable.identity(),
+                result,
+                durable.promised(),
+                durable.state().tag());
     }
 
     private boolean honours(EpochNumber number) {
--- a/replication/src/main/java/pinewick/replication/Witness.java
+++ b/replication/src/main/java/pinewick/replication/Witness.java
@@ -109,6 +109,9 @@
         context.peers()
                 .send(
                         peer,
-                        new Refusal(number, context.durable().identity(), context.durable().promised()));
+                        new Refusal(
+                                number,
+                                context.durable().identity(),
+                                context.durable().promised()));
     }
 }
--- a/replication/src/test/java/pinewick/replication/FailoverTest.java
+++ b/replication/src/test/java/pinewick/replication/FailoverTest.java
@@ -118,8 +118,10 @@
 
     @Test
     void primaryDiskStalls() {
-        longest("primary's disk stalls", 2_000, world -> disk(
-                world, world.primary(), SimulatedDisk.Mode.STALLED, 3_000));
+        longest(
+                "primary's disk stalls",
+                2_000,
+                world -> disk(world, world.primary(), SimulatedDisk.Mode.STALLED, 3_000));
     }
 
     @Test
@@ -215,10 +217,13 @@
 
     @Test
     void everyProcessKilledAndStartedAgain() {
-        longest("all killed, back within 1 s", 2_500, world -> world.machines.forEach(machine -> {
-            machine.kill();
-            world.after(world.between(50, 1_000), () -> machine.start(false));
-        }));
+        longest(
+                "all killed, back within 1 s",
+                2_500,
+                world -> world.machines.forEach(machine -> {
+                    machine.kill();
+                    world.after(world.between(50, 1_000), () -> machine.start(false));
+                }));
     }
 
     @Test
@@ -326,7 +331,8 @@
     void fiveControllersWithThreeSeedsAreAllTakenIn() {
         for (int seed = 0; seed < SEEDS; seed++) {
             World world = founded(seed, 5, 2);
-            List<Member> members = world.primary().node().status(false).accepted().members();
+            List<Member> members =
+                    world.primary().node().status(false).accepted().members();
             assertEquals(5, members.size());
             world.machines.get(0).kill();
             world.machines.get(1).kill();
@@ -354,7 +360,8 @@
         Machine other = backup(world);
         assertEquals(Optional.empty(), other.node().leadingEpoch());
         primary.freeze();
-        double electedMs = world.runUntil(() -> other.leads() || backupOf(world, primary, other).leads(), 2_000);
+        double electedMs = world.runUntil(
+                () -> other.leads() || backupOf(world, primary, other).leads(), 2_000);
         assertTrue(electedMs > 500);
         Machine next = world.primary() == primary ? backupOf(world, primary, other) : world.primary();
         assertFalse(next.node().leadingEpoch().isPresent());
--- a/replication/src/test/java/pinewick/replication/FaultPlan.java
+++ b/replication/src/test/java/pinewick/replication/FaultPlan.java
@@ -13,6 +13,7 @@
     boolean eventTriggers;
     /** Whether troubles that spare the disks come to any number of machines at once. */
     boolean wild;
+
     private int seenAcknowledged;
     private long seenEpoch;
 
@@ -242,7 +243,8 @@
     private void cutInTwo() {
         double forMs = world.between(100, 5_000);
         world.note("the core is cut in two");
-        List<Machine> left = present().stream().filter(machine -> world.chance(0.5)).toList();
+        List<Machine> left =
+                present().stream().filter(machine -> world.chance(0.5)).toList();
         for (Machine machine : present()) {
             troubled(machine, forMs);
             for (Machine other : present()) {
--- a/replication/src/test/java/pinewick/replication/Operator.java
+++ b/replication/src/test/java/pinewick/replication/Operator.java
@@ -138,8 +138,7 @@
             }
             long acknowledgedBefore = world.checker.newestAcknowledged();
             world.after(
-                    world.between(0.5, 2),
-                    () -> machine.read(outcome -> answer(current, outcome, acknowledgedBefore)));
+                    world.between(0.5, 2), () -> machine.read(outcome -> answer(current, outcome, acknowledgedBefore)));
             world.after(TIME_OUT_MS, () -> {
                 if (tries == current) {
                     tryAt(anyMachine());
--- a/replication/src/test/java/pinewick/replication/ReplicationMessagesTest.java
+++ b/replication/src/test/java/pinewick/replication/ReplicationMessagesTest.java
@@ -36,7 +36,8 @@
     void listsOfEveryLengthAreRegistered() {
         List<Class<?>> types = ReplicationMessages.types();
         for (int length = 0; length <= 5; length++) {
-            List<Integer> list = List.copyOf(java.util.stream.IntStream.range(0, length).boxed().toList());
+            List<Integer> list = List.copyOf(
+                    java.util.stream.IntStream.range(0, length).boxed().toList());
             assertTrue(types.contains(list.getClass()), list.getClass() + " is not registered");
         }
     }
--- a/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
+++ b/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
@@ -30,8 +30,7 @@
             refused += world.checker.refused;
             reads += world.checker.reads;
         }
-        System.out.printf(
-                "days %d, acknowledged %d, refused %d, reads %d%n", SEEDS, acknowledged, refused, reads);
+        System.out.printf("days %d, acknowledged %d, refused %d, reads %d%n", SEEDS, acknowledged, refused, reads);
         assertTrue(acknowledged > 5L * SEEDS, "too little happened: " + acknowledged);
     }
 
--- a/replication/src/test/java/pinewick/replication/WitnessTest.java
+++ b/replication/src/test/java/pinewick/replication/WitnessTest.java
@@ -79,8 +79,7 @@
 
     private static EpochRecord record(EpochNumber number) {
         EpochRecord founding = EpochRecord.founding(SEEDS);
-        return new EpochRecord(
-                number, number.proposer(), founding.inSync(), founding.members(), founding.members());
+        return new EpochRecord(number, number.proposer(), founding.inSync(), founding.members(), founding.members());
     }
 
     @Test
@@ -128,7 +127,9 @@
         node.onMessage(THIRD, new Established(record(number(4, THIRD))), 20);
         finishWrites();
         assertEquals(number(5, OTHER), disk.load().stored().orElseThrow().head().promised());
-        assertEquals(EpochNumber.FOUNDING, disk.load().stored().orElseThrow().head().accepted().number());
+        assertEquals(
+                EpochNumber.FOUNDING,
+                disk.load().stored().orElseThrow().head().accepted().number());
     }
 
     @Test
--- a/replication/src/test/java/pinewick/replication/World.java
+++ b/replication/src/test/java/pinewick/replication/World.java
@@ -101,8 +101,8 @@
 
     /** A new machine that is not started. */
     Machine addMachine() {
-        Machine machine = new Machine(this, new SocketAddress("10.1.0." + nextHost, 7721),
-                new SocketAddress("10.1.0." + nextHost, 8166));
+        Machine machine = new Machine(
+                this, new SocketAddress("10.1.0." + nextHost, 7721), new SocketAddress("10.1.0." + nextHost, 8166));
         nextHost++;
         machines.add(machine);
         byAddress.put(machine.address, machine);
--- a/storage/src/main/java/pinewick/storage/StoreFolder.java
+++ b/storage/src/main/java/pinewick/storage/StoreFolder.java
@@ -55,10 +55,7 @@
         try {
             Files.createDirectories(directory);
             try (FileChannel channel = FileChannel.open(
-                    probe,
-                    StandardOpenOption.CREATE,
-                    StandardOpenOption.WRITE,
-                    StandardOpenOption.TRUNCATE_EXISTING)) {
+                    probe, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
                 channel.write(ByteBuffer.allocate(PROBE_BYTES));
                 channel.force(true);
             }
--- a/storage/src/test/java/pinewick/storage/XodusStoreTest.java
+++ b/storage/src/test/java/pinewick/storage/XodusStoreTest.java
@@ -96,7 +96,8 @@
     }
 
     private static StableWrite snapshot(int bytes) {
-        StoredSnapshot snapshot = new StoredSnapshot(change(1, bytes).delta(), change(2, bytes / 2).delta());
+        StoredSnapshot snapshot = new StoredSnapshot(
+                change(1, bytes).delta(), change(2, bytes / 2).delta());
         return new StableWrite(head(0), new StableWrite.Replaced(snapshot));
     }
 
@@ -167,7 +168,8 @@
 
     private static void spoil(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.filter(path -> path.toString().endsWith(".xd")).toList()) {
+            for (Path file :
+                    files.filter(path -> path.toString().endsWith(".xd")).toList()) {
                 byte[] noise = new byte[(int) Files.size(file)];
                 new Random(3).nextBytes(noise);
                 Files.write(file, noise);
@@ -196,8 +198,8 @@
     private ReplicationNode startAlone(XodusStore store) throws InterruptedException {
         ReplicationSettings settings =
                 new ReplicationSettings(ADDRESS, ADDRESS, List.of(ADDRESS), true, 0, 4_000, 3_000);
-        ReplicationNode node = new ReplicationNode(
-                settings, store, (peer, message) -> {}, new Random(1), new ReplicationListener() {
+        ReplicationNode node =
+                new ReplicationNode(settings, store, (peer, message) -> {}, new Random(1), new ReplicationListener() {
                     @Override
                     public void committed(ConfigurationDocument document) {}
                 });
@@ -258,7 +260,9 @@
 
     private long size() throws IOException {
         try (Stream<Path> files = Files.walk(directory)) {
-            return files.filter(Files::isRegularFile).mapToLong(XodusStoreTest::sizeOf).sum();
+            return files.filter(Files::isRegularFile)
+                    .mapToLong(XodusStoreTest::sizeOf)
+                    .sum();
         }
     }
 
--- a/system/src/main/java/pinewick/system/Commands.java
+++ b/system/src/main/java/pinewick/system/Commands.java
@@ -54,8 +54,9 @@
     int checkSettings(@Parameters(paramLabel = "FILE") Path file) {
         try {
             NodeSettings settings = SettingsReader.read(file);
-            spec.commandLine().getOut().println(
-                    "settings of " + settings.nodeName() + " in " + settings.zone() + " are sound");
+            spec.commandLine()
+                    .getOut()
+                    .println("settings of " + settings.nodeName() + " in " + settings.zone() + " are sound");
             return ProgramRunner.DONE;
         } catch (InvalidSettingsException e) {
             e.faults().forEach(spec.commandLine().getErr()::println);
@@ -67,8 +68,10 @@
     int checkConfiguration(@Parameters(paramLabel = "FILE") Path file) {
         try {
             ConfigurationDocument document = ConfigurationChecks.parseReplacement(Files.readAllBytes(file));
-            spec.commandLine().getOut().println("configuration " + document.version() + " is sound: "
-                    + count(document, "routes") + " routes, " + count(document, "services") + " services");
+            spec.commandLine()
+                    .getOut()
+                    .println("configuration " + document.version() + " is sound: " + count(document, "routes")
+                            + " routes, " + count(document, "services") + " services");
             return ProgramRunner.DONE;
         } catch (InvalidConfigurationException e) {
             e.faults().forEach(spec.commandLine().getErr()::println);
@@ -84,8 +87,9 @@
     }
 
     @Command(name = "status", description = "Asks a controller for its state, or a router whether it is ready.")
-    int status(@Parameters(paramLabel = "ADDRESS", description = "HOST:PORT of its readiness or control_plane address")
-            String address) {
+    int status(
+            @Parameters(paramLabel = "ADDRESS", description = "HOST:PORT of its readiness or control_plane address")
+                    String address) {
         SocketAddress process;
         try {
             process = SocketAddress.parse(address);
--- a/system/src/main/java/pinewick/system/Rehearsal.java
+++ b/system/src/main/java/pinewick/system/Rehearsal.java
@@ -68,7 +68,10 @@
         String whole = wholeConfiguration(stage);
         step(stage, "configuration", () -> post(stage.controlPlane(), "/config/replace", 0, whole) == OK);
         step(stage, "heartbeats", () -> heartbeats(stage));
-        step(stage, "readiness", () -> HttpCall.get(stage.readiness(), "/ready").send().status() == OK);
+        step(
+                stage,
+                "readiness",
+                () -> HttpCall.get(stage.readiness(), "/ready").send().status() == OK);
         step(stage, "plain request", () -> plainRequest(stage, "first") == OK);
         step(stage, "generation", () -> generation(stage, "first") == OK);
         for (int number = 0; number < REQUESTS_OF_A_KIND; number++) {
@@ -76,7 +79,10 @@
             succeeds(() -> plainRequest(stage, id) == OK && generation(stage, id) == OK);
         }
         step(stage, "update", () -> post(stage.controlPlane(), "/config/update", 1, "{\"version\":2}") == OK);
-        step(stage, "read", () -> HttpCall.get(stage.controlPlane(), "/config/read").send().status() == OK);
+        step(
+                stage,
+                "read",
+                () -> HttpCall.get(stage.controlPlane(), "/config/read").send().status() == OK);
         step(stage, "second heartbeats", () -> heartbeats(stage));
     }
 
@@ -130,7 +136,9 @@
 
     private static int plainRequest(RehearsalStage stage, String id) throws IOException {
         Map<String, String> headers = Map.of("X-Pinewick-Request-Id", "plain-" + id, "X-Pinewick-Deadline-Ms", "4000");
-        return new HttpCall(stage.frontend(), "POST", "/plain/1", headers, "body").send().status();
+        return new HttpCall(stage.frontend(), "POST", "/plain/1", headers, "body")
+                .send()
+                .status();
     }
 
     private static int generation(RehearsalStage stage, String id) throws IOException {
@@ -140,7 +148,9 @@
                 "X-Pinewick-Model", "m",
                 "X-Pinewick-Token-Count", "2000,10",
                 "X-Pinewick-Prompt-Prefix", "5c1e07a2:800,91bd3f06:1200");
-        return new HttpCall(stage.frontend(), "POST", "/engine/1", headers, "body").send().status();
+        return new HttpCall(stage.frontend(), "POST", "/engine/1", headers, "body")
+                .send()
+                .status();
     }
 
     private static String wholeConfiguration(RehearsalStage stage) {
--- a/system/src/main/java/pinewick/system/SettingsReader.java
+++ b/system/src/main/java/pinewick/system/SettingsReader.java
@@ -28,8 +28,8 @@
     private static final int INTERNAL_PORTS_NEEDED = 2;
     private static final int DEFAULT_HEARTBEAT_MS = 1_000;
     private static final MachineLimits DEFAULT_LIMITS = new MachineLimits(1, 1, 256, 1_024, 1_000, 0);
-    private static final Bounds DEFAULT_BOUNDS = new Bounds(
-            3, 2, 3_000, 4_000, 4, 2_000, 8, 200, 2_000, 250, 0.1, 10, 0, 12, 120, 5, false, 3_000, 300);
+    private static final Bounds DEFAULT_BOUNDS =
+            new Bounds(3, 2, 3_000, 4_000, 4, 2_000, 8, 200, 2_000, 250, 0.1, 10, 0, 12, 120, 5, false, 3_000, 300);
 
     private SettingsReader() {}
 
@@ -63,8 +63,9 @@
     public static NodeSettings parse(String text, String source) throws InvalidSettingsException {
         TomlParseResult result = Toml.parse(text);
         List<SettingsFault> faults = new ArrayList<>();
-        result.errors().forEach(error -> faults.add(
-                new SettingsFault(source + " at " + error.position(), "is not TOML: " + error.getMessage())));
+        result.errors()
+                .forEach(error -> faults.add(
+                        new SettingsFault(source + " at " + error.position(), "is not TOML: " + error.getMessage())));
         if (faults.isEmpty()) {
             NodeSettings settings = settings(TomlFields.ofRoot(result, faults));
             if (faults.isEmpty()) {
@@ -106,12 +107,18 @@
     private static int[] internalPorts(TomlFields root) {
         String key = "internal_port_range";
         List<Object> range = root.list(key).orElse(List.of());
-        if (range.size() == 2 && range.get(0) instanceof Long first && range.get(1) instanceof Long last
-                && first > 0 && last <= HIGHEST_PORT && last - first + 1 >= INTERNAL_PORTS_NEEDED) {
+        if (range.size() == 2
+                && range.get(0) instanceof Long first
+                && range.get(1) instanceof Long last
+                && first > 0
+                && last <= HIGHEST_PORT
+                && last - first + 1 >= INTERNAL_PORTS_NEEDED) {
             return new int[] {first.intValue(), last.intValue()};
         }
-        root.fault(key, "is " + root.written(key) + "; give the first and the last of at least " + INTERNAL_PORTS_NEEDED
-                + " free ports, as [7720,7735]");
+        root.fault(
+                key,
+                "is " + root.written(key) + "; give the first and the last of at least " + INTERNAL_PORTS_NEEDED
+                        + " free ports, as [7720,7735]");
         return new int[2];
     }
 
--- a/system/src/main/java/pinewick/system/StandInReplica.java
+++ b/system/src/main/java/pinewick/system/StandInReplica.java
@@ -85,9 +85,11 @@
     private String answer(String requestLine, Map<String, String> headers) {
         String id = "X-Pinewick-Request-Id: " + headers.getOrDefault("x-pinewick-request-id", "") + "\r\n";
         if (requestLine.startsWith("GET /report ")) {
-            return whole("", "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
-                    + "\"busy\":false,\"call_sequence\":0,\"waiting\":0,\"running\":0,\"kv_used\":0,"
-                    + "\"kv_total\":90000,\"prefill_handles\":0}");
+            return whole(
+                    "",
+                    "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
+                            + "\"busy\":false,\"call_sequence\":0,\"waiting\":0,\"running\":0,\"kv_used\":0,"
+                            + "\"kv_total\":90000,\"prefill_handles\":0}");
         }
         if (requestLine.startsWith("GET /health ")) {
             return whole("X-Pinewick-Instance-Id: " + instanceId + "\r\n", "");
@@ -122,7 +124,9 @@
         Map<String, String> headers = new TreeMap<>();
         for (String line = readLine(input); !line.isEmpty(); line = readLine(input)) {
             int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
         }
         return headers;
     }
--- a/system/src/test/java/pinewick/system/CommandsTest.java
+++ b/system/src/test/java/pinewick/system/CommandsTest.java
@@ -35,7 +35,9 @@
     @Test
     void checksSettings() throws IOException {
         assertEquals(0, run("check-settings", file(SampleSettings.ROUTER)));
-        assertEquals("settings of frontend-sala-mi-1 in sala-mi are sound", out.toString().strip());
+        assertEquals(
+                "settings of frontend-sala-mi-1 in sala-mi are sound",
+                out.toString().strip());
     }
 
     @Test
@@ -53,7 +55,8 @@
     @Test
     void checksAConfiguration() throws IOException {
         assertEquals(0, run("check-config", file("{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"s\"}]}")));
-        assertEquals("configuration 3 is sound: 0 routes, 1 services", out.toString().strip());
+        assertEquals(
+                "configuration 3 is sound: 0 routes, 1 services", out.toString().strip());
     }
 
     @Test
--- a/system/src/test/java/pinewick/system/RehearsalStageTest.java
+++ b/system/src/test/java/pinewick/system/RehearsalStageTest.java
@@ -36,7 +36,8 @@
     @Test
     void leavesNothingBehind() throws IOException, InvalidSettingsException {
         RehearsalStage stage = new RehearsalStage(folder);
-        Files.writeString(stage.controllerSettings().dataDirectory().orElseThrow().resolve("store"), "x");
+        Files.writeString(
+                stage.controllerSettings().dataDirectory().orElseThrow().resolve("store"), "x");
         stage.close();
 
         try (Stream<Path> left = Files.list(folder)) {
--- a/system/src/test/java/pinewick/system/SettingsReaderTest.java
+++ b/system/src/test/java/pinewick/system/SettingsReaderTest.java
@@ -92,41 +92,44 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
-        "node_name = \"frontend-sala-mi-1\"||node_name is missing; name this machine",
-        "node_name = \"frontend-sala-mi-1\"|node_name = \"\"|node_name is empty; name this machine",
-        "node_name = \"frontend-sala-mi-1\"|node_name = 7|node_name is 7; put a text in quotes",
-        "zone = \"sala-mi\"||zone is missing; name the zone of this machine",
-        "ip_address = \"10.1.0.10\"||ip_address is missing; give this machine's IPv4 address",
-        "ip_address = \"10.1.0.10\"|ip_address = \"::1\"|ip_address is '::1'; give this machine's IPv4 address",
-        "ip_address = \"10.1.0.10\"|ip_address = \"10.1.0.256\"|"
-                + "ip_address is '10.1.0.256'; give this machine's IPv4 address",
-        "serves = [\"frontend\"]|serves = \"frontend\"|serves is frontend; give a list of texts",
-        "serves = [\"frontend\"]|serves = [\"frontend\", 1]|serves holds 1; put a text in quotes",
-        "[7720,7735]|[7720]|internal_port_range is [7720]; give the first and the last of at least 2 free ports, "
-                + "as [7720,7735]",
-        "[7720,7735]|[7720,7720]|internal_port_range is [7720, 7720]; give the first and the last of at least 2 free "
-                + "ports, as [7720,7735]",
-        "[7720,7735]|[7720,77350]|internal_port_range is [7720, 77350]; give the first and the last of at least 2 free "
-                + "ports, as [7720,7735]",
-        "internal_port_range = [7720,7735]||internal_port_range is missing; give the first and the last of at least 2 "
-                + "free ports, as [7720,7735]",
-        "10.2.0.43:8166|10.2.0.43|seed_nodes is wrong: '10.2.0.43' is not HOST:PORT; "
-                + "give an IPv4 address and a port from 1 to 65535",
-        "10.2.0.43:8166|10.2.0.43:0|seed_nodes is wrong: '10.2.0.43:0' has a port out of range; "
-                + "give an IPv4 address and a port from 1 to 65535",
-        "first_start = true|first_start = \"yes\"|first_start is yes; write true or false",
-        "heartbeat_ms = 1200|heartbeat_ms = \"soon\"|heartbeat_ms is soon; give a number from 0 up",
-        "lease_ms = 3001|lease_ms = -1|bounds.lease_ms is -1; give a number from 0 up",
-        "again_s = 4.6|again_s = nan|bounds.again_s is NaN; give a number from 0 up",
-        "memory_mb = 430|memory_mb = true|limits.memory_mb is true; give a number from 0 up",
-        "frontend = \"10.1.0.10:8161\"||listen_addresses.frontend is missing; "
-                + "give the address to listen on, as \"10.1.0.10:8161\"",
-        "readiness = \"10.1.0.10:8167\"||listen_addresses.readiness is missing; "
-                + "give the address to listen on, as \"10.1.0.10:8161\"",
-        "readiness = \"10.1.0.10:8167\"|readiness = 8167|listen_addresses.readiness is 8167; put a text in quotes",
-        "sala-mi = \"pianura\"|sala-mi = 1|zones.sala-mi is 1; put a text in quotes",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '~',
+            value = {
+                "node_name = \"frontend-sala-mi-1\"||node_name is missing; name this machine",
+                "node_name = \"frontend-sala-mi-1\"|node_name = \"\"|node_name is empty; name this machine",
+                "node_name = \"frontend-sala-mi-1\"|node_name = 7|node_name is 7; put a text in quotes",
+                "zone = \"sala-mi\"||zone is missing; name the zone of this machine",
+                "ip_address = \"10.1.0.10\"||ip_address is missing; give this machine's IPv4 address",
+                "ip_address = \"10.1.0.10\"|ip_address = \"::1\"|ip_address is '::1'; give this machine's IPv4 address",
+                "ip_address = \"10.1.0.10\"|ip_address = \"10.1.0.256\"|"
+                        + "ip_address is '10.1.0.256'; give this machine's IPv4 address",
+                "serves = [\"frontend\"]|serves = \"frontend\"|serves is frontend; give a list of texts",
+                "serves = [\"frontend\"]|serves = [\"frontend\", 1]|serves holds 1; put a text in quotes",
+                "[7720,7735]|[7720]|internal_port_range is [7720]; give the first and the last of at least 2 free ports, "
+                        + "as [7720,7735]",
+                "[7720,7735]|[7720,7720]|internal_port_range is [7720, 7720]; give the first and the last of at least 2 free "
+                        + "ports, as [7720,7735]",
+                "[7720,7735]|[7720,77350]|internal_port_range is [7720, 77350]; give the first and the last of at least 2 free "
+                        + "ports, as [7720,7735]",
+                "internal_port_range = [7720,7735]||internal_port_range is missing; give the first and the last of at least 2 "
+                        + "free ports, as [7720,7735]",
+                "10.2.0.43:8166|10.2.0.43|seed_nodes is wrong: '10.2.0.43' is not HOST:PORT; "
+                        + "give an IPv4 address and a port from 1 to 65535",
+                "10.2.0.43:8166|10.2.0.43:0|seed_nodes is wrong: '10.2.0.43:0' has a port out of range; "
+                        + "give an IPv4 address and a port from 1 to 65535",
+                "first_start = true|first_start = \"yes\"|first_start is yes; write true or false",
+                "heartbeat_ms = 1200|heartbeat_ms = \"soon\"|heartbeat_ms is soon; give a number from 0 up",
+                "lease_ms = 3001|lease_ms = -1|bounds.lease_ms is -1; give a number from 0 up",
+                "again_s = 4.6|again_s = nan|bounds.again_s is NaN; give a number from 0 up",
+                "memory_mb = 430|memory_mb = true|limits.memory_mb is true; give a number from 0 up",
+                "frontend = \"10.1.0.10:8161\"||listen_addresses.frontend is missing; "
+                        + "give the address to listen on, as \"10.1.0.10:8161\"",
+                "readiness = \"10.1.0.10:8167\"||listen_addresses.readiness is missing; "
+                        + "give the address to listen on, as \"10.1.0.10:8161\"",
+                "readiness = \"10.1.0.10:8167\"|readiness = 8167|listen_addresses.readiness is 8167; put a text in quotes",
+                "sala-mi = \"pianura\"|sala-mi = 1|zones.sala-mi is 1; put a text in quotes",
+            })
     void tellsTheFieldAndTheRemedy(String original, String replacement, String fault) {
         String text = SampleSettings.ROUTER.replace(original, replacement == null ? "" : replacement);
 
--- a/system/src/test/java/pinewick/system/StandInReplicaTest.java
+++ b/system/src/test/java/pinewick/system/StandInReplicaTest.java
@@ -38,7 +38,10 @@
         assertEquals("plain", post(Map.of()).body());
         assertEquals(
                 "{\"prefill_handle\":\"1\",\"tokens\":30,\"version\":1}",
-                post(Map.of("X-Pinewick-Serving-Stage", "prefill", "X-Pinewick-Model", "m")).body());
-        assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", post(Map.of("X-Pinewick-Model", "m")).body());
+                post(Map.of("X-Pinewick-Serving-Stage", "prefill", "X-Pinewick-Model", "m"))
+                        .body());
+        assertEquals(
+                "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                post(Map.of("X-Pinewick-Model", "m")).body());
     }
 }
--- a/transport/src/main/java/pinewick/transport/MessageCodec.java
+++ b/transport/src/main/java/pinewick/transport/MessageCodec.java
@@ -88,7 +88,8 @@
             return output.toBytes();
         } catch (RuntimeException e) {
             writer.reset();
-            throw new IllegalArgumentException("cannot write " + message.getClass().getSimpleName(), e);
+            throw new IllegalArgumentException(
+                    "cannot write " + message.getClass().getSimpleName(), e);
         } finally {
             if (output.getBuffer().length > USUAL_BUFFER_BYTES) {
                 output = new Output(USUAL_BUFFER_BYTES, MAX_FRAME_BYTES);
--- a/transport/src/main/java/pinewick/transport/NetworkTransport.java
+++ b/transport/src/main/java/pinewick/transport/NetworkTransport.java
@@ -143,8 +143,8 @@
     }
 
     private void enqueue(SocketAddress peer, byte[] frame) {
-        OutgoingConnection connection = outgoing.computeIfAbsent(
-                peer, address -> new OutgoingConnection(resolve(address), selector, counters));
+        OutgoingConnection connection =
+                outgoing.computeIfAbsent(peer, address -> new OutgoingConnection(resolve(address), selector, counters));
         connection.enqueue(frame, nowMs());
         toService.add(connection);
         selector.wakeup();
--- a/transport/src/main/java/pinewick/transport/OutgoingConnection.java
+++ b/transport/src/main/java/pinewick/transport/OutgoingConnection.java
@@ -42,6 +42,7 @@
     private double progressAtMs;
     /** When the first frame was written of which no reading was confirmed, NaN if there is none. */
     private double unconfirmedSinceMs = Double.NaN;
+
     private double redialAtMs = Double.NEGATIVE_INFINITY;
 
     OutgoingConnection(InetSocketAddress peer, Selector selector, TransportCounters counters) {
--- a/transport/src/test/java/pinewick/transport/MessageCodecTest.java
+++ b/transport/src/test/java/pinewick/transport/MessageCodecTest.java
@@ -27,9 +27,12 @@
 
     private static TestMessage sample() {
         return new TestMessage(
-                -5, "grüße", new SocketAddress("10.255.0.7", 65_535),
+                -5,
+                "grüße",
+                new SocketAddress("10.255.0.7", 65_535),
                 List.of(new TestMessage.Part(1, 0.5, true, null), new TestMessage.Part(2, -1, false, "x")),
-                new byte[] {1, 2, 3}, TestMessage.Colour.RED);
+                new byte[] {1, 2, 3},
+                TestMessage.Colour.RED);
     }
 
     private TestMessage throughTheCodec(TestMessage message) throws MalformedFrameException {
@@ -66,8 +69,7 @@
             throws MalformedFrameException {
         TestMessage message = new TestMessage(
                 number, text, new SocketAddress("10.0.0.1", port), List.of(), body, TestMessage.Colour.GREEN);
-        String encodable = new String(
-                text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
+        String encodable = new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
         TestMessage read = throughTheCodec(message);
         assertEquals(encodable, read.text());
         assertEquals(number, read.number());
@@ -79,8 +81,11 @@
     void anyKindOfListIsWrittenAlike() throws MalformedFrameException {
         TestMessage.Part part = new TestMessage.Part(1, 2, true, "p");
         List<List<TestMessage.Part>> lists = List.of(
-                new ArrayList<>(List.of(part)), Arrays.asList(part), Collections.singletonList(part),
-                new LinkedList<>(List.of(part)), List.of(part, part, part).subList(0, 1),
+                new ArrayList<>(List.of(part)),
+                Arrays.asList(part),
+                Collections.singletonList(part),
+                new LinkedList<>(List.of(part)),
+                List.of(part, part, part).subList(0, 1),
                 Collections.unmodifiableList(new ArrayList<>(List.of(part))));
         for (List<TestMessage.Part> list : lists) {
             TestMessage message = new TestMessage(1, "", null, list, null, null);
@@ -90,8 +95,18 @@
 
     @Test
     void addressesThatAreNoPlainNumbersAreKeptAsText() throws MalformedFrameException {
-        for (String host : List.of("localhost", "10.1.2", "10.1.2.3.4", "256.1.1.1", "01.2.3.4", "1..2.3", "", "a.b.c.d",
-                "0.0.0.0", "255.255.255.255", "1.2.3.4.")) {
+        for (String host : List.of(
+                "localhost",
+                "10.1.2",
+                "10.1.2.3.4",
+                "256.1.1.1",
+                "01.2.3.4",
+                "1..2.3",
+                "",
+                "a.b.c.d",
+                "0.0.0.0",
+                "255.255.255.255",
+                "1.2.3.4.")) {
             TestMessage message = new TestMessage(1, "", new SocketAddress(host, 1), List.of(), null, null);
             assertEquals(host, throughTheCodec(message).address().host());
         }
--- a/transport/src/test/java/pinewick/transport/NetworkTransportTest.java
+++ b/transport/src/test/java/pinewick/transport/NetworkTransportTest.java
@@ -39,8 +39,8 @@
         private final BlockingQueue<SocketAddress> senders = new LinkedBlockingQueue<>();
 
         Endpoint(int port) throws TransportException {
-            transport = new NetworkTransport(
-                    new SocketAddress("127.0.0.1", port), new MessageCodec(TestMessage.types()));
+            transport =
+                    new NetworkTransport(new SocketAddress("127.0.0.1", port), new MessageCodec(TestMessage.types()));
             transport.start((sender, message) -> {
                 senders.add(sender);
                 received.add((TestMessage) message);
@@ -221,8 +221,8 @@
     @Test
     void aReceiverThatThrowsDoesNotEndTheLoop() throws Exception {
         BlockingQueue<Long> numbers = new LinkedBlockingQueue<>();
-        NetworkTransport throwing = closedLater(new NetworkTransport(
-                new SocketAddress("127.0.0.1", 0), new MessageCodec(TestMessage.types())));
+        NetworkTransport throwing = closedLater(
+                new NetworkTransport(new SocketAddress("127.0.0.1", 0), new MessageCodec(TestMessage.types())));
         throwing.start((sender, message) -> {
             numbers.add(((TestMessage) message).number());
             throw new IllegalStateException("on purpose");
@@ -237,8 +237,9 @@
 
     @Test
     void anAddressInUseIsReportedWithTheStep() {
-        TransportException failure = assertThrows(TransportException.class, () -> new NetworkTransport(
-                here.address(), new MessageCodec(TestMessage.types())));
+        TransportException failure = assertThrows(
+                TransportException.class,
+                () -> new NetworkTransport(here.address(), new MessageCodec(TestMessage.types())));
         assertEquals(here.address(), failure.address());
         assertTrue(failure.getMessage().startsWith("bind at 127.0.0.1:"));
     }
--- a/transport/src/test/java/pinewick/transport/OutgoingConnectionTest.java
+++ b/transport/src/test/java/pinewick/transport/OutgoingConnectionTest.java
@@ -35,8 +35,7 @@
     void open() throws IOException {
         selector = Selector.open();
         server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-        connection = new OutgoingConnection(
-                (InetSocketAddress) server.getLocalSocketAddress(), selector, counters);
+        connection = new OutgoingConnection((InetSocketAddress) server.getLocalSocketAddress(), selector, counters);
     }
 
     @AfterEach
@@ -138,8 +137,8 @@
                 fillers[i].configureBlocking(false);
                 fillers[i].connect(full.getLocalSocketAddress());
             }
-            OutgoingConnection hanging = new OutgoingConnection(
-                    (InetSocketAddress) full.getLocalSocketAddress(), selector, counters);
+            OutgoingConnection hanging =
+                    new OutgoingConnection((InetSocketAddress) full.getLocalSocketAddress(), selector, counters);
             hanging.enqueue(SMALL, 0);
             hanging.service(0);
             hanging.sweep(OutgoingConnection.CONNECT_TIMEOUT_MS);
