--- a/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -13,8 +13,8 @@
     private static final double FIXED_SHARE = 0.25;
 
     /**
-     * Time of reading a token at a prefill replica before any was measured, at the least: a tenth of the target alone says
-     * that long prompts are read in no time, and sends them to decode replicas.
+     * Time of reading a token at a prefill replica before any was measured, at the least: a tenth of the target alone
+     * says that long prompts are read in no time, and sends them to decode replicas.
      */
     private static final double FIRST_PACE_MS = 0.01;
 
--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -85,7 +85,7 @@
         }
         int kept = keptSomewhere(chain(request));
         LowestScore whole = scores.whole(decodes, kept);
-        LowestScore prefill = scores.prefill(prefills);
+        LowestScore prefill = scores.prefill(prefills, kept);
         if (prefill.index() != LowestScore.NONE) {
             ReplicaRecord reader = prefills.replica(prefill.index());
             LowestScore fetched = scores.fetched(decodes, reader);
@@ -93,8 +93,7 @@
                 return Optional.of(new Pair(Optional.empty(), decodes.replica(whole.index())));
             }
             ReplicaRecord decode = decodes.replica(fetched.index());
-            double price = scores.readingPrice(prefills.measured(prefill.index()), CallKind.PREFILL, kept)
-                    + movePrice(scores, request, reader, decode);
+            double price = movePrice(scores, request, reader, decode);
             if (prefill.score() + fetched.score() + price < whole.score()) {
                 return Optional.of(new Pair(Optional.of(reader), decode));
             }
--- a/selection/src/main/java/pinewick/selection/RequestScores.java
+++ b/selection/src/main/java/pinewick/selection/RequestScores.java
@@ -54,13 +54,14 @@
     }
 
     /** The best reader of the prompt. */
-    LowestScore prefill(CandidateList candidates) {
+    LowestScore prefill(CandidateList candidates, int keptSomewhere) {
         LowestScore lowest = new LowestScore(random);
         for (int each = 0; each < candidates.size(); each++) {
             ReplicaMeasurements measured = candidates.measured(each);
             double service = readMs(measured, CallKind.PREFILL);
             double excess = measured.excessMs(nowMs) + measured.linkExcessMs(nowMs);
-            lowest.offer(each, measured.score(service, excess, routers, nowMs) + price(candidates.replica(each)));
+            double price = price(candidates.replica(each)) + readingPrice(measured, CallKind.PREFILL, keptSomewhere);
+            lowest.offer(each, measured.score(service, excess, routers, nowMs) + price);
         }
         return lowest;
     }
@@ -118,12 +119,12 @@
     }
 
     /** What reading the prompt at this replica costs others: their delay, and tokens that some replica keeps. */
-    double readingPrice(ReplicaMeasurements measured, CallKind kind, int keptSomewhere) {
+    private double readingPrice(ReplicaMeasurements measured, CallKind kind, int keptSomewhere) {
         int cached = measured.cache().cachedTokens(prompt);
         double pace = measured.pool().paceMs(kind, request, firstGuessMs(request));
         double heldMs = pace * (prompt.promptTokens() - cached);
         return tuning.interference() * measured.pool().delayOfOthersMs(heldMs, routers, nowMs)
-                + PriceModel.rereadPrice(Math.max(0, keptSomewhere - cached));
+                + tuning.readAgainWeight() * PriceModel.rereadPrice(Math.max(0, keptSomewhere - cached));
     }
 
     /** Price of moving the prompt. */
