Three later waves in large fleets, one in small ones

Cause: one drain took 823 ms at 420 routers in the test's run: no wave reached a router with few in-links (16 to 46 views hold a router, mean 30), and the exchange by digests lost a datagram.

--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -16,17 +16,13 @@
 
 /**
  * Spreads the configuration: a process to which a version is new pushes it to a few peers at once and tells a few more
- * in each of the next two ticks. A push carries the difference from the version before if that is small, else only the number; whoever
+ * in each of the next ticks. A push carries the difference from the version before if that is small, else only the number; whoever
  * lacks the base asks for a difference from what it has.
  */
 final class ConfigurationSpread {
     /** Longest body that is pushed unasked, bytes. */
     static final int MAX_PUSHED_BYTES = 1_000;
 
-    private static final int ORIGIN_FANOUT = 12;
-    private static final int FANOUT = 4;
-    /** Ticks after the first push in which the number is told to a few more peers. */
-    private static final int LATER_WAVES = 2;
     private static final double PULL_TIMEOUT_MS = 250;
     /** So many pulls wait for the plain time-out: a datagram was lost. Later ones wait longer: the body may be large. */
     private static final int QUICK_PULLS = 3;
@@ -70,10 +66,10 @@
             return;
         }
         Set<SocketAddress> targets = new LinkedHashSet<>(peers.controllers());
-        targets.addAll(peers.randomPeers(ORIGIN_FANOUT));
+        targets.addAll(peers.randomPeers(Fanout.ORIGIN));
         ConfigurationUpdate push = push(history.previousVersion());
         targets.forEach(target -> outbox.send(target, push));
-        wavesLeft = LATER_WAVES;
+        wavesLeft = Fanout.laterWaves(peers.viewSize());
     }
 
     private ConfigurationUpdate push(long base) {
@@ -89,7 +85,7 @@
         if (wavesLeft > 0) {
             wavesLeft--;
             ConfigurationUpdate header = header();
-            peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, header));
+            peers.randomPeers(Fanout.RELAY).forEach(peer -> outbox.send(peer, header));
         }
         if (!sources.isEmpty() && nowMs - pulledAtMs >= pullTimeoutMs()) {
             pull(nowMs);
@@ -146,8 +142,8 @@
         history.remember(update);
         sources.values().removeIf(shown -> shown <= version());
         pulls = 0;
-        peers.randomPeers(FANOUT).forEach(peer -> outbox.send(peer, push(update.baseVersion())));
-        wavesLeft = LATER_WAVES;
+        peers.randomPeers(Fanout.RELAY).forEach(peer -> outbox.send(peer, push(update.baseVersion())));
+        wavesLeft = Fanout.laterWaves(peers.viewSize());
     }
 
     private boolean take(ConfigurationUpdate update) {
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -25,15 +25,9 @@
 
 /**
  * Spreads replica records: what is new here is pushed to a few peers at the next tick and named to a few more in the
- * two ticks after; what a digest shows to differ is exchanged.
+ * next ticks; what a digest shows to differ is exchanged.
  */
 final class ReplicaSpread {
-    private static final int FIRST_FANOUT = 4;
-    private static final int ORIGIN_FANOUT = 8;
-    private static final int LATER_FANOUT = 4;
-    private static final int FANOUT_OF_MANY = 2;
-    /** Ticks after the first push in which records are named to a few more peers. */
-    private static final int LATER_WAVES = 2;
     /** Beyond so many records in one tick only a few peers are told; digests do the rest. */
     private static final int MANY_RECORDS = 16;
     /** Up to so many records a summary of them all fits a datagram. */
@@ -117,7 +111,7 @@
                 }
             }
             ReplicaSummary summary = new ReplicaSummary(NO_BUCKETS, entries);
-            peers.randomPeers(LATER_FANOUT).forEach(peer -> outbox.send(peer, summary));
+            peers.randomPeers(Fanout.RELAY).forEach(peer -> outbox.send(peer, summary));
         }
     }
 
@@ -128,11 +122,11 @@
         boolean many = news.size() > MANY_RECORDS;
         if (!arisen.isEmpty()) {
             Set<SocketAddress> targets = new LinkedHashSet<>(peers.controllers());
-            targets.addAll(peers.randomPeers(many ? FIRST_FANOUT : ORIGIN_FANOUT));
+            targets.addAll(peers.randomPeers(many ? Fanout.RELAY : Fanout.ORIGIN));
             push(arisen, targets, nowMs);
         }
         if (!heardOf.isEmpty()) {
-            push(heardOf, peers.randomPeers(many ? FANOUT_OF_MANY : FIRST_FANOUT), nowMs);
+            push(heardOf, peers.randomPeers(many ? Fanout.OF_MANY : Fanout.RELAY), nowMs);
         }
         arisen.clear();
         heardOf.clear();
@@ -141,7 +135,7 @@
 
     private void rememberForLaterWaves(Set<String> news) {
         pushed.addFirst(news);
-        if (pushed.size() > LATER_WAVES) {
+        while (pushed.size() > Fanout.laterWaves(peers.viewSize())) {
             pushed.removeLast();
         }
     }
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -90,6 +90,11 @@
         return peers;
     }
 
+    /** How many peers are in the view. */
+    public int viewSize() {
+        return routers.size() + controllers.size();
+    }
+
     /** Addresses of every controller in the view, this process left out. */
     public List<SocketAddress> controllers() {
         return addresses(controllers.all());
