--- a/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
@@ -54,7 +54,10 @@
         }
     }
 
-    /** Replicas without an engine are asked nothing: what is in flight there tells as much, and each question is priced. */
+    /**
+     * Replicas without an engine are asked nothing: what is in flight there tells as much, and each question
+     * is priced.
+     */
     private boolean wantsReport(ReplicaRecord replica) {
         return replica.stage() != Stage.NONE && replica.takesRequests() && !asked.contains(replica.instanceId());
     }
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -23,9 +23,11 @@
 import pinewick.model.SocketAddress;
 
 /**
- * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick} every
+ * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link
+ * #onTick} every
  * {@link #TICK_MS}, hands in every message, and publishes what is new here. What {@link #synchronised}, {@link
- * #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs} answer is as of the last tick and
+ * #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs} answer is as of the
+ * last tick and
  * may be read by any thread.
  */
 public final class FleetNode {
@@ -205,10 +207,12 @@
     }
 
     /**
-     * Merges a record that arose here and tells the others: routers only of what concerns them, so that a heartbeat that
+     * Merges a record that arose here and tells the others: routers only of what concerns them, so that a
+     * heartbeat that
      * changes nothing but its number costs nothing.
      *
-     * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if none does. Null
+     * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if
+     * none does. Null
      *     if no confirmation is needed: the record then goes out with the next tick
      */
     public void publish(ReplicaRecord record, Runnable heldElsewhere, double nowMs) {
@@ -225,7 +229,8 @@
     }
 
     /**
-     * When any controller last heard an instance, in this process's steady time; {@link Double#NEGATIVE_INFINITY} if none
+     * When any controller last heard an instance, in this process's steady time; {@link
+     * Double#NEGATIVE_INFINITY} if none
      * has told this process of it since its start.
      */
     public double lastHeardMs(String instanceId) {
--- a/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
@@ -12,7 +12,8 @@
 import pinewick.model.ReplicaState;
 
 /**
- * How long changes take to reach every process, with 2 % of the datagrams lost and one router cut off, and what a router
+ * How long changes take to reach every process, with 2 % of the datagrams lost and one router cut off, and
+ * what a router
  * sends and receives while nothing changes. Figures are printed.
  */
 class SpreadBoundsTest {
--- a/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
+++ b/model/src/test/java/pinewick/model/RefusedConfigurationTest.java
@@ -31,7 +31,8 @@
                 "\"timeout_ms\":3000|\"timeout_ms\":1e999999999|routes/r-2.timeout_ms: is not a number within reason",
                 "/b/|/b|routes/r-2.path_prefix: '/b' does not begin and end with a slash",
                 "/b/|b/|routes/r-2.path_prefix: 'b/' does not begin and end with a slash",
-                "non_idempotent|sometimes|routes/r-2.route_kind: 'sometimes' is none of idempotent, non_idempotent, streaming",
+                "non_idempotent|sometimes|"
+                        + "routes/r-2.route_kind: 'sometimes' is none of idempotent, non_idempotent, streaming",
                 "\"name\":\"r-2\"|\"name\":\"r-1\"|routes/r-1.name: is used twice; give each item a name of its own",
                 "\"name\":\"s-2\"|\"name\":\"s-1\"|services/s-1.name: is used twice; give each item a name of its own",
                 "\"name\":\"r-2\"|\"name\":7|routes[1].name: is missing or no text; give each item a name",
@@ -43,9 +44,11 @@
                         + "configuration.version: 99999999999999999999 is not a whole number above 0",
                 "\"version\":7,|\"edition\":7,|configuration.version: is missing; give a whole number above 0",
                 "\"services\":|\"servers\":|configuration.services: is missing; give a list, which may be empty",
-                "\"max_connections\":110|\"max_connections\":true|services/s-2.max_connections: is not a number within reason",
+                "\"max_connections\":110|\"max_connections\":true|"
+                        + "services/s-2.max_connections: is not a number within reason",
                 "\"slots\":24|\"slots\":[]|services/s-1.engine.slots: is not a number within reason",
-                "\"max_body_bytes\":4194304|\"max_body_bytes\":\"4M\"|limits.max_body_bytes: is not a number within reason",
+                "\"max_body_bytes\":4194304|\"max_body_bytes\":\"4M\"|"
+                        + "limits.max_body_bytes: is not a number within reason",
             })
     void tellsTheItemTheFieldAndTheRemedy(String original, String replacement, String fault) {
         String body = Documents.WHOLE.replace(original, replacement);
--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -190,7 +190,8 @@
     }
 
     /**
-     * The routers that have a call at this replica now: of {@code routers}, those expected to have at least one of the calls
+     * The routers that have a call at this replica now: of {@code routers}, those expected to have at least
+     * one of the calls
      * in progress there, each of which is any router's with the same chance.
      */
     double sendingRouters(int routers, double nowMs) {
--- a/transport/src/main/java/pinewick/transport/ControlLoop.java
+++ b/transport/src/main/java/pinewick/transport/ControlLoop.java
@@ -6,7 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The one thread that owns membership, dissemination and replication of a process. A task that throws is logged; the loop
+ * The one thread that owns membership, dissemination and replication of a process. A task that throws is
+ * logged; the loop
  * and the task's later runs go on.
  */
 public final class ControlLoop implements AutoCloseable {
--- a/transport/src/main/java/pinewick/transport/OutgoingConnection.java
+++ b/transport/src/main/java/pinewick/transport/OutgoingConnection.java
@@ -11,7 +11,8 @@
 /**
  * The connection on which this process writes to one peer: dialled when there is something to write, closed when it was
  * idle, and dialled again after a failure. A frame that was written in part is sent again whole on the next connection;
- * the peer cannot have read it. The peer writes a byte back when it has read: where none comes in time, the machine may be
+ * the peer cannot have read it. The peer writes a byte back when it has read: where none comes in time, the
+ * machine may be
  * cut off or without power while the local buffers still take bytes, and retransmissions come ever more rarely; a new
  * connection notices its return sooner. Runs on the selector's thread; only the queue is filled by others.
  */
--- a/transport/src/main/java/pinewick/transport/Transport.java
+++ b/transport/src/main/java/pinewick/transport/Transport.java
@@ -14,7 +14,8 @@
     void start(BiConsumer<SocketAddress, Message> receiver);
 
     /**
-     * Sends over the peer's connection whatever the size. Messages sent this way to one peer arrive in order, apart from
+     * Sends over the peer's connection whatever the size. Messages sent this way to one peer arrive in
+     * order, apart from
      * those that are lost because the connection breaks or the peer does not read.
      */
     default void sendOrdered(SocketAddress peer, Message message) {
