--- a/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -189,24 +189,12 @@
         return weight * Math.min(1, (double) report.kvUsed() / report.kvTotal());
     }
 
-    /**
-     * The routers that have a call at this replica now: of {@code routers}, those expected to have at least
-     * one of the calls
-     * in progress there, each of which is any router's with the same chance.
-     */
-    double sendingRouters(int routers, double nowMs) {
-        double others = Math.max(0, likelyInProgress(routers, nowMs) - outstanding);
-        double otherRouters = routers - 1.0;
-        return routers <= 1 ? 1 : 1 + otherRouters * (1 - Math.pow(1 - 1 / (double) routers, others));
-    }
-
     /**
      * R - s + q̂³·s, for an s and an R - s of the request. A replica works on {@code slots} requests at a time, so both
      * terms of the queue count in batches of as many.
      */
     double score(double serviceMs, double beyondServiceMs, int routers, double nowMs) {
-        double ahead = outstanding * sendingRouters(routers, nowMs)
-                + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
+        double ahead = (double) outstanding * routers + queue(nowMs) * (1 + tuning.busyWeight() * busyShare(nowMs));
         double congestion = 1 + ahead / batch;
         return beyondServiceMs + congestion * congestion * congestion * serviceMs;
     }
