--- a/system/src/test/java/pinewick/system/SettingsReaderTest.java
+++ b/system/src/test/java/pinewick/system/SettingsReaderTest.java
@@ -106,13 +106,17 @@
                         + "ip_address is '10.1.0.256'; give this machine's IPv4 address",
                 "serves = [\"frontend\"]|serves = \"frontend\"|serves is frontend; give a list of texts",
                 "serves = [\"frontend\"]|serves = [\"frontend\", 1]|serves holds 1; put a text in quotes",
-                "[7720,7735]|[7720]|internal_port_range is [7720]; give the first and the last of at least 2 free ports, "
+                "[7720,7735]|[7720]|internal_port_range is [7720]; give the first and the last of "
+                        + "at least 2 free ports, "
                         + "as [7720,7735]",
-                "[7720,7735]|[7720,7720]|internal_port_range is [7720, 7720]; give the first and the last of at least 2 free "
+                "[7720,7735]|[7720,7720]|internal_port_range is [7720, 7720]; give the first and "
+                        + "the last of at least 2 free "
                         + "ports, as [7720,7735]",
-                "[7720,7735]|[7720,77350]|internal_port_range is [7720, 77350]; give the first and the last of at least 2 free "
+                "[7720,7735]|[7720,77350]|internal_port_range is [7720, 77350]; give the first and "
+                        + "the last of at least 2 free "
                         + "ports, as [7720,7735]",
-                "internal_port_range = [7720,7735]||internal_port_range is missing; give the first and the last of at least 2 "
+                "internal_port_range = [7720,7735]||internal_port_range is missing; give the first "
+                        + "and the last of at least 2 "
                         + "free ports, as [7720,7735]",
                 "10.2.0.43:8166|10.2.0.43|seed_nodes is wrong: '10.2.0.43' is not HOST:PORT; "
                         + "give an IPv4 address and a port from 1 to 65535",
@@ -127,7 +131,8 @@
                         + "give the address to listen on, as \"10.1.0.10:8161\"",
                 "readiness = \"10.1.0.10:8167\"||listen_addresses.readiness is missing; "
                         + "give the address to listen on, as \"10.1.0.10:8161\"",
-                "readiness = \"10.1.0.10:8167\"|readiness = 8167|listen_addresses.readiness is 8167; put a text in quotes",
+                "readiness = \"10.1.0.10:8167\"|readiness = 8167|listen_addresses.readiness is "
+                        + "8167; put a text in quotes",
                 "sala-mi = \"pianura\"|sala-mi = 1|zones.sala-mi is 1; put a text in quotes",
             })
     void tellsTheFieldAndTheRemedy(String original, String replacement, String fault) {
