--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -21,6 +21,7 @@
     private static final double PATIENCE_OF_TIME_LEFT = 0.35;
     private static final double PATIENCE_OF_TARGET = 1.5;
     private static final double LONGEST_PATIENCE_OF_TIME_LEFT = 0.6;
+    private static final double PATIENCE_OF_SERVICE = 2.5;
 
     /** A client gives a stream up after two seconds of silence or more. */
     private static final double LONGEST_SILENCE_MS = 1_000;
@@ -97,12 +98,21 @@
         }
     }
 
-    /** How long a silent replica is waited for where the call can be repeated. */
+    /** How long a silent replica is waited for where the call can be repeated: long prompts take longer anywhere. */
     private double patienceMs() {
         double left = lifecycle.remainingMs();
-        double wanted = Math.max(
-                left * PATIENCE_OF_TIME_LEFT, lifecycle.shape().route().targetLatencyMs() * PATIENCE_OF_TARGET);
-        return Math.min(wanted, left * LONGEST_PATIENCE_OF_TIME_LEFT);
+        return patienceMs(left, lifecycle.shape().route().targetLatencyMs(), measured.expectedServiceMs());
+    }
+
+    /**
+     * @param leftMs time until the request's deadline
+     * @param targetMs target latency of its route
+     * @param expectedServiceMs what the call should take without waiting
+     */
+    static double patienceMs(double leftMs, double targetMs, double expectedServiceMs) {
+        double usual = Math.max(leftMs * PATIENCE_OF_TIME_LEFT, targetMs * PATIENCE_OF_TARGET);
+        double bounded = Math.min(usual, leftMs * LONGEST_PATIENCE_OF_TIME_LEFT);
+        return Math.max(bounded, Math.min(leftMs, expectedServiceMs * PATIENCE_OF_SERVICE));
     }
 
     /** Breaks the call off; returns whether the replica may have run the request because of it. */
--- a/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -293,6 +293,11 @@
             this.measurement = measurement;
         }
 
+        /** The time that the call is expected to take to its first event without waiting, as of its beginning. */
+        public double expectedServiceMs() {
+            return measurement.serviceMs();
+        }
+
         /** The head of a successful answer came; for streams, the first event. */
         public void firstEvent(double nowMs) {
             measurement.firstEvent(nowMs);
