Tests that hang up say at once when the parent ignores SIGHUP

An ignored SIGHUP is inherited through fork and exec, and a JVM started so installs no handler for it, so the process under test never reads its configuration again. The test waited 20 s and said only that the old address was not left.

Change: before a test sends SIGHUP it reads the ignored signals of its own process and fails with "SIGHUP is ignored by the parent process". Nothing is skipped and no bound is moved. The test of ShutdownCrossingTest that sends SIGHUP passes no longer where the signal never arrives.

Ruled out: load alone.

--- a/daemon/src/test/java/pinewick/MixerHarness.java
+++ b/daemon/src/test/java/pinewick/MixerHarness.java
@@ -69,6 +69,7 @@
     // ---- the stand-ins ----
 
     final void hangUp() throws Exception {
+        HangUpPrecondition.check();
         assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.pid()).start().waitFor());
         Thread.sleep(150);
     }
