Status tells epoch, members, copies and how many losses are borne now

Cause: nobody could tell whether a controller that came back was repaired, so a second loss 2.5 s after a wiped one's start left no majority and came unseen. Change: the primary computes copies, bears_losses and repaired_ms from members that answer, know the record and hold the committed state; others name the primary and the reason.

--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -224,7 +224,7 @@
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
                         state.configuration().version(),
-                        replication.primary(),
+                        replication.report(),
                         replication.leadingEpoch(),
                         configurations.lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
--- a/control/src/main/java/pinewick/control/StatusReport.java
+++ b/control/src/main/java/pinewick/control/StatusReport.java
@@ -13,7 +13,9 @@
 import pinewick.membership.NodeDescriptor;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
-import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationReport;
+import pinewick.replication.ReplicationReport.FaultTolerance;
+import pinewick.replication.ReplicationReport.MemberReport;
 
 /** The state of one controller, for the people who run it. */
 final class StatusReport {
@@ -32,19 +34,48 @@
     /**
      * The configuration as this process sees it.
      *
+     * @param version the newest version held here
+     * @param replication epoch, members and how many losses are borne
      * @param lastEvent what the replication noted last
      */
     StatusReport configuration(
-            long version, Optional<SocketAddress> primary, Optional<Long> leadingEpoch, String lastEvent) {
+            long version, ReplicationReport replication, Optional<Long> leadingEpoch, String lastEvent) {
         JsonObject section = new JsonObject();
         section.addProperty("version", version);
-        primary.ifPresent(address -> section.addProperty("primary", address.toString()));
+        replication.primary().ifPresent(address -> section.addProperty("primary", address.toString()));
         leadingEpoch.ifPresent(epoch -> section.addProperty("leading_epoch", epoch));
+        section.addProperty("epoch", replication.epoch());
+        section.add("members", members(replication.members()));
+        section.addProperty("in_sync", replication.inSync());
+        addFaultTolerance(section, replication.faultTolerance());
         section.addProperty("last_event", lastEvent);
         report.add("configuration", section);
         return this;
     }
 
+    private static JsonArray members(List<MemberReport> members) {
+        JsonArray list = new JsonArray();
+        for (MemberReport member : members) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("identity", member.member().identity());
+            entry.addProperty("address", member.member().address().toString());
+            entry.addProperty("in_sync", member.inSync());
+            entry.addProperty("leaving", member.leaving());
+            member.silentMs().ifPresent(silentMs -> entry.addProperty("silent_ms", Math.round(silentMs)));
+            list.add(entry);
+        }
+        return list;
+    }
+
+    private static void addFaultTolerance(JsonObject section, FaultTolerance tolerance) {
+        tolerance.copies().ifPresent(copies -> section.addProperty("copies", copies));
+        tolerance.bearsLosses().ifPresent(losses -> section.addProperty("bears_losses", losses));
+        if (!tolerance.unknownReason().isEmpty()) {
+            section.addProperty("bears_losses_unknown", tolerance.unknownReason());
+        }
+        tolerance.repairedMs().ifPresent(sinceMs -> section.addProperty("repaired_ms", Math.round(sinceMs)));
+    }
+
     /** The other processes. */
     StatusReport fleet(boolean synchronised, int routers, int routersAtMost, List<NodeDescriptor> peers) {
         JsonObject section = new JsonObject();
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -277,10 +277,12 @@
     }
 
     private boolean isResponsive(Replica replica) {
-        double now = context.activeMs();
-        return replica.healthy()
-                && replica.silentMs(now) <= UNRESPONSIVE_MS
-                && replica.laggingMs(now) <= UNRESPONSIVE_MS;
+        return isAnswering(replica) && replica.laggingMs(context.activeMs()) <= UNRESPONSIVE_MS;
+    }
+
+    /** Whether a store was heard lately, with a disk that works, and is not about to end. */
+    boolean isAnswering(Replica replica) {
+        return replica.healthy() && replica.silentMs(context.activeMs()) <= UNRESPONSIVE_MS;
     }
 
     /** Stores outside the in-sync set that hold what this process holds. */
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -61,6 +61,7 @@
     private final ReadQueue reads = new ReadQueue();
     private final PrimaryRole primaryRole;
     private final CommitReport commitReport;
+    private final FaultToleranceMonitor toleranceMonitor;
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Ballot> ballot = Optional.empty();
     private boolean advancing;
@@ -97,6 +98,7 @@
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
         this.commitReport = new CommitReport(context);
+        this.toleranceMonitor = new FaultToleranceMonitor(context, replicas);
         this.primaryRole = new PrimaryRole(commitReport, changes, reads);
     }
 
@@ -379,6 +381,7 @@
             planner.wantedChange(leading, replicas).ifPresent(wanted -> change(leading, wanted));
         }
         primaryRole.advance(leading, ballot.isEmpty() && !leaving);
+        toleranceMonitor.update(leading);
         if (leaving) {
             handOver(leading);
         }
@@ -421,6 +424,7 @@
     private void stepDown(String reason, double pauseMs) {
         leadership = Optional.empty();
         ballot = Optional.empty();
+        toleranceMonitor.reset();
         leaseFromMs = Double.POSITIVE_INFINITY;
         election.restart(pauseMs);
         context.listener().noted("leads no more: " + reason);
@@ -487,6 +491,17 @@
         return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
     }
 
+    /** What this process knows, for the people who run it. */
+    public ReplicationReport report() {
+        EpochRecord record = leadership.map(Leadership::record).orElseGet(durable::accepted);
+        return new ReplicationReport(
+                record.number().counter(),
+                primary(),
+                toleranceMonitor.members(record, leadership),
+                record.inSync().size(),
+                toleranceMonitor.report(leadership));
+    }
+
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
     Optional<Long> leadingNumber() {
         return leadership.map(leading -> leading.number().counter());
