Calls are redirected on knowledge 450 ms old at most; late and old orders judged right

Cause, by review: a primary was named to callers for 1.2 s after its last heartbeat, by hearsay longer, and by a clock that leaves out freezes, so a thawed backup named one gone for 20 s, and a primary that resigned came back by a late heartbeat. The same change sent again joined a refusal whose round had begun before it came. An accepted order older than the last 3,000 was refused with 412, and a resent one was acknowledged by a primary that nobody confirmed. Change: KnownPrimary (steady time, epoch, age handed on, void once another proposer is promised or it resigned); decided changes take no joiners; beyond the remembered changes the outcome is unknown; every decided answer waits for a confirmed round. The store is told the time before each call, the lease too. Ruled out: shorter waits in ConfigurationEndpoints (700 ms stays).

--- a/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
+++ b/control/src/main/java/pinewick/control/ConfigurationEndpoints.java
@@ -68,6 +68,7 @@
     }
 
     private void submit(ConfigurationChange change, ApiCall call, double untilMs, Consumer<ApiAnswer> reply) {
+        configuration.advanceClock(loop.nowMs());
         configuration.submit(change, outcome -> {
             boolean noPrimary =
                     outcome instanceof ChangeOutcome.NotPrimary elsewhere && !isElsewhere(elsewhere.primary());
@@ -80,6 +81,7 @@
     }
 
     private void read(ApiCall call, double untilMs, Consumer<ApiAnswer> reply) {
+        configuration.advanceClock(loop.nowMs());
         configuration.read(outcome -> {
             boolean noPrimary =
                     outcome instanceof ReadOutcome.NotPrimary elsewhere && !isElsewhere(elsewhere.primary());
--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
@@ -185,10 +186,16 @@
         replicaCalls = new HttpReplicaCalls(loop);
         FencingTokens tokens = new FencingTokens(settings.nodeName());
         StageReconciler reconciler =
-                new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, replication::leadingEpoch, loop);
+                new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, this::leadingEpoch, loop);
         loop.repeat(reconciler::run, StageReconciler.PERIOD_MS);
     }
 
+    /** The lease, judged by the time of now: a process that was frozen holds none. */
+    private Optional<Long> leadingEpoch() {
+        replication.advanceClock(loop.nowMs());
+        return replication.leadingEpoch();
+    }
+
     private void tick() {
         if (!left) {
             node.onTick(loop.nowMs());
@@ -220,12 +227,13 @@
     }
 
     private StatusReport statusReport() {
+        replication.advanceClock(loop.nowMs());
         return new StatusReport()
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
                         state.configuration().version(),
                         replication.report(),
-                        replication.leadingEpoch(),
+                        leadingEpoch(),
                         configurations.lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
                 .replicas(state.replicas())
--- a/control/src/test/java/pinewick/control/ConfigurationEndpointsTest.java
+++ b/control/src/test/java/pinewick/control/ConfigurationEndpointsTest.java
@@ -117,6 +117,18 @@
         assertEquals(List.of(200, 307), answers.stream().map(ApiAnswer::status).toList());
     }
 
+    @Test
+    void theStoreIsToldTheTimeBeforeEachCallAlsoAfterAFreeze() {
+        store.changeOutcome = new ChangeOutcome.Accepted(9);
+        store.readOutcome = new ReadOutcome.Unavailable("no matter");
+        loop.pause(20_000);
+        update("7");
+        assertEquals(loop.nowMs(), store.toldMs);
+        loop.pause(20_000);
+        read();
+        assertEquals(loop.nowMs(), store.toldMs);
+    }
+
     @Test
     void unknownIsNoClearAnswer() {
         store.changeOutcome = new ChangeOutcome.Unknown("lost the majority");
--- a/control/src/test/java/pinewick/control/FakeConfiguration.java
+++ b/control/src/test/java/pinewick/control/FakeConfiguration.java
@@ -13,9 +13,15 @@
 /** A replicated configuration that answers as a test says; without an outcome it stays silent. */
 final class FakeConfiguration implements ReplicatedConfiguration {
     final List<ConfigurationChange> changes = new ArrayList<>();
+    double toldMs = Double.NaN;
     ChangeOutcome changeOutcome;
     ReadOutcome readOutcome;
 
+    @Override
+    public void advanceClock(double nowMs) {
+        toldMs = nowMs;
+    }
+
     @Override
     public void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback) {
         changes.add(change);
--- a/replication/src/main/java/pinewick/replication/AcceptedChanges.java
+++ b/replication/src/main/java/pinewick/replication/AcceptedChanges.java
@@ -31,6 +31,15 @@
         return version == null ? OptionalLong.empty() : OptionalLong.of(version);
     }
 
+    /**
+     * Whether a change upon this version may have been accepted and is no longer known. Each accepted change builds
+     * upon a higher version than the one before, so only those below the oldest known can be.
+     */
+    boolean mayHaveForgotten(long baseVersion) {
+        return versions.size() >= CAPACITY
+                && baseVersion < versions.keySet().iterator().next().baseVersion;
+    }
+
     AcceptedChanges with(ChangeKey key) {
         Map<Identity, Long> extended = new LinkedHashMap<>(versions);
         extended.put(new Identity(key.baseVersion(), key.digest()), key.version());
--- a/replication/src/main/java/pinewick/replication/ChangeQueue.java
+++ b/replication/src/main/java/pinewick/replication/ChangeQueue.java
@@ -40,11 +40,11 @@
         }
     }
 
-    private record Refused(Entry entry, ChangeOutcome outcome, long round) {}
+    private record Decided(Entry entry, ChangeOutcome outcome, long round) {}
 
     private final Map<Identity, Entry> entries = new HashMap<>();
     private final Deque<Entry> waiting = new ArrayDeque<>();
-    private final List<Refused> refused = new ArrayList<>();
+    private final List<Decided> decided = new ArrayList<>();
     private Optional<Entry> inFlight = Optional.empty();
 
     void add(ConfigurationChange change, double deadlineMs, Consumer<ChangeOutcome> callback) {
@@ -72,34 +72,47 @@
         inFlight = Optional.of(entry);
     }
 
-    /** It will be refused once a round that begins after this has been confirmed. */
-    void refuse(Entry entry, ChangeOutcome outcome) {
-        refused.add(new Refused(entry, outcome, NOT_ASKED));
+    /**
+     * It will be answered once a round that begins after this has been confirmed. The same change sent later does not
+     * join it, as that round may have begun before it came.
+     */
+    void answerOnceConfirmed(Entry entry, ChangeOutcome outcome) {
+        entries.remove(entry.identity, entry);
+        decided.add(new Decided(entry, outcome, NOT_ASKED));
     }
 
-    /** Whether some refusal waits for a round that has not been begun. */
+    /** Whether some answer waits for a round that has not been begun. */
     boolean wantsRound() {
-        return refused.stream().anyMatch(refusal -> refusal.round == NOT_ASKED);
+        return decided.stream().anyMatch(answer -> answer.round == NOT_ASKED);
     }
 
     /** A round has begun. */
     void asked(long round) {
-        refused.replaceAll(
-                refusal -> refusal.round == NOT_ASKED ? new Refused(refusal.entry, refusal.outcome, round) : refusal);
+        decided.replaceAll(
+                answer -> answer.round == NOT_ASKED ? new Decided(answer.entry, answer.outcome, round) : answer);
     }
 
-    /** A new epoch of this process: what was to be refused is decided upon again. */
+    /** A new epoch of this process: what was decided upon and not answered is decided upon again. */
     void restart() {
-        refused.forEach(refusal -> waiting.addFirst(refusal.entry));
-        refused.clear();
+        decided.forEach(answer -> requeue(answer.entry));
+        decided.clear();
     }
 
-    /** The round is confirmed: what was refused before it may be told. */
+    private void requeue(Entry entry) {
+        Entry sentLater = entries.putIfAbsent(entry.identity, entry);
+        if (sentLater == null) {
+            waiting.addFirst(entry);
+        } else {
+            sentLater.waiters.addAll(entry.waiters);
+        }
+    }
+
+    /** The round is confirmed: what was decided before it may be told. */
     void confirmed(long round) {
-        for (Refused refusal : List.copyOf(refused)) {
-            if (refusal.round <= round) {
-                refused.remove(refusal);
-                end(refusal.entry, refusal.outcome);
+        for (Decided answer : List.copyOf(decided)) {
+            if (answer.round <= round) {
+                decided.remove(answer);
+                end(answer.entry, answer.outcome);
             }
         }
     }
@@ -118,13 +131,13 @@
     }
 
     void end(Entry entry, ChangeOutcome outcome) {
-        entries.remove(entry.identity);
+        entries.remove(entry.identity, entry);
         entry.waiters.forEach(waiter -> waiter.callback.accept(outcome));
     }
 
     /** Whoever has waited too long is told that the outcome is unknown. */
     void expire(double nowMs) {
-        for (Entry entry : List.copyOf(entries.values())) {
+        for (Entry entry : unanswered()) {
             for (Waiter waiter : List.copyOf(entry.waiters)) {
                 if (waiter.deadlineMs <= nowMs) {
                     entry.waiters.remove(waiter);
@@ -137,13 +150,19 @@
         }
     }
 
+    private List<Entry> unanswered() {
+        List<Entry> all = new ArrayList<>(entries.values());
+        decided.forEach(answer -> all.add(answer.entry));
+        return all;
+    }
+
     /** This process leads no more: nobody knows of the change under way, and nothing was done about the others. */
     void abandon(ChangeOutcome.NotPrimary outcome) {
         Optional<Entry> unknown = inFlight;
         inFlight = Optional.empty();
+        List<Entry> all = unanswered();
         waiting.clear();
-        refused.clear();
-        List<Entry> all = List.copyOf(entries.values());
+        decided.clear();
         entries.clear();
         for (Entry entry : all) {
             boolean replicated = unknown.isPresent() && unknown.get() == entry;
--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -5,8 +5,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import pinewick.model.SocketAddress;
-import pinewick.replication.ReplicationMessages.Heartbeat;
 import pinewick.replication.ReplicationMessages.Status;
 
 /** Watches the primary from a process that is none, and tells when this one should stand for election. */
@@ -43,8 +41,6 @@
     private double dueMs;
     private double lostPauseMs = CHANCE_MS;
     private double askedMs = Double.NEGATIVE_INFINITY;
-    private SocketAddress operatorApi = ReplicationMessages.NO_ADDRESS;
-    private double operatorApiMs = Double.NEGATIVE_INFINITY;
 
     Election(Context context) {
         this.context = context;
@@ -58,12 +54,6 @@
         postpone(delayMs);
     }
 
-    void onHeartbeat(Heartbeat heartbeat) {
-        operatorApi = heartbeat.operatorApi();
-        operatorApiMs = context.activeMs();
-        heard();
-    }
-
     /** The primary showed itself. */
     void heard() {
         heardMs = context.activeMs();
@@ -79,7 +69,6 @@
 
     /** The primary leads no more. */
     void onPrimaryGone() {
-        operatorApi = ReplicationMessages.NO_ADDRESS;
         restart(0);
     }
 
@@ -96,12 +85,6 @@
         return context.activeMs() - heardMs < HEARD_MS;
     }
 
-    /** Operator API of the primary, if one was heard of lately. */
-    SocketAddress operatorApi() {
-        boolean lately = context.activeMs() - operatorApiMs < 2 * TIME_OUT_MS;
-        return lately ? operatorApi : ReplicationMessages.NO_ADDRESS;
-    }
-
     /** Whether the others are to be asked now what they know. */
     boolean asksNow() {
         if (hearsPrimary() || context.activeMs() - askedMs < ASK_MS) {
@@ -114,18 +97,18 @@
     void onStatus(Status status) {
         double now = context.activeMs();
         answers.put(status.self().identity(), new Answer(status, now));
-        if (status.hearsPrimary() && !status.operatorApi().equals(ReplicationMessages.NO_ADDRESS)) {
-            operatorApi = status.operatorApi();
-            operatorApiMs = now;
-        }
-        EpochRecord accepted = context.durable().accepted();
-        boolean fromPrimary = status.self().identity().equals(accepted.primary());
-        if (fromPrimary && !status.leading() && hearsPrimary()) {
+        if (isDenial(status) && hearsPrimary()) {
             heardMs = Double.NEGATIVE_INFINITY;
             dueMs = Math.min(dueMs, now + RETRY_MS);
         }
     }
 
+    /** Whether the primary of the newest record known here says that it does not lead. */
+    boolean isDenial(Status status) {
+        EpochRecord accepted = context.durable().accepted();
+        return status.self().identity().equals(accepted.primary()) && !status.leading();
+    }
+
     /** Whether a quorum hears no primary, nobody else does, and this process could lead. */
     boolean isDue() {
         double now = context.activeMs();
--- a/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -56,12 +56,11 @@
         ConfigurationChange change = entry.change();
         OptionalLong acceptedBefore = state.changes().versionOf(change.baseVersion(), entry.digest());
         if (acceptedBefore.isPresent()) {
-            changes.end(entry, new ChangeOutcome.Accepted(acceptedBefore.getAsLong()));
+            changes.answerOnceConfirmed(entry, new ChangeOutcome.Accepted(acceptedBefore.getAsLong()));
             return;
         }
         if (change.baseVersion() != state.document().version()) {
-            changes.refuse(
-                    entry, new ChangeOutcome.VersionConflict(state.document().version()));
+            changes.answerOnceConfirmed(entry, otherBase(change, state));
             return;
         }
         try {
@@ -71,10 +70,17 @@
             changes.replicating(entry);
             leadership.replicate(delta, key);
         } catch (InvalidConfigurationException e) {
-            changes.refuse(entry, new ChangeOutcome.Invalid(e.faults()));
+            changes.answerOnceConfirmed(entry, new ChangeOutcome.Invalid(e.faults()));
         }
     }
 
+    /** A change so old that it may have been accepted and forgotten is not refused. */
+    private static ChangeOutcome otherBase(ConfigurationChange change, ConfigurationState state) {
+        return state.changes().mayHaveForgotten(change.baseVersion())
+                ? new ChangeOutcome.Unknown("it builds upon a version too old to tell whether it was accepted")
+                : new ChangeOutcome.VersionConflict(state.document().version());
+    }
+
     private static ConfigurationDocument read(ConfigurationChange change, ConfigurationDocument current)
             throws InvalidConfigurationException {
         ConfigurationDocument changed =
--- a/replication/src/main/java/pinewick/replication/ReplicatedConfiguration.java
+++ b/replication/src/main/java/pinewick/replication/ReplicatedConfiguration.java
@@ -6,6 +6,12 @@
 
 /** The replicated configuration as the operator API sees it. Called on the control loop; callbacks come on it too. */
 public interface ReplicatedConfiguration {
+    /**
+     * Tells the time before one of the other calls. A process that was frozen may serve a call before anything else
+     * has told it how late it is, and would take what it knew before for fresh.
+     */
+    default void advanceClock(double nowMs) {}
+
     /** Submits a change; the callback is called once, within {@code ack_ms}. */
     void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback);
 
--- a/replication/src/main/java/pinewick/replication/ReplicationMessages.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationMessages.java
@@ -11,6 +11,18 @@
     /** Stands for an address that is not known. */
     public static final SocketAddress NO_ADDRESS = new SocketAddress("0.0.0.0", 0);
 
+    /**
+     * A primary that was heard.
+     *
+     * @param number its epoch
+     * @param operatorApi where it serves the operator, or {@link #NO_ADDRESS} if none was heard lately
+     * @param ageMs how long ago the teller heard it
+     */
+    public record PrimarySighting(EpochNumber number, SocketAddress operatorApi, double ageMs) {
+        /** None was heard lately. */
+        public static final PrimarySighting NONE = new PrimarySighting(EpochNumber.NONE, NO_ADDRESS, 0);
+    }
+
     /**
      * What a process knows, sent by one that hears no primary, and in answer to it.
      *
@@ -20,7 +32,7 @@
      * @param tag the state it holds
      * @param leading whether it is a primary that a majority confirmed lately
      * @param hearsPrimary whether it heard a primary lately or is one
-     * @param operatorApi operator API of that primary, or {@link #NO_ADDRESS}
+     * @param primary where callers may be sent to
      * @param answerWanted whether the receiver is to answer with its own status
      */
     public record Status(
@@ -30,7 +42,7 @@
             StateTag tag,
             boolean leading,
             boolean hearsPrimary,
-            SocketAddress operatorApi,
+            PrimarySighting primary,
             boolean answerWanted)
             implements Message {}
 
@@ -194,6 +206,7 @@
                 Install.class,
                 Replicate.class,
                 StateReply.class,
-                Resign.class);
+                Resign.class,
+                PrimarySighting.class);
     }
 }
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -16,6 +16,7 @@
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
 import pinewick.replication.ReplicationMessages.Install;
 import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.PrimarySighting;
 import pinewick.replication.ReplicationMessages.Promise;
 import pinewick.replication.ReplicationMessages.Refusal;
 import pinewick.replication.ReplicationMessages.Replicate;
@@ -55,6 +56,7 @@
     private final Witness witness;
     private final StateReceiver receiver;
     private final Election election;
+    private final KnownPrimary knownPrimary;
     private final EpochPlanner planner;
     private final Replicas replicas;
     private final ChangeQueue changes = new ChangeQueue();
@@ -95,6 +97,7 @@
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
+        this.knownPrimary = new KnownPrimary(clock, durable);
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
         this.commitReport = new CommitReport(context);
@@ -220,6 +223,11 @@
     private void onStatus(SocketAddress sender, Status status) {
         peers.learn(status.self().identity(), sender);
         election.onStatus(status);
+        if (election.isDenial(status)) {
+            knownPrimary.denied();
+        } else {
+            knownPrimary.told(status.primary());
+        }
         if (status.answerWanted()) {
             peers.send(sender, status(false));
             leadership.ifPresent(leading -> leading.onStatus(status));
@@ -227,8 +235,8 @@
     }
 
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
-        if (heardOf(heartbeat.number())) {
-            election.onHeartbeat(heartbeat);
+        if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
+            knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
             lastHeartbeat = heartbeat;
             primaryAddress = sender;
             commitReport.onCommitted(heartbeat.committed());
@@ -278,6 +286,7 @@
         if (leadership.isPresent() || durable.promised().isAfter(resign.number())) {
             return;
         }
+        knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
         if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
             stand(true);
@@ -445,10 +454,14 @@
                 durable.state().tag(),
                 leading,
                 hearsPrimary(),
-                leading ? settings.operatorApi() : election.operatorApi(),
+                leading ? ownSighting() : knownPrimary.sighting(),
                 answerWanted);
     }
 
+    private PrimarySighting ownSighting() {
+        return new PrimarySighting(leadership.get().number(), settings.operatorApi(), 0);
+    }
+
     /** This process is about to end: hands leadership over, and leaves the in-sync set. */
     public void leave(double nowMs) {
         clock.advance(nowMs);
@@ -465,6 +478,11 @@
         return leadership.isEmpty() && !durable.accepted().inSync().contains(durable.identity());
     }
 
+    @Override
+    public void advanceClock(double nowMs) {
+        clock.advance(nowMs);
+    }
+
     @Override
     public void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback) {
         if (leadership.isEmpty() || leaving) {
@@ -487,8 +505,7 @@
 
     @Override
     public Optional<SocketAddress> primary() {
-        SocketAddress api = leadership.isPresent() ? settings.operatorApi() : election.operatorApi();
-        return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
+        return leadership.isPresent() ? Optional.of(settings.operatorApi()) : knownPrimary.operatorApi();
     }
 
     /** What this process knows, for the people who run it. */
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/ChangeQueueTest.java
@@ -0,0 +1,72 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Who is answered by which decision when the same change comes again. */
+class ChangeQueueTest {
+    private static final double DEADLINE_MS = 4_000;
+    private static final ChangeOutcome CONFLICT = new ChangeOutcome.VersionConflict(3);
+
+    private final ChangeQueue queue = new ChangeQueue();
+    private final List<String> answered = new ArrayList<>();
+    private final ConfigurationChange change =
+            new ConfigurationChange(ConfigurationChange.Kind.REPLACE, 7, "{}".getBytes(StandardCharsets.UTF_8));
+
+    private void send(String name) {
+        queue.add(change, DEADLINE_MS, outcome -> answered.add(name + " " + outcome));
+    }
+
+    private void refuseNext() {
+        queue.answerOnceConfirmed(queue.next().orElseThrow(), CONFLICT);
+    }
+
+    @Test
+    void aSendingAfterTheRefusalIsDecidedOnItsOwn() {
+        send("first");
+        refuseNext();
+        queue.asked(1);
+        send("second");
+        queue.confirmed(1);
+        assertEquals(List.of("first " + CONFLICT), answered, "round 1 began before the second came");
+        refuseNext();
+        queue.asked(2);
+        queue.confirmed(2);
+        assertEquals(List.of("first " + CONFLICT, "second " + CONFLICT), answered);
+    }
+
+    @Test
+    void bothAreDecidedUponAgainInANewEpoch() {
+        send("first");
+        refuseNext();
+        send("second");
+        queue.restart();
+        refuseNext();
+        queue.asked(1);
+        queue.confirmed(1);
+        assertEquals(2, answered.size());
+    }
+
+    @Test
+    void bothEndInTime() {
+        send("first");
+        refuseNext();
+        send("second");
+        queue.expire(DEADLINE_MS);
+        assertEquals(2, answered.size());
+        assertEquals(true, queue.isEmpty());
+    }
+
+    @Test
+    void bothEndWhenThePrimaryDoes() {
+        send("first");
+        refuseNext();
+        send("second");
+        queue.abandon(new ChangeOutcome.NotPrimary(java.util.Optional.empty()));
+        assertEquals(2, answered.size());
+    }
+}
--- a/replication/src/test/java/pinewick/replication/Machine.java
+++ b/replication/src/test/java/pinewick/replication/Machine.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.Message;
@@ -49,6 +50,12 @@
         return running && generation == asked;
     }
 
+    /** Whom this process names to a caller now. */
+    Optional<SocketAddress> named() {
+        node.advanceClock(world.nowMs());
+        return node.primary();
+    }
+
     /** The newest configuration that this process was told to be committed. */
     ConfigurationDocument newest() {
         return newest;
@@ -197,6 +204,7 @@
     /** As the operator's connection brings it: nothing happens at a machine that is down, and late at a frozen one. */
     void submit(Change change, Consumer<ChangeOutcome> callback) {
         run(generation, () -> {
+            node.advanceClock(world.nowMs());
             boolean leading = node.leadingNumber().isPresent();
             long epoch = leading ? epoch() : -1;
             if (leading && newest.version() > 0 && refusesWrongly(change)) {
@@ -227,6 +235,7 @@
                 callback.accept(new ReadOutcome.Current(newest));
                 return;
             }
+            node.advanceClock(world.nowMs());
             node.read(callback);
         });
     }
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
@@ -0,0 +1,121 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.replication.ReplicationMessages.Heartbeat;
+
+/** Whom a process that is not the primary names to callers, and for how long after it was last heard. */
+class PrimaryKnowledgeTest {
+    private static final double FOUNDED_MS = 3_000;
+    /** How old the knowledge behind a redirection may be, and what it takes to travel. */
+    private static final double OLDEST_MS = 460;
+
+    private static final double LONG_CUT_MS = 20_000;
+
+    private final World world = new World(23, 1);
+    private Machine primary;
+    private List<Machine> backups;
+    private Heartbeat lastHeartbeat;
+
+    @BeforeEach
+    void found() {
+        world.tamper = (sender, message) -> {
+            if (message instanceof Heartbeat heartbeat) {
+                lastHeartbeat = heartbeat;
+            }
+            return message;
+        };
+        world.found(3);
+        world.runUntil(FOUNDED_MS);
+        primary = world.primary();
+        backups = world.machines.stream().filter(machine -> machine != primary).toList();
+    }
+
+    private void pass(double forMs) {
+        world.runUntil(world.nowMs() + forMs);
+    }
+
+    private void cutOff(Machine machine) {
+        for (Machine other : world.machines) {
+            world.cut(machine, other);
+            world.cut(other, machine);
+        }
+    }
+
+    @Test
+    void aPrimaryThatFellSilentIsNamedForHalfASecondAtMost() {
+        primary.freeze();
+        pass(OLDEST_MS);
+        for (Machine backup : backups) {
+            assertEquals(Optional.empty(), backup.named(), backup + " names a silent primary");
+        }
+    }
+
+    @Test
+    void whatOthersTellDoesNotGrowYoungerOnTheWay() {
+        world.cut(primary, backups.get(0));
+        pass(OLDEST_MS);
+        primary.freeze();
+        pass(OLDEST_MS);
+        assertNotEquals(Optional.of(primary.operatorApi), backups.get(0).named());
+    }
+
+    @Test
+    void aBackupThatOnlyMissesThePrimaryNamesItWhileOthersHearIt() {
+        world.cut(primary, backups.get(0));
+        pass(2 * OLDEST_MS);
+        assertEquals(Optional.of(primary.operatorApi), backups.get(0).named());
+    }
+
+    @Test
+    void aThawedBackupNamesNobodyBeforeItHasHeard() {
+        Machine frozen = backups.get(0);
+        frozen.freeze();
+        cutOff(frozen);
+        primary.kill();
+        pass(LONG_CUT_MS);
+        frozen.thaw();
+        assertEquals(Optional.empty(), frozen.named(), "what it knew is 20 s old");
+    }
+
+    @Test
+    void aPrimaryThatWasFrozenHoldsNoLeaseWhoeverAsksFirst() {
+        pass(FOUNDED_MS);
+        assertEquals(true, primary.node().leadingEpoch().isPresent());
+        primary.freeze();
+        pass(LONG_CUT_MS);
+        primary.node().advanceClock(world.nowMs());
+        assertEquals(Optional.empty(), primary.node().leadingEpoch(), "asked before anything that was held up");
+    }
+
+    @Test
+    void aLateHeartbeatOfWhoeverResignedChangesNothing() {
+        Machine backup = backups.get(0);
+        world.cut(backups.get(0), backups.get(1));
+        world.cut(backups.get(1), backups.get(0));
+        Heartbeat late = lastHeartbeat;
+        primary.leave();
+        pass(5);
+        backup.deliver(primary.address, late);
+        assertNotEquals(Optional.of(primary.operatorApi), backup.named());
+    }
+
+    @Test
+    void nobodyIsNamedOnceAnotherNumberWasPromised() {
+        Machine backup = backups.get(0);
+        cutOff(primary);
+        EpochNumber later = new EpochNumber(lastHeartbeat.number().counter() + 1, identity(backups.get(1)));
+        backup.deliver(backups.get(1).address, new ReplicationMessages.Prepare(later, true));
+        pass(20);
+        assertEquals(Optional.empty(), backup.named());
+    }
+
+    private static String identity(Machine machine) {
+        return machine.node().status(false).self().identity();
+    }
+}
