A leaver hands its place over before it ends; a lost place is vacant after 0.9 s

Change: a leaving member's place is free at once, and it stays in sync while a store that may succeed it is present, or shows up within 300 ms, or while no majority would be left; detached only by a record that stands; the hand-over may take the grace period less 3.5 s; states are sent on first contact. Ruled out: taking in a wiped store without the old majority (docs to follow).

--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -46,8 +46,13 @@
     /** How long a caller may take to send its body, milliseconds. */
     private static final long BODY_DEADLINE_MS = 5_000;
 
-    /** How long the hand-over to the other controllers may take when the process stops, milliseconds. */
-    private static final long HAND_OVER_MS = 1_500;
+    /** What of the grace period is left for the rest of a stop once the hand-over has ended, milliseconds. */
+    private static final long AFTER_HAND_OVER_MS = 3_500;
+
+    /** The hand-over gets this long however short the grace period is, milliseconds. */
+    private static final long SHORTEST_HAND_OVER_MS = 500;
+
+    private static final double MS_A_SECOND = 1_000;
 
     /** How long calls under way may take after that, milliseconds. */
     private static final long LAST_CALLS_MS = 1_000;
@@ -261,13 +266,22 @@
         if (api != null) {
             api.refuseNewCalls();
             onLoop(this::leaveReplication);
-            await(detached, HAND_OVER_MS);
+            await(detached, handOverMs());
             api.awaitCalls(LAST_CALLS_MS);
             onLoop(this::leaveFleet);
         }
         close();
     }
 
+    /**
+     * How long the hand-over to the other controllers may take. It ends as soon as they can do without this one; it
+     * lasts longer only while this process holds one of the last copies or a vote that they need.
+     */
+    private long handOverMs() {
+        long graceMs = (long) (settings.bounds().gracePeriodSeconds() * MS_A_SECOND);
+        return Math.max(SHORTEST_HAND_OVER_MS, graceMs - AFTER_HAND_OVER_MS);
+    }
+
     private void leaveReplication() {
         leaving = true;
         replication.leave(loop.nowMs());
--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -38,6 +38,7 @@
     private final Context context;
     private final Map<String, Answer> answers = new HashMap<>();
     private double heardMs = Double.NEGATIVE_INFINITY;
+    private double lastHeardMs;
     private double dueMs;
     private double lostPauseMs = CHANCE_MS;
     private double askedMs = Double.NEGATIVE_INFINITY;
@@ -57,6 +58,7 @@
     /** The primary showed itself. */
     void heard() {
         heardMs = context.activeMs();
+        lastHeardMs = heardMs;
         lostPauseMs = CHANCE_MS;
         answers.clear();
         postpone(TIME_OUT_MS);
@@ -81,6 +83,11 @@
                 dueMs, context.activeMs() + lostPauseMs * context.random().nextDouble());
     }
 
+    /** When the primary showed itself last, {@link ActiveClock#activeMs}. */
+    double lastHeardMs() {
+        return lastHeardMs;
+    }
+
     boolean hearsPrimary() {
         return context.activeMs() - heardMs < HEARD_MS;
     }
@@ -94,6 +101,11 @@
         return true;
     }
 
+    /** There is somebody new to ask. */
+    void askSoon() {
+        askedMs = Double.NEGATIVE_INFINITY;
+    }
+
     void onStatus(Status status) {
         double now = context.activeMs();
         answers.put(status.self().identity(), new Answer(status, now));
--- a/replication/src/main/java/pinewick/replication/EpochPlanner.java
+++ b/replication/src/main/java/pinewick/replication/EpochPlanner.java
@@ -12,7 +12,7 @@
 /** Builds the records that a ballot proposes, and tells a primary when it should propose one. */
 final class EpochPlanner {
     /** A member that has been silent for longer can be replaced by a store that asks to be taken in. */
-    private static final double REPLACEABLE_MS = 1_500;
+    private static final double REPLACEABLE_MS = 900;
 
     private final Context context;
 
@@ -26,7 +26,7 @@
         if (!highest.inSync().contains(self) || !highest.hasMember(self)) {
             return Optional.empty();
         }
-        return Optional.of(record(number, highest, highest.members(), promises));
+        return Optional.of(record(number, highest, highest.members(), promises, true));
     }
 
     /** Upon the primary's own record, which stands: members may be replaced too. */
@@ -41,21 +41,27 @@
         }
         EpochRecord standing = leadership.record();
         List<Member> members = planMembers(standing, promises, replicas);
-        return Optional.of(record(number, standing, members, promises));
+        return Optional.of(record(number, standing, members, promises, leadership.keepsLeaving()));
     }
 
     private EpochRecord record(
-            EpochNumber number, EpochRecord base, List<Member> members, Map<String, Promise> promises) {
+            EpochNumber number,
+            EpochRecord base,
+            List<Member> members,
+            Map<String, Promise> promises,
+            boolean keepsLeaving) {
         String self = context.durable().identity();
-        List<String> inSync = inSync(base, members, promises);
+        List<String> inSync = inSync(base, members, promises, keepsLeaving);
         return new EpochRecord(number, self, inSync, members, base.previousMembers());
     }
 
     /**
      * Whoever promised the number and was in sync, or holds exactly what this process holds. None of them can confirm
-     * a change of an earlier epoch any more, and each has every change that was acknowledged.
+     * a change of an earlier epoch any more, and each has every change that was acknowledged. Stores that are about to
+     * end are left out only where a primary that has begun finds that they can be done without.
      */
-    private List<String> inSync(EpochRecord base, List<Member> members, Map<String, Promise> promises) {
+    private List<String> inSync(
+            EpochRecord base, List<Member> members, Map<String, Promise> promises, boolean keepsLeaving) {
         String self = context.durable().identity();
         StateTag held = context.durable().state().tag();
         List<String> staying = new ArrayList<>(List.of(self));
@@ -69,7 +75,7 @@
                 (promise.leaving() ? leaving : staying).add(member.identity());
             }
         }
-        if (staying.size() < context.settings().fewestCopies()) {
+        if (keepsLeaving || staying.size() < context.settings().fewestCopies()) {
             staying.addAll(leaving);
         }
         return staying;
@@ -116,14 +122,12 @@
     }
 
     private static boolean isReplaceable(Replica replica, double now) {
-        double silentMs = replica.silentMs(now);
-        boolean gone = replica.leaving() && silentMs > 2 * Leadership.HEARTBEAT_MS;
-        return gone || silentMs > REPLACEABLE_MS;
+        return replica.leaving() || replica.silentMs(now) > REPLACEABLE_MS;
     }
 
     /** The stores to wait for in a new epoch that the primary should propose now, or empty if it should not. */
     Optional<Set<String>> wantedChange(Leadership leadership, Replicas replicas) {
-        Set<String> keep = leadership.responsive();
+        Set<String> keep = leadership.needed();
         int present = leadership.record().inSync().size();
         boolean disturbed = 1 + keep.size() < present;
         Set<String> admitted = admissible(leadership, replicas, disturbed);
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import pinewick.model.Message;
 import pinewick.replication.DurableState.Outcome;
 import pinewick.replication.DurableState.Step;
@@ -28,6 +29,9 @@
     /** An in-sync store that is silent, or lacks a state, for longer is to leave the set. */
     private static final double UNRESPONSIVE_MS = 600;
 
+    /** A store that asks to be taken in after a new primary has begun makes itself known within this time. */
+    private static final double SUCCESSOR_MS = 300;
+
     /** Without a quorum's confirmation for longer than this, the primary leads no more. */
     private static final double UNCONFIRMED_MS = 900;
 
@@ -216,14 +220,16 @@
             context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
         }
         noteConfirmedRound();
+        sendStates();
     }
 
     /** A process that hears no primary asks around: it hears of this one at once, and may be taken in later. */
     void onStatus(Status status) {
         Replica replica = replicas.learn(status.self());
         if (replica != null) {
-            replica.onStatus(status, number(), target);
+            replica.onStatus(status, number(), target, context.activeMs());
             context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
+            sendStates();
         }
     }
 
@@ -267,17 +273,55 @@
         return true;
     }
 
-    /** In-sync stores that answer and keep up. */
+    /** In-sync stores that answer, keep up and are not about to end. */
     Set<String> responsive() {
+        return inSyncWhere(replica -> keepsUp(replica) && !replica.leaving());
+    }
+
+    /** The same, and whoever is about to end while it still has to be waited for. */
+    Set<String> needed() {
+        return keepsLeaving() ? inSyncWhere(this::keepsUp) : responsive();
+    }
+
+    /**
+     * Whether stores that are about to end stay in sync: without them no majority of the members would be left, or a
+     * store that can take their place may be on its way.
+     */
+    boolean keepsLeaving() {
+        return !isMajorityLeft() || successorExpected();
+    }
+
+    private boolean successorExpected() {
+        double now = context.activeMs();
+        boolean justLeaving =
+                replicas.all().stream().anyMatch(replica -> replica.leaving() && replica.leavingMs(now) < SUCCESSOR_MS);
+        boolean present = replicas.all().stream()
+                .anyMatch(replica -> !record.hasMember(replica.identity()) && isAnswering(replica));
+        return justLeaving || present;
+    }
+
+    private Set<String> inSyncWhere(Predicate<Replica> condition) {
         Set<String> identities = new HashSet<>();
         replicas.among(record.inSync()).stream()
-                .filter(this::isResponsive)
+                .filter(condition)
                 .forEach(replica -> identities.add(replica.identity()));
         return identities;
     }
 
-    private boolean isResponsive(Replica replica) {
-        return isAnswering(replica) && replica.laggingMs(context.activeMs()) <= UNRESPONSIVE_MS;
+    private boolean keepsUp(Replica replica) {
+        double now = context.activeMs();
+        return replica.diskReady()
+                && replica.silentMs(now) <= UNRESPONSIVE_MS
+                && replica.laggingMs(now) <= UNRESPONSIVE_MS;
+    }
+
+    private boolean isMajorityLeft() {
+        List<Member> members = record.members();
+        long others = members.stream()
+                .map(member -> replicas.get(member.identity()))
+                .filter(replica -> replica != null && isAnswering(replica))
+                .count();
+        return 2 * (1 + others) > members.size();
     }
 
     /** Whether a store was heard lately, with a disk that works, and is not about to end. */
--- a/replication/src/main/java/pinewick/replication/Peers.java
+++ b/replication/src/main/java/pinewick/replication/Peers.java
@@ -46,6 +46,15 @@
         }
     }
 
+    /** Another process names a member; returns whether it was not known. */
+    boolean learnMember(Member member) {
+        boolean unknown = !member.address().equals(self) && !learnt.containsKey(member.identity());
+        if (unknown) {
+            learnt.put(member.identity(), member.address());
+        }
+        return unknown;
+    }
+
     /** Where a store was heard of last. */
     SocketAddress addressOf(Member member) {
         return learnt.getOrDefault(member.identity(), member.address());
--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -20,6 +20,7 @@
     private EpochNumber accepted = EpochNumber.NONE;
     private boolean settled;
     private boolean leaving;
+    private double leavingSinceMs;
     private boolean diskReady = true;
     private long confirmedRound;
     private double heardMs;
@@ -52,6 +53,18 @@
         return leaving;
     }
 
+    /** For how long it has been about to end. */
+    double leavingMs(double nowMs) {
+        return nowMs - leavingSinceMs;
+    }
+
+    private void noteLeaving(boolean now, double nowMs) {
+        if (now && !leaving) {
+            leavingSinceMs = nowMs;
+        }
+        leaving = now;
+    }
+
     long confirmedRound() {
         return confirmedRound;
     }
@@ -65,11 +78,21 @@
         return accepted.equals(number) && settled;
     }
 
+    /** Whether its disk did what was asked of it lately. */
+    boolean diskReady() {
+        return diskReady;
+    }
+
     /** Whether nothing speaks against its being in sync. */
     boolean healthy() {
         return diskReady && !leaving;
     }
 
+    /** A primary that begins knows of it only since then, or since the time given. */
+    void heardLast(double atMs) {
+        heardMs = atMs;
+    }
+
     /** How long it has lacked the target state. */
     double laggingMs(double nowMs) {
         return Double.isNaN(laggingSinceMs) ? 0 : nowMs - laggingSinceMs;
@@ -102,11 +125,12 @@
         heardMs = nowMs;
         promised = promise.number();
         tag = promise.tag();
-        leaving = promise.leaving();
+        noteLeaving(promise.leaving(), nowMs);
         diskReady = true;
     }
 
-    void onStatus(Status status, EpochNumber number, StateTag target) {
+    void onStatus(Status status, EpochNumber number, StateTag target, double nowMs) {
+        heardMs = nowMs;
         promised = status.promised();
         learnTag(status.tag(), number, target);
     }
@@ -116,7 +140,7 @@
         promised = reply.promised();
         accepted = reply.accepted();
         settled = reply.settled();
-        leaving = reply.leaving();
+        noteLeaving(reply.leaving(), nowMs);
         diskReady = reply.diskReady();
         if (reply.number().equals(number) && reply.promised().equals(number)) {
             confirmedRound = Math.max(confirmedRound, reply.round());
--- a/replication/src/main/java/pinewick/replication/ReplicationMessages.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationMessages.java
@@ -177,8 +177,9 @@
      *
      * @param number its epoch
      * @param successor identity of the one that is to follow at once, or empty
+     * @param leaving whether it resigns because its process is about to end; else it is in trouble
      */
-    public record Resign(EpochNumber number, String successor) implements Message {}
+    public record Resign(EpochNumber number, String successor, boolean leaving) implements Message {}
 
     /** Every class that the codec must know, in an order that never changes. */
     public static List<Class<?>> types() {
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -116,6 +116,7 @@
         context.listener()
                 .noted("store " + durable.identity() + " holds "
                         + durable.state().tag());
+        askAround();
         advance();
     }
 
@@ -134,14 +135,19 @@
         durable.onTick();
         ballot.ifPresent(Ballot::onTick);
         leadership.ifPresent(Leadership::onTick);
-        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
-            peers.send(peers.everywhere(durable.accepted()), status(true));
-        }
+        askAround();
         changes.expire(nowMs);
         reads.expire(nowMs);
         advance();
     }
 
+    /** While no primary is heard, asks the others what they know. */
+    private void askAround() {
+        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
+            peers.send(peers.everywhere(durable.accepted()), status(true));
+        }
+    }
+
     /** Handles a message if it is of replication; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         clock.advance(nowMs);
@@ -228,12 +234,22 @@
         } else {
             knownPrimary.told(status.primary());
         }
+        learnMembers(status.accepted());
         if (status.answerWanted()) {
             peers.send(sender, status(false));
             leadership.ifPresent(leading -> leading.onStatus(status));
         }
     }
 
+    /** A store whose seeds are all gone finds the primary through any controller that it reaches. */
+    private void learnMembers(EpochRecord record) {
+        long unknown = record.members().stream().filter(peers::learnMember).count();
+        if (unknown > 0) {
+            election.askSoon();
+            askAround();
+        }
+    }
+
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
         if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
             knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
@@ -289,7 +305,7 @@
         knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
         if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
-            stand(true);
+            stand(true, resign.leaving());
         }
     }
 
@@ -318,7 +334,7 @@
         if (leadership.isPresent()) {
             lead(leadership.get());
         } else if (ballot.isEmpty() && mayStand() && election.isDue()) {
-            stand(false);
+            stand(false, false);
         }
     }
 
@@ -326,10 +342,15 @@
         return !leaving && durable.ready() && durable.identityStored();
     }
 
-    private void stand(boolean handedOver) {
+    /**
+     * @param handedOver whether the former primary asked for it
+     * @param formerPromises whether the former primary too is likely to promise
+     */
+    private void stand(boolean handedOver, boolean formerPromises) {
         long counter = Math.max(election.nextCounter(), counterToBeat + 1);
+        String former = durable.accepted().primary();
         Set<String> wanted = Set.copyOf(durable.accepted().inSync().stream()
-                .filter(identity -> !identity.equals(durable.accepted().primary()))
+                .filter(identity -> formerPromises || !identity.equals(former))
                 .toList());
         startBallot(new Ballot(
                 context, new EpochNumber(counter, durable.identity()), handedOver, planner::planElection, wanted));
@@ -362,6 +383,7 @@
     private void begin(Ballot won) {
         boolean sameHolder = leadership.isPresent();
         if (!sameHolder) {
+            countSilenceFromNow(won);
             leaseFromMs = clock.steadyMs() + Leadership.LEASE_VALID_MS + settings.leaseMs() + LEASE_MARGIN_MS;
         }
         won.promises().values().forEach(promise -> {
@@ -380,6 +402,19 @@
         begun.begin();
     }
 
+    /** Of the members only the former primary was listened for until now. */
+    private void countSilenceFromNow(Ballot won) {
+        String formerPrimary =
+                lastHeartbeat == null ? "" : lastHeartbeat.number().proposer();
+        for (Member member : won.proposal().members()) {
+            Replica replica = replicas.learn(member);
+            if (replica != null) {
+                boolean former = member.identity().equals(formerPrimary);
+                replica.heardLast(former ? election.lastHeardMs() : clock.activeMs());
+            }
+        }
+    }
+
     private void lead(Leadership leading) {
         if (leading.lost()) {
             resign(leading);
@@ -425,7 +460,7 @@
                 .or(() -> others.stream().findFirst())
                 .map(Replica::identity)
                 .orElse("");
-        Resign message = new Resign(leading.number(), successor);
+        Resign message = new Resign(leading.number(), successor, leaving);
         peers.send(peers.everywhere(leading.record()), message);
         stepDown("resigned in favour of '" + successor + "'", AFTER_TROUBLE_MS);
     }
@@ -475,7 +510,14 @@
 
     /** After {@link #leave}: whether the others can do without this process by now. */
     public boolean detached() {
-        return leadership.isEmpty() && !durable.accepted().inSync().contains(durable.identity());
+        EpochRecord accepted = durable.accepted();
+        boolean outside = !accepted.inSync().contains(durable.identity());
+        return leadership.isEmpty() && outside && (isKnownToStand(accepted) || !accepted.hasMember(durable.identity()));
+    }
+
+    /** Only the primary of a record that stands sends heartbeats under its number. */
+    private boolean isKnownToStand(EpochRecord record) {
+        return lastHeartbeat != null && lastHeartbeat.number().equals(record.number());
     }
 
     @Override
