Every answer among controllers carries the number of its question; late ones count nothing

Cause, by review: promises, acceptances, states and statuses were matched by epoch or not at all, so an answer to a question of an earlier life, or one overtaken by a later, could count (a promise under a number that both lives asked for; a status as a present voter; an old heartbeat reply that took a leaving flag back). Protocol version 2. A store that learnt that a record stands says so at once, not at the next heartbeat.

--- a/replication/src/main/java/pinewick/replication/Ballot.java
+++ b/replication/src/main/java/pinewick/replication/Ballot.java
@@ -54,6 +54,8 @@
     private Phase phase = Phase.PROMISING;
     private double phaseSinceMs;
     private double lastSentMs;
+    private RequestId prepareRequest = RequestId.NONE;
+    private RequestId acceptRequest = RequestId.NONE;
     private EpochRecord proposal;
     private EpochNumber highestRefusal = EpochNumber.NONE;
 
@@ -95,6 +97,7 @@
 
     void start() {
         phaseSinceMs = context.activeMs();
+        prepareRequest = context.requests().next();
         DurableState durable = context.durable();
         durable.submit(
                 () -> number.counter() > durable.promised().counter()
@@ -119,7 +122,9 @@
     }
 
     void onPromise(Promise promise) {
-        if (phase == Phase.PROMISING && promise.number().equals(number)) {
+        if (phase == Phase.PROMISING
+                && promise.request().equals(prepareRequest)
+                && promise.number().equals(number)) {
             Promise before = promises.put(promise.self().identity(), promise);
             if (before == null) {
                 proposeIfReady();
@@ -128,7 +133,9 @@
     }
 
     void onAccepted(Accepted accepted) {
-        if (phase == Phase.ACCEPTING && accepted.number().equals(number)) {
+        if (phase == Phase.ACCEPTING
+                && accepted.request().equals(acceptRequest)
+                && accepted.number().equals(number)) {
             acceptors.add(accepted.identity());
             if (proposal.hasQuorum(acceptors)) {
                 phase = Phase.WON;
@@ -137,7 +144,9 @@
     }
 
     void onRefusal(Refusal refusal) {
-        if (refusal.number().equals(number) && refusal.promised().counter() >= number.counter()) {
+        boolean asked =
+                refusal.request().equals(prepareRequest) || refusal.request().equals(acceptRequest);
+        if (asked && refusal.number().equals(number) && refusal.promised().counter() >= number.counter()) {
             if (refusal.promised().isAfter(highestRefusal)) {
                 highestRefusal = refusal.promised();
             }
@@ -151,7 +160,12 @@
         if (outcome == Outcome.WRITTEN) {
             DurableState durable = context.durable();
             onPromise(new Promise(
-                    number, context.self(), durable.accepted(), durable.state().tag(), false));
+                    prepareRequest,
+                    number,
+                    context.self(),
+                    durable.accepted(),
+                    durable.state().tag(),
+                    false));
         } else {
             phase = Phase.LOST;
         }
@@ -173,6 +187,7 @@
         proposal = planned.get();
         phase = Phase.ACCEPTING;
         phaseSinceMs = context.activeMs();
+        acceptRequest = context.requests().next();
         acceptHere();
         sendAccept();
     }
@@ -202,7 +217,7 @@
                         : Optional.empty(),
                 outcome -> {
                     if (outcome == Outcome.WRITTEN) {
-                        onAccepted(new Accepted(number, durable.identity()));
+                        onAccepted(new Accepted(acceptRequest, number, durable.identity()));
                     } else if (phase == Phase.ACCEPTING) {
                         phase = Phase.LOST;
                     }
@@ -223,11 +238,14 @@
         context.peers()
                 .send(
                         context.peers().everywhere(context.durable().accepted(), highest),
-                        new Prepare(number, handedOver));
+                        new Prepare(prepareRequest, number, handedOver));
     }
 
     private void sendAccept() {
         lastSentMs = context.activeMs();
-        context.peers().send(context.peers().everywhere(context.durable().accepted(), proposal), new Accept(proposal));
+        context.peers()
+                .send(
+                        context.peers().everywhere(context.durable().accepted(), proposal),
+                        new Accept(acceptRequest, proposal));
     }
 }
--- a/replication/src/main/java/pinewick/replication/Context.java
+++ b/replication/src/main/java/pinewick/replication/Context.java
@@ -8,6 +8,7 @@
         ActiveClock clock,
         DurableState durable,
         Peers peers,
+        Requests requests,
         RandomGenerator random,
         ReplicationListener listener) {
     Member self() {
--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -1,9 +1,12 @@
 package pinewick.replication;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import pinewick.replication.ReplicationMessages.Status;
 
@@ -35,8 +38,11 @@
 
     private record Answer(Status status, double atMs) {}
 
+    private record Question(RequestId request, double atMs) {}
+
     private final Context context;
     private final Map<String, Answer> answers = new HashMap<>();
+    private final Deque<Question> questions = new ArrayDeque<>();
     private double heardMs = Double.NEGATIVE_INFINITY;
     private double lastHeardMs;
     private double dueMs;
@@ -92,13 +98,23 @@
         return context.activeMs() - heardMs < HEARD_MS;
     }
 
-    /** Whether the others are to be asked now what they know. */
-    boolean asksNow() {
-        if (hearsPrimary() || context.activeMs() - askedMs < ASK_MS) {
-            return false;
+    /** The question under which the others are to be asked now what they know, if they are. */
+    Optional<RequestId> question() {
+        double now = context.activeMs();
+        if (hearsPrimary() || now - askedMs < ASK_MS) {
+            return Optional.empty();
         }
-        askedMs = context.activeMs();
-        return true;
+        askedMs = now;
+        RequestId request = context.requests().next();
+        questions.add(new Question(request, now));
+        return Optional.of(request);
+    }
+
+    /** Whether a status answers a question that was asked lately. */
+    boolean isAnswer(Status status) {
+        questions.removeIf(question -> context.activeMs() - question.atMs > FRESH_MS);
+        return !status.answerWanted()
+                && questions.stream().anyMatch(question -> question.request.equals(status.request()));
     }
 
     /** There is somebody new to ask. */
@@ -106,12 +122,16 @@
         askedMs = Double.NEGATIVE_INFINITY;
     }
 
-    void onStatus(Status status) {
-        double now = context.activeMs();
-        answers.put(status.self().identity(), new Answer(status, now));
-        if (isDenial(status) && hearsPrimary()) {
+    /** What another process knows, in answer to a question of this one. */
+    void onAnswer(Status status) {
+        answers.put(status.self().identity(), new Answer(status, context.activeMs()));
+    }
+
+    /** The primary says itself that it does not lead. */
+    void onDenial() {
+        if (hearsPrimary()) {
             heardMs = Double.NEGATIVE_INFINITY;
-            dueMs = Math.min(dueMs, now + RETRY_MS);
+            dueMs = Math.min(dueMs, context.activeMs() + RETRY_MS);
         }
     }
 
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -52,12 +52,13 @@
     private final EpochRecord record;
     private final Replicas replicas;
     private final StateTag baseTag;
+    private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
     private StateTag target;
     private Optional<Pending> pending = Optional.empty();
     private boolean begun;
     private boolean diskFailed;
-    private long round;
+    private RequestId round = RequestId.NONE;
     private long confirmedRound;
     private double confirmedActiveMs;
     private double changingSinceMs;
@@ -65,13 +66,15 @@
     private double lastHeartbeatMs = Double.NEGATIVE_INFINITY;
     private ConfigurationState committed = ConfigurationState.NONE;
     private StateTag installTag;
-    private Install install;
+    private byte[] document;
+    private byte[] changes;
 
     /** @param record a record that stands, with this process as primary */
     Leadership(Context context, EpochRecord record, Replicas replicas) {
         this.context = context;
         this.record = record.settled();
         this.replicas = replicas;
+        this.lastSequenceBefore = context.requests().newest();
         this.baseTag = context.durable().state().tag();
         this.target = new StateTag(record.number().counter(), 0);
         this.confirmedActiveMs = context.activeMs();
@@ -193,24 +196,29 @@
 
     /** Sends a heartbeat at once; returns its round. */
     long heartbeat() {
-        round++;
+        round = context.requests().next();
         lastHeartbeatMs = context.activeMs();
-        rounds.add(new Round(round, context.clock().steadyMs()));
+        rounds.add(new Round(round.sequence(), context.clock().steadyMs()));
         if (rounds.size() > ROUNDS_KEPT) {
             rounds.remove();
         }
         broadcast(heartbeatMessage());
         noteConfirmedRound();
-        return round;
+        return round.sequence();
     }
 
     private Heartbeat heartbeatMessage() {
         return new Heartbeat(
-                number(), round, committed.tag(), context.settings().operatorApi());
+                round, number(), committed.tag(), context.settings().operatorApi());
+    }
+
+    /** Whether an answer belongs to a question that this primary asked in this epoch and this life. */
+    private boolean isMine(RequestId request) {
+        return context.requests().isAskedAfter(request, lastSequenceBefore);
     }
 
     void onHeartbeatReply(HeartbeatReply reply) {
-        Replica replica = replicas.learn(reply.self());
+        Replica replica = isMine(reply.request()) ? replicas.learn(reply.self()) : null;
         if (replica == null) {
             return;
         }
@@ -235,7 +243,7 @@
 
     void onStateReply(StateReply reply) {
         Replica replica = replicas.get(reply.identity());
-        if (replica != null) {
+        if (replica != null && isMine(reply.request())) {
             replica.onStateReply(reply, number(), target, context.activeMs());
         }
     }
@@ -244,7 +252,7 @@
         if (!honoured()) {
             return;
         }
-        long newest = replicas.confirmedRound(record, round);
+        long newest = replicas.confirmedRound(record, round.sequence());
         if (newest <= confirmedRound) {
             return;
         }
@@ -361,20 +369,20 @@
     private Message stateFor(Replica replica) {
         if (pending.isPresent() && replica.tag().next().equals(target)) {
             Pending change = pending.get();
-            return new Replicate(number(), change.tag, change.delta, change.key);
+            return new Replicate(context.requests().next(), number(), change.tag, change.delta, change.key);
         }
         boolean atStart = target.sequence() == 0;
         if (atStart && replica.tag().equals(baseTag)) {
-            return new Retag(number(), baseTag, target);
+            return new Retag(context.requests().next(), number(), baseTag, target);
         }
         ConfigurationState state = context.durable().state();
         StateTag tag = atStart ? target : state.tag();
         if (!tag.equals(installTag)) {
             installTag = tag;
-            install = new Install(
-                    number(), tag, state.documentBytes(), state.changes().toBytes());
+            document = state.documentBytes();
+            changes = state.changes().toBytes();
         }
-        return install;
+        return new Install(context.requests().next(), number(), tag, document, changes);
     }
 
     private void broadcast(Message message) {
--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -23,6 +23,7 @@
     private double leavingSinceMs;
     private boolean diskReady = true;
     private long confirmedRound;
+    private long newestAnswered;
     private double heardMs;
     private double laggingSinceMs = Double.NaN;
     private double sentMs = Double.NEGATIVE_INFINITY;
@@ -135,15 +136,22 @@
         learnTag(status.tag(), number, target);
     }
 
+    /** An answer that a later one has overtaken tells nothing. */
     void onHeartbeatReply(HeartbeatReply reply, EpochNumber number, StateTag target, double nowMs) {
+        long round = reply.request().sequence();
+        if (round < newestAnswered) {
+            return;
+        }
+        boolean leavingBefore = round == newestAnswered && leaving;
+        newestAnswered = round;
         heardMs = nowMs;
         promised = reply.promised();
         accepted = reply.accepted();
         settled = reply.settled();
-        noteLeaving(reply.leaving(), nowMs);
+        noteLeaving(reply.leaving() || leavingBefore, nowMs);
         diskReady = reply.diskReady();
         if (reply.number().equals(number) && reply.promised().equals(number)) {
-            confirmedRound = Math.max(confirmedRound, reply.round());
+            confirmedRound = Math.max(confirmedRound, round);
         }
         learnTag(reply.tag(), number, target);
     }
--- a/replication/src/main/java/pinewick/replication/ReplicationMessages.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationMessages.java
@@ -4,7 +4,10 @@
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
 
-/** Messages among the controllers. Each can come twice, late, or not at all. */
+/**
+ * Messages among the controllers. Each can come twice, late, or not at all. A question carries a {@link RequestId}; its
+ * answer carries the same one.
+ */
 public final class ReplicationMessages {
     private ReplicationMessages() {}
 
@@ -26,6 +29,7 @@
     /**
      * What a process knows, sent by one that hears no primary, and in answer to it.
      *
+     * @param request the question, also in its answer
      * @param self store of the sender
      * @param promised the highest epoch number it promised
      * @param accepted the newest epoch record it accepted
@@ -36,6 +40,7 @@
      * @param answerWanted whether the receiver is to answer with its own status
      */
     public record Status(
+            RequestId request,
             Member self,
             EpochNumber promised,
             EpochRecord accepted,
@@ -49,37 +54,42 @@
     /**
      * Asks a witness to promise a number.
      *
+     * @param request the question
      * @param number the number
      * @param handedOver whether the primary itself asked for this, so that its being heard is no hindrance
      */
-    public record Prepare(EpochNumber number, boolean handedOver) implements Message {}
+    public record Prepare(RequestId request, EpochNumber number, boolean handedOver) implements Message {}
 
     /**
      * A witness has promised a number, on disk.
      *
+     * @param request from the question
      * @param number the number
      * @param self store of the sender
      * @param accepted the newest epoch record it accepted
      * @param tag the state it holds
      * @param leaving whether its process is about to end
      */
-    public record Promise(EpochNumber number, Member self, EpochRecord accepted, StateTag tag, boolean leaving)
+    public record Promise(
+            RequestId request, EpochNumber number, Member self, EpochRecord accepted, StateTag tag, boolean leaving)
             implements Message {}
 
     /** Asks a witness to accept a record. */
-    public record Accept(EpochRecord record) implements Message {}
+    public record Accept(RequestId request, EpochRecord record) implements Message {}
 
     /** A witness has accepted a record, on disk. */
-    public record Accepted(EpochNumber number, String identity) implements Message {}
+    public record Accepted(RequestId request, EpochNumber number, String identity) implements Message {}
 
     /**
      * A witness promises or accepts nothing under a number.
      *
+     * @param request from the question
      * @param number the number
      * @param identity store of the sender
      * @param promised what it has promised already
      */
-    public record Refusal(EpochNumber number, String identity, EpochNumber promised) implements Message {}
+    public record Refusal(RequestId request, EpochNumber number, String identity, EpochNumber promised)
+            implements Message {}
 
     /** A record stands: a quorum has accepted it. */
     public record Established(EpochRecord record) implements Message {}
@@ -87,19 +97,19 @@
     /**
      * A primary tells that it leads, and asks whether its epoch is still honoured.
      *
+     * @param request the question; its sequence number is the round
      * @param number number of its epoch
-     * @param round rises with each sending
      * @param committed the newest state that is committed, {@link StateTag#NONE} before the epoch has begun
      * @param operatorApi where it serves the operator
      */
-    public record Heartbeat(EpochNumber number, long round, StateTag committed, SocketAddress operatorApi)
+    public record Heartbeat(RequestId request, EpochNumber number, StateTag committed, SocketAddress operatorApi)
             implements Message {}
 
     /**
      * Answers a heartbeat.
      *
+     * @param request from the heartbeat
      * @param number from the heartbeat
-     * @param round from the heartbeat
      * @param self store of the sender
      * @param promised the highest epoch number it promised
      * @param accepted number of the newest epoch record it accepted
@@ -109,8 +119,8 @@
      * @param diskReady whether its disk did what was asked of it lately
      */
     public record HeartbeatReply(
+            RequestId request,
             EpochNumber number,
-            long round,
             Member self,
             EpochNumber promised,
             EpochNumber accepted,
@@ -123,31 +133,36 @@
     /**
      * The state that the receiver holds under one tag is to go under another.
      *
+     * @param request the question
      * @param number epoch of the sender, its primary
      * @param base the tag it goes under
      * @param tag the tag it goes under from now on
      */
-    public record Retag(EpochNumber number, StateTag base, StateTag tag) implements Message {}
+    public record Retag(RequestId request, EpochNumber number, StateTag base, StateTag tag) implements Message {}
 
     /**
      * A whole state.
      *
+     * @param request the question
      * @param number epoch of the sender, its primary
      * @param tag names the state
      * @param document the configuration as a delta from the empty one
      * @param changes keys of the changes accepted lately
      */
-    public record Install(EpochNumber number, StateTag tag, byte[] document, byte[] changes) implements Message {}
+    public record Install(RequestId request, EpochNumber number, StateTag tag, byte[] document, byte[] changes)
+            implements Message {}
 
     /**
      * One change; applies to the state before {@code tag}.
      *
+     * @param request the question
      * @param number epoch of the sender, its primary
      * @param tag names the state after the change
      * @param delta the difference
      * @param key by what the change is known again
      */
-    public record Replicate(EpochNumber number, StateTag tag, byte[] delta, ChangeKey key) implements Message {}
+    public record Replicate(RequestId request, EpochNumber number, StateTag tag, byte[] delta, ChangeKey key)
+            implements Message {}
 
     /** What became of a state that was sent. */
     public enum StateResult {
@@ -162,6 +177,7 @@
     /**
      * Answers a state.
      *
+     * @param request from the state
      * @param number epoch under which it was sent
      * @param identity store of the sender
      * @param result what became of it
@@ -169,7 +185,12 @@
      * @param held the state that the sender holds now
      */
     public record StateReply(
-            EpochNumber number, String identity, StateResult result, EpochNumber promised, StateTag held)
+            RequestId request,
+            EpochNumber number,
+            String identity,
+            StateResult result,
+            EpochNumber promised,
+            StateTag held)
             implements Message {}
 
     /**
@@ -208,6 +229,7 @@
                 Replicate.class,
                 StateReply.class,
                 Resign.class,
-                PrimarySighting.class);
+                PrimarySighting.class,
+                RequestId.class);
     }
 }
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -92,7 +92,7 @@
         this.settings = settings;
         this.peers = new Peers(settings.address(), settings.seeds(), outbox);
         this.durable = new DurableState(store, clock, this::advance);
-        this.context = new Context(settings, clock, durable, peers, random, listener);
+        this.context = new Context(settings, clock, durable, peers, new Requests(random), random, listener);
         this.startup = new Startup(context, store, this::takePart);
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
@@ -143,8 +143,9 @@
 
     /** While no primary is heard, asks the others what they know. */
     private void askAround() {
-        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
-            peers.send(peers.everywhere(durable.accepted()), status(true));
+        if (leadership.isEmpty() && ballot.isEmpty()) {
+            election.question()
+                    .ifPresent(request -> peers.send(peers.everywhere(durable.accepted()), status(request, true)));
         }
     }
 
@@ -174,7 +175,7 @@
             witness.onAccept(sender, accept);
         } else if (message instanceof Established established) {
             heardOf(established.record().number());
-            witness.onEstablished(established);
+            witness.onEstablished(established, this::answerAgain);
         } else if (message instanceof Status status) {
             onStatus(sender, status);
         } else {
@@ -228,15 +229,17 @@
 
     private void onStatus(SocketAddress sender, Status status) {
         peers.learn(status.self().identity(), sender);
-        election.onStatus(status);
         if (election.isDenial(status)) {
+            election.onDenial();
             knownPrimary.denied();
-        } else {
+        }
+        if (election.isAnswer(status)) {
+            election.onAnswer(status);
             knownPrimary.told(status.primary());
+            learnMembers(status.accepted());
         }
-        learnMembers(status.accepted());
         if (status.answerWanted()) {
-            peers.send(sender, status(false));
+            peers.send(sender, status(status.request(), false));
             leadership.ifPresent(leading -> leading.onStatus(status));
         }
     }
@@ -277,8 +280,8 @@
 
     private HeartbeatReply heartbeatReply(Heartbeat heartbeat) {
         return new HeartbeatReply(
+                heartbeat.request(),
                 heartbeat.number(),
-                heartbeat.round(),
                 context.self(),
                 durable.promised(),
                 durable.accepted().number(),
@@ -288,6 +291,13 @@
                 durable.ready());
     }
 
+    /** What the last heartbeat was told has changed: the primary need not wait for its next one. */
+    private void answerAgain() {
+        if (leadership.isEmpty() && lastHeartbeat != null) {
+            peers.send(primaryAddress, heartbeatReply(lastHeartbeat));
+        }
+    }
+
     private void onHeartbeatReply(HeartbeatReply reply) {
         if (leadership.isEmpty()) {
             return;
@@ -480,9 +490,15 @@
         return leadership.map(Leadership::confirmedLately).orElseGet(election::hearsPrimary);
     }
 
+    /** What this process knows, in answer to nothing. */
     Status status(boolean answerWanted) {
+        return status(RequestId.NONE, answerWanted);
+    }
+
+    private Status status(RequestId request, boolean answerWanted) {
         boolean leading = leadership.map(Leadership::confirmedLately).orElse(false);
         return new Status(
+                request,
                 context.self(),
                 durable.promised(),
                 durable.accepted(),
@@ -502,9 +518,7 @@
         clock.advance(nowMs);
         leaving = true;
         leavingSinceMs = clock.activeMs();
-        if (leadership.isEmpty() && lastHeartbeat != null) {
-            peers.send(primaryAddress, heartbeatReply(lastHeartbeat));
-        }
+        answerAgain();
         advance();
     }
 
--- a/replication/src/main/java/pinewick/replication/StateReceiver.java
+++ b/replication/src/main/java/pinewick/replication/StateReceiver.java
@@ -21,9 +21,7 @@
 
     void onRetag(SocketAddress sender, Retag message) {
         receive(
-                sender,
-                message.number(),
-                message.tag(),
+                new Delivery(sender, message.request(), message.number(), message.tag()),
                 held -> held.tag().equals(message.base())
                         ? Optional.of(new Received(held.withTag(message.tag()), Optional.empty()))
                         : Optional.empty());
@@ -31,16 +29,15 @@
 
     void onInstall(SocketAddress sender, Install message) {
         receive(
-                sender,
-                message.number(),
-                message.tag(),
+                new Delivery(sender, message.request(), message.number(), message.tag()),
                 held -> Optional.of(new Received(
                         ConfigurationState.fromBytes(message.tag(), message.document(), message.changes()),
                         Optional.empty())));
     }
 
     void onReplicate(SocketAddress sender, Replicate message) {
-        receive(sender, message.number(), message.tag(), held -> {
+        Delivery delivery = new Delivery(sender, message.request(), message.number(), message.tag());
+        receive(delivery, held -> {
             if (!held.tag().next().equals(message.tag())) {
                 return Optional.empty();
             }
@@ -50,35 +47,36 @@
         });
     }
 
+    /** By which question a state came, and what it claims to be. */
+    private record Delivery(SocketAddress sender, RequestId request, EpochNumber number, StateTag tag) {}
+
     private record Received(ConfigurationState state, Optional<StoredChange> change) {}
 
-    private void receive(
-            SocketAddress sender,
-            EpochNumber number,
-            StateTag tag,
-            Function<ConfigurationState, Optional<Received>> change) {
+    private void receive(Delivery delivery, Function<ConfigurationState, Optional<Received>> change) {
         DurableState durable = context.durable();
+        EpochNumber number = delivery.number;
         durable.submit(
                 () -> {
-                    if (!honours(number) || holds(tag)) {
+                    if (!honours(number) || holds(delivery.tag)) {
                         return Optional.empty();
                     }
                     return change.apply(durable.state())
                             .map(received -> new Step(number, durable.accepted(), received.state, received.change));
                 },
-                outcome -> context.peers().send(sender, reply(number, tag, outcome)));
+                outcome -> context.peers().send(delivery.sender, reply(delivery, outcome)));
     }
 
-    private StateReply reply(EpochNumber number, StateTag tag, Outcome outcome) {
+    private StateReply reply(Delivery delivery, Outcome outcome) {
         DurableState durable = context.durable();
         StateResult result = StateResult.MISFIT;
         if (outcome == Outcome.FAILED) {
             result = StateResult.DISK_FAILED;
-        } else if (honours(number) && holds(tag)) {
+        } else if (honours(delivery.number) && holds(delivery.tag)) {
             result = StateResult.HELD;
         }
         return new StateReply(
-                number,
+                delivery.request,
+                delivery.number,
                 durable.identity(),
                 result,
                 durable.promised(),
--- a/replication/src/main/java/pinewick/replication/Witness.java
+++ b/replication/src/main/java/pinewick/replication/Witness.java
@@ -35,24 +35,30 @@
         EpochNumber number = prepare.number();
         boolean fromPrimary = number.proposer().equals(durable.accepted().primary());
         if (hearsPrimary.getAsBoolean() && !prepare.handedOver() && !fromPrimary) {
-            refuse(sender, number);
+            refuse(sender, prepare.request(), number);
             return;
         }
         durable.submit(
                 () -> number.counter() > durable.promised().counter()
                         ? Optional.of(durable.promising(number))
                         : Optional.empty(),
-                outcome -> answerPrepare(sender, number, outcome));
+                outcome -> answerPrepare(sender, prepare, outcome));
     }
 
-    private void answerPrepare(SocketAddress sender, EpochNumber number, Outcome outcome) {
+    private void answerPrepare(SocketAddress sender, Prepare prepare, Outcome outcome) {
+        EpochNumber number = prepare.number();
         DurableState durable = context.durable();
         if (outcome != Outcome.FAILED && durable.promised().equals(number)) {
             Promise promise = new Promise(
-                    number, context.self(), durable.accepted(), durable.state().tag(), leaving.getAsBoolean());
+                    prepare.request(),
+                    number,
+                    context.self(),
+                    durable.accepted(),
+                    durable.state().tag(),
+                    leaving.getAsBoolean());
             context.peers().send(sender, promise);
         } else {
-            refuse(sender, number);
+            refuse(sender, prepare.request(), number);
         }
     }
 
@@ -60,7 +66,7 @@
     void onAccept(SocketAddress sender, Accept accept) {
         DurableState durable = context.durable();
         EpochRecord record = accept.record();
-        durable.submit(() -> accept(record), outcome -> answerAccept(sender, record.number()));
+        durable.submit(() -> accept(record), outcome -> answerAccept(sender, accept.request(), record.number()));
     }
 
     private Optional<Step> accept(EpochRecord record) {
@@ -74,24 +80,33 @@
         return Optional.of(new Step(record.number(), record, durable.state(), Optional.empty()));
     }
 
-    private void answerAccept(SocketAddress sender, EpochNumber number) {
+    private void answerAccept(SocketAddress sender, RequestId request, EpochNumber number) {
         DurableState durable = context.durable();
         if (durable.accepted().number().equals(number)) {
-            context.peers().send(sender, new Accepted(number, durable.identity()));
+            context.peers().send(sender, new Accepted(request, number, durable.identity()));
         } else {
-            refuse(sender, number);
+            refuse(sender, request, number);
         }
     }
 
-    /** A record that stands is taken over where nothing higher was promised. */
-    void onEstablished(Established established) {
+    /**
+     * A record that stands is taken over where nothing higher was promised.
+     *
+     * @param learnt run once it is on disk, unless it was there before
+     */
+    void onEstablished(Established established, Runnable learnt) {
         EpochRecord record = established.record().settled();
         if (learning.equals(record.number())) {
             return;
         }
         DurableState durable = context.durable();
         learning = record.number();
-        durable.submit(() -> learn(record), outcome -> learning = EpochNumber.NONE);
+        durable.submit(() -> learn(record), outcome -> {
+            learning = EpochNumber.NONE;
+            if (outcome == Outcome.WRITTEN) {
+                learnt.run();
+            }
+        });
     }
 
     private Optional<Step> learn(EpochRecord record) {
@@ -105,11 +120,12 @@
         return Optional.of(new Step(record.number(), record, durable.state(), Optional.empty()));
     }
 
-    private void refuse(SocketAddress peer, EpochNumber number) {
+    private void refuse(SocketAddress peer, RequestId request, EpochNumber number) {
         context.peers()
                 .send(
                         peer,
                         new Refusal(
+                                request,
                                 number,
                                 context.durable().identity(),
                                 context.durable().promised()));
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/AnswerMatchingTest.java
@@ -0,0 +1,143 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import pinewick.model.Message;
+import pinewick.replication.ReplicationMessages.Accepted;
+import pinewick.replication.ReplicationMessages.HeartbeatReply;
+import pinewick.replication.ReplicationMessages.Promise;
+import pinewick.replication.ReplicationMessages.StateReply;
+import pinewick.replication.ReplicationMessages.Status;
+
+/** Answers that bear the number of a question of another life count for nothing, whatever their kind. */
+class AnswerMatchingTest {
+    private static final double FOUNDED_MS = 3_000;
+
+    private static RequestId another(RequestId request) {
+        return new RequestId(request.incarnation() + 1, request.sequence());
+    }
+
+    /** Whether a system whose answers are changed on their way takes a change. */
+    private static boolean works(UnaryOperator<Message> onItsWay) {
+        World world = new World(41, 1);
+        world.tamper = (sender, message) -> onItsWay.apply(message);
+        world.found(3);
+        world.runUntil(FOUNDED_MS);
+        List<ChangeOutcome> outcomes = new ArrayList<>();
+        Change change = world.checker.make(ConfigurationChange.Kind.REPLACE, 0, 1, true);
+        world.machines.forEach(machine -> machine.submit(change, outcomes::add));
+        world.runUntil(world.nowMs() + world.ackMs);
+        return outcomes.contains(new ChangeOutcome.Accepted(1));
+    }
+
+    @Test
+    void withEveryAnswerAsItIsAChangeIsTaken() {
+        assertTrue(works(message -> message));
+    }
+
+    @Test
+    void statuses() {
+        assertFalse(works(message -> message instanceof Status status && !status.answerWanted()
+                ? new Status(
+                        another(status.request()),
+                        status.self(),
+                        status.promised(),
+                        status.accepted(),
+                        status.tag(),
+                        status.leading(),
+                        status.hearsPrimary(),
+                        status.primary(),
+                        false)
+                : message));
+    }
+
+    @Test
+    void promises() {
+        assertFalse(works(message -> message instanceof Promise promise
+                ? new Promise(
+                        another(promise.request()),
+                        promise.number(),
+                        promise.self(),
+                        promise.accepted(),
+                        promise.tag(),
+                        promise.leaving())
+                : message));
+    }
+
+    @Test
+    void acceptances() {
+        assertFalse(works(message -> message instanceof Accepted accepted
+                ? new Accepted(another(accepted.request()), accepted.number(), accepted.identity())
+                : message));
+    }
+
+    /** Without them no round is confirmed, so nothing is read; a change may be taken by what the states tell. */
+    @Test
+    void heartbeatReplies() {
+        World world = new World(41, 1);
+        world.tamper = (sender, message) -> ofAnotherLife(message);
+        world.found(3);
+        List<ReadOutcome> outcomes = new ArrayList<>();
+        for (int count = 0; count < 20; count++) {
+            world.runUntil(world.nowMs() + 200);
+            world.machines.stream().filter(Machine::running).forEach(machine -> machine.read(outcomes::add));
+        }
+        assertFalse(outcomes.stream().anyMatch(ReadOutcome.Current.class::isInstance));
+    }
+
+    private static Message ofAnotherLife(Message message) {
+        return message instanceof HeartbeatReply reply
+                ? new HeartbeatReply(
+                        another(reply.request()),
+                        reply.number(),
+                        reply.self(),
+                        reply.promised(),
+                        reply.accepted(),
+                        reply.settled(),
+                        reply.tag(),
+                        reply.leaving(),
+                        reply.diskReady())
+                : message;
+    }
+
+    /** What is held is told by the answers to states and to heartbeats. */
+    @Test
+    void stateReplies() {
+        assertFalse(works(message -> message instanceof StateReply reply
+                ? new StateReply(
+                        another(reply.request()),
+                        reply.number(),
+                        reply.identity(),
+                        reply.result(),
+                        reply.promised(),
+                        reply.held())
+                : ofAnotherLife(message)));
+    }
+
+    @Test
+    void anAnswerThatALaterOneOvertookTellsNothing() {
+        Replica replica = new Replica(new Member("store-b", pinewick.model.SocketAddress.parse("10.0.0.2:7721")), 0);
+        EpochNumber number = new EpochNumber(4, "store-a");
+        StateTag tag = new StateTag(4, 1);
+        replica.onHeartbeatReply(reply(2, number, tag, true), number, tag, 100);
+        assertTrue(replica.leaving());
+        replica.onHeartbeatReply(reply(1, number, tag, false), number, tag, 200);
+        assertTrue(replica.leaving());
+        assertEquals(100, replica.silentMs(200));
+        replica.onHeartbeatReply(reply(2, number, tag, false), number, tag, 210);
+        assertTrue(replica.leaving(), "a copy of an answer given before it was asked to end");
+        replica.onHeartbeatReply(reply(3, number, tag, false), number, tag, 300);
+        assertFalse(replica.leaving());
+    }
+
+    private static HeartbeatReply reply(long round, EpochNumber number, StateTag tag, boolean leaving) {
+        Member self = new Member("store-b", pinewick.model.SocketAddress.parse("10.0.0.2:7721"));
+        return new HeartbeatReply(new RequestId(9, round), number, self, number, number, true, tag, leaving, true);
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/EarlierLifeTest.java
@@ -0,0 +1,157 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.Message;
+import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Accept;
+import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.PrimarySighting;
+import pinewick.replication.ReplicationMessages.Promise;
+import pinewick.replication.ReplicationMessages.Status;
+
+/** Answers to questions of an earlier life reach the process that has started again; they count for nothing. */
+class EarlierLifeTest {
+    private static final SocketAddress SELF = SocketAddress.parse("10.0.0.1:7721");
+    private static final SocketAddress OTHER = SocketAddress.parse("10.0.0.2:7721");
+    private static final SocketAddress THIRD = SocketAddress.parse("10.0.0.3:7721");
+    private static final List<SocketAddress> SEEDS = List.of(SELF, OTHER, THIRD);
+    private static final EpochRecord FOUNDING = EpochRecord.founding(SEEDS);
+    private static final double TICK_MS = 50;
+    private static final double LONG_MS = 3_000;
+
+    private final SimulatedDisk disk = new SimulatedDisk();
+
+    /** One life of the process: what it sent, and writes that end when the test says so. */
+    private final class Life implements StableStore {
+        final List<Message> sent = new ArrayList<>();
+        final List<Runnable> writes = new ArrayList<>();
+        final ReplicationNode node;
+        double nowMs;
+
+        Life(long seed) {
+            node = new ReplicationNode(
+                    new ReplicationSettings(SELF, SELF, SEEDS, true, 1, 4_000, 3_000),
+                    this,
+                    (peer, message) -> sent.add(message),
+                    new Random(seed),
+                    new ReplicationListener() {
+                        @Override
+                        public void committed(ConfigurationDocument document) {}
+                    });
+            node.start(nowMs);
+            finishWrites();
+        }
+
+        @Override
+        public void load(Consumer<LoadedState> onLoaded, Consumer<StorageException> onFailed) {
+            writes.add(() -> onLoaded.accept(disk.load()));
+        }
+
+        @Override
+        public void persist(StableWrite write, Runnable onDone, Consumer<StorageException> onFailed) {
+            writes.add(() -> {
+                disk.apply(write);
+                onDone.run();
+            });
+        }
+
+        void finishWrites() {
+            while (!writes.isEmpty()) {
+                writes.remove(0).run();
+            }
+        }
+
+        void tick() {
+            nowMs += TICK_MS;
+            node.onTick(nowMs);
+        }
+
+        void deliver(Message message) {
+            node.onMessage(OTHER, message, nowMs);
+        }
+
+        <T extends Message> List<T> sent(Class<T> type) {
+            return sent.stream().filter(type::isInstance).map(type::cast).toList();
+        }
+
+        <T extends Message> T last(Class<T> type) {
+            List<T> all = sent(type);
+            return all.get(all.size() - 1);
+        }
+
+        /** Ticks, with the other one answering each question, until this one stands for election. */
+        Prepare stand() {
+            while (sent(Prepare.class).isEmpty()) {
+                tick();
+                sent(Status.class).stream()
+                        .filter(Status::answerWanted)
+                        .forEach(question -> deliver(answerTo(question)));
+            }
+            return last(Prepare.class);
+        }
+    }
+
+    private static Status answerTo(Status question) {
+        return new Status(
+                question.request(),
+                new Member(OTHER.toString(), OTHER),
+                EpochNumber.FOUNDING,
+                FOUNDING,
+                StateTag.FOUNDING,
+                false,
+                false,
+                PrimarySighting.NONE,
+                false);
+    }
+
+    private static Promise answerTo(Prepare question) {
+        return new Promise(
+                question.request(),
+                question.number(),
+                new Member(OTHER.toString(), OTHER),
+                FOUNDING,
+                StateTag.FOUNDING,
+                false);
+    }
+
+    @Test
+    void aStatusDoesNotHelpToStand() {
+        Life first = new Life(1);
+        first.tick();
+        Status late = answerTo(first.last(Status.class));
+        Life second = new Life(2);
+        for (double waitedMs = 0; waitedMs < LONG_MS; waitedMs += TICK_MS) {
+            second.tick();
+            second.deliver(late);
+        }
+        assertTrue(second.sent(Prepare.class).isEmpty(), "nobody has answered this life");
+        second.stand();
+    }
+
+    /** The first life ends before its own promise is on disk, so the second asks for the same number. */
+    @Test
+    void aPromiseMakesNoEpoch() {
+        Life first = new Life(1);
+        Promise late = answerTo(first.stand());
+        Life second = new Life(2);
+        Prepare prepare = second.stand();
+        assertEquals(late.number(), prepare.number());
+        second.finishWrites();
+        second.deliver(late);
+        second.tick();
+        second.tick();
+        second.tick();
+        assertTrue(second.sent(Accept.class).isEmpty(), "its promise was to an earlier question");
+        second.deliver(answerTo(prepare));
+        second.tick();
+        assertEquals(1, second.sent(Accept.class).stream().distinct().count());
+    }
+}
--- a/replication/src/test/java/pinewick/replication/Machine.java
+++ b/replication/src/test/java/pinewick/replication/Machine.java
@@ -155,7 +155,8 @@
         run(generation, () -> {
             if (message instanceof Prepare prepare && world.variant == BrokenVariant.PROMISES_WITHOUT_REMEMBERING) {
                 Status status = node.status(false);
-                Promise promise = new Promise(prepare.number(), status.self(), status.accepted(), status.tag(), false);
+                Promise promise = new Promise(
+                        prepare.request(), prepare.number(), status.self(), status.accepted(), status.tag(), false);
                 world.transmit(this, sender, promise);
             } else {
                 node.onMessage(sender, message, world.nowMs());
--- a/replication/src/test/java/pinewick/replication/MembershipChangeTest.java
+++ b/replication/src/test/java/pinewick/replication/MembershipChangeTest.java
@@ -36,7 +36,9 @@
                 cut[0] = true;
                 split(world, List.of(primary, newcomer), backups);
             }
-            return message instanceof Accept accept ? new Accept(onItsWay.apply(accept.record())) : message;
+            return message instanceof Accept accept
+                    ? new Accept(accept.request(), onItsWay.apply(accept.record()))
+                    : message;
         };
         newcomer.start(false);
         world.runUntil(() -> cut[0], BOUND_MS);
--- a/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
+++ b/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
@@ -110,7 +110,7 @@
         Machine backup = backups.get(0);
         cutOff(primary);
         EpochNumber later = new EpochNumber(lastHeartbeat.number().counter() + 1, identity(backups.get(1)));
-        backup.deliver(backups.get(1).address, new ReplicationMessages.Prepare(later, true));
+        backup.deliver(backups.get(1).address, new ReplicationMessages.Prepare(RequestId.NONE, later, true));
         pass(20);
         assertEquals(Optional.empty(), backup.named());
     }
--- a/replication/src/test/java/pinewick/replication/WitnessTest.java
+++ b/replication/src/test/java/pinewick/replication/WitnessTest.java
@@ -26,6 +26,7 @@
     private static final SocketAddress SELF = SocketAddress.parse("10.0.0.1:7721");
     private static final SocketAddress OTHER = SocketAddress.parse("10.0.0.2:7721");
     private static final SocketAddress THIRD = SocketAddress.parse("10.0.0.3:7721");
+    private static final RequestId QUESTION = new RequestId(17, 1);
     private static final List<SocketAddress> SEEDS = List.of(SELF, OTHER, THIRD);
 
     private final List<Message> sent = new ArrayList<>();
@@ -85,7 +86,7 @@
     @Test
     void promisesOnceItIsOnDisk() {
         started();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 10);
         assertTrue(sent.isEmpty(), "nothing is said before the disk has it");
         finishWrites();
         Promise promise = lastSent(Promise.class);
@@ -97,11 +98,11 @@
     @Test
     void promisesTheSameNumberAgainToItsProposerOnly() {
         started();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 10);
         finishWrites();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 20);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 20);
         lastSent(Promise.class);
-        node.onMessage(THIRD, new Prepare(number(5, THIRD), false), 30);
+        node.onMessage(THIRD, new Prepare(QUESTION, number(5, THIRD), false), 30);
         finishWrites();
         assertEquals(number(5, OTHER), lastSent(Refusal.class).promised());
     }
@@ -109,12 +110,12 @@
     @Test
     void acceptsNothingBelowItsPromise() {
         started();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 10);
         finishWrites();
-        node.onMessage(THIRD, new Accept(record(number(4, THIRD))), 20);
+        node.onMessage(THIRD, new Accept(QUESTION, record(number(4, THIRD))), 20);
         finishWrites();
         lastSent(Refusal.class);
-        node.onMessage(OTHER, new Accept(record(number(5, OTHER))), 30);
+        node.onMessage(OTHER, new Accept(QUESTION, record(number(5, OTHER))), 30);
         finishWrites();
         assertEquals(number(5, OTHER), lastSent(Accepted.class).number());
     }
@@ -122,7 +123,7 @@
     @Test
     void learnsNothingBelowItsPromise() {
         started();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 10);
         finishWrites();
         node.onMessage(THIRD, new Established(record(number(4, THIRD))), 20);
         finishWrites();
@@ -137,12 +138,12 @@
         started();
         node.onMessage(OTHER, new Established(record(number(1, OTHER))), 10);
         finishWrites();
-        node.onMessage(OTHER, new Heartbeat(number(1, OTHER), 1, StateTag.NONE, OTHER), 20);
-        assertEquals(1, lastSent(HeartbeatReply.class).round());
-        node.onMessage(THIRD, new Prepare(number(2, THIRD), false), 30);
+        node.onMessage(OTHER, new Heartbeat(QUESTION, number(1, OTHER), StateTag.NONE, OTHER), 20);
+        assertEquals(QUESTION, lastSent(HeartbeatReply.class).request());
+        node.onMessage(THIRD, new Prepare(QUESTION, number(2, THIRD), false), 30);
         finishWrites();
         lastSent(Refusal.class);
-        node.onMessage(THIRD, new Prepare(number(2, THIRD), true), 40);
+        node.onMessage(THIRD, new Prepare(QUESTION, number(2, THIRD), true), 40);
         finishWrites();
         lastSent(Promise.class);
     }
@@ -150,7 +151,7 @@
     @Test
     void aRestartKeepsThePromise() {
         started();
-        node.onMessage(OTHER, new Prepare(number(5, OTHER), false), 10);
+        node.onMessage(OTHER, new Prepare(QUESTION, number(5, OTHER), false), 10);
         finishWrites();
         StoredState stored = disk.load().stored().orElseThrow();
         assertEquals(SELF.toString(), stored.head().identity());
--- a/transport/src/main/java/pinewick/transport/MessageCodec.java
+++ b/transport/src/main/java/pinewick/transport/MessageCodec.java
@@ -20,7 +20,7 @@
  */
 public final class MessageCodec {
     /** Version of the protocol; a frame with another one is not read. */
-    public static final byte PROTOCOL_VERSION = 1;
+    public static final byte PROTOCOL_VERSION = 2;
 
     /** Bytes in front of the message. */
     static final int HEADER_BYTES = 3;
