ReplicationNode is split by job; seeds repeat; no news out of a thawed process's backlog

For 100 ms after a thaw heartbeats tell nothing about whom to redirect to. Seeds: the order of Set.copyOf differs from one run of the JVM to the next, so a simulated run could not be repeated; two runs now print the same.

--- a/replication/src/main/java/pinewick/replication/ActiveClock.java
+++ b/replication/src/main/java/pinewick/replication/ActiveClock.java
@@ -10,14 +10,23 @@
 
     private double steadyMs = Double.NaN;
     private double activeMs;
+    private double thawedMs = Double.NEGATIVE_INFINITY;
 
     void advance(double nowMs) {
         if (!Double.isNaN(steadyMs)) {
+            if (nowMs - steadyMs > LONGEST_STEP_MS) {
+                thawedMs = nowMs;
+            }
             activeMs += Math.max(0, Math.min(LONGEST_STEP_MS, nowMs - steadyMs));
         }
         steadyMs = nowMs;
     }
 
+    /** For how long, steady time, this process has run without a longer span in which it did not. */
+    double sinceThawMs() {
+        return steadyMs - thawedMs;
+    }
+
     double steadyMs() {
         return steadyMs;
     }
--- a/replication/src/main/java/pinewick/replication/KnownPrimary.java
+++ b/replication/src/main/java/pinewick/replication/KnownPrimary.java
@@ -12,6 +12,9 @@
     /** A primary that was last heard longer ago is named to nobody; two lost heartbeats are too many. */
     static final double FRESH_MS = 450;
 
+    /** After a freeze messages that waited in buffers are handed in for this long. */
+    private static final double BACKLOG_MS = 100;
+
     private final ActiveClock clock;
     private final DurableState durable;
     private EpochNumber number = EpochNumber.NONE;
@@ -25,9 +28,11 @@
         this.durable = durable;
     }
 
-    /** A heartbeat came from it. */
+    /** A heartbeat came from it. Right after a freeze it may be one that has waited, and tells nothing. */
     void heard(EpochNumber epoch, SocketAddress address) {
-        note(epoch, address, clock.steadyMs());
+        if (clock.sinceThawMs() >= BACKLOG_MS) {
+            note(epoch, address, clock.steadyMs());
+        }
     }
 
     /** Another process tells of it. */
--- a/replication/src/main/java/pinewick/replication/Peers.java
+++ b/replication/src/main/java/pinewick/replication/Peers.java
@@ -10,7 +10,10 @@
 import pinewick.model.Outbox;
 import pinewick.model.SocketAddress;
 
-/** Where the other controllers are, as far as this process knows, and the way to them. */
+/**
+ * Where the other controllers are, as far as this process knows, and the way to them. Sets keep the order in which they
+ * were filled, so that a simulated run can be repeated.
+ */
 final class Peers {
     /** Stores heard of longest ago are forgotten beyond this many. */
     private static final int MOST_LEARNT = 64;
@@ -30,13 +33,13 @@
 
     Peers(SocketAddress self, Collection<SocketAddress> seeds, Outbox outbox) {
         this.self = self;
-        this.seeds = Set.copyOf(seeds);
+        this.seeds = new LinkedHashSet<>(seeds);
         this.outbox = outbox;
     }
 
     /** Other parts of this process know controllers at these addresses. */
     void tell(Collection<SocketAddress> addresses) {
-        told = Set.copyOf(addresses);
+        told = new LinkedHashSet<>(addresses);
     }
 
     /** A store was heard of at an address. */
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -1,9 +1,7 @@
 package pinewick.replication;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import pinewick.model.Message;
@@ -16,7 +14,6 @@
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
 import pinewick.replication.ReplicationMessages.Install;
 import pinewick.replication.ReplicationMessages.Prepare;
-import pinewick.replication.ReplicationMessages.PrimarySighting;
 import pinewick.replication.ReplicationMessages.Promise;
 import pinewick.replication.ReplicationMessages.Refusal;
 import pinewick.replication.ReplicationMessages.Replicate;
@@ -26,30 +23,17 @@
 import pinewick.replication.ReplicationMessages.Status;
 
 /**
- * One controller's part in the replicated configuration: witness always, replica while in sync, primary at times.
- * Owned by the control loop, which calls every method and runs every completion of the store.
+ * One controller's part in the replicated configuration: witness always, replica while in sync, primary at times. Hands
+ * each message to the part that it is for, then does what has become possible. Owned by the control loop, which calls
+ * every method and runs every completion of the store.
  */
 public final class ReplicationNode implements ReplicatedConfiguration {
     /** How often {@link #onTick} is to be called, milliseconds. */
     public static final int TICK_MS = 50;
 
-    /** So long before {@code ack_ms} a change that is not decided is answered. */
-    private static final double ANSWER_MARGIN_MS = 500;
-
-    private static final double READ_MS = 2_000;
-
-    /** After a trouble of its own, this process leaves the election to others for this long. */
-    private static final double AFTER_TROUBLE_MS = 1_000;
-
-    /** A primary that is about to end waits this long for a change under way. */
-    private static final double HAND_OVER_MS = 500;
-
-    private static final double CHANGE_PAUSE_MS = 150;
-    private static final double LEASE_MARGIN_MS = 100;
-
-    private final ReplicationSettings settings;
     private final Startup startup;
     private final ActiveClock clock = new ActiveClock();
+    private final Departure departure = new Departure();
     private final Peers peers;
     private final DurableState durable;
     private final Context context;
@@ -57,24 +41,13 @@
     private final StateReceiver receiver;
     private final Election election;
     private final KnownPrimary knownPrimary;
-    private final EpochPlanner planner;
-    private final Replicas replicas;
-    private final ChangeQueue changes = new ChangeQueue();
-    private final ReadQueue reads = new ReadQueue();
-    private final PrimaryRole primaryRole;
+    private final PrimaryListener primaryListener;
+    private final Proposals proposals;
+    private final Primary primary;
+    private final StatusExchange statusExchange;
     private final CommitReport commitReport;
-    private final FaultToleranceMonitor toleranceMonitor;
-    private Optional<Leadership> leadership = Optional.empty();
-    private Optional<Ballot> ballot = Optional.empty();
     private boolean advancing;
     private boolean advanceWanted;
-    private boolean leaving;
-    private double leavingSinceMs;
-    private double nextChangeMs;
-    private double leaseFromMs = Double.POSITIVE_INFINITY;
-    private long counterToBeat;
-    private SocketAddress primaryAddress = ReplicationMessages.NO_ADDRESS;
-    private Heartbeat lastHeartbeat;
 
     /**
      * @param settings what this process is told
@@ -89,20 +62,21 @@
             Outbox outbox,
             RandomGenerator random,
             ReplicationListener listener) {
-        this.settings = settings;
         this.peers = new Peers(settings.address(), settings.seeds(), outbox);
         this.durable = new DurableState(store, clock, this::advance);
         this.context = new Context(settings, clock, durable, peers, new Requests(random), random, listener);
         this.startup = new Startup(context, store, this::takePart);
-        this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
+        this.witness = new Witness(context, this::hearsPrimary, departure::isBegun);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
         this.knownPrimary = new KnownPrimary(clock, durable);
-        this.planner = new EpochPlanner(context);
-        this.replicas = new Replicas(context);
+        this.primaryListener = new PrimaryListener(context, departure, knownPrimary);
         this.commitReport = new CommitReport(context);
-        this.toleranceMonitor = new FaultToleranceMonitor(context, replicas);
-        this.primaryRole = new PrimaryRole(commitReport, changes, reads);
+        EpochPlanner planner = new EpochPlanner(context);
+        this.proposals = new Proposals(context, planner, election);
+        this.primary = new Primary(
+                context, departure, planner, proposals, election, knownPrimary, primaryListener, commitReport);
+        this.statusExchange = new StatusExchange(context, primary, proposals, election, knownPrimary);
     }
 
     /** Begins: reads the disk, then takes part. */
@@ -116,7 +90,7 @@
         context.listener()
                 .noted("store " + durable.identity() + " holds "
                         + durable.state().tag());
-        askAround();
+        statusExchange.askAround();
         advance();
     }
 
@@ -133,22 +107,12 @@
             return;
         }
         durable.onTick();
-        ballot.ifPresent(Ballot::onTick);
-        leadership.ifPresent(Leadership::onTick);
-        askAround();
-        changes.expire(nowMs);
-        reads.expire(nowMs);
+        proposals.onTick();
+        primary.onTick();
+        statusExchange.askAround();
         advance();
     }
 
-    /** While no primary is heard, asks the others what they know. */
-    private void askAround() {
-        if (leadership.isEmpty() && ballot.isEmpty()) {
-            election.question()
-                    .ifPresent(request -> peers.send(peers.everywhere(durable.accepted()), status(request, true)));
-        }
-    }
-
     /** Handles a message if it is of replication; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         clock.advance(nowMs);
@@ -175,9 +139,9 @@
             witness.onAccept(sender, accept);
         } else if (message instanceof Established established) {
             heardOf(established.record().number());
-            witness.onEstablished(established, this::answerAgain);
+            witness.onEstablished(established, this::tellPrimary);
         } else if (message instanceof Status status) {
-            onStatus(sender, status);
+            statusExchange.onStatus(sender, status);
         } else {
             return false;
         }
@@ -211,56 +175,28 @@
     private boolean handleAsProposer(SocketAddress sender, Message message) {
         if (message instanceof Promise promise) {
             peers.learn(promise.self().identity(), sender);
-            ballot.ifPresent(current -> current.onPromise(promise));
+            proposals.onPromise(promise);
         } else if (message instanceof Accepted accepted) {
-            ballot.ifPresent(current -> current.onAccepted(accepted));
+            proposals.onAccepted(accepted);
         } else if (message instanceof Refusal refusal) {
-            ballot.ifPresent(current -> current.onRefusal(refusal));
+            proposals.onRefusal(refusal);
         } else if (message instanceof HeartbeatReply reply) {
             peers.learn(reply.self().identity(), sender);
-            onHeartbeatReply(reply);
+            primary.onHeartbeatReply(reply);
         } else if (message instanceof StateReply reply) {
-            leadership.ifPresent(leading -> leading.onStateReply(reply));
+            primary.onStateReply(reply);
         } else {
             return false;
         }
         return true;
     }
 
-    private void onStatus(SocketAddress sender, Status status) {
-        peers.learn(status.self().identity(), sender);
-        if (election.isDenial(status)) {
-            election.onDenial();
-            knownPrimary.denied();
-        }
-        if (election.isAnswer(status)) {
-            election.onAnswer(status);
-            knownPrimary.told(status.primary());
-            learnMembers(status.accepted());
-        }
-        if (status.answerWanted()) {
-            peers.send(sender, status(status.request(), false));
-            leadership.ifPresent(leading -> leading.onStatus(status));
-        }
-    }
-
-    /** A store whose seeds are all gone finds the primary through any controller that it reaches. */
-    private void learnMembers(EpochRecord record) {
-        long unknown = record.members().stream().filter(peers::learnMember).count();
-        if (unknown > 0) {
-            election.askSoon();
-            askAround();
-        }
-    }
-
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
         if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
-            knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
-            lastHeartbeat = heartbeat;
-            primaryAddress = sender;
+            primaryListener.onHeartbeat(sender, heartbeat);
             commitReport.onCommitted(heartbeat.committed());
         }
-        peers.send(sender, heartbeatReply(heartbeat));
+        primaryListener.answer(sender, heartbeat);
     }
 
     /** A primary of some epoch showed itself; returns whether its epoch is not over here. */
@@ -268,54 +204,28 @@
         if (durable.promised().isAfter(number)) {
             return false;
         }
-        if (leadership.isPresent() && number.isAfter(leadership.get().number())) {
-            stepDown("epoch " + number.counter() + " has begun", 0);
-        }
-        if (leadership.isEmpty()) {
-            ballot = ballot.filter(current -> current.number().isAfter(number));
+        primary.onEpoch(number);
+        if (!primary.leads()) {
+            proposals.giveUpUpTo(number);
             election.heard();
         }
         return true;
     }
 
-    private HeartbeatReply heartbeatReply(Heartbeat heartbeat) {
-        return new HeartbeatReply(
-                heartbeat.request(),
-                heartbeat.number(),
-                context.self(),
-                durable.promised(),
-                durable.accepted().number(),
-                durable.accepted().isSettled(),
-                durable.state().tag(),
-                leaving,
-                durable.ready());
-    }
-
-    /** What the last heartbeat was told has changed: the primary need not wait for its next one. */
-    private void answerAgain() {
-        if (leadership.isEmpty() && lastHeartbeat != null) {
-            peers.send(primaryAddress, heartbeatReply(lastHeartbeat));
-        }
-    }
-
-    private void onHeartbeatReply(HeartbeatReply reply) {
-        if (leadership.isEmpty()) {
-            return;
-        }
-        leadership.get().onHeartbeatReply(reply);
-        if (reply.accepted().isAfter(leadership.get().number()) && ballot.isEmpty()) {
-            stepDown("epoch " + reply.accepted().counter() + " was accepted elsewhere", 0);
+    private void tellPrimary() {
+        if (!primary.leads()) {
+            primaryListener.answerAgain();
         }
     }
 
     private void onResign(Resign resign) {
-        if (leadership.isPresent() || durable.promised().isAfter(resign.number())) {
+        if (primary.leads() || durable.promised().isAfter(resign.number())) {
             return;
         }
         knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
-        if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
-            stand(true, resign.leaving());
+        if (resign.successor().equals(durable.identity()) && mayStand() && !proposals.isUnderWay()) {
+            proposals.stand(true, resign.leaving());
         }
     }
 
@@ -340,185 +250,32 @@
         if (!startup.ready()) {
             return;
         }
-        endBallot();
-        if (leadership.isPresent()) {
-            lead(leadership.get());
-        } else if (ballot.isEmpty() && mayStand() && election.isDue()) {
-            stand(false, false);
+        proposals.takeWon().ifPresent(primary::begin);
+        if (primary.leads()) {
+            primary.advance();
+        } else if (!proposals.isUnderWay() && mayStand() && election.isDue()) {
+            proposals.stand(false, false);
         }
     }
 
     private boolean mayStand() {
-        return !leaving && durable.ready() && durable.identityStored();
-    }
-
-    /**
-     * @param handedOver whether the former primary asked for it
-     * @param formerPromises whether the former primary too is likely to promise
-     */
-    private void stand(boolean handedOver, boolean formerPromises) {
-        long counter = Math.max(election.nextCounter(), counterToBeat + 1);
-        String former = durable.accepted().primary();
-        Set<String> wanted = Set.copyOf(durable.accepted().inSync().stream()
-                .filter(identity -> formerPromises || !identity.equals(former))
-                .toList());
-        startBallot(new Ballot(
-                context, new EpochNumber(counter, durable.identity()), handedOver, planner::planElection, wanted));
-    }
-
-    private void startBallot(Ballot started) {
-        ballot = Optional.of(started);
-        context.listener().noted("proposes epoch " + started.number().counter());
-        started.start();
-    }
-
-    private void endBallot() {
-        if (ballot.isEmpty()) {
-            return;
-        }
-        Ballot current = ballot.get();
-        if (current.phase() == Ballot.Phase.WON) {
-            ballot = Optional.empty();
-            begin(current);
-        } else if (current.phase() == Ballot.Phase.LOST) {
-            ballot = Optional.empty();
-            context.listener()
-                    .noted("lost the ballot for epoch " + current.number().counter());
-            counterToBeat = Math.max(counterToBeat, current.highestRefusal().counter());
-            nextChangeMs = clock.activeMs() + CHANGE_PAUSE_MS * context.random().nextDouble();
-            election.onLost();
-        }
-    }
-
-    private void begin(Ballot won) {
-        boolean sameHolder = leadership.isPresent();
-        if (!sameHolder) {
-            countSilenceFromNow(won);
-            leaseFromMs = clock.steadyMs() + Leadership.LEASE_VALID_MS + settings.leaseMs() + LEASE_MARGIN_MS;
-        }
-        won.promises().values().forEach(promise -> {
-            Replica replica = replicas.learn(promise.self());
-            if (replica != null) {
-                replica.onPromise(promise, clock.activeMs());
-            }
-        });
-        Leadership begun = new Leadership(context, won.proposal(), replicas);
-        leadership = Optional.of(begun);
-        changes.restart();
-        reads.restart();
-        context.listener()
-                .noted("leads epoch " + begun.number().counter() + ", in sync "
-                        + begun.record().inSync());
-        begun.begin();
-    }
-
-    /** Of the members only the former primary was listened for until now. */
-    private void countSilenceFromNow(Ballot won) {
-        String formerPrimary =
-                lastHeartbeat == null ? "" : lastHeartbeat.number().proposer();
-        for (Member member : won.proposal().members()) {
-            Replica replica = replicas.learn(member);
-            if (replica != null) {
-                boolean former = member.identity().equals(formerPrimary);
-                replica.heardLast(former ? election.lastHeardMs() : clock.activeMs());
-            }
-        }
-    }
-
-    private void lead(Leadership leading) {
-        if (leading.lost()) {
-            resign(leading);
-            return;
-        }
-        primaryRole.noteCommitted(leading);
-        if (!leaving && ballot.isEmpty() && clock.activeMs() >= nextChangeMs) {
-            planner.wantedChange(leading, replicas).ifPresent(wanted -> change(leading, wanted));
-        }
-        primaryRole.advance(leading, ballot.isEmpty() && !leaving);
-        toleranceMonitor.update(leading);
-        if (leaving) {
-            handOver(leading);
-        }
-    }
-
-    private void change(Leadership leading, Set<String> wanted) {
-        long counter = Math.max(durable.promised().counter(), counterToBeat);
-        for (Replica replica : replicas.all()) {
-            counter = Math.max(counter, replica.promised().counter());
-        }
-        startBallot(new Ballot(
-                context,
-                new EpochNumber(counter + 1, durable.identity()),
-                true,
-                (number, highest, promises) -> planner.planChange(number, highest, promises, leading, replicas),
-                wanted));
-    }
-
-    private void handOver(Leadership leading) {
-        boolean patient = clock.activeMs() - leavingSinceMs < HAND_OVER_MS;
-        if (ballot.isPresent() || (leading.changePending() && patient)) {
-            return;
-        }
-        resign(leading);
-    }
-
-    private void resign(Leadership leading) {
-        List<Replica> others = replicas.among(leading.responsive());
-        String successor = others.stream()
-                .filter(replica -> replica.tag().equals(leading.target()))
-                .findFirst()
-                .or(() -> others.stream().findFirst())
-                .map(Replica::identity)
-                .orElse("");
-        Resign message = new Resign(leading.number(), successor, leaving);
-        peers.send(peers.everywhere(leading.record()), message);
-        stepDown("resigned in favour of '" + successor + "'", AFTER_TROUBLE_MS);
-    }
-
-    private void stepDown(String reason, double pauseMs) {
-        leadership = Optional.empty();
-        ballot = Optional.empty();
-        toleranceMonitor.reset();
-        leaseFromMs = Double.POSITIVE_INFINITY;
-        election.restart(pauseMs);
-        context.listener().noted("leads no more: " + reason);
-        changes.abandon(new ChangeOutcome.NotPrimary(primary()));
-        reads.abandon(new ReadOutcome.NotPrimary(primary()));
+        return !departure.isBegun() && durable.ready() && durable.identityStored();
     }
 
     private boolean hearsPrimary() {
-        return leadership.map(Leadership::confirmedLately).orElseGet(election::hearsPrimary);
+        return primary.leads() ? primary.isConfirmedLately() : election.hearsPrimary();
     }
 
     /** What this process knows, in answer to nothing. */
     Status status(boolean answerWanted) {
-        return status(RequestId.NONE, answerWanted);
-    }
-
-    private Status status(RequestId request, boolean answerWanted) {
-        boolean leading = leadership.map(Leadership::confirmedLately).orElse(false);
-        return new Status(
-                request,
-                context.self(),
-                durable.promised(),
-                durable.accepted(),
-                durable.state().tag(),
-                leading,
-                hearsPrimary(),
-                leading ? ownSighting() : knownPrimary.sighting(),
-                answerWanted);
-    }
-
-    private PrimarySighting ownSighting() {
-        return new PrimarySighting(leadership.get().number(), settings.operatorApi(), 0);
+        return statusExchange.status(RequestId.NONE, answerWanted);
     }
 
     /** This process is about to end: hands leadership over, and leaves the in-sync set. */
     public void leave(double nowMs) {
         clock.advance(nowMs);
-        leaving = true;
-        leavingSinceMs = clock.activeMs();
-        answerAgain();
+        departure.begin(clock.activeMs());
+        tellPrimary();
         advance();
     }
 
@@ -526,12 +283,8 @@
     public boolean detached() {
         EpochRecord accepted = durable.accepted();
         boolean outside = !accepted.inSync().contains(durable.identity());
-        return leadership.isEmpty() && outside && (isKnownToStand(accepted) || !accepted.hasMember(durable.identity()));
-    }
-
-    /** Only the primary of a record that stands sends heartbeats under its number. */
-    private boolean isKnownToStand(EpochRecord record) {
-        return lastHeartbeat != null && lastHeartbeat.number().equals(record.number());
+        boolean certain = primaryListener.isKnownToStand(accepted) || !accepted.hasMember(durable.identity());
+        return !primary.leads() && outside && certain;
     }
 
     @Override
@@ -541,51 +294,41 @@
 
     @Override
     public void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback) {
-        if (leadership.isEmpty() || leaving) {
+        if (!primary.leads() || departure.isBegun()) {
             callback.accept(new ChangeOutcome.NotPrimary(primary()));
             return;
         }
-        changes.add(change, clock.steadyMs() + settings.ackMs() - ANSWER_MARGIN_MS, callback);
+        primary.submit(change, callback);
         advance();
     }
 
     @Override
     public void read(Consumer<ReadOutcome> callback) {
-        if (leadership.isEmpty()) {
+        if (!primary.leads()) {
             callback.accept(new ReadOutcome.NotPrimary(primary()));
             return;
         }
-        reads.add(clock.steadyMs() + READ_MS, callback);
+        primary.read(callback);
         advance();
     }
 
     @Override
     public Optional<SocketAddress> primary() {
-        return leadership.isPresent() ? Optional.of(settings.operatorApi()) : knownPrimary.operatorApi();
+        return primary.leads() ? Optional.of(context.settings().operatorApi()) : knownPrimary.operatorApi();
     }
 
     /** What this process knows, for the people who run it. */
     public ReplicationReport report() {
-        EpochRecord record = leadership.map(Leadership::record).orElseGet(durable::accepted);
-        return new ReplicationReport(
-                record.number().counter(),
-                primary(),
-                toleranceMonitor.members(record, leadership),
-                record.inSync().size(),
-                toleranceMonitor.report(leadership));
+        return primary.report(primary());
     }
 
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
     Optional<Long> leadingNumber() {
-        return leadership.map(leading -> leading.number().counter());
+        return primary.leadership().map(leading -> leading.number().counter());
     }
 
     @Override
     public Optional<Long> leadingEpoch() {
-        double now = clock.steadyMs();
-        return leadership
-                .filter(leading -> leading.begun() && leading.honoured() && ballot.isEmpty())
-                .filter(leading -> now >= leaseFromMs && now <= leading.leaseEndsMs())
-                .map(leading -> leading.number().counter());
+        return primary.leadingEpoch();
     }
 }
--- a/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
+++ b/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
@@ -83,6 +83,20 @@
         assertEquals(Optional.empty(), frozen.named(), "what it knew is 20 s old");
     }
 
+    /** The model's finding: what waited in the buffers during a freeze was taken for news. */
+    @Test
+    void heartbeatsThatWaitedThroughAFreezeAreOld() {
+        Machine frozen = backups.get(0);
+        frozen.freeze();
+        pass(OLDEST_MS);
+        primary.kill();
+        pass(FOUNDED_MS);
+        frozen.thaw();
+        assertNotEquals(Optional.of(primary.operatorApi), frozen.named());
+        pass(5);
+        assertNotEquals(Optional.of(primary.operatorApi), frozen.named());
+    }
+
     @Test
     void aPrimaryThatWasFrozenHoldsNoLeaseWhoeverAsksFirst() {
         pass(FOUNDED_MS);
