Whether the newest configuration is held is judged by steady time

For the confirmation of configurations (404 only with a quorum): a primary by its lease, others by a heartbeat 0.45 s old at most that did not wait through a freeze.

--- a/replication/src/main/java/pinewick/replication/KnownPrimary.java
+++ b/replication/src/main/java/pinewick/replication/KnownPrimary.java
@@ -13,7 +13,7 @@
     static final double FRESH_MS = 450;
 
     /** After a freeze messages that waited in buffers are handed in for this long. */
-    private static final double BACKLOG_MS = 100;
+    static final double BACKLOG_MS = 100;
 
     private final ActiveClock clock;
     private final DurableState durable;
--- a/replication/src/main/java/pinewick/replication/Primary.java
+++ b/replication/src/main/java/pinewick/replication/Primary.java
@@ -74,6 +74,14 @@
         return leadership.map(Leadership::confirmedLately).orElse(false);
     }
 
+    /** Whether no other process can have begun to lead, by the clock that counts freezes too. */
+    boolean isSurelyLeading() {
+        return leadership
+                .filter(leading -> leading.begun() && leading.honoured())
+                .filter(leading -> context.clock().steadyMs() <= leading.leaseEndsMs())
+                .isPresent();
+    }
+
     /** What this process tells of itself as the primary. */
     PrimarySighting sighting() {
         return leadership
--- a/replication/src/main/java/pinewick/replication/PrimaryListener.java
+++ b/replication/src/main/java/pinewick/replication/PrimaryListener.java
@@ -12,6 +12,7 @@
     private final KnownPrimary knownPrimary;
     private SocketAddress address = ReplicationMessages.NO_ADDRESS;
     private Optional<Heartbeat> last = Optional.empty();
+    private double lastMs;
 
     PrimaryListener(Context context, Departure departure, KnownPrimary knownPrimary) {
         this.context = context;
@@ -23,6 +24,7 @@
     void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
         knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
         last = Optional.of(heartbeat);
+        lastMs = context.clock().steadyMs();
         address = sender;
     }
 
@@ -31,6 +33,16 @@
         return last.map(heartbeat -> heartbeat.number().proposer()).orElse("");
     }
 
+    /** The state that the primary called committed, if it was heard just now: steady time, so that a freeze counts. */
+    Optional<StateTag> committedNow() {
+        ActiveClock clock = context.clock();
+        boolean fresh =
+                clock.sinceThawMs() >= KnownPrimary.BACKLOG_MS && clock.steadyMs() - lastMs < KnownPrimary.FRESH_MS;
+        return last.filter(heartbeat ->
+                        fresh && heartbeat.number().equals(context.durable().promised()))
+                .map(Heartbeat::committed);
+    }
+
     /** Only the primary of a record that stands sends heartbeats under its number. */
     boolean isKnownToStand(EpochRecord record) {
         return last.filter(heartbeat -> heartbeat.number().equals(record.number()))
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -317,6 +317,16 @@
         return primary.leads() ? Optional.of(context.settings().operatorApi()) : knownPrimary.operatorApi();
     }
 
+    /**
+     * Whether this process is in contact with a quorum, as its confirmed primary or by hearing one, and has told its
+     * listener of every configuration that this primary had acknowledged when it was heard last.
+     */
+    public boolean holdsNewest() {
+        return primary.leads()
+                ? primary.isSurelyLeading()
+                : primaryListener.committedNow().filter(commitReport::covers).isPresent();
+    }
+
     /** What this process knows, for the people who run it. */
     public ReplicationReport report() {
         return primary.report(primary());
--- a/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
+++ b/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
@@ -83,6 +83,25 @@
         assertEquals(Optional.empty(), frozen.named(), "what it knew is 20 s old");
     }
 
+    @Test
+    void whoeverWasFrozenHoldsTheNewestOnlyOnceItHasHeard() {
+        Change change = new Operator(world).properChange();
+        primary.submit(change, outcome -> {});
+        pass(OLDEST_MS);
+        world.machines.forEach(machine -> assertEquals(true, machine.node().holdsNewest()));
+        for (Machine machine : world.machines) {
+            machine.freeze();
+        }
+        pass(LONG_CUT_MS);
+        for (Machine machine : world.machines) {
+            machine.node().advanceClock(world.nowMs());
+            assertEquals(false, machine.node().holdsNewest(), machine + " takes what is 20 s old for the newest");
+        }
+        world.machines.forEach(Machine::thaw);
+        pass(FOUNDED_MS);
+        world.machines.forEach(machine -> assertEquals(true, machine.node().holdsNewest()));
+    }
+
     /** The model's finding: what waited in the buffers during a freeze was taken for news. */
     @Test
     void heartbeatsThatWaitedThroughAFreezeAreOld() {
