An old copy of a disk put back starts over as an empty store

Cause, by review: a store whose disk was set back to an older copy had forgotten promises and changes, and still counted as the member it was: put back within one epoch, the next primary's loss undid an acknowledged change (read 1 after 2). Change: whoever is in sync by a record has promised its number, and has held each state called committed; a store that sees from a record or a heartbeat that its disk says otherwise takes a new identity and is empty. So does a founder that is started on an empty disk with first_start.

--- a/replication/src/main/java/pinewick/replication/DurableState.java
+++ b/replication/src/main/java/pinewick/replication/DurableState.java
@@ -141,6 +141,23 @@
         return new Step(number, accepted, state, Optional.empty());
     }
 
+    /**
+     * Gives up what the disk holds: it becomes an empty store under another identity.
+     *
+     * @param ended run when that is on disk, or has failed
+     */
+    void startOver(String newIdentity, Runnable ended) {
+        submit(
+                () -> {
+                    identity = newIdentity;
+                    identityStored = false;
+                    snapshotDue = true;
+                    return Optional.of(
+                            new Step(EpochNumber.NONE, EpochRecord.NONE, ConfigurationState.NONE, Optional.empty()));
+                },
+                outcome -> ended.run());
+    }
+
     /** While the disk fails, tries it now and then. */
     void onTick() {
         if (failing && !busy && clock.activeMs() - failedMs >= PROBE_MS) {
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -46,6 +46,7 @@
     private final Primary primary;
     private final StatusExchange statusExchange;
     private final CommitReport commitReport;
+    private final OldCopyCheck oldCopyCheck;
     private boolean advancing;
     private boolean advanceWanted;
 
@@ -72,11 +73,12 @@
         this.knownPrimary = new KnownPrimary(clock, durable);
         this.primaryListener = new PrimaryListener(context, departure, knownPrimary);
         this.commitReport = new CommitReport(context);
+        this.oldCopyCheck = new OldCopyCheck(context);
         EpochPlanner planner = new EpochPlanner(context);
         this.proposals = new Proposals(context, planner, election);
         this.primary = new Primary(
                 context, departure, planner, proposals, election, knownPrimary, primaryListener, commitReport);
-        this.statusExchange = new StatusExchange(context, primary, proposals, election, knownPrimary);
+        this.statusExchange = new StatusExchange(context, primary, proposals, election, knownPrimary, oldCopyCheck);
     }
 
     /** Begins: reads the disk, then takes part. */
@@ -138,6 +140,7 @@
             election.granted();
             witness.onAccept(sender, accept);
         } else if (message instanceof Established established) {
+            oldCopyCheck.onRecord(established.record());
             heardOf(established.record().number());
             witness.onEstablished(established, this::tellPrimary);
         } else if (message instanceof Status status) {
@@ -192,6 +195,7 @@
     }
 
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
+        oldCopyCheck.onCommitted(heartbeat.number(), heartbeat.committed());
         if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
             primaryListener.onHeartbeat(sender, heartbeat);
             commitReport.onCommitted(heartbeat.committed());
--- a/replication/src/main/java/pinewick/replication/Startup.java
+++ b/replication/src/main/java/pinewick/replication/Startup.java
@@ -1,6 +1,7 @@
 package pinewick.replication;
 
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 
 /** Gets a process from its start to where it may take part: reads the disk, founds where it is to, tries again. */
 final class Startup {
@@ -51,13 +52,18 @@
             durable.begin(context.settings().address().toString());
             found();
         } else {
-            long high = context.random().nextLong();
-            long low = context.random().nextLong();
-            durable.begin(String.format("%016x%016x", high, low));
+            durable.begin(randomIdentity(context.random()));
             finish();
         }
     }
 
+    /** The identity of a store that is no founder's. */
+    static String randomIdentity(RandomGenerator random) {
+        long high = random.nextLong();
+        long low = random.nextLong();
+        return String.format("%016x%016x", high, low);
+    }
+
     /** A store whose content makes no sense counts as empty. */
     private boolean restored(StoredState stored) {
         try {
--- a/replication/src/main/java/pinewick/replication/StatusExchange.java
+++ b/replication/src/main/java/pinewick/replication/StatusExchange.java
@@ -10,14 +10,21 @@
     private final Proposals proposals;
     private final Election election;
     private final KnownPrimary knownPrimary;
+    private final OldCopyCheck oldCopyCheck;
 
     StatusExchange(
-            Context context, Primary primary, Proposals proposals, Election election, KnownPrimary knownPrimary) {
+            Context context,
+            Primary primary,
+            Proposals proposals,
+            Election election,
+            KnownPrimary knownPrimary,
+            OldCopyCheck oldCopyCheck) {
         this.context = context;
         this.primary = primary;
         this.proposals = proposals;
         this.election = election;
         this.knownPrimary = knownPrimary;
+        this.oldCopyCheck = oldCopyCheck;
     }
 
     /** Asks, if it is time to. */
@@ -32,6 +39,7 @@
 
     void onStatus(SocketAddress sender, Status status) {
         context.peers().learn(status.self().identity(), sender);
+        oldCopyCheck.onRecord(status.accepted());
         if (election.isDenial(status)) {
             election.onDenial();
             knownPrimary.denied();
--- a/replication/src/test/java/pinewick/replication/Machine.java
+++ b/replication/src/test/java/pinewick/replication/Machine.java
@@ -176,7 +176,11 @@
     void wipe() {
         kill();
         world.note(address + " loses its disk");
-        disk.wipe();
+        if (world.variant == BrokenVariant.VOTES_ON_AN_EMPTY_DISK) {
+            disk.wipeContent();
+        } else {
+            disk.wipe();
+        }
     }
 
     void freeze() {
--- a/replication/src/test/java/pinewick/replication/SimulatedDisk.java
+++ b/replication/src/test/java/pinewick/replication/SimulatedDisk.java
@@ -36,6 +36,30 @@
                 : new LoadedState(Optional.of(new StoredState(head, snapshot, changes)), false);
     }
 
+    /** An exact copy of what is on the disk now. */
+    SimulatedDisk copy() {
+        SimulatedDisk copy = new SimulatedDisk();
+        copy.putBack(this);
+        return copy;
+    }
+
+    /** A copy that was made earlier takes the place of what is there. */
+    void putBack(SimulatedDisk copy) {
+        head = copy.head;
+        snapshot = copy.snapshot;
+        changes.clear();
+        changes.addAll(copy.changes);
+    }
+
+    /** The content is lost, the head stays: nothing that is kept tells of the loss. */
+    void wipeContent() {
+        if (head != null) {
+            ConfigurationState none = ConfigurationState.NONE;
+            snapshot = new StoredSnapshot(none.documentBytes(), none.changes().toBytes());
+            changes.clear();
+        }
+    }
+
     void wipe() {
         head = null;
         snapshot = null;
