Silence counts from the question; a told sighting is as old as its way at least

Change: a member's silence counts from when the answered round was sent, states and statuses of members are no sign of life; a told sighting is dated from the question.

--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import pinewick.replication.ReplicationMessages.Status;
 
@@ -38,7 +39,7 @@
 
     private record Answer(Status status, double atMs) {}
 
-    private record Question(RequestId request, double atMs) {}
+    private record Question(RequestId request, double atMs, double steadyMs) {}
 
     private final Context context;
     private final Map<String, Answer> answers = new HashMap<>();
@@ -106,15 +107,17 @@
         }
         askedMs = now;
         RequestId request = context.requests().next();
-        questions.add(new Question(request, now));
+        questions.add(new Question(request, now, context.clock().steadyMs()));
         return Optional.of(request);
     }
 
-    /** Whether a status answers a question that was asked lately. */
-    boolean isAnswer(Status status) {
+    /** When the question was asked, steady time, that a status answers; empty if none was asked lately. */
+    OptionalDouble askedMs(Status status) {
         questions.removeIf(question -> context.activeMs() - question.atMs > FRESH_MS);
-        return !status.answerWanted()
-                && questions.stream().anyMatch(question -> question.request.equals(status.request()));
+        return questions.stream()
+                .filter(question -> !status.answerWanted() && question.request.equals(status.request()))
+                .mapToDouble(Question::steadyMs)
+                .findFirst();
     }
 
     /** There is somebody new to ask. */
--- a/replication/src/main/java/pinewick/replication/KnownPrimary.java
+++ b/replication/src/main/java/pinewick/replication/KnownPrimary.java
@@ -35,9 +35,13 @@
         }
     }
 
-    /** Another process tells of it. */
-    void told(PrimarySighting sighting) {
-        double seenMs = clock.steadyMs() - sighting.ageMs();
+    /**
+     * Another process tells of it.
+     *
+     * @param askedMs when it was asked, steady time: the time that its answer took must not make the sighting younger
+     */
+    void told(PrimarySighting sighting, double askedMs) {
+        double seenMs = askedMs - sighting.ageMs();
         boolean known = !sighting.operatorApi().equals(ReplicationMessages.NO_ADDRESS);
         if (known && seenMs > heardMs && seenMs > deniedMs && !hasResigned(sighting.number())) {
             note(sighting.number(), sighting.operatorApi(), seenMs);
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -54,6 +54,7 @@
     private final StateTag baseTag;
     private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
+    private final RoundTimes roundTimes = new RoundTimes();
     private StateTag target;
     private Optional<Pending> pending = Optional.empty();
     private boolean begun;
@@ -198,6 +199,7 @@
     long heartbeat() {
         round = context.requests().next();
         lastHeartbeatMs = context.activeMs();
+        roundTimes.note(round.sequence(), lastHeartbeatMs);
         rounds.add(new Round(round.sequence(), context.clock().steadyMs()));
         if (rounds.size() > ROUNDS_KEPT) {
             rounds.remove();
@@ -222,7 +224,8 @@
         if (replica == null) {
             return;
         }
-        replica.onHeartbeatReply(reply, number(), target, context.activeMs());
+        double askedMs = roundTimes.sentMs(reply.request().sequence());
+        replica.onHeartbeatReply(reply, number(), target, askedMs, context.activeMs());
         boolean lagsBehind = !reply.promised().isAfter(number()) && !replica.knows(number());
         if (lagsBehind) {
             context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
@@ -235,7 +238,10 @@
     void onStatus(Status status) {
         Replica replica = replicas.learn(status.self());
         if (replica != null) {
-            replica.onStatus(status, number(), target, context.activeMs());
+            replica.onStatus(status, number(), target);
+            if (!record.hasMember(replica.identity())) {
+                replica.heardLast(context.activeMs());
+            }
             context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
             sendStates();
         }
@@ -244,7 +250,7 @@
     void onStateReply(StateReply reply) {
         Replica replica = replicas.get(reply.identity());
         if (replica != null && isMine(reply.request())) {
-            replica.onStateReply(reply, number(), target, context.activeMs());
+            replica.onStateReply(reply, number(), target);
         }
     }
 
--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -130,21 +130,25 @@
         diskReady = true;
     }
 
-    void onStatus(Status status, EpochNumber number, StateTag target, double nowMs) {
-        heardMs = nowMs;
+    void onStatus(Status status, EpochNumber number, StateTag target) {
         promised = status.promised();
         learnTag(status.tag(), number, target);
     }
 
-    /** An answer that a later one has overtaken tells nothing. */
-    void onHeartbeatReply(HeartbeatReply reply, EpochNumber number, StateTag target, double nowMs) {
+    /**
+     * An answer that a later one has overtaken tells nothing. Silence counts from the question: an answer that was long
+     * on its way does not show that the other still runs.
+     *
+     * @param askedMs when the heartbeat that is answered was sent
+     */
+    void onHeartbeatReply(HeartbeatReply reply, EpochNumber number, StateTag target, double askedMs, double nowMs) {
         long round = reply.request().sequence();
         if (round < newestAnswered) {
             return;
         }
         boolean leavingBefore = round == newestAnswered && leaving;
         newestAnswered = round;
-        heardMs = nowMs;
+        heardMs = Math.max(heardMs, askedMs);
         promised = reply.promised();
         accepted = reply.accepted();
         settled = reply.settled();
@@ -156,8 +160,7 @@
         learnTag(reply.tag(), number, target);
     }
 
-    void onStateReply(StateReply reply, EpochNumber number, StateTag target, double nowMs) {
-        heardMs = nowMs;
+    void onStateReply(StateReply reply, EpochNumber number, StateTag target) {
         promised = reply.promised();
         diskReady = reply.result() != StateResult.DISK_FAILED;
         StateTag before = tag;
--- a/replication/src/main/java/pinewick/replication/StatusExchange.java
+++ b/replication/src/main/java/pinewick/replication/StatusExchange.java
@@ -44,11 +44,11 @@
             election.onDenial();
             knownPrimary.denied();
         }
-        if (election.isAnswer(status)) {
+        election.askedMs(status).ifPresent(askedMs -> {
             election.onAnswer(status);
-            knownPrimary.told(status.primary());
+            knownPrimary.told(status.primary(), askedMs);
             learnMembers(status.accepted());
-        }
+        });
         if (status.answerWanted()) {
             context.peers().send(sender, status(status.request(), false));
             primary.onStatus(status);
--- a/replication/src/test/java/pinewick/replication/AnswerMatchingTest.java
+++ b/replication/src/test/java/pinewick/replication/AnswerMatchingTest.java
@@ -125,14 +125,14 @@
         Replica replica = new Replica(new Member("store-b", pinewick.model.SocketAddress.parse("10.0.0.2:7721")), 0);
         EpochNumber number = new EpochNumber(4, "store-a");
         StateTag tag = new StateTag(4, 1);
-        replica.onHeartbeatReply(reply(2, number, tag, true), number, tag, 100);
+        replica.onHeartbeatReply(reply(2, number, tag, true), number, tag, 100, 110);
         assertTrue(replica.leaving());
-        replica.onHeartbeatReply(reply(1, number, tag, false), number, tag, 200);
+        replica.onHeartbeatReply(reply(1, number, tag, false), number, tag, 190, 200);
         assertTrue(replica.leaving());
         assertEquals(100, replica.silentMs(200));
-        replica.onHeartbeatReply(reply(2, number, tag, false), number, tag, 210);
+        replica.onHeartbeatReply(reply(2, number, tag, false), number, tag, 100, 210);
         assertTrue(replica.leaving(), "a copy of an answer given before it was asked to end");
-        replica.onHeartbeatReply(reply(3, number, tag, false), number, tag, 300);
+        replica.onHeartbeatReply(reply(3, number, tag, false), number, tag, 290, 300);
         assertFalse(replica.leaving());
     }
 
--- a/replication/src/test/java/pinewick/replication/FaultToleranceTest.java
+++ b/replication/src/test/java/pinewick/replication/FaultToleranceTest.java
@@ -11,6 +11,7 @@
 /** What a primary tells of the losses that the system bears, through a loss and its repair. */
 class FaultToleranceTest {
     private static final double FOUNDED_MS = 4_000;
+    private static final double LATE_MS = 900;
     private static final double UNTIL_NOTICED_MS = 1_500;
 
     private static FaultTolerance atPrimary(World world) {
@@ -69,6 +70,25 @@
         assertTrue(atPrimary(world).repairedMs().isPresent());
     }
 
+    /** The model's finding: answers that were long on their way kept a lost store among the copies. */
+    @Test
+    void aLostMemberWhoseAnswersComeLateDoesNotCount() {
+        World world = founded(3, 1);
+        Machine lost = backup(world);
+        Machine primary = world.primary();
+        world.tamper = (sender, message) -> {
+            if (sender == lost && message instanceof ReplicationMessages.HeartbeatReply) {
+                world.after(LATE_MS, () -> primary.deliver(lost.address, message));
+                return null;
+            }
+            return message;
+        };
+        world.runUntil(world.nowMs() + LATE_MS);
+        lost.wipe();
+        world.runUntil(world.nowMs() + LATE_MS);
+        assertEquals(OptionalInt.of(0), atPrimary(world).bearsLosses());
+    }
+
     @Test
     void aMemberThatIsAboutToEndDoesNotCount() {
         World world = founded(3, 1);
