--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -16,6 +16,7 @@
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
 import pinewick.replication.ReplicationMessages.Install;
 import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.PrimarySighting;
 import pinewick.replication.ReplicationMessages.Promise;
 import pinewick.replication.ReplicationMessages.Refusal;
 import pinewick.replication.ReplicationMessages.Replicate;
@@ -55,12 +56,14 @@
     private final Witness witness;
     private final StateReceiver receiver;
     private final Election election;
+    private final KnownPrimary knownPrimary;
     private final EpochPlanner planner;
     private final Replicas replicas;
     private final ChangeQueue changes = new ChangeQueue();
     private final ReadQueue reads = new ReadQueue();
     private final PrimaryRole primaryRole;
     private final CommitReport commitReport;
+    private final FaultToleranceMonitor toleranceMonitor;
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Ballot> ballot = Optional.empty();
     private boolean advancing;
@@ -94,9 +97,11 @@
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
+        this.knownPrimary = new KnownPrimary(clock, durable);
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
         this.commitReport = new CommitReport(context);
+        this.toleranceMonitor = new FaultToleranceMonitor(context, replicas);
         this.primaryRole = new PrimaryRole(commitReport, changes, reads);
     }
 
@@ -218,6 +223,11 @@
     private void onStatus(SocketAddress sender, Status status) {
         peers.learn(status.self().identity(), sender);
         election.onStatus(status);
+        if (election.isDenial(status)) {
+            knownPrimary.denied();
+        } else {
+            knownPrimary.told(status.primary());
+        }
         if (status.answerWanted()) {
             peers.send(sender, status(false));
             leadership.ifPresent(leading -> leading.onStatus(status));
@@ -225,8 +235,8 @@
     }
 
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
-        if (heardOf(heartbeat.number())) {
-            election.onHeartbeat(heartbeat);
+        if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
+            knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
             lastHeartbeat = heartbeat;
             primaryAddress = sender;
             commitReport.onCommitted(heartbeat.committed());
@@ -276,6 +286,7 @@
         if (leadership.isPresent() || durable.promised().isAfter(resign.number())) {
             return;
         }
+        knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
         if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
             stand(true);
@@ -379,6 +390,7 @@
             planner.wantedChange(leading, replicas).ifPresent(wanted -> change(leading, wanted));
         }
         primaryRole.advance(leading, ballot.isEmpty() && !leaving);
+        toleranceMonitor.update(leading);
         if (leaving) {
             handOver(leading);
         }
@@ -421,6 +433,7 @@
     private void stepDown(String reason, double pauseMs) {
         leadership = Optional.empty();
         ballot = Optional.empty();
+        toleranceMonitor.reset();
         leaseFromMs = Double.POSITIVE_INFINITY;
         election.restart(pauseMs);
         context.listener().noted("leads no more: " + reason);
@@ -441,10 +454,14 @@
                 durable.state().tag(),
                 leading,
                 hearsPrimary(),
-                leading ? settings.operatorApi() : election.operatorApi(),
+                leading ? ownSighting() : knownPrimary.sighting(),
                 answerWanted);
     }
 
+    private PrimarySighting ownSighting() {
+        return new PrimarySighting(leadership.get().number(), settings.operatorApi(), 0);
+    }
+
     /** This process is about to end: hands leadership over, and leaves the in-sync set. */
     public void leave(double nowMs) {
         clock.advance(nowMs);
@@ -461,6 +478,11 @@
         return leadership.isEmpty() && !durable.accepted().inSync().contains(durable.identity());
     }
 
+    @Override
+    public void advanceClock(double nowMs) {
+        clock.advance(nowMs);
+    }
+
     @Override
     public void submit(ConfigurationChange change, Consumer<ChangeOutcome> callback) {
         if (leadership.isEmpty() || leaving) {
@@ -483,8 +505,18 @@
 
     @Override
     public Optional<SocketAddress> primary() {
-        SocketAddress api = leadership.isPresent() ? settings.operatorApi() : election.operatorApi();
-        return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
+        return leadership.isPresent() ? Optional.of(settings.operatorApi()) : knownPrimary.operatorApi();
+    }
+
+    /** What this process knows, for the people who run it. */
+    public ReplicationReport report() {
+        EpochRecord record = leadership.map(Leadership::record).orElseGet(durable::accepted);
+        return new ReplicationReport(
+                record.number().counter(),
+                primary(),
+                toleranceMonitor.members(record, leadership),
+                record.inSync().size(),
+                toleranceMonitor.report(leadership));
     }
 
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
