--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -63,7 +63,8 @@
     private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
-    private final ByteBuffer probe = BufferUtil.allocateDirect(1);
+    private final DepartureWatch departures;
+    private final ByteBuffer probeBuffer = BufferUtil.allocateDirect(JettyClientExchange.MOST_BYTES_AHEAD);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
     private final BooleanSupplier informed;
@@ -90,6 +91,7 @@
         this.serial = serial;
         this.timers = timers;
         this.random = random;
+        this.departures = new DepartureWatch(timers);
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services =
                 new DataPlaneServices(selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
@@ -171,12 +173,14 @@
         return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
     }
 
-    /** Closes connections to replicas that have rested long enough, and notices clients that have left. */
+    /** Closes connections to replicas that have rested long enough. */
     void sweep() {
-        serial.execute(() -> {
-            pool.sweep();
-            List.copyOf(underWay.values()).forEach(client -> client.probe(probe));
-        });
+        serial.execute(pool::sweep);
+    }
+
+    /** Looks now for clients that have left, which is otherwise done at regular times. */
+    void lookForDepartures() {
+        serial.execute(departures::look);
     }
 
     /** Asks replicas for their load, where it is this router's turn. */
@@ -220,7 +224,7 @@
     }
 
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
-        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
+        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
         Optional<Route> route =
                 routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
@@ -238,6 +242,7 @@
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.put(lifecycle, client);
+        departures.add(client);
         request.addIdleTimeoutListener(timeout -> false);
         request.addFailureListener(failure -> serial.execute(() -> client.gone(failure)));
         lifecycle.start();
@@ -334,7 +339,7 @@
     }
 
     private void ended(RequestLifecycle lifecycle) {
-        underWay.remove(lifecycle);
+        departures.remove(underWay.remove(lifecycle));
         tellIfIdle();
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -8,7 +8,6 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -20,32 +19,43 @@
  * A client's request on Jetty's side. One write is out at a time; what comes meanwhile goes with the next. Used on the
  * data plane's executor only.
  */
-final class JettyClientExchange implements ClientExchange {
+final class JettyClientExchange implements ClientExchange, DepartureWatch.Client {
+    /**
+     * Bytes of a next request that are taken in while this one is under way: far fewer than Jetty's empty buffer holds.
+     */
+    static final int MOST_BYTES_AHEAD = 1024;
+
     private final Request request;
     private final Response response;
     private final Callback callback;
     private final SerialExecutor serial;
     private final BooleanSupplier lastOfConnection;
+    private final ByteBuffer probeBuffer;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private RequestLifecycle lifecycle;
     private long pendingBytes;
     private boolean writing;
     private boolean streamEnded;
     private boolean over;
-    private boolean nextRequestCame;
+    private int bytesAhead;
 
-    /** @param lastOfConnection whether the client is told to use the connection no more */
+    /**
+     * @param lastOfConnection whether the client is told to use the connection no more
+     * @param probeBuffer shared room for what is read when looking for the client's departure
+     */
     JettyClientExchange(
             Request request,
             Response response,
             Callback callback,
             SerialExecutor serial,
-            BooleanSupplier lastOfConnection) {
+            BooleanSupplier lastOfConnection,
+            ByteBuffer probeBuffer) {
         this.request = request;
         this.response = response;
         this.callback = callback;
         this.serial = serial;
         this.lastOfConnection = lastOfConnection;
+        this.probeBuffer = probeBuffer;
     }
 
     /** Whom to tell that the client has gone or has taken what was waiting. */
@@ -54,30 +64,42 @@
     }
 
     /**
-     * Notices whether the client has closed its connection, which Jetty would not before the next write. A byte of a
-     * next request is handed to the connection.
-     *
-     * @param probe room for one byte
+     * Notices whether the client has closed its connection. What comes of a next request is handed to the connection;
+     * once its buffer may be full, or if it held bytes before, nothing more is read, and a departure shows at the next
+     * write only.
      */
-    void probe(ByteBuffer probe) {
-        Connection connection = request.getConnectionMetaData().getConnection();
-        if (over || nextRequestCame || !(connection instanceof Connection.UpgradeTo next)) {
+    @Override
+    public void lookForDeparture() {
+        if (over || !(request.getConnectionMetaData().getConnection() instanceof ClientConnection connection)) {
+            return;
+        }
+        boolean hasRoom = bytesAhead > 0 || connection.isRequestBufferEmpty();
+        if (!hasRoom || bytesAhead >= MOST_BYTES_AHEAD) {
             return;
         }
-        BufferUtil.clear(probe);
         try {
-            int filled = connection.getEndPoint().fill(probe);
-            if (filled < 0) {
-                gone(new EofException("the client has closed its connection"));
-            } else if (filled > 0) {
-                nextRequestCame = true;
-                next.onUpgradeTo(probe);
-            }
+            readAhead(connection);
         } catch (IOException e) {
             gone(e);
         }
     }
 
+    private void readAhead(ClientConnection connection) throws IOException {
+        int filled = 1;
+        while (filled > 0 && bytesAhead < MOST_BYTES_AHEAD) {
+            ByteBuffer room = probeBuffer.clear().slice(0, MOST_BYTES_AHEAD - bytesAhead);
+            BufferUtil.clear(room);
+            filled = connection.getEndPoint().fill(room);
+            if (filled > 0) {
+                bytesAhead += filled;
+                connection.onUpgradeTo(room);
+            }
+        }
+        if (filled < 0) {
+            gone(new EofException("the client has closed its connection"));
+        }
+    }
+
     @Override
     public void answer(int status, HttpFields fields, byte[] body) {
         over = true;
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/DepartureWatchTest.java
@@ -0,0 +1,54 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** How soon clients that leave are noticed, in virtual time. */
+class DepartureWatchTest {
+    /** What the users allow between a client's departure and the end of work for it. */
+    private static final double ALLOWED_MS = 500;
+
+    private final VirtualTimers timers = new VirtualTimers();
+    private final DepartureWatch watch = new DepartureWatch(timers);
+
+    /** A client that leaves at a time of its own. */
+    private final class LeavingClient implements DepartureWatch.Client {
+        private final double leavesAtMs;
+        private double noticedAtMs = Double.NaN;
+
+        LeavingClient(double leavesAtMs) {
+            this.leavesAtMs = leavesAtMs;
+        }
+
+        @Override
+        public void lookForDeparture() {
+            if (timers.nowMs() >= leavesAtMs) {
+                noticedAtMs = timers.nowMs();
+                watch.remove(this);
+            }
+        }
+
+        double noticedAfterMs() {
+            return noticedAtMs - leavesAtMs;
+        }
+    }
+
+    @Test
+    void aDepartureIsNoticedWellWithinTheTimeAllowedWheneverItHappens() {
+        for (int delay = 0; delay < 400; delay++) {
+            LeavingClient client = new LeavingClient(timers.nowMs() + delay);
+            watch.add(client);
+            timers.advance(delay + ALLOWED_MS);
+            assertEquals(true, client.noticedAfterMs() <= ALLOWED_MS / 2, "noticed after " + client.noticedAfterMs());
+        }
+    }
+
+    @Test
+    void nothingIsScheduledWhileNobodyWaits() {
+        LeavingClient client = new LeavingClient(timers.nowMs());
+        watch.add(client);
+        timers.advance(2 * DepartureWatch.PERIOD_MS);
+        assertEquals(0, timers.pending());
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -169,15 +169,25 @@
     void aClientThatLeavesBeforeTheFirstEventIsNoticed() throws Exception {
         RawSocket upstream = begin(false, 1);
         client.close();
-        assertTrue(upstream.isClosedByPeerWhile(router.dataPlane::sweep));
+        assertTrue(upstream.isClosedByPeerWhile(router.dataPlane::lookForDepartures));
+    }
+
+    @Test
+    void aClientThatLeavesAfterItHasSentItsNextRequestIsNoticed() throws Exception {
+        RawSocket upstream = begin(false, 1);
+        client.send(TestRouter.request("POST", "/elsewhere/x", "q2", "a body of its own"));
+        router.dataPlane.lookForDepartures();
+        router.dataPlane.lookForDepartures();
+        client.close();
+        assertTrue(upstream.isClosedByPeerWhile(router.dataPlane::lookForDepartures));
     }
 
     @Test
     void aClientThatSendsItsNextRequestEarlyHasNotLeft() throws Exception {
         RawSocket upstream = begin(false, 1);
         client.send(TestRouter.request("POST", "/elsewhere/x", "q2", ""));
-        router.dataPlane.sweep();
-        router.dataPlane.sweep();
+        router.dataPlane.lookForDepartures();
+        router.dataPlane.lookForDepartures();
         upstream.send(ScriptedReplica.chunk(event(1)) + ScriptedReplica.lastChunk());
         assertEquals(event(1), client.read().body());
         HttpText.Message second = client.read();
