Shuffle replies count once, in time, and for the life that asked

Cause: rounds counted from 1 in every life and a reply was merged whatever its round, so a reply to an earlier life, a second one, a late one or one of another process changed the view. Ruled out: a check of the sender's incarnation, which says nothing of the asker's life. Change: OutstandingRequests numbers requests from a random start per life; a reply needs its id, the peer asked, and 2 s at most.

--- a/membership/src/main/java/pinewick/membership/MembershipMessages.java
+++ b/membership/src/main/java/pinewick/membership/MembershipMessages.java
@@ -47,16 +47,16 @@
     /**
      * Offers a part of the sender's view and asks for one of the receiver's.
      *
-     * @param round repeated in the reply
+     * @param requestId repeated in the reply
      * @param self the sender
      * @param sample some of the peers it knows
      * @param sketch its count of routers, null while it knows them all
      */
-    public record ShuffleRequest(int round, PeerEntry self, List<PeerEntry> sample, SizeSketch sketch)
+    public record ShuffleRequest(long requestId, PeerEntry self, List<PeerEntry> sample, SizeSketch sketch)
             implements Message {}
 
     /** Answers a {@link ShuffleRequest}; the fields mean the same. */
-    public record ShuffleReply(int round, PeerEntry self, List<PeerEntry> sample, SizeSketch sketch)
+    public record ShuffleReply(long requestId, PeerEntry self, List<PeerEntry> sample, SizeSketch sketch)
             implements Message {}
 
     /** A process ends on purpose. */
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import pinewick.membership.MembershipMessages.Leaving;
@@ -32,6 +33,13 @@
     private static final double EARLY_MS = 5_000;
     private static final double JITTER = 0.2;
     private static final double ANSWER_MS = 400;
+    /** A reply that comes later than this counts for nothing. */
+    private static final double LATEST_REPLY_MS = 2_000;
+
+    private static final int MOST_OUTSTANDING = 64;
+    /** The round of requests beside the regular ones. */
+    private static final int NO_ROUND = 0;
+
     private static final double CONTROLLER_RETRY_MS = 500;
     private static final double ROUTER_RETRY_MS = 1_000;
     private static final int ROUTERS_IN_SAMPLE = 8;
@@ -48,6 +56,8 @@
     private final PartialView routers = new PartialView(ROUTER_CAPACITY);
     private final PartialView controllers = new PartialView(CONTROLLER_CAPACITY);
     private final LostPeers lost = new LostPeers();
+    /** Shuffles without a reply, with their rounds. */
+    private final OutstandingRequests<Integer> requests;
     /** Controllers in the view that have not spoken to this process yet; kept by controllers only. */
     private final Set<SocketAddress> unmet = new LinkedHashSet<>();
 
@@ -75,6 +85,7 @@
         this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
         this.outbox = outbox;
         this.random = random;
+        this.requests = new OutstandingRequests<>(LATEST_REPLY_MS, MOST_OUTSTANDING, random);
     }
 
     /** This process, with the incarnation it has now. */
@@ -188,9 +199,10 @@
     }
 
     /** Asks a peer to exchange entries; returns the addresses of those offered. */
-    private Set<SocketAddress> sendRequest(SocketAddress peer, int number, double nowMs) {
+    private Set<SocketAddress> sendRequest(SocketAddress peer, int ofRound, double nowMs) {
         List<PeerEntry> sample = sampleFor(peer, CONTROLLERS_IN_SAMPLE, nowMs);
-        outbox.send(peer, new ShuffleRequest(number, ownEntry(nowMs), sample, size.sketch(nowMs)));
+        long requestId = requests.open(peer, ofRound, nowMs);
+        outbox.send(peer, new ShuffleRequest(requestId, ownEntry(nowMs), sample, size.sketch(nowMs)));
         return offeredRouters(sample);
     }
 
@@ -251,11 +263,11 @@
         missing.removeIf(address -> controllers.get(address) != null && !unmet.contains(address));
         int count = self.role() == NodeRole.CONTROLLER ? missing.size() : 1;
         for (SocketAddress address : RandomChoice.draw(new ArrayList<>(missing), count, random)) {
-            sendRequest(address, 0, nowMs);
+            sendRequest(address, NO_ROUND, nowMs);
         }
         if (retries % LOST_ROUTER_TURN == 0) {
             List<SocketAddress> lostRouters = lost.worthRetrying(NodeRole.ROUTER, nowMs);
-            RandomChoice.draw(lostRouters, 1, random).forEach(address -> sendRequest(address, 0, nowMs));
+            RandomChoice.draw(lostRouters, 1, random).forEach(address -> sendRequest(address, NO_ROUND, nowMs));
         }
     }
 
@@ -281,7 +293,7 @@
         Set<SocketAddress> offered = offeredRouters(sample);
         addReminderOfLaterLife(request.self(), sample);
         size.join(request.sketch(), nowMs);
-        outbox.send(sender, new ShuffleReply(request.round(), ownEntry(nowMs), sample, size.sketch(nowMs)));
+        outbox.send(sender, new ShuffleReply(request.requestId(), ownEntry(nowMs), sample, size.sketch(nowMs)));
         mergeFrom(sender, request.self(), request.sample(), offered, nowMs);
     }
 
@@ -296,11 +308,17 @@
         }
     }
 
+    /** A reply to another life of this process, a second one and a late one count for nothing. */
     private void onReply(SocketAddress sender, ShuffleReply reply, double nowMs) {
+        Optional<OutstandingRequests.Match<Integer>> request = requests.close(reply.requestId(), sender, nowMs);
+        if (request.isEmpty()) {
+            return;
+        }
         Set<SocketAddress> offered = Set.of();
-        if (pending != null
-                && pending.round == reply.round()
-                && pending.target.node().address().equals(sender)) {
+        boolean awaited = pending != null
+                && pending.round == request.get().context()
+                && pending.target.node().address().equals(sender);
+        if (awaited) {
             offered = pending.offered;
             pending = null;
         }
@@ -322,7 +340,7 @@
                 viewOf(entry.node()).offer(entry, offered, nowMs);
                 if (introduce) {
                     unmet.add(entry.node().address());
-                    sendRequest(entry.node().address(), 0, nowMs);
+                    sendRequest(entry.node().address(), NO_ROUND, nowMs);
                 }
             }
         }
@@ -344,7 +362,7 @@
             self = new NodeDescriptor(self.address(), incarnation + 1, self.role(), self.zone());
         }
         if (incarnation < self.incarnation()) {
-            sendRequest(sender, 0, nowMs);
+            sendRequest(sender, NO_ROUND, nowMs);
         }
     }
 
--- /dev/null
+++ b/membership/src/test/java/pinewick/membership/ShuffleReplyTest.java
@@ -0,0 +1,95 @@
+package pinewick.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.membership.MembershipMessages.PeerEntry;
+import pinewick.membership.MembershipMessages.ShuffleReply;
+import pinewick.membership.MembershipMessages.ShuffleRequest;
+import pinewick.model.SocketAddress;
+
+/** A reply counts once, in time, from the peer that was asked, and for the life of the process that asked. */
+class ShuffleReplyTest {
+    private static final SocketAddress SELF = new SocketAddress("10.1.0.1", 7_720);
+    private static final SocketAddress SEED = new SocketAddress("10.2.0.4", 7_721);
+    private static final PeerEntry SEED_ENTRY = new PeerEntry(new NodeDescriptor(SEED, 1, NodeRole.CONTROLLER, "z"), 5);
+
+    private final List<ShuffleRequest> requests = new ArrayList<>();
+    private PeerSampling sampling;
+
+    @BeforeEach
+    void start() {
+        sampling = startedWith(1);
+    }
+
+    private PeerSampling startedWith(long randomSeed) {
+        PeerSampling started = new PeerSampling(
+                new NodeDescriptor(SELF, 1, NodeRole.ROUTER, "z"),
+                List.of(SEED),
+                (peer, message) -> requests.add((ShuffleRequest) message),
+                new Random(randomSeed));
+        started.onTick(0);
+        return started;
+    }
+
+    private static PeerEntry router(int number) {
+        SocketAddress address = new SocketAddress("10.1.0." + number, 7_720);
+        return new PeerEntry(new NodeDescriptor(address, 1, NodeRole.ROUTER, "z"), 5);
+    }
+
+    private static ShuffleReply reply(ShuffleRequest request, PeerEntry... sample) {
+        return new ShuffleReply(request.requestId(), SEED_ENTRY, List.of(sample), null);
+    }
+
+    @Test
+    void aReplyCounts() {
+        sampling.onMessage(SEED, reply(requests.get(0), router(7)), 100);
+        assertEquals(2, sampling.viewSize());
+    }
+
+    @Test
+    void aReplyToAnEarlierLifeCountsForNothing() {
+        ShuffleRequest ofEarlierLife = requests.get(0);
+        PeerSampling laterLife = startedWith(2);
+        laterLife.onMessage(SEED, reply(ofEarlierLife, router(7)), 100);
+        assertEquals(0, laterLife.viewSize());
+    }
+
+    @Test
+    void aSecondReplyCountsForNothing() {
+        sampling.onMessage(SEED, reply(requests.get(0)), 100);
+        sampling.onMessage(SEED, reply(requests.get(0), router(7)), 100);
+        assertEquals(1, sampling.viewSize());
+    }
+
+    @Test
+    void aLateReplyCountsForNothing() {
+        sampling.onMessage(SEED, reply(requests.get(0), router(7)), 2_100);
+        assertEquals(0, sampling.viewSize());
+    }
+
+    @Test
+    void aReplyOfAnotherPeerCountsForNothing() {
+        PeerEntry other = router(9);
+        ShuffleReply reply = new ShuffleReply(requests.get(0).requestId(), other, List.of(router(7)), null);
+        sampling.onMessage(other.node().address(), reply, 100);
+        assertEquals(0, sampling.viewSize());
+    }
+
+    @Test
+    void idsAreNotUsedTwice() {
+        sampling.onTick(400);
+        sampling.onTick(800);
+        long distinct =
+                requests.stream().map(ShuffleRequest::requestId).distinct().count();
+        assertTrue(requests.size() > 1);
+        assertEquals(requests.size(), distinct);
+        assertFalse(requests.stream().anyMatch(request -> request.requestId() == OutstandingRequests.UNASKED));
+    }
+}
