A controller without sockets, threads and disk is a class of its own

Controller assembled the replicated configuration, the fleet, the registry and the calls of the API together with transport, threads and Jetty, so nothing in virtual time could run the API path or the registry as they are. ControllerCore holds that assembly and is handed time (TaskLoop), messages and calls; Controller keeps the sockets and the life of the process.

--- a/control/src/main/java/pinewick/control/ApiAnswer.java
+++ b/control/src/main/java/pinewick/control/ApiAnswer.java
@@ -16,7 +16,7 @@
  * @param location where a redirection leads to
  * @param body JSON
  */
-record ApiAnswer(int status, Optional<String> location, byte[] body) {
+public record ApiAnswer(int status, Optional<String> location, byte[] body) {
     private static final byte[] EMPTY_OBJECT = {'{', '}'};
 
     /** 200 with an empty object. */
--- a/control/src/main/java/pinewick/control/ApiCall.java
+++ b/control/src/main/java/pinewick/control/ApiCall.java
@@ -8,4 +8,4 @@
  * @param baseVersion the header {@code X-Pinewick-Base-Version}, or null
  * @param body the body, empty if there was none
  */
-record ApiCall(String path, String subject, String baseVersion, byte[] body) {}
+public record ApiCall(String path, String subject, String baseVersion, byte[] body) {}
--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -14,14 +14,11 @@
 import java.util.function.Consumer;
 import pinewick.dissemination.FleetMessages;
 import pinewick.dissemination.FleetNode;
-import pinewick.dissemination.FleetState;
 import pinewick.membership.NodeDescriptor;
 import pinewick.membership.NodeRole;
-import pinewick.model.Message;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
 import pinewick.replication.ReplicationMessages;
-import pinewick.replication.ReplicationNode;
 import pinewick.replication.ReplicationSettings;
 import pinewick.replication.StableStore;
 import pinewick.storage.XodusStore;
@@ -63,24 +60,15 @@
     private final NodeSettings settings;
     private final StoreFactory storeFactory;
     private final ProcessLoop loop = new ProcessLoop();
-    private final FleetState state = new FleetState();
-    private final RegistryCounters counters = new RegistryCounters();
     private final double startedAtMs = loop.nowMs();
-    private final ControllerContact contact = new ControllerContact(startedAtMs);
     private final CountDownLatch detached = new CountDownLatch(1);
     private final AtomicBoolean stopped = new AtomicBoolean();
     private NetworkTransport transport;
-    private FleetNode node;
-    private ReplicationNode replication;
-    private CommittedConfigurations configurations;
-    private GossipFleet fleet;
-    private ReplicaRegistry registry;
-    private Housekeeping housekeeping;
+    private ControllerCore core;
     private StableStore store;
     private HttpReplicaCalls replicaCalls;
     private ApiServer api;
     private boolean leaving;
-    private boolean left;
 
     public Controller(NodeSettings settings) {
         this(settings, XodusStore::new);
@@ -112,15 +100,20 @@
         SocketAddress internal = new SocketAddress(settings.ipAddress(), settings.controllerPort());
         SplittableRandom random = new SplittableRandom();
         transport = openTransport(internal);
+        store = storeFactory.create(folder.resolve(STORE_FOLDER), loop::execute);
+        core = new ControllerCore(
+                coreSettings(internal, apiAddress), loop, store, transport, random.split(), random.split());
+        api = new ApiServer(apiAddress, endpoints(), BODY_DEADLINE_MS);
+    }
+
+    private ControllerCore.Settings coreSettings(SocketAddress internal, SocketAddress apiAddress) {
         NodeDescriptor self =
                 new NodeDescriptor(internal, System.currentTimeMillis(), NodeRole.CONTROLLER, settings.zone());
-        node = new FleetNode(self, settings.seedControllers(), state, transport, random.split());
-        configurations = new CommittedConfigurations(state, node, loop);
-        store = storeFactory.create(folder.resolve(STORE_FOLDER), loop::execute);
-        replication = new ReplicationNode(
-                replicationSettings(internal, apiAddress), store, transport, random.split(), configurations);
-        assembleRegistry();
-        api = new ApiServer(apiAddress, endpoints(apiAddress), BODY_DEADLINE_MS);
+        return new ControllerCore.Settings(
+                self,
+                replicationSettings(internal, apiAddress),
+                settings.bounds().contactMs(),
+                settings.heartbeatMs());
     }
 
     private static ControllerException missing(String field) {
@@ -148,34 +141,23 @@
                 settings.bounds().leaseMs());
     }
 
-    private void assembleRegistry() {
-        fleet = new GossipFleet(node, state, loop);
-        double contactMs = settings.bounds().contactMs();
-        registry = new ReplicaRegistry(fleet, loop, contact, contactMs, counters);
-        LivenessJudge judge = new LivenessJudge(settings.heartbeatMs(), contactMs, loop.nowMs());
-        housekeeping = new Housekeeping(fleet, registry, judge, counters, replication::knownControllers, loop);
-    }
-
-    private Map<ApiOperation, ApiEndpoint> endpoints(SocketAddress apiAddress) {
-        ReplicaEndpoints replicas = new ReplicaEndpoints(registry, loop);
-        ConfigurationEndpoints configuration = new ConfigurationEndpoints(
-                replication, loop, apiAddress, settings.bounds().ackMs());
+    private Map<ApiOperation, ApiEndpoint> endpoints() {
         Map<ApiOperation, ApiEndpoint> endpoints = new EnumMap<>(ApiOperation.class);
-        endpoints.put(ApiOperation.HEARTBEAT, replicas::heartbeat);
-        endpoints.put(ApiOperation.DEREGISTER, replicas::deregister);
-        endpoints.put(ApiOperation.REPLACE_CONFIGURATION, configuration::replace);
-        endpoints.put(ApiOperation.UPDATE_CONFIGURATION, configuration::update);
-        endpoints.put(ApiOperation.READ_CONFIGURATION, configuration::read);
+        endpoints.put(ApiOperation.HEARTBEAT, core::heartbeat);
+        endpoints.put(ApiOperation.DEREGISTER, core::deregister);
+        endpoints.put(ApiOperation.REPLACE_CONFIGURATION, core::replaceConfiguration);
+        endpoints.put(ApiOperation.UPDATE_CONFIGURATION, core::updateConfiguration);
+        endpoints.put(ApiOperation.READ_CONFIGURATION, core::readConfiguration);
         endpoints.put(ApiOperation.STATUS, this::status);
         return endpoints;
     }
 
     private void startLoops() throws ControllerException {
-        transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message)));
-        loop.execute(() -> replication.start(loop.nowMs()));
+        transport.start((sender, message) -> loop.execute(() -> core.onMessage(sender, message)));
+        loop.execute(core::start);
         loop.execute(this::tick);
-        loop.repeat(this::tick, FleetNode.TICK_MS);
-        loop.repeat(housekeeping::run, Housekeeping.PERIOD_MS);
+        loop.repeat(this::tick, ControllerCore.TICK_MS);
+        loop.repeat(core::onHousekeeping, ControllerCore.HOUSEKEEPING_MS);
         if (PLANS_STAGES) {
             startPlanningStages();
         }
@@ -185,51 +167,34 @@
         replicaCalls = new HttpReplicaCalls(loop);
         FencingTokens tokens = new FencingTokens(settings.nodeName());
         StageReconciler reconciler =
-                new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, replication::leadingEpoch, loop);
+                new StageReconciler(core.fleet(), new StagePlanner(), replicaCalls, tokens, core::leadingEpoch, loop);
         loop.repeat(reconciler::run, StageReconciler.PERIOD_MS);
     }
 
     private void tick() {
-        if (!left) {
-            node.onTick(loop.nowMs());
-        }
-        replication.onTick(loop.nowMs());
-        if (leaving && replication.detached()) {
+        core.onTick();
+        if (leaving && core.detached()) {
             detached.countDown();
         }
     }
 
-    private void onMessage(SocketAddress sender, Message message) {
-        double nowMs = loop.nowMs();
-        if (sender.port() == settings.controllerPort()) {
-            contact.heard(nowMs);
-        }
-        if (message instanceof FleetMessages.HeartbeatBatch batch) {
-            fleet.heardBy(sender, batch);
-        }
-        boolean handled =
-                replication.onMessage(sender, message, nowMs) || (!left && node.onMessage(sender, message, nowMs));
-        if (!handled) {
-            logger.atFine().log("%s from %s has no taker", message.getClass(), sender);
-        }
-    }
-
     private void status(ApiCall call, Consumer<ApiAnswer> answer) {
         LoopCall.run(
                 loop, answer, () -> answer.accept(ApiAnswer.ok(statusReport().toJson())));
     }
 
     private StatusReport statusReport() {
+        FleetNode node = core.node();
         return new StatusReport()
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
-                        state.configuration().version(),
-                        replication.primary(),
-                        replication.leadingEpoch(),
-                        configurations.lastEvent())
+                        core.state().configuration().version(),
+                        core.primary(),
+                        core.leadingEpoch(),
+                        core.configurations().lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
-                .replicas(state.replicas())
-                .registry(counters);
+                .replicas(core.state().replicas())
+                .registry(core.counters());
     }
 
     /** Takes note of other seeds: {@code control_plane} addresses of some controllers. */
@@ -255,20 +220,14 @@
             onLoop(this::leaveReplication);
             await(detached, HAND_OVER_MS);
             api.awaitCalls(LAST_CALLS_MS);
-            onLoop(this::leaveFleet);
+            onLoop(core::leaveFleet);
         }
         close();
     }
 
     private void leaveReplication() {
         leaving = true;
-        replication.leave(loop.nowMs());
-    }
-
-    /** Comes last: a process that still answers its peers would be taken for one that has come back. */
-    private void leaveFleet() {
-        left = true;
-        node.leave(loop.nowMs());
+        core.leaveReplication();
     }
 
     private void onLoop(Runnable task) {
--- a/control/src/main/java/pinewick/control/TaskLoop.java
+++ b/control/src/main/java/pinewick/control/TaskLoop.java
@@ -1,7 +1,7 @@
 package pinewick.control;
 
 /** The thread that owns the state of a controller, as its parts see it: a clock and a queue of tasks. */
-interface TaskLoop {
+public interface TaskLoop {
     /** Steady time, milliseconds. */
     double nowMs();
 
