--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -43,7 +43,7 @@
     private static final long BODY_DEADLINE_MS = 5_000;
 
     /** How long the hand-over to the other controllers may take when the process stops, milliseconds. */
-    private static final long HAND_OVER_MS = 1_500;
+    public static final long HAND_OVER_MS = 1_500;
 
     /** How long calls under way may take after that, milliseconds. */
     private static final long LAST_CALLS_MS = 1_000;
@@ -188,10 +188,7 @@
         return new StatusReport()
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
-                        core.state().configuration().version(),
-                        core.primary(),
-                        core.leadingEpoch(),
-                        core.configurations().lastEvent())
+                        core.state().configuration().version(), core.primary(), core.leadingEpoch(), core.lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
                 .replicas(core.state().replicas())
                 .registry(core.counters());
--- a/control/src/main/java/pinewick/control/ControllerCore.java
+++ b/control/src/main/java/pinewick/control/ControllerCore.java
@@ -174,16 +174,13 @@
         return replication.leadingEpoch();
     }
 
-    FleetNode node() {
-        return node;
-    }
-
-    ReplicationNode replication() {
-        return replication;
+    /** What the replication noted last, for the log. */
+    public String lastEvent() {
+        return configurations.lastEvent();
     }
 
-    CommittedConfigurations configurations() {
-        return configurations;
+    FleetNode node() {
+        return node;
     }
 
     GossipFleet fleet() {
--- /dev/null
+++ b/emulator/src/main/java/pinewick/emulator/control/SimulatedDisk.java
@@ -0,0 +1,66 @@
+package pinewick.emulator.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import pinewick.replication.LoadedState;
+import pinewick.replication.StableWrite;
+import pinewick.replication.StoredChange;
+import pinewick.replication.StoredHead;
+import pinewick.replication.StoredSnapshot;
+import pinewick.replication.StoredState;
+
+/** What survives a loss of power. */
+final class SimulatedDisk {
+    /** How a disk behaves at present. */
+    enum Mode {
+        GOOD,
+        SLOW,
+        STALLED,
+        FULL
+    }
+
+    Mode mode = Mode.GOOD;
+    double slowMs;
+    private StoredHead head;
+    private StoredSnapshot snapshot;
+    private final List<StoredChange> changes = new ArrayList<>();
+    private StoredHead headBeforeWipe;
+
+    void apply(StableWrite write) {
+        head = write.head();
+        if (write.content() instanceof StableWrite.Replaced replaced) {
+            snapshot = replaced.snapshot();
+            changes.clear();
+        } else if (write.content() instanceof StableWrite.Appended appended) {
+            changes.add(appended.change());
+        }
+    }
+
+    LoadedState load() {
+        return head == null
+                ? LoadedState.EMPTY
+                : new LoadedState(Optional.of(new StoredState(head, snapshot, changes)), false);
+    }
+
+    void wipe() {
+        headBeforeWipe = head;
+        head = null;
+        snapshot = null;
+        changes.clear();
+    }
+
+    boolean isEmpty() {
+        return head == null;
+    }
+
+    /** Changes since the snapshot. */
+    List<StoredChange> changes() {
+        return changes;
+    }
+
+    /** The head as it was before the last wipe, or null. */
+    StoredHead headBeforeWipe() {
+        return headBeforeWipe;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pinewick/lab/ControlLab.java
@@ -0,0 +1,140 @@
+package pinewick.lab;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.logging.LogManager;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import pinewick.emulator.control.BrokenVariant;
+import pinewick.emulator.control.ControlDay;
+import pinewick.emulator.control.DayResult;
+
+/**
+ * Plays the whole control side in virtual time, from many seeds, and holds it against its invariants; then plays
+ * deliberately broken variants, each of which has to be caught.
+ */
+@Command(name = "control", description = "Controllers, operators, replicas and routers under faults, in virtual time.")
+final class ControlLab implements Callable<Integer> {
+    private static final int QUICK_SEEDS = 1_000;
+    private static final int FULL_SEEDS = 10_000;
+    private static final int MOST_SEEDS_A_VARIANT = 600;
+    private static final double MEDIAN = 0.5;
+    private static final double NINETY_NINE = 0.99;
+
+    @Option(names = "--quick", description = "ends within 45 s: fewer seeds")
+    private boolean quick;
+
+    @Option(names = "--seeds", description = "how many seeds are played")
+    private Optional<Integer> seeds = Optional.empty();
+
+    @Option(names = "--first", description = "the first of them (default ${DEFAULT-VALUE})")
+    private long first;
+
+    @Option(names = "--seed", description = "plays this seed alone and prints its events")
+    private Optional<Long> seed = Optional.empty();
+
+    @Option(names = "--variant", description = "plays this broken variant, alone or with --seed")
+    private Optional<BrokenVariant> variant = Optional.empty();
+
+    @Option(names = "--no-variants", description = "leaves the broken variants out")
+    private boolean withoutVariants;
+
+    @Override
+    public Integer call() {
+        LogManager.getLogManager().reset();
+        if (seed.isPresent()) {
+            return replay(seed.get());
+        }
+        JsonObject figures = new JsonObject();
+        figures.addProperty("experiment", "control, emulator (virtual time)");
+        boolean pass = true;
+        if (variant.isPresent()) {
+            pass = catches(variant.get(), figures);
+        } else {
+            pass = playSeeds(figures);
+            for (BrokenVariant broken : withoutVariants ? new BrokenVariant[0] : BrokenVariant.values()) {
+                pass &= broken == BrokenVariant.NONE || catches(broken, figures);
+            }
+        }
+        figures.addProperty("pass", pass);
+        System.out.println(figures);
+        return pass ? 0 : 1;
+    }
+
+    private int replay(long asked) {
+        DayResult result = ControlDay.play(asked, variant.orElse(BrokenVariant.NONE), true);
+        result.trace().forEach(System.out::println);
+        result.violation().filter(broken -> broken.getCause() != null).ifPresent(broken -> broken.getCause()
+                .printStackTrace(System.out));
+        JsonObject figures = new JsonObject();
+        figures.addProperty("seed", asked);
+        result.violation().ifPresent(broken -> figures.addProperty("violation", broken.getMessage()));
+        figures.addProperty("pass", result.violation().isEmpty());
+        System.out.println(figures);
+        return result.violation().isEmpty() ? 0 : 1;
+    }
+
+    private boolean playSeeds(JsonObject figures) {
+        int count = seeds.orElse(quick ? QUICK_SEEDS : FULL_SEEDS);
+        long beganNanos = System.nanoTime();
+        List<DayResult> results = LongStream.range(first, first + count)
+                .parallel()
+                .mapToObj(one -> ControlDay.play(one, BrokenVariant.NONE, false))
+                .toList();
+        double tookS = (System.nanoTime() - beganNanos) / 1e9;
+        JsonArray broken = new JsonArray();
+        for (DayResult result : results) {
+            result.violation().ifPresent(violation -> {
+                System.out.println("seed " + result.seed() + ": " + violation.getMessage());
+                broken.add(result.seed());
+            });
+        }
+        figures.addProperty("firstSeed", first);
+        figures.addProperty("seeds", count);
+        figures.addProperty("seedsASecond", Math.round(count / tookS));
+        figures.addProperty("acknowledged", results.stream().mapToLong(DayResult::acknowledged).sum());
+        figures.addProperty("refused", results.stream().mapToLong(DayResult::refused).sum());
+        figures.addProperty("reads", results.stream().mapToLong(DayResult::reads).sum());
+        figures.addProperty("endsAcknowledged", results.stream().mapToLong(DayResult::endsAcknowledged).sum());
+        addQuantiles(figures, "besideACutMs", results.stream().flatMap(result -> result.probeAfterMs().stream()).toList());
+        addQuantiles(
+                figures, "acknowledgedMs", results.stream().flatMap(result -> result.acknowledgedAfterMs().stream()).toList());
+        figures.add("brokenSeeds", broken);
+        System.out.println(figures);
+        return broken.isEmpty();
+    }
+
+    private static void addQuantiles(JsonObject figures, String name, List<Double> values) {
+        List<Double> sorted = new ArrayList<>(values);
+        sorted.sort(null);
+        if (!sorted.isEmpty()) {
+            JsonObject quantiles = new JsonObject();
+            quantiles.addProperty("count", sorted.size());
+            quantiles.addProperty("median", Math.round(sorted.get((int) (MEDIAN * (sorted.size() - 1)))));
+            quantiles.addProperty("99%", Math.round(sorted.get((int) (NINETY_NINE * (sorted.size() - 1)))));
+            quantiles.addProperty("worst", Math.round(sorted.get(sorted.size() - 1)));
+            figures.add(name, quantiles);
+        }
+    }
+
+    /** Whether a broken variant is caught within the bounded number of seeds. */
+    private boolean catches(BrokenVariant broken, JsonObject figures) {
+        int most = seeds.filter(count -> variant.isPresent()).orElse(MOST_SEEDS_A_VARIANT);
+        Optional<DayResult> caught = IntStream.range(0, most)
+                .mapToObj(offset -> ControlDay.play(first + offset, broken, false))
+                .filter(result -> result.violation().isPresent())
+                .findFirst();
+        String how = caught.map(result -> "caught by seed " + result.seed() + ", "
+                        + result.violation().get().getMessage())
+                .orElse("NOT CAUGHT by " + most + " seeds");
+        System.out.println(broken + " " + how);
+        figures.addProperty(broken.name(), caught.map(DayResult::seed).orElse(-1L));
+        return caught.isPresent();
+    }
+}
