--- a/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
@@ -123,7 +123,7 @@
         switch (plan) {
             case LONG_CUT -> longCut(troubles);
             case SECOND_LOSS -> troubles.secondLoss(random.nextDouble(TROUBLE_FROM_MS, 4_000), REPAIR_MS);
-            case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000));
+            case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000), REPAIR_MS);
             default -> troubles.primaryLosses(TROUBLE_FROM_MS, endMs);
         }
         troubles.restlessReplicas(TROUBLE_FROM_MS, endMs);
--- a/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
@@ -104,14 +104,16 @@
         });
     }
 
-    /** A planned replacement, the new machine there first; once the old one has handed over, another disk is lost. */
-    void lossAfterHandOver(double atMs) {
+    /**
+     * A planned replacement, the new machine there first; another disk is lost some time after the old one has handed
+     * over.
+     */
+    void lossAfterHandOver(double atMs, double repairMs) {
         world.after(atMs, () -> {
             ControllerMachine leaving = target();
             faults.replacePlanned(leaving, detached -> {
                 if (detached) {
-                    List<ControllerMachine> left = world.present();
-                    faults.wipe(left.get(random.nextInt(left.size())));
+                    world.after(repairMs, () -> faults.wipe(faults.anyone()));
                 }
             });
         });
