--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -188,7 +188,10 @@
         return new StatusReport()
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
-                        core.state().configuration().version(), core.primary(), core.leadingEpoch(), core.lastEvent())
+                        core.state().configuration().version(),
+                        core.replicationReport(),
+                        core.leadingEpoch(),
+                        core.lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
                 .replicas(core.state().replicas())
                 .registry(core.counters());
--- a/control/src/main/java/pinewick/control/ControllerCore.java
+++ b/control/src/main/java/pinewick/control/ControllerCore.java
@@ -12,6 +12,7 @@
 import pinewick.model.Outbox;
 import pinewick.model.SocketAddress;
 import pinewick.replication.ReplicationNode;
+import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationSettings;
 import pinewick.replication.StableStore;
 
@@ -169,11 +170,18 @@
         return replication.primary();
     }
 
-    /** The epoch whose lease this process holds. */
+    /** The epoch whose lease this process holds, judged by the time of now: a process that was frozen holds none. */
     public Optional<Long> leadingEpoch() {
+        replication.advanceClock(loop.nowMs());
         return replication.leadingEpoch();
     }
 
+    /** What the replicated configuration says of itself at this moment. */
+    public ReplicationReport replicationReport() {
+        replication.advanceClock(loop.nowMs());
+        return replication.report();
+    }
+
     /** What the replication noted last, for the log. */
     public String lastEvent() {
         return configurations.lastEvent();
