--- a/lab/src/main/java/pinewick/lab/scale/FleetAddresses.java
+++ b/lab/src/main/java/pinewick/lab/scale/FleetAddresses.java
@@ -1,5 +1,6 @@
 package pinewick.lab.scale;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.stream.IntStream;
 import pinewick.model.SocketAddress;
@@ -10,7 +11,7 @@
  * @param firstPort the first of the ports that all use
  * @param controllers how many controllers there are
  */
-record FleetAddresses(int firstPort, int controllers) {
+public record FleetAddresses(int firstPort, int controllers) {
     /** Ports that one fleet needs. */
     static final int PORTS = 8;
 
@@ -24,6 +25,11 @@
     private static final int FIRST_REPLICA_SUBNET = 100;
     private static final int REPLICA_PORT = 8_080;
 
+    /** Addresses with ports that are free. */
+    public static FleetAddresses free(int controllers) throws IOException {
+        return new FleetAddresses(FreePorts.first(PORTS), controllers);
+    }
+
     static String controllerHost(int number) {
         return "127.0.10." + (1 + number);
     }
@@ -41,11 +47,13 @@
         return new SocketAddress("127.0.10.100", firstPort + 1);
     }
 
-    SocketAddress controller(int number) {
+    /** Where a controller takes internal messages. */
+    public SocketAddress controller(int number) {
         return new SocketAddress(controllerHost(number), firstPort + 1);
     }
 
-    SocketAddress controlPlane(int number) {
+    /** Where a controller takes calls of replicas and operators. */
+    public SocketAddress controlPlane(int number) {
         return new SocketAddress(controllerHost(number), firstPort + CONTROL_PLANE);
     }
 
--- a/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
+++ b/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
@@ -12,16 +12,26 @@
 import pinewick.model.SocketAddress;
 
 /** Plain calls to the fleet's HTTP interfaces. */
-final class HttpPeer {
+public final class HttpPeer {
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final int OK = 200;
 
+    private final Duration patience;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(1))
             .followRedirects(HttpClient.Redirect.NORMAL)
             .build();
 
+    HttpPeer() {
+        this(PATIENCE);
+    }
+
+    /** @param patience how long an answer is waited for */
+    public HttpPeer(Duration patience) {
+        this.patience = patience;
+    }
+
     /** The status of an answer, 0 for none. */
     int status(SocketAddress peer, String path) throws InterruptedException {
         try {
@@ -32,7 +42,7 @@
     }
 
     /** The status of a controller; empty if it does not answer. */
-    Optional<JsonObject> report(SocketAddress controlPlane) throws InterruptedException {
+    public Optional<JsonObject> report(SocketAddress controlPlane) throws InterruptedException {
         try {
             HttpResponse<String> answer = client.send(get(controlPlane, "/status"), HttpResponse.BodyHandlers.ofString());
             return answer.statusCode() == OK
@@ -44,9 +54,9 @@
     }
 
     /** Sends a change of the configuration; returns the status of the answer, 0 for none. */
-    int change(SocketAddress controlPlane, String path, long baseVersion, byte[] body) throws InterruptedException {
+    public int change(SocketAddress controlPlane, String path, long baseVersion, byte[] body) throws InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(uri(controlPlane, path))
-                .timeout(PATIENCE)
+                .timeout(patience)
                 .header("Content-Type", "application/json")
                 .header("X-Pinewick-Base-Version", Long.toString(baseVersion))
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body))
@@ -58,8 +68,8 @@
         }
     }
 
-    private static HttpRequest get(SocketAddress peer, String path) {
-        return HttpRequest.newBuilder(uri(peer, path)).timeout(PATIENCE).build();
+    private HttpRequest get(SocketAddress peer, String path) {
+        return HttpRequest.newBuilder(uri(peer, path)).timeout(patience).build();
     }
 
     private static URI uri(SocketAddress peer, String path) {
--- a/lab/src/main/java/pinewick/lab/scale/ProcessUsage.java
+++ b/lab/src/main/java/pinewick/lab/scale/ProcessUsage.java
@@ -15,7 +15,7 @@
  * @param peakKb the most that was resident
  * @param waits how often each of its live threads gave up the processor to wait, by the thread's number
  */
-record ProcessUsage(double cpuMs, long residentKb, long peakKb, Map<String, Long> waits) {
+public record ProcessUsage(double cpuMs, long residentKb, long peakKb, Map<String, Long> waits) {
     private static final double MS_A_TICK = 10;
     private static final int FIELDS_TO_USER_TIME = 11;
 
--- a/lab/src/main/java/pinewick/lab/scale/SampleConfiguration.java
+++ b/lab/src/main/java/pinewick/lab/scale/SampleConfiguration.java
@@ -9,7 +9,7 @@
 import pinewick.model.InvalidConfigurationException;
 
 /** Configurations like those that operators send: a route a tenant, a service a model. */
-final class SampleConfiguration {
+public final class SampleConfiguration {
     /** Services that replicas register for, one a model. */
     static final int SERVICES = 3;
 
@@ -19,6 +19,8 @@
     /** The host of the routes that {@link #probePath} names. */
     static final String PROBE_HOST = "probe.example";
 
+    private static final long TOUCHED_TIMEOUT_MS = 1_000;
+
     private SampleConfiguration() {}
 
     static String service(int number) {
@@ -31,7 +33,7 @@
     }
 
     /** The body of a whole configuration. */
-    static byte[] replacement(long version, int routes) {
+    public static byte[] replacement(long version, int routes) {
         JsonArray list = new JsonArray();
         SplittableRandom random = new SplittableRandom(routes);
         for (int number = 0; number < routes - 1; number++) {
@@ -64,6 +66,20 @@
         return bytes(change);
     }
 
+    /** The body of a change of one and the same route, so that the document does not grow. */
+    public static byte[] touch(long version) {
+        JsonObject touched = route("touched", PROBE_HOST, "/touched/", IDLE_SERVICE);
+        touched.addProperty("timeout_ms", TOUCHED_TIMEOUT_MS + version);
+        JsonArray routes = new JsonArray();
+        routes.add(touched);
+        JsonObject upserts = new JsonObject();
+        upserts.add("routes", routes);
+        JsonObject change = new JsonObject();
+        change.addProperty("version", version);
+        change.add("upserts", upserts);
+        return bytes(change);
+    }
+
     /** The document that a body leads to. */
     static ConfigurationDocument apply(ConfigurationDocument base, byte[] body, boolean whole) {
         try {
--- a/lab/src/main/java/pinewick/lab/scale/SettingsText.java
+++ b/lab/src/main/java/pinewick/lab/scale/SettingsText.java
@@ -6,11 +6,11 @@
 import pinewick.model.SocketAddress;
 
 /** Settings files for the real processes of a fleet, with the figures of the larger sites. */
-final class SettingsText {
+public final class SettingsText {
     private SettingsText() {}
 
     /** Of a controller. */
-    static String controller(FleetAddresses addresses, int number, Path data) {
+    public static String controller(FleetAddresses addresses, int number, Path data) {
         return """
                 node_name = "core-%d"
                 role = "controller"
@@ -26,6 +26,11 @@
                 + "[listen_addresses]\ncontrol_plane = \"%s\"\n".formatted(addresses.controlPlane(number));
     }
 
+    /** The same for a process that does not found the system. */
+    public static String afterFounding(String settings) {
+        return settings.replace("first_start = true", "first_start = false");
+    }
+
     /** Of a router. */
     static String router(FleetAddresses addresses, int number) {
         return """
--- a/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
+++ b/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
@@ -15,7 +15,7 @@
  * One process of the system's own programs, started as the deploy file says. A shell holds its life: it ends the program
  * when the laboratory ends in whatever way, and in any case after a time.
  */
-final class SystemProcess implements AutoCloseable {
+public final class SystemProcess implements AutoCloseable {
     private static final String GUARD = """
             "$@" </dev/null >>"$PINEWICK_LAB_LOG" 2>&1 &
             child=$!
@@ -36,14 +36,15 @@
     private boolean killed;
 
     /** @param longestSeconds after which it is ended whatever happens */
-    SystemProcess(String role, Path settings, Path log, long longestSeconds) {
+    public SystemProcess(String role, Path settings, Path log, long longestSeconds) {
         this.role = role;
         this.settings = settings;
         this.log = log;
         this.longestSeconds = longestSeconds;
     }
 
-    void start() throws IOException {
+    /** Starts it, the first time or again. */
+    public void start() throws IOException {
         List<String> words = new ArrayList<>(List.of("bash", "-c", GUARD, "guard"));
         words.addAll(commandOf(role));
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
@@ -72,11 +73,13 @@
         throw new IOException("deploy/system.toml has no role " + role);
     }
 
-    long startedAtNs() {
+    /** When it was started last, in steady time. */
+    public long startedAtNs() {
         return startedAtNs;
     }
 
-    boolean running() {
+    /** Whether it runs. */
+    public boolean running() {
         return running && program.isAlive();
     }
 
@@ -91,12 +94,13 @@
         return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
     }
 
-    ProcessUsage usage() {
+    /** What it has used so far. */
+    public ProcessUsage usage() {
         return ProcessUsage.of(program.pid());
     }
 
     /** As a loss of power: at once and without a word. */
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         running = false;
         killed = true;
         program.destroyForcibly();
@@ -104,6 +108,26 @@
         guard.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Asks it to end, as for planned work. */
+    public void terminate() {
+        running = false;
+        program.destroy();
+    }
+
+    /** Stops it where it stands; it goes on with {@link #thaw}. */
+    public void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void thaw() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
+    }
+
     @Override
     public void close() {
         if (guard == null) {
