News of replicas is told at a pace that grows with the fleet

Cause: each router told up to 30 others every 200 ms what it saw of replicas, 150 datagrams a second sent and received by each of 66 routers, two wake-ups for each; questions for load went out faster than their answers would be told.

--- a/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.IntToLongFunction;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages;
 import pinewick.dissemination.FleetNode;
@@ -42,9 +43,9 @@
         return types;
     }
 
-    /** @param onNews told what other routers saw of replicas, on the control loop */
+    /** @param onNews told what other routers saw of replicas, on the thread that receives */
     void start(Consumer<LoadNews> onNews) {
-        transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message, onNews)));
+        transport.start((sender, message) -> onMessage(sender, message, onNews));
         loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
     }
 
@@ -52,13 +53,13 @@
         if (message instanceof LoadNews news) {
             onNews.accept(news);
         } else {
-            node.onMessage(sender, message, loop.nowMs());
+            loop.execute(() -> node.onMessage(sender, message, loop.nowMs()));
         }
     }
 
     /** Sends to the other routers known at this moment. May be called on any thread. */
     void tellRouters(LoadNews news) {
-        loop.execute(() -> otherRouters().forEach(router -> transport.send(router, news)));
+        loop.execute(() -> transport.sendToAll(otherRouters(), news));
     }
 
     FleetState state() {
@@ -86,6 +87,15 @@
         loop.repeat(task, periodMs);
     }
 
+    /**
+     * Runs a task over and over on the control loop.
+     *
+     * @param pauseMs the pause before the next run, given the number of other routers known
+     */
+    void repeatAtPace(Runnable task, IntToLongFunction pauseMs) {
+        loop.repeatAtPace(task, () -> pauseMs.applyAsLong(otherRouters().size()));
+    }
+
     /** Tells the peers that this process ends. */
     void leave() {
         loop.execute(() -> node.leave(loop.nowMs()));
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -22,12 +22,6 @@
     private static final double MILLISECONDS = 1e3;
     private static final long REFRESH_MS = 500;
 
-    /** How often routers tell each other what they saw of replicas. */
-    private static final long SHARE_MS = 200;
-
-    /** How often each replica is asked for its load, by all routers together. */
-    private static final long REPORT_MS = 400;
-
     /** The platform asks for readiness every second and stops sending connections after two misses. */
     private static final long NOTICE_MS = 2_500;
 
@@ -84,8 +78,8 @@
         dataPlane.follow(fleet.state(), front.upstream());
         fleet.start(dataPlane::onNews);
         fleet.repeat(this::refresh, REFRESH_MS);
-        fleet.repeat(this::pollReports, REPORT_MS);
-        fleet.repeat(() -> dataPlane.shareLoad(fleet::tellRouters), SHARE_MS);
+        fleet.repeatAtPace(this::pollReports, SharingPace::reportMs);
+        fleet.repeatAtPace(() -> dataPlane.shareLoad(fleet::tellRouters), SharingPace::shareMs);
         WarmUp.run(addressOf("frontend"), addressOf("readiness"), dataPlane.services());
     }
 
--- a/transport/src/main/java/pinewick/transport/ControlLoop.java
+++ b/transport/src/main/java/pinewick/transport/ControlLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The one thread that owns membership, dissemination and replication of a process. A task that throws is
@@ -40,6 +41,19 @@
         executor.scheduleWithFixedDelay(() -> run(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs a task on the loop over and over; the pause is asked for, on the loop, before each run. */
+    public void repeatAtPace(Runnable task, LongSupplier pauseMs) {
+        if (executor.isShutdown()) {
+            return;
+        }
+        schedule(
+                () -> {
+                    run(task);
+                    repeatAtPace(task, pauseMs);
+                },
+                pauseMs.getAsLong());
+    }
+
     private static void run(Runnable task) {
         try {
             task.run();
--- a/transport/src/main/java/pinewick/transport/NetworkTransport.java
+++ b/transport/src/main/java/pinewick/transport/NetworkTransport.java
@@ -102,9 +102,23 @@
     @Override
     public void send(SocketAddress peer, Message message) {
         byte[] frame = encode(peer, message);
-        if (frame == null) {
+        if (frame != null) {
+            sendFrame(peer, frame);
+        }
+    }
+
+    /** Sends one message to several peers; it is encoded once. */
+    public void sendToAll(List<SocketAddress> peers, Message message) {
+        if (peers.isEmpty()) {
             return;
         }
+        byte[] frame = encode(peers.get(0), message);
+        if (frame != null) {
+            peers.forEach(peer -> sendFrame(peer, frame));
+        }
+    }
+
+    private void sendFrame(SocketAddress peer, byte[] frame) {
         if (frame.length <= MAX_DATAGRAM_BYTES) {
             sendDatagram(peer, frame);
         } else {
--- a/transport/src/test/java/pinewick/transport/NetworkTransportTest.java
+++ b/transport/src/test/java/pinewick/transport/NetworkTransportTest.java
@@ -125,6 +125,15 @@
         assertEquals(0, there.transport.counters().datagramsReceived());
     }
 
+    @Test
+    void aMessageToSeveralPeersReachesEachOfThemOnce() throws Exception {
+        Endpoint third = endpoint(0);
+        here.transport.sendToAll(List.of(there.address(), third.address()), TestMessage.numbered(5));
+        assertEquals(5, there.take().number());
+        assertEquals(5, third.take().number());
+        assertEquals(2, here.transport.counters().datagramsSent());
+    }
+
     @Test
     void messagesToOneselfArrive() throws InterruptedException {
         here.transport.send(here.address(), TestMessage.numbered(1));
