A router's control loop sleeps until something is due

Change: FleetNode says when its next tick is due (50 ms while there is something to spread or to join, else the next digest, shuffle, answer or pull, 500 ms at most); a MovableTimer on the loop takes it. Controllers keep their ticks, as replication needs them. Test: routers of the simulated fleet tick as their node asks; its bounds hold as before, and a router at rest ticks less than 8 times a second (20 before).

--- a/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -15,6 +15,7 @@
 import pinewick.model.SocketAddress;
 import pinewick.transport.ControlLoop;
 import pinewick.transport.MessageCodec;
+import pinewick.transport.MovableTimer;
 import pinewick.transport.NetworkTransport;
 import pinewick.transport.TransportException;
 
@@ -24,6 +25,7 @@
     private final ControlLoop loop = new ControlLoop();
     private final NetworkTransport transport;
     private final FleetNode node;
+    private final MovableTimer ticks = loop.timer(this::tick);
 
     FleetLink(NodeSettings settings, RandomGenerator random) throws RouterException {
         SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
@@ -46,14 +48,25 @@
     /** @param onNews told what other routers saw of replicas, on the thread that receives */
     void start(Consumer<LoadNews> onNews) {
         transport.start((sender, message) -> onMessage(sender, message, onNews));
-        loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
+        loop.execute(this::tick);
+    }
+
+    private void tick() {
+        try {
+            node.onTick(loop.nowMs());
+        } finally {
+            ticks.set(node.nextTickMs());
+        }
     }
 
     private void onMessage(SocketAddress sender, Message message, Consumer<LoadNews> onNews) {
         if (message instanceof LoadNews news) {
             onNews.accept(news);
         } else {
-            loop.execute(() -> node.onMessage(sender, message, loop.nowMs()));
+            loop.execute(() -> {
+                node.onMessage(sender, message, loop.nowMs());
+                ticks.set(node.nextTickMs());
+            });
         }
     }
 
--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -97,6 +97,14 @@
         }
     }
 
+    /** When {@link #onTick} has something to do next; in the past if it has now. */
+    double nextDueMs() {
+        if (wavesLeft > 0) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        return sources.isEmpty() ? Double.POSITIVE_INFINITY : pulledAtMs + pullTimeoutMs();
+    }
+
     private double pullTimeoutMs() {
         int doublings = Math.min(Math.max(pulls - QUICK_PULLS, 0), MOST_DOUBLINGS);
         return PULL_TIMEOUT_MS * (1 << doublings);
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -23,17 +23,18 @@
 import pinewick.model.SocketAddress;
 
 /**
- * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link
- * #onTick} every
- * {@link #TICK_MS}, hands in every message, and publishes what is new here. What {@link #synchronised}, {@link
- * #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs} answer is as of the
- * last tick and
- * may be read by any thread.
+ * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick} every
+ * {@link #TICK_MS}, or whenever {@link #nextTickMs} says, hands in every message, and publishes what is new here. What
+ * {@link #synchronised}, {@link #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs}
+ * answer is as of the last tick and may be read by any thread.
  */
 public final class FleetNode {
-    /** How often {@link #onTick} is to be called, milliseconds. */
+    /** Pause between two calls of {@link #onTick} while there is something to do, milliseconds. */
     public static final int TICK_MS = 50;
 
+    /** Longest pause between two calls of {@link #onTick}, milliseconds. */
+    public static final int LONGEST_PAUSE_MS = 500;
+
     private static final double DIGEST_MS = 500;
     private static final double DIGEST_JITTER = 0.2;
     private static final double PRUNE_MS = 10_000;
@@ -51,7 +52,8 @@
     private final Joining joining;
     private double nextDigestAtMs;
     private double nextPruneAtMs;
-    private volatile double tickedAtMs;
+    private double tickedAtMs = Double.NEGATIVE_INFINITY;
+    private volatile double lastNowMs;
     private volatile boolean synchronised;
     private volatile int routerCount = 1;
     private volatile int routerCountUpperBound = 1;
@@ -83,7 +85,7 @@
 
             @Override
             public void replicaChanged(ReplicaRecord record) {
-                replicas.changed(record, tickedAtMs);
+                replicas.changed(record, lastNowMs);
             }
         });
     }
@@ -91,12 +93,15 @@
     /** Time has passed. */
     public void onTick(double nowMs) {
         tickedAtMs = nowMs;
+        lastNowMs = nowMs;
         sampling.onTick(nowMs);
         configuration.onTick(nowMs);
         replicas.onTick(nowMs);
         handover.onTick(nowMs);
         heartbeats.onTick(nowMs);
-        joining.onTick(digest(nowMs), nowMs);
+        if (!joining.done()) {
+            joining.onTick(digest(nowMs), nowMs);
+        }
         sendDigestIfDue(nowMs);
         if (nowMs >= nextPruneAtMs) {
             nextPruneAtMs = nowMs + PRUNE_MS;
@@ -109,6 +114,18 @@
         peers = sampling.peers();
     }
 
+    /**
+     * When {@link #onTick} has to be called next, steady time in milliseconds: {@link #TICK_MS} after the last time
+     * while there is something to spread, else when something falls due. To be asked again after each message.
+     */
+    public double nextTickMs() {
+        boolean busy = !joining.done() || replicas.hasNews();
+        double dueMs = busy ? Double.NEGATIVE_INFINITY : Math.min(nextDigestAtMs, sampling.nextDueMs());
+        dueMs = Math.min(dueMs, configuration.nextDueMs());
+        dueMs = Math.min(dueMs, Math.min(handover.nextDueMs(), heartbeats.nextDueMs()));
+        return Math.max(tickedAtMs + TICK_MS, Math.min(tickedAtMs + LONGEST_PAUSE_MS, dueMs));
+    }
+
     private Digest digest(double nowMs) {
         return new Digest(
                 state.configuration().version(),
@@ -128,6 +145,7 @@
 
     /** Handles a message if it is of membership or dissemination; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
+        lastNowMs = nowMs;
         return sampling.onMessage(sender, message, nowMs)
                 || onConfigurationMessage(sender, message, nowMs)
                 || onReplicaMessage(sender, message, nowMs)
@@ -216,6 +234,7 @@
      *     if no confirmation is needed: the record then goes out with the next tick
      */
     public void publish(ReplicaRecord record, Runnable heldElsewhere, double nowMs) {
+        lastNowMs = nowMs;
         replicas.arose(record, nowMs);
         ReplicaRecord held = state.replica(record.instanceId());
         if (heldElsewhere != null) {
--- a/dissemination/src/main/java/pinewick/dissemination/HeartbeatNotes.java
+++ b/dissemination/src/main/java/pinewick/dissemination/HeartbeatNotes.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** When {@link #onTick} has something to do next. */
+    double nextDueMs() {
+        return unsent.isEmpty() ? Double.POSITIVE_INFINITY : sentAtMs + BATCH_MS;
+    }
+
     void onBatch(HeartbeatBatch batch, double nowMs) {
         batch.notes().forEach(note -> note(note.instanceId(), note.callSequence(), nowMs - note.ageMs()));
     }
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaHandover.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaHandover.java
@@ -77,6 +77,14 @@
         }
     }
 
+    /** When {@link #onTick} has something to do next. */
+    double nextDueMs() {
+        return waiting.values().stream()
+                .mapToDouble(entry -> entry.sentAtMs + RESEND_MS)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     void onHeld(ReplicaHeld held) {
         Waiting entry = waiting.remove(held.ackId());
         if (entry != null) {
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -98,6 +98,11 @@
         pushNews(nowMs);
     }
 
+    /** Whether the next tick has something to send. */
+    boolean hasNews() {
+        return !arisen.isEmpty() || !heardOf.isEmpty() || pushed.stream().anyMatch(ids -> !ids.isEmpty());
+    }
+
     /** Names what was pushed in the ticks before to a few more peers, which ask for what they lack. */
     private void nameAgain() {
         for (Set<String> ids : pushed) {
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -69,6 +69,9 @@
         long bytesSent;
         long bytesReceived;
         long messagesSent;
+        int ticks;
+        private int plannedTicks;
+        private double plannedTickMs = Double.NaN;
 
         Process(SocketAddress address, NodeRole role, long incarnation) {
             descriptor = new NodeDescriptor(address, incarnation, role, "zone-" + address.hashCode() % 3);
@@ -93,11 +96,41 @@
             if (!alive) {
                 return;
             }
+            ticks++;
             node.onTick(localMs());
             if (Double.isNaN(synchronisedAtMs) && node.synchronised()) {
                 synchronisedAtMs = nowMs;
             }
-            after(FleetNode.TICK_MS, this::tick);
+            if (descriptor.role() == NodeRole.CONTROLLER) {
+                after(FleetNode.TICK_MS, this::tick);
+            } else {
+                planTick();
+            }
+        }
+
+        /** A router ticks when its node asks for it, as its program does. */
+        private void planTick() {
+            double dueMs = node.nextTickMs();
+            if (dueMs == plannedTickMs) {
+                return;
+            }
+            plannedTickMs = dueMs;
+            int number = ++plannedTicks;
+            after(Math.max(0, dueMs - localMs()), () -> {
+                if (number == plannedTicks) {
+                    plannedTickMs = Double.NaN;
+                    tick();
+                }
+            });
+        }
+
+        /** Hands in a message; returns whether it was handled. */
+        boolean receive(SocketAddress from, Message message) {
+            boolean handled = node.onMessage(from, message, localMs());
+            if (descriptor.role() == NodeRole.ROUTER && !Double.isNaN(plannedTickMs)) {
+                planTick();
+            }
+            return handled;
         }
 
         void kill() {
@@ -229,7 +262,7 @@
         receiver.bytesReceived += frame.length;
         try {
             Message message = codec.decode(frame, 0, frame.length).message();
-            if (!receiver.node.onMessage(from, message, receiver.localMs())) {
+            if (!receiver.receive(from, message)) {
                 throw new IllegalStateException("not handled: " + message);
             }
         } catch (MalformedFrameException e) {
@@ -243,6 +276,7 @@
             process.bytesSent = 0;
             process.bytesReceived = 0;
             process.messagesSent = 0;
+            process.ticks = 0;
         });
     }
 }
--- a/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/SpreadBoundsTest.java
@@ -20,6 +20,7 @@
     private static final double BOUND_MS = 1_000;
     private static final double REST_MS = 20_000;
     private static final double MOST_BYTES_A_SECOND = 3_000;
+    private static final double MOST_TICKS_A_SECOND = 8;
     private static final double LOSS = 0.02;
     private static final int ROUTES = 400;
     private static final int CHANGES = 12;
@@ -116,6 +117,8 @@
                 fleet.messagesByType);
         System.out.println(text);
         assertTrue(mean < MOST_BYTES_A_SECOND, text);
+        double ticks = ofRouters(fleet, process -> process.ticks).getAverage() / seconds;
+        assertTrue(ticks < MOST_TICKS_A_SECOND, "a router at rest ticks " + ticks + " times a second");
         return text;
     }
 
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -144,6 +144,12 @@
         size.onTick(routersKnown, routers.full(), nowMs);
     }
 
+    /** When {@link #onTick} has something to do next, steady time in milliseconds. */
+    public double nextDueMs() {
+        double answerDueMs = pending == null ? Double.POSITIVE_INFINITY : pending.sentAtMs + ANSWER_MS;
+        return Math.min(answerDueMs, Math.min(nextShuffleAtMs, nextRetryAtMs));
+    }
+
     private void startIfNew(double nowMs) {
         if (Double.isNaN(startedAtMs)) {
             startedAtMs = nowMs;
--- a/transport/src/main/java/pinewick/transport/ControlLoop.java
+++ b/transport/src/main/java/pinewick/transport/ControlLoop.java
@@ -1,8 +1,8 @@
 package pinewick.transport;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -15,12 +15,16 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final double NANOS_A_MILLISECOND = 1e6;
 
-    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+    private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, task -> {
         Thread thread = new Thread(task, "control-loop");
         thread.setDaemon(true);
         return thread;
     });
 
+    public ControlLoop() {
+        executor.setRemoveOnCancelPolicy(true);
+    }
+
     /** Steady time, milliseconds. */
     public double nowMs() {
         return System.nanoTime() / NANOS_A_MILLISECOND;
@@ -36,6 +40,21 @@
         executor.schedule(() -> run(task), delayMs, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Runs a task on the loop at a time that may be moved.
+     *
+     * @see MovableTimer
+     */
+    public MovableTimer timer(Runnable task) {
+        return new MovableTimer(this, task);
+    }
+
+    /** Runs a task once on the loop, at a time as {@link #nowMs} counts; may be cancelled. */
+    Future<?> runAt(Runnable task, double atMs) {
+        long delayNs = (long) (Math.max(0, atMs - nowMs()) * NANOS_A_MILLISECOND);
+        return executor.schedule(() -> run(task), delayNs, TimeUnit.NANOSECONDS);
+    }
+
     /** Runs a task on the loop over and over, with a pause between runs. */
     public void repeat(Runnable task, long periodMs) {
         executor.scheduleWithFixedDelay(() -> run(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
@@ -43,7 +62,7 @@
 
     /** Runs a task on the loop over and over; the pause is asked for, on the loop, before each run. */
     public void repeatAtPace(Runnable task, LongSupplier pauseMs) {
-        if (executor.isShutdown()) {
+        if (closed()) {
             return;
         }
         schedule(
@@ -54,6 +73,10 @@
                 pauseMs.getAsLong());
     }
 
+    boolean closed() {
+        return executor.isShutdown();
+    }
+
     private static void run(Runnable task) {
         try {
             task.run();
