An answer without length is whole if its connection is closed, and broken if it is reset

Cause: answers without length and chunks were never passed on as a success; worse, Jetty's end point reports a reset as an orderly end, so a failure (400, 500) without length that was reset went to the client as whole. Ruled out: telling the two apart in UpstreamConnection, which sees only the end point's -1. Change: UpstreamEndPoint keeps a reset an error; such answers and prefill answers are whole after an orderly close; a stream without chunks must end behind an event and have one.

--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -224,7 +224,8 @@
     }
 
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
-        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
+        JettyClientExchange client =
+                new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
         Optional<Route> route =
                 routingTable.find(hostOf(request), request.getHttpURI().getPath());
         Optional<String> service = route.flatMap(this::drawService);
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -168,7 +168,7 @@
     }
 
     private boolean isUsableSuccess() {
-        if (!head.framed() || head.isEncoded()) {
+        if (head.isEncoded()) {
             return false;
         }
         return kind == CallKind.PREFILL || (head.isSigned() && (!lifecycle.isStreaming() || head.isEventStream()));
@@ -255,9 +255,17 @@
         }
     }
 
+    /**
+     * A stream that ends with its connection is whole only if the end came right behind an event: a replica may break
+     * off within one, and there is no stream without any.
+     */
     private void completeEvents() {
-        ended(CallEnding.ANSWERED);
         byte[] rest = lifecycle.events().rest();
+        if (!head.framed() && (rest.length > 0 || !firstEventSeen)) {
+            failed();
+            return;
+        }
+        ended(CallEnding.ANSWERED);
         if (rest.length > 0) {
             lifecycle.passOn(this, rest);
         }
--- a/dataplane/src/main/java/pinewick/dataplane/ResponseHead.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ResponseHead.java
@@ -9,7 +9,7 @@
  *
  * @param status its status
  * @param fields its header fields
- * @param framed whether its end can be told from a broken connection
+ * @param framed whether it tells where its body ends; otherwise it ends with an orderly close of the connection
  */
 record ResponseHead(int status, HttpFields fields, boolean framed) {
     private static final int LOWEST_SUCCESS = 200;
--- a/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RouterConnector.java
@@ -93,7 +93,7 @@
         protected SocketChannelEndPoint newEndPoint(
                 SelectableChannel channel, ManagedSelector selector, SelectionKey key) throws IOException {
             if (key.attachment() instanceof Outgoing) {
-                return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+                return new UpstreamEndPoint((SocketChannel) channel, selector, key, getScheduler());
             }
             return super.newEndPoint(channel, selector, key);
         }
--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamEndPoint.java
@@ -0,0 +1,39 @@
+package pinewick.dataplane;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * The socket of a connection to a replica. Jetty's own end point reports a connection that was reset as one that was
+ * closed; here a reset stays an error, because an answer without a length is whole only after an orderly close.
+ */
+final class UpstreamEndPoint extends SocketChannelEndPoint {
+    UpstreamEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+        super(channel, selector, key, scheduler);
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        if (isInputShutdown()) {
+            return -1;
+        }
+        int position = BufferUtil.flipToFill(buffer);
+        try {
+            int filled = getChannel().read(buffer);
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        } finally {
+            BufferUtil.flipToFlush(buffer, position);
+        }
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -132,6 +132,67 @@
         assertEquals("", answer.body());
     }
 
+    /** Begins a stream that has neither a length nor chunks, so that it ends with its connection. */
+    private RawSocket beginWithoutChunks(boolean resumable, int maxAttempts) throws Exception {
+        router.configure(TestRouter.streamRoute(resumable, maxAttempts));
+        client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt"));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        upstream.send("HTTP/1.1 200 OK\r\nX-Pinewick-Request-Id: q1\r\nX-Pinewick-Server-Signature: stamp-q1\r\n"
+                + "Content-Type: text/event-stream\r\n\r\n");
+        return upstream;
+    }
+
+    @Test
+    void aStreamWithoutChunksThatIsClosedBehindAnEventIsWhole() throws Exception {
+        RawSocket upstream = beginWithoutChunks(false, 1);
+        upstream.send(event(1) + event(2));
+        upstream.close();
+        HttpText.Message answer = client.read();
+        assertEquals(200, answer.status());
+        assertEquals(event(1) + event(2), answer.body());
+    }
+
+    @Test
+    void aStreamWithoutChunksThatIsClosedWithinAnEventIsBroken() throws Exception {
+        RawSocket upstream = beginWithoutChunks(false, 1);
+        upstream.send(event(1) + "id: 2\ndata: tok");
+        upstream.close();
+        client.readHead();
+        assertEquals(event(1), client.readChunk());
+        assertAborted();
+    }
+
+    @Test
+    void aStreamWithoutChunksThatIsResetIsBroken() throws Exception {
+        RawSocket upstream = beginWithoutChunks(false, 1);
+        upstream.send(event(1));
+        client.readHead();
+        assertEquals(event(1), client.readChunk());
+        upstream.reset();
+        assertAborted();
+    }
+
+    @Test
+    void aStreamWithoutChunksThatIsClosedBeforeItsFirstEventIsBroken() throws Exception {
+        beginWithoutChunks(false, 1).close();
+        assertEquals(502, client.read().status());
+    }
+
+    @Test
+    void aResumableStreamWithoutChunksThatIsResetGoesOnElsewhere() throws Exception {
+        RawSocket upstream = beginWithoutChunks(true, 2);
+        upstream.send(event(1));
+        client.readHead();
+        assertEquals(event(1), client.readChunk());
+        upstream.reset();
+        RawSocket next = second.accept();
+        assertEquals("1", next.read().field("Last-Event-Id"));
+        next.send(ScriptedReplica.streamHead("q1") + ScriptedReplica.chunk(event(2)) + ScriptedReplica.lastChunk());
+        assertEquals(event(2), client.readChunk());
+        assertEquals("", client.readChunk());
+    }
+
     @Test
     void anUnstampedStreamIsNotPassedOn() throws Exception {
         router.configure(TestRouter.streamRoute(false, 1));
