A client's deadline that cannot be read counts as none, and of several the shortest

Cause: the field went through Double.parseDouble, so that NaN ended a request at its arrival (503), hexadecimal and exponent forms counted, and of two fields the first did. Ruled out: a later deadline on a second sending or on a prefill call; each call is told what is left, now tested, as is the route's time-out where the client names nothing. Fails on: DeadlineTest.aFieldThatCannotBeReadDoesNotEndTheRequest (NaN, -1); the tests of ClientDeadline are new.

--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -50,8 +50,6 @@
     /** When clients of a router that does not know the fleet's routes yet may come back. */
     private static final double UNINFORMED_RETRY_SECONDS = 0.2;
 
-    private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
-
     private final SerialExecutor serial;
     private final Timers timers;
     private final RandomGenerator random;
@@ -297,7 +295,7 @@
         boolean generation =
                 routingTable.service(service).flatMap(ServiceSpec::engine).isPresent();
         PromptHeaders prompt = PromptHeaders.parse(fields);
-        double held = Math.min(route.timeoutMs(), deadlineMs(fields));
+        double heldMs = ClientDeadline.heldMs(fields, route.timeoutMs());
         return new RequestShape(
                 route,
                 service,
@@ -307,19 +305,7 @@
                 generation ? prompt.outputTokens() : 0,
                 generation ? prompt.parts() : List.of(),
                 arrivedAtMs,
-                arrivedAtMs + held);
-    }
-
-    private static double deadlineMs(HttpFields fields) {
-        String told = fields.get(HeaderNames.DEADLINE_MS);
-        if (told == null) {
-            return NO_DEADLINE_MS;
-        }
-        try {
-            return Math.max(1, Double.parseDouble(told.trim()));
-        } catch (NumberFormatException e) {
-            return NO_DEADLINE_MS;
-        }
+                arrivedAtMs + heldMs);
     }
 
     // ---- the end
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/DeadlineTest.java
@@ -0,0 +1,100 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pinewick.dataplane.PlayedCalls.PlayedCall;
+import pinewick.model.RouteKind;
+
+/** The time that replicas are told they have: never more than what is left of the client's and the route's. */
+class DeadlineTest {
+    private static final String HANDLE = "{\"prefill_handle\":\"h\",\"tokens\":1,\"version\":1}";
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "1500|1500",
+                "1500.5|1500.5",
+                "9000|4000",
+                "0|1",
+                "''|4000",
+                "NaN|4000",
+                "Infinity|4000",
+                "-5|4000",
+                "1e3|4000",
+                "0x10|4000",
+                "soon|4000",
+                "2000, 1000|1000",
+                "99999999999999999999|4000"
+            })
+    void aRequestIsHeldForTheShorterOfTheClientsTimeAndTheRoutes(String told, double expectedMs) {
+        HttpFields fields = HttpFields.build().add(HeaderNames.DEADLINE_MS, told);
+        assertEquals(expectedMs, ClientDeadline.heldMs(fields, 4_000));
+    }
+
+    @Test
+    void ofSeveralFieldsTheShortestTimeCounts() {
+        HttpFields fields =
+                HttpFields.build().add(HeaderNames.DEADLINE_MS, "3000").add(HeaderNames.DEADLINE_MS, "1200");
+        assertEquals(1_200, ClientDeadline.heldMs(fields, 4_000));
+    }
+
+    @Test
+    void withoutAFieldTheRoutesTimeOutCounts() {
+        assertEquals(4_000, ClientDeadline.heldMs(HttpFields.EMPTY, 4_000));
+    }
+
+    @Test
+    void everyCallIsToldWhatIsLeft() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.STREAMING, true, true, 4, 1);
+        world.lifecycle.start();
+        assertTold(world, 4_000);
+        world.timers.advance(300);
+        world.calls.last().answer(200, HANDLE);
+        assertTold(world, 3_700);
+        world.timers.advance(400);
+        world.calls.last().streamHead();
+        world.calls.last().content("id: 1\ndata: x\n\n");
+        world.calls.last().breakOff();
+        assertTold(world, 3_300);
+    }
+
+    @Test
+    void aSecondPrefillCallIsToldWhatIsLeft() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.STREAMING, false, true, 4, 1);
+        world.lifecycle.start();
+        world.timers.advance(600);
+        PlayedCall prefill = world.calls.last();
+        assertTrue(prefill.isPrefill());
+        prefill.reject();
+        assertTold(world, 3_400);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NaN", "''", "-1", "soon", "Infinity"})
+    void aFieldThatCannotBeReadDoesNotEndTheRequest(String told) throws Exception {
+        try (TestRouter router = new TestRouter()) {
+            router.configure(TestRouter.plainRoute("non_idempotent", 1));
+            ScriptedReplica replica = router.replica("i-1", "plain", pinewick.model.Stage.NONE);
+            RawSocket client = router.client();
+            client.send("POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\n"
+                    + "X-Pinewick-Deadline-Ms: " + told + "\r\nContent-Length: 0\r\n\r\n");
+            RawSocket upstream = replica.accept();
+            int left = Integer.parseInt(upstream.read().field("X-Pinewick-Deadline-Ms"));
+            assertTrue(left > 0 && left <= 5_000, "told " + left);
+            upstream.send(ScriptedReplica.answer(200, "q1", "served"));
+            assertEquals("served", client.read().body());
+        }
+    }
+
+    private static void assertTold(LifecycleWorld world, int expectedMs) {
+        assertEquals(
+                Integer.toString(expectedMs),
+                world.calls.last().request.fields().get(HeaderNames.DEADLINE_MS));
+    }
+}
