Each request has its final answer at its time-out while its body comes, and at a stop once it has gone out

Cause: nothing bounded how long a body may take but the idle time of 15 s, which each byte begins anew. Change: a body that is not whole when the request is due gets 408 and the end of its connection; no timer is set for bodies that come at once. LOST: a stop waited for the decisions about requests, not for their answers: a client that read slowly could lose the end of its answer when the server was stopped. Now a request counts until its answer has gone out or its connection is gone. Ruled out (held before): silent replicas, time-outs changed by a configuration, streams whose client does not read, routes removed and replicas leaving meanwhile. Fail on: TimeoutTest.aBodyThatIsNotWholeByThen..., theRestOfABodyThatCameTooLate..., ShutdownTest.aRequestIsUnder WayUntilItsWholeAnswerHasGoneOut.

--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -13,7 +13,10 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 
-/** Reads one client request whole, within the limits in force, and hands it to the data plane. */
+/**
+ * Reads one client request whole, within the limits in force, and hands it to the data plane. A body that has not come
+ * by the time the request may be held for is waited for no longer.
+ */
 final class ClientIntake implements Invocable.Task {
     private static final String RETRY_AFTER_SECONDS = "0.5";
     /** Two spaces, the version, a line end, and the empty line. */
@@ -33,6 +36,8 @@
     private final int mostBodyBytes;
     private ByteArrayOutputStream body;
     private long keptBytes;
+    private boolean settled;
+    private Timers.Timer timeout;
 
     ClientIntake(DataPlane dataPlane, Request request, Response response, Callback callback) {
         this.dataPlane = dataPlane;
@@ -50,35 +55,64 @@
 
     /** Reads what has come; runs again when there is more. */
     @Override
-    public void run() {
+    public synchronized void run() {
+        if (!settled) {
+            read();
+        }
+    }
+
+    private void read() {
         if (request.getLength() > mostBodyBytes) {
-            refuseTooLarge();
+            settle(this::refuseTooLarge);
             return;
         }
-        while (true) {
+        while (!settled) {
             Content.Chunk chunk = request.read();
             if (chunk == null) {
+                scheduleTimeout();
                 request.demand(this);
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                callback.failed(chunk.getFailure());
+                settle(() -> callback.failed(chunk.getFailure()));
                 return;
             }
             boolean last = chunk.isLast();
             Runnable refusal = take(chunk.getByteBuffer());
             chunk.release();
             if (refusal != null) {
-                refusal.run();
-                return;
-            }
-            if (last) {
-                complete();
-                return;
+                settle(refusal);
+            } else if (last) {
+                settle(this::complete);
             }
         }
     }
 
+    /** Ends the reading, in one way only. */
+    private void settle(Runnable outcome) {
+        settled = true;
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        outcome.run();
+    }
+
+    private void scheduleTimeout() {
+        if (timeout == null) {
+            timeout = dataPlane.scheduleWhenDue(request, this::onTimeout);
+        }
+    }
+
+    /** The body is not whole in time, so the request has not run and never will. */
+    private synchronized void onTimeout() {
+        if (!settled) {
+            settle(() -> {
+                response.getHeaders().put(HttpHeader.CONNECTION, "close");
+                answer(HttpStatus.REQUEST_TIMEOUT_408);
+            });
+        }
+    }
+
     /** Keeps a piece of the body; returns how it is refused, or null. */
     private Runnable take(ByteBuffer content) {
         int length = content.remaining();
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -47,6 +47,11 @@
     private static final int FEWEST_CONNECTIONS = 4;
     private static final double MILLISECONDS = 1e3;
 
+    private static final double NANOS_A_MILLISECOND = 1e6;
+
+    /** How long the body of a request is waited for if there is no route for it. */
+    private static final double LONGEST_HELD_WITHOUT_ROUTE_MS = 5_000;
+
     /** When clients of a router that does not know the fleet's routes yet may come back. */
     private static final double UNINFORMED_RETRY_SECONDS = 0.2;
 
@@ -69,6 +74,9 @@
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
     private boolean over;
+    /** Requests that were read whole and whose answers have not gone out whole. */
+    private int unanswered;
+
     private int routerCountUpperBound = 1;
 
     /**
@@ -208,8 +216,30 @@
 
     /** Takes a request that was read whole. May be called on any thread. */
     void accept(ClientRequest read, Request request, Response response, Callback callback) {
-        double arrivedAtMs = request.getBeginNanoTime() / 1e6;
-        serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
+        serial.execute(() -> {
+            unanswered++;
+            Callback answered = Callback.from(callback, () -> serial.execute(this::answered));
+            begin(read, request, response, answered, arrivedAtMs(request));
+        });
+    }
+
+    private static double arrivedAtMs(Request request) {
+        return request.getBeginNanoTime() / NANOS_A_MILLISECOND;
+    }
+
+    /**
+     * Runs a task at the time by which the request must have its answer, as its route and its client have it. May be
+     * called on any thread; the task runs on the data plane's executor.
+     */
+    Timers.Timer scheduleWhenDue(Request request, Runnable task) {
+        double heldMs = findRoute(request)
+                .map(route -> ClientDeadline.heldMs(request.getHeaders(), route.timeoutMs()))
+                .orElse(LONGEST_HELD_WITHOUT_ROUTE_MS);
+        return timers.schedule(arrivedAtMs(request) + heldMs - timers.nowMs(), task);
+    }
+
+    private Optional<Route> findRoute(Request request) {
+        return routingTable.find(hostOf(request), request.getHttpURI().getPath());
     }
 
     /** The request has not run and never will; the client may come back after a while. */
@@ -224,8 +254,7 @@
     private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
         JettyClientExchange client =
                 new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
-        Optional<Route> route =
-                routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        Optional<Route> route = findRoute(request);
         Optional<String> service = route.flatMap(this::drawService);
         if (over || service.isEmpty()) {
             refuse(client, read.id());
@@ -315,7 +344,7 @@
         stopping = true;
     }
 
-    /** Completes once no request is under way. */
+    /** Completes once every request that was read whole has its whole answer, or its connection is gone. */
     CompletableFuture<Void> whenIdle() {
         CompletableFuture<Void> idle = new CompletableFuture<>();
         serial.execute(() -> {
@@ -327,11 +356,15 @@
 
     private void ended(RequestLifecycle lifecycle) {
         departures.remove(underWay.remove(lifecycle));
+    }
+
+    private void answered() {
+        unanswered--;
         tellIfIdle();
     }
 
     private void tellIfIdle() {
-        if (underWay.isEmpty() && !waitingForIdle.isEmpty()) {
+        if (unanswered == 0 && !waitingForIdle.isEmpty()) {
             List<CompletableFuture<Void>> told = List.copyOf(waitingForIdle);
             waitingForIdle.clear();
             told.forEach(idle -> idle.complete(null));
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -121,6 +121,13 @@
         return frontend;
     }
 
+    /** How many clients are connected. */
+    long clientConnections() {
+        return frontend.getConnectedEndPoints().stream()
+                .filter(endPoint -> endPoint.getConnection() instanceof ClientConnection)
+                .count();
+    }
+
     int frontendPort() {
         return frontend.getLocalPort();
     }
--- a/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RawSocket.java
@@ -48,6 +48,20 @@
         return HttpText.readHead(in);
     }
 
+    /** Whether something is there to be read within a time; nothing is taken. */
+    boolean bringsMoreWithin(int waitMs) throws IOException {
+        in.mark(1);
+        socket.setSoTimeout(waitMs);
+        try {
+            return in.read() >= 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } finally {
+            in.reset();
+            socket.setSoTimeout(PATIENCE_MS);
+        }
+    }
+
     /** Everything that comes until the other side's orderly end or a reset. */
     String readUntilEnd() {
         StringBuilder text = new StringBuilder();
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/ShutdownTest.java
@@ -0,0 +1,103 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.ReplicaState;
+import pinewick.model.Stage;
+
+/** A request that was read whole gets its whole answer, whatever is planned meanwhile. */
+class ShutdownTest {
+    /** Together more than the sockets between router and client hold. */
+    private static final int MOST_ANSWERS = 40;
+
+    private static final int QUIET_MS = 500;
+    private static final String BODY = "x".repeat(ReplicaCall.MOST_KEPT_BYTES - 1);
+
+    private TestRouter router;
+    private ScriptedReplica replica;
+    private RawSocket client;
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        router.configure(TestRouter.plainRoute("non_idempotent", 1), TestRouter.streamRoute(false, 1));
+        replica = router.replica("i-1", "plain", Stage.NONE);
+        client = router.client();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    @Test
+    void aRequestIsUnderWayUntilItsWholeAnswerHasGoneOut() throws Exception {
+        for (int i = 0; i < MOST_ANSWERS; i++) {
+            client.send(TestRouter.request("POST", "/plain/x", "q" + i, ""));
+        }
+        RawSocket upstream = replica.accept();
+        int answered = 0;
+        do {
+            upstream.read();
+            upstream.send(ScriptedReplica.answer(200, "q" + answered, BODY));
+            answered++;
+        } while (answered < MOST_ANSWERS && upstream.bringsMoreWithin(QUIET_MS));
+        assertEquals(true, answered < MOST_ANSWERS, "the client's socket was to hold the last answer up");
+        CompletableFuture<Void> idle = router.dataPlane.whenIdle();
+        assertFalse(idle.isDone(), "the last answer has not gone out whole");
+        router.dataPlane.beginStopping();
+        for (int i = 0; i < answered; i++) {
+            assertEquals(BODY.length(), client.read().body().length());
+        }
+        upstream.read();
+        upstream.send(ScriptedReplica.answer(200, "q" + answered, "the last"));
+        HttpText.Message last = client.read();
+        assertEquals("the last", last.body());
+        assertEquals("close", last.field("Connection"));
+        idle.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aRouteThatIsRemovedMeanwhileDoesNotEndItsRequests() throws Exception {
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        RawSocket upstream = replica.accept();
+        upstream.read();
+        router.configure(TestRouter.streamRoute(false, 1));
+        upstream.send(ScriptedReplica.answer(200, "q1", "done"));
+        assertEquals("done", client.read().body());
+        client.send(TestRouter.request("POST", "/plain/x", "q2", "body"));
+        assertEquals(404, client.read().status());
+    }
+
+    @Test
+    void aReplicaThatAnnouncesItsEndMeanwhileStillGivesItsAnswer() throws Exception {
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        RawSocket upstream = replica.accept();
+        upstream.read();
+        router.state.merge(replica.record(ReplicaState.DRAINING));
+        router.remove(replica);
+        upstream.send(ScriptedReplica.answer(200, "q1", "done"));
+        assertEquals("done", client.read().body());
+    }
+
+    @Test
+    void aSilentReplicaIsWaitedForWhileTheRouterStops() throws Exception {
+        client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+        RawSocket upstream = replica.accept();
+        upstream.read();
+        router.dataPlane.beginStopping();
+        CompletableFuture<Void> idle = router.dataPlane.whenIdle();
+        assertFalse(idle.isDone());
+        upstream.send(ScriptedReplica.answer(200, "q1", "done"));
+        HttpText.Message answer = client.read();
+        assertEquals("done", answer.body());
+        assertEquals("close", answer.field("Connection"));
+        idle.get(10, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/TimeoutTest.java
@@ -0,0 +1,100 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.model.InvalidConfigurationException;
+import pinewick.model.Stage;
+
+/** At its route's time-out each request has its final answer, whatever it waits for. */
+class TimeoutTest {
+    private static final String HEAD =
+            "POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\nContent-Length: 10\r\n\r\n";
+
+    private TestRouter router;
+    private ScriptedReplica replica;
+    private RawSocket client;
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        replica = router.replica("i-1", "plain", Stage.NONE);
+        client = router.client();
+        configure(200);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    private void configure(int timeoutMs) throws InvalidConfigurationException {
+        router.configure(TestRouter.plainRoute("non_idempotent", 1)
+                .replace("\"timeout_ms\":5000", "\"timeout_ms\":" + timeoutMs));
+    }
+
+    @Test
+    void aBodyThatIsNotWholeByThenIsWaitedForNoLonger() throws Exception {
+        client.send(HEAD + "half");
+        HttpText.Message answer = client.read();
+        assertEquals(408, answer.status());
+        assertEquals("close", answer.field("Connection"));
+        assertTrue(client.isClosedByPeer());
+    }
+
+    @Test
+    void theRestOfABodyThatCameTooLateIsNoRequest() throws Exception {
+        client.send(HEAD + "half");
+        assertEquals(408, client.read().status());
+        assertThrows(IOException.class, () -> {
+            client.send("rest..GET /plain/y HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q2\r\n\r\n");
+            client.read();
+        });
+        RawSocket other = router.client();
+        other.send(HEAD.replace("q1", "q3") + "0123456789");
+        RawSocket upstream = replica.accept();
+        assertEquals("q3", upstream.read().field("X-Pinewick-Request-Id"));
+    }
+
+    @Test
+    void aSilentReplicaIsWaitedForNoLonger() throws Exception {
+        client.send(HEAD + "0123456789");
+        RawSocket upstream = replica.accept();
+        upstream.read();
+        assertEquals(504, client.read().status());
+        assertTrue(upstream.isClosedByPeer());
+    }
+
+    @Test
+    void aTimeOutThatAConfigurationChangesHoldsForTheNextRequest() throws Exception {
+        configure(60_000);
+        configure(200);
+        client.send(HEAD + "0123456789");
+        replica.accept().read();
+        assertEquals(504, client.read().status());
+    }
+
+    @Test
+    void anAnswerUnderWayIsBrokenOffThoughItsClientDoesNotRead() throws Exception {
+        client.send(HEAD + "0123456789");
+        RawSocket upstream = replica.accept();
+        upstream.read();
+        upstream.send("HTTP/1.1 200 OK\r\nX-Pinewick-Request-Id: q1\r\nX-Pinewick-Server-Signature: s\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n");
+        upstream.sendUntilHeldUp(ScriptedReplica.chunk("x".repeat(256 * 1024)));
+        router.dataPlane.whenIdle().get(10, TimeUnit.SECONDS);
+        assertEquals(0, router.front.clientConnections(), "closed though the client has read nothing");
+        assertEquals(200, client.readHead().status());
+        assertThrows(IOException.class, () -> {
+            while (!client.readChunk().isEmpty()) {
+                // what had come before
+            }
+        });
+    }
+}
