--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/OnceOnlyTest.java
@@ -0,0 +1,191 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import pinewick.model.RouteKind;
+import pinewick.model.Stage;
+
+/** A request that may not be repeated goes out once, whatever comes back, and its client is promised nothing. */
+class OnceOnlyTest {
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    private static final String WHOLE = ScriptedReplica.answer(200, "q1", "0123456789");
+
+    private TestRouter router;
+    private ScriptedReplica first;
+    private ScriptedReplica second;
+    private RawSocket client;
+
+    /** What a replica does with a request that it has read. */
+    private enum Misbehaviour {
+        CLOSES_AT_ONCE {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.close();
+            }
+        },
+        RESETS_AT_ONCE {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.reset();
+            }
+        },
+        CLOSES_WITHIN_THE_HEAD {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send(WHOLE.substring(0, 30));
+                upstream.close();
+            }
+        },
+        RESETS_WITHIN_THE_HEAD {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.sendAndReset(WHOLE.substring(0, 30));
+            }
+        },
+        CLOSES_WITHIN_THE_BODY {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send(WHOLE.substring(0, WHOLE.length() - 3));
+                upstream.close();
+            }
+        },
+        RESETS_WITHIN_THE_BODY {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.sendAndReset(WHOLE.substring(0, WHOLE.length() - 3));
+            }
+        },
+        RESETS_AN_ANSWER_WITHOUT_LENGTH {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.sendAndReset(WHOLE.replaceFirst("Content-Length: \\d+\r\n", ""));
+            }
+        },
+        STAYS_SILENT {
+            @Override
+            void play(RawSocket upstream) {}
+        },
+        ANSWERS_SOMETHING_ELSE {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send("220 mail.example ESMTP\r\n");
+            }
+        },
+        ANSWERS_ANOTHER_REQUEST_AND_CLOSES {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send(ScriptedReplica.answer(200, "q0", "late"));
+                upstream.close();
+            }
+        },
+        FAILS {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send(ScriptedReplica.answer(500, "q1", "failed"));
+            }
+        },
+        REFUSES_WITHOUT_SAYING_THAT_IT_DID_NOT_RUN {
+            @Override
+            void play(RawSocket upstream) throws IOException {
+                upstream.send(ScriptedReplica.answer(503, "q1", "full"));
+            }
+        };
+
+        abstract void play(RawSocket upstream) throws IOException;
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        router = new TestRouter();
+        router.configure(TestRouter.plainRoute("non_idempotent", 3).replace("5000", "300"));
+        first = router.replica("i-1", "plain", Stage.NONE);
+        second = router.replica("i-2", "plain", Stage.NONE);
+        client = router.client();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.close();
+    }
+
+    private void send(String id) throws IOException {
+        router.force("i-1");
+        client.send(TestRouter.request("POST", "/plain/x", id, "body"));
+    }
+
+    private RawSocket usedConnection() throws IOException {
+        send("q0");
+        RawSocket upstream = first.accept();
+        upstream.read();
+        upstream.send(ScriptedReplica.answer(200, "q0", "earlier"));
+        assertEquals("earlier", client.read().body());
+        return upstream;
+    }
+
+    private void assertWentOutOnce() throws Exception {
+        int status = client.read().status();
+        assertTrue(status >= 500 && !PROMISES.contains(status), "status " + status);
+        assertFalse(second.hasBeenCalled(), "sent to a second replica");
+        assertFalse(first.hasBeenCalled(), "sent on a second connection");
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void onAFreshConnection(Misbehaviour misbehaviour) throws Exception {
+        send("q1");
+        RawSocket upstream = first.accept();
+        upstream.read();
+        misbehaviour.play(upstream);
+        assertWentOutOnce();
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void onAUsedConnection(Misbehaviour misbehaviour) throws Exception {
+        RawSocket upstream = usedConnection();
+        send("q1");
+        upstream.read();
+        misbehaviour.play(upstream);
+        assertWentOutOnce();
+    }
+
+    @Test
+    void onAConnectionThatTheReplicaHadClosedBefore() throws Exception {
+        usedConnection().close();
+        send("q1");
+        RawSocket upstream = first.accept();
+        assertEquals("q1", upstream.read().field("X-Pinewick-Request-Id"));
+        upstream.send(WHOLE);
+        assertEquals("0123456789", client.read().body());
+        assertFalse(second.hasBeenCalled());
+    }
+
+    @Test
+    void whenTheRouterStopsWhileItIsOut() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.NON_IDEMPOTENT, false, false, 3, 1);
+        world.lifecycle.start();
+        world.calls.last().sent = true;
+        world.lifecycle.onShutdown();
+        assertEquals(502, world.client.status);
+        assertEquals(1, world.calls.all.size());
+    }
+
+    @Test
+    void whenTheRouterStopsBeforeAByteIsOutThatIsPromised() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.NON_IDEMPOTENT, false, false, 3, 1);
+        world.lifecycle.start();
+        world.lifecycle.onShutdown();
+        assertEquals(503, world.client.status);
+        assertEquals(1, world.calls.all.size());
+        assertTrue(world.calls.last().over);
+    }
+}
--- a/dataplane/src/test/java/pinewick/dataplane/ReplicaConnectionsTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/ReplicaConnectionsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -12,6 +13,7 @@
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,8 +45,11 @@
         }
 
         ByteArrayEndPoint accept() {
+            return accept(new ByteArrayEndPoint(scheduler, 0));
+        }
+
+        ByteArrayEndPoint accept(ByteArrayEndPoint endPoint) {
             failures.poll();
-            ByteArrayEndPoint endPoint = new ByteArrayEndPoint(scheduler, 0);
             endPoint.setGrowOutput(true);
             UpstreamConnection connection = (UpstreamConnection) makers.poll().make(endPoint, DIRECT);
             endPoint.setConnection(connection);
@@ -59,6 +64,26 @@
         }
     }
 
+    /** A connection that takes some bytes and is found broken by the next write. */
+    private final class BreakingEndPoint extends ByteArrayEndPoint {
+        private final int takenBytes;
+
+        BreakingEndPoint(int takenBytes) {
+            super(scheduler, 0);
+            this.takenBytes = takenBytes;
+        }
+
+        @Override
+        public boolean flush(ByteBuffer... buffers) throws IOException {
+            if (takenBytes > 0) {
+                ByteBuffer beginning = buffers[0].slice().limit(takenBytes);
+                buffers[0].position(buffers[0].position() + takenBytes);
+                super.flush(beginning);
+            }
+            throw new EofException("played");
+        }
+    }
+
     /** Notes how a call ends. */
     private static final class Outcome implements CallListener {
         private final List<String> events = new ArrayList<>();
@@ -175,4 +200,24 @@
         assertEquals(List.of(), second.events);
         assertNull(network.makers.poll());
     }
+
+    @Test
+    void aCallOfWhichNoByteWentOutIsSentOnAnotherConnection() {
+        Outcome outcome = new Outcome();
+        send("q1", outcome);
+        ByteArrayEndPoint broken = network.accept(new BreakingEndPoint(0));
+        assertEquals("", broken.getOutputString());
+        assertEquals(List.of(), outcome.events);
+        ByteArrayEndPoint next = network.accept();
+        assertEquals(true, next.getOutputString().contains("X-Id: q1"));
+    }
+
+    @Test
+    void aCallOfWhichAByteWentOutIsNotSentAgain() {
+        Outcome outcome = new Outcome();
+        send("q1", outcome);
+        network.accept(new BreakingEndPoint(1));
+        assertEquals(List.of("broken"), outcome.events);
+        assertNull(network.makers.poll());
+    }
 }
--- a/dataplane/src/test/java/pinewick/dataplane/ScriptedReplica.java
+++ b/dataplane/src/test/java/pinewick/dataplane/ScriptedReplica.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.List;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
@@ -53,6 +55,18 @@
         return new RawSocket(listener.accept());
     }
 
+    /** Whether a connection has been made that nobody has accepted. */
+    boolean hasBeenCalled() throws IOException {
+        listener.setSoTimeout(1);
+        try (Socket ignored = listener.accept()) {
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } finally {
+            listener.setSoTimeout(PATIENCE_MS);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
