No 404 before a quorum confirms the configuration; answers of gossip matched by ids

Cause: a router that starts while it reaches only controllers without a quorum takes their configuration, which may lack routes, and answered 404 by it. Ruled out: not ready until confirmed (a side without a quorum would serve nothing, and a router could not start beside a single controller); waiting for a majority of seeds (a process does not know how many controllers there are). Change: controllers that are the confirmed primary or hear one, and have told all that it acknowledged (ReplicationNode.holdsNewest), confirm their configuration; the age of that travels in digests. A router answers 404 only if its configuration was confirmed since its start, else 503. RouterTest's stand-in controller now confirms; the 404 at the stop is still asked for. Simulated: 9 and 84 routers, cut of 20 s: old version served unconfirmed, new one and confirmed within 3 s of the end.

--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -194,6 +194,9 @@
             node.onTick(loop.nowMs());
         }
         replication.onTick(loop.nowMs());
+        if (replication.holdsNewest()) {
+            node.confirmConfiguration(loop.nowMs());
+        }
         if (leaving && replication.detached()) {
             detached.countDown();
         }
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -71,7 +71,7 @@
                 selector,
                 PairChooser.of(selector),
                 random.split(),
-                this::isInformed,
+                this::knowsRoutes,
                 limits -> front.setLimits(limits));
         front = new HttpFront(
                 dataPlane,
@@ -113,6 +113,11 @@
         return fleet.node().synchronised() && dataPlane.routingTable().version() > 0;
     }
 
+    /** What was taken from controllers that are cut off may lack routes: 404 has to wait until it is confirmed. */
+    private boolean knowsRoutes() {
+        return isInformed() && fleet.node().configurationConfirmed();
+    }
+
     private void refresh() {
         FleetNode node = fleet.node();
         dataPlane.setRouterCounts(node.routerCount(), node.routerCountUpperBound());
--- a/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
@@ -24,6 +24,8 @@
 import pinewick.membership.NodeDescriptor;
 import pinewick.membership.NodeRole;
 import pinewick.model.ConfigurationChecks;
+import pinewick.model.ConfigurationDocument;
+import pinewick.model.InvalidConfigurationException;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
 import pinewick.model.Stage;
@@ -41,6 +43,7 @@
     private FleetNode controller;
     private NodeSettings settings;
     private Router router;
+    private volatile boolean quorumContact = true;
 
     @BeforeEach
     void start() throws Exception {
@@ -56,7 +59,14 @@
 
     private void startController() {
         transport.start((sender, message) -> loop.execute(() -> controller.onMessage(sender, message, loop.nowMs())));
-        loop.repeat(() -> controller.onTick(loop.nowMs()), FleetNode.TICK_MS);
+        loop.repeat(this::tickController, FleetNode.TICK_MS);
+    }
+
+    private void tickController() {
+        controller.onTick(loop.nowMs());
+        if (quorumContact) {
+            controller.confirmConfiguration(loop.nowMs());
+        }
     }
 
     @AfterEach
@@ -70,16 +80,11 @@
     void isReadyOnceTheFleetHasToldItWhatIsInForceAndAnswersWhatIsUnderWayWhenStopped() throws Exception {
         assertEquals(503, ready());
         try (ScriptedReplica replica = new ScriptedReplica("i-1", "plain", Stage.NONE)) {
-            known.offer(ConfigurationChecks.parseReplacement(
-                    ("{\"version\":3,\"routes\":[" + TestRouter.plainRoute("non_idempotent", 1)
-                                    + "],\"services\":[{\"name\":\"plain\",\"health_check_path\":\"/health\","
-                                    + "\"max_connections\":40,\"protocol\":\"h1\",\"tls\":false}],"
-                                    + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
-                                    + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}")
-                            .getBytes(StandardCharsets.UTF_8)));
+            known.offer(configuration());
             known.merge(replica.record());
             startController();
             awaitReady();
+            awaitNotFound();
             RawSocket client =
                     RawSocket.connect(settings.frontend().orElseThrow().port());
             client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
@@ -100,6 +105,42 @@
         }
     }
 
+    @Test
+    void aRouterThatReachesNoControllerWithAQuorumRefusesWhatItDoesNotKnowWithoutDenyingIt() throws Exception {
+        quorumContact = false;
+        known.offer(configuration());
+        startController();
+        awaitReady();
+        assertEquals(503, statusOfUnknownRoute());
+        quorumContact = true;
+        awaitNotFound();
+    }
+
+    private static ConfigurationDocument configuration() throws InvalidConfigurationException {
+        return ConfigurationChecks.parseReplacement(("{\"version\":3,\"routes\":["
+                        + TestRouter.plainRoute("non_idempotent", 1)
+                        + "],\"services\":[{\"name\":\"plain\",\"health_check_path\":\"/health\","
+                        + "\"max_connections\":40,\"protocol\":\"h1\",\"tls\":false}],"
+                        + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
+                        + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}")
+                .getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void awaitNotFound() throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (statusOfUnknownRoute() != 404) {
+            assertTrue(System.nanoTime() < until, "configuration not confirmed in time");
+        }
+    }
+
+    private int statusOfUnknownRoute() throws IOException {
+        try (RawSocket client =
+                RawSocket.connect(settings.frontend().orElseThrow().port())) {
+            client.send(TestRouter.request("POST", "/none/x", "q0", "body"));
+            return client.read().status();
+        }
+    }
+
     /** The connection on which the client's request comes; the router asks for load reports on others. */
     private static RawSocket acceptRequest(ScriptedReplica replica) throws IOException {
         while (true) {
--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationHistory.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
+import pinewick.membership.OutstandingRequests;
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDelta;
 import pinewick.model.ConfigurationDocument;
@@ -36,7 +37,7 @@
     /** Keeps the bytes of an update that led to the newest document, to be sent on. */
     synchronized void remember(ConfigurationUpdate update) {
         if (!documents.isEmpty() && update.version() == documents.lastKey()) {
-            updatesByBase.put(update.baseVersion(), update);
+            updatesByBase.put(update.baseVersion(), update.inAnswerTo(OutstandingRequests.UNASKED));
         }
     }
 
@@ -60,7 +61,7 @@
         ConfigurationDocument newest = documents.lastEntry().getValue();
         ConfigurationDocument from = documents.getOrDefault(base, ConfigurationDocument.EMPTY);
         byte[] bytes = ConfigurationChecks.writeDelta(ConfigurationDelta.between(from, newest));
-        return new ConfigurationUpdate(from.version(), newest.version(), bytes);
+        return new ConfigurationUpdate(OutstandingRequests.UNASKED, from.version(), newest.version(), bytes);
     }
 
     /**
--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages.ConfigurationPull;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
+import pinewick.membership.OutstandingRequests;
 import pinewick.membership.PeerSampling;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.Outbox;
@@ -33,6 +34,10 @@
 
     private static final int MOST_DOUBLINGS = 3;
     private static final int MAX_SOURCES = 16;
+    /** A large body over a slow link takes long; what is late by more than this counts for nothing. */
+    private static final double LATEST_ANSWER_MS = 10_000;
+
+    private static final int MOST_OUTSTANDING = 32;
     private static final byte[] NO_BODY = {};
 
     private final FleetState state;
@@ -41,6 +46,9 @@
     private final RandomGenerator random;
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final Map<SocketAddress, Long> sources = new LinkedHashMap<>();
+    /** Pulls without an answer, with the versions that they named. */
+    private final OutstandingRequests<Long> requests;
+
     private int wavesLeft;
     private int pulls;
     private double pulledAtMs;
@@ -51,6 +59,7 @@
         this.peers = peers;
         this.outbox = outbox;
         this.random = random;
+        this.requests = new OutstandingRequests<>(LATEST_ANSWER_MS, MOST_OUTSTANDING, random);
         if (version() > 0) {
             history.add(state.configuration());
         }
@@ -83,7 +92,7 @@
     }
 
     private ConfigurationUpdate header() {
-        return new ConfigurationUpdate(0, version(), NO_BODY);
+        return new ConfigurationUpdate(OutstandingRequests.UNASKED, 0, version(), NO_BODY);
     }
 
     void onTick(double nowMs) {
@@ -126,17 +135,20 @@
         lastSource = candidates.get(random.nextInt(candidates.size()));
         pulledAtMs = nowMs;
         pulls++;
-        outbox.send(lastSource, new ConfigurationPull(version()));
+        outbox.send(lastSource, new ConfigurationPull(requests.open(lastSource, version(), nowMs), version()));
     }
 
     void onPull(SocketAddress sender, ConfigurationPull pull) {
         if (version() > pull.haveVersion()) {
-            outbox.send(sender, history.updateFrom(pull.haveVersion()));
+            outbox.send(sender, history.updateFrom(pull.haveVersion()).inAnswerTo(pull.requestId()));
         }
     }
 
     void onUpdate(SocketAddress sender, ConfigurationUpdate update, double nowMs) {
-        if (update.version() <= version()) {
+        boolean answer = update.answerTo() != OutstandingRequests.UNASKED;
+        boolean unmatched =
+                answer && requests.close(update.answerTo(), sender, nowMs).isEmpty();
+        if (unmatched || update.version() <= version()) {
             return;
         }
         boolean applies = update.baseVersion() == 0 || update.baseVersion() == version();
--- a/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import pinewick.membership.MembershipMessages;
+import pinewick.membership.OutstandingRequests;
 import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
@@ -21,6 +22,8 @@
                 ReplicaRecord.ModelVersion.class,
                 ReplicaRecord.class,
                 Digest.class,
+                DigestRequest.class,
+                DigestReply.class,
                 ConfigurationUpdate.class,
                 ConfigurationPull.class,
                 SpreadRecord.class,
@@ -45,24 +48,37 @@
      * @param replicaCount how many replica records it has, those of replicas long gone left out
      * @param replicaHash sum of the hashes of these records
      * @param synchronised whether it has caught up since its start
-     * @param answerWanted whether the receiver is to answer with its own digest
+     * @param confirmedAgeMs how long ago, at most, a controller in contact with a quorum held no newer configuration,
+     *     milliseconds; {@link QuorumConfirmation#NEVER} if the sender knows of none
      */
     public record Digest(
-            long configurationVersion, int replicaCount, long replicaHash, boolean synchronised, boolean answerWanted)
+            long configurationVersion, int replicaCount, long replicaHash, boolean synchronised, int confirmedAgeMs)
             implements Message {}
 
+    /** Asks for the receiver's digest. */
+    public record DigestRequest(long requestId) implements Message {}
+
+    /** Answers a {@link DigestRequest}. */
+    public record DigestReply(long requestId, Digest digest) implements Message {}
+
     /**
      * Tells of a configuration.
      *
+     * @param answerTo the id of the pull that this answers, {@link OutstandingRequests#UNASKED} for a push
      * @param baseVersion the version that {@code body} applies to
      * @param version the version it leads to
      * @param body the difference, as {@link pinewick.model.ConfigurationChecks#writeDelta} writes it; empty
      * if the receiver is to ask for it
      */
-    public record ConfigurationUpdate(long baseVersion, long version, byte[] body) implements Message {}
+    public record ConfigurationUpdate(long answerTo, long baseVersion, long version, byte[] body) implements Message {
+        /** The same, as the answer to a pull. */
+        ConfigurationUpdate inAnswerTo(long requestId) {
+            return new ConfigurationUpdate(requestId, baseVersion, version, body);
+        }
+    }
 
     /** Asks for the newest configuration, as a difference from one that the sender has. */
-    public record ConfigurationPull(long haveVersion) implements Message {}
+    public record ConfigurationPull(long requestId, long haveVersion) implements Message {}
 
     /**
      * A replica record on its way.
@@ -74,12 +90,13 @@
     /**
      * Replica records.
      *
-     * @param ackId to be confirmed by {@link ReplicaHeld} with the same number, 0 for no confirmation
+     * @param ackId to be confirmed by {@link ReplicaHeld} with the same id, {@link OutstandingRequests#UNASKED} for no
+     *     confirmation
      */
-    public record ReplicaUpdate(int ackId, List<SpreadRecord> records) implements Message {}
+    public record ReplicaUpdate(long ackId, List<SpreadRecord> records) implements Message {}
 
     /** The sender holds the records that came with that number. */
-    public record ReplicaHeld(int ackId) implements Message {}
+    public record ReplicaHeld(long ackId) implements Message {}
 
     /** For each bucket of replica records the sum of their hashes, 32 bits each. */
     public record BucketHashes(byte[] hashes) implements Message {}
@@ -98,10 +115,10 @@
     public record ReplicaRequest(List<String> instanceIds) implements Message {}
 
     /** Asks for every replica record. */
-    public record SnapshotRequest() implements Message {}
+    public record SnapshotRequest(long requestId) implements Message {}
 
-    /** Every replica record of the sender. */
-    public record ReplicaSnapshot(List<SpreadRecord> records) implements Message {}
+    /** Answers a {@link SnapshotRequest}: every replica record of the sender. */
+    public record ReplicaSnapshot(long requestId, List<SpreadRecord> records) implements Message {}
 
     /** Instances that ended so long ago that the sender keeps no record of them any more. */
     public record ForgottenReplicas(List<String> instanceIds) implements Message {}
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -1,11 +1,14 @@
 package pinewick.dissemination;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages.BucketHashes;
 import pinewick.dissemination.FleetMessages.ConfigurationPull;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
 import pinewick.dissemination.FleetMessages.Digest;
+import pinewick.dissemination.FleetMessages.DigestReply;
+import pinewick.dissemination.FleetMessages.DigestRequest;
 import pinewick.dissemination.FleetMessages.ForgottenReplicas;
 import pinewick.dissemination.FleetMessages.HeartbeatBatch;
 import pinewick.dissemination.FleetMessages.ReplicaHeld;
@@ -14,7 +17,10 @@
 import pinewick.dissemination.FleetMessages.ReplicaSummary;
 import pinewick.dissemination.FleetMessages.ReplicaUpdate;
 import pinewick.dissemination.FleetMessages.SnapshotRequest;
+import pinewick.dissemination.ReplicaSpread.SnapshotPurpose;
 import pinewick.membership.NodeDescriptor;
+import pinewick.membership.NodeRole;
+import pinewick.membership.OutstandingRequests;
 import pinewick.membership.PeerSampling;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.Message;
@@ -23,12 +29,10 @@
 import pinewick.model.SocketAddress;
 
 /**
- * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link
- * #onTick} every
- * {@link #TICK_MS}, hands in every message, and publishes what is new here. What {@link #synchronised}, {@link
- * #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs} answer is as of the
- * last tick and
- * may be read by any thread.
+ * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick}
+ * every {@link #TICK_MS}, hands in every message, and publishes what is new here. What {@link #synchronised}, {@link
+ * #configurationConfirmed}, {@link #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link
+ * #lastHeardMs} answer is as of the last tick and may be read by any thread.
  */
 public final class FleetNode {
     /** How often {@link #onTick} is to be called, milliseconds. */
@@ -49,10 +53,12 @@
     private final ReplicaHandover handover;
     private final HeartbeatNotes heartbeats;
     private final Joining joining;
+    private final QuorumConfirmation confirmation = new QuorumConfirmation();
     private double nextDigestAtMs;
     private double nextPruneAtMs;
     private volatile double tickedAtMs;
     private volatile boolean synchronised;
+    private volatile boolean configurationConfirmed;
     private volatile int routerCount = 1;
     private volatile int routerCountUpperBound = 1;
     private volatile List<NodeDescriptor> peers = List.of();
@@ -71,10 +77,15 @@
         this.random = random;
         sampling = new PeerSampling(self, seeds, outbox, random);
         configuration = new ConfigurationSpread(state, sampling, outbox, random);
-        replicas = new ReplicaSpread(state, sampling, outbox);
+        replicas = new ReplicaSpread(state, sampling, outbox, random);
         handover = new ReplicaHandover(sampling, outbox, random);
         heartbeats = new HeartbeatNotes(state, sampling, outbox);
-        joining = new Joining(seeds, sampling, outbox, random);
+        joining = new Joining(
+                seeds,
+                sampling,
+                outbox,
+                random,
+                (peer, nowMs) -> replicas.askForSnapshot(peer, SnapshotPurpose.JOINING, nowMs));
         state.addListener(new FleetStateListener() {
             @Override
             public void configurationChanged(ConfigurationDocument document) {
@@ -91,12 +102,15 @@
     /** Time has passed. */
     public void onTick(double nowMs) {
         tickedAtMs = nowMs;
+        confirmation.advance(nowMs);
         sampling.onTick(nowMs);
         configuration.onTick(nowMs);
         replicas.onTick(nowMs);
         handover.onTick(nowMs);
         heartbeats.onTick(nowMs);
-        joining.onTick(digest(nowMs), nowMs);
+        configurationConfirmed = confirmation.sinceStart();
+        boolean needsNoConfirmation = configurationConfirmed || sampling.self().role() == NodeRole.CONTROLLER;
+        joining.onTick(digest(nowMs), needsNoConfirmation, nowMs);
         sendDigestIfDue(nowMs);
         if (nowMs >= nextPruneAtMs) {
             nextPruneAtMs = nowMs + PRUNE_MS;
@@ -115,7 +129,7 @@
                 replicas.digest().count(nowMs),
                 replicas.digest().hash(nowMs),
                 joining.done(),
-                false);
+                confirmation.ageMs(nowMs));
     }
 
     private void sendDigestIfDue(double nowMs) {
@@ -128,16 +142,38 @@
 
     /** Handles a message if it is of membership or dissemination; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
+        confirmation.advance(nowMs);
         return sampling.onMessage(sender, message, nowMs)
+                || onDigestMessage(sender, message, nowMs)
                 || onConfigurationMessage(sender, message, nowMs)
                 || onReplicaMessage(sender, message, nowMs)
-                || onControllerMessage(message, nowMs);
+                || onControllerMessage(sender, message, nowMs);
     }
 
-    private boolean onConfigurationMessage(SocketAddress sender, Message message, double nowMs) {
+    private boolean onDigestMessage(SocketAddress sender, Message message, double nowMs) {
         if (message instanceof Digest digest) {
-            onDigest(sender, digest, nowMs);
-        } else if (message instanceof ConfigurationUpdate update) {
+            confirmation.onStatement(digest, state.configuration().version(), nowMs);
+            compare(sender, digest, nowMs);
+        } else if (message instanceof DigestRequest request) {
+            outbox.send(sender, new DigestReply(request.requestId(), digest(nowMs)));
+        } else if (message instanceof DigestReply reply) {
+            onDigestReply(sender, reply, nowMs);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void onDigestReply(SocketAddress sender, DigestReply reply, double nowMs) {
+        Optional<Double> askedAtMs = joining.onReply(sender, reply, nowMs);
+        if (askedAtMs.isPresent()) {
+            confirmation.onAnswer(reply.digest(), state.configuration().version(), askedAtMs.get());
+            compare(sender, reply.digest(), nowMs);
+        }
+    }
+
+    private boolean onConfigurationMessage(SocketAddress sender, Message message, double nowMs) {
+        if (message instanceof ConfigurationUpdate update) {
             configuration.onUpdate(sender, update, nowMs);
         } else if (message instanceof ConfigurationPull pull) {
             configuration.onPull(sender, pull);
@@ -158,20 +194,21 @@
             replicas.onRequest(sender, request, nowMs);
         } else if (message instanceof ForgottenReplicas forgotten) {
             replicas.onForgotten(forgotten, nowMs);
-        } else if (message instanceof SnapshotRequest) {
-            replicas.onSnapshotRequest(sender, nowMs);
+        } else if (message instanceof SnapshotRequest request) {
+            replicas.onSnapshotRequest(sender, request, nowMs);
         } else if (message instanceof ReplicaSnapshot snapshot) {
-            replicas.onSnapshot(sender, snapshot, nowMs);
-            joining.onSnapshot();
+            replicas.onSnapshot(sender, snapshot, nowMs)
+                    .filter(purpose -> purpose == SnapshotPurpose.JOINING)
+                    .ifPresent(purpose -> joining.onSnapshot());
         } else {
             return false;
         }
         return true;
     }
 
-    private boolean onControllerMessage(Message message, double nowMs) {
+    private boolean onControllerMessage(SocketAddress sender, Message message, double nowMs) {
         if (message instanceof ReplicaHeld held) {
-            handover.onHeld(held);
+            handover.onHeld(sender, held);
         } else if (message instanceof HeartbeatBatch batch) {
             heartbeats.onBatch(batch, nowMs);
         } else {
@@ -180,13 +217,9 @@
         return true;
     }
 
-    private void onDigest(SocketAddress sender, Digest theirs, double nowMs) {
-        joining.onDigest(sender, theirs, nowMs);
+    /** Sends and asks for what differs from what a peer shows. */
+    private void compare(SocketAddress sender, Digest theirs, double nowMs) {
         Digest own = digest(nowMs);
-        if (theirs.answerWanted()) {
-            outbox.send(sender, own);
-            return;
-        }
         configuration.shown(sender, theirs.configurationVersion(), nowMs);
         boolean same = own.replicaCount() == theirs.replicaCount() && own.replicaHash() == theirs.replicaHash();
         if (!same) {
@@ -196,11 +229,17 @@
 
     private void onReplicaUpdate(SocketAddress sender, ReplicaUpdate update, double nowMs) {
         replicas.onUpdate(sender, update, nowMs);
-        if (update.ackId() != 0) {
+        if (update.ackId() != OutstandingRequests.UNASKED) {
             outbox.send(sender, new ReplicaHeld(update.ackId()));
         }
     }
 
+    /** This process is a controller in contact with a quorum, and holds the newest acknowledged configuration. */
+    public void confirmConfiguration(double nowMs) {
+        confirmation.advance(nowMs);
+        confirmation.confirmHere(nowMs);
+    }
+
     /** {@link FleetState#configuration()} was changed by this process: tell the others at once. */
     public void configurationCommitted(double nowMs) {
         configuration.committed();
@@ -242,6 +281,14 @@
         return synchronised;
     }
 
+    /**
+     * Whether the configuration was known, at some time since the start of this process, to be the newest that a quorum
+     * of controllers stands behind; before that it may be an old one, taken from peers that are cut off.
+     */
+    public boolean configurationConfirmed() {
+        return configurationConfirmed;
+    }
+
     /** Routers believed to be running, at least 1. */
     public int routerCount() {
         return routerCount;
--- a/dissemination/src/main/java/pinewick/dissemination/Joining.java
+++ b/dissemination/src/main/java/pinewick/dissemination/Joining.java
@@ -5,10 +5,14 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages.Digest;
-import pinewick.dissemination.FleetMessages.SnapshotRequest;
+import pinewick.dissemination.FleetMessages.DigestReply;
+import pinewick.dissemination.FleetMessages.DigestRequest;
+import pinewick.membership.OutstandingRequests;
 import pinewick.membership.PeerSampling;
 import pinewick.model.Outbox;
 import pinewick.model.SocketAddress;
@@ -16,10 +20,12 @@
 /**
  * Brings a process that has just started up to what its peers know: it asks seeds and peers for digests, takes the
  * newest configuration that any of them shows, and all replica records of one that has caught up itself. If none has,
- * as after a start of the whole system, those of a peer that has answered for a while.
+ * as after a start of the whole system, those of a peer that has answered for a while. After that it goes on asking
+ * until its configuration is confirmed: the peers that it reached may have been cut off from the others.
  */
 final class Joining {
     private static final double ASK_MS = 200;
+    private static final double ASK_FOR_CONFIRMATION_MS = 500;
     private static final double GATHER_MS = 200;
     private static final double PATIENCE_MS = 1_000;
     private static final double PATIENCE_WITHOUT_CONFIGURATION_MS = 3_000;
@@ -28,11 +34,14 @@
     private static final double ANSWER_MS = 2_000;
 
     private static final int PEERS_ASKED = 3;
+    private static final int MOST_OUTSTANDING = 256;
 
     private final List<SocketAddress> seeds;
     private final PeerSampling peers;
     private final Outbox outbox;
     private final RandomGenerator random;
+    private final BiConsumer<SocketAddress, Double> snapshotRequester;
+    private final OutstandingRequests<Boolean> requests;
     private final Map<SocketAddress, Answer> answers = new LinkedHashMap<>();
     private double firstAnswerAtMs = Double.NaN;
     private double askedAtMs = Double.NEGATIVE_INFINITY;
@@ -42,13 +51,23 @@
 
     private record Answer(Digest digest, double atMs) {}
 
-    Joining(List<SocketAddress> seeds, PeerSampling peers, Outbox outbox, RandomGenerator random) {
+    /**
+     * @param snapshotRequester asks a peer for all replica records, at the time given
+     */
+    Joining(
+            List<SocketAddress> seeds,
+            PeerSampling peers,
+            Outbox outbox,
+            RandomGenerator random,
+            BiConsumer<SocketAddress, Double> snapshotRequester) {
         this.seeds = seeds.stream()
                 .filter(seed -> !seed.equals(peers.self().address()))
                 .toList();
         this.peers = peers;
         this.outbox = outbox;
         this.random = random;
+        this.snapshotRequester = snapshotRequester;
+        this.requests = new OutstandingRequests<>(ANSWER_MS, MOST_OUTSTANDING, random);
     }
 
     boolean done() {
@@ -59,32 +78,40 @@
      * Time has passed.
      *
      * @param own what this process would say of itself
+     * @param confirmed whether nothing more has to be asked for once this process has caught up
      */
-    void onTick(Digest own, double nowMs) {
-        if (done) {
-            return;
-        }
-        answers.values().removeIf(answer -> nowMs - answer.atMs > ANSWER_MS);
-        List<SocketAddress> usable = usableAnswers(nowMs);
-        if (!usable.isEmpty()) {
-            goOn(usable, own, nowMs);
+    void onTick(Digest own, boolean confirmed, double nowMs) {
+        if (!done) {
+            answers.values().removeIf(answer -> nowMs - answer.atMs > ANSWER_MS);
+            List<SocketAddress> usable = usableAnswers(nowMs);
+            if (!usable.isEmpty()) {
+                goOn(usable, own, nowMs);
+            }
         }
-        if (!done && nowMs - askedAtMs >= ASK_MS) {
+        boolean finished = done && confirmed;
+        double pauseMs = done ? ASK_FOR_CONFIRMATION_MS : ASK_MS;
+        if (!finished && nowMs - askedAtMs >= pauseMs) {
             askedAtMs = nowMs;
-            ask(own);
+            ask(nowMs);
         }
     }
 
-    private void ask(Digest own) {
+    private void ask(double nowMs) {
         Set<SocketAddress> targets = new LinkedHashSet<>(seeds);
         targets.addAll(peers.randomPeers(PEERS_ASKED));
-        Digest question =
-                new Digest(own.configurationVersion(), own.replicaCount(), own.replicaHash(), own.synchronised(), true);
-        targets.forEach(target -> outbox.send(target, question));
+        targets.forEach(target -> outbox.send(target, new DigestRequest(requests.open(target, Boolean.TRUE, nowMs))));
+    }
+
+    /** A peer has answered: when it was asked, empty if the answer counts for nothing. */
+    Optional<Double> onReply(SocketAddress sender, DigestReply reply, double nowMs) {
+        var request = requests.close(reply.requestId(), sender, nowMs);
+        if (request.isPresent()) {
+            note(sender, reply.digest(), nowMs);
+        }
+        return request.map(OutstandingRequests.Match::sentAtMs);
     }
 
-    /** A peer has answered. */
-    void onDigest(SocketAddress sender, Digest digest, double nowMs) {
+    private void note(SocketAddress sender, Digest digest, double nowMs) {
         if (done) {
             return;
         }
@@ -125,7 +152,7 @@
         if (!snapshotTaken && !nothingToTake) {
             if (nowMs - snapshotAskedAtMs >= SNAPSHOT_TIMEOUT_MS) {
                 snapshotAskedAtMs = nowMs;
-                outbox.send(usable.get(random.nextInt(usable.size())), new SnapshotRequest());
+                snapshotRequester.accept(usable.get(random.nextInt(usable.size())), nowMs);
             }
             return;
         }
@@ -136,7 +163,7 @@
         return left.replicaCount() == right.replicaCount() && left.replicaHash() == right.replicaHash();
     }
 
-    /** All records of a peer have been taken. */
+    /** All records of a peer that was asked for them have been taken. */
     void onSnapshot() {
         snapshotTaken = true;
     }
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -7,7 +7,9 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages.BucketHashes;
 import pinewick.dissemination.FleetMessages.ForgottenReplicas;
 import pinewick.dissemination.FleetMessages.ReplicaRequest;
@@ -17,6 +19,7 @@
 import pinewick.dissemination.FleetMessages.SnapshotRequest;
 import pinewick.dissemination.FleetMessages.SpreadRecord;
 import pinewick.dissemination.FleetMessages.SummaryEntry;
+import pinewick.membership.OutstandingRequests;
 import pinewick.membership.PeerSampling;
 import pinewick.model.Outbox;
 import pinewick.model.ReplicaRecord;
@@ -36,6 +39,10 @@
     private static final int RECORDS_A_DATAGRAM = 8;
     private static final int MOST_DATAGRAMS = 6;
     private static final double SNAPSHOT_PAUSE_MS = 400;
+    /** A snapshot that comes later than this counts for nothing. */
+    private static final double LATEST_SNAPSHOT_MS = 5_000;
+
+    private static final int MOST_OUTSTANDING = 16;
     private static final byte[] NO_BUCKETS = {};
 
     private final FleetState state;
@@ -45,13 +52,23 @@
     private final ReplicaDigest digest;
     private final Set<String> arisen = new LinkedHashSet<>();
     private final Set<String> heardOf = new LinkedHashSet<>();
+    private final OutstandingRequests<SnapshotPurpose> snapshots;
     private double snapshotAskedAtMs = Double.NEGATIVE_INFINITY;
     private final Deque<Set<String>> pushed = new ArrayDeque<>();
 
-    ReplicaSpread(FleetState state, PeerSampling peers, Outbox outbox) {
+    /** Why a snapshot is asked for. */
+    enum SnapshotPurpose {
+        /** The first of a process that has just started, from a peer chosen for it. */
+        JOINING,
+        /** A peer holds records and this process none. */
+        RECONCILING
+    }
+
+    ReplicaSpread(FleetState state, PeerSampling peers, Outbox outbox, RandomGenerator random) {
         this.state = state;
         this.peers = peers;
         this.outbox = outbox;
+        this.snapshots = new OutstandingRequests<>(LATEST_SNAPSHOT_MS, MOST_OUTSTANDING, random);
         this.digest = new ReplicaDigest(state, gone);
     }
 
@@ -166,7 +183,7 @@
         int piece = records.size() <= RECORDS_A_DATAGRAM * MOST_DATAGRAMS ? RECORDS_A_DATAGRAM : records.size();
         for (int from = 0; from < records.size(); from += piece) {
             int to = Math.min(from + piece, records.size());
-            outbox.send(peer, new ReplicaUpdate(0, List.copyOf(records.subList(from, to))));
+            outbox.send(peer, new ReplicaUpdate(OutstandingRequests.UNASKED, List.copyOf(records.subList(from, to))));
         }
     }
 
@@ -201,10 +218,15 @@
     private void askForSnapshot(SocketAddress peer, double nowMs) {
         if (nowMs - snapshotAskedAtMs >= SNAPSHOT_PAUSE_MS) {
             snapshotAskedAtMs = nowMs;
-            outbox.send(peer, new SnapshotRequest());
+            askForSnapshot(peer, SnapshotPurpose.RECONCILING, nowMs);
         }
     }
 
+    /** Asks a peer for all its records. */
+    void askForSnapshot(SocketAddress peer, SnapshotPurpose purpose, double nowMs) {
+        outbox.send(peer, new SnapshotRequest(snapshots.open(peer, purpose, nowMs)));
+    }
+
     private void sendSummary(SocketAddress peer, BitSet buckets, double nowMs) {
         outbox.send(peer, new ReplicaSummary(buckets.toByteArray(), digest.entries(buckets, nowMs)));
     }
@@ -281,19 +303,27 @@
         send(sender, records(request.instanceIds(), nowMs));
     }
 
-    void onSnapshotRequest(SocketAddress sender, double nowMs) {
+    void onSnapshotRequest(SocketAddress sender, SnapshotRequest request, double nowMs) {
         List<SpreadRecord> records = new ArrayList<>();
         for (ReplicaRecord record : state.replicas()) {
             if (gone.inDigest(record, nowMs)) {
                 records.add(spread(record, nowMs));
             }
         }
-        outbox.send(sender, new ReplicaSnapshot(records));
+        outbox.send(sender, new ReplicaSnapshot(request.requestId(), records));
     }
 
-    /** Takes all records of a peer; what is new by them is not pushed on. */
-    void onSnapshot(SocketAddress sender, ReplicaSnapshot snapshot, double nowMs) {
-        snapshot.records().forEach(spread -> take(spread, nowMs));
-        tellForgottenOf(sender, snapshot.records());
+    /**
+     * Takes all records of a peer that was asked for them; what is new by them is not pushed on.
+     *
+     * @return why they were asked for, empty if the snapshot counts for nothing
+     */
+    Optional<SnapshotPurpose> onSnapshot(SocketAddress sender, ReplicaSnapshot snapshot, double nowMs) {
+        var request = snapshots.close(snapshot.requestId(), sender, nowMs);
+        if (request.isPresent()) {
+            snapshot.records().forEach(spread -> take(spread, nowMs));
+            tellForgottenOf(sender, snapshot.records());
+        }
+        return request.map(OutstandingRequests.Match::context);
     }
 }
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -43,6 +43,9 @@
     /** Whether a message from the first to the second is lost for good. */
     BiPredicate<SocketAddress, SocketAddress> cut = (from, to) -> false;
 
+    /** Whether a controller is in contact with a quorum, as replication would tell it. */
+    Predicate<Process> quorumContact = controller -> !cutOff.contains(controller.address());
+
     private final MessageCodec codec = new MessageCodec(FleetMessages.types());
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<SocketAddress, Process> processes = new HashMap<>();
@@ -94,6 +97,9 @@
                 return;
             }
             node.onTick(localMs());
+            if (descriptor.role() == NodeRole.CONTROLLER && quorumContact.test(this)) {
+                node.confirmConfiguration(localMs());
+            }
             if (Double.isNaN(synchronisedAtMs) && node.synchronised()) {
                 synchronisedAtMs = nowMs;
             }
--- /dev/null
+++ b/dissemination/src/test/java/pinewick/dissemination/JoiningDuringCutTest.java
@@ -0,0 +1,135 @@
+package pinewick.dissemination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pinewick.dissemination.FleetSimulation.Process;
+import pinewick.model.SocketAddress;
+
+/** What a router takes for current that starts while controllers are cut off from each other. */
+class JoiningDuringCutTest {
+    private static final double CONTACT_MS = 3_000;
+    private static final double CUT_MS = 20_000;
+    private static final long OLD_VERSION = 5;
+    private static final long NEW_VERSION = 6;
+
+    /** A fleet that holds the old version, and knows it to be the newest. */
+    private static FleetSimulation settled(long seed, int routers) {
+        FleetSimulation fleet = FleetSimulation.started(seed, 3, routers);
+        fleet.loss = 0.02;
+        fleet.run(6_000);
+        commit(fleet.controllers.get(1), OLD_VERSION);
+        fleet.run(2_000);
+        return fleet;
+    }
+
+    private static void commit(Process origin, long version) {
+        origin.state.offer(TestDocuments.withRoutes(version, 40));
+        origin.node.configurationCommitted(origin.localMs());
+    }
+
+    private static long version(Process process) {
+        return process.state.configuration().version();
+    }
+
+    /** Cuts the first controller and some routers off from the rest. */
+    private static void cutOffWithFirstController(FleetSimulation fleet, int... routers) {
+        Set<SocketAddress> side = new HashSet<>();
+        side.add(fleet.controllers.get(0).address());
+        for (int router : routers) {
+            side.add(fleet.routers.get(router).address());
+        }
+        fleet.cut = (from, to) -> side.contains(from) != side.contains(to);
+        fleet.quorumContact = controller -> !side.contains(controller.address());
+    }
+
+    private static void heal(FleetSimulation fleet) {
+        fleet.cut = (from, to) -> false;
+        fleet.quorumContact = controller -> true;
+    }
+
+    @Test
+    void everyRouterOfANewFleetIsConfirmedOnceControllersHaveAQuorum() {
+        FleetSimulation fleet = FleetSimulation.started(1, 3, 9);
+        fleet.quorumContact = controller -> false;
+        fleet.run(4_000);
+        fleet.routers.forEach(router -> assertFalse(router.node.configurationConfirmed()));
+        fleet.quorumContact = controller -> true;
+        fleet.run(1_000);
+        fleet.routers.forEach(router -> assertTrue(router.node.configurationConfirmed()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {9, 84})
+    void aRouterThatStartsAtTheSideWithoutAQuorumServesTheOldVersionUnconfirmed(int routers) {
+        FleetSimulation fleet = settled(2, routers);
+        cutOffWithFirstController(fleet, 0, 1);
+        fleet.run(2_000);
+        commit(fleet.controllers.get(1), NEW_VERSION);
+        fleet.routers.get(1).kill();
+        Process started = fleet.startRouter(1, 2);
+        fleet.run(CUT_MS);
+        assertTrue(started.node.synchronised());
+        assertEquals(OLD_VERSION, version(started));
+        assertFalse(started.node.configurationConfirmed());
+        heal(fleet);
+        double tookMs = fleet.runUntil(
+                () -> version(started) == NEW_VERSION && started.node.configurationConfirmed(), CONTACT_MS);
+        assertTrue(tookMs <= CONTACT_MS, "current and confirmed after the cut");
+    }
+
+    @Test
+    void aRouterThatStartsWithinReachOfTheMajorityIsConfirmedAtOnce() {
+        FleetSimulation fleet = settled(3, 9);
+        cutOffWithFirstController(fleet, 0);
+        fleet.run(2_000);
+        commit(fleet.controllers.get(1), NEW_VERSION);
+        fleet.run(1_000);
+        fleet.routers.get(5).kill();
+        Process started = fleet.startRouter(5, 2);
+        double tookMs = fleet.runUntil(() -> started.node.configurationConfirmed(), 1_000);
+        assertTrue(tookMs <= 1_000, "confirmed in time");
+        assertEquals(NEW_VERSION, version(started));
+    }
+
+    @Test
+    void aRouterThatReachesTheMajorityOnlyThroughOtherRoutersIsConfirmedByThem() {
+        FleetSimulation fleet = settled(4, 9);
+        fleet.quorumContact = controller -> controller != fleet.controllers.get(0);
+        SocketAddress alone = fleet.routers.get(5).address();
+        Set<SocketAddress> majority = Set.of(
+                fleet.controllers.get(1).address(), fleet.controllers.get(2).address());
+        fleet.cut = (from, to) -> from.equals(alone) && majority.contains(to)
+                || to.equals(alone) && majority.contains(from)
+                || from.equals(fleet.controllers.get(0).address()) && majority.contains(to)
+                || to.equals(fleet.controllers.get(0).address()) && majority.contains(from);
+        commit(fleet.controllers.get(1), NEW_VERSION);
+        fleet.run(1_000);
+        fleet.routers.get(5).kill();
+        Process started = fleet.startRouter(5, 2);
+        double tookMs = fleet.runUntil(() -> started.node.configurationConfirmed(), 2 * CONTACT_MS);
+        assertTrue(tookMs <= 2 * CONTACT_MS, "confirmed by routers");
+        assertEquals(NEW_VERSION, version(started));
+    }
+
+    @Test
+    void aRouterThatStartsWhileOnlyOneControllerRunsServesUnconfirmed() {
+        FleetSimulation fleet = settled(5, 9);
+        fleet.controllers.get(0).kill();
+        fleet.controllers.get(1).kill();
+        fleet.quorumContact = controller -> false;
+        fleet.run(2_000);
+        fleet.routers.get(3).kill();
+        Process started = fleet.startRouter(3, 2);
+        fleet.run(CONTACT_MS);
+        assertTrue(started.node.synchronised());
+        assertEquals(OLD_VERSION, version(started));
+        assertFalse(started.node.configurationConfirmed());
+    }
+}
--- /dev/null
+++ b/dissemination/src/test/java/pinewick/dissemination/QuorumConfirmationTest.java
@@ -0,0 +1,69 @@
+package pinewick.dissemination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.dissemination.FleetMessages.Digest;
+
+/** Which digests confirm that a configuration is the newest. */
+class QuorumConfirmationTest {
+    private static final double START_MS = 50_000;
+    private static final long VERSION = 5;
+
+    private final QuorumConfirmation confirmation = new QuorumConfirmation();
+
+    @BeforeEach
+    void start() {
+        confirmation.advance(START_MS);
+    }
+
+    private static Digest digest(long version, int confirmedAgeMs) {
+        return new Digest(version, 0, 0, true, confirmedAgeMs);
+    }
+
+    @Test
+    void nothingIsConfirmedAtFirst() {
+        assertFalse(confirmation.sinceStart());
+        assertEquals(QuorumConfirmation.NEVER, confirmation.ageMs(START_MS + 1_000));
+        confirmation.onAnswer(digest(VERSION, QuorumConfirmation.NEVER), VERSION, START_MS + 1_000);
+        assertFalse(confirmation.sinceStart());
+    }
+
+    @Test
+    void anAnswerCountsFromTheQuestionLessItsAge() {
+        confirmation.onAnswer(digest(VERSION, 400), VERSION, START_MS + 300);
+        assertFalse(confirmation.sinceStart(), "from before the start");
+        assertEquals(1_100, confirmation.ageMs(START_MS + 1_000));
+        confirmation.onAnswer(digest(VERSION, 400), VERSION, START_MS + 500);
+        assertTrue(confirmation.sinceStart());
+        assertEquals(900, confirmation.ageMs(START_MS + 1_000));
+    }
+
+    @Test
+    void aNewerVersionOfThePeerConfirmsNothing() {
+        confirmation.onAnswer(digest(VERSION + 1, 0), VERSION, START_MS + 500);
+        assertFalse(confirmation.sinceStart());
+    }
+
+    @Test
+    void aPeerWithAnOlderVersionConfirms() {
+        confirmation.onAnswer(digest(VERSION - 1, 0), VERSION, START_MS + 500);
+        assertTrue(confirmation.sinceStart());
+    }
+
+    @Test
+    void whatMayHaveWaitedThroughAPauseDoesNotCount() {
+        confirmation.advance(START_MS + 20_000);
+        confirmation.onStatement(digest(VERSION, 0), VERSION, START_MS + 20_000);
+        confirmation.advance(START_MS + 20_500);
+        confirmation.onStatement(digest(VERSION, 0), VERSION, START_MS + 20_500);
+        confirmation.confirmHere(START_MS + 20_500);
+        assertFalse(confirmation.sinceStart());
+        confirmation.advance(START_MS + 21_000);
+        confirmation.onStatement(digest(VERSION, 0), VERSION, START_MS + 21_000);
+        assertTrue(confirmation.sinceStart());
+    }
+}
--- a/replication/src/main/java/pinewick/replication/CommitReport.java
+++ b/replication/src/main/java/pinewick/replication/CommitReport.java
@@ -23,4 +23,11 @@
             context.listener().committed(held.document());
         }
     }
+
+    /** Whether the listener has been told of this committed state, or of a later one of its epoch. */
+    boolean covers(StateTag committed) {
+        return !committed.equals(StateTag.NONE)
+                && reported.epoch() == committed.epoch()
+                && reported.compareTo(committed) >= 0;
+    }
 }
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -487,6 +487,20 @@
         return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
     }
 
+    /**
+     * Whether this process is in contact with a quorum, as its confirmed primary or by hearing one, and has told its
+     * listener of every configuration that this primary had acknowledged when it was heard last.
+     */
+    public boolean holdsNewest() {
+        if (leadership.isPresent()) {
+            return leadership.get().begun() && leadership.get().confirmedLately();
+        }
+        return election.hearsPrimary()
+                && lastHeartbeat != null
+                && lastHeartbeat.number().equals(durable.promised())
+                && commitReport.covers(lastHeartbeat.committed());
+    }
+
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
     Optional<Long> leadingNumber() {
         return leadership.map(leading -> leading.number().counter());
