A controller without a quorum sends each announced end on first, also if another one holds it

Cause: only the silence of all other controllers counted. Two controllers of five on the side without a quorum acknowledged drains by each other; a controller that started during the cut acknowledged alone at once; a replica that had been sent on while ready was not sent on with its drain or its deregistration, though the others, who reach most routers, could have taken it. Ruled out: never acknowledging without a quorum (a replica that reaches one side only would get no answer, though it leaves all the same). The test of the only controller now says that this one is its own quorum; the test of ready heartbeats ends its cut by a quorum instead of any message.

--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -195,6 +195,7 @@
         }
         replication.onTick(loop.nowMs());
         if (replication.holdsNewest()) {
+            contact.quorumConfirmed(loop.nowMs());
             node.confirmConfiguration(loop.nowMs());
         }
         if (leaving && replication.detached()) {
--- a/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -16,15 +16,15 @@
  * fleet. The announcement of an end is acknowledged only once another controller holds it, because from the
  * acknowledgement on no router may send the replica a request, whatever becomes of this process.
  *
- * <p>If no other controller confirms in time, the replica is told to call another one. A controller that has heard no
- * other one for the whole of {@code contact_ms} acknowledges by itself, but only to a replica that has come back
- * after it was sent on, or if there never was another one: a controller cut off from the majority thereby sends the
- * replica to those who can reach every router, and the last one that runs leaves no replica without an answer. The
- * rules on draining replicas bind neither: such a controller is not in touch, unless it is the only one there ever
- * was.
+ * <p>If no other controller confirms in time, the replica is told to call another one. So it is, at once, by a
+ * controller that has had no contact with a quorum for a while: it may be cut off from most routers, even if some other
+ * controllers share its side, and the replica may still reach those who are not. Only to a replica that comes back with
+ * the same announcement does such a controller acknowledge it, by another one's confirmation or, if it has heard none
+ * for the whole of {@code contact_ms}, by itself: nobody else has taken it then. What is published does not wait for
+ * any of this.
  *
- * <p>In the same way a cut-off controller sends a replica that is ready on to another one, once, though it notes
- * what it has heard.
+ * <p>In the same way a controller without a quorum sends a replica that is ready on to another one, once, though it
+ * notes what it has heard.
  *
  * <p>Owned by the control loop.
  */
@@ -32,7 +32,7 @@
     /** How long another controller has to confirm an announced end, milliseconds; a replica waits for one second. */
     static final long CONFIRMATION_MS = 600;
 
-    /** Without any other controller for this long, this one sends replicas on, milliseconds. */
+    /** Without a quorum for this long, longer than an election takes, replicas are sent on, milliseconds. */
     static final double CUT_OFF_MS = 1_500;
 
     /** Stands for the address of a replica that deregistered before anything else was known of it. */
@@ -53,7 +53,25 @@
     private static final class Presence {
         private long lastCallSequence = BEFORE_ANY_CALL;
         private ReplicaState confirmed = ReplicaState.READY;
-        private boolean sentOn;
+        private ReplicaState endSentOn = ReplicaState.READY;
+        private boolean readySentOn;
+
+        /** Whether it was sent on with this announcement, or with that of a later end, before. */
+        boolean comesBackWith(ReplicaState end) {
+            return endSentOn.compareTo(end) >= 0;
+        }
+
+        void noteConfirmed(ReplicaState end) {
+            if (confirmed.compareTo(end) < 0) {
+                confirmed = end;
+            }
+        }
+
+        void noteSentOn(ReplicaState end) {
+            if (endSentOn.compareTo(end) < 0) {
+                endSentOn = end;
+            }
+        }
     }
 
     /**
@@ -98,10 +116,14 @@
         announceEnd(ending, presence, news, acknowledge);
     }
 
+    private boolean cutOff() {
+        return contact.withoutQuorumMs(loop.nowMs()) >= CUT_OFF_MS;
+    }
+
     private Acknowledgement mayBeBetterKnownElsewhere(Presence presence) {
-        boolean cutOff = contact.everHeard() && contact.silenceMs(loop.nowMs()) >= CUT_OFF_MS;
-        boolean sendOn = cutOff && !presence.sentOn;
-        presence.sentOn = cutOff;
+        boolean cutOff = cutOff();
+        boolean sendOn = cutOff && !presence.readySentOn;
+        presence.readySentOn = cutOff;
         return sendOn ? Acknowledgement.NOT_CONFIRMED : Acknowledgement.HELD;
     }
 
@@ -149,10 +171,13 @@
         }
         OnceOnly answer = new OnceOnly(acknowledge);
         counters.countPublished();
+        if (cutOff() && !presence.comesBackWith(record.state())) {
+            fleet.publishUntilHeld(record, () -> presence.noteConfirmed(record.state()));
+            sendOn(record, presence, "out of contact with a quorum", answer);
+            return;
+        }
         fleet.publishUntilHeld(record, () -> {
-            if (presence.confirmed.compareTo(record.state()) < 0) {
-                presence.confirmed = record.state();
-            }
+            presence.noteConfirmed(record.state());
             counters.countEndConfirmed();
             answer.accept(Acknowledgement.HELD);
         });
@@ -166,17 +191,21 @@
             return;
         }
         boolean alone = contact.silenceMs(loop.nowMs()) >= contactMs;
-        boolean othersTried = presence.sentOn || !contact.everHeard();
+        boolean othersTried = presence.comesBackWith(record.state()) || !contact.everHeard();
         if (alone && othersTried) {
             counters.countEndAcknowledgedAlone();
             answer.accept(Acknowledgement.HELD);
             return;
         }
-        presence.sentOn = true;
+        sendOn(record, presence, "no other controller within " + CONFIRMATION_MS + " ms", answer);
+    }
+
+    private void sendOn(ReplicaRecord record, Presence presence, String reason, OnceOnly answer) {
+        presence.noteSentOn(record.state());
         counters.countEndUnconfirmed();
         logger.atWarning().atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log(
-                "confirm %s of %s: no other controller within %d ms (%d times so far)",
-                record.state(), record.instanceId(), CONFIRMATION_MS, counters.endsUnconfirmed());
+                "confirm %s of %s: %s (%d times so far)",
+                record.state(), record.instanceId(), reason, counters.endsUnconfirmed());
         answer.accept(Acknowledgement.NOT_CONFIRMED);
     }
 
--- a/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
+++ b/control/src/test/java/pinewick/control/ReplicaRegistryTest.java
@@ -191,6 +191,14 @@
         }
     }
 
+    /** Lets time pass while other controllers are heard, but too few for a quorum. */
+    private void beInAMinority(double milliseconds) {
+        for (double passed = 0; passed < milliseconds; passed += Housekeeping.PERIOD_MS) {
+            silence(Housekeeping.PERIOD_MS);
+            contact.heard(loop.nowMs());
+        }
+    }
+
     private Acknowledgement drainUnconfirmed(long callSequence) {
         registry.heartbeat(Replicas.draining(ID, callSequence), answers::add);
         loop.advance(ReplicaRegistry.CONFIRMATION_MS);
@@ -200,6 +208,7 @@
     @Test
     void theOnlyControllerThereEverWasAcknowledgesByItself() {
         silence(CONTACT_MS);
+        contact.quorumConfirmed(loop.nowMs());
         registry.heartbeat(Replicas.draining(ID, 4), answers::add);
         assertEquals(List.of(), answers, "another one may still appear");
         loop.advance(ReplicaRegistry.CONFIRMATION_MS);
@@ -242,13 +251,13 @@
 
     @Test
     void aCutOffControllerNotesAHeartbeatAndSendsTheReplicaOnOnce() {
-        contact.heard(loop.nowMs());
+        contact.quorumConfirmed(loop.nowMs());
         registry.heartbeat(Replicas.ready(ID, 1), answers::add);
         silence(ReplicaRegistry.CUT_OFF_MS);
         registry.heartbeat(Replicas.ready(ID, 2), answers::add);
         assertEquals(loop.nowMs(), fleet.lastHeardMs(ID));
         registry.heartbeat(Replicas.ready(ID, 3), answers::add);
-        contact.heard(loop.nowMs());
+        contact.quorumConfirmed(loop.nowMs());
         registry.heartbeat(Replicas.ready(ID, 4), answers::add);
         silence(ReplicaRegistry.CUT_OFF_MS);
         registry.heartbeat(Replicas.ready(ID, 5), answers::add);
@@ -262,6 +271,67 @@
                 answers);
     }
 
+    @Test
+    void aControllerWithoutAQuorumSendsADrainOnAtOnceThoughAnotherOneHoldsIt() {
+        contact.quorumConfirmed(loop.nowMs());
+        beInAMinority(ReplicaRegistry.CUT_OFF_MS);
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+        assertEquals(ReplicaState.DRAINING, fleet.replica(ID).state(), "told to the fleet all the same");
+        fleet.confirmAll();
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED, Acknowledgement.HELD), answers, "it has come back");
+    }
+
+    @Test
+    void aReplicaThatComesBackIsStillConfirmedByAnotherControllerIfOneIsHeard() {
+        contact.quorumConfirmed(loop.nowMs());
+        beInAMinority(CONTACT_MS);
+        registry.heartbeat(Replicas.draining(ID, 4), answers::add);
+        registry.heartbeat(Replicas.draining(ID, 5), answers::add);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED, Acknowledgement.NOT_CONFIRMED), answers);
+        assertEquals(0, counters.endsAcknowledgedAlone());
+    }
+
+    @Test
+    void aReplicaThatWasSentOnWhileReadyIsSentOnWithItsDrainAndItsDeregistrationAgain() {
+        contact.heard(loop.nowMs());
+        silence(CONTACT_MS);
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        registry.heartbeat(Replicas.ready(ID, 2), answers::add);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED, Acknowledgement.HELD), answers);
+        answers.clear();
+        assertEquals(Acknowledgement.NOT_CONFIRMED, drainUnconfirmed(3), "others may reach more routers");
+        assertEquals(Acknowledgement.HELD, drainUnconfirmed(4));
+        answers.clear();
+        registry.deregister(ID, answers::add);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED), answers);
+        registry.deregister(ID, answers::add);
+        loop.advance(ReplicaRegistry.CONFIRMATION_MS);
+        assertEquals(List.of(Acknowledgement.NOT_CONFIRMED, Acknowledgement.HELD), answers);
+    }
+
+    @Test
+    void aControllerThatStartsCutOffSendsOnFirst() {
+        silence(CONTACT_MS);
+        assertEquals(Acknowledgement.NOT_CONFIRMED, drainUnconfirmed(4));
+        assertEquals(Acknowledgement.HELD, drainUnconfirmed(5));
+    }
+
+    @Test
+    void aReplicaThatDeregistersFirstIsConfirmedLikeOneThatDrains() {
+        contact.quorumConfirmed(loop.nowMs());
+        registry.heartbeat(Replicas.ready(ID, 1), answers::add);
+        registry.deregister(ID, answers::add);
+        assertEquals(1, answers.size(), "not before another controller holds it");
+        fleet.confirmAll();
+        assertEquals(List.of(Acknowledgement.HELD, Acknowledgement.HELD), answers);
+        registry.heartbeat(Replicas.ready(ID, 2), answers::add);
+        assertEquals(ReplicaState.GONE, fleet.replica(ID).state(), "though it still serves and says so");
+    }
+
     @Test
     void whatIsForgottenByTheFleetStartsAfresh() {
         registry.heartbeat(Replicas.ready(ID, 9), answers::add);
--- /dev/null
+++ b/replication/src/test/java/pinewick/replication/QuorumContactTest.java
@@ -0,0 +1,102 @@
+package pinewick.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which controllers may say that their configuration is the newest. */
+class QuorumContactTest {
+    /** A primary without a quorum resigns after 900 ms; its last heartbeat counts for 450 ms. */
+    private static final double LOST_MS = 1_400;
+
+    private static final double BOUND_MS = 6_000;
+
+    private final World world = new World(11, 1);
+
+    @BeforeEach
+    void found() {
+        world.found(3);
+        world.runUntil(3_000);
+    }
+
+    private List<Machine> backups() {
+        Machine primary = world.primary();
+        return world.machines.stream().filter(machine -> machine != primary).toList();
+    }
+
+    private void isolate(Machine machine) {
+        for (Machine other : world.machines) {
+            world.cut(machine, other);
+            world.cut(other, machine);
+        }
+    }
+
+    private void runFor(double durationMs) {
+        world.runUntil(world.nowMs() + durationMs);
+    }
+
+    private static boolean holdsNewest(Machine machine) {
+        return machine.node().holdsNewest();
+    }
+
+    @Test
+    void allOfAWholeCoreDo() {
+        world.machines.forEach(machine -> assertTrue(holdsNewest(machine)));
+    }
+
+    @Test
+    void aBackupThatIsCutOffDoesNot() {
+        Machine alone = backups().get(0);
+        isolate(alone);
+        runFor(LOST_MS);
+        assertFalse(holdsNewest(alone));
+        runFor(20_000 - LOST_MS);
+        assertFalse(holdsNewest(alone));
+        long others = world.machines.stream()
+                .filter(machine -> machine != alone && holdsNewest(machine))
+                .count();
+        assertEquals(2, others);
+        world.joinAll();
+        assertTrue(world.runUntil(() -> holdsNewest(alone), BOUND_MS) < BOUND_MS);
+    }
+
+    @Test
+    void aPrimaryThatIsCutOffDoesNot() {
+        Machine alone = world.primary();
+        isolate(alone);
+        runFor(LOST_MS);
+        assertFalse(holdsNewest(alone));
+        runFor(20_000 - LOST_MS);
+        assertFalse(holdsNewest(alone));
+    }
+
+    @Test
+    void aPrimaryThatSpeaksButHearsNobodyDoesNot() {
+        Machine primary = world.primary();
+        for (Machine other : backups()) {
+            world.cut(other, primary);
+        }
+        runFor(LOST_MS);
+        assertFalse(holdsNewest(primary));
+    }
+
+    @Test
+    void aStoreWithoutADiskDoesOnlyOnceItHoldsTheState() {
+        Change change = new Operator(world).properChange();
+        world.primary().submit(change, outcome -> {});
+        runFor(1_000);
+        Machine wiped = backups().get(0);
+        wiped.wipe();
+        runFor(500);
+        wiped.start(false);
+        assertFalse(holdsNewest(wiped));
+        world.runUntil(() -> holdsNewest(wiped), BOUND_MS);
+        Machine primary = world.primary();
+        assertEquals(
+                primary.node().status(false).tag(), wiped.node().status(false).tag());
+    }
+}
