--- a/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
+++ b/replication/src/test/java/pinewick/replication/PrimaryKnowledgeTest.java
@@ -83,6 +83,39 @@
         assertEquals(Optional.empty(), frozen.named(), "what it knew is 20 s old");
     }
 
+    @Test
+    void whoeverWasFrozenHoldsTheNewestOnlyOnceItHasHeard() {
+        Change change = new Operator(world).properChange();
+        primary.submit(change, outcome -> {});
+        pass(OLDEST_MS);
+        world.machines.forEach(machine -> assertEquals(true, machine.node().holdsNewest()));
+        for (Machine machine : world.machines) {
+            machine.freeze();
+        }
+        pass(LONG_CUT_MS);
+        for (Machine machine : world.machines) {
+            machine.node().advanceClock(world.nowMs());
+            assertEquals(false, machine.node().holdsNewest(), machine + " takes what is 20 s old for the newest");
+        }
+        world.machines.forEach(Machine::thaw);
+        pass(FOUNDED_MS);
+        world.machines.forEach(machine -> assertEquals(true, machine.node().holdsNewest()));
+    }
+
+    /** The model's finding: what waited in the buffers during a freeze was taken for news. */
+    @Test
+    void heartbeatsThatWaitedThroughAFreezeAreOld() {
+        Machine frozen = backups.get(0);
+        frozen.freeze();
+        pass(OLDEST_MS);
+        primary.kill();
+        pass(FOUNDED_MS);
+        frozen.thaw();
+        assertNotEquals(Optional.of(primary.operatorApi), frozen.named());
+        pass(5);
+        assertNotEquals(Optional.of(primary.operatorApi), frozen.named());
+    }
+
     @Test
     void aPrimaryThatWasFrozenHoldsNoLeaseWhoeverAsksFirst() {
         pass(FOUNDED_MS);
@@ -110,7 +143,7 @@
         Machine backup = backups.get(0);
         cutOff(primary);
         EpochNumber later = new EpochNumber(lastHeartbeat.number().counter() + 1, identity(backups.get(1)));
-        backup.deliver(backups.get(1).address, new ReplicationMessages.Prepare(later, true));
+        backup.deliver(backups.get(1).address, new ReplicationMessages.Prepare(RequestId.NONE, later, true));
         pass(20);
         assertEquals(Optional.empty(), backup.named());
     }
