--- a/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ConfigurationSpread.java
@@ -24,6 +24,9 @@
     /** Longest body that is pushed unasked, bytes. */
     static final int MAX_PUSHED_BYTES = 1_000;
 
+    /** A whole document of more items is not pushed: it is not even encoded to see its length. */
+    private static final int MAX_PUSHED_ITEMS = 100;
+
     private static final double PULL_TIMEOUT_MS = 250;
     /**
      * So many pulls wait for the plain time-out: a datagram was lost. Later ones wait longer: the body may be
@@ -78,6 +81,9 @@
     }
 
     private ConfigurationUpdate push(long base) {
+        if (history.sendsWhole(base) && history.newestItems() > MAX_PUSHED_ITEMS) {
+            return header();
+        }
         ConfigurationUpdate update = history.updateFrom(base);
         return update.body().length <= MAX_PUSHED_BYTES ? update : header();
     }
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -40,6 +40,8 @@
     double loss;
     double duplicates;
     double jitterMs = 1;
+    /** What a process's link carries each way in a millisecond; messages wait for those before them. */
+    double linkBytesAMs = Double.POSITIVE_INFINITY;
     /** Whether a message from the first to the second is lost for good. */
     BiPredicate<SocketAddress, SocketAddress> cut = (from, to) -> false;
 
@@ -69,6 +71,8 @@
         long bytesSent;
         long bytesReceived;
         long messagesSent;
+        private double linkOutFreeAtMs;
+        private double linkInFreeAtMs;
 
         Process(SocketAddress address, NodeRole role, long incarnation) {
             descriptor = new NodeDescriptor(address, incarnation, role, "zone-" + address.hashCode() % 3);
@@ -100,6 +104,18 @@
             after(FleetNode.TICK_MS, this::tick);
         }
 
+        /** How long from now until a frame has left by the link. */
+        private double linkOutMs(byte[] frame) {
+            linkOutFreeAtMs = Math.max(nowMs, linkOutFreeAtMs) + frame.length / linkBytesAMs;
+            return linkOutFreeAtMs - nowMs;
+        }
+
+        /** How long from now until a frame has come in by the link. */
+        private double linkInMs(byte[] frame) {
+            linkInFreeAtMs = Math.max(nowMs, linkInFreeAtMs) + frame.length / linkBytesAMs;
+            return linkInFreeAtMs - nowMs;
+        }
+
         void kill() {
             alive = false;
             processes.remove(address(), this);
@@ -216,7 +232,17 @@
         for (int i = 0; i < copies; i++) {
             double delay = MIN_DELAY_MS + random.nextDouble() * jitterMs;
             double connected = datagram ? delay : 3 * delay + frame.length / BYTES_A_MS;
-            after(connected, () -> arrive(from.address(), to, frame));
+            after(from.linkOutMs(frame) + connected, () -> reach(from.address(), to, frame));
+        }
+    }
+
+    /** A frame has come to the receiver's link. */
+    private void reach(SocketAddress from, SocketAddress to, byte[] frame) {
+        Process receiver = processes.get(to);
+        if (receiver == null || Double.isInfinite(linkBytesAMs)) {
+            arrive(from, to, frame);
+        } else {
+            after(receiver.linkInMs(frame), () -> arrive(from, to, frame));
         }
     }
 
