--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
@@ -45,8 +46,13 @@
     /** How long a caller may take to send its body, milliseconds. */
     private static final long BODY_DEADLINE_MS = 5_000;
 
-    /** How long the hand-over to the other controllers may take when the process stops, milliseconds. */
-    private static final long HAND_OVER_MS = 1_500;
+    /** What of the grace period is left for the rest of a stop once the hand-over has ended, milliseconds. */
+    private static final long AFTER_HAND_OVER_MS = 3_500;
+
+    /** The hand-over gets this long however short the grace period is, milliseconds. */
+    private static final long SHORTEST_HAND_OVER_MS = 500;
+
+    private static final double MS_A_SECOND = 1_000;
 
     /** How long calls under way may take after that, milliseconds. */
     private static final long LAST_CALLS_MS = 1_000;
@@ -185,10 +191,16 @@
         replicaCalls = new HttpReplicaCalls(loop);
         FencingTokens tokens = new FencingTokens(settings.nodeName());
         StageReconciler reconciler =
-                new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, replication::leadingEpoch, loop);
+                new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, this::leadingEpoch, loop);
         loop.repeat(reconciler::run, StageReconciler.PERIOD_MS);
     }
 
+    /** The lease, judged by the time of now: a process that was frozen holds none. */
+    private Optional<Long> leadingEpoch() {
+        replication.advanceClock(loop.nowMs());
+        return replication.leadingEpoch();
+    }
+
     private void tick() {
         if (!left) {
             node.onTick(loop.nowMs());
@@ -220,12 +232,13 @@
     }
 
     private StatusReport statusReport() {
+        replication.advanceClock(loop.nowMs());
         return new StatusReport()
                 .node(settings.nodeName(), settings.zone(), loop.nowMs() - startedAtMs)
                 .configuration(
                         state.configuration().version(),
                         replication.report(),
-                        replication.leadingEpoch(),
+                        leadingEpoch(),
                         configurations.lastEvent())
                 .fleet(node.synchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
                 .replicas(state.replicas())
@@ -253,13 +266,22 @@
         if (api != null) {
             api.refuseNewCalls();
             onLoop(this::leaveReplication);
-            await(detached, HAND_OVER_MS);
+            await(detached, handOverMs());
             api.awaitCalls(LAST_CALLS_MS);
             onLoop(this::leaveFleet);
         }
         close();
     }
 
+    /**
+     * How long the hand-over to the other controllers may take. It ends as soon as they can do without this one; it
+     * lasts longer only while this process holds one of the last copies or a vote that they need.
+     */
+    private long handOverMs() {
+        long graceMs = (long) (settings.bounds().gracePeriodSeconds() * MS_A_SECOND);
+        return Math.max(SHORTEST_HAND_OVER_MS, graceMs - AFTER_HAND_OVER_MS);
+    }
+
     private void leaveReplication() {
         leaving = true;
         replication.leave(loop.nowMs());
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import pinewick.model.Message;
 import pinewick.replication.DurableState.Outcome;
 import pinewick.replication.DurableState.Step;
@@ -28,6 +29,9 @@
     /** An in-sync store that is silent, or lacks a state, for longer is to leave the set. */
     private static final double UNRESPONSIVE_MS = 600;
 
+    /** A store that asks to be taken in after a new primary has begun makes itself known within this time. */
+    private static final double SUCCESSOR_MS = 300;
+
     /** Without a quorum's confirmation for longer than this, the primary leads no more. */
     private static final double UNCONFIRMED_MS = 900;
 
@@ -48,12 +52,13 @@
     private final EpochRecord record;
     private final Replicas replicas;
     private final StateTag baseTag;
+    private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
     private StateTag target;
     private Optional<Pending> pending = Optional.empty();
     private boolean begun;
     private boolean diskFailed;
-    private long round;
+    private RequestId round = RequestId.NONE;
     private long confirmedRound;
     private double confirmedActiveMs;
     private double changingSinceMs;
@@ -61,13 +66,15 @@
     private double lastHeartbeatMs = Double.NEGATIVE_INFINITY;
     private ConfigurationState committed = ConfigurationState.NONE;
     private StateTag installTag;
-    private Install install;
+    private byte[] document;
+    private byte[] changes;
 
     /** @param record a record that stands, with this process as primary */
     Leadership(Context context, EpochRecord record, Replicas replicas) {
         this.context = context;
         this.record = record.settled();
         this.replicas = replicas;
+        this.lastSequenceBefore = context.requests().newest();
         this.baseTag = context.durable().state().tag();
         this.target = new StateTag(record.number().counter(), 0);
         this.confirmedActiveMs = context.activeMs();
@@ -189,24 +196,29 @@
 
     /** Sends a heartbeat at once; returns its round. */
     long heartbeat() {
-        round++;
+        round = context.requests().next();
         lastHeartbeatMs = context.activeMs();
-        rounds.add(new Round(round, context.clock().steadyMs()));
+        rounds.add(new Round(round.sequence(), context.clock().steadyMs()));
         if (rounds.size() > ROUNDS_KEPT) {
             rounds.remove();
         }
         broadcast(heartbeatMessage());
         noteConfirmedRound();
-        return round;
+        return round.sequence();
     }
 
     private Heartbeat heartbeatMessage() {
         return new Heartbeat(
-                number(), round, committed.tag(), context.settings().operatorApi());
+                round, number(), committed.tag(), context.settings().operatorApi());
+    }
+
+    /** Whether an answer belongs to a question that this primary asked in this epoch and this life. */
+    private boolean isMine(RequestId request) {
+        return context.requests().isAskedAfter(request, lastSequenceBefore);
     }
 
     void onHeartbeatReply(HeartbeatReply reply) {
-        Replica replica = replicas.learn(reply.self());
+        Replica replica = isMine(reply.request()) ? replicas.learn(reply.self()) : null;
         if (replica == null) {
             return;
         }
@@ -216,20 +228,22 @@
             context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
         }
         noteConfirmedRound();
+        sendStates();
     }
 
     /** A process that hears no primary asks around: it hears of this one at once, and may be taken in later. */
     void onStatus(Status status) {
         Replica replica = replicas.learn(status.self());
         if (replica != null) {
-            replica.onStatus(status, number(), target);
+            replica.onStatus(status, number(), target, context.activeMs());
             context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
+            sendStates();
         }
     }
 
     void onStateReply(StateReply reply) {
         Replica replica = replicas.get(reply.identity());
-        if (replica != null) {
+        if (replica != null && isMine(reply.request())) {
             replica.onStateReply(reply, number(), target, context.activeMs());
         }
     }
@@ -238,7 +252,7 @@
         if (!honoured()) {
             return;
         }
-        long newest = replicas.confirmedRound(record, round);
+        long newest = replicas.confirmedRound(record, round.sequence());
         if (newest <= confirmedRound) {
             return;
         }
@@ -267,17 +281,55 @@
         return true;
     }
 
-    /** In-sync stores that answer and keep up. */
+    /** In-sync stores that answer, keep up and are not about to end. */
     Set<String> responsive() {
+        return inSyncWhere(replica -> keepsUp(replica) && !replica.leaving());
+    }
+
+    /** The same, and whoever is about to end while it still has to be waited for. */
+    Set<String> needed() {
+        return keepsLeaving() ? inSyncWhere(this::keepsUp) : responsive();
+    }
+
+    /**
+     * Whether stores that are about to end stay in sync: without them no majority of the members would be left, or a
+     * store that can take their place may be on its way.
+     */
+    boolean keepsLeaving() {
+        return !isMajorityLeft() || successorExpected();
+    }
+
+    private boolean successorExpected() {
+        double now = context.activeMs();
+        boolean justLeaving =
+                replicas.all().stream().anyMatch(replica -> replica.leaving() && replica.leavingMs(now) < SUCCESSOR_MS);
+        boolean present = replicas.all().stream()
+                .anyMatch(replica -> !record.hasMember(replica.identity()) && isAnswering(replica));
+        return justLeaving || present;
+    }
+
+    private Set<String> inSyncWhere(Predicate<Replica> condition) {
         Set<String> identities = new HashSet<>();
         replicas.among(record.inSync()).stream()
-                .filter(this::isResponsive)
+                .filter(condition)
                 .forEach(replica -> identities.add(replica.identity()));
         return identities;
     }
 
-    private boolean isResponsive(Replica replica) {
-        return isAnswering(replica) && replica.laggingMs(context.activeMs()) <= UNRESPONSIVE_MS;
+    private boolean keepsUp(Replica replica) {
+        double now = context.activeMs();
+        return replica.diskReady()
+                && replica.silentMs(now) <= UNRESPONSIVE_MS
+                && replica.laggingMs(now) <= UNRESPONSIVE_MS;
+    }
+
+    private boolean isMajorityLeft() {
+        List<Member> members = record.members();
+        long others = members.stream()
+                .map(member -> replicas.get(member.identity()))
+                .filter(replica -> replica != null && isAnswering(replica))
+                .count();
+        return 2 * (1 + others) > members.size();
     }
 
     /** Whether a store was heard lately, with a disk that works, and is not about to end. */
@@ -317,20 +369,20 @@
     private Message stateFor(Replica replica) {
         if (pending.isPresent() && replica.tag().next().equals(target)) {
             Pending change = pending.get();
-            return new Replicate(number(), change.tag, change.delta, change.key);
+            return new Replicate(context.requests().next(), number(), change.tag, change.delta, change.key);
         }
         boolean atStart = target.sequence() == 0;
         if (atStart && replica.tag().equals(baseTag)) {
-            return new Retag(number(), baseTag, target);
+            return new Retag(context.requests().next(), number(), baseTag, target);
         }
         ConfigurationState state = context.durable().state();
         StateTag tag = atStart ? target : state.tag();
         if (!tag.equals(installTag)) {
             installTag = tag;
-            install = new Install(
-                    number(), tag, state.documentBytes(), state.changes().toBytes());
+            document = state.documentBytes();
+            changes = state.changes().toBytes();
         }
-        return install;
+        return new Install(context.requests().next(), number(), tag, document, changes);
     }
 
     private void broadcast(Message message) {
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -16,6 +16,7 @@
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
 import pinewick.replication.ReplicationMessages.Install;
 import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.PrimarySighting;
 import pinewick.replication.ReplicationMessages.Promise;
 import pinewick.replication.ReplicationMessages.Refusal;
 import pinewick.replication.ReplicationMessages.Replicate;
@@ -55,6 +56,7 @@
     private final Witness witness;
     private final StateReceiver receiver;
     private final Election election;
+    private final KnownPrimary knownPrimary;
     private final EpochPlanner planner;
     private final Replicas replicas;
     private final ChangeQueue changes = new ChangeQueue();
@@ -90,11 +92,12 @@
         this.settings = settings;
         this.peers = new Peers(settings.address(), settings.seeds(), outbox);
         this.durable = new DurableState(store, clock, this::advance);
-        this.context = new Context(settings, clock, durable, peers, random, listener);
+        this.context = new Context(settings, clock, durable, peers, new Requests(random), random, listener);
         this.startup = new Startup(context, store, this::takePart);
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
+        this.knownPrimary = new KnownPrimary(clock, durable);
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
         this.commitReport = new CommitReport(context);
@@ -113,6 +116,7 @@
         context.listener()
                 .noted("store " + durable.identity() + " holds "
                         + durable.state().tag());
+        askAround();
         advance();
     }
 
@@ -131,14 +135,20 @@
         durable.onTick();
         ballot.ifPresent(Ballot::onTick);
         leadership.ifPresent(Leadership::onTick);
-        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
-            peers.send(peers.everywhere(durable.accepted()), status(true));
-        }
+        askAround();
         changes.expire(nowMs);
         reads.expire(nowMs);
         advance();
     }
 
+    /** While no primary is heard, asks the others what they know. */
+    private void askAround() {
+        if (leadership.isEmpty() && ballot.isEmpty()) {
+            election.question()
+                    .ifPresent(request -> peers.send(peers.everywhere(durable.accepted()), status(request, true)));
+        }
+    }
+
     /** Handles a message if it is of replication; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         clock.advance(nowMs);
@@ -165,7 +175,7 @@
             witness.onAccept(sender, accept);
         } else if (message instanceof Established established) {
             heardOf(established.record().number());
-            witness.onEstablished(established);
+            witness.onEstablished(established, this::answerAgain);
         } else if (message instanceof Status status) {
             onStatus(sender, status);
         } else {
@@ -219,16 +229,33 @@
 
     private void onStatus(SocketAddress sender, Status status) {
         peers.learn(status.self().identity(), sender);
-        election.onStatus(status);
+        if (election.isDenial(status)) {
+            election.onDenial();
+            knownPrimary.denied();
+        }
+        if (election.isAnswer(status)) {
+            election.onAnswer(status);
+            knownPrimary.told(status.primary());
+            learnMembers(status.accepted());
+        }
         if (status.answerWanted()) {
-            peers.send(sender, status(false));
+            peers.send(sender, status(status.request(), false));
             leadership.ifPresent(leading -> leading.onStatus(status));
         }
     }
 
+    /** A store whose seeds are all gone finds the primary through any controller that it reaches. */
+    private void learnMembers(EpochRecord record) {
+        long unknown = record.members().stream().filter(peers::learnMember).count();
+        if (unknown > 0) {
+            election.askSoon();
+            askAround();
+        }
+    }
+
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
-        if (heardOf(heartbeat.number())) {
-            election.onHeartbeat(heartbeat);
+        if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
+            knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
             lastHeartbeat = heartbeat;
             primaryAddress = sender;
             commitReport.onCommitted(heartbeat.committed());
@@ -253,8 +280,8 @@
 
     private HeartbeatReply heartbeatReply(Heartbeat heartbeat) {
         return new HeartbeatReply(
+                heartbeat.request(),
                 heartbeat.number(),
-                heartbeat.round(),
                 context.self(),
                 durable.promised(),
                 durable.accepted().number(),
@@ -264,6 +291,13 @@
                 durable.ready());
     }
 
+    /** What the last heartbeat was told has changed: the primary need not wait for its next one. */
+    private void answerAgain() {
+        if (leadership.isEmpty() && lastHeartbeat != null) {
+            peers.send(primaryAddress, heartbeatReply(lastHeartbeat));
+        }
+    }
+
     private void onHeartbeatReply(HeartbeatReply reply) {
         if (leadership.isEmpty()) {
             return;
@@ -278,9 +312,10 @@
         if (leadership.isPresent() || durable.promised().isAfter(resign.number())) {
             return;
         }
+        knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
         if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
-            stand(true);
+            stand(true, resign.leaving());
         }
     }
 
@@ -309,7 +344,7 @@
         if (leadership.isPresent()) {
             lead(leadership.get());
         } else if (ballot.isEmpty() && mayStand() && election.isDue()) {
-            stand(false);
+            stand(false, false);
         }
     }
 
@@ -317,10 +352,15 @@
         return !leaving && durable.ready() && durable.identityStored();
     }
 
-    private void stand(boolean handedOver) {
+    /**
+     * @param handedOver whether the former primary asked for it
+     * @param formerPromises whether the former primary too is likely to promise
+     */
+    private void stand(boolean handedOver, boolean formerPromises) {
         long counter = Math.max(election.nextCounter(), counterToBeat + 1);
+        String former = durable.accepted().primary();
         Set<String> wanted = Set.copyOf(durable.accepted().inSync().stream()
-                .filter(identity -> !identity.equals(durable.accepted().primary()))
+                .filter(identity -> formerPromises || !identity.equals(former))
                 .toList());
         startBallot(new Ballot(
                 context, new EpochNumber(counter, durable.identity()), handedOver, planner::planElection, wanted));
@@ -353,6 +393,7 @@
     private void begin(Ballot won) {
         boolean sameHolder = leadership.isPresent();
         if (!sameHolder) {
+            countSilenceFromNow(won);
             leaseFromMs = clock.steadyMs() + Leadership.LEASE_VALID_MS + settings.leaseMs() + LEASE_MARGIN_MS;
         }
         won.promises().values().forEach(promise -> {
@@ -371,6 +412,19 @@
         begun.begin();
     }
 
+    /** Of the members only the former primary was listened for until now. */
+    private void countSilenceFromNow(Ballot won) {
+        String formerPrimary =
+                lastHeartbeat == null ? "" : lastHeartbeat.number().proposer();
+        for (Member member : won.proposal().members()) {
+            Replica replica = replicas.learn(member);
+            if (replica != null) {
+                boolean former = member.identity().equals(formerPrimary);
+                replica.heardLast(former ? election.lastHeardMs() : clock.activeMs());
+            }
+        }
+    }
+
     private void lead(Leadership leading) {
         if (leading.lost()) {
             resign(leading);
@@ -416,7 +470,7 @@
                 .or(() -> others.stream().findFirst())
                 .map(Replica::identity)
                 .orElse("");
-        Resign message = new Resign(leading.number(), successor);
+        Resign message = new Resign(leading.number(), successor, leaving);
         peers.send(peers.everywhere(leading.record()), message);
         stepDown("resigned in favour of '" + successor + "'", AFTER_TROUBLE_MS);
     }
@@ -436,33 +490,53 @@
         return leadership.map(Leadership::confirmedLately).orElseGet(election::hearsPrimary);
     }
 
+    /** What this process knows, in answer to nothing. */
     Status status(boolean answerWanted) {
+        return status(RequestId.NONE, answerWanted);
+    }
+
+    private Status status(RequestId request, boolean answerWanted) {
         boolean leading = leadership.map(Leadership::confirmedLately).orElse(false);
         return new Status(
+                request,
                 context.self(),
                 durable.promised(),
                 durable.accepted(),
                 durable.state().tag(),
                 leading,
                 hearsPrimary(),
-                leading ? settings.operatorApi() : election.operatorApi(),
+                leading ? ownSighting() : knownPrimary.sighting(),
                 answerWanted);
     }
 
+    private PrimarySighting ownSighting() {
+        return new PrimarySighting(leadership.get().number(), settings.operatorApi(), 0);
+    }
+
     /** This process is about to end: hands leadership over, and leaves the in-sync set. */
     public void leave(double nowMs) {
         clock.advance(nowMs);
         leaving = true;
         leavingSinceMs = clock.activeMs();
-        if (leadership.isEmpty() && lastHeartbeat != null) {
-            peers.send(primaryAddress, heartbeatReply(lastHeartbeat));
-        }
+        answerAgain();
         advance();
     }
 
     /** After {@link #leave}: whether the others can do without this process by now. */
     public boolean detached() {
-        return leadership.isEmpty() && !durable.accepted().inSync().contains(durable.identity());
+        EpochRecord accepted = durable.accepted();
+        boolean outside = !accepted.inSync().contains(durable.identity());
+        return leadership.isEmpty() && outside && (isKnownToStand(accepted) || !accepted.hasMember(durable.identity()));
+    }
+
+    /** Only the primary of a record that stands sends heartbeats under its number. */
+    private boolean isKnownToStand(EpochRecord record) {
+        return lastHeartbeat != null && lastHeartbeat.number().equals(record.number());
+    }
+
+    @Override
+    public void advanceClock(double nowMs) {
+        clock.advance(nowMs);
     }
 
     @Override
@@ -487,8 +561,7 @@
 
     @Override
     public Optional<SocketAddress> primary() {
-        SocketAddress api = leadership.isPresent() ? settings.operatorApi() : election.operatorApi();
-        return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
+        return leadership.isPresent() ? Optional.of(settings.operatorApi()) : knownPrimary.operatorApi();
     }
 
     /** What this process knows, for the people who run it. */
