A member that comes back catches up while changes go on, by the changes it lacks

Cause: a primary kept only the change under way. A store one change behind was sent the whole state again, and each change sent a further whole state after those on their way: at 2,000 routes and 5 changes a second it never came into sync. Ruled out: the laggard's disk and the admission rule (idle between two changes). What is expected of a store is counted from its last progress, not from the last sending.

--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -45,17 +45,16 @@
 
     private record Round(long number, double sentSteadyMs) {}
 
-    /** A change on its way to the in-sync stores. */
-    private record Pending(StateTag tag, byte[] delta, ChangeKey key) {}
-
     private final Context context;
     private final EpochRecord record;
     private final Replicas replicas;
     private final StateTag baseTag;
     private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
+    private final StateTag startTag;
+    private final RecentChanges recent;
     private StateTag target;
-    private Optional<Pending> pending = Optional.empty();
+    private boolean pending;
     private boolean begun;
     private boolean diskFailed;
     private RequestId round = RequestId.NONE;
@@ -76,7 +75,9 @@
         this.replicas = replicas;
         this.lastSequenceBefore = context.requests().newest();
         this.baseTag = context.durable().state().tag();
-        this.target = new StateTag(record.number().counter(), 0);
+        this.startTag = new StateTag(record.number().counter(), 0);
+        this.recent = new RecentChanges(startTag);
+        this.target = startTag;
         this.confirmedActiveMs = context.activeMs();
         this.changingSinceMs = context.activeMs();
     }
@@ -104,7 +105,7 @@
     }
 
     boolean changePending() {
-        return pending.isPresent();
+        return pending;
     }
 
     /** Whether this process has not promised a higher number itself. */
@@ -116,7 +117,7 @@
     boolean mayReplicate() {
         return begun
                 && honoured()
-                && pending.isEmpty()
+                && !pending
                 && record.inSync().size() >= context.settings().fewestCopies();
     }
 
@@ -169,9 +170,10 @@
 
     /** Sends a change to the in-sync stores; only if {@link #mayReplicate}. */
     void replicate(byte[] delta, ChangeKey key) {
-        Pending change = new Pending(target.next(), delta, key);
-        pending = Optional.of(change);
-        target = change.tag;
+        RecentChanges.Recent change = new RecentChanges.Recent(target.next(), delta, key);
+        pending = true;
+        target = change.tag();
+        recent.add(change);
         replicas.all().forEach(replica -> replica.aimAt(target, context.activeMs()));
         DurableState durable = context.durable();
         durable.submit(
@@ -179,7 +181,7 @@
                         ? Optional.of(new Step(
                                 number(),
                                 record,
-                                durable.state().apply(change.tag, delta, key),
+                                durable.state().apply(change.tag(), delta, key),
                                 Optional.of(new StoredChange(delta, key))))
                         : Optional.empty(),
                 outcome -> diskFailed |= outcome != Outcome.WRITTEN);
@@ -276,7 +278,7 @@
             return false;
         }
         begun = true;
-        pending = Optional.empty();
+        pending = false;
         committed = durable.state();
         return true;
     }
@@ -358,31 +360,48 @@
         for (Replica replica : replicas.all()) {
             boolean inSync = record.inSync().contains(replica.identity());
             boolean wanted = inSync || (!replica.leaving() && replica.silentMs(now) <= 2 * HEARTBEAT_MS);
-            boolean honours = !replica.promised().isAfter(number());
-            if (wanted && honours && !replica.tag().equals(target) && replica.maySend(now)) {
-                replica.sent(now);
-                context.peers().send(context.peers().addressOf(replica.member()), stateFor(replica));
+            if (wanted && !replica.promised().isAfter(number())) {
+                sendState(replica, now);
             }
         }
     }
 
-    private Message stateFor(Replica replica) {
-        if (pending.isPresent() && replica.tag().next().equals(target)) {
-            Pending change = pending.get();
-            return new Replicate(context.requests().next(), number(), change.tag, change.delta, change.key);
+    /** Sends what a store lacks: a state to begin with, if need be, and the changes after it right behind. */
+    private void sendState(Replica replica, double now) {
+        if (!replica.isAwaited(now) && !recent.reachBackTo(replica.tag())) {
+            sendBase(replica, now);
+        }
+        StateTag expected = replica.expectedTag(now);
+        if (expected.equals(target) || !recent.reachBackTo(expected)) {
+            return;
         }
-        boolean atStart = target.sequence() == 0;
-        if (atStart && replica.tag().equals(baseTag)) {
-            return new Retag(context.requests().next(), number(), baseTag, target);
+        for (RecentChanges.Recent change : recent.after(expected)) {
+            send(
+                    replica,
+                    new Replicate(context.requests().next(), number(), change.tag(), change.delta(), change.key()));
+        }
+        replica.sentChanges(target, now);
+    }
+
+    private void sendBase(Replica replica, double now) {
+        if (replica.tag().equals(baseTag) && recent.reachBackTo(startTag)) {
+            send(replica, new Retag(context.requests().next(), number(), baseTag, startTag));
+            replica.sentChanges(startTag, now);
+            return;
         }
         ConfigurationState state = context.durable().state();
-        StateTag tag = atStart ? target : state.tag();
+        StateTag tag = target.equals(startTag) ? startTag : state.tag();
         if (!tag.equals(installTag)) {
             installTag = tag;
             document = state.documentBytes();
             changes = state.changes().toBytes();
         }
-        return new Install(context.requests().next(), number(), tag, document, changes);
+        send(replica, new Install(context.requests().next(), number(), tag, document, changes));
+        replica.sentWhole(tag, now);
+    }
+
+    private void send(Replica replica, Message message) {
+        context.peers().send(context.peers().addressOf(replica.member()), message);
     }
 
     private void broadcast(Message message) {
--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -8,9 +8,14 @@
 
 /** What a primary knows of another store. Times are those of {@link ActiveClock#activeMs}. */
 final class Replica {
-    /** A state that was not confirmed is sent again after this long. */
+    /** What was not confirmed is sent again after this long. */
     private static final double RESEND_MS = 200;
 
+    /** The same for a whole state, doubled each time: it may be large, and its link slow. */
+    private static final double RESEND_WHOLE_MS = 400;
+
+    private static final double LONGEST_RESEND_WHOLE_MS = 1_600;
+
     /** The same while its disk is in trouble. */
     private static final double RESEND_TO_FAILING_MS = 500;
 
@@ -26,7 +31,10 @@
     private long newestAnswered;
     private double heardMs;
     private double laggingSinceMs = Double.NaN;
-    private double sentMs = Double.NEGATIVE_INFINITY;
+    private StateTag sentTag = StateTag.NONE;
+    private double awaitedSinceMs = Double.NEGATIVE_INFINITY;
+    private double resendMs = RESEND_MS;
+    private double nextResendWholeMs = RESEND_WHOLE_MS;
 
     Replica(Member member, double nowMs) {
         this.member = member;
@@ -99,17 +107,36 @@
         return Double.isNaN(laggingSinceMs) ? 0 : nowMs - laggingSinceMs;
     }
 
-    boolean maySend(double nowMs) {
-        return nowMs - sentMs >= (diskReady ? RESEND_MS : RESEND_TO_FAILING_MS);
+    /** Whether something was sent to it that it may yet confirm. */
+    boolean isAwaited(double nowMs) {
+        double longestMs = diskReady ? resendMs : Math.max(resendMs, RESEND_TO_FAILING_MS);
+        return sentTag.compareTo(tag) > 0 && nowMs - awaitedSinceMs < longestMs;
+    }
+
+    /** The state that it will hold once all that is on its way has arrived. */
+    StateTag expectedTag(double nowMs) {
+        return isAwaited(nowMs) ? sentTag : tag;
     }
 
-    void sent(double nowMs) {
-        sentMs = nowMs;
+    /** Changes up to a state were sent. */
+    void sentChanges(StateTag upTo, double nowMs) {
+        if (!isAwaited(nowMs)) {
+            awaitedSinceMs = nowMs;
+            resendMs = RESEND_MS;
+        }
+        sentTag = upTo;
+    }
+
+    /** A whole state was sent. */
+    void sentWhole(StateTag whole, double nowMs) {
+        sentTag = whole;
+        awaitedSinceMs = nowMs;
+        resendMs = nextResendWholeMs;
+        nextResendWholeMs = Math.min(2 * nextResendWholeMs, LONGEST_RESEND_WHOLE_MS);
     }
 
     /** There is a new state to be held. */
     void aimAt(StateTag target, double nowMs) {
-        sentMs = Double.NEGATIVE_INFINITY;
         laggingSinceMs = tag.equals(target) ? Double.NaN : nowMs;
     }
 
@@ -118,7 +145,8 @@
         confirmedRound = 0;
         settled = false;
         accepted = EpochNumber.NONE;
-        sentMs = Double.NEGATIVE_INFINITY;
+        sentTag = StateTag.NONE;
+        nextResendWholeMs = RESEND_WHOLE_MS;
         laggingSinceMs = nowMs;
     }
 
@@ -133,7 +161,7 @@
     void onStatus(Status status, EpochNumber number, StateTag target, double nowMs) {
         heardMs = nowMs;
         promised = status.promised();
-        learnTag(status.tag(), number, target);
+        learnTag(status.tag(), number, target, nowMs);
     }
 
     /** An answer that a later one has overtaken tells nothing. */
@@ -153,28 +181,33 @@
         if (reply.number().equals(number) && reply.promised().equals(number)) {
             confirmedRound = Math.max(confirmedRound, round);
         }
-        learnTag(reply.tag(), number, target);
+        learnTag(reply.tag(), number, target, nowMs);
     }
 
     void onStateReply(StateReply reply, EpochNumber number, StateTag target, double nowMs) {
         heardMs = nowMs;
         promised = reply.promised();
         diskReady = reply.result() != StateResult.DISK_FAILED;
-        StateTag before = tag;
-        learnTag(reply.held(), number, target);
-        if (diskReady && !tag.equals(before)) {
-            sentMs = Double.NEGATIVE_INFINITY;
-        }
+        learnTag(reply.held(), number, target, nowMs);
     }
 
     /** Tags of the present epoch only grow; what says otherwise is late. */
-    private void learnTag(StateTag heard, EpochNumber number, StateTag target) {
+    private void learnTag(StateTag heard, EpochNumber number, StateTag target, double nowMs) {
         boolean current = tag.epoch() == number.counter();
         if (!current || heard.compareTo(tag) > 0) {
+            noteProgress(heard, nowMs);
             tag = heard;
         }
         if (tag.equals(target)) {
             laggingSinceMs = Double.NaN;
         }
     }
+
+    private void noteProgress(StateTag heard, double nowMs) {
+        if (!heard.equals(tag)) {
+            awaitedSinceMs = nowMs;
+            resendMs = RESEND_MS;
+            nextResendWholeMs = RESEND_WHOLE_MS;
+        }
+    }
 }
--- a/replication/src/test/java/pinewick/replication/World.java
+++ b/replication/src/test/java/pinewick/replication/World.java
@@ -11,6 +11,9 @@
 import java.util.function.BiFunction;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Install;
+import pinewick.replication.ReplicationMessages.Replicate;
+import pinewick.replication.ReplicationMessages.Retag;
 
 /** Simulated time, machines and links between them. Whatever happens follows from the seed. */
 final class World {
@@ -33,6 +36,10 @@
     BiFunction<Machine, Message, Message> tamper = (sender, message) -> message;
 
     BrokenVariant variant = BrokenVariant.NONE;
+    /** How long a link carries a whole state. States and changes keep their order then, as on a connection. */
+    double wholeStateMs;
+
+    private final Map<Link, Double> lastArrivalMs = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             java.util.Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
     private final Set<Link> cuts = new HashSet<>();
@@ -148,7 +155,7 @@
 
     private void deliverLater(Machine sender, SocketAddress to, Message message) {
         double delayMs = between(0.3, 1.5) + (chance(lateShare) ? between(0, 400) : 0);
-        after(delayMs, () -> {
+        at(arrivalMs(sender, to, message, delayMs), () -> {
             Machine receiver = byAddress.get(to);
             if (receiver != null && !cuts.contains(new Link(sender.address, to))) {
                 receiver.deliver(sender.address, message);
@@ -156,6 +163,19 @@
         });
     }
 
+    /** When a message arrives that would take so long alone. */
+    private double arrivalMs(Machine sender, SocketAddress to, Message message, double delayMs) {
+        boolean isState = message instanceof Install || message instanceof Replicate || message instanceof Retag;
+        if (wholeStateMs == 0 || !isState) {
+            return nowMs + delayMs;
+        }
+        double carriedMs = message instanceof Install ? wholeStateMs : 0;
+        return lastArrivalMs.merge(
+                new Link(sender.address, to),
+                nowMs + delayMs + carriedMs,
+                (last, alone) -> Math.max(last + carriedMs, alone));
+    }
+
     /** The process that leads with the highest epoch, or null. */
     Machine primary() {
         Machine best = null;
