--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -23,10 +23,10 @@
 import pinewick.model.SocketAddress;
 
 /**
- * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick} every
- * {@link #TICK_MS}, or whenever {@link #nextTickMs} says, hands in every message, and publishes what is new here. What
- * {@link #synchronised}, {@link #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link #lastHeardMs}
- * answer is as of the last tick and may be read by any thread.
+ * A process's part in membership and dissemination. Owned by one thread, the control loop: it calls {@link #onTick}
+ * every {@link #TICK_MS}, or whenever {@link #nextTickMs} says, hands in every message, and publishes what is new here.
+ * What {@link #synchronised}, {@link #routerCount}, {@link #routerCountUpperBound}, {@link #peers} and {@link
+ * #lastHeardMs} answer is as of the last tick and may be read by any thread.
  */
 public final class FleetNode {
     /** Pause between two calls of {@link #onTick} while there is something to do, milliseconds. */
