After the 408 of a body that came too late no further request is taken from its connection

Cause: the 408 is written by the timer's thread. While Jetty's reading thread is in its loop, it can read the rest of the body and a request behind it before the connection closes, and that request was run. Ruled out: a request smuggled in a body (the second one was framed as its client sent it). Change: the connection notes that its last request was taken; one that is read after that is dropped with the connection.

--- a/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -18,6 +18,7 @@
 
     private final IntSupplier headerTimeoutMs;
     private long headBeganNanos;
+    private volatile boolean lastRequestTaken;
 
     private ClientConnection(
             HttpConfiguration configuration, Connector connector, EndPoint endPoint, IntSupplier headerTimeoutMs) {
@@ -51,6 +52,18 @@
         return generator;
     }
 
+    /**
+     * No request is taken from this connection any more. Jetty may otherwise read one on between an answer that closes
+     * the connection, if that is written by another thread than the one that reads, and the close.
+     */
+    void takeNoMoreRequests() {
+        lastRequestTaken = true;
+    }
+
+    boolean takesRequests() {
+        return !lastRequestTaken;
+    }
+
     /** An answer was completed: looks for the next request. */
     @Override
     public void run() {
--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -107,6 +107,9 @@
     private synchronized void onTimeout() {
         if (!settled) {
             settle(() -> {
+                if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection) {
+                    connection.takeNoMoreRequests();
+                }
                 response.getHeaders().put(HttpHeader.CONNECTION, "close");
                 answer(HttpStatus.REQUEST_TIMEOUT_408);
             });
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -143,6 +144,10 @@
             if (connector == readiness) {
                 response.setStatus(ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
                 response.write(true, null, callback);
+            } else if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection
+                    && !connection.takesRequests()) {
+                connection.getEndPoint().close();
+                callback.failed(new EofException("a request behind the last one of its connection"));
             } else {
                 new ClientIntake(dataPlane, request, response, callback).start();
             }
--- a/dataplane/src/test/java/pinewick/dataplane/TimeoutTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TimeoutTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import pinewick.model.InvalidConfigurationException;
 import pinewick.model.Stage;
@@ -48,7 +49,7 @@
         assertTrue(client.isClosedByPeer());
     }
 
-    @Test
+    @RepeatedTest(12)
     void theRestOfABodyThatCameTooLateIsNoRequest() throws Exception {
         client.send(HEAD + "half");
         assertEquals(408, client.read().status());
