Parsing of replicas' answers has a class of its own, AnswerParser

No change of behaviour but for one: a connection's rest is counted from the end of its last answer, not from its head.

--- a/dataplane/src/main/java/pinewick/dataplane/UpstreamConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/UpstreamConnection.java
@@ -2,16 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.List;
 import java.util.concurrent.Executor;
-import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpMethod;
-import org.eclipse.jetty.http.HttpParser;
-import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -23,20 +14,10 @@
  * after a whole answer, belong to no request, and the connection is closed. Everything but {@link #onFillable} runs
  * on the data plane's executor.
  */
-final class UpstreamConnection extends AbstractConnection implements HttpParser.ResponseHandler {
-    private static final int MOST_HEADER_BYTES = 32 * 1024;
-    private static final double MILLISECONDS = 1e3;
-    private static final int LOWEST_FINAL_STATUS = 200;
-
-    /** How long before the replica would close an idle connection this side stops using it. */
-    private static final double IDLE_MARGIN_MS = 1_000;
-
-    /** Longest rest of a connection whose replica does not say how long it keeps idle ones. */
-    private static final double UNTOLD_IDLE_MS = 500;
-
+final class UpstreamConnection extends AbstractConnection {
     private final ReplicaConnections owner;
     private final SerialExecutor serial;
-    private final HttpParser parser = new HttpParser(this, MOST_HEADER_BYTES);
+    private final AnswerParser answers = new AnswerParser();
     private UpstreamExchange exchange;
     private ByteBuffer head;
     private int headLength;
@@ -47,23 +28,13 @@
     /** Cleared on the thread that wrote, so that an answer cannot overtake it. */
     private volatile boolean writing;
 
-    private boolean spoilt;
     private boolean used;
     private double idleUntilMs;
 
-    // of the answer being parsed
-    private HttpFields.Mutable fields = HttpFields.build();
-    private int status;
-    private boolean keepAlive;
-    private boolean ours;
-    private boolean messageComplete;
-    private String failure;
-
     UpstreamConnection(EndPoint endPoint, Executor executor, ReplicaConnections owner, SerialExecutor serial) {
         super(endPoint, executor);
         this.owner = owner;
         this.serial = serial;
-        parser.setHeaderCacheSize(0);
     }
 
     // ---- Jetty's side
@@ -128,9 +99,8 @@
         exchange = next;
         next.assign(this);
         used = true;
-        ours = false;
         writing = true;
-        parser.setHeadResponse(HttpMethod.HEAD.is(next.request().method()));
+        answers.expect(next);
         head = next.request().head();
         headLength = head.remaining();
         Callback callback = Callback.from(
@@ -212,14 +182,10 @@
     }
 
     private void endOfInput() {
-        if (exchange != null) {
-            parser.atEOF();
-            parser.parseNext(BufferUtil.EMPTY_BUFFER);
-            if (messageComplete && failure == null) {
-                endOfMessage(false);
-            }
+        if (exchange != null && answers.parseEnd() == AnswerParser.Outcome.ANSWERED) {
+            answered(false);
         }
-        fail(failure == null ? "the replica closed the connection" : failure);
+        fail(answers.failure() == null ? "the replica closed the connection" : answers.failure());
     }
 
     private void parse(ByteBuffer buffer) {
@@ -228,140 +194,31 @@
                 closeNow();
                 return;
             }
-            parser.parseNext(buffer);
-            if (failure != null) {
-                fail(failure);
-            } else if (messageComplete && !closed) {
-                endOfMessage(buffer.hasRemaining());
+            switch (answers.parse(buffer)) {
+                case FAILED -> fail(answers.failure());
+                case ANSWERED -> answered(!closed && buffer.hasRemaining());
+                default -> {}
             }
         }
     }
 
-    private void endOfMessage(boolean moreBytes) {
-        messageComplete = false;
-        boolean whole = ours;
-        ours = false;
-        parser.reset();
-        if (!whole) {
-            // Between an interim answer and the final one nothing changes; an answer to another request spoils.
-            spoilt |= status >= LOWEST_FINAL_STATUS;
+    /**
+     * The answer is whole. The connection may carry another request only if all of this one has gone out, since the
+     * replica may still read the rest of its body, and if nothing came behind the answer.
+     */
+    private void answered(boolean moreBytes) {
+        UpstreamExchange complete = exchange;
+        if (complete == null) {
             return;
         }
-        UpstreamExchange answered = exchange;
         exchange = null;
-        if (keepAlive && !spoilt && !writing && !moreBytes) {
+        if (answers.mayReuse() && !writing && !moreBytes) {
+            idleUntilMs = owner.nowMs() + answers.idleMs();
             owner.released(this);
         } else {
             closeNow();
         }
-        answered.complete();
-    }
-
-    // ---- the parser's events
-
-    @Override
-    public void messageBegin() {
-        fields = HttpFields.build();
-    }
-
-    @Override
-    public void startResponse(HttpVersion version, int responseStatus, String reason) {
-        status = responseStatus;
-        keepAlive = version == HttpVersion.HTTP_1_1;
-    }
-
-    @Override
-    public void parsedHeader(HttpField field) {
-        fields.add(field);
-    }
-
-    @Override
-    public boolean headerComplete() {
-        if (status < LOWEST_FINAL_STATUS) {
-            if (status == HttpStatus.SWITCHING_PROTOCOLS_101) {
-                failure = "an upgrade nobody asked for";
-            }
-            return false;
-        }
-        if (exchange == null) {
-            return false;
-        }
-        ours = isOurs();
-        if (ours) {
-            noteConnectionTerms();
-            exchange.head(new ResponseHead(status, fields, isFramed()));
-        } else if (!fields.contains(HeaderNames.REQUEST_ID)) {
-            failure = "an answer without a request id";
-        }
-        return false;
-    }
-
-    private boolean isOurs() {
-        String expected = exchange.request().expectedId();
-        return expected == null
-                ? !fields.contains(HeaderNames.REQUEST_ID)
-                : fields.getValuesList(HeaderNames.REQUEST_ID).equals(List.of(expected));
-    }
-
-    private boolean isFramed() {
-        return fields.contains(HttpHeader.CONTENT_LENGTH)
-                || fields.contains(HttpHeader.TRANSFER_ENCODING)
-                || status == HttpStatus.NO_CONTENT_204
-                || status == HttpStatus.NOT_MODIFIED_304
-                || HttpMethod.HEAD.is(exchange.request().method());
-    }
-
-    private void noteConnectionTerms() {
-        keepAlive &= isFramed() && !fields.contains(HttpHeader.CONNECTION, "close");
-        idleUntilMs = owner.nowMs() + idleMs(fields.get("Keep-Alive"));
-    }
-
-    /** How long a connection may rest, by the {@code Keep-Alive} field of its last answer. */
-    static double idleMs(String keepAliveField) {
-        if (keepAliveField != null) {
-            for (String parameter : keepAliveField.split(",")) {
-                String trimmed = parameter.trim();
-                if (trimmed.regionMatches(true, 0, "timeout=", 0, "timeout=".length())) {
-                    try {
-                        double told = Double.parseDouble(trimmed.substring("timeout=".length())) * MILLISECONDS;
-                        return Math.max(told / 2, told - IDLE_MARGIN_MS);
-                    } catch (NumberFormatException e) {
-                        return UNTOLD_IDLE_MS;
-                    }
-                }
-            }
-        }
-        return UNTOLD_IDLE_MS;
-    }
-
-    @Override
-    public boolean content(ByteBuffer item) {
-        if (ours && exchange != null) {
-            exchange.content(item);
-        }
-        item.position(item.limit());
-        return false;
-    }
-
-    @Override
-    public boolean contentComplete() {
-        return false;
-    }
-
-    @Override
-    public boolean messageComplete() {
-        messageComplete = true;
-        return true;
-    }
-
-    @Override
-    public void earlyEOF() {
-        failure = "the answer was cut off";
-    }
-
-    @Override
-    public void badMessage(HttpException cause) {
-        failure = "not an answer: " + cause.getReason();
+        complete.complete();
     }
 
     // ---- the end
--- a/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/LimitsTest.java
@@ -202,11 +202,11 @@
 
     @Test
     void aConnectionTellsHowLongItMayRest() {
-        assertEquals(4_000, UpstreamConnection.idleMs("timeout=5"));
-        assertEquals(500, UpstreamConnection.idleMs("timeout=1, max=100"));
-        assertEquals(9_000, UpstreamConnection.idleMs("max=3, Timeout=10"));
-        assertEquals(500, UpstreamConnection.idleMs("timeout=soon"));
-        assertEquals(500, UpstreamConnection.idleMs(null));
+        assertEquals(4_000, AnswerParser.idleMs("timeout=5"));
+        assertEquals(500, AnswerParser.idleMs("timeout=1, max=100"));
+        assertEquals(9_000, AnswerParser.idleMs("max=3, Timeout=10"));
+        assertEquals(500, AnswerParser.idleMs("timeout=soon"));
+        assertEquals(500, AnswerParser.idleMs(null));
     }
 
     @Test
