--- /dev/null
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaRequests.java
@@ -0,0 +1,50 @@
+package pinewick.dataplane;
+
+import org.eclipse.jetty.http.HttpFields;
+import pinewick.model.ReplicaRecord;
+
+/** Writes the calls to replicas for one client request: the client's own fields, and what only a router may say. */
+final class ReplicaRequests {
+    private static final String PREFILL_STAGE = "prefill";
+
+    private final ClientRequest request;
+
+    ReplicaRequests(ClientRequest request) {
+        this.request = request;
+    }
+
+    /** The prompt is read at the replica, and the request does not run there. */
+    UpstreamRequest prefill(ReplicaRecord replica, double remainingMs) {
+        HttpFields.Mutable fields = fields(replica, remainingMs);
+        fields.put(HeaderNames.SERVING_STAGE, PREFILL_STAGE);
+        return with(fields);
+    }
+
+    /**
+     * The request runs at the replica.
+     *
+     * @param handle memory of the prompt that the replica fetches, null if it reads the prompt itself
+     * @param resumeAfter the event after which a stream goes on, null if the client's own field counts
+     */
+    UpstreamRequest run(ReplicaRecord replica, double remainingMs, PrefillHandle handle, String resumeAfter) {
+        HttpFields.Mutable fields = fields(replica, remainingMs);
+        if (handle != null) {
+            fields.put(HeaderNames.KV_FROM, handle.kvFrom());
+        }
+        if (resumeAfter != null) {
+            fields.put(HeaderNames.LAST_EVENT_ID, resumeAfter);
+        }
+        return with(fields);
+    }
+
+    private HttpFields.Mutable fields(ReplicaRecord replica, double remainingMs) {
+        HttpFields.Mutable fields = HttpFields.build(request.fields());
+        fields.put(HeaderNames.EXPECTED_INSTANCE, replica.instanceId());
+        fields.put(HeaderNames.DEADLINE_MS, Long.toString(Math.max(1, (long) remainingMs)));
+        return fields;
+    }
+
+    private UpstreamRequest with(HttpFields fields) {
+        return new UpstreamRequest(request.method(), request.target(), fields, request.body(), request.id());
+    }
+}
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -5,9 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.RouteKind;
@@ -24,33 +21,18 @@
  * run it was rejected by the replica's own word, or no byte of it went out.
  */
 final class RequestLifecycle {
-    /** Bytes waiting for the client beyond which nothing more is read from the replica. */
-    static final long MOST_PENDING_BYTES = 256 * 1024;
-
     /** A handle older than this is not offered a second time. */
     private static final double FRESH_HANDLE_MS = 1_000;
 
-    private static final double SHORTEST_RETRY_AFTER_SECONDS = 0.15;
-    private static final double RETRY_AFTER_SPREAD_SECONDS = 0.25;
-    private static final double MILLISECONDS = 1e3;
-
-    private enum Phase {
-        /** Nothing of an answer has gone to the client. */
-        WAITING,
-        /** An answer's head has gone to the client. */
-        STREAMING,
-        ENDED
-    }
-
-    private final ClientRequest request;
     private final RequestShape shape;
-    private final ClientExchange client;
+    private final ReplicaRequests requests;
+    private final ClientReply reply;
     private final DataPlaneServices services;
     private final Consumer<RequestLifecycle> onEnded;
     private final AttemptLedger ledger;
     private final EventStreamReader events;
     private final Set<String> excluded = new HashSet<>();
-    private Phase phase = Phase.WAITING;
+    private boolean ended;
     private boolean mayHaveRun;
     /** No prefill replica is asked any more: the decode replica reads the prompt itself. */
     private boolean readWhole;
@@ -66,9 +48,9 @@
             ClientExchange client,
             DataPlaneServices services,
             Consumer<RequestLifecycle> onEnded) {
-        this.request = request;
         this.shape = shape;
-        this.client = client;
+        this.requests = new ReplicaRequests(request);
+        this.reply = new ClientReply(request, client, services.random());
         this.services = services;
         this.onEnded = onEnded;
         this.ledger = new AttemptLedger(shape.service(), shape.route().maxAttempts(), services.budget());
@@ -84,7 +66,7 @@
 
     /** The client's connection is gone. */
     void onClientGone() {
-        if (phase == Phase.ENDED) {
+        if (ended) {
             return;
         }
         breakOff(CallEnding.ABANDONED);
@@ -100,7 +82,7 @@
 
     /** The router ends: whatever has not been answered is answered now. */
     void onShutdown() {
-        if (phase != Phase.ENDED) {
+        if (!ended) {
             boolean running = breakOff(CallEnding.ABANDONED);
             mayHaveRun |= running;
             giveUp();
@@ -108,15 +90,11 @@
     }
 
     private void onDeadline() {
-        if (phase == Phase.ENDED) {
+        if (ended) {
             return;
         }
         boolean running = breakOff(CallEnding.TIMED_OUT);
-        if (phase == Phase.STREAMING) {
-            abortClient();
-        } else {
-            fail(running || mayHaveRun ? HttpStatus.GATEWAY_TIMEOUT_504 : HttpStatus.SERVICE_UNAVAILABLE_503);
-        }
+        fail(running || mayHaveRun ? HttpStatus.GATEWAY_TIMEOUT_504 : HttpStatus.SERVICE_UNAVAILABLE_503);
     }
 
     /** Breaks the active call off; returns whether a replica may have run the request because of it. */
@@ -150,39 +128,31 @@
         boolean readFirst = pair.prefill().isPresent()
                 && handle == null
                 && !readWhole
-                && phase == Phase.WAITING
+                && !isStreaming()
                 && services.handles().mayHandOver(shape.service(), now());
         if (readFirst) {
-            call(pair.prefill().get(), CallKind.PREFILL);
+            callPrefill(pair.prefill().get());
         } else {
             callDecode(pair.decode());
         }
     }
 
-    private void callDecode(ReplicaRecord replica) {
-        CallKind whole = shape.generation() ? CallKind.DECODE_WHOLE : CallKind.PLAIN;
-        call(replica, handle == null ? whole : CallKind.DECODE_FETCHED);
+    private void callPrefill(ReplicaRecord replica) {
+        active = new ReplicaCall(this, services, replica, CallKind.PREFILL, null);
+        active.begin(requests.prefill(replica, remainingMs()));
     }
 
-    private void call(ReplicaRecord replica, CallKind kind) {
-        ReplicaRecord reader = kind == CallKind.DECODE_FETCHED ? handle.holder() : null;
-        active = new ReplicaCall(this, services, replica, kind, reader);
-        active.begin(upstreamRequest(replica, kind));
+    private void callDecode(ReplicaRecord replica) {
+        ReplicaRecord reader = handle == null ? null : handle.holder();
+        active = new ReplicaCall(this, services, replica, decodeKind(), reader);
+        active.begin(requests.run(replica, remainingMs(), handle, isStreaming() ? events.lastEventId() : null));
     }
 
-    private UpstreamRequest upstreamRequest(ReplicaRecord replica, CallKind kind) {
-        HttpFields.Mutable fields = HttpFields.build(request.fields());
-        fields.put(HeaderNames.EXPECTED_INSTANCE, replica.instanceId());
-        fields.put(HeaderNames.DEADLINE_MS, Long.toString(Math.max(1, (long) remainingMs())));
-        if (kind == CallKind.PREFILL) {
-            fields.put(HeaderNames.SERVING_STAGE, "prefill");
-        } else if (kind == CallKind.DECODE_FETCHED) {
-            fields.put(HeaderNames.KV_FROM, handle.kvFrom());
-        }
-        if (phase == Phase.STREAMING && events.lastEventId() != null) {
-            fields.put(HeaderNames.LAST_EVENT_ID, events.lastEventId());
+    private CallKind decodeKind() {
+        if (handle != null) {
+            return CallKind.DECODE_FETCHED;
         }
-        return new UpstreamRequest(request.method(), request.target(), fields, request.body(), request.id());
+        return shape.generation() ? CallKind.DECODE_WHOLE : CallKind.PLAIN;
     }
 
     // ---- what calls report
@@ -230,7 +200,7 @@
         mayHaveRun = true;
         releaseHandle();
         readWhole = true;
-        boolean mayGoOn = phase == Phase.STREAMING
+        boolean mayGoOn = isStreaming()
                 ? shape.route().kind() == RouteKind.STREAMING && shape.route().resumable() && call.passesEvents()
                 : shape.route().repeatable();
         if (mayGoOn) {
@@ -246,7 +216,7 @@
         excluded.add(call.replica().instanceId());
         mayHaveRun = true;
         releaseHandle();
-        if (phase == Phase.STREAMING) {
+        if (isStreaming()) {
             attempt(this::giveUp);
         } else if (shape.route().repeatable() && call.head().isServerError()) {
             attempt(answer);
@@ -298,13 +268,7 @@
 
     /** Bytes of whole events, or of an answer too long to be kept. */
     void passOn(ReplicaCall call, byte[] bytes) {
-        if (phase == Phase.WAITING) {
-            phase = Phase.STREAMING;
-            client.beginStream(
-                    call.head().status(), HeaderRules.responseFields(call.head().fields()));
-        }
-        client.passOn(bytes);
-        if (client.pendingBytes() > MOST_PENDING_BYTES) {
+        if (!reply.passOn(call.head(), bytes)) {
             call.pauseReading();
         }
     }
@@ -312,23 +276,14 @@
     /** The answer that is being passed on is whole. */
     void onStreamComplete(ReplicaCall call) {
         active = null;
-        if (phase == Phase.WAITING) {
-            client.beginStream(
-                    call.head().status(), HeaderRules.responseFields(call.head().fields()));
-        }
-        client.endStream();
+        reply.endPieces(call.head());
         end();
     }
 
     /** A whole answer that was kept until now. */
     void onWholeAnswer(ReplicaCall call, byte[] body) {
         active = null;
-        ResponseHead head = call.head();
-        HttpFields.Mutable fields = HeaderRules.responseFields(head.fields());
-        if (HttpMethod.HEAD.is(request.method()) && head.fields().contains(HttpHeader.CONTENT_LENGTH)) {
-            fields.put(HttpHeader.CONTENT_LENGTH, head.fields().get(HttpHeader.CONTENT_LENGTH));
-        }
-        client.answer(head.status(), fields, body);
+        reply.whole(call.head(), body);
         end();
     }
 
@@ -340,8 +295,9 @@
         return shape;
     }
 
+    /** Whether the head of an answer has gone to the client. */
     boolean isStreaming() {
-        return phase == Phase.STREAMING;
+        return reply.isBegun();
     }
 
     double remainingMs() {
@@ -351,11 +307,7 @@
     // ---- ending
 
     private void giveUp() {
-        if (phase == Phase.STREAMING) {
-            abortClient();
-        } else {
-            fail(mayHaveRun ? HttpStatus.BAD_GATEWAY_502 : HttpStatus.SERVICE_UNAVAILABLE_503);
-        }
+        fail(mayHaveRun ? HttpStatus.BAD_GATEWAY_502 : HttpStatus.SERVICE_UNAVAILABLE_503);
     }
 
     void failBadGateway() {
@@ -363,28 +315,12 @@
     }
 
     private void fail(int status) {
-        HttpFields.Mutable fields = HttpFields.build();
-        fields.put(HeaderNames.REQUEST_ID, request.id());
-        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
-            fields.put(HttpHeader.RETRY_AFTER, retryAfter());
-        }
-        client.answer(status, fields, UpstreamRequest.NO_BODY);
-        end();
-    }
-
-    private String retryAfter() {
-        double seconds = SHORTEST_RETRY_AFTER_SECONDS
-                + RETRY_AFTER_SPREAD_SECONDS * services.random().nextDouble();
-        return Double.toString(Math.round(seconds * MILLISECONDS) / MILLISECONDS);
-    }
-
-    private void abortClient() {
-        client.abort();
+        reply.fail(status);
         end();
     }
 
     private void end() {
-        phase = Phase.ENDED;
+        ended = true;
         deadlineTimer.cancel();
         releaseHandle();
         ledger.close();
