--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -5,13 +5,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -28,7 +26,6 @@
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
 import pinewick.model.RequestLimits;
-import pinewick.model.Route;
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
 import pinewick.model.SocketAddress;
@@ -47,8 +44,6 @@
     private static final int FEWEST_CONNECTIONS = 4;
     private static final double MILLISECONDS = 1e3;
 
-    private static final double NANOS_A_MILLISECOND = 1e6;
-
     /** How long the body of a request is waited for if there is no route for it. */
     private static final double LONGEST_HELD_WITHOUT_ROUTE_MS = 5_000;
 
@@ -57,8 +52,8 @@
 
     private final SerialExecutor serial;
     private final Timers timers;
-    private final RandomGenerator random;
     private final ReplicaDirectory directory = new ReplicaDirectory();
+    private final RequestRouting routing;
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
@@ -96,7 +91,7 @@
         this.informed = informed;
         this.serial = serial;
         this.timers = timers;
-        this.random = random;
+        this.routing = new RequestRouting(() -> routingTable, directory, random);
         this.departures = new DepartureWatch(timers);
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services =
@@ -219,27 +214,19 @@
         serial.execute(() -> {
             unanswered++;
             Callback answered = Callback.from(callback, () -> serial.execute(this::answered));
-            begin(read, request, response, answered, arrivedAtMs(request));
+            begin(read, request, response, answered);
         });
     }
 
-    private static double arrivedAtMs(Request request) {
-        return request.getBeginNanoTime() / NANOS_A_MILLISECOND;
-    }
-
     /**
      * Runs a task at the time by which the request must have its answer, as its route and its client have it. May be
      * called on any thread; the task runs on the data plane's executor.
      */
     Timers.Timer scheduleWhenDue(Request request, Runnable task) {
-        double heldMs = findRoute(request)
+        double heldMs = routing.find(request)
                 .map(route -> ClientDeadline.heldMs(request.getHeaders(), route.timeoutMs()))
                 .orElse(LONGEST_HELD_WITHOUT_ROUTE_MS);
-        return timers.schedule(arrivedAtMs(request) + heldMs - timers.nowMs(), task);
-    }
-
-    private Optional<Route> findRoute(Request request) {
-        return routingTable.find(hostOf(request), request.getHttpURI().getPath());
+        return timers.schedule(RequestRouting.arrivedAtMs(request) + heldMs - timers.nowMs(), task);
     }
 
     /** The request has not run and never will; the client may come back after a while. */
@@ -251,19 +238,18 @@
         client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
     }
 
-    private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
+    private void begin(ClientRequest read, Request request, Response response, Callback callback) {
         JettyClientExchange client =
                 new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
-        Optional<Route> route = findRoute(request);
-        Optional<String> service = route.flatMap(this::drawService);
-        if (over || service.isEmpty()) {
+        Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
+        if (over || found.isEmpty()) {
             refuse(client, read.id());
             return;
         }
-        RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
-        Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
+        RequestShape shape = found.get();
+        Decision decision = admissionControl.decide(shape, directory.candidates(shape.service()), timers.nowMs());
         if (decision instanceof Decision.Refuse refusal) {
-            services.budget().onRequest(service.get(), timers.nowMs());
+            services.budget().onRequest(shape.service(), timers.nowMs());
             answerNotRun(client, read.id(), refusal.retryAfterSeconds());
             return;
         }
@@ -286,57 +272,6 @@
         }
     }
 
-    private static String hostOf(Request request) {
-        String host = request.getHeaders().get(HttpHeader.HOST);
-        if (host == null) {
-            return "";
-        }
-        int colon = host.lastIndexOf(':');
-        return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
-    }
-
-    /** Draws a service by the route's weights; those without a replica are left out while another has one. */
-    private Optional<String> drawService(Route route) {
-        if (route.split().size() == 1) {
-            return Optional.of(route.split().get(0).service());
-        }
-        Optional<String> served =
-                draw(route, service -> !directory.candidates(service).isEmpty());
-        return served.isPresent() ? served : draw(route, service -> true);
-    }
-
-    private Optional<String> draw(Route route, Predicate<String> allowed) {
-        List<Route.WeightedService> services = route.split().stream()
-                .filter(each -> each.weight() > 0 && allowed.test(each.service()))
-                .toList();
-        int total = services.stream().mapToInt(Route.WeightedService::weight).sum();
-        int drawn = total == 0 ? 0 : random.nextInt(total);
-        for (Route.WeightedService each : services) {
-            drawn -= each.weight();
-            if (drawn < 0) {
-                return Optional.of(each.service());
-            }
-        }
-        return Optional.empty();
-    }
-
-    private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
-        boolean generation =
-                routingTable.service(service).flatMap(ServiceSpec::engine).isPresent();
-        PromptHeaders prompt = PromptHeaders.parse(fields);
-        double heldMs = ClientDeadline.heldMs(fields, route.timeoutMs());
-        return new RequestShape(
-                route,
-                service,
-                generation,
-                generation ? prompt.model() : "",
-                generation ? prompt.promptTokens() : 0,
-                generation ? prompt.outputTokens() : 0,
-                generation ? prompt.parts() : List.of(),
-                arrivedAtMs,
-                arrivedAtMs + heldMs);
-    }
-
     // ---- the end
 
     /** From now on each answer closes its connection. */
