--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -5,8 +5,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import pinewick.model.SocketAddress;
-import pinewick.replication.ReplicationMessages.Heartbeat;
 import pinewick.replication.ReplicationMessages.Status;
 
 /** Watches the primary from a process that is none, and tells when this one should stand for election. */
@@ -40,11 +38,10 @@
     private final Context context;
     private final Map<String, Answer> answers = new HashMap<>();
     private double heardMs = Double.NEGATIVE_INFINITY;
+    private double lastHeardMs;
     private double dueMs;
     private double lostPauseMs = CHANCE_MS;
     private double askedMs = Double.NEGATIVE_INFINITY;
-    private SocketAddress operatorApi = ReplicationMessages.NO_ADDRESS;
-    private double operatorApiMs = Double.NEGATIVE_INFINITY;
 
     Election(Context context) {
         this.context = context;
@@ -58,15 +55,10 @@
         postpone(delayMs);
     }
 
-    void onHeartbeat(Heartbeat heartbeat) {
-        operatorApi = heartbeat.operatorApi();
-        operatorApiMs = context.activeMs();
-        heard();
-    }
-
     /** The primary showed itself. */
     void heard() {
         heardMs = context.activeMs();
+        lastHeardMs = heardMs;
         lostPauseMs = CHANCE_MS;
         answers.clear();
         postpone(TIME_OUT_MS);
@@ -79,7 +71,6 @@
 
     /** The primary leads no more. */
     void onPrimaryGone() {
-        operatorApi = ReplicationMessages.NO_ADDRESS;
         restart(0);
     }
 
@@ -92,14 +83,13 @@
                 dueMs, context.activeMs() + lostPauseMs * context.random().nextDouble());
     }
 
-    boolean hearsPrimary() {
-        return context.activeMs() - heardMs < HEARD_MS;
+    /** When the primary showed itself last, {@link ActiveClock#activeMs}. */
+    double lastHeardMs() {
+        return lastHeardMs;
     }
 
-    /** Operator API of the primary, if one was heard of lately. */
-    SocketAddress operatorApi() {
-        boolean lately = context.activeMs() - operatorApiMs < 2 * TIME_OUT_MS;
-        return lately ? operatorApi : ReplicationMessages.NO_ADDRESS;
+    boolean hearsPrimary() {
+        return context.activeMs() - heardMs < HEARD_MS;
     }
 
     /** Whether the others are to be asked now what they know. */
@@ -111,21 +101,26 @@
         return true;
     }
 
+    /** There is somebody new to ask. */
+    void askSoon() {
+        askedMs = Double.NEGATIVE_INFINITY;
+    }
+
     void onStatus(Status status) {
         double now = context.activeMs();
         answers.put(status.self().identity(), new Answer(status, now));
-        if (status.hearsPrimary() && !status.operatorApi().equals(ReplicationMessages.NO_ADDRESS)) {
-            operatorApi = status.operatorApi();
-            operatorApiMs = now;
-        }
-        EpochRecord accepted = context.durable().accepted();
-        boolean fromPrimary = status.self().identity().equals(accepted.primary());
-        if (fromPrimary && !status.leading() && hearsPrimary()) {
+        if (isDenial(status) && hearsPrimary()) {
             heardMs = Double.NEGATIVE_INFINITY;
             dueMs = Math.min(dueMs, now + RETRY_MS);
         }
     }
 
+    /** Whether the primary of the newest record known here says that it does not lead. */
+    boolean isDenial(Status status) {
+        EpochRecord accepted = context.durable().accepted();
+        return status.self().identity().equals(accepted.primary()) && !status.leading();
+    }
+
     /** Whether a quorum hears no primary, nobody else does, and this process could lead. */
     boolean isDue() {
         double now = context.activeMs();
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -16,6 +16,7 @@
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
 import pinewick.replication.ReplicationMessages.Install;
 import pinewick.replication.ReplicationMessages.Prepare;
+import pinewick.replication.ReplicationMessages.PrimarySighting;
 import pinewick.replication.ReplicationMessages.Promise;
 import pinewick.replication.ReplicationMessages.Refusal;
 import pinewick.replication.ReplicationMessages.Replicate;
@@ -55,12 +56,14 @@
     private final Witness witness;
     private final StateReceiver receiver;
     private final Election election;
+    private final KnownPrimary knownPrimary;
     private final EpochPlanner planner;
     private final Replicas replicas;
     private final ChangeQueue changes = new ChangeQueue();
     private final ReadQueue reads = new ReadQueue();
     private final PrimaryRole primaryRole;
     private final CommitReport commitReport;
+    private final FaultToleranceMonitor toleranceMonitor;
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Ballot> ballot = Optional.empty();
     private boolean advancing;
@@ -94,9 +97,11 @@
         this.witness = new Witness(context, this::hearsPrimary, () -> leaving);
         this.receiver = new StateReceiver(context);
         this.election = new Election(context);
+        this.knownPrimary = new KnownPrimary(clock, durable);
         this.planner = new EpochPlanner(context);
         this.replicas = new Replicas(context);
         this.commitReport = new CommitReport(context);
+        this.toleranceMonitor = new FaultToleranceMonitor(context, replicas);
         this.primaryRole = new PrimaryRole(commitReport, changes, reads);
     }
 
@@ -111,6 +116,7 @@
         context.listener()
                 .noted("store " + durable.identity() + " holds "
                         + durable.state().tag());
+        askAround();
         advance();
     }
 
@@ -129,14 +135,19 @@
         durable.onTick();
         ballot.ifPresent(Ballot::onTick);
         leadership.ifPresent(Leadership::onTick);
-        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
-            peers.send(peers.everywhere(durable.accepted()), status(true));
-        }
+        askAround();
         changes.expire(nowMs);
         reads.expire(nowMs);
         advance();
     }
 
+    /** While no primary is heard, asks the others what they know. */
+    private void askAround() {
+        if (leadership.isEmpty() && ballot.isEmpty() && election.asksNow()) {
+            peers.send(peers.everywhere(durable.accepted()), status(true));
+        }
+    }
+
     /** Handles a message if it is of replication; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         clock.advance(nowMs);
@@ -218,15 +229,30 @@
     private void onStatus(SocketAddress sender, Status status) {
         peers.learn(status.self().identity(), sender);
         election.onStatus(status);
+        if (election.isDenial(status)) {
+            knownPrimary.denied();
+        } else {
+            knownPrimary.told(status.primary());
+        }
+        learnMembers(status.accepted());
         if (status.answerWanted()) {
             peers.send(sender, status(false));
             leadership.ifPresent(leading -> leading.onStatus(status));
         }
     }
 
+    /** A store whose seeds are all gone finds the primary through any controller that it reaches. */
+    private void learnMembers(EpochRecord record) {
+        long unknown = record.members().stream().filter(peers::learnMember).count();
+        if (unknown > 0) {
+            election.askSoon();
+            askAround();
+        }
+    }
+
     private void onHeartbeat(SocketAddress sender, Heartbeat heartbeat) {
-        if (heardOf(heartbeat.number())) {
-            election.onHeartbeat(heartbeat);
+        if (!knownPrimary.hasResigned(heartbeat.number()) && heardOf(heartbeat.number())) {
+            knownPrimary.heard(heartbeat.number(), heartbeat.operatorApi());
             lastHeartbeat = heartbeat;
             primaryAddress = sender;
             commitReport.onCommitted(heartbeat.committed());
@@ -276,9 +302,10 @@
         if (leadership.isPresent() || durable.promised().isAfter(resign.number())) {
             return;
         }
+        knownPrimary.onResigned(resign.number());
         election.onPrimaryGone();
         if (resign.successor().equals(durable.identity()) && mayStand() && ballot.isEmpty()) {
-            stand(true);
+            stand(true, resign.leaving());
         }
     }
 
@@ -307,7 +334,7 @@
         if (leadership.isPresent()) {
             lead(leadership.get());
         } else if (ballot.isEmpty() && mayStand() && election.isDue()) {
-            stand(false);
+            stand(false, false);
         }
     }
 
@@ -315,10 +342,15 @@
         return !leaving && durable.ready() && durable.identityStored();
     }
 
-    private void stand(boolean handedOver) {
+    /**
+     * @param handedOver whether the former primary asked for it
+     * @param formerPromises whether the former primary too is likely to promise
+     */
+    private void stand(boolean handedOver, boolean formerPromises) {
         long counter = Math.max(election.nextCounter(), counterToBeat + 1);
+        String former = durable.accepted().primary();
         Set<String> wanted = Set.copyOf(durable.accepted().inSync().stream()
-                .filter(identity -> !identity.equals(durable.accepted().primary()))
+                .filter(identity -> formerPromises || !identity.equals(former))
                 .toList());
         startBallot(new Ballot(
                 context, new EpochNumber(counter, durable.identity()), handedOver, planner::planElection, wanted));
@@ -351,6 +383,7 @@
     private void begin(Ballot won) {
         boolean sameHolder = leadership.isPresent();
         if (!sameHolder) {
+            countSilenceFromNow(won);
             leaseFromMs = clock.steadyMs() + Leadership.LEASE_VALID_MS + settings.leaseMs() + LEASE_MARGIN_MS;
         }
         won.promises().values().forEach(promise -> {
@@ -369,6 +402,19 @@
         begun.begin();
     }
 
+    /** Of the members only the former primary was listened for until now. */
+    private void countSilenceFromNow(Ballot won) {
+        String formerPrimary =
+                lastHeartbeat == null ? "" : lastHeartbeat.number().proposer();
+        for (Member member : won.proposal().members()) {
+            Replica replica = replicas.learn(member);
+            if (replica != null) {
+                boolean former = member.identity().equals(formerPrimary);
+                replica.heardLast(former ? election.lastHeardMs() : clock.activeMs());
+            }
+        }
+    }
+
     private void lead(Leadership leading) {
         if (leading.lost()) {
             resign(leading);
@@ -379,6 +425,7 @@
             planner.wantedChange(leading, replicas).ifPresent(wanted -> change(leading, wanted));
         }
         primaryRole.advance(leading, ballot.isEmpty() && !leaving);
+        toleranceMonitor.update(leading);
         if (leaving) {
             handOver(leading);
         }
@@ -413,7 +460,7 @@
                 .or(() -> others.stream().findFirst())
                 .map(Replica::identity)
                 .orElse("");
-        Resign message = new Resign(leading.number(), successor);
+        Resign message = new Resign(leading.number(), successor, leaving);
         peers.send(peers.everywhere(leading.record()), message);
         stepDown("resigned in favour of '" + successor + "'", AFTER_TROUBLE_MS);
     }
@@ -421,6 +468,7 @@
     private void stepDown(String reason, double pauseMs) {
         leadership = Optional.empty();
         ballot = Optional.empty();
+        toleranceMonitor.reset();
         leaseFromMs = Double.POSITIVE_INFINITY;
         election.restart(pauseMs);
         context.listener().noted("leads no more: " + reason);
@@ -441,10 +489,14 @@
                 durable.state().tag(),
                 leading,
                 hearsPrimary(),
-                leading ? settings.operatorApi() : election.operatorApi(),
+                leading ? ownSighting() : knownPrimary.sighting(),
                 answerWanted);
     }
 
+    private PrimarySighting ownSighting() {
+        return new PrimarySighting(leadership.get().number(), settings.operatorApi(), 0);
+    }
+
     /** This process is about to end: hands leadership over, and leaves the in-sync set. */
     public void leave(double nowMs) {
         clock.advance(nowMs);
@@ -458,7 +510,19 @@
 
     /** After {@link #leave}: whether the others can do without this process by now. */
     public boolean detached() {
-        return leadership.isEmpty() && !durable.accepted().inSync().contains(durable.identity());
+        EpochRecord accepted = durable.accepted();
+        boolean outside = !accepted.inSync().contains(durable.identity());
+        return leadership.isEmpty() && outside && (isKnownToStand(accepted) || !accepted.hasMember(durable.identity()));
+    }
+
+    /** Only the primary of a record that stands sends heartbeats under its number. */
+    private boolean isKnownToStand(EpochRecord record) {
+        return lastHeartbeat != null && lastHeartbeat.number().equals(record.number());
+    }
+
+    @Override
+    public void advanceClock(double nowMs) {
+        clock.advance(nowMs);
     }
 
     @Override
@@ -483,8 +547,32 @@
 
     @Override
     public Optional<SocketAddress> primary() {
-        SocketAddress api = leadership.isPresent() ? settings.operatorApi() : election.operatorApi();
-        return api.equals(ReplicationMessages.NO_ADDRESS) ? Optional.empty() : Optional.of(api);
+        return leadership.isPresent() ? Optional.of(settings.operatorApi()) : knownPrimary.operatorApi();
+    }
+
+    /** What this process knows, for the people who run it. */
+    public ReplicationReport report() {
+        EpochRecord record = leadership.map(Leadership::record).orElseGet(durable::accepted);
+        return new ReplicationReport(
+                record.number().counter(),
+                primary(),
+                toleranceMonitor.members(record, leadership),
+                record.inSync().size(),
+                toleranceMonitor.report(leadership));
+    }
+
+    /**
+     * Whether this process is in contact with a quorum, as its confirmed primary or by hearing one, and has told its
+     * listener of every configuration that this primary had acknowledged when it was heard last.
+     */
+    public boolean holdsNewest() {
+        if (leadership.isPresent()) {
+            return leadership.get().begun() && leadership.get().confirmedLately();
+        }
+        return election.hearsPrimary()
+                && lastHeartbeat != null
+                && lastHeartbeat.number().equals(durable.promised())
+                && commitReport.covers(lastHeartbeat.committed());
     }
 
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
