--- a/daemon/src/main/java/pinewick/benchlink/Benchlink.java
+++ b/daemon/src/main/java/pinewick/benchlink/Benchlink.java
@@ -86,13 +86,18 @@
                 throw new IllegalArgumentException("an entry of the pool expected");
             }
             Fields m = new Fields(line);
-            Host.Stage stage = switch ((int) m.whole("stage-state", 1)) {
-                case 0 -> Host.Stage.GONE;
-                case 2 -> Host.Stage.DRAINING;
-                default -> Host.Stage.READY;
-            };
-            entries.add(new Host.Listing(m.text("searcher"), (int) m.whole("cell", 0), m.text("site", ""),
-                stage, m.seconds("ready-at-ns", 0)));
+            Host.Stage stage =
+                    switch ((int) m.whole("stage-state", 1)) {
+                        case 0 -> Host.Stage.GONE;
+                        case 2 -> Host.Stage.DRAINING;
+                        default -> Host.Stage.READY;
+                    };
+            entries.add(new Host.Listing(
+                    m.text("searcher"),
+                    (int) m.whole("cell", 0),
+                    m.text("site", ""),
+                    stage,
+                    m.seconds("ready-at-ns", 0)));
         }
         pools.put((int) head.whole("slot"), entries);
     }
--- a/daemon/src/main/java/pinewick/benchlink/Mixer.java
+++ b/daemon/src/main/java/pinewick/benchlink/Mixer.java
@@ -27,8 +27,7 @@
     private boolean broken;
 
     /** Under what a query goes on the wire: its number, and the ids of itself and its parts. */
-    private record Wired(long job, List<String> ids) {
-    }
+    private record Wired(long job, List<String> ids) {}
 
     Mixer(int number, long clock, Fields opening) {
         this.number = number;
@@ -74,8 +73,11 @@
     private void fault(RuntimeException fault) {
         broken = true;
         StackTraceElement[] trace = fault.getStackTrace();
-        write("fault").append(" text=").append(fault.toString().replaceAll("\\s+", " "))
-            .append(trace.length > 0 ? " at " + trace[0] : "").append('\n');
+        write("fault")
+                .append(" text=")
+                .append(fault.toString().replaceAll("\\s+", " "))
+                .append(trace.length > 0 ? " at " + trace[0] : "")
+                .append('\n');
     }
 
     void drainTo(Writer out) throws IOException {
@@ -85,18 +87,24 @@
 
     private void dispatch(Fields event, List<Listing> entries) {
         switch (event.verb()) {
-            case "discovery" -> logic.list(switch ((int) event.whole("form")) {
-                case 0 -> ListForm.CHANGES;
-                case 1 -> ListForm.WHOLE;
-                case 2 -> ListForm.CACHED;
-                default -> ListForm.FAILED;
-            }, entries);
+            case "discovery" -> logic.list(
+                    switch ((int) event.whole("form")) {
+                        case 0 -> ListForm.CHANGES;
+                        case 1 -> ListForm.WHOLE;
+                        case 2 -> ListForm.CACHED;
+                        default -> ListForm.FAILED;
+                    },
+                    entries);
             case "req" -> request(event);
             case "settled" -> {
                 Query query = byId.get(event.text("call"));
                 if (query != null) {
-                    query.settled(event.text("call"), (int) event.whole("go"), ending(event),
-                        event.seconds("spent-ns", 0), report(event));
+                    query.settled(
+                            event.text("call"),
+                            (int) event.whole("go"),
+                            ending(event),
+                            event.seconds("spent-ns", 0),
+                            report(event));
                     forget(query);
                 }
             }
@@ -123,9 +131,13 @@
             if (row == null) {
                 throw new IllegalArgumentException("unknown priority " + event.text("priority"));
             }
-            Query query = logic.take(id, row, event.seconds("ttl-ns", 0),
-                (int) event.number("share-or-count", 1), event.seconds("work-hint-ns", 0),
-                event.whole("again-by-client", 0) == 1);
+            Query query = logic.take(
+                    id,
+                    row,
+                    event.seconds("ttl-ns", 0),
+                    (int) event.number("share-or-count", 1),
+                    event.seconds("work-hint-ns", 0),
+                    event.whole("again-by-client", 0) == 1);
             byId.put(id, query);
             byJob.put(job, query);
             wired.put(query, new Wired(job, new ArrayList<>(List.of(id))));
@@ -180,15 +192,25 @@
 
     @Override
     public void launch(String part, String searcher, double maxWait) {
-        write("issue").append(" call=").append(part).append(" searcher=").append(searcher)
-            .append(" max-wait-ns=").append(nanos(maxWait)).append('\n');
+        write("issue")
+                .append(" call=")
+                .append(part)
+                .append(" searcher=")
+                .append(searcher)
+                .append(" max-wait-ns=")
+                .append(nanos(maxWait))
+                .append('\n');
     }
 
     @Override
     public void assemble(String query, boolean whole) {
         ended.add(query);
-        write("assemble").append(" call=").append(query).append(" complete=").append(whole ? 1 : 0)
-            .append('\n');
+        write("assemble")
+                .append(" call=")
+                .append(query)
+                .append(" complete=")
+                .append(whole ? 1 : 0)
+                .append('\n');
     }
 
     @Override
@@ -209,7 +231,12 @@
 
     @Override
     public void cancel(String part, int launch) {
-        write("undo_send").append(" call=").append(part).append(" go=").append(launch).append('\n');
+        write("undo_send")
+                .append(" call=")
+                .append(part)
+                .append(" go=")
+                .append(launch)
+                .append('\n');
     }
 
     @Override
@@ -219,7 +246,12 @@
 
     @Override
     public void timer(double in, long name) {
-        write("timer").append(" in-ns=").append(nanos(in)).append(" name=").append(name).append('\n');
+        write("timer")
+                .append(" in-ns=")
+                .append(nanos(in))
+                .append(" name=")
+                .append(name)
+                .append('\n');
     }
 
     @Override
--- a/daemon/src/main/java/pinewick/life/Chain.java
+++ b/daemon/src/main/java/pinewick/life/Chain.java
@@ -34,10 +34,16 @@
     private final Loop loop;
     private final Send send;
     private Supplier<String> others = () -> "";
-    private Consumer<List<Host.Listing>> alsoListed = any -> { };
+    private Consumer<List<Host.Listing>> alsoListed = any -> {};
 
-    Chain(Host.Deployment given, Limits limits, long seed, Loop loop, Log log, ByteBufferPool buffers,
-          Consumer<SearcherLink> dialer) {
+    Chain(
+            Host.Deployment given,
+            Limits limits,
+            long seed,
+            Loop loop,
+            Log log,
+            ByteBufferPool buffers,
+            Consumer<SearcherLink> dialer) {
         this.loop = loop;
         door = new ClientDoor(loop, limits, buffers, this::figures);
         send = new Send(given, loop, limits, counters, searchers, dialer);
@@ -47,10 +53,20 @@
         route = new Route(given, seed, loop, log, queries, counters, send, relay);
         book.tells(route);
         Admit admit = new Admit(limits, loop, queries, counters, route, relay);
-        double goal = given.grades().stream().mapToDouble(Host.GradeTerms::latencyGoal).min().orElse(1);
-        double value = given.grades().stream().mapToDouble(Host.GradeTerms::value).max().orElse(1);
-        Pressure pressure = new Pressure(limits.lagShare() * goal, limits.lagMemory(), given.mayAdvise()
-            ? Math.min(given.longestAdvice() / 1.5, limits.lagAdvice() * goal) : 0, value, new SplittableRandom(seed));
+        double goal = given.grades().stream()
+                .mapToDouble(Host.GradeTerms::latencyGoal)
+                .min()
+                .orElse(1);
+        double value = given.grades().stream()
+                .mapToDouble(Host.GradeTerms::value)
+                .max()
+                .orElse(1);
+        Pressure pressure = new Pressure(
+                limits.lagShare() * goal,
+                limits.lagMemory(),
+                given.mayAdvise() ? Math.min(given.longestAdvice() / 1.5, limits.lagAdvice() * goal) : 0,
+                value,
+                new SplittableRandom(seed));
         loop.watches(pressure);
         door.opens(new TakeIn(given, limits, counters, admit, book, pressure, loop));
         loop.atEndOfBatch(route::endOfBatch);
@@ -107,8 +123,9 @@
     }
 
     String figures() {
-        return others.get() + counters.text() + "awaiting " + queries.awaiting() + "\nkept " + queries.kept() + "\nheld " + queries.held() + "\nout "
-            + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections "
-            + door.connections() + "\nfaults " + loop.faults() + "\n";
+        return others.get() + counters.text() + "awaiting " + queries.awaiting() + "\nkept " + queries.kept()
+                + "\nheld " + queries.held() + "\nout "
+                + queries.out() + "\nsearcher-connections " + searchers.open() + "\nclient-connections "
+                + door.connections() + "\nfaults " + loop.faults() + "\n";
     }
 }
--- a/daemon/src/main/java/pinewick/life/Commands.java
+++ b/daemon/src/main/java/pinewick/life/Commands.java
@@ -5,10 +5,18 @@
 import picocli.CommandLine.Command;
 
 /** The command line. */
-@Command(name = "pinewick", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-    description = "Co-ordinator of queries over replicated shards.",
-    subcommands = {Commands.ServeCommand.class, Commands.CheckCommand.class, Commands.BenchCommand.class,
-        Commands.RehearseCommand.class, Commands.VersionCommand.class})
+@Command(
+        name = "pinewick",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        description = "Co-ordinator of queries over replicated shards.",
+        subcommands = {
+            Commands.ServeCommand.class,
+            Commands.CheckCommand.class,
+            Commands.BenchCommand.class,
+            Commands.RehearseCommand.class,
+            Commands.VersionCommand.class
+        })
 public final class Commands implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -50,8 +58,9 @@
         }
     }
 
-    @Command(name = "serve", description = "Serves as a real mixer; the environment variable EDGE_CONFIG names the "
-        + "configuration.")
+    @Command(
+            name = "serve",
+            description = "Serves as a real mixer; the environment variable EDGE_CONFIG names the " + "configuration.")
     static final class ServeCommand implements Callable<Integer> {
         @CommandLine.Option(names = "--operator", paramLabel = "FILE", description = "the operator's own file")
         private String operator;
@@ -64,8 +73,10 @@
 
     @Command(name = "check", description = "Reads the configuration as serve would and says what is in it.")
     static final class CheckCommand implements Callable<Integer> {
-        @CommandLine.Option(names = "--operator", paramLabel = "FILE", description = "the operator's own file; alone it is "
-            + "checked without EDGE_CONFIG")
+        @CommandLine.Option(
+                names = "--operator",
+                paramLabel = "FILE",
+                description = "the operator's own file; alone it is " + "checked without EDGE_CONFIG")
         private String operator;
 
         @Override
--- a/daemon/src/main/java/pinewick/life/FleetLife.java
+++ b/daemon/src/main/java/pinewick/life/FleetLife.java
@@ -35,14 +35,22 @@
     private final PeerSocket socket;
     /** Null where nothing is replicated. */
     private final StateLife state;
+
     private int toldLive = -1;
     private int toldMost = -1;
     private boolean over;
 
     /** @param replicated null where nothing is */
-    FleetLife(StartOrders.Peers peers, FleetTerms terms, OperatorFile.Replicated replicated, long seed, XnioWorker worker,
-              Loop loop, Log log, Counts counts)
-        throws IOException {
+    FleetLife(
+            StartOrders.Peers peers,
+            FleetTerms terms,
+            OperatorFile.Replicated replicated,
+            long seed,
+            XnioWorker worker,
+            Loop loop,
+            Log log,
+            Counts counts)
+            throws IOException {
         this.first = peers;
         this.loop = loop;
         this.log = log;
@@ -50,22 +58,39 @@
         tick = terms.period() / LOOKS;
         socket = new PeerSocket(peers.listen(), Datagram.MOST, worker, loop, this::took);
         socket.listed(peers.peers(), peers.all());
-        view = new FleetView(peers.peers().size(), peers.self(), Math.round(loop.now() * 1e3), terms,
-            new SplittableRandom(seed), new FleetView.Wire() {
-                @Override
-                public void send(int place, byte[] datagram) {
-                    socket.send(place, datagram);
-                }
+        view = new FleetView(
+                peers.peers().size(),
+                peers.self(),
+                Math.round(loop.now() * 1e3),
+                terms,
+                new SplittableRandom(seed),
+                new FleetView.Wire() {
+                    @Override
+                    public void send(int place, byte[] datagram) {
+                        socket.send(place, datagram);
+                    }
 
-                @Override
-                public boolean sendAll(byte[] datagram) {
-                    return socket.sendAll(datagram);
-                }
-            }, this::changed);
-        state = replicated == null ? null : new StateLife(peers.peers().size(), peers.self(), seed ^ 0x57A7E,
-            replicated.snapshot() == null ? null : new SnapshotFile(replicated.snapshot(),
-            text -> log.say(Log.Level.WARNING, "fleet", text)), replicated.every(), loop, log, socket::send,
-            place -> place < view.size() && view.standing(place) == Standing.ALIVE);
+                    @Override
+                    public boolean sendAll(byte[] datagram) {
+                        return socket.sendAll(datagram);
+                    }
+                },
+                this::changed);
+        state = replicated == null
+                ? null
+                : new StateLife(
+                        peers.peers().size(),
+                        peers.self(),
+                        seed ^ 0x57A7E,
+                        replicated.snapshot() == null
+                                ? null
+                                : new SnapshotFile(
+                                        replicated.snapshot(), text -> log.say(Log.Level.WARNING, "fleet", text)),
+                        replicated.every(),
+                        loop,
+                        log,
+                        socket::send,
+                        place -> place < view.size() && view.standing(place) == Standing.ALIVE);
     }
 
     /** What the other mixers see of the searchers; null where nothing is replicated. */
@@ -74,8 +99,12 @@
     }
 
     void start() {
-        log.say(Log.Level.INFO, "fleet", "mixer " + first.self() + " of " + first.peers().size() + ", datagrams at "
-            + first.listen(), "place", Integer.toString(first.self()));
+        log.say(
+                Log.Level.INFO,
+                "fleet",
+                "mixer " + first.self() + " of " + first.peers().size() + ", datagrams at " + first.listen(),
+                "place",
+                Integer.toString(first.self()));
         view.start(loop.now());
         if (state != null) {
             state.start();
@@ -113,9 +142,15 @@
         if (was == Standing.UNHEARD && is == Standing.ALIVE) {
             return; // At a start all others come so, and a line each would crowd out the rest of the log.
         }
-        log.say(is == Standing.DEAD ? Log.Level.WARNING : Log.Level.INFO, "fleet", "mixer " + place + ": "
-            + was.name().toLowerCase(java.util.Locale.ROOT) + " to " + is.name().toLowerCase(java.util.Locale.ROOT),
-            "place", Integer.toString(place), "standing", is.name());
+        log.say(
+                is == Standing.DEAD ? Log.Level.WARNING : Log.Level.INFO,
+                "fleet",
+                "mixer " + place + ": " + was.name().toLowerCase(java.util.Locale.ROOT) + " to "
+                        + is.name().toLowerCase(java.util.Locale.ROOT),
+                "place",
+                Integer.toString(place),
+                "standing",
+                is.name());
     }
 
     private void tells() {
@@ -132,8 +167,12 @@
     void listed(StartOrders.Peers peers) {
         socket.listed(peers.peers(), peers.all());
         if (peers.peers().size() != view.size() || peers.self() != view.self()) {
-            log.say(Log.Level.INFO, "fleet", "mixers listed: " + peers.peers().size() + ", " + view.size() + " before",
-                "mixers", Integer.toString(peers.peers().size()));
+            log.say(
+                    Log.Level.INFO,
+                    "fleet",
+                    "mixers listed: " + peers.peers().size() + ", " + view.size() + " before",
+                    "mixers",
+                    Integer.toString(peers.peers().size()));
             view.listed(loop.now(), peers.peers().size(), peers.self());
             if (state != null) {
                 state.listed(peers.peers().size());
--- a/daemon/src/main/java/pinewick/life/OperatorFile.java
+++ b/daemon/src/main/java/pinewick/life/OperatorFile.java
@@ -23,18 +23,25 @@
  */
 final class OperatorFile {
     /** Where and how the list of searchers is followed; times in seconds. */
-    record Registry(List<InetSocketAddress> endpoints, String prefix, Path kept, int pageKeys, int lineBytes,
-                    double answer, double probeEvery, double believe, double firstContact, String mixersPrefix,
-                    double lease, double lowerAfter) {
-    }
+    record Registry(
+            List<InetSocketAddress> endpoints,
+            String prefix,
+            Path kept,
+            int pageKeys,
+            int lineBytes,
+            double answer,
+            double probeEvery,
+            double believe,
+            double firstContact,
+            String mixersPrefix,
+            double lease,
+            double lowerAfter) {}
 
     /** What mixers replicate, and where a snapshot of it is kept, null for nowhere; every so many seconds. */
-    record Replicated(Path snapshot, double every) {
-    }
+    record Replicated(Path snapshot, double every) {}
 
     /** How the log looks. */
-    record Logs(boolean json, Log.Level level) {
-    }
+    record Logs(boolean json, Log.Level level) {}
 
     private final List<String> wrong = new ArrayList<>();
     /** Null where the list comes from the platform. */
@@ -43,10 +50,10 @@
     private Logs logs;
     /** Null where the mixers don't look at each other. */
     private FleetTerms fleet = FleetTerms.usual();
+
     private Replicated replicated;
 
-    private OperatorFile() {
-    }
+    private OperatorFile() {}
 
     Logs logs() {
         return logs;
@@ -71,7 +78,8 @@
         try {
             all = JsonParser.parseString(Files.readString(file));
         } catch (IOException | RuntimeException odd) {
-            throw new IllegalArgumentException("operator's file " + file + " can't be read as JSON: " + odd.getMessage());
+            throw new IllegalArgumentException(
+                    "operator's file " + file + " can't be read as JSON: " + odd.getMessage());
         }
         return of(all);
     }
@@ -106,16 +114,28 @@
             return;
         }
         JsonObject in = part.getAsJsonObject();
-        known(in, "/fleet", Set.of("view", "period-s", "silence-s", "lower-after-s", "least-share", "state", "snapshot",
-            "snapshot-every-s"));
+        known(
+                in,
+                "/fleet",
+                Set.of(
+                        "view",
+                        "period-s",
+                        "silence-s",
+                        "lower-after-s",
+                        "least-share",
+                        "state",
+                        "snapshot",
+                        "snapshot-every-s"));
         boolean on = choice(in, "/fleet", "view", "on", List.of("on", "off")).equals("on");
         FleetTerms usual = FleetTerms.usual();
         double period = number(in, "/fleet", "period-s", usual.period(), 0.1, 10, false);
         double silence = number(in, "/fleet", "silence-s", usual.silence(), 0.6, 60, false);
         if (silence < 4 * period) {
-            wrong.add("/fleet/silence-s: at least four times period-s is expected, or a lost datagram would look like death");
+            wrong.add(
+                    "/fleet/silence-s: at least four times period-s is expected, or a lost datagram would look like death");
         }
-        boolean state = choice(in, "/fleet", "state", "off", List.of("on", "off")).equals("on");
+        boolean state =
+                choice(in, "/fleet", "state", "off", List.of("on", "off")).equals("on");
         String snapshot = text(in, "/fleet", "snapshot", false);
         double every = number(in, "/fleet", "snapshot-every-s", 10, 1, 3600, false);
         if (state && !on) {
@@ -123,10 +143,20 @@
         }
         replicated = state ? new Replicated(snapshot == null ? null : Path.of(snapshot), every) : null;
         double stretch = period / usual.period();
-        fleet = !on || !wrong.isEmpty() ? null : new FleetTerms(period, usual.again() * stretch, usual.probe() * stretch,
-            silence, 2 * silence, usual.confirmations(), usual.helpers(), usual.gossip() * stretch, usual.spread(),
-            number(in, "/fleet", "lower-after-s", usual.lowerAfter(), 1, 3600, false),
-            number(in, "/fleet", "least-share", usual.leastShare(), 0, 1, false));
+        fleet = !on || !wrong.isEmpty()
+                ? null
+                : new FleetTerms(
+                        period,
+                        usual.again() * stretch,
+                        usual.probe() * stretch,
+                        silence,
+                        2 * silence,
+                        usual.confirmations(),
+                        usual.helpers(),
+                        usual.gossip() * stretch,
+                        usual.spread(),
+                        number(in, "/fleet", "lower-after-s", usual.lowerAfter(), 1, 3600, false),
+                        number(in, "/fleet", "least-share", usual.leastShare(), 0, 1, false));
     }
 
     private void logs(JsonElement part) {
@@ -149,8 +179,9 @@
         if (value == null) {
             return absent;
         }
-        if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()
-            || !choices.contains(value.getAsString())) {
+        if (!value.isJsonPrimitive()
+                || !value.getAsJsonPrimitive().isString()
+                || !choices.contains(value.getAsString())) {
             wrong.add(path + "/" + name + ": one of " + String.join(", ", choices) + " is expected");
             return absent;
         }
@@ -166,8 +197,22 @@
             return;
         }
         JsonObject in = part.getAsJsonObject();
-        known(in, "/registry", Set.of("endpoints", "prefix", "kept", "page-keys", "line-bytes", "answer-s",
-            "probe-every-s", "believe-s", "first-contact-s", "mixers-prefix", "lease-s", "lower-after-s"));
+        known(
+                in,
+                "/registry",
+                Set.of(
+                        "endpoints",
+                        "prefix",
+                        "kept",
+                        "page-keys",
+                        "line-bytes",
+                        "answer-s",
+                        "probe-every-s",
+                        "believe-s",
+                        "first-contact-s",
+                        "mixers-prefix",
+                        "lease-s",
+                        "lower-after-s"));
         List<InetSocketAddress> endpoints = endpoints(in.get("endpoints"));
         String prefix = text(in, "/registry", "prefix", true);
         String mixers = text(in, "/registry", "mixers-prefix", false);
@@ -175,12 +220,19 @@
             wrong.add("/registry/mixers-prefix: must not overlap /registry/prefix, or mixers would count as searchers");
         }
         String kept = text(in, "/registry", "kept", false);
-        registry = new Registry(endpoints, prefix, kept == null ? null : Path.of(kept),
-            (int) number(in, "/registry", "page-keys", 500, 1, 10_000, true),
-            (int) number(in, "/registry", "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
-            number(in, "/registry", "answer-s", 1, 0.05, 30, false), number(in, "/registry", "probe-every-s", 0.15, 0.05, 10, false),
-            number(in, "/registry", "believe-s", 10, 1, 3600, false), number(in, "/registry", "first-contact-s", 1, 0, 30, false),
-            mixers, number(in, "/registry", "lease-s", 10, 2, 600, true), number(in, "/registry", "lower-after-s", 30, 1, 3600, false));
+        registry = new Registry(
+                endpoints,
+                prefix,
+                kept == null ? null : Path.of(kept),
+                (int) number(in, "/registry", "page-keys", 500, 1, 10_000, true),
+                (int) number(in, "/registry", "line-bytes", 4 << 20, 64 << 10, 64 << 20, true),
+                number(in, "/registry", "answer-s", 1, 0.05, 30, false),
+                number(in, "/registry", "probe-every-s", 0.15, 0.05, 10, false),
+                number(in, "/registry", "believe-s", 10, 1, 3600, false),
+                number(in, "/registry", "first-contact-s", 1, 0, 30, false),
+                mixers,
+                number(in, "/registry", "lease-s", 10, 2, 600, true),
+                number(in, "/registry", "lower-after-s", 30, 1, 3600, false));
     }
 
     private List<InetSocketAddress> endpoints(JsonElement given) {
@@ -217,15 +269,18 @@
         if (value == null && !needed) {
             return null;
         }
-        if (value == null || !value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()
-            || value.getAsString().isEmpty()) {
+        if (value == null
+                || !value.isJsonPrimitive()
+                || !value.getAsJsonPrimitive().isString()
+                || value.getAsString().isEmpty()) {
             wrong.add(path + "/" + name + ": a text that is not empty is expected");
             return "?";
         }
         return value.getAsString();
     }
 
-    private double number(JsonObject in, String path, String name, double absent, double least, double most, boolean whole) {
+    private double number(
+            JsonObject in, String path, String name, double absent, double least, double most, boolean whole) {
         JsonElement value = in.get(name);
         if (value == null) {
             return absent;
@@ -234,7 +289,7 @@
         double given = number ? value.getAsDouble() : Double.NaN;
         if (!(given >= least && given <= most) || (whole && given != Math.rint(given))) {
             wrong.add(path + "/" + name + ": a " + (whole ? "whole " : "") + "number from " + plain(least) + " to "
-                + plain(most) + " is expected");
+                    + plain(most) + " is expected");
             return absent;
         }
         return given;
--- a/daemon/src/main/java/pinewick/life/RegistryList.java
+++ b/daemon/src/main/java/pinewick/life/RegistryList.java
@@ -39,8 +39,13 @@
     private final Members members;
 
     /** @param mixers is told how many mixers share the searchers, whenever that changes */
-    RegistryList(OperatorFile.Registry given, StartOrders orders, Loop loop, Log log,
-                 BiConsumer<ListText.Piece, Host.ListForm> news, IntConsumer mixers) {
+    RegistryList(
+            OperatorFile.Registry given,
+            StartOrders orders,
+            Loop loop,
+            Log log,
+            BiConsumer<ListText.Piece, Host.ListForm> news,
+            IntConsumer mixers) {
         this.given = given;
         this.loop = loop;
         this.log = log;
@@ -48,15 +53,29 @@
         view = new RegistryView(given.prefix());
         SplittableRandom chance = new SplittableRandom(orders.seed());
         RegistryCalls calls = new RegistryCalls(loop, given.endpoints(), given.lineBytes());
-        wire = new RegistryWire(loop, calls, given.prefix(), this::taken,
-            text -> log.say(Log.Level.WARNING, "registry", text, "revision", Long.toString(view.revision())));
-        RegistrySession.Terms usual = RegistrySession.Terms.usual(given.endpoints().size());
-        RegistrySession.Terms terms = new RegistrySession.Terms(usual.endpoints(), given.pageKeys(), given.answer(),
-            given.probeEvery(), usual.probeAnswer(), usual.owed(), usual.waitLeast(), usual.waitMost(), given.believe());
+        wire = new RegistryWire(
+                loop,
+                calls,
+                given.prefix(),
+                this::taken,
+                text -> log.say(Log.Level.WARNING, "registry", text, "revision", Long.toString(view.revision())));
+        RegistrySession.Terms usual =
+                RegistrySession.Terms.usual(given.endpoints().size());
+        RegistrySession.Terms terms = new RegistrySession.Terms(
+                usual.endpoints(),
+                given.pageKeys(),
+                given.answer(),
+                given.probeEvery(),
+                usual.probeAnswer(),
+                usual.owed(),
+                usual.waitLeast(),
+                usual.waitMost(),
+                given.believe());
         session = new RegistrySession(given.prefix(), view, terms, wire, chance.split());
         members = given.mixersPrefix() == null ? null : new Members(calls, terms, orders, chance, mixers);
-        files = given.kept() == null ? null : new KeptFiles(given.kept(),
-            text -> log.say(Log.Level.WARNING, "registry", text));
+        files = given.kept() == null
+                ? null
+                : new KeptFiles(given.kept(), text -> log.say(Log.Level.WARNING, "registry", text));
         startedAt = loop.now();
     }
 
@@ -65,9 +84,15 @@
         KeptCodec.Kept kept = files == null ? null : files.read();
         if (kept != null) {
             KeptCodec.into(kept, view);
-            log.say(Log.Level.INFO, "registry", "registry: " + view.stores().size() + " searchers from the kept copy at "
-                + "revision " + view.revision(), "searchers", Integer.toString(view.stores().size()), "revision",
-                Long.toString(view.revision()));
+            log.say(
+                    Log.Level.INFO,
+                    "registry",
+                    "registry: " + view.stores().size() + " searchers from the kept copy at " + "revision "
+                            + view.revision(),
+                    "searchers",
+                    Integer.toString(view.stores().size()),
+                    "revision",
+                    Long.toString(view.revision()));
             news.accept(piece(view.stores(), true), Host.ListForm.CACHED);
         }
         wire.follow(session);
@@ -96,7 +121,8 @@
     }
 
     String figures() {
-        return (members == null ? "" : members.figures()) + session.figures().replaceAll("(?m)^", "registry-").replaceAll("registry-$", "");
+        return (members == null ? "" : members.figures())
+                + session.figures().replaceAll("(?m)^", "registry-").replaceAll("registry-$", "");
     }
 
     /** This mixer's own key, and the count of all. */
@@ -110,15 +136,27 @@
         private final IntConsumer tell;
         private int told;
 
-        Members(RegistryCalls calls, RegistrySession.Terms terms, StartOrders orders, SplittableRandom chance,
+        Members(
+                RegistryCalls calls,
+                RegistrySession.Terms terms,
+                StartOrders orders,
+                SplittableRandom chance,
                 IntConsumer tell) {
             this.tell = tell;
-            followerWire = new RegistryWire(loop, calls, given.mixersPrefix(),
-                step -> { }, text -> log.say(Log.Level.WARNING, "registry", "mixers' " + text));
+            followerWire = new RegistryWire(
+                    loop,
+                    calls,
+                    given.mixersPrefix(),
+                    step -> {},
+                    text -> log.say(Log.Level.WARNING, "registry", "mixers' " + text));
             follower = new RegistrySession(given.mixersPrefix(), shown, terms, followerWire, chance.split());
-            String address = orders.listen().getHostString() + ':' + orders.listen().getPort();
-            keeperWire = new LeaseWire(loop, calls, given.mixersPrefix() + orders.name() + '@' + address,
-                "{\"addresses\":[\"" + address + "\"]}");
+            String address =
+                    orders.listen().getHostString() + ':' + orders.listen().getPort();
+            keeperWire = new LeaseWire(
+                    loop,
+                    calls,
+                    given.mixersPrefix() + orders.name() + '@' + address,
+                    "{\"addresses\":[\"" + address + "\"]}");
             keeper = new LeaseKeeper(terms.endpoints(), given.lease(), given.answer(), keeperWire, chance.split());
             told = orders.deployment().routers();
             count = new MixerCount(told, loop.now(), given.lowerAfter());
@@ -137,8 +175,12 @@
             }
             int now = count.count(loop.now());
             if (now != told) {
-                log.say(Log.Level.INFO, "registry", "registry: " + now + " mixers, " + told + " before", "mixers",
-                    Integer.toString(now));
+                log.say(
+                        Log.Level.INFO,
+                        "registry",
+                        "registry: " + now + " mixers, " + told + " before",
+                        "mixers",
+                        Integer.toString(now));
                 told = now;
                 tell.accept(now);
             }
@@ -146,21 +188,32 @@
 
         String figures() {
             return "mixers-counted " + told + "\nmixers-shown " + shown.size() + "\nown-key-held "
-                + (keeper.held(loop.now()) ? 1 : 0) + "\n";
+                    + (keeper.held(loop.now()) ? 1 : 0) + "\n";
         }
     }
 
     private void taken(Step step) {
-        step.wrong().forEach(each -> log.say(Log.Level.WARNING, "registry",
-            "registry: " + each + "; its last good state holds", "revision", Long.toString(step.revision())));
+        step.wrong()
+                .forEach(each -> log.say(
+                        Log.Level.WARNING,
+                        "registry",
+                        "registry: " + each + "; its last good state holds",
+                        "revision",
+                        Long.toString(step.revision())));
         Collection<Store> told = step.whole() ? view.stores() : step.changed();
         if (step.whole() || !step.changed().isEmpty()) {
             news.accept(piece(told, step.whole()), step.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
         }
         if (step.whole()) {
-            log.say(Log.Level.INFO, "registry", "registry: whole view at revision " + step.revision() + ", " + told.size()
-                + " searchers, " + step.vanished() + " gone", "revision", Long.toString(step.revision()), "searchers",
-                Integer.toString(told.size()));
+            log.say(
+                    Log.Level.INFO,
+                    "registry",
+                    "registry: whole view at revision " + step.revision() + ", " + told.size() + " searchers, "
+                            + step.vanished() + " gone",
+                    "revision",
+                    Long.toString(step.revision()),
+                    "searchers",
+                    Integer.toString(told.size()));
         }
         if (files != null) {
             if (step.whole() || files.wantsWhole()) {
@@ -183,10 +236,18 @@
             } catch (IllegalArgumentException odd) {
                 // Danger: passing it over would also pass over its drain, and new parts would go to the old address.
                 addresses.add(null);
-                listings.add(new Host.Listing(each.id(), each.cell(), each.zone(),
-                    each.stage() == Host.Stage.READY ? Host.Stage.GONE : each.stage(), each.startedAt()));
-                log.say(Log.Level.WARNING, "registry", "registry: " + each.id() + ": addresses: " + odd.getMessage()
-                    + "; it is not used", "searcher", each.id());
+                listings.add(new Host.Listing(
+                        each.id(),
+                        each.cell(),
+                        each.zone(),
+                        each.stage() == Host.Stage.READY ? Host.Stage.GONE : each.stage(),
+                        each.startedAt()));
+                log.say(
+                        Log.Level.WARNING,
+                        "registry",
+                        "registry: " + each.id() + ": addresses: " + odd.getMessage() + "; it is not used",
+                        "searcher",
+                        each.id());
             }
         }
         return new ListText.Piece(view.revision(), whole, listings, addresses);
--- a/daemon/src/main/java/pinewick/life/Rehearsal.java
+++ b/daemon/src/main/java/pinewick/life/Rehearsal.java
@@ -95,14 +95,18 @@
         StringBuilder body = new StringBuilder("{\"slices\":[");
         int parts = Math.min(Math.min(CELLS, given.cells()), limits.shards());
         for (int part = 0; part < parts; part++) {
-            body.append(part == 0 ? "" : ",").append("{\"slice\":")
-                .append(part).append(",\"mass\":")
-                .append(1.0 / parts).append('}');
+            body.append(part == 0 ? "" : ",")
+                    .append("{\"slice\":")
+                    .append(part)
+                    .append(",\"mass\":")
+                    .append(1.0 / parts)
+                    .append('}');
         }
         body.append("],\"filter\":\"rehearsal\"}");
         String request = "POST /api HTTP/1.1\r\nHost: rehearsal\r\nReq-Id: rehearsal-" + asked + "\r\nReq-Kind: "
-            + grade.name() + "\r\nReq-Deadline: " + Math.min(limits.longestWait(), Math.max(1, grade.hardStop()))
-            + "\r\nIdempotency-Key: rehearsal-" + asked + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+                + grade.name() + "\r\nReq-Deadline: " + Math.min(limits.longestWait(), Math.max(1, grade.hardStop()))
+                + "\r\nIdempotency-Key: rehearsal-" + asked + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
         try {
             client.getSinkChannel().write(ByteBuffer.wrap(request.getBytes(StandardCharsets.UTF_8)));
         } catch (IOException broken) {
--- a/daemon/src/main/java/pinewick/life/Serve.java
+++ b/daemon/src/main/java/pinewick/life/Serve.java
@@ -45,20 +45,25 @@
         this.operator = operator;
         this.limits = orders.limits();
         this.log = log;
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-            .set(Options.WORKER_TASK_CORE_THREADS, 0).set(Options.WORKER_TASK_MAX_THREADS, 1)
-            .set(Options.THREAD_DAEMON, false).set(Options.WORKER_NAME, "pinewick").getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, false)
+                        .set(Options.WORKER_NAME, "pinewick")
+                        .getMap());
         loop = new Loop(worker.getIoThread(), log);
         buffers = new DefaultByteBufferPool(true, limits.bufferBytes(), limits.buffersKept(), 4);
-        loop.later("rehearsing", () -> new Rehearsal(orders, loop, buffers,
-            () -> loop.later("starting", this::start)).start());
+        loop.later("rehearsing", () -> new Rehearsal(orders, loop, buffers, () -> loop.later("starting", this::start))
+                .start());
     }
 
     private void start() {
         chain = new Chain(orders.deployment(), limits, orders.seed(), loop, log, buffers, SearcherLink::dial);
         if (operator != null && operator.registry() != null) {
-            registry = new RegistryList(operator.registry(), orders, loop, log, chain::list,
-                count -> chain.route.mixers(count, count));
+            registry = new RegistryList(
+                    operator.registry(), orders, loop, log, chain::list, count -> chain.route.mixers(count, count));
             chain.alsoTells(this::figures);
             registry.start();
             awaitRegistry();
@@ -80,8 +85,15 @@
             return;
         }
         try {
-            fleet = new FleetLife(orders.peers(), terms, operator == null ? null : operator.replicated(), orders.seed(), worker, loop, log,
-                registry == null ? chain.route::mixers : (live, most) -> { });
+            fleet = new FleetLife(
+                    orders.peers(),
+                    terms,
+                    operator == null ? null : operator.replicated(),
+                    orders.seed(),
+                    worker,
+                    loop,
+                    log,
+                    registry == null ? chain.route::mixers : (live, most) -> {});
             chain.alsoTells(this::figures);
             fleet.start();
             if (fleet.state() != null) {
@@ -91,8 +103,11 @@
             }
         } catch (IOException wrong) {
             // Danger: without the other mixers this one serves all the same, as if the platform gave no such way.
-            log.say(Log.Level.ERROR, "fleet", "peer_listen: can't listen at " + orders.peers().listen() + ": "
-                + wrong.getMessage() + "; goes on without a view of the other mixers");
+            log.say(
+                    Log.Level.ERROR,
+                    "fleet",
+                    "peer_listen: can't listen at " + orders.peers().listen() + ": " + wrong.getMessage()
+                            + "; goes on without a view of the other mixers");
         }
     }
 
@@ -124,19 +139,25 @@
      */
     private void followPlatform() {
         chain.list(orders.known(), Host.ListForm.CACHED);
-        watch = new ListWatch(orders.discovery(), loop, limits, log, buffers, orders.known().revision(),
-            piece -> {
-                chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
-                serveByList();
-            },
-            () -> {
-                if (orders.deployment().mustAsk()) {
-                    chain.route.list(Host.ListForm.FAILED, List.of());
-                }
-                if (watch.mayServeUnproven() && !orders.known().listings().isEmpty()) {
+        watch = new ListWatch(
+                orders.discovery(),
+                loop,
+                limits,
+                log,
+                buffers,
+                orders.known().revision(),
+                piece -> {
+                    chain.list(piece, piece.whole() ? Host.ListForm.WHOLE : Host.ListForm.CHANGES);
                     serveByList();
-                }
-            });
+                },
+                () -> {
+                    if (orders.deployment().mustAsk()) {
+                        chain.route.list(Host.ListForm.FAILED, List.of());
+                    }
+                    if (watch.mayServeUnproven() && !orders.known().listings().isEmpty()) {
+                        serveByList();
+                    }
+                });
         chain.looksAtList(watch::look);
         watch.open();
     }
@@ -151,12 +172,16 @@
 
     private void listen() {
         try {
-            listener = worker.createStreamConnectionServer(orders.listen(),
-                ChannelListeners.openListenerAdapter(chain.door), OptionMap.builder()
-                    .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                    .set(Options.BACKLOG, limits.backlog())
-                    .set(Options.CONNECTION_HIGH_WATER, limits.clientSockets())
-                    .set(Options.CONNECTION_LOW_WATER, limits.clientSockets() - 1).getMap());
+            listener = worker.createStreamConnectionServer(
+                    orders.listen(),
+                    ChannelListeners.openListenerAdapter(chain.door),
+                    OptionMap.builder()
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.BACKLOG, limits.backlog())
+                            .set(Options.CONNECTION_HIGH_WATER, limits.clientSockets())
+                            .set(Options.CONNECTION_LOW_WATER, limits.clientSockets() - 1)
+                            .getMap());
             listener.resumeAccepts();
         } catch (IOException wrong) {
             log.say("EDGE_LISTEN: can't listen at " + orders.listen() + ": " + wrong.getMessage());
@@ -170,7 +195,12 @@
         if (listKnown && !ready && !leaving && listener != null) {
             ready = true;
             chain.door.ready(true);
-            log.say(Log.Level.INFO, "mixer", "ready at " + orders.listen(), "address", orders.listen().toString());
+            log.say(
+                    Log.Level.INFO,
+                    "mixer",
+                    "ready at " + orders.listen(),
+                    "address",
+                    orders.listen().toString());
         }
     }
 
@@ -198,7 +228,7 @@
             newest = number;
             String kept = String.join(", ", orders.needingRestart(read));
             log.say("SIGHUP: discovery at " + read.discovery()
-                + (kept.isEmpty() ? "" : "; changed, but only a restart takes in: " + kept));
+                    + (kept.isEmpty() ? "" : "; changed, but only a restart takes in: " + kept));
             orders = orders.takes(read);
             if (watch != null) {
                 watch.moveTo(read.discovery());
--- a/daemon/src/main/java/pinewick/life/Serving.java
+++ b/daemon/src/main/java/pinewick/life/Serving.java
@@ -12,15 +12,15 @@
 
 /** What the sub-commands do. */
 final class Serving {
-    private static final String REHEARSAL_ORDERS = """
+    private static final String REHEARSAL_ORDERS =
+            """
         {"limits":{"sockets":256},"known":{"revision":1,"complete":true,"members":[]},"settings":{
          "categories":[{"name":"any","slo-ns":1e9,"hard-limit-ns":3e9,"effect":"retryable"},
           {"name":"once","slo-ns":1e9,"hard-limit-ns":3e9,"effect":"dedup","dedup-window-ns":3e9}],
          "bounds":{"multiplex":100,"try-limit":4,"probing":true,"may-cancel":true,"parallel-tries":true},
          "family-info":{"cells":4,"reach":1,"slabs":8,"per-call":16}}}""";
 
-    private Serving() {
-    }
+    private Serving() {}
 
     /** Serves until a signal ends it. */
     static int serve(String operatorFile) throws Exception {
@@ -42,17 +42,20 @@
         try {
             if (operatorFile != null) {
                 OperatorFile operator = OperatorFile.read(Path.of(operatorFile));
-                System.out.println(operator.registry() == null ? "operator's file: nothing is on"
-                    : "operator's file: " + operator.registry());
+                System.out.println(
+                        operator.registry() == null
+                                ? "operator's file: nothing is on"
+                                : "operator's file: " + operator.registry());
                 if (System.getenv("EDGE_CONFIG") == null) {
                     return 0;
                 }
             }
             StartOrders orders = StartOrders.read(System.getenv());
             System.out.println(orders.name() + " listens at " + orders.listen() + ", discovery at "
-                + orders.discovery() + ", " + orders.deployment().grades().size() + " service grades, "
-                + orders.known().listings().size() + " searchers known at revision " + orders.known().revision()
-                + "\n" + orders.limits());
+                    + orders.discovery() + ", " + orders.deployment().grades().size() + " service grades, "
+                    + orders.known().listings().size() + " searchers known at revision "
+                    + orders.known().revision()
+                    + "\n" + orders.limits());
             return 0;
         } catch (IllegalArgumentException wrong) {
             System.err.println("pinewick: " + wrong.getMessage());
@@ -62,8 +65,8 @@
 
     private static Serve start(StartOrders orders, OperatorFile operator) throws Exception {
         Log log = operator != null && operator.logs() != null
-            ? new StructuredLog(operator.logs(), orders.limits().logLines())
-            : new Log(System.err, orders.limits().logLines());
+                ? new StructuredLog(operator.logs(), orders.limits().logLines())
+                : new Log(System.err, orders.limits().logLines());
         log.takesOver();
         Serve serve = new Serve(orders, operator, log);
         AtomicLong asked = new AtomicLong();
@@ -93,8 +96,11 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             own = "127.0.0.1:" + free.getLocalPort();
         }
-        Serve serve = start(StartOrders.of(JsonParser.parseString(REHEARSAL_ORDERS).getAsJsonObject(),
-            Map.of("EDGE_LISTEN", own, "EDGE_DISCOVERY", own)), null);
+        Serve serve = start(
+                StartOrders.of(
+                        JsonParser.parseString(REHEARSAL_ORDERS).getAsJsonObject(),
+                        Map.of("EDGE_LISTEN", own, "EDGE_DISCOVERY", own)),
+                null);
         Thread.sleep(2500);
         serve.stop();
         Thread.currentThread().join();
--- a/daemon/src/main/java/pinewick/life/SnapshotFile.java
+++ b/daemon/src/main/java/pinewick/life/SnapshotFile.java
@@ -75,15 +75,16 @@
 
     private void put(byte[] whole) throws IOException {
         Path beside = file.resolveSibling(file.getFileName() + ".new");
-        try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
+        try (FileChannel out = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             ByteBuffer bytes = ByteBuffer.wrap(whole);
             while (bytes.hasRemaining()) {
                 out.write(bytes);
             }
             out.force(true);
         }
-        // Danger: a disk that lies takes bytes and gives back others. Harm: one that lies later is found at the start only.
+        // Danger: a disk that lies takes bytes and gives back others. Harm: one that lies later is found at the start
+        // only.
         if (!Arrays.equals(Files.readAllBytes(beside), whole)) {
             throw new IOException("the disk gave back other bytes than it was given");
         }
--- a/daemon/src/main/java/pinewick/life/StartOrders.java
+++ b/daemon/src/main/java/pinewick/life/StartOrders.java
@@ -17,8 +17,15 @@
 import pinewick.wire.ListText;
 
 /** What a mixer is told before it starts: the environment and the file that it names. */
-record StartOrders(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-                   Limits limits, Host.Deployment deployment, ListText.Piece known, Peers peers) {
+record StartOrders(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        Limits limits,
+        Host.Deployment deployment,
+        ListText.Piece known,
+        Peers peers) {
 
     /**
      * How mixers reach each other; null where they don't.
@@ -27,13 +34,12 @@
      * @param all one address for all of them; null where there is none
      * @param self this one's place
      */
-    record Peers(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all, int self) {
-    }
+    record Peers(InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all, int self) {}
 
     /** With what a running program takes in of another configuration: the list's address and the mixers. */
     StartOrders takes(StartOrders other) {
-        Peers next = peers == null || other.peers == null || !peers.listen.equals(other.peers.listen) ? peers
-            : other.peers;
+        Peers next =
+                peers == null || other.peers == null || !peers.listen.equals(other.peers.listen) ? peers : other.peers;
         return new StartOrders(name, listen, other.discovery, seed, limits, deployment, known, next);
     }
 
@@ -114,18 +120,29 @@
             throw new IllegalArgumentException("EDGE_CONFIG: field known: " + odd.getMessage());
         }
         String name = environment.getOrDefault("EDGE_NAME", "mixer");
-        return new StartOrders(name, address("EDGE_LISTEN or field listen", listen),
-            address("EDGE_DISCOVERY or field discovery", discovery), seed,
-            limits, deployment, known, peers(all));
+        return new StartOrders(
+                name,
+                address("EDGE_LISTEN or field listen", listen),
+                address("EDGE_DISCOVERY or field discovery", discovery),
+                seed,
+                limits,
+                deployment,
+                known,
+                peers(all));
     }
 
     /** Null where there is no peer_listen, or where the settings do not let mixers talk. */
     private static Peers peers(JsonObject all) {
         JsonObject settings = all.getAsJsonObject("settings");
         JsonElement bounds = settings.get("bounds");
-        JsonElement allowed = bounds == null || !bounds.isJsonObject() ? null : bounds.getAsJsonObject().get("peers");
-        if (!all.has("peer_listen") || all.get("peer_listen").isJsonNull() || allowed == null || allowed.isJsonNull()
-            || !allowed.getAsBoolean()) {
+        JsonElement allowed = bounds == null || !bounds.isJsonObject()
+                ? null
+                : bounds.getAsJsonObject().get("peers");
+        if (!all.has("peer_listen")
+                || all.get("peer_listen").isJsonNull()
+                || allowed == null
+                || allowed.isJsonNull()
+                || !allowed.getAsBoolean()) {
             return null;
         }
         if (!all.has("peers") || !all.get("peers").isJsonArray()) {
@@ -139,11 +156,14 @@
         int self = own == null || !own.isJsonPrimitive() ? -1 : own.getAsInt();
         if (self < 0 || self >= peers.size()) {
             throw new IllegalArgumentException("EDGE_CONFIG: field settings.self-index is missing, or not a place in "
-                + "peers, which has " + peers.size());
+                    + "peers, which has " + peers.size());
         }
         boolean toAll = all.has("peers_all") && all.get("peers_all").isJsonPrimitive();
-        return new Peers(address("field peer_listen", all.get("peer_listen").getAsString()), List.copyOf(peers),
-            toAll ? address("field peers_all", all.get("peers_all").getAsString()) : null, self);
+        return new Peers(
+                address("field peer_listen", all.get("peer_listen").getAsString()),
+                List.copyOf(peers),
+                toAll ? address("field peers_all", all.get("peers_all").getAsString()) : null,
+                self);
     }
 
     private static String given(Map<String, String> environment, String variable, JsonObject all, String field) {
--- a/daemon/src/main/java/pinewick/life/StateLife.java
+++ b/daemon/src/main/java/pinewick/life/StateLife.java
@@ -31,13 +31,22 @@
     private final Map<Integer, String> ids = new HashMap<>();
     /** Keys of several ids: nothing is told or taken of these. */
     private final Set<Integer> mixedUp = new HashSet<>();
+
     private double wroteAt;
     private boolean saidCaughtUp;
     private long spoilt;
 
     /** @param file null where no snapshot is kept */
-    StateLife(int size, int self, long seed, SnapshotFile file, double every, Loop loop, Log log, StateShare.Wire wire,
-              IntPredicate takesPart) {
+    StateLife(
+            int size,
+            int self,
+            long seed,
+            SnapshotFile file,
+            double every,
+            Loop loop,
+            Log log,
+            StateShare.Wire wire,
+            IntPredicate takesPart) {
         this.loop = loop;
         this.log = log;
         this.file = file;
@@ -53,9 +62,12 @@
         if (whole != null) {
             SnapshotText.Read read = SnapshotText.read(whole, self, size, loop.now(), FactKind.PACE.most());
             read.facts().forEach(state::fact);
-            log.say(read.refused() == null ? Log.Level.INFO : Log.Level.WARNING, "fleet", read.refused() == null
-                ? "snapshot: " + read.facts().size() + " facts" : "snapshot refused: " + read.refused()
-                + "; asking the other mixers");
+            log.say(
+                    read.refused() == null ? Log.Level.INFO : Log.Level.WARNING,
+                    "fleet",
+                    read.refused() == null
+                            ? "snapshot: " + read.facts().size() + " facts"
+                            : "snapshot refused: " + read.refused() + "; asking the other mixers");
         }
         wroteAt = loop.now();
     }
@@ -64,8 +76,14 @@
         state.tick(loop.now());
         if (!saidCaughtUp && !Double.isNaN(state.caughtUpAfter())) {
             saidCaughtUp = true;
-            log.say(Log.Level.INFO, "fleet", String.format(java.util.Locale.ROOT, "caught up with the other mixers after "
-                + "%.2f s: %d facts", state.caughtUpAfter(), state.store().size()));
+            log.say(
+                    Log.Level.INFO,
+                    "fleet",
+                    String.format(
+                            java.util.Locale.ROOT,
+                            "caught up with the other mixers after " + "%.2f s: %d facts",
+                            state.caughtUpAfter(),
+                            state.store().size()));
         }
         if (file != null && loop.now() - wroteAt >= every) {
             wroteAt = loop.now();
@@ -126,8 +144,9 @@
     @Override
     public boolean warn(String searcher, double since) {
         int key = key(searcher);
-        return !mixedUp.contains(key) && (state.agreed().ill(key, self, loop.now(), since)
-            || state.agreed().leaves(key, self, loop.now(), since));
+        return !mixedUp.contains(key)
+                && (state.agreed().ill(key, self, loop.now(), since)
+                        || state.agreed().leaves(key, self, loop.now(), since));
     }
 
     String figures() {
@@ -143,7 +162,7 @@
                 paces.add(each + "=" + Math.round(pace * 1e3));
             }
         });
-        return state.figures() + "state-spoilt " + spoilt + "\nstate-paces " + String.join(",", paces) + "\nstate-warned "
-            + String.join(",", warned) + "\n";
+        return state.figures() + "state-spoilt " + spoilt + "\nstate-paces " + String.join(",", paces)
+                + "\nstate-warned " + String.join(",", warned) + "\n";
     }
 }
--- a/daemon/src/main/java/pinewick/life/StructuredLog.java
+++ b/daemon/src/main/java/pinewick/life/StructuredLog.java
@@ -13,17 +13,20 @@
 final class StructuredLog extends Log {
     /** Fields that have a place of their own in a JSON line; others are put behind the message. */
     private static final List<String> FIELDS = List.of("searcher", "revision", "searchers", "mixers", "address");
+
     private static final String TIME = "{date: yyyy-MM-dd'T'HH:mm:ss.SSSXXX}";
 
     StructuredLog(OperatorFile.Logs given, int mostASecond) {
         super(System.err, mostASecond);
         Configuration.set("autoshutdown", "false");
-        Configuration.set("level", switch (given.level()) {
-            case DEBUG -> "debug";
-            case INFO -> "info";
-            case WARNING -> "warn";
-            case ERROR -> "error";
-        });
+        Configuration.set(
+                "level",
+                switch (given.level()) {
+                    case DEBUG -> "debug";
+                    case INFO -> "info";
+                    case WARNING -> "warn";
+                    case ERROR -> "error";
+                });
         if (given.json()) {
             Configuration.set("writer", "json");
             Configuration.set("writer.file", "/dev/stderr");
--- a/daemon/src/main/java/pinewick/loop/Limits.java
+++ b/daemon/src/main/java/pinewick/loop/Limits.java
@@ -7,24 +7,59 @@
  * the deployment come from its settings; the others are the program's own and stand here alone.
  */
 public record Limits(
-    /* clients */
-    int bodyBytes, int bodiesAtOnce, int headerBytes, int clientSockets, int crowdedPart, double silent, double silentLeast,
-    double clientIdle, double clientIdleLeast, double requestRead, double requestLeast, double lastWords, long discardBytes, double unseen,
-    double answerWrite, double longestWait,
-    /* searchers */
-    int frameBytes, int callParts, int callsAConnection, int connectionsASearcher, double dial, double dialMost, double linkIdle,
-    double probeWait,
-    double frameWhole, int answersOwed, int answersRemembered, int controlFrames, int searcherSockets, int shards,
-    /* discovery */
-    int lineBytes,
-    /* held and said */
-    int open, double netAfter, int logLines,
-    /* the end: how long the front may still send, and how long a stop takes at most, from the signal on */
-    double frontNotice, double stopMost, double lastAnswer, double lastLines,
-    /* the program itself */
-    double rehearsal, double housekeeping, int backlog, int bufferBytes, int buffersKept,
-    /* falling behind: the wait borne and what is told those turned away as shares of the goal; what fades after */
-    double lagShare, double lagMemory, double lagAdvice) {
+        /* clients */
+        int bodyBytes,
+        int bodiesAtOnce,
+        int headerBytes,
+        int clientSockets,
+        int crowdedPart,
+        double silent,
+        double silentLeast,
+        double clientIdle,
+        double clientIdleLeast,
+        double requestRead,
+        double requestLeast,
+        double lastWords,
+        long discardBytes,
+        double unseen,
+        double answerWrite,
+        double longestWait,
+        /* searchers */
+        int frameBytes,
+        int callParts,
+        int callsAConnection,
+        int connectionsASearcher,
+        double dial,
+        double dialMost,
+        double linkIdle,
+        double probeWait,
+        double frameWhole,
+        int answersOwed,
+        int answersRemembered,
+        int controlFrames,
+        int searcherSockets,
+        int shards,
+        /* discovery */
+        int lineBytes,
+        /* held and said */
+        int open,
+        double netAfter,
+        int logLines,
+        /* the end: how long the front may still send, and how long a stop takes at most, from the signal on */
+        double frontNotice,
+        double stopMost,
+        double lastAnswer,
+        double lastLines,
+        /* the program itself */
+        double rehearsal,
+        double housekeeping,
+        int backlog,
+        int bufferBytes,
+        int buffersKept,
+        /* falling behind: the wait borne and what is told those turned away as shares of the goal; what fades after */
+        double lagShare,
+        double lagMemory,
+        double lagAdvice) {
 
     private static final int OWN_SOCKETS = 40; // the program's files, selectors, pipes, discovery
     private static final int LEAST_SOCKETS = OWN_SOCKETS + 24; // a few clients and a few searchers
@@ -38,8 +73,8 @@
         JsonObject family = settings.getAsJsonObject("family-info");
         int sockets = (int) number(limits, "sockets", 1024);
         if (sockets < LEAST_SOCKETS) {
-            throw new IllegalArgumentException("limits.sockets is " + sockets + ", and at least " + LEAST_SOCKETS
-                + " are needed");
+            throw new IllegalArgumentException(
+                    "limits.sockets is " + sockets + ", and at least " + LEAST_SOCKETS + " are needed");
         }
         double dial = number(bounds, "dial-timeout-ns", 250e6) / 1e9;
         double idle = number(bounds, "conn-idle-ns", 15e9) / 1e9;
@@ -48,23 +83,63 @@
             longest = Math.max(longest, number(grade.getAsJsonObject(), "hard-limit-ns", 3e9) / 1e9);
         }
         JsonObject known = config.has("known") && config.get("known").isJsonObject()
-            ? config.getAsJsonObject("known") : new JsonObject();
+                ? config.getAsJsonObject("known")
+                : new JsonObject();
         int searchers = known.has("members") ? known.getAsJsonArray("members").size() : 0;
         // What searchers' connections can be seen to need; the rest is the clients'.
         int client = sockets - OWN_SOCKETS - Math.min((sockets - OWN_SOCKETS) / 2, Math.max(48, 4 * searchers));
-        return new Limits(BODY, 64, 16 << 10, client, 4, 2, 1, 30, 2, 2, 0.5, 0.5, 256 << 10, 0.03, 5, 3600,
-            BODY, (int) number(family, "per-call", 1), (int) number(bounds, "multiplex", 1),
-            32, dial, 8 * dial, idle - Math.min(1, idle / 5), dial,
-            0.2, 512, 8, 1024, sockets - OWN_SOCKETS - client, (int) number(family, "slabs", Integer.MAX_VALUE),
-            4 << 20,
-            (int) number(bounds, "max-open", 20000), 0.01, 50,
-            0.55, longest + 0.62, 0.05, 0.05,
-            0.15, 0.25, 1024, 8 << 10, 256,
-            0.05, 0.5, 0.5);
+        return new Limits(
+                BODY,
+                64,
+                16 << 10,
+                client,
+                4,
+                2,
+                1,
+                30,
+                2,
+                2,
+                0.5,
+                0.5,
+                256 << 10,
+                0.03,
+                5,
+                3600,
+                BODY,
+                (int) number(family, "per-call", 1),
+                (int) number(bounds, "multiplex", 1),
+                32,
+                dial,
+                8 * dial,
+                idle - Math.min(1, idle / 5),
+                dial,
+                0.2,
+                512,
+                8,
+                1024,
+                sockets - OWN_SOCKETS - client,
+                (int) number(family, "slabs", Integer.MAX_VALUE),
+                4 << 20,
+                (int) number(bounds, "max-open", 20000),
+                0.01,
+                50,
+                0.55,
+                longest + 0.62,
+                0.05,
+                0.05,
+                0.15,
+                0.25,
+                1024,
+                8 << 10,
+                256,
+                0.05,
+                0.5,
+                0.5);
     }
 
     private static double number(JsonObject from, String key, double absent) {
-        return from != null && from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble()
-            : absent;
+        return from != null && from.has(key) && !from.get(key).isJsonNull()
+                ? from.get(key).getAsDouble()
+                : absent;
     }
 }
--- a/daemon/src/main/java/pinewick/loop/Log.java
+++ b/daemon/src/main/java/pinewick/loop/Log.java
@@ -12,7 +12,12 @@
 /** Lines with a time on standard error; from any one source only so many a second, so that it never floods. */
 public class Log {
     /** How grave a line is. */
-    public enum Level { DEBUG, INFO, WARNING, ERROR }
+    public enum Level {
+        DEBUG,
+        INFO,
+        WARNING,
+        ERROR
+    }
 
     /** So many lines wait for a reader of the log that stands still; further ones are left out and counted. */
     private static final int LINES = 256;
@@ -108,8 +113,11 @@
         root.addHandler(new Handler() {
             @Override
             public void publish(LogRecord entry) {
-                say(Level.WARNING, "library", entry.getLoggerName() + ": " + entry.getMessage()
-                    + (entry.getThrown() == null ? "" : ", " + entry.getThrown()));
+                say(
+                        Level.WARNING,
+                        "library",
+                        entry.getLoggerName() + ": " + entry.getMessage()
+                                + (entry.getThrown() == null ? "" : ", " + entry.getThrown()));
             }
 
             @Override
--- a/daemon/src/main/java/pinewick/loop/Loop.java
+++ b/daemon/src/main/java/pinewick/loop/Loop.java
@@ -17,7 +17,7 @@
     private final Log log;
     private final double startedAt = System.currentTimeMillis() / 1e3;
     private final long startedNanos = System.nanoTime();
-    private Runnable endOfBatch = () -> { };
+    private Runnable endOfBatch = () -> {};
     private Pressure pressure;
     private final Runnable closing = this::close;
     private boolean inBatch;
@@ -119,7 +119,7 @@
     }
 
     public XnioExecutor.Key after(double seconds, String doing, Runnable event) {
-        return thread.executeAfter(() -> event(doing, event), Math.max(0, Math.round(seconds * 1e6)),
-            TimeUnit.MICROSECONDS);
+        return thread.executeAfter(
+                () -> event(doing, event), Math.max(0, Math.round(seconds * 1e6)), TimeUnit.MICROSECONDS);
     }
 }
--- a/daemon/src/main/java/pinewick/memory/Counters.java
+++ b/daemon/src/main/java/pinewick/memory/Counters.java
@@ -28,7 +28,8 @@
     /** A line for each: name, blank, figure. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        counts.forEach((name, count) -> text.append(name).append(' ').append(count[0]).append('\n'));
+        counts.forEach(
+                (name, count) -> text.append(name).append(' ').append(count[0]).append('\n'));
         return text.toString();
     }
 }
--- a/daemon/src/main/java/pinewick/memory/LiveLaunch.java
+++ b/daemon/src/main/java/pinewick/memory/LiveLaunch.java
@@ -11,9 +11,11 @@
     public final double until;
     /** Its first byte goes out before this time or never. */
     public double writeBy = Double.POSITIVE_INFINITY;
+
     public XnioExecutor.Key timer;
     /** The call that carries it, from when one was found. */
     public Call call;
+
     public boolean over;
     /** Over, and known not to have run. */
     public boolean neverRan;
--- a/daemon/src/main/java/pinewick/memory/OpenQueries.java
+++ b/daemon/src/main/java/pinewick/memory/OpenQueries.java
@@ -60,6 +60,9 @@
 
     /** Launches that have not ended. */
     public long out() {
-        return byPart.values().stream().flatMap(piece -> piece.launches.stream()).filter(each -> !each.over).count();
+        return byPart.values().stream()
+                .flatMap(piece -> piece.launches.stream())
+                .filter(each -> !each.over)
+                .count();
     }
 }
--- a/daemon/src/main/java/pinewick/memory/OpenQuery.java
+++ b/daemon/src/main/java/pinewick/memory/OpenQuery.java
@@ -44,11 +44,13 @@
     public final Asker asker;
     /** When its client was last seen to wait. */
     public double seenAt;
+
     public final Map<String, Piece> pieces = new LinkedHashMap<>();
     public byte[] text = new byte[0];
     public double workHint;
     /** Marked by its client as a later try. */
     public boolean again;
+
     public Query handle;
     /** The timer that ends the query if nothing else has. */
     public XnioExecutor.Key net;
--- a/daemon/src/main/java/pinewick/memory/Searchers.java
+++ b/daemon/src/main/java/pinewick/memory/Searchers.java
@@ -36,7 +36,8 @@
     /** Forgets searchers that are gone and have no connection left. */
     public void prune() {
         stages.entrySet().removeIf(each -> {
-            boolean done = each.getValue() == Host.Stage.GONE && links(each.getKey()).isEmpty();
+            boolean done =
+                    each.getValue() == Host.Stage.GONE && links(each.getKey()).isEmpty();
             if (done) {
                 addresses.remove(each.getKey());
                 links.remove(each.getKey());
--- a/daemon/src/main/java/pinewick/stages/Book.java
+++ b/daemon/src/main/java/pinewick/stages/Book.java
@@ -23,8 +23,8 @@
     private final Relay relay;
     private Route route;
 
-    public Book(Loop loop, Log log, OpenQueries queries, Counters counters, Searchers searchers, Send send,
-                Relay relay) {
+    public Book(
+            Loop loop, Log log, OpenQueries queries, Counters counters, Searchers searchers, Send send, Relay relay) {
         this.loop = loop;
         this.log = log;
         this.queries = queries;
@@ -89,11 +89,14 @@
         if (end == 'S' && launch.piece.value == null) {
             launch.piece.value = value;
         }
-        ended(launch, switch (end) {
-            case 'S' -> Host.Ending.FULFILLED;
-            case 'B' -> Host.Ending.REJECTED;
-            default -> Host.Ending.ERROR;
-        }, report);
+        ended(
+                launch,
+                switch (end) {
+                    case 'S' -> Host.Ending.FULFILLED;
+                    case 'B' -> Host.Ending.REJECTED;
+                    default -> Host.Ending.ERROR;
+                },
+                report);
     }
 
     @Override
@@ -105,8 +108,12 @@
     public void spoilt(SearcherLink link, String why, LiveLaunch launch) {
         counters.add("spoilt-answers");
         link.waiting().forEach(each -> send.takeBack(each, Host.Ending.MOOT));
-        log.say(Log.Level.WARNING, "searchers", "spoilt by " + link.searcher() + ": " + why
-            + (launch == null ? "" : ", ends " + launch.piece.id), "searcher", link.searcher());
+        log.say(
+                Log.Level.WARNING,
+                "searchers",
+                "spoilt by " + link.searcher() + ": " + why + (launch == null ? "" : ", ends " + launch.piece.id),
+                "searcher",
+                link.searcher());
         if (launch != null) {
             ended(launch, Host.Ending.ERROR, null);
         }
@@ -126,11 +133,15 @@
     public void notUp(SearcherLink link, List<LiveLaunch> launches) {
         counters.add("connections-late");
         if (!launches.isEmpty()) {
-            log.say(Log.Level.WARNING, "searchers", "connection to " + link.searcher()
-                + " is not up in time; not connected " + launches.size(), "searcher", link.searcher());
+            log.say(
+                    Log.Level.WARNING,
+                    "searchers",
+                    "connection to " + link.searcher() + " is not up in time; not connected " + launches.size(),
+                    "searcher",
+                    link.searcher());
         }
-        launches.forEach(each -> loop.guarded("a launch not connected",
-            () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
+        launches.forEach(
+                each -> loop.guarded("a launch not connected", () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
     }
 
     @Override
@@ -138,11 +149,16 @@
         searchers.remove(link);
         counters.add("connections-closed");
         if (!never.isEmpty() || !perhaps.isEmpty()) {
-            log.say(Log.Level.WARNING, "searchers", "connection to " + link.searcher() + " closed, " + why
-                + "; not connected " + never.size() + ", dropped " + perhaps.size(), "searcher", link.searcher());
+            log.say(
+                    Log.Level.WARNING,
+                    "searchers",
+                    "connection to " + link.searcher() + " closed, " + why + "; not connected " + never.size()
+                            + ", dropped " + perhaps.size(),
+                    "searcher",
+                    link.searcher());
         }
-        never.forEach(each -> loop.guarded("a launch not connected",
-            () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
+        never.forEach(
+                each -> loop.guarded("a launch not connected", () -> ended(each, Host.Ending.NOT_CONNECTED, null)));
         perhaps.forEach(each -> loop.guarded("a launch dropped", () -> ended(each, Host.Ending.DROPPED, null)));
     }
 }
--- a/daemon/src/main/java/pinewick/stages/Route.java
+++ b/daemon/src/main/java/pinewick/stages/Route.java
@@ -20,11 +20,18 @@
     private final Send send;
     private final Relay relay;
     private final Logic logic;
-    private Others others = new Others() { };
+    private Others others = new Others() {};
     private boolean over;
 
-    public Route(Host.Deployment given, long seed, Loop loop, Log log, OpenQueries queries, Counters counters,
-                 Send send, Relay relay) {
+    public Route(
+            Host.Deployment given,
+            long seed,
+            Loop loop,
+            Log log,
+            OpenQueries queries,
+            Counters counters,
+            Send send,
+            Relay relay) {
         this.loop = loop;
         this.log = log;
         this.queries = queries;
@@ -36,8 +43,7 @@
 
     /** What the other mixers see; without them, nothing. */
     public interface Others {
-        default void saw(String searcher, double pace, double queue, int failures) {
-        }
+        default void saw(String searcher, double pace, double queue, int failures) {}
 
         default double pace(String searcher) {
             return 0;
@@ -54,8 +60,8 @@
 
     public void take(OpenQuery query) {
         try {
-            query.handle = logic.take(query.id, query.grade, query.ttl, query.pieces.size(), query.workHint,
-                query.again);
+            query.handle =
+                    logic.take(query.id, query.grade, query.ttl, query.pieces.size(), query.workHint, query.again);
             query.pieces.values().forEach(piece -> query.handle.part(piece.id, piece.shard, piece.mass));
         } catch (RuntimeException fault) {
             // Whatever went wrong inside, the client gets its one answer.
--- a/daemon/src/main/java/pinewick/stages/Send.java
+++ b/daemon/src/main/java/pinewick/stages/Send.java
@@ -27,13 +27,18 @@
     private final Map<String, List<LiveLaunch>> batch = new LinkedHashMap<>();
     private final Map<Long, String> probes = new LinkedHashMap<>();
     private final Consumer<SearcherLink> dialer;
-    private Runnable lookAtList = () -> { };
+    private Runnable lookAtList = () -> {};
     private double lookedAt;
     private long lastProbe;
     private Book book;
 
-    public Send(Host.Deployment given, Loop loop, Limits limits, Counters counters, Searchers searchers,
-                Consumer<SearcherLink> dialer) {
+    public Send(
+            Host.Deployment given,
+            Loop loop,
+            Limits limits,
+            Counters counters,
+            Searchers searchers,
+            Consumer<SearcherLink> dialer) {
         this.given = given;
         this.loop = loop;
         this.limits = limits;
@@ -96,12 +101,16 @@
     private void writeInWindow(LiveLaunch launch) {
         Host.GradeTerms grade = given.grades().get(launch.piece.query.grade);
         if (grade.repeat() == Host.Repeat.DEDUPLICATED && launch.number > 0) {
-            launch.piece.launches.stream().filter(each -> each != launch && !each.neverRan).findFirst()
-                .ifPresent(first -> {
-                    launch.writeBy = first.sentAt + grade.repeatWindow() - given.tick();
-                    loop.after(launch.writeBy - loop.clock(), "the end of a window",
-                        () -> takeBack(launch, Host.Ending.MOOT));
-                });
+            launch.piece.launches.stream()
+                    .filter(each -> each != launch && !each.neverRan)
+                    .findFirst()
+                    .ifPresent(first -> {
+                        launch.writeBy = first.sentAt + grade.repeatWindow() - given.tick();
+                        loop.after(
+                                launch.writeBy - loop.clock(),
+                                "the end of a window",
+                                () -> takeBack(launch, Host.Ending.MOOT));
+                    });
         }
     }
 
@@ -141,11 +150,13 @@
             return best;
         }
         if (searchers.open() >= limits.searcherSockets()) {
-            searchers.allLinks().stream().filter(each -> each.calls() == 0).findFirst()
-                .ifPresent(idle -> idle.close("its place is needed"));
+            searchers.allLinks().stream()
+                    .filter(each -> each.calls() == 0)
+                    .findFirst()
+                    .ifPresent(idle -> idle.close("its place is needed"));
         }
         if (searchers.links(searcher).size() >= limits.connectionsASearcher()
-            || searchers.open() >= limits.searcherSockets()) {
+                || searchers.open() >= limits.searcherSockets()) {
             counters.add("connections-at-limit");
             return null;
         }
@@ -223,8 +234,8 @@
                 probeEnds(number, Host.Ending.NOT_CONNECTED, null);
                 return;
             }
-            loop.timeOut(limits.probeWait(), "a probe's time-out",
-                () -> probeEnds(number, Host.Ending.TIMED_OUT, null));
+            loop.timeOut(
+                    limits.probeWait(), "a probe's time-out", () -> probeEnds(number, Host.Ending.TIMED_OUT, null));
             link.probe(number, true);
         });
     }
--- a/daemon/src/main/java/pinewick/stages/TakeIn.java
+++ b/daemon/src/main/java/pinewick/stages/TakeIn.java
@@ -32,8 +32,14 @@
     private double lastEnd = Double.POSITIVE_INFINITY;
     private final Map<String, Integer> gradeRows = new HashMap<>();
 
-    public TakeIn(Host.Deployment given, Limits limits, Counters counters, Admit admit, Book book,
-                  Pressure pressure, Loop loop) {
+    public TakeIn(
+            Host.Deployment given,
+            Limits limits,
+            Counters counters,
+            Admit admit,
+            Book book,
+            Pressure pressure,
+            Loop loop) {
         this.given = given;
         this.limits = limits;
         this.counters = counters;
--- a/daemon/src/main/java/pinewick/wire/ClientDoor.java
+++ b/daemon/src/main/java/pinewick/wire/ClientDoor.java
@@ -68,11 +68,13 @@
         this.limits = limits;
         this.buffers = buffers;
         this.counters = counters;
-        undertow = new HttpOpenListener(buffers, OptionMap.builder()
-            .set(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
-            .set(UndertowOptions.ALWAYS_SET_DATE, false)
-            .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-            .getMap());
+        undertow = new HttpOpenListener(
+                buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                        .getMap());
         undertow.setRootHandler(new HttpContinueReadHandler(this));
     }
 
@@ -108,7 +110,7 @@
             if (!guest.connection.isOpen()) {
                 guests.remove(guest.connection);
             } else if (guest.stage() == Guest.Stage.BETWEEN
-                || (guest.stage() == Guest.Stage.SILENT && guest.age() > limits.lastWords())) {
+                    || (guest.stage() == Guest.Stage.SILENT && guest.age() > limits.lastWords())) {
                 closeIfEmpty(guest);
             }
         }
@@ -140,12 +142,13 @@
         Guest first = null;
         int best = Integer.MAX_VALUE;
         for (Guest guest : guests.values()) {
-            int rank = switch (guest.stage()) {
-                case SILENT -> guest.age() > limits.silentLeast() ? 1 : 3;
-                case BETWEEN -> guest.age() > limits.clientIdleLeast() ? 0 : 4;
-                case ARRIVING -> guest.age() > limits.requestLeast() ? 2 : Integer.MAX_VALUE;
-                default -> Integer.MAX_VALUE;
-            };
+            int rank =
+                    switch (guest.stage()) {
+                        case SILENT -> guest.age() > limits.silentLeast() ? 1 : 3;
+                        case BETWEEN -> guest.age() > limits.clientIdleLeast() ? 0 : 4;
+                        case ARRIVING -> guest.age() > limits.requestLeast() ? 2 : Integer.MAX_VALUE;
+                        default -> Integer.MAX_VALUE;
+                    };
             if (rank < best || (rank == best && first != null && guest.age() > first.age())) {
                 best = rank;
                 first = guest;
@@ -255,11 +258,12 @@
         }
         boolean post = exchange.getRequestMethod().equals(Methods.POST);
         if (post && exchange.getRequestPath().equals("/api")) {
-            exchange.dispatch(SameThreadExecutor.INSTANCE,
-                () -> loop.event("reading a body", new Body(exchange, guest)::start));
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> loop.event("reading a body", new Body(exchange, guest)::start));
             return;
         }
-        if (exchange.getRequestContentLength() > 0 || exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+        if (exchange.getRequestContentLength() > 0
+                || exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
             // Undertow would read such a body to its end, however long.
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> turnOut(guest, "404 Not Found", "path: with a body"));
             return;
@@ -420,8 +424,10 @@
         /** Undertow reads nothing between a request and its answer; a client that leaves shows only there. */
         void watch(OpenQuery asked) {
             query = asked;
-            connection.getChannel().getSourceChannel()
-                .setReadListener(any -> loop.event("a client's connection", this::stillThere));
+            connection
+                    .getChannel()
+                    .getSourceChannel()
+                    .setReadListener(any -> loop.event("a client's connection", this::stillThere));
             guest.listen();
         }
 
@@ -437,7 +443,7 @@
                     turnOut(guest, "413 Payload Too Large", "flood: much sent ahead of an answer");
                     taker.withdrawn(query);
                 }
-                default -> { }
+                default -> {}
             }
             return !answered;
         }
@@ -462,11 +468,10 @@
             }
             exchange.setStatusCode(status);
             if (retryAfter > 0) {
-                exchange.getResponseHeaders().put(new HttpString("Retry-After"),
-                    Double.toString(Math.rint(retryAfter * 1e3) / 1e3));
+                exchange.getResponseHeaders()
+                        .put(new HttpString("Retry-After"), Double.toString(Math.rint(retryAfter * 1e3) / 1e3));
             }
-            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE,
-                status == 200 ? "application/json" : "text/plain");
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, status == 200 ? "application/json" : "text/plain");
             exchange.getResponseSender().send(ByteBuffer.wrap(body));
             if (!exchange.isResponseComplete()) {
                 loop.after(limits.answerWrite(), "a slow reader", () -> {
--- a/daemon/src/main/java/pinewick/wire/Frames.java
+++ b/daemon/src/main/java/pinewick/wire/Frames.java
@@ -18,8 +18,7 @@
     static final char ANSWER = '5';
     static final char UNUSABLE = 'X';
 
-    private Frames() {
-    }
+    private Frames() {}
 
     static ByteBuffer frame(char letter, byte[] rest) {
         ByteBuffer frame = ByteBuffer.allocate(5 + rest.length).order(ByteOrder.LITTLE_ENDIAN);
@@ -38,7 +37,7 @@
             OpenQuery query = launch.piece.query;
             long wait = Math.max(1, (long) Math.floor((launch.until - now) * 1000));
             String line = launch.piece.id + ' ' + launch.piece.shard + " d=" + wait
-                + (query.key == null ? "" : ",k=" + query.key) + ' ' + query.text.length + '\n';
+                    + (query.key == null ? "" : ",k=" + query.key) + ' ' + query.text.length + '\n';
             rest.writeBytes(line.getBytes(StandardCharsets.UTF_8));
             rest.writeBytes(query.text);
         }
--- a/daemon/src/main/java/pinewick/wire/Guest.java
+++ b/daemon/src/main/java/pinewick/wire/Guest.java
@@ -12,10 +12,20 @@
 /** A client's connection: how far its present request has come, as the raw bytes tell, beneath the reader of HTTP. */
 final class Guest extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** SILENT: no byte ever; BETWEEN: none since an answer; LEAVING: nothing more is taken from it or said to it. */
-    enum Stage { SILENT, ARRIVING, ASKED, BETWEEN, LEAVING }
+    enum Stage {
+        SILENT,
+        ARRIVING,
+        ASKED,
+        BETWEEN,
+        LEAVING
+    }
 
     /** What a look at a connection whose client waits for its answer found. */
-    enum Look { THERE, GONE, FLOOD }
+    enum Look {
+        THERE,
+        GONE,
+        FLOOD
+    }
 
     final StreamConnection connection;
     private final Loop loop;
@@ -23,6 +33,7 @@
     private double since;
     /** Bytes that came before their reader wants them, ready to be read; null where there are none. */
     private ByteBuffer ahead;
+
     private final StreamSinkConduit sink;
     private long discarded;
     /** Whether the head of a request was ever read. */
@@ -138,11 +149,13 @@
             close.run();
             return;
         }
-        connection.getSourceChannel().setReadListener(any -> loop.event("closing a client's connection", () -> {
-            if (!discard(mostBytes)) {
-                close.run();
-            }
-        }));
+        connection
+                .getSourceChannel()
+                .setReadListener(any -> loop.event("closing a client's connection", () -> {
+                    if (!discard(mostBytes)) {
+                        close.run();
+                    }
+                }));
         next.resumeReads();
         loop.after(mostTime, "closing after the last words", () -> {
             if (connection.isOpen()) {
@@ -180,7 +193,9 @@
             return count;
         }
         int count = next.read(into);
-        if (count > 0 && stage == Stage.LEAVING && (discarded += count) > loop.readBuffer().capacity()) {
+        if (count > 0
+                && stage == Stage.LEAVING
+                && (discarded += count) > loop.readBuffer().capacity()) {
             return -1; // A flood after the last answer; Undertow, which reads on for it, takes this for the end.
         }
         if (count > 0 && (stage == Stage.SILENT || stage == Stage.BETWEEN)) {
--- a/daemon/src/main/java/pinewick/wire/ListFreshness.java
+++ b/daemon/src/main/java/pinewick/wire/ListFreshness.java
@@ -14,10 +14,17 @@
  */
 public final class ListFreshness {
     /** What to ask of the agent. */
-    public enum Ask { WATCH, WHOLE }
+    public enum Ask {
+        WATCH,
+        WHOLE
+    }
 
     /** What is due now: nothing, to begin a try, or to leave the connection of the present one. */
-    public enum Due { NOTHING, TRY, LEAVE }
+    public enum Due {
+        NOTHING,
+        TRY,
+        LEAVE
+    }
 
     /* The page's figures: a line this often on a watch where nothing changes, and when a change counts as told. */
     private static final double LINE_EVERY = 2;
@@ -27,6 +34,7 @@
     private static final double LINE_SLACK = 1;
     /** Three tries and their pauses fit between doubt and the time at which a change counts as told. */
     private static final double TRY = (TOLD_AFTER - LINE_EVERY - LINE_SLACK) / 3 - 0.2;
+
     private static final double PAUSE_LEAST = 0.1;
     /** An agent that is down for long is asked this seldom; a pause and two tries fit in {@value #TOLD_AFTER} s. */
     private static final double PAUSE_MOST = 0.5;
@@ -36,7 +44,11 @@
     /** So many tries in a row have to bring nothing before a new process serves by a list that may be old. */
     private static final int TRIES_BEFORE_OLD = 2;
 
-    private enum State { PAUSED, TRYING, FOLLOWING }
+    private enum State {
+        PAUSED,
+        TRYING,
+        FOLLOWING
+    }
 
     private State state = State.PAUSED;
     private Ask next;
--- a/daemon/src/main/java/pinewick/wire/ListText.java
+++ b/daemon/src/main/java/pinewick/wire/ListText.java
@@ -13,15 +13,13 @@
 /** Discovery's form of the list of searchers. */
 public final class ListText {
     /** A piece of the list; each entry's address stands at the same place as its listing. */
-    public record Piece(long revision, boolean whole, List<Host.Listing> listings,
-                        List<InetSocketAddress> addresses) {
+    public record Piece(long revision, boolean whole, List<Host.Listing> listings, List<InetSocketAddress> addresses) {
         public Piece(long revision, boolean whole, List<Host.Listing> none) {
             this(revision, whole, none, List.of());
         }
     }
 
-    private ListText() {
-    }
+    private ListText() {}
 
     /** Anything that is not in this form brings an exception. */
     public static Piece read(String text) {
@@ -33,24 +31,31 @@
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (JsonElement each : piece.getAsJsonArray("members")) {
             JsonObject member = each.getAsJsonObject();
-            Host.Stage stage = switch (member.get("phase").getAsString()) {
-                case "ready" -> Host.Stage.READY;
-                case "draining" -> Host.Stage.DRAINING;
-                case "gone" -> Host.Stage.GONE;
-                default -> throw new IllegalArgumentException("phase " + member.get("phase"));
-            };
-            double startedAt = member.has("up_since_ms") ? member.get("up_since_ms").getAsDouble() / 1e3 : 0;
+            Host.Stage stage =
+                    switch (member.get("phase").getAsString()) {
+                        case "ready" -> Host.Stage.READY;
+                        case "draining" -> Host.Stage.DRAINING;
+                        case "gone" -> Host.Stage.GONE;
+                        default -> throw new IllegalArgumentException("phase " + member.get("phase"));
+                    };
+            double startedAt =
+                    member.has("up_since_ms") ? member.get("up_since_ms").getAsDouble() / 1e3 : 0;
             String zone = member.has("locality") ? member.get("locality").getAsString() : "";
-            boolean placed = member.has("host_port") && !member.get("host_port").getAsString().isEmpty();
+            boolean placed = member.has("host_port")
+                    && !member.get("host_port").getAsString().isEmpty();
             if (!placed && stage != Host.Stage.GONE) {
                 throw new IllegalArgumentException("host_port is missing");
             }
             addresses.add(placed ? address(member.get("host_port").getAsString()) : null);
-            listings.add(new Host.Listing(member.get("id").getAsString(),
-                member.has("cell") ? member.get("cell").getAsInt() : 0, zone, stage, startedAt));
+            listings.add(new Host.Listing(
+                    member.get("id").getAsString(),
+                    member.has("cell") ? member.get("cell").getAsInt() : 0,
+                    zone,
+                    stage,
+                    startedAt));
         }
-        return new Piece(piece.get("revision").getAsLong(), piece.get("complete").getAsBoolean(), listings,
-            addresses);
+        return new Piece(
+                piece.get("revision").getAsLong(), piece.get("complete").getAsBoolean(), listings, addresses);
     }
 
     /** A host given by number and a port; names are not looked up, there is no service for that. */
--- a/daemon/src/main/java/pinewick/wire/ListWatch.java
+++ b/daemon/src/main/java/pinewick/wire/ListWatch.java
@@ -34,6 +34,7 @@
     private long round;
     /** Reads what there is of the present answer; null before its head. */
     private Runnable look;
+
     private boolean reading;
     private ClientConnection connection;
     private String wholeList;
@@ -44,8 +45,15 @@
      * @param news is handed each piece that is accepted
      * @param failed runs after each try or watch that ended otherwise than by its whole list
      */
-    public ListWatch(InetSocketAddress discovery, Loop loop, Limits limits, Log log, ByteBufferPool buffers,
-                     long revision, Consumer<ListText.Piece> news, Runnable failed) {
+    public ListWatch(
+            InetSocketAddress discovery,
+            Loop loop,
+            Limits limits,
+            Log log,
+            ByteBufferPool buffers,
+            long revision,
+            Consumer<ListText.Piece> news,
+            Runnable failed) {
         this.discovery = uri(discovery);
         this.loop = loop;
         this.log = log;
@@ -121,7 +129,7 @@
                 attend();
                 return;
             }
-            default -> { }
+            default -> {}
         }
         long mine = round;
         double at = freshness.dueAt();
@@ -138,31 +146,49 @@
         look = null;
         cutter.reset();
         wholeList = null;
-        UndertowClient.getInstance().connect(new OnLoop<ClientConnection>(mine, made -> {
-            connection = made;
-            ask(mine, made);
-        }, ListWatch::leave), discovery, loop.thread(), buffers, OptionMap.EMPTY);
+        UndertowClient.getInstance()
+                .connect(
+                        new OnLoop<ClientConnection>(
+                                mine,
+                                made -> {
+                                    connection = made;
+                                    ask(mine, made);
+                                },
+                                ListWatch::leave),
+                        discovery,
+                        loop.thread(),
+                        buffers,
+                        OptionMap.EMPTY);
     }
 
     private void ask(long mine, ClientConnection over) {
         boolean whole = freshness.next() == ListFreshness.Ask.WHOLE;
-        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(whole
-            ? "/registry/instances" : "/registry/instances?stream=1&index=" + revision);
+        ClientRequest request = new ClientRequest()
+                .setMethod(Methods.GET)
+                .setPath(whole ? "/registry/instances" : "/registry/instances?stream=1&index=" + revision);
         request.getRequestHeaders().put(Headers.HOST, discovery.getAuthority());
-        over.sendRequest(request, new OnLoop<ClientExchange>(mine, sent ->
-            sent.setResponseListener(new OnLoop<ClientExchange>(mine, back -> {
-                int status = back.getResponse().getResponseCode();
-                if (status != 200) {
-                    ended(mine, "status " + status, false);
-                    return;
-                }
-                freshness.head();
-                StreamSourceChannel body = back.getResponseChannel();
-                look = () -> read(mine, whole, body);
-                body.getReadSetter().set(any -> loop.event("reading the list", () -> read(mine, whole, body)));
-                body.resumeReads();
-                read(mine, whole, body);
-            }, any -> { })), any -> { }));
+        over.sendRequest(
+                request,
+                new OnLoop<ClientExchange>(
+                        mine,
+                        sent -> sent.setResponseListener(new OnLoop<ClientExchange>(
+                                mine,
+                                back -> {
+                                    int status = back.getResponse().getResponseCode();
+                                    if (status != 200) {
+                                        ended(mine, "status " + status, false);
+                                        return;
+                                    }
+                                    freshness.head();
+                                    StreamSourceChannel body = back.getResponseChannel();
+                                    look = () -> read(mine, whole, body);
+                                    body.getReadSetter()
+                                            .set(any -> loop.event("reading the list", () -> read(mine, whole, body)));
+                                    body.resumeReads();
+                                    read(mine, whole, body);
+                                },
+                                any -> {})),
+                        any -> {}));
     }
 
     private void read(long mine, boolean whole, StreamSourceChannel body) {
@@ -248,8 +274,11 @@
      */
     private boolean older(ListText.Piece piece) {
         if (piece.revision() < revision) {
-            log.say(Log.Level.WARNING, "discovery", "discovery: revision " + piece.revision()
-                + " is older than " + revision + " in hand and is passed over");
+            log.say(
+                    Log.Level.WARNING,
+                    "discovery",
+                    "discovery: revision " + piece.revision() + " is older than " + revision
+                            + " in hand and is passed over");
         }
         return piece.revision() < revision;
     }
@@ -269,8 +298,11 @@
         if (why.equals(lastCause)) {
             sameCause++;
         } else {
-            log.say(Log.Level.WARNING, "discovery", "discovery: the watch is over, " + why
-                + (sameCause > 0 ? "; before that " + sameCause + " times more: " + lastCause : ""));
+            log.say(
+                    Log.Level.WARNING,
+                    "discovery",
+                    "discovery: the watch is over, " + why
+                            + (sameCause > 0 ? "; before that " + sameCause + " times more: " + lastCause : ""));
             lastCause = why;
             sameCause = 0;
         }
--- a/daemon/src/main/java/pinewick/wire/PeerSocket.java
+++ b/daemon/src/main/java/pinewick/wire/PeerSocket.java
@@ -44,7 +44,8 @@
      * @param most the longest datagram that is sent or read, bytes
      * @throws IOException where it can't listen there
      */
-    public PeerSocket(InetSocketAddress listen, int most, XnioWorker worker, Loop loop, Taker taker) throws IOException {
+    public PeerSocket(InetSocketAddress listen, int most, XnioWorker worker, Loop loop, Taker taker)
+            throws IOException {
         this.loop = loop;
         this.taker = taker;
         // One byte more shows a datagram that is longer than any may be; the rest of it is cut off by the system.
--- a/daemon/src/main/java/pinewick/wire/QueryText.java
+++ b/daemon/src/main/java/pinewick/wire/QueryText.java
@@ -16,15 +16,15 @@
     /** How far one weight may be off through rounding. */
     private static final double ROUNDING = 1e-3;
 
-    private QueryText() {
-    }
+    private QueryText() {}
 
     /** Reads a query's parts and text into it; anything that is not in the form brings an exception. */
     public static void read(byte[] body, OpenQuery into, int shards) {
         boolean parts = false;
         boolean text = false;
-        try (JsonReader in = new JsonReader(new InputStreamReader(new ByteArrayInputStream(body),
-            StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)))) {
+        try (JsonReader in = new JsonReader(new InputStreamReader(
+                new ByteArrayInputStream(body),
+                StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)))) {
             in.beginObject();
             while (in.hasNext()) {
                 switch (in.nextName()) {
@@ -54,7 +54,8 @@
         }
         wrongIf(into.pieces.isEmpty(), "json: no slices");
         wrongIf(!text, "json: no filter");
-        double sum = into.pieces.values().stream().mapToDouble(piece -> piece.mass).sum();
+        double sum =
+                into.pieces.values().stream().mapToDouble(piece -> piece.mass).sum();
         // Each weight is a decimal fraction, rounded; few digits are to be expected of some clients.
         wrongIf(Math.abs(sum - 1) > ROUNDING * Math.max(4, into.pieces.size()), "weight: the sum is " + sum);
     }
@@ -102,7 +103,11 @@
             }
         }
         try {
-            return value.length > 0 && StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(value)).hasRemaining();
+            return value.length > 0
+                    && StandardCharsets.UTF_8
+                            .newDecoder()
+                            .decode(ByteBuffer.wrap(value))
+                            .hasRemaining();
         } catch (CharacterCodingException odd) {
             return false;
         }
@@ -115,8 +120,11 @@
         boolean first = true;
         for (OpenQuery.Piece piece : query.pieces.values()) {
             if (piece.value != null) {
-                out.ascii(first ? "{\"slice\":" : ",{\"slice\":").ascii(Integer.toString(piece.shard))
-                    .ascii(",\"body\":\"").quoted(piece.value).ascii("\"}");
+                out.ascii(first ? "{\"slice\":" : ",{\"slice\":")
+                        .ascii(Integer.toString(piece.shard))
+                        .ascii(",\"body\":\"")
+                        .quoted(piece.value)
+                        .ascii("\"}");
                 first = false;
             }
         }
--- a/daemon/src/main/java/pinewick/wire/RegistryCalls.java
+++ b/daemon/src/main/java/pinewick/wire/RegistryCalls.java
@@ -75,25 +75,33 @@
             InetSocketAddress member = members.get(endpoint);
             byte[] content = body.getBytes(StandardCharsets.UTF_8);
             byte[] head = ("POST " + path + " HTTP/1.1\r\nHost: " + member.getHostString() + ':' + member.getPort()
-                + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n")
-                .getBytes(StandardCharsets.ISO_8859_1);
-            request = ByteBuffer.allocate(head.length + content.length).put(head).put(content).flip();
+                            + "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1);
+            request = ByteBuffer.allocate(head.length + content.length)
+                    .put(head)
+                    .put(content)
+                    .flip();
         }
 
         void dial() {
-            loop.thread().openStreamConnection(members.get(endpoint), null, null,
-                OptionMap.create(Options.TCP_NODELAY, true)).addNotifier(
-                new IoFuture.HandlingNotifier<StreamConnection, Object>() {
-                    @Override
-                    public void handleDone(StreamConnection made, Object none) {
-                        loop.later("a member of the registry", () -> up(made));
-                    }
-
-                    @Override
-                    public void handleFailed(IOException failed, Object none) {
-                        loop.later("a member of the registry", () -> failed("not connected: " + failed.getMessage()));
-                    }
-                }, null);
+            loop.thread()
+                    .openStreamConnection(
+                            members.get(endpoint), null, null, OptionMap.create(Options.TCP_NODELAY, true))
+                    .addNotifier(
+                            new IoFuture.HandlingNotifier<StreamConnection, Object>() {
+                                @Override
+                                public void handleDone(StreamConnection made, Object none) {
+                                    loop.later("a member of the registry", () -> up(made));
+                                }
+
+                                @Override
+                                public void handleFailed(IOException failed, Object none) {
+                                    loop.later(
+                                            "a member of the registry",
+                                            () -> failed("not connected: " + failed.getMessage()));
+                                }
+                            },
+                            null);
         }
 
         void up(StreamConnection made) {
--- a/daemon/src/main/java/pinewick/wire/SearcherLink.java
+++ b/daemon/src/main/java/pinewick/wire/SearcherLink.java
@@ -100,24 +100,25 @@
     /** Starts to connect; the answer is an event. */
     public void dial() {
         dialTimer = loop.timeOut(limits.dial(), "dialing", this::late);
-        dialing = loop.thread().openStreamConnection(address, null, null,
-            OptionMap.create(Options.TCP_NODELAY, true));
-        dialing.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Object>() {
-            @Override
-            public void handleDone(StreamConnection made, Object none) {
-                loop.later("connected", () -> up(made));
-            }
-
-            @Override
-            public void handleFailed(IOException failed, Object none) {
-                loop.later("not connected", () -> close("not connected: " + failed.getMessage()));
-            }
-
-            @Override
-            public void handleCancelled(Object none) {
-                loop.later("not connected", () -> close("not connected: cancelled"));
-            }
-        }, null);
+        dialing = loop.thread().openStreamConnection(address, null, null, OptionMap.create(Options.TCP_NODELAY, true));
+        dialing.addNotifier(
+                new IoFuture.HandlingNotifier<StreamConnection, Object>() {
+                    @Override
+                    public void handleDone(StreamConnection made, Object none) {
+                        loop.later("connected", () -> up(made));
+                    }
+
+                    @Override
+                    public void handleFailed(IOException failed, Object none) {
+                        loop.later("not connected", () -> close("not connected: " + failed.getMessage()));
+                    }
+
+                    @Override
+                    public void handleCancelled(Object none) {
+                        loop.later("not connected", () -> close("not connected: cancelled"));
+                    }
+                },
+                null);
     }
 
     /**
@@ -165,8 +166,12 @@
     /** Whether another call may be put on it now. */
     @Override
     public boolean hasPlace() {
-        return !closed && !retired && !doomed && (connection != null || !late) && calls.size() < limits.callsAConnection()
-            && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
+        return !closed
+                && !retired
+                && !doomed
+                && (connection != null || !late)
+                && calls.size() < limits.callsAConnection()
+                && (connection == null || !calls.isEmpty() || loop.now() - usedAt < limits.linkIdle());
     }
 
     /** Reads what may tell that an unused link has been closed at the far end, before a call would be lost on it. */
@@ -242,8 +247,9 @@
 
     private void dropFrame() {
         List<LiveLaunch> unsent = new ArrayList<>();
-        calls.stream().filter(call -> call.stage != Call.Stage.WRITTEN)
-            .forEach(call -> call.launches.stream().filter(each -> !each.over).forEach(unsent::add));
+        calls.stream().filter(call -> call.stage != Call.Stage.WRITTEN).forEach(call -> call.launches.stream()
+                .filter(each -> !each.over)
+                .forEach(unsent::add));
         if (!closed) {
             events.unsent(unsent);
             retire("a frame begun was no longer wanted");
@@ -312,7 +318,9 @@
         }
         while (!waiting.isEmpty()) {
             Call call = waiting.poll();
-            List.copyOf(call.launches).stream().filter(each -> !events.mayBegin(each)).forEach(call.launches::remove);
+            List.copyOf(call.launches).stream()
+                    .filter(each -> !events.mayBegin(each))
+                    .forEach(call.launches::remove);
             if (doomed || closed) {
                 return false;
             }
@@ -393,8 +401,8 @@
                 boolean good = !text.startsWith("E");
                 events.probed(searcher, number, good, good && letter == Frames.LOAD ? report(text) : null);
             }
-            case Frames.UNUSABLE -> throw new IllegalArgumentException("X "
-                + new String(rest, 0, Math.min(80, rest.length), StandardCharsets.UTF_8));
+            case Frames.UNUSABLE -> throw new IllegalArgumentException(
+                    "X " + new String(rest, 0, Math.min(80, rest.length), StandardCharsets.UTF_8));
             default -> spoilt(words(rest)[0], "a frame of letter " + (int) letter);
         }
     }
@@ -431,8 +439,11 @@
             }
             return;
         }
-        boolean formed = end < rest.length && words.length == 4 && words[1].length() == 1
-            && "SEB".indexOf(words[1].charAt(0)) >= 0 && words[2].matches("[-+0-9.eE]+");
+        boolean formed = end < rest.length
+                && words.length == 4
+                && words[1].length() == 1
+                && "SEB".indexOf(words[1].charAt(0)) >= 0
+                && words[2].matches("[-+0-9.eE]+");
         byte[] value = formed ? Arrays.copyOfRange(rest, end + 1, rest.length) : new byte[0];
         if (!formed || (words[1].equals("S") && !QueryText.fitsAnAnswer(value))) {
             spoilt(words[0], "an answer that can't be read");
@@ -461,7 +472,8 @@
         if (named == null) {
             List<LiveLaunch> out = new ArrayList<>();
             calls.forEach(call -> call.launches.stream()
-                .filter(each -> !each.over && call.stage == Call.Stage.WRITTEN).forEach(out::add));
+                    .filter(each -> !each.over && call.stage == Call.Stage.WRITTEN)
+                    .forEach(out::add));
             meant = out.size() == 1 ? out.get(0) : null;
         }
         retired = true;
@@ -488,7 +500,8 @@
     @Override
     public void close(String why) {
         if (connection != null && !calls.isEmpty()) {
-            // Danger: answers that have come and wait to be read would be lost with a connection that a write found broken.
+            // Danger: answers that have come and wait to be read would be lost with a connection that a write found
+            // broken.
             read();
         }
         if (closed) {
--- a/daemon/src/test/java/pinewick/ClientCrossingTest.java
+++ b/daemon/src/test/java/pinewick/ClientCrossingTest.java
@@ -28,8 +28,11 @@
         assertTrue(waits.answer().startsWith("200 "), "the first query with that id was not touched");
         String head = "POST /api HTTP/1.1\r\nHost: h\r\n";
         List<Client> slow = new ArrayList<>();
-        for (String part : List.of("", "POST /a", head + "Content-Length: 50\r\n\r\n{", head
-            + "Transfer-Encoding: chunked\r\n\r\nzz\r\n")) {
+        for (String part : List.of(
+                "",
+                "POST /a",
+                head + "Content-Length: 50\r\n\r\n{",
+                head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n")) {
             Client client = new Client();
             client.send(part);
             slow.add(client);
--- a/daemon/src/test/java/pinewick/FleetServeTest.java
+++ b/daemon/src/test/java/pinewick/FleetServeTest.java
@@ -29,6 +29,7 @@
 
     @TempDir
     Path folder;
+
     private FleetProcesses fleet;
 
     private void fleet(int size, Path operator, int... started) throws Exception {
@@ -74,7 +75,8 @@
         fleet.mixer(3).stop(true);
         sees(2, "AAALA", 0, 1, 2, 4);
         assertEquals(0, fleet.deathsOf(3, 0, 1, 2, 4), "it said itself that it stops");
-        assertTrue(fleet.relay().longest() <= 256, "a datagram of " + fleet.relay().longest() + " bytes");
+        assertTrue(
+                fleet.relay().longest() <= 256, "a datagram of " + fleet.relay().longest() + " bytes");
     }
 
     @Test
@@ -127,7 +129,8 @@
         fleet(5, null, 0, 1, 2, 3, 4);
         sees(START, "AAAAA", 0, 1, 2, 3, 4);
         fleet.relay().cut((from, to) -> from == 0 && to == 1);
-        assertFalse(FleetProcesses.within(4, () -> oneDied()), "looked at by others, one that can't be heard here lives");
+        assertFalse(
+                FleetProcesses.within(4, () -> oneDied()), "looked at by others, one that can't be heard here lives");
         fleet.relay().cut((from, to) -> from < 2 != to < 2);
         sees(8, "AADDD", 0, 1);
         sees(8, "DDAAA", 2, 3, 4);
@@ -188,8 +191,10 @@
             }
         }
         fleet.relay().inject(1, 0, new byte[50]); // past the links' loss, which would swallow one datagram in ten
-        assertTrue(FleetProcesses.within(5, () -> dropped("fleet-dropped-stranger") >= 6
-            && dropped("fleet-dropped-version") >= 1), "noise through the relay bears a member's address");
+        assertTrue(
+                FleetProcesses.within(
+                        5, () -> dropped("fleet-dropped-stranger") >= 6 && dropped("fleet-dropped-version") >= 1),
+                "noise through the relay bears a member's address");
         sees(1, "AA", 0, 1);
         assertEquals(1, number(0, "fleet-dropped-version"), "it came once and was counted once");
         assertEquals(0, number(0, "faults"));
--- a/daemon/src/test/java/pinewick/HangUpPrecondition.java
+++ b/daemon/src/test/java/pinewick/HangUpPrecondition.java
@@ -15,24 +15,25 @@
     private static final String IGNORED_SIGNALS = "SigIgn:";
     private static final long HANG_UP_BIT = 1; // signal 1 is the lowest bit of the mask
 
-    private HangUpPrecondition() {
-    }
+    private HangUpPrecondition() {}
 
     /** Checks this process, from which its children inherit; without a /proc the test itself has to show it. */
     static void check() throws IOException {
         if (Files.exists(OWN_STATUS)) {
-            assertFalse(ignoresHangUp(Files.readString(OWN_STATUS)), "SIGHUP is ignored by the parent process:"
-                + " nohup, or the like, started the tests; setsid detaches them without that");
+            assertFalse(
+                    ignoresHangUp(Files.readString(OWN_STATUS)),
+                    "SIGHUP is ignored by the parent process:"
+                            + " nohup, or the like, started the tests; setsid detaches them without that");
         }
     }
 
     /** Whether a process with this /proc status ignores SIGHUP. */
     static boolean ignoresHangUp(String status) {
         String mask = status.lines()
-            .filter(line -> line.startsWith(IGNORED_SIGNALS))
-            .map(line -> line.substring(IGNORED_SIGNALS.length()).trim())
-            .findFirst()
-            .orElseThrow();
+                .filter(line -> line.startsWith(IGNORED_SIGNALS))
+                .map(line -> line.substring(IGNORED_SIGNALS.length()).trim())
+                .findFirst()
+                .orElseThrow();
         return (Long.parseUnsignedLong(mask, 16) & HANG_UP_BIT) != 0;
     }
 }
--- a/daemon/src/test/java/pinewick/ListCrossingTest.java
+++ b/daemon/src/test/java/pinewick/ListCrossingTest.java
@@ -45,6 +45,7 @@
 
     /** For so long after its last line a list counts as proven, and nothing makes a mixer ask for a whole one. */
     private static final double PROVEN = 3;
+
     private static final double LINE_EVERY = 1;
 
     @Test
@@ -86,7 +87,7 @@
         long pieces = pieces(client);
         assertTrue(pieces == 2 || unproven >= PROVEN, "only the list known at the start and the whole one: " + pieces);
         other.tell("{\"revision\":6,\"complete\":false,\"members\":[" + a.entry("draining") + ',' + c.entry("ready")
-            + "]}");
+                + "]}");
         until(client, "list-pieces " + (pieces + 1) + "\n");
         client.post("q2", "idempotent", "[0]", "", false);
         assertNotNull(c.frames.poll(WAIT, TimeUnit.SECONDS), "news come from the new address");
@@ -107,11 +108,12 @@
 
     /** How many lists and changes the mixer took, the one of its configuration with them. */
     private static long pieces(Client client) throws Exception {
-        return client.get("/counters").lines()
-            .filter(line -> line.startsWith("list-pieces "))
-            .mapToLong(line -> Long.parseLong(line.substring("list-pieces ".length())))
-            .findFirst()
-            .orElseThrow();
+        return client.get("/counters")
+                .lines()
+                .filter(line -> line.startsWith("list-pieces "))
+                .mapToLong(line -> Long.parseLong(line.substring("list-pieces ".length())))
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -147,8 +149,12 @@
         start(a, b);
         discovery.wholes.clear();
         discovery.revision = 6;
-        String odd = piece(false, a.entry("draining"), b.entry("ready").replace("\"locality\":\"z\"",
-            "\"locality\":\"}]\\\"{\\\\\"")).replace(",", ",\n\n  ").replace("{", "{\r\n");
+        String odd = piece(
+                        false,
+                        a.entry("draining"),
+                        b.entry("ready").replace("\"locality\":\"z\"", "\"locality\":\"}]\\\"{\\\\\""))
+                .replace(",", ",\n\n  ")
+                .replace("{", "{\r\n");
         for (char one : (odd + "\n").toCharArray()) {
             discovery.chunk("" + one);
         }
--- a/daemon/src/test/java/pinewick/MixerHarness.java
+++ b/daemon/src/test/java/pinewick/MixerHarness.java
@@ -35,6 +35,7 @@
 
     @TempDir
     Path folder;
+
     final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
     Discovery discovery;
     Process mixer;
@@ -42,6 +43,7 @@
     int sockets = 1024;
     /** What the system lets the mixer hold, its program's own files with it; 0 for what this machine gives. */
     int descriptors;
+
     String goal = "1e9";
     String floor = "1";
     String window = "2e9";
@@ -49,6 +51,7 @@
     String deadline = "2.5";
     /** The longest that the deployment lets a query last, nanoseconds. */
     String hardLimit = "3e9";
+
     ProcessBuilder.Redirect log = ProcessBuilder.Redirect.INHERIT;
     /** What the mixer's configuration knows of the list. */
     String[] known = {};
@@ -72,13 +75,16 @@
 
     final void hangUp() throws Exception {
         HangUpPrecondition.check();
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + mixer.pid()).start().waitFor());
+        assertEquals(
+                0, new ProcessBuilder("kill", "-HUP", "" + mixer.pid()).start().waitFor());
         Thread.sleep(150);
     }
 
     /** Sends the mixer a signal by its name. */
     final void signal(String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + mixer.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, "" + mixer.pid()).start().waitFor());
     }
 
     /** Starts a mixer and waits until it is ready and follows the list. */
@@ -104,16 +110,21 @@
         discovery.revision = 5;
         discovery.first = piece(true, entries);
         String grade = "{\"name\":\"%s\",\"slo-ns\":" + goal + ",\"hard-limit-ns\":" + hardLimit + ",\"late-worth\":0,"
-            + "\"effect\":\"%s\",\"dedup-window-ns\":" + window + "}";
+                + "\"effect\":\"%s\",\"dedup-window-ns\":" + window + "}";
         Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
-            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + before
-            + ",\"settings\":{\"instances\":1,\"categories\":[" + String.format(grade, "idempotent", "retryable") + ','
-            + String.format(grade, "deduplicated", "dedup") + ',' + String.format(grade, "unrepeatable", "fragile")
-            + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,\"parallel-tries\":true,\"may-cancel\":true,\"probing\":"
-            + "true,\"max-open\":1000,\"dial-timeout-ns\":" + dial + "},"
-            + "\"family-info\":{\"cells\":2,\"reach\":1,\"slabs\":4,\"per-call\":4,"
-            + "\"class-floor\":[" + floor + ",1,1],\"incomplete-worth\":[0.9,0,0]}}}");
+        Files.writeString(
+                file,
+                "{\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
+                        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+                        + before
+                        + ",\"settings\":{\"instances\":1,\"categories\":["
+                        + String.format(grade, "idempotent", "retryable") + ','
+                        + String.format(grade, "deduplicated", "dedup") + ','
+                        + String.format(grade, "unrepeatable", "fragile")
+                        + "],\"bounds\":{\"multiplex\":100,\"try-limit\":4,\"parallel-tries\":true,\"may-cancel\":true,\"probing\":"
+                        + "true,\"max-open\":1000,\"dial-timeout-ns\":" + dial + "},"
+                        + "\"family-info\":{\"cells\":2,\"reach\":1,\"slabs\":4,\"per-call\":4,"
+                        + "\"class-floor\":[" + floor + ",1,1],\"incomplete-worth\":[0.9,0,0]}}}");
         mixer = program(file).redirectError(log).start();
     }
 
@@ -132,8 +143,14 @@
     }
 
     ProcessBuilder program(Path config) {
-        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "pinewick.Main", "serve"));
+        List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "pinewick.Main",
+                "serve"));
         if (descriptors > 0) {
             words.addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
         }
@@ -163,7 +180,7 @@
 
     String piece(boolean whole, String... entries) {
         return "{\"revision\":" + discovery.revision + ",\"complete\":" + whole + ",\"members\":["
-            + String.join(",", entries) + "]}";
+                + String.join(",", entries) + "]}";
     }
 
     ServerSocket listen() throws IOException {
@@ -207,6 +224,7 @@
         volatile int resets;
         /** What each new watch gets in place of the list; null for the list. */
         volatile String nonsense;
+
         private volatile OutputStream watch;
 
         Discovery() throws IOException {
@@ -284,13 +302,14 @@
                 }
                 if (resets > 0) {
                     resets--;
-                    out.write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + first).getBytes(StandardCharsets.UTF_8));
+                    out.write(
+                            ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + first).getBytes(StandardCharsets.UTF_8));
                     socket.setSoLinger(true, 0);
                     socket.close();
                     return;
                 }
                 out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + first.length() + "\r\n\r\n" + first)
-                    .getBytes(StandardCharsets.UTF_8));
+                        .getBytes(StandardCharsets.UTF_8));
             }
         }
 
@@ -300,8 +319,7 @@
 
         synchronized void chunk(String text) throws IOException {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            watch.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n")
-                .getBytes(StandardCharsets.UTF_8));
+            watch.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
             watch.flush();
         }
     }
@@ -342,7 +360,7 @@
 
         String entry(String phase) {
             return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + server.getLocalPort()
-                + "\",\"locality\":\"z\",\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"up_since_ms\":0}";
+                    + "\",\"locality\":\"z\",\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"up_since_ms\":0}";
         }
 
         private void serve(Socket socket) throws Exception {
@@ -378,10 +396,10 @@
                     case "line" -> write(socket, "5" + part + " S 1 -");
                     case "empty" -> write(socket, "5" + part + " S 1 -\n");
                     case "control" -> write(socket, "5" + part + " S 1 -\n\u0001\u0002");
-                    case "short" -> socket.getOutputStream().write(("\200\0\0\0005" + part + " S 1 -\nval").getBytes(
-                        StandardCharsets.ISO_8859_1));
-                    case "3GB" -> socket.getOutputStream().write(("\0\0\0\2605" + part + " S 1 -\nvalue").getBytes(
-                        StandardCharsets.ISO_8859_1));
+                    case "short" -> socket.getOutputStream()
+                            .write(("\200\0\0\0005" + part + " S 1 -\nval").getBytes(StandardCharsets.ISO_8859_1));
+                    case "3GB" -> socket.getOutputStream()
+                            .write(("\0\0\0\2605" + part + " S 1 -\nvalue").getBytes(StandardCharsets.ISO_8859_1));
                     case "again" -> {
                         if (part.startsWith("second")) {
                             write(socket, "5first.0 S 1 -\nvalue");
@@ -389,7 +407,9 @@
                         write(socket, "5" + part + " S 1 -\nvalue");
                     }
                     case "twice", "report", "noise" -> {
-                        write(socket, "5" + part + " S 1 " + (way.equals("report") ? "queue=%%%" : "queue=0") + "\nvalue");
+                        write(
+                                socket,
+                                "5" + part + " S 1 " + (way.equals("report") ? "queue=%%%" : "queue=0") + "\nvalue");
                         if (way.equals("twice")) {
                             write(socket, "5" + part + " S 1 -\nvalue");
                         } else if (way.equals("noise")) {
@@ -402,7 +422,7 @@
                         release.take();
                         write(socket, "5" + part + " S 1 -\nvalue");
                     }
-                    default -> { }
+                    default -> {}
                 }
             }
         }
@@ -450,14 +470,23 @@
             String[] each = shards.replaceAll("[\\[\\]]", "").split(",");
             StringBuilder body = new StringBuilder("{\"slices\":[");
             for (int at = 0; at < each.length; at++) {
-                body.append(at == 0 ? "" : ",").append("{\"slice\":").append(each[at]).append(",\"mass\":")
-                    .append(1.0 / each.length).append(",\"micros\":9000,\"term\":\"00\"}");
+                body.append(at == 0 ? "" : ",")
+                        .append("{\"slice\":")
+                        .append(each[at])
+                        .append(",\"mass\":")
+                        .append(1.0 / each.length)
+                        .append(",\"micros\":9000,\"term\":\"00\"}");
             }
             String text = body.append("],\"filter\":\"t\u00e9\"}").toString();
             int length = text.getBytes(StandardCharsets.UTF_8).length;
-            send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: " + deadline
-                + "\r\n" + more + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + text
-                + "\r\n0\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n" + text) + ahead);
+            send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: "
+                    + deadline
+                    + "\r\n" + more
+                    + (chunked
+                            ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(length) + "\r\n" + text
+                                    + "\r\n0\r\n\r\n"
+                            : "Content-Length: " + length + "\r\n\r\n" + text)
+                    + ahead);
         }
 
         /** Status, blank, body; empty where the connection ended instead. */
--- a/daemon/src/test/java/pinewick/RegistryServeTest.java
+++ b/daemon/src/test/java/pinewick/RegistryServeTest.java
@@ -23,11 +23,13 @@
  * sockets. Whatever is waited for has a bound; nothing is told by how long it took.
  */
 class RegistryServeTest {
-    private static final String GRADE = "{\"name\":\"any\",\"slo-ns\":1e9,\"hard-limit-ns\":3e9,\"effect\":\"retryable\"}";
+    private static final String GRADE =
+            "{\"name\":\"any\",\"slo-ns\":1e9,\"hard-limit-ns\":3e9,\"effect\":\"retryable\"}";
     private static final String PREFIX = "/stores/";
 
     @TempDir
     Path folder;
+
     private StandinRegistry registry;
     private StandinSearchers searchers;
     private MixerProcess mixer;
@@ -41,9 +43,11 @@
             put(each, "ready");
         }
         Path operator = folder.resolve("operator.json");
-        Files.writeString(operator, "{\"registry\":{\"endpoints\":[\"" + registry.members().get(0).address() + "\",\""
-            + registry.members().get(1).address() + "\"],\"prefix\":\"" + PREFIX + "\",\"page-keys\":2,"
-            + "\"line-bytes\":65536,\"kept\":\"" + folder.resolve("kept") + "\"}}");
+        Files.writeString(
+                operator,
+                "{\"registry\":{\"endpoints\":[\"" + registry.members().get(0).address() + "\",\""
+                        + registry.members().get(1).address() + "\"],\"prefix\":\"" + PREFIX + "\",\"page-keys\":2,"
+                        + "\"line-bytes\":65536,\"kept\":\"" + folder.resolve("kept") + "\"}}");
         mixer = new MixerProcess(null, folder, operator, GRADE, 2);
     }
 
@@ -55,8 +59,10 @@
     }
 
     private void put(int searcher, String phase) {
-        registry.put(PREFIX + "s-" + searcher, "{\"addresses\":[\"" + searchers.address(searcher) + "\"],\"cell\":"
-            + searcher % 2 + ",\"phase\":\"" + phase + "\"}");
+        registry.put(
+                PREFIX + "s-" + searcher,
+                "{\"addresses\":[\"" + searchers.address(searcher) + "\"],\"cell\":" + searcher % 2 + ",\"phase\":\""
+                        + phase + "\"}");
     }
 
     private void start() throws Exception {
@@ -201,19 +207,26 @@
     @Test
     void valuesThatCannotBeReadAreNamedInTheLog() throws Exception {
         start();
-        registry.put(PREFIX + "s-1", "{\"addresses\":[\"127.0.0.1:1\"],\"phase\":\"asleep\"}".getBytes(StandardCharsets.UTF_8), 0);
+        registry.put(
+                PREFIX + "s-1",
+                "{\"addresses\":[\"127.0.0.1:1\"],\"phase\":\"asleep\"}".getBytes(StandardCharsets.UTF_8),
+                0);
         registry.put(PREFIX + "s-9", "{\"addresses\":[]}");
         awaitNewest();
         ask(4);
-        assertTrue(log().contains("/stores/s-1: phase: ready or draining is expected, not asleep; its last good state holds"));
+        assertTrue(log().contains(
+                        "/stores/s-1: phase: ready or draining is expected, not asleep; its last good state holds"));
         assertTrue(log().contains("/stores/s-9: addresses: at least one is expected"));
     }
 
     @Test
     void leasesThatRunOutInBulkEndAllSendsAndTheirReturnIsSeen() throws Exception {
         for (int each = 0; each < 4; each++) {
-            registry.put(PREFIX + "s-" + each, ("{\"addresses\":[\"" + searchers.address(each) + "\"],\"cell\":" + each % 2
-                + "}").getBytes(StandardCharsets.UTF_8), 5);
+            registry.put(
+                    PREFIX + "s-" + each,
+                    ("{\"addresses\":[\"" + searchers.address(each) + "\"],\"cell\":" + each % 2 + "}")
+                            .getBytes(StandardCharsets.UTF_8),
+                    5);
         }
         start();
         registry.expire(5);
@@ -241,8 +254,12 @@
     @Test
     void mixersCountEachOtherMoreAtOnceFewerLater() throws Exception {
         Path operator = folder.resolve("operator.json");
-        Files.writeString(operator, Files.readString(operator).replace("\"page-keys\"",
-            "\"mixers-prefix\":\"/mixers/\",\"lease-s\":2,\"lower-after-s\":1,\"page-keys\""));
+        Files.writeString(
+                operator,
+                Files.readString(operator)
+                        .replace(
+                                "\"page-keys\"",
+                                "\"mixers-prefix\":\"/mixers/\",\"lease-s\":2,\"lower-after-s\":1,\"page-keys\""));
         start();
         await("its own key", () -> counts("mixers-shown 1\nown-key-held 1"));
         // Two are stated; three are shown once others register, under a lease that then runs out.
@@ -268,8 +285,9 @@
     @Test
     void theLogIsJsonWithItsFieldsWhereTheOperatorSaysSo() throws Exception {
         Path operator = folder.resolve("operator.json");
-        Files.writeString(operator, Files.readString(operator).replaceFirst("\\{",
-            "{\"log\":{\"form\":\"json\",\"level\":\"info\"},"));
+        Files.writeString(
+                operator,
+                Files.readString(operator).replaceFirst("\\{", "{\"log\":{\"form\":\"json\",\"level\":\"info\"},"));
         start();
         awaitNewest();
         registry.put(PREFIX + "s-9", "{\"addresses\":[]}");
@@ -279,8 +297,8 @@
             var entry = com.google.gson.JsonParser.parseString(line).getAsJsonObject();
             assertTrue(entry.has("time") && entry.has("level") && entry.has("component"), line);
             whole |= entry.get("component").getAsString().equals("registry")
-                && entry.get("message").getAsString().startsWith("registry: whole view")
-                && entry.get("revision").getAsString().equals("5");
+                    && entry.get("message").getAsString().startsWith("registry: whole view")
+                    && entry.get("revision").getAsString().equals("5");
         }
         assertTrue(whole, log());
     }
@@ -288,8 +306,11 @@
     @Test
     void tenThousandSearchersAndAValueOfSixtyMegabytesAreFollowed() throws Exception {
         Path operator = folder.resolve("operator.json");
-        Files.writeString(operator, Files.readString(operator).replace("\"page-keys\":2,", "\"answer-s\":5,")
-            .replace("\"line-bytes\":65536", "\"line-bytes\":1048576"));
+        Files.writeString(
+                operator,
+                Files.readString(operator)
+                        .replace("\"page-keys\":2,", "\"answer-s\":5,")
+                        .replace("\"line-bytes\":65536", "\"line-bytes\":1048576"));
         start();
         for (int each = 0; each < 10_000; each++) {
             registry.put(PREFIX + "z-" + each, "{\"addresses\":[\"127.0.0.1:1\"],\"phase\":\"draining\"}");
@@ -307,7 +328,8 @@
     void aDrainWithAnAddressThatCannotBeUsedIsStillADrain() throws Exception {
         start();
         ask(4);
-        registry.put(PREFIX + "s-0", "{\"addresses\":[\"indice3.example.org:7070\"],\"cell\":0,\"phase\":\"draining\"}");
+        registry.put(
+                PREFIX + "s-0", "{\"addresses\":[\"indice3.example.org:7070\"],\"cell\":0,\"phase\":\"draining\"}");
         registry.put(PREFIX + "s-1", "{\"addresses\":[\"indice4.example.org:7070\"],\"cell\":1}");
         awaitNewest();
         int[] parts = ask(10);
--- a/daemon/src/test/java/pinewick/SearcherCrossingTest.java
+++ b/daemon/src/test/java/pinewick/SearcherCrossingTest.java
@@ -20,7 +20,8 @@
             Client client = new Client();
             for (int each = 0; each < 20 && a.frames.isEmpty(); each++) {
                 client.post(kind + each, "idempotent", "[0]", "", false);
-                assertTrue(client.answer().startsWith("200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"b-"), kind);
+                assertTrue(
+                        client.answer().startsWith("200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"b-"), kind);
             }
             assertNotNull(a.ended.poll(WAIT, TimeUnit.SECONDS), "the mixer closed it after " + kind);
             String figures = client.get("/counters");
--- a/daemon/src/test/java/pinewick/ServeTest.java
+++ b/daemon/src/test/java/pinewick/ServeTest.java
@@ -20,16 +20,23 @@
         start(a, b);
         Client client = new Client();
         client.post("q1", "deduplicated", "[0,1]", "Idempotency-Key: k1\r\n", false);
-        assertEquals("200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"a.q1.0\"},"
-            + "{\"slice\":1,\"body\":\"b.q1.1\"}]}", client.answer());
+        assertEquals(
+                "200 {\"entire\":true,\"items\":[{\"slice\":0,\"body\":\"a.q1.0\"},"
+                        + "{\"slice\":1,\"body\":\"b.q1.1\"}]}",
+                client.answer());
         String frame = a.frames.poll(WAIT, TimeUnit.SECONDS);
         assertTrue(frame.matches("1q1\\.0 0 d=\\d+,k=k1 3\nt\u00e9"), frame);
         client.post("q2", "idempotent", "[0]", "", true);
         assertTrue(client.answer().startsWith("200 "), "a chunked body on the same connection");
         String figures = client.get("/counters");
-        assertTrue(figures.contains("taken 2\n") && figures.contains("fulfilled-whole 2\n")
-            && figures.contains("launched 3\n") && figures.contains("ended-fulfilled 3\n")
-            && figures.contains("awaiting 0\n") && figures.contains("out 0\n"), figures);
+        assertTrue(
+                figures.contains("taken 2\n")
+                        && figures.contains("fulfilled-whole 2\n")
+                        && figures.contains("launched 3\n")
+                        && figures.contains("ended-fulfilled 3\n")
+                        && figures.contains("awaiting 0\n")
+                        && figures.contains("out 0\n"),
+                figures);
     }
 
     @Test
@@ -50,8 +57,12 @@
         String good = "{\"slices\":[{\"slice\":0,\"mass\":1}],\"filter\":\"x\"}";
         String kind = "Req-Kind: idempotent\r\n";
         String time = "Req-Deadline: 2.0\r\n";
-        String[][] bad = {{"Req-Id: q\r\n" + kind + time, "{\"slices\":"}, {"Req-Id: q\r\n" + kind + time, "[]"},
-            {kind + time, good}, {"Req-Id: q\r\n" + time, good}, {"Req-Id: q\r\n" + kind, good},
+        String[][] bad = {
+            {"Req-Id: q\r\n" + kind + time, "{\"slices\":"},
+            {"Req-Id: q\r\n" + kind + time, "[]"},
+            {kind + time, good},
+            {"Req-Id: q\r\n" + time, good},
+            {"Req-Id: q\r\n" + kind, good},
             {"Req-Id: q\r\n" + kind + "Req-Deadline: soon\r\n", good},
             {"Req-Id: q\r\n" + kind + "Req-Deadline: NaN\r\n", good},
             {"Req-Id: q\r\n" + kind + "Req-Deadline: -1\r\n", good},
@@ -69,12 +80,15 @@
             {"Req-Id: q\r\n" + kind + time, good.replace("\"mass\":1", "\"mass\":0.9")},
             {"Req-Id: q\r\n" + kind + time, good.replace("\"mass\":1", "\"mass\":1.1")},
             {"Req-Id: q\r\n" + kind + time, good.replace("\"mass\":1", "\"mass\":\"1\"")},
-            {"Req-Id: q\r\n" + kind + time, "{\"slices\":[{\"slice\":0,\"mass\":-1},{\"slice\":1,\"mass\":2}],"
-                + "\"filter\":\"x\"}"},
-            {"Req-Id: q\r\n" + kind + time, "{\"slices\":[{\"slice\":0,\"mass\":1}]}"}};
+            {
+                "Req-Id: q\r\n" + kind + time,
+                "{\"slices\":[{\"slice\":0,\"mass\":-1},{\"slice\":1,\"mass\":2}]," + "\"filter\":\"x\"}"
+            },
+            {"Req-Id: q\r\n" + kind + time, "{\"slices\":[{\"slice\":0,\"mass\":1}]}"}
+        };
         for (String[] each : bad) {
             client.send("POST /api HTTP/1.1\r\nHost: h\r\n" + each[0] + "Content-Length: " + each[1].length()
-                + "\r\n\r\n" + each[1]);
+                    + "\r\n\r\n" + each[1]);
             String answer = client.answer();
             assertTrue(answer.startsWith("400 "), each[0] + each[1] + " brought " + answer);
         }
@@ -86,18 +100,22 @@
         client.send("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: q\r\n" + kind + time + "Content-Length: 70000\r\n\r\n");
         assertTrue(client.answer().startsWith("413 "));
         Client chunked = new Client();
-        chunked.send("POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + ("4000\r\n"
-            + "x".repeat(0x4000) + "\r\n").repeat(5) + "0\r\n\r\n");
+        chunked.send("POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + ("4000\r\n" + "x".repeat(0x4000) + "\r\n").repeat(5) + "0\r\n\r\n");
         assertEquals("413 ", chunked.answer());
         assertEquals("", chunked.answer(), "nothing more is read there");
         String post = "POST /api HTTP/1.1\r\nHost: h\r\n";
-        String hidden = post + "Req-Id: hidden\r\n" + kind + time + "Content-Length: " + good.length() + "\r\n\r\n" + good;
-        for (String odd : List.of("NONSENSE\r\n\r\n", post + "Content-Length: -7\r\n\r\n",
-            post + "Content-Length: 99999999999999999999\r\n\r\n", post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
-            post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
-            post + "Content-Length: 5\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + hidden,
-            post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
-            "GET / HTTP/1.1\r\nHost: h\r\nLong: " + "y".repeat(20000) + "\r\n\r\n")) {
+        String hidden =
+                post + "Req-Id: hidden\r\n" + kind + time + "Content-Length: " + good.length() + "\r\n\r\n" + good;
+        for (String odd : List.of(
+                "NONSENSE\r\n\r\n",
+                post + "Content-Length: -7\r\n\r\n",
+                post + "Content-Length: 99999999999999999999\r\n\r\n",
+                post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+                post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+                post + "Content-Length: 5\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + hidden,
+                post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
+                "GET / HTTP/1.1\r\nHost: h\r\nLong: " + "y".repeat(20000) + "\r\n\r\n")) {
             Client broken = new Client();
             broken.send(odd);
             assertTrue(broken.answer().startsWith("400 "), odd);
@@ -125,8 +143,12 @@
 
     @Test
     void aBadConfigurationIsNamed() throws Exception {
-        for (String[] each : new String[][] {{"", "EDGE_CONFIG"}, {"{", "EDGE_CONFIG"}, {"{}", "EDGE_LISTEN"},
-            {"{\"listen\":\"here\",\"discovery\":\"127.0.0.1:1\",\"settings\":{}}", "settings"}}) {
+        for (String[] each : new String[][] {
+            {"", "EDGE_CONFIG"},
+            {"{", "EDGE_CONFIG"},
+            {"{}", "EDGE_LISTEN"},
+            {"{\"listen\":\"here\",\"discovery\":\"127.0.0.1:1\",\"settings\":{}}", "settings"}
+        }) {
             Path file = folder.resolve("bad.json");
             Files.writeString(file, each[0]);
             ProcessBuilder builder = program(each[0].isEmpty() ? folder.resolve("none") : file);
--- a/daemon/src/test/java/pinewick/StateServeTest.java
+++ b/daemon/src/test/java/pinewick/StateServeTest.java
@@ -33,6 +33,7 @@
 
     @TempDir
     Path folder;
+
     private StandinSearchers searchers;
     private FleetProcesses fleet;
     private int asked;
@@ -115,9 +116,12 @@
                 assertEquals(200, ask(mixer));
             }
         }
-        assertTrue(FleetProcesses.within(3, () -> knows(3, 0.35, TAKES_LONGER)), () -> "mixer 3 never asked a searcher: " + paces(3));
+        assertTrue(
+                FleetProcesses.within(3, () -> knows(3, 0.35, TAKES_LONGER)),
+                () -> "mixer 3 never asked a searcher: " + paces(3));
         assertTrue(FleetProcesses.within(START, () -> digestsAgree(4)), "the copies agree once nothing new comes");
-        // A figure is a median over the other mixers' words, so only this mixer's own, of before, says what it has to be.
+        // A figure is a median over the other mixers' words, so only this mixer's own, of before, says what it has to
+        // be.
         Map<String, Double> before = paces(3);
         fleet.mixer(3).stop(false);
         fleet.start(3);
@@ -166,13 +170,19 @@
         try {
             assertTrue(FleetProcesses.within(10, () -> !figure(0, "state-facts").equals("0")));
             fleet.relay().cut((from, to) -> false);
-            assertTrue(FleetProcesses.within(10, () -> figure(2, "state-warned").contains("s-2")), () -> figure(2, "state-warned"));
+            assertTrue(
+                    FleetProcesses.within(10, () -> figure(2, "state-warned").contains("s-2")),
+                    () -> figure(2, "state-warned"));
         } finally {
             over[0] = true;
             asks.join();
         }
-        assertTrue(FleetProcesses.within(10, () -> figure(0, "state-digest").equals(figure(2, "state-digest"))
-            && figure(1, "state-digest").equals(figure(2, "state-digest"))), "the copies agree once nothing new comes");
+        assertTrue(
+                FleetProcesses.within(
+                        10,
+                        () -> figure(0, "state-digest").equals(figure(2, "state-digest"))
+                                && figure(1, "state-digest").equals(figure(2, "state-digest"))),
+                "the copies agree once nothing new comes");
     }
 
     private String figure(int mixer, String name) {
@@ -198,9 +208,11 @@
                     lies.add(new Fact(key, FactKind.PACE, 1 + round % 3, stamp, 1e5, 1e5));
                 }
                 byte[] datagram = FactText.facts(lies.subList(0, Math.min(lies.size(), FactText.FACTS)), false);
-                liar.send(new DatagramPacket(datagram, datagram.length, fleet.relay().address(1, 0)));
+                liar.send(new DatagramPacket(
+                        datagram, datagram.length, fleet.relay().address(1, 0)));
                 datagram[5] ^= 1;
-                liar.send(new DatagramPacket(datagram, datagram.length, fleet.relay().address(1, 0)));
+                liar.send(new DatagramPacket(
+                        datagram, datagram.length, fleet.relay().address(1, 0)));
                 assertEquals(200, ask(0), "round " + round);
             }
         }
@@ -212,7 +224,10 @@
     @Test
     void aSnapshotIsTakenUpAndOneThatIsSpoiltStaleOrAnothersIsRefusedOnce() throws Exception {
         Path snapshot = folder.resolve("snapshot");
-        fleet(1, "{\"fleet\":{\"state\":\"on\",\"snapshot-every-s\":1,\"snapshot\":\"" + snapshot + "\"}}", searchers());
+        fleet(
+                1,
+                "{\"fleet\":{\"state\":\"on\",\"snapshot-every-s\":1,\"snapshot\":\"" + snapshot + "\"}}",
+                searchers());
         fleet.start(0);
         assertTrue(fleet.mixer(0).awaitReady(START));
         for (int each = 0; each < 10; each++) {
@@ -223,7 +238,8 @@
         fleet.start(0);
         assertTrue(fleet.mixer(0).awaitReady(START));
         assertTrue(log(0).contains("snapshot: "), () -> log(0));
-        assertTrue(Integer.parseInt(figure(0, "state-facts")) > 0, "with nobody to ask and nothing asked, from the disk");
+        assertTrue(
+                Integer.parseInt(figure(0, "state-facts")) > 0, "with nobody to ask and nothing asked, from the disk");
         fleet.mixer(0).stop(false);
         byte[] whole = Files.readAllBytes(snapshot);
         byte[] flipped = whole.clone();
@@ -250,8 +266,11 @@
 
     private int holds(Path snapshot) {
         try {
-            return Files.exists(snapshot) ? SnapshotText.read(Files.readAllBytes(snapshot), 0, 1,
-                System.currentTimeMillis() / 1e3, 60).facts().size() : 0;
+            return Files.exists(snapshot)
+                    ? SnapshotText.read(Files.readAllBytes(snapshot), 0, 1, System.currentTimeMillis() / 1e3, 60)
+                            .facts()
+                            .size()
+                    : 0;
         } catch (java.io.IOException odd) {
             return 0;
         }
--- a/daemon/src/test/java/pinewick/life/LaunchCrossingTest.java
+++ b/daemon/src/test/java/pinewick/life/LaunchCrossingTest.java
@@ -44,8 +44,8 @@
 class LaunchCrossingTest {
     private static final int WAIT = 10;
     private static final String SETTINGS = "{\"settings\":{\"categories\":[{\"name\":\"any\",\"slo-ns\":1e9,"
-        + "\"hard-limit-ns\":3e9,\"effect\":\"retryable\"}],\"bounds\":{\"multiplex\":10,\"try-limit\":3},"
-        + "\"family-info\":{\"cells\":1,\"reach\":1,\"slabs\":1}}}";
+            + "\"hard-limit-ns\":3e9,\"effect\":\"retryable\"}],\"bounds\":{\"multiplex\":10,\"try-limit\":3},"
+            + "\"family-info\":{\"cells\":1,\"reach\":1,\"slabs\":1}}}";
 
     private final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
     private ServerSocket searcher;
@@ -63,16 +63,17 @@
                     Socket mixer = searcher.accept();
                     DataInputStream in = new DataInputStream(mixer.getInputStream());
                     new Thread(() -> {
-                        try {
-                            while (true) {
-                                byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
-                                in.readFully(frame);
-                                frames.add(new String(frame, StandardCharsets.UTF_8));
-                            }
-                        } catch (IOException over) {
-                            // The mixer is gone.
-                        }
-                    }).start();
+                                try {
+                                    while (true) {
+                                        byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
+                                        in.readFully(frame);
+                                        frames.add(new String(frame, StandardCharsets.UTF_8));
+                                    }
+                                } catch (IOException over) {
+                                    // The mixer is gone.
+                                }
+                            })
+                            .start();
                 }
             } catch (IOException over) {
                 // The story is over.
@@ -85,11 +86,19 @@
         loop = new Loop(worker.getIoThread(), log);
         JsonObject settings = JsonParser.parseString(SETTINGS).getAsJsonObject();
         onLoop(() -> {
-            chain = new Chain(DeploymentTerms.read(settings.getAsJsonObject("settings")), Limits.of(settings), 7, loop,
-                log, new DefaultByteBufferPool(true, 8 << 10, 16, 4), SearcherLink::dial);
+            chain = new Chain(
+                    DeploymentTerms.read(settings.getAsJsonObject("settings")),
+                    Limits.of(settings),
+                    7,
+                    loop,
+                    log,
+                    new DefaultByteBufferPool(true, 8 << 10, 16, 4),
+                    SearcherLink::dial);
             chain.list(list(Host.Stage.READY), Host.ListForm.WHOLE);
-            door = worker.createStreamConnectionServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                ChannelListeners.openListenerAdapter(chain.door), OptionMap.EMPTY);
+            door = worker.createStreamConnectionServer(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    ChannelListeners.openListenerAdapter(chain.door),
+                    OptionMap.EMPTY);
             door.resumeAccepts();
         });
     }
@@ -102,8 +111,11 @@
     }
 
     private ListText.Piece list(Host.Stage stage) {
-        return new ListText.Piece(1, true, List.of(new Host.Listing("a", 0, "", stage, 0)),
-            List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), searcher.getLocalPort())));
+        return new ListText.Piece(
+                1,
+                true,
+                List.of(new Host.Listing("a", 0, "", stage, 0)),
+                List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), searcher.getLocalPort())));
     }
 
     private interface Work {
@@ -127,15 +139,17 @@
     }
 
     private Socket client() throws IOException {
-        return new Socket(InetAddress.getLoopbackAddress(),
-            door.getLocalAddress(InetSocketAddress.class).getPort());
+        return new Socket(
+                InetAddress.getLoopbackAddress(),
+                door.getLocalAddress(InetSocketAddress.class).getPort());
     }
 
     private static void post(Socket client, String id) throws IOException {
         String body = "{\"slices\":[{\"slice\":0,\"mass\":1}],\"filter\":\"f\"}";
-        client.getOutputStream().write(("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: any\r\n"
-            + "Req-Deadline: 2\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-            .getBytes(StandardCharsets.US_ASCII));
+        client.getOutputStream()
+                .write(("POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: any\r\n"
+                                + "Req-Deadline: 2\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     /** Runs this between the first batch that has taken a query from now on, and its launches. */
@@ -176,7 +190,9 @@
 
     @Test
     void nothingBeginsForAClientThatLeftWhileItsBatchWasHandled() throws Exception {
-        try (Socket first = firstQuery(); Socket leaver = client(); Socket last = client()) {
+        try (Socket first = firstQuery();
+                Socket leaver = client();
+                Socket last = client()) {
             beforeLaunches(() -> {
                 leaver.setSoLinger(true, 0);
                 leaver.close();
@@ -197,7 +213,8 @@
 
     @Test
     void aDrainToldInTheBatchOfALaunchComesBeforeIt() throws Exception {
-        try (Socket first = firstQuery(); Socket second = client()) {
+        try (Socket first = firstQuery();
+                Socket second = client()) {
             beforeLaunches(() -> chain.list(list(Host.Stage.DRAINING), Host.ListForm.CHANGES));
             post(second, "second");
             assertEquals("HTTP/1.1 503", new String(second.getInputStream().readNBytes(12), StandardCharsets.US_ASCII));
@@ -207,7 +224,8 @@
 
     @Test
     void aDrainThatCameDuringALongBatchIsReadBeforeTheLaunch() throws Exception {
-        try (Socket first = firstQuery(); Socket second = client()) {
+        try (Socket first = firstQuery();
+                Socket second = client()) {
             chain.looksAtList(() -> chain.list(list(Host.Stage.DRAINING), Host.ListForm.CHANGES));
             beforeLaunches(() -> assertNull(frames.poll(100, TimeUnit.MILLISECONDS)));
             post(second, "second");
--- a/daemon/src/test/java/pinewick/life/OperatorFileTest.java
+++ b/daemon/src/test/java/pinewick/life/OperatorFileTest.java
@@ -22,7 +22,7 @@
 
     private static JsonSchema schema() throws Exception {
         return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
-            .getSchema(Files.readString(DEPLOY.resolve("operator.schema.json")));
+                .getSchema(Files.readString(DEPLOY.resolve("operator.schema.json")));
     }
 
     @Test
@@ -34,9 +34,14 @@
 
     @Test
     void goodFilesAreGoodToBoth() throws Exception {
-        for (String text : new String[] {"{}", "{\"registry\":{" + GOOD + "}}",
-            "{\"fleet\":{}}", "{\"fleet\":{\"view\":\"off\"}}", "{\"fleet\":{\"period-s\":1,\"silence-s\":5}}",
-            "{\"registry\":{\"endpoints\":[\"[::1]:2379\"],\"prefix\":\"p\",\"page-keys\":1,\"answer-s\":0.05,\"kept\":\"/x\"}}"}) {
+        for (String text : new String[] {
+            "{}",
+            "{\"registry\":{" + GOOD + "}}",
+            "{\"fleet\":{}}",
+            "{\"fleet\":{\"view\":\"off\"}}",
+            "{\"fleet\":{\"period-s\":1,\"silence-s\":5}}",
+            "{\"registry\":{\"endpoints\":[\"[::1]:2379\"],\"prefix\":\"p\",\"page-keys\":1,\"answer-s\":0.05,\"kept\":\"/x\"}}"
+        }) {
             OperatorFile.of(JsonParser.parseString(text));
             assertTrue(schema().validate(text, InputFormat.JSON).isEmpty(), text);
         }
@@ -59,49 +64,71 @@
         bad.put("{\"registry\":5}", "/registry: an object is expected");
         bad.put("{\"registry\":{\"prefix\":\"p\"}}", "/registry/endpoints: a list of at least one");
         bad.put("{\"registry\":{\"endpoints\":[],\"prefix\":\"p\"}}", "/registry/endpoints: a list of at least one");
-        bad.put("{\"registry\":{\"endpoints\":[\"127.0.0.1:1\",\"etcd.example.org:2379\"],\"prefix\":\"p\"}}",
-            "/registry/endpoints/1: an address and port");
+        bad.put(
+                "{\"registry\":{\"endpoints\":[\"127.0.0.1:1\",\"etcd.example.org:2379\"],\"prefix\":\"p\"}}",
+                "/registry/endpoints/1: an address and port");
         bad.put("{\"registry\":{\"endpoints\":[7],\"prefix\":\"p\"}}", "/registry/endpoints/0: an address and port");
         bad.put("{\"registry\":{\"endpoints\":[\"127.0.0.1:1\"]}}", "/registry/prefix: a text that is not empty");
         bad.put("{\"registry\":{\"endpoints\":[\"127.0.0.1:1\"],\"prefix\":\"\"}}", "/registry/prefix: a text");
         bad.put("{\"registry\":{" + GOOD + ",\"page-keys\":0}}", "/registry/page-keys: a whole number from 1 to 10000");
         bad.put("{\"registry\":{" + GOOD + ",\"page-keys\":2.5}}", "/registry/page-keys: a whole number");
-        bad.put("{\"registry\":{" + GOOD + ",\"probe-every-s\":\"0.1\"}}", "/registry/probe-every-s: a number from 0.05 to 10");
+        bad.put(
+                "{\"registry\":{" + GOOD + ",\"probe-every-s\":\"0.1\"}}",
+                "/registry/probe-every-s: a number from 0.05 to 10");
         bad.put("{\"registry\":{" + GOOD + ",\"answer-s\":31}}", "/registry/answer-s: a number from 0.05 to 30");
         bad.put("{\"registry\":{" + GOOD + ",\"watch\":true}}", "/registry/watch: unknown field");
         bad.put("{\"registry\":{" + GOOD + ",\"kept\":\"\"}}", "/registry/kept: a text that is not empty");
         for (Map.Entry<String, String> each : bad.entrySet()) {
-            IllegalArgumentException refused = assertThrows(IllegalArgumentException.class,
-                () -> OperatorFile.of(JsonParser.parseString(each.getKey())), each.getKey());
+            IllegalArgumentException refused = assertThrows(
+                    IllegalArgumentException.class,
+                    () -> OperatorFile.of(JsonParser.parseString(each.getKey())),
+                    each.getKey());
             assertTrue(refused.getMessage().contains(each.getValue()), refused.getMessage());
-            assertTrue(!schema().validate(each.getKey(), InputFormat.JSON).isEmpty(), "the schema takes " + each.getKey());
+            assertTrue(
+                    !schema().validate(each.getKey(), InputFormat.JSON).isEmpty(), "the schema takes " + each.getKey());
         }
     }
 
     @Test
     void allWrongFieldsAreNamedAtOnce() {
-        IllegalArgumentException refused = assertThrows(IllegalArgumentException.class, () -> OperatorFile.of(
-            JsonParser.parseString("{\"x\":1,\"registry\":{\"endpoints\":[\"a\"],\"prefix\":3,\"answer-s\":0}}")));
+        IllegalArgumentException refused = assertThrows(
+                IllegalArgumentException.class,
+                () -> OperatorFile.of(JsonParser.parseString(
+                        "{\"x\":1,\"registry\":{\"endpoints\":[\"a\"],\"prefix\":3,\"answer-s\":0}}")));
         assertEquals(4, refused.getMessage().lines().count(), refused.getMessage());
     }
 
     @Test
     void mixersUnderTheSearchersPrefixAreRefused() {
-        assertTrue(assertThrows(IllegalArgumentException.class, () -> OperatorFile.of(JsonParser.parseString(
-            "{\"registry\":{" + GOOD + ",\"mixers-prefix\":\"/s/m/\"}}"))).getMessage().contains("must not overlap"));
+        assertTrue(assertThrows(
+                        IllegalArgumentException.class,
+                        () -> OperatorFile.of(
+                                JsonParser.parseString("{\"registry\":{" + GOOD + ",\"mixers-prefix\":\"/s/m/\"}}")))
+                .getMessage()
+                .contains("must not overlap"));
     }
 
     @Test
     void aSilenceThatIsShortBesideThePeriodIsRefusedByTheReader() {
-        IllegalArgumentException wrong = assertThrows(IllegalArgumentException.class, () -> OperatorFile.of(
-            JsonParser.parseString("{\"fleet\":{\"period-s\":2,\"silence-s\":3}}")));
+        IllegalArgumentException wrong = assertThrows(
+                IllegalArgumentException.class,
+                () -> OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"period-s\":2,\"silence-s\":3}}")));
         assertTrue(wrong.getMessage().contains("/fleet/silence-s: at least four times period-s"), wrong.getMessage());
     }
 
     @Test
     void theViewOfTheMixersIsOnWithTheUsualTimesUnlessSaidOtherwise() {
-        assertEquals(pinewick.fleet.FleetTerms.usual(), OperatorFile.of(JsonParser.parseString("{}")).fleet());
-        assertEquals(null, OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"view\":\"off\"}}")).fleet());
-        assertEquals(5, OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"silence-s\":5}}")).fleet().silence());
+        assertEquals(
+                pinewick.fleet.FleetTerms.usual(),
+                OperatorFile.of(JsonParser.parseString("{}")).fleet());
+        assertEquals(
+                null,
+                OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"view\":\"off\"}}"))
+                        .fleet());
+        assertEquals(
+                5,
+                OperatorFile.of(JsonParser.parseString("{\"fleet\":{\"silence-s\":5}}"))
+                        .fleet()
+                        .silence());
     }
 }
--- a/daemon/src/test/java/pinewick/wire/ListFreshnessTest.java
+++ b/daemon/src/test/java/pinewick/wire/ListFreshnessTest.java
@@ -14,7 +14,13 @@
 /** When the list is doubted and asked for again, in times handed in, against agents that fail by seed. */
 class ListFreshnessTest {
     /** What the agent does with one try. */
-    private enum Way { REFUSES, ACCEPTS_ONLY, HEAD_ONLY, SPOILT, GOOD }
+    private enum Way {
+        REFUSES,
+        ACCEPTS_ONLY,
+        HEAD_ONLY,
+        SPOILT,
+        GOOD
+    }
 
     /** An agent that fails by chance until {@code goodFrom}, then gives whole lists, but watches that say nothing. */
     private static final class Run {
@@ -61,7 +67,7 @@
                         freshness.head(); // and nothing more
                     }
                 }
-                default -> { }
+                default -> {}
             }
             now = way == Way.ACCEPTS_ONLY || way == Way.HEAD_ONLY ? now : late;
         }
@@ -100,7 +106,7 @@
             now = freshness.dueAt();
             switch (freshness.due(now)) {
                 case LEAVE -> tries += freshness.dueAt() <= 2 + ListFreshness.TOLD_AFTER && now > 5.5 ? 1 : 0;
-                default -> { }
+                default -> {}
             }
         }
         assertTrue(tries >= 2, tries + " whole tries that said nothing");
@@ -145,7 +151,7 @@
         assertEquals(List.of(odd, odd, odd), cut);
         assertEquals(3, lines[0]);
         assertThrows(IllegalArgumentException.class, () -> cutter.feed((byte) '}'));
-        ObjectCutter small = new ObjectCutter(4, cut::add, () -> { });
+        ObjectCutter small = new ObjectCutter(4, cut::add, () -> {});
         assertThrows(IllegalArgumentException.class, () -> {
             for (byte one : odd.getBytes(StandardCharsets.UTF_8)) {
                 small.feed(one);
--- a/daemon/src/test/java/pinewick/wire/SearcherLinkTest.java
+++ b/daemon/src/test/java/pinewick/wire/SearcherLinkTest.java
@@ -58,8 +58,7 @@
         }
 
         @Override
-        public void probed(String from, long probe, boolean good, Host.LoadReport report) {
-        }
+        public void probed(String from, long probe, boolean good, Host.LoadReport report) {}
 
         @Override
         public void spoilt(SearcherLink from, String why, LiveLaunch launch) {
@@ -95,15 +94,20 @@
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         loop = new Loop(worker.getIoThread(), new Log(System.err, 10));
         server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        limits = Limits.of(JsonParser.parseString("{\"settings\":{\"categories\":[],\"bounds\":"
-            + "{\"multiplex\":10,\"dial-timeout-ns\":1e9}}}").getAsJsonObject());
+        limits = Limits.of(JsonParser.parseString(
+                        "{\"settings\":{\"categories\":[],\"bounds\":" + "{\"multiplex\":10,\"dial-timeout-ns\":1e9}}}")
+                .getAsJsonObject());
         onLoop(() -> {
-            link = new SearcherLink("a", new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
-                loop, limits, new Told());
+            link = new SearcherLink(
+                    "a",
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+                    loop,
+                    limits,
+                    new Told());
             link.dial();
         });
         searcher = server.accept();
-        onLoop(() -> { });
+        onLoop(() -> {});
     }
 
     @AfterEach
@@ -147,8 +151,12 @@
 
     private void answer(String part) throws IOException {
         byte[] text = ("5" + part + " S 1 -\nvalue").getBytes(StandardCharsets.UTF_8);
-        searcher.getOutputStream().write(ByteBuffer.allocate(4 + text.length).order(ByteOrder.LITTLE_ENDIAN)
-            .putInt(text.length).put(text).array());
+        searcher.getOutputStream()
+                .write(ByteBuffer.allocate(4 + text.length)
+                        .order(ByteOrder.LITTLE_ENDIAN)
+                        .putInt(text.length)
+                        .put(text)
+                        .array());
     }
 
     private String next() throws InterruptedException {
@@ -204,8 +212,12 @@
         }
         SearcherLink[] second = new SearcherLink[1];
         onLoop(() -> {
-            second[0] = new SearcherLink("a", new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                server.getLocalPort()), loop, limits, new Told());
+            second[0] = new SearcherLink(
+                    "a",
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+                    loop,
+                    limits,
+                    new Told());
             second[0].dial();
             second[0].send(List.of(launch("q1", 3)));
         });
--- a/lab/src/main/java/pinewick/lab/AddressLab.java
+++ b/lab/src/main/java/pinewick/lab/AddressLab.java
@@ -31,13 +31,14 @@
     private static final String FOUR = "192.0.2.3:7070";
 
     /** What an address does at a time: seconds until it opens; NaN hangs, negative refuses after so many seconds. */
-    private record Case(String name, String good, Map<String, DoubleUnaryOperator> does) {
-    }
+    private record Case(String name, String good, Map<String, DoubleUnaryOperator> does) {}
 
     @Option(names = "--quick", description = "fewer connects")
     private boolean quick;
+
     @Option(names = "--seed", description = "of all chance (default ${DEFAULT-VALUE})")
     private long seed = 20261201;
+
     @Option(names = "--results", description = "folder for table and figures (default ${DEFAULT-VALUE})")
     private Path results = Path.of("results/addresses");
 
@@ -45,9 +46,11 @@
     public Integer call() throws Exception {
         SplittableRandom chance = new SplittableRandom(seed);
         int connects = quick ? 500 : 5000;
-        StringBuilder table = new StringBuilder("Seconds to a connection, ms (simulator): first; then median and 99th percentile after "
-            + "the first 20, one connect a second, " + connects + " connects\n\n| case | known good alone | ours | one after "
-            + "another, fixed 250 ms | plain race, no history |\n| --- | --- | --- | --- | --- |\n");
+        StringBuilder table = new StringBuilder(
+                "Seconds to a connection, ms (simulator): first; then median and 99th percentile after "
+                        + "the first 20, one connect a second, " + connects
+                        + " connects\n\n| case | known good alone | ours | one after "
+                        + "another, fixed 250 ms | plain race, no history |\n| --- | --- | --- | --- | --- |\n");
         JsonObject figures = new JsonObject();
         figures.addProperty("experiment", "addresses, simulator");
         figures.addProperty("seed", seed);
@@ -59,8 +62,12 @@
             int lost = 0;
             for (int each = 0; each < connects; each++) {
                 double now = each;
-                double[] took = {one.does.get(one.good).applyAsDouble(now), race(one, book, now), inTurn(one, now),
-                    race(one, book(one), now)};
+                double[] took = {
+                    one.does.get(one.good).applyAsDouble(now),
+                    race(one, book, now),
+                    inTurn(one, now),
+                    race(one, book(one), now)
+                };
                 for (int way = 0; way < 4; way++) {
                     if (each == 0) {
                         first[way] = took[way];
@@ -73,15 +80,21 @@
             }
             table.append("| ").append(one.name);
             for (int way = 0; way < 4; way++) {
-                table.append(String.format(" | %.0f; %.1f, %.1f", first[way] * 1e3, times[way].getValueAtPercentile(50) / 1e3,
-                    times[way].getValueAtPercentile(99) / 1e3));
+                table.append(String.format(
+                        " | %.0f; %.1f, %.1f",
+                        first[way] * 1e3,
+                        times[way].getValueAtPercentile(50) / 1e3,
+                        times[way].getValueAtPercentile(99) / 1e3));
             }
             table.append(" |\n");
             boolean near = times[1].getValueAtPercentile(50) <= 1.1 * times[0].getValueAtPercentile(50);
             boolean good = near && lost == 0 && first[1] < 0.3;
             if (!good) {
-                table.append("| ").append(one.name).append(": not within 10% of the good address, or lost ").append(lost)
-                    .append(", or the first over 300 ms | | | | |\n");
+                table.append("| ")
+                        .append(one.name)
+                        .append(": not within 10% of the good address, or lost ")
+                        .append(lost)
+                        .append(", or the first over 300 ms | | | | |\n");
             }
             pass &= good;
             JsonObject mine = new JsonObject();
@@ -112,15 +125,19 @@
         cases.add(of("Unix socket hangs", SIX, hangs, quickly, quickly));
         cases.add(of("Unix socket and IPv6 hang", FOUR, hangs, hangs, quickly));
         cases.add(of("Unix socket refuses", SIX, refuses, quickly, quickly));
-        cases.add(of("IPv6 flaps each second", FOUR, null, now -> Math.floorMod((long) now, 2L) == 0 ? 0.002 : Double.NaN,
-            quickly));
+        cases.add(of(
+                "IPv6 flaps each second",
+                FOUR,
+                null,
+                now -> Math.floorMod((long) now, 2L) == 0 ? 0.002 : Double.NaN,
+                quickly));
         cases.add(of("IPv6 is slow, not dead", FOUR, null, slow, quickly));
         cases.add(of("IPv6 returns after a minute", FOUR, null, now -> now % 120 < 60 ? Double.NaN : 0.002, quickly));
         return cases;
     }
 
-    private static Case of(String name, String good, DoubleUnaryOperator unix, DoubleUnaryOperator six,
-                           DoubleUnaryOperator four) {
+    private static Case of(
+            String name, String good, DoubleUnaryOperator unix, DoubleUnaryOperator six, DoubleUnaryOperator four) {
         Map<String, DoubleUnaryOperator> does = new LinkedHashMap<>();
         if (unix != null) {
             does.put(UNIX, unix);
@@ -149,8 +166,7 @@
         return Double.NaN;
     }
 
-    private record Due(double at, Runnable what) {
-    }
+    private record Due(double at, Runnable what) {}
 
     /** One race in virtual time; the seconds until its winner came up, NaN where it was lost. */
     private static double race(Case one, AddressBook book, double began) {
--- a/lab/src/main/java/pinewick/lab/FleetLab.java
+++ b/lab/src/main/java/pinewick/lab/FleetLab.java
@@ -28,15 +28,18 @@
 @Command(name = "fleet", description = "Joins, crashes, pauses and splits of the mixers; emulator, then processes.")
 final class FleetLab implements Callable<Integer> {
     private static final double LONGEST = 60;
-    private static final List<String> CASES = List.of("crash", "join", "pause of 2 s", "split of 6 s healed",
-        "seven in ten killed");
+    private static final List<String> CASES =
+            List.of("crash", "join", "pause of 2 s", "split of 6 s healed", "seven in ten killed");
 
     @Option(names = "--quick", description = "ends within 45 s: one seed, no thousand with much loss")
     private boolean quick;
+
     @Option(names = "--seed", description = "of all chance (default ${DEFAULT-VALUE})")
     private long seed = 20261201;
+
     @Option(names = "--jar", description = "the mixer's program (default ${DEFAULT-VALUE})")
     private Path jar = Path.of("daemon/target/pinewick.jar");
+
     @Option(names = "--results", description = "folder for table, figures and chart (default ${DEFAULT-VALUE})")
     private Path results = Path.of("results/fleet");
 
@@ -53,8 +56,11 @@
         void took(String what, double[] each) {
             for (double one : each) {
                 times.computeIfAbsent(what, any -> new ArrayList<>()).add(one);
-                worst.merge(what, one, (left, right) -> Double.isNaN(left) || Double.isNaN(right) ? Double.NaN
-                    : Math.max(left, right));
+                worst.merge(
+                        what,
+                        one,
+                        (left, right) ->
+                                Double.isNaN(left) || Double.isNaN(right) ? Double.NaN : Math.max(left, right));
             }
         }
 
@@ -83,8 +89,7 @@
         return pass ? 0 : 1;
     }
 
-    private record Setting(int size, double loss) {
-    }
+    private record Setting(int size, double loss) {}
 
     private boolean virtual(JsonObject figures) throws IOException {
         List<Setting> settings = new ArrayList<>();
@@ -104,11 +109,13 @@
                 play(each, seed + run, found.get(each));
             }
         });
-        StringBuilder table = new StringBuilder("Seconds until a live member holds the true view for good: median, worst "
-            + "(emulator, virtual time; datagrams take 1 to 18 ms, one in a hundred comes twice)\n\n| members, lost, runs |");
+        StringBuilder table = new StringBuilder(
+                "Seconds until a live member holds the true view for good: median, worst "
+                        + "(emulator, virtual time; datagrams take 1 to 18 ms, one in a hundred comes twice)\n\n| members, lost, runs |");
         CASES.forEach(each -> table.append(' ').append(each).append(" |"));
         table.append(" false deaths | datagrams, bytes a member a second | most datagrams in a second |\n| --- |"
-            + " --- |".repeat(CASES.size() + 3)).append('\n');
+                        + " --- |".repeat(CASES.size() + 3))
+                .append('\n');
         boolean pass = true;
         for (Map.Entry<Setting, Found> each : found.entrySet()) {
             Setting setting = each.getKey();
@@ -121,8 +128,9 @@
                 number(mine, what + ", median s", its.median(what));
                 number(mine, what + ", worst s", its.worst.get(what));
             }
-            table.append(String.format(" %d | %.1f, %.0f | %d |%n", its.falseDeaths, its.datagrams / its.runs,
-                its.bytes / its.runs, its.most));
+            table.append(String.format(
+                    " %d | %.1f, %.0f | %d |%n",
+                    its.falseDeaths, its.datagrams / its.runs, its.bytes / its.runs, its.most));
             mine.addProperty("falseDeaths", its.falseDeaths);
             number(mine, "bytesASecond", its.bytes / its.runs);
             mine.addProperty("mostDatagramsInASecond", its.most);
@@ -131,8 +139,9 @@
                 pass &= its.falseDeaths == 0 && its.bytes / its.runs < 2000;
             }
             if (setting.size == 100 && setting.loss == 0.1) {
-                pass &= its.worst.get("crash") <= 3 && its.worst.get("join") <= 2
-                    && its.worst.get("split of 6 s healed") <= 3;
+                pass &= its.worst.get("crash") <= 3
+                        && its.worst.get("join") <= 2
+                        && its.worst.get("split of 6 s healed") <= 3;
             }
         }
         double least = found.get(new Setting(10, 0.1)).bytes / found.get(new Setting(10, 0.1)).runs;
@@ -217,20 +226,36 @@
     /** Members held for dead since then by anyone though they were not. */
     private static int newDeaths(VirtualFleet fleet, int from, java.util.function.IntPredicate truly) {
         return (int) fleet.deaths().subList(from, fleet.deaths().size()).stream()
-            .mapToInt(each -> Integer.parseInt(each.split(" ")[0])).distinct().filter(each -> !truly.test(each)).count();
+                .mapToInt(each -> Integer.parseInt(each.split(" ")[0]))
+                .distinct()
+                .filter(each -> !truly.test(each))
+                .count();
     }
 
     private void chart(Map<Setting, Found> found) throws IOException {
-        XYChart chart = new XYChartBuilder().width(800).height(480).title("Members that hold the true view after a crash, 10% lost")
-            .xAxisTitle("seconds since the crash").yAxisTitle("share of the live members").build();
+        XYChart chart = new XYChartBuilder()
+                .width(800)
+                .height(480)
+                .title("Members that hold the true view after a crash, 10% lost")
+                .xAxisTitle("seconds since the crash")
+                .yAxisTitle("share of the live members")
+                .build();
         for (int size : new int[] {10, 100, 1000}) {
-            double[] times = found.get(new Setting(size, 0.1)).times.get("crash").stream().mapToDouble(each -> each)
-                .filter(each -> !Double.isNaN(each)).sorted().toArray();
-            double[] shares = IntStream.range(0, times.length).mapToDouble(each -> (each + 1.0) / times.length).toArray();
-            chart.addSeries(size + " members", times, shares).setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
+            double[] times = found.get(new Setting(size, 0.1)).times.get("crash").stream()
+                    .mapToDouble(each -> each)
+                    .filter(each -> !Double.isNaN(each))
+                    .sorted()
+                    .toArray();
+            double[] shares = IntStream.range(0, times.length)
+                    .mapToDouble(each -> (each + 1.0) / times.length)
+                    .toArray();
+            chart.addSeries(size + " members", times, shares)
+                    .setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
         }
-        VectorGraphicsEncoder.saveVectorGraphic(chart, results.resolve(quick ? "crash-quick" : "crash").toString(),
-            VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        VectorGraphicsEncoder.saveVectorGraphic(
+                chart,
+                results.resolve(quick ? "crash-quick" : "crash").toString(),
+                VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
     }
 
     /** Real mixers, each a process, behind a relay that loses a tenth. */
@@ -274,13 +299,16 @@
             }
             longest = fleet.relay().longest();
         }
-        StringBuilder table = new StringBuilder("Seconds until all processes hold the view (" + size + " mixers on loopback, "
-            + "a tenth of the datagrams lost): median, worst\n\n| case | median | worst |\n| --- | --- | --- |\n");
+        StringBuilder table = new StringBuilder(
+                "Seconds until all processes hold the view (" + size + " mixers on loopback, "
+                        + "a tenth of the datagrams lost): median, worst\n\n| case | median | worst |\n| --- | --- | --- |\n");
         JsonObject mine = new JsonObject();
         boolean pass = longest <= 256;
         for (Map.Entry<String, List<Double>> each : took.entrySet()) {
-            double[] times = each.getValue().stream().mapToDouble(one -> one).sorted().toArray();
-            table.append(String.format("| %s | %.2f | %.2f |%n", each.getKey(), times[times.length / 2], times[times.length - 1]));
+            double[] times =
+                    each.getValue().stream().mapToDouble(one -> one).sorted().toArray();
+            table.append(String.format(
+                    "| %s | %.2f | %.2f |%n", each.getKey(), times[times.length / 2], times[times.length - 1]));
             number(mine, each.getKey() + ", worst s", times[times.length - 1]);
             pass &= Arrays.stream(times).allMatch(one -> one <= (each.getKey().startsWith("join") ? 2 : 3.5));
         }
--- a/lab/src/main/java/pinewick/lab/Lab.java
+++ b/lab/src/main/java/pinewick/lab/Lab.java
@@ -4,9 +4,18 @@
 import picocli.CommandLine.Command;
 
 /** The experiment program: a sub-command a subsystem; each prints a table and, last, a line of JSON with "pass". */
-@Command(name = "pinewick-lab", mixinStandardHelpOptions = true,
-    description = "Experiments with pinewick: hard cases played, figures kept.", subcommands = {RegistryLab.class, AddressLab.class,
-        FleetLab.class, StateLab.class, ScaleLab.class, DemoLab.class})
+@Command(
+        name = "pinewick-lab",
+        mixinStandardHelpOptions = true,
+        description = "Experiments with pinewick: hard cases played, figures kept.",
+        subcommands = {
+            RegistryLab.class,
+            AddressLab.class,
+            FleetLab.class,
+            StateLab.class,
+            ScaleLab.class,
+            DemoLab.class
+        })
 public final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
