--- a/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
+++ b/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
@@ -10,13 +10,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * One process of the system's own programs, started as the deploy file says. A shell holds its life: it ends the program
  * when the laboratory ends in whatever way, and in any case after a time.
  */
 public final class SystemProcess implements AutoCloseable {
-    private static final String GUARD = """
+    private static final String GUARD =
+            """
             "$@" </dev/null >>"$PINEWICK_LAB_LOG" 2>&1 &
             child=$!
             echo $child
@@ -24,6 +26,7 @@
             kill -9 $child
             """;
     private static final long EXIT_SECONDS = 5;
+    private static final long POLL_NS = 10_000_000;
 
     private final String role;
     private final Path settings;
@@ -53,7 +56,8 @@
         builder.environment().put("PINEWICK_LAB_SECONDS", Long.toString(longestSeconds));
         startedAtNs = System.nanoTime();
         guard = builder.start();
-        BufferedReader output = new BufferedReader(new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
+        BufferedReader output =
+                new BufferedReader(new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
         String pid = output.readLine();
         program = ProcessHandle.of(Long.parseLong(pid)).orElseThrow(() -> new IOException(role + " ended at once"));
         running = true;
@@ -89,7 +93,7 @@
     }
 
     /** What it said last. */
-    String lastLogLine() throws IOException {
+    public String lastLogLine() throws IOException {
         List<String> lines = Files.readAllLines(log);
         return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
     }
@@ -128,6 +132,16 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
     }
 
+    /** Waits until the program has ended; returns whether it has. */
+    public boolean awaitEnd() {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(EXIT_SECONDS);
+        while (program != null && program.isAlive() && System.nanoTime() < endNs) {
+            // No wait for its exit: it is the guard's child, and the JDK looks at others' children only seldom.
+            LockSupport.parkNanos(POLL_NS);
+        }
+        return program == null || !program.isAlive();
+    }
+
     @Override
     public void close() {
         if (guard == null) {
