--- a/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
@@ -9,10 +9,8 @@
 public final class ControlDay {
     private static final double TROUBLE_FROM_MS = 2_000;
     private static final double TROUBLE_FOR_MS = 8_000;
-    private static final double REPAIR_MS = 2_000;
     private static final double RECOVERY_MS = ControlWorld.CONTACT_MS + ControlWorld.CONFIG_APPLY_MS;
     private static final double KILL_AFTER_END_SHARE = 0.1;
-    private static final double PROBE_PERIOD_MS = 3_000;
 
     /** The combinations of troubles, one after the other by seed. */
     private enum Plan {
@@ -31,6 +29,7 @@
     private final Operator first;
     private final Operator second;
     private final List<Double> probeAfterMs = new ArrayList<>();
+    private List<Double> repairedAfterMs = List.of();
     private double endMs = TROUBLE_FROM_MS + TROUBLE_FOR_MS;
 
     private ControlDay(long seed, BrokenVariant variant, boolean traced) {
@@ -39,10 +38,11 @@
         boolean large = seed % 4 == 3;
         plan = Plan.values()[(int) Math.floorMod(seed / 4, Plan.values().length)];
         world = new ControlWorld(random.nextLong(), large ? 2 : 1, variant.sabotage(), traced);
-        if (random.nextBoolean()) {
-            world.linkQuality(random.nextDouble(0.05), random.nextDouble(0.05), random.nextDouble(0.05));
-        } else {
-            world.linkQuality(0, random.nextDouble(0.05), 0);
+        switch (random.nextInt(6)) {
+            case 0 -> world.linkQuality(0, random.nextDouble(0.05), random.nextDouble(0.2), 0.5);
+            case 1, 2 -> world.linkQuality(
+                    random.nextDouble(0.05), random.nextDouble(0.05), random.nextDouble(0.05), 0.1);
+            default -> world.linkQuality(0, random.nextDouble(0.05), 0, 0);
         }
         int controllers = large ? 5 : 3 + (seed % 8 == 5 ? 1 : 0);
         world.found(controllers, 2, 2);
@@ -55,7 +55,7 @@
     private Operator operator(int number) {
         Operator operator = new Operator(world, number, random.split());
         operator.loseAnswers(plan == Plan.PRIMARY_LOSSES ? 0.7 : random.nextBoolean() ? 0.02 : 0.3);
-        operator.sendLongDocuments(random.nextInt(4) == 0 ? 0.05 : 0);
+        operator.sendLongDocuments(random.nextInt(4) == 0 ? 0.15 : 0);
         operator.pace(plan == Plan.LONG_CUT ? 1_200 : 500);
         return operator;
     }
@@ -82,6 +82,7 @@
                 day.world.fleetChecker().endsAcknowledged(),
                 after,
                 day.probeAfterMs,
+                day.repairedAfterMs,
                 day.world.trace());
     }
 
@@ -105,7 +106,7 @@
         world.after(700, () -> second.work(endMs));
         world.time().runUntil(endMs);
         faults.heal();
-        world.linkQuality(0, 0, 0);
+        world.linkQuality(0, 0, 0, 0);
         world.time().runUntil(endMs + RECOVERY_MS);
         faults.heal();
         world.fleetChecker().requireAllCurrent(world.history().newestAcknowledged());
@@ -123,10 +124,11 @@
             return troubles.faults();
         }
         ForcedTroubles troubles = new ForcedTroubles(world, random.split());
+        repairedAfterMs = troubles.repairedAfterMs();
         switch (plan) {
             case LONG_CUT -> longCut(troubles);
-            case SECOND_LOSS -> troubles.secondLoss(random.nextDouble(TROUBLE_FROM_MS, 4_000), REPAIR_MS);
-            case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000), REPAIR_MS);
+            case SECOND_LOSS -> troubles.secondLoss(random.nextDouble(TROUBLE_FROM_MS, 4_000));
+            case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000));
             default -> troubles.primaryLosses(TROUBLE_FROM_MS, endMs);
         }
         troubles.restlessReplicas(TROUBLE_FROM_MS, endMs);
@@ -138,17 +140,31 @@
         troubles.longCut(atMs);
         endMs = atMs + ForcedTroubles.LONG_CUT_MS + 2_000;
         Operator prober = new Operator(world, 3, random.split());
-        world.after(atMs + ControlWorld.CONTACT_MS, () -> probe(prober, atMs + ForcedTroubles.LONG_CUT_MS));
+        world.after(atMs + ControlWorld.CONTACT_MS, () -> probe(prober, troubles, atMs + ForcedTroubles.LONG_CUT_MS));
     }
 
     /** While a controller is cut off, a change by an operator that reaches both sides. */
-    private void probe(Operator prober, double untilMs) {
-        if (world.nowMs() + ControlWorld.ACK_MS >= untilMs) {
+    private void probe(Operator prober, ForcedTroubles troubles, double untilMs) {
+        double beganMs = world.nowMs();
+        if (beganMs + ControlWorld.ACK_MS >= untilMs) {
             return;
         }
-        double beganMs = world.nowMs();
-        prober.submit(prober.validChange(), () -> probeAfterMs.add(world.nowMs() - beganMs));
-        world.after(PROBE_PERIOD_MS, () -> probe(prober, untilMs));
+        boolean[] answered = new boolean[1];
+        prober.submit(
+                prober.validChange(),
+                () -> {
+                    answered[0] = true;
+                    probeAfterMs.add(world.nowMs() - beganMs);
+                },
+                () -> answered[0] = true);
+        world.after(ControlWorld.ACK_MS, () -> {
+            boolean excused = !troubles.onlyCutBetween(beganMs, world.nowMs());
+            InvariantViolation.require(
+                    excused || answered[0],
+                    Invariant.ACKNOWLEDGED_IN_TIME,
+                    "beside a controller that is cut off, a change has no answer in " + ControlWorld.ACK_MS + " ms");
+            probe(prober, troubles, untilMs);
+        });
     }
 
     /** When nothing is amiss any more, a change is taken and read back. */
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -36,7 +36,8 @@
     private final int toleratedMachines;
     private final Optional<List<String>> trace;
     private List<SocketAddress> seeds = List.of();
-    private boolean cleanLinks;
+    private boolean cleanLinks = true;
+    private double dirtyUntilMs;
     private double coreTroubleMs;
     private Optional<InvariantViolation> firstViolation = Optional.empty();
 
@@ -126,12 +127,16 @@
 
     /** Whether no message is lost or late but by cuts. */
     boolean cleanLinks() {
-        return cleanLinks;
+        return cleanLinks && nowMs() >= dirtyUntilMs;
     }
 
-    void linkQuality(double lost, double doubled, double late) {
+    /** See {@link Network#quality}. */
+    void linkQuality(double lost, double doubled, double late, double stale) {
+        if (!cleanLinks) {
+            dirtyUntilMs = nowMs() + Network.STALEST_MS;
+        }
         cleanLinks = lost == 0 && late == 0;
-        network.quality(lost, doubled, late);
+        network.quality(lost, doubled, late, stale);
     }
 
     /** Controllers that have not been taken away. */
@@ -203,9 +208,13 @@
         return firstViolation;
     }
 
-    /** A controller redirects an operator. What was late or lost, or held while frozen, excuses old knowledge. */
+    /**
+     * A controller redirects an operator. Knowledge may be old while messages are late or lost, or where a process has
+     * just thawed: it hears what waited for it, and tells others.
+     */
     void redirects(ControllerMachine from, SocketAddress api) {
-        boolean excused = !cleanLinks || nowMs() - from.lastThawMs() < REDIRECT_AGE_MS;
+        boolean thawed = present().stream().anyMatch(machine -> nowMs() - machine.lastThawMs() < REDIRECT_AGE_MS);
+        boolean excused = !cleanLinks() || thawed;
         Optional<ControllerMachine> target = controllerAt(api);
         target.ifPresent(ControllerMachine::look);
         boolean ledLately = target.isPresent() && nowMs() - target.get().lastLedMs() < REDIRECT_AGE_MS;
--- a/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
@@ -26,6 +26,7 @@
 import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationSettings;
 
 /** One life of a controller's process: the project's own controller, on a loop in virtual time. */
@@ -148,6 +149,11 @@
         return core.primary();
     }
 
+    /** What its replicated configuration says of itself. */
+    ReplicationReport report() {
+        return core.replicationReport();
+    }
+
     /** Whether this process takes itself for the primary. */
     boolean leads() {
         return alive && core.primary().filter(machine.api()::equals).isPresent();
--- a/emulator/src/main/java/pinewick/emulator/control/DayResult.java
+++ b/emulator/src/main/java/pinewick/emulator/control/DayResult.java
@@ -14,6 +14,8 @@
  * @param endsAcknowledged announced ends of replicas that were acknowledged
  * @param acknowledgedAfterMs how long operators needed to be acknowledged, each change
  * @param probeAfterMs how long a change took beside a controller that was cut off, the others being well; each probe
+ * @param repairedAfterMs how long after a store's return, or a replacement's first start, the primary said that as many
+ *     losses are borne as are tolerated
  * @param trace what happened, if the run was traced
  */
 public record DayResult(
@@ -25,4 +27,5 @@
         int endsAcknowledged,
         List<Double> acknowledgedAfterMs,
         List<Double> probeAfterMs,
+        List<Double> repairedAfterMs,
         List<String> trace) {}
--- a/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
@@ -1,5 +1,6 @@
 package pinewick.emulator.control;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -8,9 +9,21 @@
 final class ForcedTroubles {
     static final double LONG_CUT_MS = 20_000;
 
+    private static final double CALM_CUT_MS = 9_000;
+    /** The other trouble has ended, and is over with, so long after its beginning. */
+    private static final double MEANWHILE_MS = 3_000 + ControlWorld.CONTACT_MS;
+
+    private static final double REPAIR_LOOK_MS = 10;
+    /** A primary notices a loss by silence, and reports it no sooner. */
+    private static final double REPORT_LAG_MS = 700;
+
+    private static final double LONGEST_REPAIR_MS = 5_000;
+
     private final ControlWorld world;
     private final Faults faults;
     private final SplittableRandom random;
+    private double meanwhileAtMs = Double.POSITIVE_INFINITY;
+    private final List<Double> repairedAfterMs = new ArrayList<>();
 
     ForcedTroubles(ControlWorld world, SplittableRandom random) {
         this.world = world;
@@ -40,10 +53,17 @@
             if (random.nextBoolean()) {
                 strandRouter(target);
             }
-            world.after(random.nextDouble(4_000, 15_000), () -> briefTroubleWithin(target));
+            double meanwhileMs = random.nextDouble(CALM_CUT_MS, 15_000);
+            meanwhileAtMs = world.nowMs() + meanwhileMs;
+            world.after(meanwhileMs, () -> briefTroubleWithin(target));
         });
     }
 
+    /** Whether nothing but the long cut troubled the controllers in a span that is over. */
+    boolean onlyCutBetween(double fromMs, double toMs) {
+        return toMs < meanwhileAtMs || fromMs > meanwhileAtMs + MEANWHILE_MS;
+    }
+
     /** The primary, the first machine, or any. */
     private ControllerMachine target() {
         List<ControllerMachine> present = world.present();
@@ -83,18 +103,15 @@
         });
     }
 
-    /**
-     * A disk is wiped, and as soon as its process has been back for {@code repairMs} another one is lost for good; with
-     * f = 2 two are wiped one right after the other first.
-     */
-    void secondLoss(double atMs, double repairMs) {
+    /** A disk is wiped, and once the primary says that as many losses are borne as before, another one is lost. */
+    void secondLoss(double atMs) {
         world.after(atMs, () -> {
             List<ControllerMachine> present = world.present();
             int first = random.nextInt(present.size());
             int second = (first + 1 + random.nextInt(present.size() - 1)) % present.size();
             double downMs = random.nextDouble(50, 800);
             faults.wipe(present.get(first), downMs);
-            world.after(downMs + repairMs, () -> {
+            whenRepaired(downMs, Math.max(downMs, REPORT_LAG_MS), () -> {
                 if (random.nextBoolean()) {
                     faults.wipe(present.get(second));
                 } else {
@@ -105,18 +122,47 @@
     }
 
     /**
-     * A planned replacement, the new machine there first; another disk is lost some time after the old one has handed
-     * over.
+     * A planned replacement, the new machine there first; once the old one has handed over, and the primary says that
+     * as many losses are borne as before, another disk is lost.
      */
-    void lossAfterHandOver(double atMs, double repairMs) {
-        world.after(atMs, () -> {
-            ControllerMachine leaving = target();
-            faults.replacePlanned(leaving, detached -> {
-                if (detached) {
-                    world.after(repairMs, () -> faults.wipe(faults.anyone()));
-                }
-            });
-        });
+    void lossAfterHandOver(double atMs) {
+        world.after(
+                atMs,
+                () -> faults.replacePlanned(
+                        target(), detached -> whenRepaired(0, REPORT_LAG_MS, () -> faults.wipe(faults.anyone()))));
+    }
+
+    /**
+     * Runs a task as soon as the primary says that the system bears as many losses as are tolerated.
+     *
+     * @param returnMs when the lost store returns
+     * @param lookMs from when on the primary is asked: it notices a loss by silence
+     */
+    private void whenRepaired(double returnMs, double lookMs, Runnable task) {
+        double returnsAtMs = world.nowMs() + returnMs;
+        world.after(lookMs, () -> awaitRepaired(returnsAtMs, task));
+    }
+
+    private void awaitRepaired(double sinceMs, Runnable task) {
+        if (bornLosses() >= world.toleratedMachines()) {
+            repairedAfterMs.add(world.nowMs() - sinceMs);
+            world.note("repaired after " + (long) (world.nowMs() - sinceMs) + " ms");
+            task.run();
+        } else if (world.nowMs() - sinceMs < LONGEST_REPAIR_MS) {
+            world.after(REPAIR_LOOK_MS, () -> awaitRepaired(sinceMs, task));
+        }
+    }
+
+    private int bornLosses() {
+        return world.primary()
+                .flatMap(ControllerMachine::life)
+                .map(life -> life.report().faultTolerance().bearsLosses().orElse(0))
+                .orElse(0);
+    }
+
+    /** How long each repair took. */
+    List<Double> repairedAfterMs() {
+        return repairedAfterMs;
     }
 
     /** The primary goes away again and again, in one way or another. */
--- a/emulator/src/main/java/pinewick/emulator/control/Network.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Network.java
@@ -14,8 +14,7 @@
     private static final double MIN_DELAY_MS = 0.3;
     private static final double MAX_DELAY_MS = 1.5;
     private static final double LATEST_MS = 400;
-    private static final double STALE_SHARE = 0.1;
-    private static final double STALEST_MS = 4_000;
+    static final double STALEST_MS = 4_000;
 
     /** Receives what the network carries. */
     interface Receiver {
@@ -33,6 +32,7 @@
     private double lossShare;
     private double duplicateShare;
     private double lateShare;
+    private double staleShare;
 
     Network(VirtualTime time, long seed) {
         this.time = time;
@@ -43,8 +43,12 @@
         sabotage = by;
     }
 
-    /** How bad the links are. */
-    void quality(double lost, double doubled, double late) {
+    /**
+     * How bad the links are: shares of messages that are lost, that come twice, that are late, and of the late ones
+     * those that are late by seconds.
+     */
+    void quality(double lost, double doubled, double late, double stale) {
+        staleShare = stale;
         lossShare = lost;
         duplicateShare = doubled;
         lateShare = late;
@@ -94,7 +98,7 @@
     private void carry(SocketAddress from, SocketAddress to, Message message, SplittableRandom chance) {
         double delayMs = MIN_DELAY_MS + (MAX_DELAY_MS - MIN_DELAY_MS) * chance.nextDouble();
         if (lateShare > 0 && chance.nextDouble() < lateShare) {
-            double latestMs = chance.nextDouble() < STALE_SHARE ? STALEST_MS : LATEST_MS;
+            double latestMs = chance.nextDouble() < staleShare ? STALEST_MS : LATEST_MS;
             delayMs += latestMs * chance.nextDouble();
         }
         deliverAfter(delayMs, from, to, message);
--- a/emulator/src/main/java/pinewick/emulator/control/Operator.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Operator.java
@@ -120,26 +120,32 @@
     }
 
     void submit(ChangeOrder change, Runnable onAcknowledged) {
-        new Sending(OperatorCall.of(change), onAcknowledged).begin();
+        submit(change, onAcknowledged, () -> {});
+    }
+
+    void submit(ChangeOrder change, Runnable onAcknowledged, Runnable onRefused) {
+        new Sending(OperatorCall.of(change), onAcknowledged, onRefused).begin();
     }
 
     void read(Runnable onAnswered) {
-        new Sending(OperatorCall.read(), onAnswered).begin();
+        new Sending(OperatorCall.read(), onAnswered, () -> {}).begin();
     }
 
     /** One call until its answer is clear. */
     private final class Sending {
         private final OperatorCall call;
         private final Runnable onSuccess;
+        private final Runnable onRefused;
         private final double beganMs = world.nowMs();
         private double pauseMs = FIRST_PAUSE_MS;
         private int controller;
         private int tries;
         private boolean ended;
 
-        Sending(OperatorCall call, Runnable onSuccess) {
+        Sending(OperatorCall call, Runnable onSuccess, Runnable onRefused) {
             this.call = call;
             this.onSuccess = onSuccess;
+            this.onRefused = onRefused;
         }
 
         void begin() {
@@ -202,12 +208,17 @@
             }
             switch (answer.status()) {
                 case 200 -> succeed();
-                case 400, 412 -> end();
+                case 400, 412 -> refused();
                 case 307 -> follow(current, answer, redirectionsLeft);
                 default -> fail(current);
             }
         }
 
+        private void refused() {
+            end();
+            onRefused.run();
+        }
+
         private void succeed() {
             end();
             if (call.change() != null) {
--- a/lab/src/main/java/pinewick/lab/ControlLab.java
+++ b/lab/src/main/java/pinewick/lab/ControlLab.java
@@ -101,6 +101,7 @@
         figures.addProperty("reads", results.stream().mapToLong(DayResult::reads).sum());
         figures.addProperty("endsAcknowledged", results.stream().mapToLong(DayResult::endsAcknowledged).sum());
         addQuantiles(figures, "besideACutMs", results.stream().flatMap(result -> result.probeAfterMs().stream()).toList());
+        addQuantiles(figures, "repairedMs", results.stream().flatMap(result -> result.repairedAfterMs().stream()).toList());
         addQuantiles(
                 figures, "acknowledgedMs", results.stream().flatMap(result -> result.acknowledgedAfterMs().stream()).toList());
         figures.add("brokenSeeds", broken);
