--- a/emulator/src/main/java/pinewick/emulator/control/ChangeOrder.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ChangeOrder.java
@@ -3,7 +3,9 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.InvalidConfigurationException;
@@ -53,7 +55,7 @@
         body.addProperty("version", version);
         body.addProperty(MARK, mark);
         if (paddingBytes > 0) {
-            body.addProperty("padding", "x".repeat(paddingBytes));
+            body.addProperty("padding", padding(mark, paddingBytes));
         }
         if (!whole) {
             body.add("upserts", sections);
@@ -65,6 +67,13 @@
         return new ChangeOrder(mark, whole, base, version, wellFormed && version > base, bytes);
     }
 
+    /** Text that cannot be compressed much. */
+    private static String padding(int mark, int bytes) {
+        byte[] raw = new byte[bytes * 3 / 4];
+        new SplittableRandom(mark).nextBytes(raw);
+        return Base64.getEncoder().encodeToString(raw);
+    }
+
     private static JsonObject route(int mark, String service) {
         JsonObject route = new JsonObject();
         route.addProperty("name", "r" + mark);
--- a/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
@@ -55,7 +55,7 @@
     private Operator operator(int number) {
         Operator operator = new Operator(world, number, random.split());
         operator.loseAnswers(plan == Plan.PRIMARY_LOSSES ? 0.7 : random.nextBoolean() ? 0.02 : 0.3);
-        operator.sendLongDocuments(random.nextInt(4) == 0 ? 0.15 : 0);
+        operator.sendLongDocuments(random.nextInt(6) == 0 ? 0.08 : 0);
         operator.pace(plan == Plan.LONG_CUT ? 1_200 : 500);
         return operator;
     }
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -139,6 +139,31 @@
         network.quality(lost, doubled, late, stale);
     }
 
+    /**
+     * A controller ends because the others can do without it, as it says: more copies are left than losses are tolerated,
+     * but for those that are lost already.
+     */
+    void detached(ControllerMachine leaving) {
+        long newest = history.newestAcknowledged();
+        List<ControllerMachine> others = new ArrayList<>(present());
+        others.remove(leaving);
+        long copies = others.stream()
+                .filter(machine -> machine.disk().version() >= newest)
+                .count();
+        long lost = others.stream()
+                .filter(machine -> !machine.sound())
+                .count();
+        InvariantViolation.require(
+                copies + lost > toleratedMachines,
+                Invariant.COPIES_LEFT,
+                leaving + " ends as detached, version " + newest + " is on " + copies + " other disks");
+    }
+
+    /** Some messages are late from now on, for as long as the latest of them take. */
+    void slowLinks() {
+        dirtyUntilMs = nowMs() + 2 * Network.STALEST_MS;
+    }
+
     /** Controllers that have not been taken away. */
     List<ControllerMachine> present() {
         List<ControllerMachine> present = new ArrayList<>();
--- a/emulator/src/main/java/pinewick/emulator/control/ControllerMachine.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControllerMachine.java
@@ -176,6 +176,9 @@
             ControllerLife ending = life.get();
             ending.terminate(detached -> {
                 world.note(host + " ends, detached " + detached);
+                if (detached) {
+                    world.guard(() -> world.detached(this));
+                }
                 kill();
                 onEnded.accept(detached);
             });
--- a/emulator/src/main/java/pinewick/emulator/control/Faults.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Faults.java
@@ -14,6 +14,8 @@
     /** A machine counts as lost for so long after its return. */
     private static final double CATCH_UP_MS = 4_000;
 
+    private static final double HEARS_LATE_MS = 300;
+
     private final ControlWorld world;
     private final SplittableRandom random;
     private final boolean wild;
@@ -162,6 +164,20 @@
         }
     }
 
+    /** What is sent to a controller comes late by up to seconds; then nothing that it sends arrives any more. */
+    void hearsLate(ControllerMachine machine, double forMs) {
+        world.note(machine + " hears late and is cut off outward for " + (long) forMs + " ms");
+        troubled(machine, forMs);
+        world.slowLinks();
+        for (ControllerMachine other : world.present()) {
+            if (other != machine) {
+                world.network().slow(other.host(), machine.host(), Network.STALEST_MS);
+                world.after(forMs, () -> world.network().slow(other.host(), machine.host(), 0));
+                world.after(HEARS_LATE_MS, () -> cut(machine.host(), other.host(), forMs - HEARS_LATE_MS));
+            }
+        }
+    }
+
     void cutInTwo(double forMs) {
         world.note("the controllers are cut in two for " + (long) forMs + " ms");
         List<ControllerMachine> left =
--- a/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
@@ -140,7 +140,8 @@
      */
     private void whenRepaired(double returnMs, double lookMs, Runnable task) {
         double returnsAtMs = world.nowMs() + returnMs;
-        world.after(lookMs, () -> awaitRepaired(returnsAtMs, task));
+        double lateMs = world.cleanLinks() ? 0 : Network.STALEST_MS;
+        world.after(lookMs + lateMs, () -> awaitRepaired(returnsAtMs, task));
     }
 
     private void awaitRepaired(double sinceMs, Runnable task) {
@@ -176,8 +177,9 @@
     }
 
     private void losePrimary(ControllerMachine primary) {
-        switch (random.nextInt(4)) {
+        switch (random.nextInt(5)) {
             case 0 -> faults.kill(primary);
+            case 3 -> faults.hearsLate(primary, random.nextDouble(1_500, 3_000));
             case 1 -> faults.freeze(primary, random.nextDouble(700, 3_000));
             case 2 -> faults.cutOff(primary, random.nextDouble(700, 3_000), true);
             default -> faults.restartGracefully(primary);
--- a/emulator/src/main/java/pinewick/emulator/control/Invariant.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Invariant.java
@@ -28,6 +28,8 @@
     ONE_HOLDER,
     /** The set of members changes by a majority of the old members and of the new ones. */
     MEMBERS_BY_MAJORITY,
+    /** A process that ends on purpose, and says that the others can do without it, leaves enough copies. */
+    COPIES_LEFT,
     /** With a healthy majority an operator's change is acknowledged in time. */
     ACKNOWLEDGED_IN_TIME,
     /** With a healthy majority an operator's read is answered in time. */
--- a/emulator/src/main/java/pinewick/emulator/control/Network.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Network.java
@@ -27,6 +27,7 @@
     private final long seed;
     private final Map<Link, SplittableRandom> chances = new HashMap<>();
     private final Map<Link, Integer> cuts = new HashMap<>();
+    private final Map<Link, Double> slowMs = new HashMap<>();
     private final Map<SocketAddress, Receiver> receivers = new HashMap<>();
     private Sabotage sabotage = Sabotage.NONE;
     private double lossShare;
@@ -69,6 +70,16 @@
 
     void joinAll() {
         cuts.clear();
+        slowMs.clear();
+    }
+
+    /** Messages between processes take up to so much longer one way; 0 ends it. */
+    void slow(String from, String to, double mostMs) {
+        if (mostMs > 0) {
+            slowMs.put(new Link(from, to), mostMs);
+        } else {
+            slowMs.remove(new Link(from, to));
+        }
     }
 
     boolean isOpen(String from, String to) {
@@ -101,6 +112,9 @@
             double latestMs = chance.nextDouble() < staleShare ? STALEST_MS : LATEST_MS;
             delayMs += latestMs * chance.nextDouble();
         }
+        if (!slowMs.isEmpty()) {
+            delayMs += slowMs.getOrDefault(new Link(from.host(), to.host()), 0.0) * chance.nextDouble();
+        }
         deliverAfter(delayMs, from, to, message);
     }
 
--- a/emulator/src/main/java/pinewick/emulator/control/Operator.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Operator.java
@@ -19,7 +19,7 @@
     private static final double FIRST_PAUSE_MS = 50;
     private static final double LONGEST_PAUSE_MS = 800;
     private static final double GIVE_UP_MS = 12_000;
-    private static final int LONG_DOCUMENT_BYTES = 70_000;
+    private static final int LONG_DOCUMENT_BYTES = 90_000;
 
     private final ControlWorld world;
     private final String host;
--- a/emulator/src/main/java/pinewick/emulator/control/RandomTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/RandomTroubles.java
@@ -6,8 +6,8 @@
 
 /** Troubles drawn by chance, at random times, some right after an acknowledgement. */
 final class RandomTroubles {
-    private static final int KINDS = 20;
-    private static final int WILD_KINDS = 22;
+    private static final int KINDS = 21;
+    private static final int WILD_KINDS = 23;
 
     private final ControlWorld world;
     private final Faults faults;
@@ -84,6 +84,7 @@
             case 19 -> world.routers()
                     .get(random.nextInt(world.routers().size()))
                     .restart();
+            case 20 -> toPrimary(machine -> faults.hearsLate(machine, random.nextDouble(1_500, 4_000)));
             default -> faults.cutInTwo(random.nextDouble(100, 5_000));
         }
     }
--- a/emulator/src/main/java/pinewick/emulator/control/SimulatedDisk.java
+++ b/emulator/src/main/java/pinewick/emulator/control/SimulatedDisk.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import pinewick.model.ConfigurationChecks;
+import pinewick.model.ConfigurationDocument;
 import pinewick.replication.LoadedState;
 import pinewick.replication.StableWrite;
 import pinewick.replication.StoredChange;
@@ -50,6 +52,19 @@
         changes.clear();
     }
 
+    /** The version of the configuration it holds, -1 if none. */
+    long version() {
+        if (head == null) {
+            return -1;
+        }
+        ConfigurationDocument document =
+                ConfigurationChecks.readDelta(snapshot.document()).applyTo(ConfigurationDocument.EMPTY);
+        for (StoredChange change : changes) {
+            document = ConfigurationChecks.readDelta(change.delta()).applyTo(document);
+        }
+        return document.version();
+    }
+
     /** Whether it holds a state of an epoch, with changes after its snapshot. */
     boolean holds(long epoch) {
         return head != null && head.tag().epoch() == epoch && !changes.isEmpty();
