--- a/control/src/main/java/pinewick/control/ControllerCore.java
+++ b/control/src/main/java/pinewick/control/ControllerCore.java
@@ -96,6 +96,10 @@
             node.onTick(loop.nowMs());
         }
         replication.onTick(loop.nowMs());
+        if (replication.holdsNewest()) {
+            contact.quorumConfirmed(loop.nowMs());
+            node.confirmConfiguration(loop.nowMs());
+        }
     }
 
     /** Looks after what needs no more than a look now and then. */
--- a/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
@@ -31,6 +31,9 @@
 
 /** One life of a controller's process: the project's own controller, on a loop in virtual time. */
 final class ControllerLife implements TaskLoop {
+    /** Time between the order to stop and the kill, as both deployments have it. */
+    private static final double GRACE_PERIOD_SECONDS = 8;
+
     private static final int MOST_HELD = 5_000;
     private static final double LOOP_DELAY_MS = 0.02;
     private static final double LEASE_USE_MS = 370;
@@ -285,7 +288,7 @@
     /** SIGTERM: hands over, then ends. {@code onEnded} is told whether the others could do without this process. */
     void terminate(Consumer<Boolean> onEnded) {
         leaving = true;
-        double untilMs = world.nowMs() + Controller.HAND_OVER_MS;
+        double untilMs = world.nowMs() + Controller.handOverMs(GRACE_PERIOD_SECONDS);
         run(core::leaveReplication);
         awaitDetached(untilMs, onEnded);
     }
