--- a/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.IntToLongFunction;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages;
 import pinewick.dissemination.FleetNode;
@@ -14,6 +15,7 @@
 import pinewick.model.SocketAddress;
 import pinewick.transport.ControlLoop;
 import pinewick.transport.MessageCodec;
+import pinewick.transport.MovableTimer;
 import pinewick.transport.NetworkTransport;
 import pinewick.transport.TransportException;
 
@@ -23,6 +25,7 @@
     private final ControlLoop loop = new ControlLoop();
     private final NetworkTransport transport;
     private final FleetNode node;
+    private final MovableTimer ticks = loop.timer(this::tick);
 
     FleetLink(NodeSettings settings, RandomGenerator random) throws RouterException {
         SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
@@ -42,23 +45,34 @@
         return types;
     }
 
-    /** @param onNews told what other routers saw of replicas, on the control loop */
+    /** @param onNews told what other routers saw of replicas, on the thread that receives */
     void start(Consumer<LoadNews> onNews) {
-        transport.start((sender, message) -> loop.execute(() -> onMessage(sender, message, onNews)));
-        loop.repeat(() -> node.onTick(loop.nowMs()), FleetNode.TICK_MS);
+        transport.start((sender, message) -> onMessage(sender, message, onNews));
+        loop.execute(this::tick);
+    }
+
+    private void tick() {
+        try {
+            node.onTick(loop.nowMs());
+        } finally {
+            ticks.set(node.nextTickMs());
+        }
     }
 
     private void onMessage(SocketAddress sender, Message message, Consumer<LoadNews> onNews) {
         if (message instanceof LoadNews news) {
             onNews.accept(news);
         } else {
-            node.onMessage(sender, message, loop.nowMs());
+            loop.execute(() -> {
+                node.onMessage(sender, message, loop.nowMs());
+                ticks.set(node.nextTickMs());
+            });
         }
     }
 
     /** Sends to the other routers known at this moment. May be called on any thread. */
     void tellRouters(LoadNews news) {
-        loop.execute(() -> otherRouters().forEach(router -> transport.send(router, news)));
+        loop.execute(() -> transport.sendToAll(otherRouters(), news));
     }
 
     FleetState state() {
@@ -86,6 +100,15 @@
         loop.repeat(task, periodMs);
     }
 
+    /**
+     * Runs a task over and over on the control loop.
+     *
+     * @param pauseMs the pause before the next run, given the number of other routers known
+     */
+    void repeatAtPace(Runnable task, IntToLongFunction pauseMs) {
+        loop.repeatAtPace(task, () -> pauseMs.applyAsLong(otherRouters().size()));
+    }
+
     /** Tells the peers that this process ends. */
     void leave() {
         loop.execute(() -> node.leave(loop.nowMs()));
