--- a/replication/src/test/java/pinewick/replication/RepairTest.java
+++ b/replication/src/test/java/pinewick/replication/RepairTest.java
@@ -7,6 +7,8 @@
 import java.util.OptionalInt;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** How long after a disk's return, or a replacement's start, as many losses are borne as before. */
 class RepairTest {
@@ -37,6 +39,24 @@
                 .orElseThrow();
     }
 
+    private static Machine backup(World world, Machine except) {
+        return world.machines.stream()
+                .filter(machine -> machine.running() && machine != world.primary() && machine != except)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Has a change acknowledged. */
+    private static void take(World world) {
+        Change change = new Operator(world).properChange();
+        boolean[] taken = new boolean[1];
+        world.primary().submit(change, outcome -> {
+            world.checker.answered(change, outcome);
+            taken[0] = outcome instanceof ChangeOutcome.Accepted;
+        });
+        world.runUntil(() -> taken[0], DOWN_MS);
+    }
+
     /** Whether the primary counts this machine's store in sync and says that enough losses are borne. */
     private static boolean repaired(World world, Machine returned) {
         Machine primary = world.primary();
@@ -151,6 +171,21 @@
         assertTrue(ms < VACANT_MS + 2 * REPAIR_BOUND_MS);
     }
 
+    @Test
+    void aNewcomerThatWaitsBesideAllMembersTakesTheFirstVacancy() {
+        double ms = longest("newcomer that waits", 3, 1, world -> {
+            Machine waiting = world.addMachine();
+            waiting.seeds = world.machines.get(0).seeds;
+            waiting.start(false);
+            world.runUntil(world.nowMs() + DOWN_MS);
+            assertFalse(repaired(world, waiting), "all places are taken");
+            take(world);
+            backup(world, waiting).wipe();
+            return waiting;
+        });
+        assertTrue(ms < VACANT_MS + REPAIR_BOUND_MS);
+    }
+
     @Test
     void bothSeedsOfThreeReplaced() {
         double ms = longest("seeds replaced", 3, 1, world -> {
@@ -194,12 +229,17 @@
         }
     }
 
-    @Test
-    void theHolderOfTheOnlyOtherCopyStaysUntilAnotherHasIt() {
+    @ParameterizedTest
+    @EnumSource(
+            value = SimulatedDisk.Mode.class,
+            names = {"FULL", "STALLED", "SLOW"})
+    void theHolderOfTheOnlyOtherCopyStaysUntilAnotherHasIt(SimulatedDisk.Mode trouble) {
         for (int seed = 0; seed < SEEDS; seed++) {
             World world = founded(seed, 3, 1);
             Machine slow = backup(world);
-            slow.disk.mode = SimulatedDisk.Mode.FULL;
+            slow.disk.slowMs = DOWN_MS;
+            slow.disk.mode = trouble;
+            take(world);
             world.runUntil(world.nowMs() + DOWN_MS);
             Machine leaving = world.machines.stream()
                     .filter(machine -> machine != slow && machine != world.primary())
@@ -210,7 +250,7 @@
             assertFalse(leaving.node().detached(), "there would be one copy only");
             slow.disk.mode = SimulatedDisk.Mode.GOOD;
             double ms = world.runUntil(() -> leaving.node().detached(), GIVEN_UP_MS);
-            assertTrue(ms < 2 * SOON_MS, "took " + ms);
+            assertTrue(ms < DOWN_MS + 2 * SOON_MS, "took " + ms);
         }
     }
 
