Two answers to one round may pass each other; what a store knows stays known

Cause (traced in RepairTest): a reply told again because the record was learnt and the one before it came in the wrong order, so the primary learnt 200 ms later that the record is known. Ruled out: lost messages, timers. Test: AnswerMatchingTest.twoAnswersToOneRoundMayPassEachOther failed before.

--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -178,8 +178,7 @@
         newestAnswered = round;
         heardMs = Math.max(heardMs, askedMs);
         promised = reply.promised();
-        accepted = reply.accepted();
-        settled = reply.settled();
+        learnRecord(reply.accepted(), reply.settled());
         noteLeaving(reply.leaving() || leavingBefore, nowMs);
         diskReady = reply.diskReady();
         if (reply.number().equals(number) && reply.promised().equals(number)) {
@@ -188,6 +187,16 @@
         learnTag(reply.tag(), number, target, nowMs);
     }
 
+    /** What a store knows of a record it does not unlearn; two answers to one round may have passed each other. */
+    private void learnRecord(EpochNumber number, boolean stands) {
+        if (number.equals(accepted)) {
+            settled |= stands;
+        } else if (number.isAfter(accepted)) {
+            accepted = number;
+            settled = stands;
+        }
+    }
+
     void onStateReply(StateReply reply, EpochNumber number, StateTag target, double nowMs) {
         promised = reply.promised();
         diskReady = reply.result() != StateResult.DISK_FAILED;
--- a/replication/src/test/java/pinewick/replication/AnswerMatchingTest.java
+++ b/replication/src/test/java/pinewick/replication/AnswerMatchingTest.java
@@ -136,6 +136,19 @@
         assertFalse(replica.leaving());
     }
 
+    @Test
+    void twoAnswersToOneRoundMayPassEachOther() {
+        Replica replica = new Replica(new Member("store-b", pinewick.model.SocketAddress.parse("10.0.0.2:7721")), 0);
+        EpochNumber number = new EpochNumber(4, "store-a");
+        StateTag tag = new StateTag(4, 1);
+        HeartbeatReply later = reply(2, number, tag, false);
+        HeartbeatReply earlier =
+                new HeartbeatReply(later.request(), number, later.self(), number, number, false, tag, false, true);
+        replica.onHeartbeatReply(later, number, tag, 100, 110);
+        replica.onHeartbeatReply(earlier, number, tag, 100, 111);
+        assertTrue(replica.knows(number), "it said that the record stands");
+    }
+
     private static HeartbeatReply reply(long round, EpochNumber number, StateTag tag, boolean leaving) {
         Member self = new Member("store-b", pinewick.model.SocketAddress.parse("10.0.0.2:7721"));
         return new HeartbeatReply(new RequestId(9, round), number, self, number, number, true, tag, leaving, true);
