--- a/storage/src/main/java/pinewick/storage/XodusFiles.java
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -44,12 +44,12 @@
     private int nextChange;
     private int contentChecksum;
 
-    private XodusFiles(Environment environment) {
+    private XodusFiles(Environment environment, Transaction transaction) {
         this.environment = environment;
-        this.heads = openStore("head");
-        this.documents = openStore("document");
-        this.keys = openStore("keys");
-        this.changes = openStore("changes");
+        this.heads = openStore(environment, "head", transaction);
+        this.documents = openStore(environment, "document", transaction);
+        this.keys = openStore(environment, "keys", transaction);
+        this.changes = openStore(environment, "changes", transaction);
     }
 
     static XodusFiles open(Path folder) {
@@ -68,12 +68,13 @@
         // would fail for it alone.
         LogConfig logConfig = new LogConfig().setLocation(folder.toString());
         logConfig.setLockIgnored(true);
-        return new XodusFiles(Environments.newInstance(logConfig, config));
+        Environment environment = Environments.newInstance(logConfig, config);
+        // All stores by one transaction: a new disk is waited for once.
+        return environment.computeInTransaction(transaction -> new XodusFiles(environment, transaction));
     }
 
-    private Store openStore(String name) {
-        return environment.computeInTransaction(
-                transaction -> environment.openStore(name, StoreConfig.WITHOUT_DUPLICATES, transaction));
+    private static Store openStore(Environment environment, String name, Transaction transaction) {
+        return environment.openStore(name, StoreConfig.WITHOUT_DUPLICATES, transaction);
     }
 
     /** Everything that was written, or nothing before the first write. */
