--- /dev/null
+++ b/lab/src/test/java/pinewick/lab/recovery/FiguresTest.java
@@ -0,0 +1,40 @@
+package pinewick.lab.recovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonParser;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What the laboratory makes of its readings. */
+class FiguresTest {
+    private static final double AIM_MS = 1_000;
+
+    @Test
+    void aMedianThatMissesItsAimIsAFault() {
+        Figures figures = new Figures();
+        figures.add("repair", 900, AIM_MS);
+        figures.add("repair", 1_500, AIM_MS);
+        figures.add("repair", 950, AIM_MS);
+        assertEquals(List.of(), figures.faults());
+        figures.add("repair", 1_600, AIM_MS);
+        assertEquals(1, figures.faults().size());
+        assertTrue(figures.table().contains("| repair | 4 | 900.0 | 1500.0 | 1600.0 |"), figures.table());
+        assertEquals(4, figures.toJson().getAsJsonArray("repair").size());
+    }
+
+    @Test
+    void onlyAPrimaryTellsOfLosses() {
+        String backup = "{\"version\":3,\"epoch\":4,\"members\":[],\"bears_losses_unknown\":\"not the primary\"}";
+        assertEquals(Optional.empty(), PrimaryReport.of(1, JsonParser.parseString(backup).getAsJsonObject()));
+        String primary = "{\"version\":3,\"epoch\":4,\"bears_losses\":1,\"members\":["
+                + "{\"address\":\"10.0.0.1:7721\",\"in_sync\":true},{\"address\":\"10.0.0.2:7721\",\"in_sync\":false}]}";
+        PrimaryReport report = PrimaryReport.of(2, JsonParser.parseString(primary).getAsJsonObject()).orElseThrow();
+        assertEquals(4, report.epoch());
+        assertEquals(1, report.bearsLosses());
+        assertEquals(1, report.inSync().size());
+        assertTrue(report.inSync().contains("10.0.0.1:7721"));
+    }
+}
