--- a/model/src/main/java/pinewick/model/SocketAddress.java
+++ b/model/src/main/java/pinewick/model/SocketAddress.java
@@ -26,6 +26,17 @@
         return new SocketAddress(text.substring(0, colon), port);
     }
 
+    /** Written out: what a record has by itself is linked at its first use, which costs a starting process much. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SocketAddress address && port == address.port && host.equals(address.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
