--- a/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
@@ -89,6 +89,7 @@
                     RawSocket.connect(settings.frontend().orElseThrow().port());
             client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
             RawSocket upstream = acceptRequest(replica);
+            router.settingsChanged(settings);
             CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::stop);
             while (ready() != 503) {
                 Thread.onSpinWait();
