--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -150,9 +150,7 @@
         long copies = others.stream()
                 .filter(machine -> machine.disk().version() >= newest)
                 .count();
-        long lost = others.stream()
-                .filter(machine -> !machine.sound())
-                .count();
+        long lost = others.stream().filter(machine -> !machine.sound()).count();
         InvariantViolation.require(
                 copies + lost > toleratedMachines,
                 Invariant.COPIES_LEFT,
--- a/emulator/src/main/java/pinewick/emulator/control/FleetSabotage.java
+++ b/emulator/src/main/java/pinewick/emulator/control/FleetSabotage.java
@@ -52,7 +52,7 @@
                 return new ReplicaUpdate(update.ackId(), ready(update.records()));
             }
             if (message instanceof ReplicaSnapshot snapshot) {
-                return new ReplicaSnapshot(ready(snapshot.records()));
+                return new ReplicaSnapshot(snapshot.requestId(), ready(snapshot.records()));
             }
             return message;
         }
