--- a/lab/src/main/java/pinewick/lab/scale/FleetAddresses.java
+++ b/lab/src/main/java/pinewick/lab/scale/FleetAddresses.java
@@ -57,11 +57,11 @@
         return new SocketAddress(controllerHost(number), firstPort + CONTROL_PLANE);
     }
 
-    SocketAddress frontend(int number) {
+    public SocketAddress frontend(int number) {
         return new SocketAddress(routerHost(number), firstPort + FRONTEND);
     }
 
-    SocketAddress readiness(int number) {
+    public SocketAddress readiness(int number) {
         return new SocketAddress(routerHost(number), firstPort + READINESS);
     }
 
@@ -77,7 +77,7 @@
     }
 
     /** Where replicas and the operator call. */
-    List<SocketAddress> controlPlanes() {
+    public List<SocketAddress> controlPlanes() {
         return IntStream.range(0, controllers).mapToObj(this::controlPlane).toList();
     }
 }
--- a/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
+++ b/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
@@ -33,18 +33,15 @@
     }
 
     /** The status of an answer, 0 for none. */
-    int status(SocketAddress peer, String path) throws InterruptedException {
-        try {
-            return client.send(get(peer, path), HttpResponse.BodyHandlers.discarding()).statusCode();
-        } catch (IOException e) {
-            return 0;
-        }
+    public int status(SocketAddress peer, String path) throws InterruptedException {
+        return statusOf(get(peer, path));
     }
 
     /** The status of a controller; empty if it does not answer. */
     public Optional<JsonObject> report(SocketAddress controlPlane) throws InterruptedException {
         try {
-            HttpResponse<String> answer = client.send(get(controlPlane, "/status"), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer =
+                    client.send(get(controlPlane, "/status"), HttpResponse.BodyHandlers.ofString());
             return answer.statusCode() == OK
                     ? Optional.of(JsonParser.parseString(answer.body()).getAsJsonObject())
                     : Optional.empty();
@@ -53,6 +50,16 @@
         }
     }
 
+    /** Sends a call with a JSON body; returns the status of the answer, 0 for none. */
+    public int post(SocketAddress peer, String path, String body) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(uri(peer, path))
+                .timeout(PATIENCE)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return statusOf(request);
+    }
+
     /** Sends a change of the configuration; returns the status of the answer, 0 for none. */
     public int change(SocketAddress controlPlane, String path, long baseVersion, byte[] body) throws InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(uri(controlPlane, path))
@@ -61,6 +68,10 @@
                 .header("X-Pinewick-Base-Version", Long.toString(baseVersion))
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body))
                 .build();
+        return statusOf(request);
+    }
+
+    private int statusOf(HttpRequest request) throws InterruptedException {
         try {
             return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
         } catch (IOException e) {
