--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -140,8 +140,8 @@
     }
 
     /**
-     * A controller ends because the others can do without it, as it says: more copies are left than losses are tolerated,
-     * but for those that are lost already.
+     * A controller ends because the others can do without it, as it says: more copies are left than losses are
+     * tolerated, but for those that are lost already.
      */
     void detached(ControllerMachine leaving) {
         long newest = history.newestAcknowledged();
--- a/emulator/src/main/java/pinewick/emulator/control/MessageSabotage.java
+++ b/emulator/src/main/java/pinewick/emulator/control/MessageSabotage.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
-import pinewick.replication.EpochNumber;
 import pinewick.replication.EpochRecord;
 import pinewick.replication.Member;
 import pinewick.replication.ReplicationMessages.Accept;
@@ -42,7 +41,15 @@
             Promise old = promises.get(new Way(to, from));
             if (message instanceof Prepare prepare && old != null) {
                 network.forge(
-                        to, from, new Promise(prepare.number(), old.self(), old.accepted(), old.tag(), old.leaving()));
+                        to,
+                        from,
+                        new Promise(
+                                prepare.request(),
+                                prepare.number(),
+                                old.self(),
+                                old.accepted(),
+                                old.tag(),
+                                old.leaving()));
                 return null;
             }
             return message;
@@ -60,7 +67,8 @@
             }
             Accepted old = acceptances.get(new Way(to, from));
             if (message instanceof Accept accept && old != null) {
-                network.forge(to, from, new Accepted(accept.record().number(), old.identity()));
+                network.forge(
+                        to, from, new Accepted(accept.request(), accept.record().number(), old.identity()));
                 return null;
             }
             return message;
@@ -80,16 +88,16 @@
             if (message instanceof Heartbeat heartbeat
                     && old != null
                     && old.number().equals(heartbeat.number())) {
-                network.forge(to, from, renumbered(old, heartbeat.number(), heartbeat.round()));
+                network.forge(to, from, renumbered(old, heartbeat));
             }
             return message;
         }
     }
 
-    private static HeartbeatReply renumbered(HeartbeatReply reply, EpochNumber number, long round) {
+    private static HeartbeatReply renumbered(HeartbeatReply reply, Heartbeat asked) {
         return new HeartbeatReply(
-                number,
-                round,
+                asked.request(),
+                asked.number(),
                 reply.self(),
                 reply.promised(),
                 reply.accepted(),
@@ -117,7 +125,7 @@
             if (message instanceof HeartbeatReply reply
                     && asked != null
                     && reply.number().equals(asked.number())) {
-                return renumbered(reply, reply.number(), asked.round());
+                return renumbered(reply, asked);
             }
             return message;
         }
@@ -138,6 +146,7 @@
                         to,
                         from,
                         new StateReply(
+                                replicate.request(),
                                 replicate.number(),
                                 old.identity(),
                                 StateResult.HELD,
@@ -153,7 +162,7 @@
         @Override
         Message sent(Network network, SocketAddress from, SocketAddress to, Message message) {
             return message instanceof Install install
-                    ? new Install(install.number(), install.tag(), install.document(), NOTHING)
+                    ? new Install(install.request(), install.number(), install.tag(), install.document(), NOTHING)
                     : message;
         }
     }
@@ -166,7 +175,8 @@
                 EpochRecord record = accept.record();
                 List<Member> all = new ArrayList<>(record.previousMembers());
                 all.addAll(record.members());
-                all.forEach(member -> network.forge(to, from, new Accepted(record.number(), member.identity())));
+                all.forEach(member ->
+                        network.forge(to, from, new Accepted(accept.request(), record.number(), member.identity())));
                 return null;
             }
             return message;
@@ -195,6 +205,7 @@
             }
             if (message instanceof Promise promise) {
                 return new Promise(
+                        promise.request(),
                         promise.number(),
                         promise.self(),
                         inSync(promise.accepted(), own),
@@ -203,6 +214,7 @@
             }
             if (message instanceof Status status) {
                 return new Status(
+                        status.request(),
                         status.self(),
                         status.promised(),
                         inSync(status.accepted(), own),
--- a/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
+++ b/lab/src/main/java/pinewick/lab/scale/HttpPeer.java
@@ -23,7 +23,8 @@
             .followRedirects(HttpClient.Redirect.NORMAL)
             .build();
 
-    HttpPeer() {
+    /** Waits for an answer for five seconds. */
+    public HttpPeer() {
         this(PATIENCE);
     }
 
--- a/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -336,20 +336,6 @@
         return primary.report(primary());
     }
 
-    /**
-     * Whether this process is in contact with a quorum, as its confirmed primary or by hearing one, and has told its
-     * listener of every configuration that this primary had acknowledged when it was heard last.
-     */
-    public boolean holdsNewest() {
-        if (leadership.isPresent()) {
-            return leadership.get().begun() && leadership.get().confirmedLately();
-        }
-        return election.hearsPrimary()
-                && lastHeartbeat != null
-                && lastHeartbeat.number().equals(durable.promised())
-                && commitReport.covers(lastHeartbeat.committed());
-    }
-
     /** The epoch that this process leads or believes to lead, whether or not it has begun. */
     Optional<Long> leadingNumber() {
         return primary.leadership().map(leading -> leading.number().counter());
