--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -16,6 +16,8 @@
     static final int ACK_MS = 4_000;
     static final int LEASE_MS = 1_000;
     static final int HEARTBEAT_MS = 500;
+    /** So old may the knowledge be on which a redirection rests. */
+    static final double REDIRECT_AGE_MS = 1_500;
 
     private static final int MOST_SEEDS = 3;
     private static final double LOOK_MS = 100;
@@ -34,8 +36,10 @@
     private final int toleratedMachines;
     private final Optional<List<String>> trace;
     private List<SocketAddress> seeds = List.of();
-    private boolean cleanLinks;
+    private boolean cleanLinks = true;
+    private double dirtyUntilMs;
     private double coreTroubleMs;
+    private Optional<InvariantViolation> firstViolation = Optional.empty();
 
     /**
      * @param toleratedMachines how many machines may be lost at once
@@ -123,12 +127,39 @@
 
     /** Whether no message is lost or late but by cuts. */
     boolean cleanLinks() {
-        return cleanLinks;
+        return cleanLinks && nowMs() >= dirtyUntilMs;
     }
 
-    void linkQuality(double lost, double doubled, double late) {
+    /** See {@link Network#quality}. */
+    void linkQuality(double lost, double doubled, double late, double stale) {
+        if (!cleanLinks) {
+            dirtyUntilMs = nowMs() + Network.STALEST_MS;
+        }
         cleanLinks = lost == 0 && late == 0;
-        network.quality(lost, doubled, late);
+        network.quality(lost, doubled, late, stale);
+    }
+
+    /**
+     * A controller ends because the others can do without it, as it says: more copies are left than losses are
+     * tolerated, but for those that are lost already.
+     */
+    void detached(ControllerMachine leaving) {
+        long newest = history.newestAcknowledged();
+        List<ControllerMachine> others = new ArrayList<>(present());
+        others.remove(leaving);
+        long copies = others.stream()
+                .filter(machine -> machine.disk().version() >= newest)
+                .count();
+        long lost = others.stream().filter(machine -> !machine.sound()).count();
+        InvariantViolation.require(
+                copies + lost > toleratedMachines,
+                Invariant.COPIES_LEFT,
+                leaving + " ends as detached, version " + newest + " is on " + copies + " other disks");
+    }
+
+    /** Some messages are late from now on, for as long as the latest of them take. */
+    void slowLinks() {
+        dirtyUntilMs = nowMs() + 2 * Network.STALEST_MS;
     }
 
     /** Controllers that have not been taken away. */
@@ -180,6 +211,43 @@
         }
     }
 
+    /**
+     * Runs a check from within the code under test, which may catch what is thrown in it: a run whose check failed is
+     * broken, whatever that code makes of it.
+     */
+    void guard(Runnable check) {
+        try {
+            check.run();
+        } catch (InvariantViolation violation) {
+            if (firstViolation.isEmpty()) {
+                firstViolation = Optional.of(violation);
+            }
+            time.stop();
+        }
+    }
+
+    /** The first check from within the code under test that failed. */
+    Optional<InvariantViolation> firstViolation() {
+        return firstViolation;
+    }
+
+    /**
+     * A controller redirects an operator. Knowledge may be old while messages are late or lost, or where a process has
+     * just thawed: it hears what waited for it, and tells others.
+     */
+    void redirects(ControllerMachine from, SocketAddress api) {
+        boolean thawed = present().stream().anyMatch(machine -> nowMs() - machine.lastThawMs() < REDIRECT_AGE_MS);
+        boolean excused = !cleanLinks() || thawed;
+        Optional<ControllerMachine> target = controllerAt(api);
+        target.ifPresent(ControllerMachine::look);
+        boolean ledLately = target.isPresent() && nowMs() - target.get().lastLedMs() < REDIRECT_AGE_MS;
+        InvariantViolation.require(
+                excused || ledLately,
+                Invariant.REDIRECTS_TO_A_PRIMARY,
+                from + " redirects to " + api + ", which led "
+                        + target.map(machine -> nowMs() - machine.lastLedMs()).orElse(Double.NaN) + " ms ago");
+    }
+
     /** Something befell a controller. */
     void coreTrouble() {
         coreTroubleMs = nowMs();
@@ -192,6 +260,7 @@
     /** Notes which machines are in trouble at this moment. */
     private void look() {
         List<ControllerMachine> present = present();
+        present.forEach(ControllerMachine::look);
         boolean calm = present.stream().allMatch(ControllerMachine::sound);
         for (ControllerMachine one : present) {
             for (ControllerMachine other : present) {
@@ -203,6 +272,15 @@
         }
         List<ControllerMachine> core =
                 calm ? present : present.stream().filter(this::inMajority).toList();
+        for (ControllerMachine machine : present) {
+            boolean reaches = inMajority(machine)
+                    && core.stream()
+                            .allMatch(
+                                    other -> other == machine || network.isOpenBothWays(machine.host(), other.host()));
+            if (!reaches) {
+                machine.troubled();
+            }
+        }
         for (RouterMachine router : routers) {
             boolean reaches = !core.isEmpty()
                     && core.stream().allMatch(machine -> network.isOpenBothWays(router.host(), machine.host()));
--- a/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControllerLife.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationSettings;
 
 /** One life of a controller's process: the project's own controller, on a loop in virtual time. */
@@ -79,12 +81,12 @@
     private final class Watch implements FleetStateListener {
         @Override
         public void configurationChanged(ConfigurationDocument document) {
-            world.history().inForceAt(machine.host(), document);
+            world.guard(() -> world.history().inForceAt(machine.host(), document));
         }
 
         @Override
         public void replicaChanged(ReplicaRecord record) {
-            world.fleetChecker().knows(ControllerLife.this, machine.host(), record);
+            world.guard(() -> world.fleetChecker().knows(ControllerLife.this, machine.host(), record));
         }
     }
 
@@ -150,6 +152,11 @@
         return core.primary();
     }
 
+    /** What its replicated configuration says of itself. */
+    ReplicationReport report() {
+        return core.replicationReport();
+    }
+
     /** Whether this process takes itself for the primary. */
     boolean leads() {
         return alive && core.primary().filter(machine.api()::equals).isPresent();
@@ -199,7 +206,7 @@
         CallHistory.Call record = world.history().calls().cameIn(sent.change());
         Consumer<ApiAnswer> answer = given -> {
             ApiAnswer altered = world.sabotage().answered(this, sent, given);
-            check(record, sent, altered);
+            world.guard(() -> check(record, sent, altered));
             onAnswer.accept(altered);
         };
         run(() -> world.sabotage()
@@ -232,6 +239,9 @@
             CallHistory.Finding finding =
                     answer.status() == 412 ? CallHistory.Finding.CONFLICT : CallHistory.Finding.INVALID;
             world.history().calls().answered(record, finding, 0);
+        } else if (answer.status() == 307) {
+            URI location = URI.create(answer.location().orElseThrow());
+            world.redirects(machine, new SocketAddress(location.getHost(), location.getPort()));
         } else if (answer.status() == 500) {
             throw new InvariantViolation(Invariant.NO_FAILURE, machine.host() + " answers 500");
         }
@@ -258,7 +268,7 @@
         ApiCall api = new ApiCall(call.path(), call.instanceId(), null, call.body());
         Consumer<ApiAnswer> answer = given -> {
             if (given.status() == 200) {
-                world.fleetChecker().endAcknowledged(machine, call.instanceId(), call.state());
+                world.guard(() -> world.fleetChecker().endAcknowledged(machine, call.instanceId(), call.state()));
             }
             onAnswer.accept(given);
         };
--- a/emulator/src/main/java/pinewick/emulator/control/Network.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Network.java
@@ -14,8 +14,7 @@
     private static final double MIN_DELAY_MS = 0.3;
     private static final double MAX_DELAY_MS = 1.5;
     private static final double LATEST_MS = 400;
-    private static final double STALE_SHARE = 0.1;
-    private static final double STALEST_MS = 4_000;
+    static final double STALEST_MS = 4_000;
 
     /** Receives what the network carries. */
     interface Receiver {
@@ -28,11 +27,13 @@
     private final long seed;
     private final Map<Link, SplittableRandom> chances = new HashMap<>();
     private final Map<Link, Integer> cuts = new HashMap<>();
+    private final Map<Link, Double> slowMs = new HashMap<>();
     private final Map<SocketAddress, Receiver> receivers = new HashMap<>();
     private Sabotage sabotage = Sabotage.NONE;
     private double lossShare;
     private double duplicateShare;
     private double lateShare;
+    private double staleShare;
 
     Network(VirtualTime time, long seed) {
         this.time = time;
@@ -43,8 +44,12 @@
         sabotage = by;
     }
 
-    /** How bad the links are. */
-    void quality(double lost, double doubled, double late) {
+    /**
+     * How bad the links are: shares of messages that are lost, that come twice, that are late, and of the late ones
+     * those that are late by seconds.
+     */
+    void quality(double lost, double doubled, double late, double stale) {
+        staleShare = stale;
         lossShare = lost;
         duplicateShare = doubled;
         lateShare = late;
@@ -65,6 +70,16 @@
 
     void joinAll() {
         cuts.clear();
+        slowMs.clear();
+    }
+
+    /** Messages between processes take up to so much longer one way; 0 ends it. */
+    void slow(String from, String to, double mostMs) {
+        if (mostMs > 0) {
+            slowMs.put(new Link(from, to), mostMs);
+        } else {
+            slowMs.remove(new Link(from, to));
+        }
     }
 
     boolean isOpen(String from, String to) {
@@ -94,14 +109,26 @@
     private void carry(SocketAddress from, SocketAddress to, Message message, SplittableRandom chance) {
         double delayMs = MIN_DELAY_MS + (MAX_DELAY_MS - MIN_DELAY_MS) * chance.nextDouble();
         if (lateShare > 0 && chance.nextDouble() < lateShare) {
-            double latestMs = chance.nextDouble() < STALE_SHARE ? STALEST_MS : LATEST_MS;
+            double latestMs = chance.nextDouble() < staleShare ? STALEST_MS : LATEST_MS;
             delayMs += latestMs * chance.nextDouble();
         }
+        if (!slowMs.isEmpty()) {
+            delayMs += slowMs.getOrDefault(new Link(from.host(), to.host()), 0.0) * chance.nextDouble();
+        }
         deliverAfter(delayMs, from, to, message);
     }
 
-    /** Delivers a message whatever the links are like; also what a sabotage makes up. */
-    void deliverAfter(double delayMs, SocketAddress from, SocketAddress to, Message message) {
+    /** Delivers a message that nobody sent, cut or not, as a sabotage makes it up. */
+    void forge(SocketAddress from, SocketAddress to, Message message) {
+        time.after(MIN_DELAY_MS, () -> {
+            Receiver receiver = receivers.get(to);
+            if (receiver != null) {
+                receiver.onMessage(from, message);
+            }
+        });
+    }
+
+    private void deliverAfter(double delayMs, SocketAddress from, SocketAddress to, Message message) {
         time.after(delayMs, () -> {
             Receiver receiver = receivers.get(to);
             if (receiver != null && isOpen(from.host(), to.host())) {
