Xodus collects garbage every second: whole documents in a row take a quarter of the disk space

Cause: garbage was collected 10 s after the start at first, then every 5 s, and old files deleted 5 s after that. Change: 1 s each. Trials, 2,000 whole documents of 2,000 routes as fast as they go (52 and 56 s, one run each): at most 47.2 MB on disk before, 11.8 MB now. In ManyChangesTest, one run each: 300 whole documents 19.1 and 9.1 MB, 2,000 mixed changes 19.0 and 5.3 MB, 3,000 deltas 4.7 and 3.4 MB.

--- a/storage/src/main/java/pinewick/storage/XodusFiles.java
+++ b/storage/src/main/java/pinewick/storage/XodusFiles.java
@@ -33,6 +33,9 @@
     /** No value is longer: the log cannot hold values longer than one of its files. */
     private static final int CHUNK_BYTES = 64 * 1024;
 
+    /** Garbage is collected this often and this soon, for whole documents in a row make much of it. */
+    private static final int GC_PERIOD_MS = 1_000;
+
     private static final ByteIterable HEAD = key("head");
     private static final ByteIterable CHECKSUM = key("checksum");
 
@@ -62,6 +65,9 @@
                 .setEnvStoreGetCacheSize(0)
                 .setEnvMonitorTxnsTimeout(0)
                 .setEnvCloseForcedly(true)
+                .setGcStartIn(GC_PERIOD_MS)
+                .setGcRunPeriod(GC_PERIOD_MS)
+                .setGcFilesDeletionDelay(GC_PERIOD_MS)
                 .setEnvGatherStatistics(false)
                 .setManagementEnabled(false);
         // One thread of one process uses the folder. A lock would stay behind when opening fails, and the next try
