A tick without news sends nothing and builds nothing

Cause: of the samples of three idle routers' control loops (74 in 37 s) 9 were in ReplicaSpread.onTick, which made sets and lists of nothing at each tick, 5 in the list of the other routers. Change: a tick returns when nothing was pushed or arose; the list by a loop.

--- a/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
+++ b/dataplane/src/main/java/pinewick/dataplane/FleetLink.java
@@ -89,10 +89,13 @@
 
     /** The other routers known at this moment. */
     List<SocketAddress> otherRouters() {
-        return node.peers().stream()
-                .filter(peer -> peer.role() == NodeRole.ROUTER)
-                .map(NodeDescriptor::address)
-                .toList();
+        List<SocketAddress> routers = new ArrayList<>();
+        for (NodeDescriptor peer : node.peers()) {
+            if (peer.role() == NodeRole.ROUTER) {
+                routers.add(peer.address());
+            }
+        }
+        return routers;
     }
 
     /** Runs a task over and over on the control loop. */
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -94,13 +94,25 @@
         if (gone.expire(state, nowMs)) {
             digest.invalidate();
         }
+        if (!hasNews()) {
+            pushed.clear();
+            return;
+        }
         nameAgain();
         pushNews(nowMs);
     }
 
     /** Whether the next tick has something to send. */
     boolean hasNews() {
-        return !arisen.isEmpty() || !heardOf.isEmpty() || pushed.stream().anyMatch(ids -> !ids.isEmpty());
+        if (!arisen.isEmpty() || !heardOf.isEmpty()) {
+            return true;
+        }
+        for (Set<String> ids : pushed) {
+            if (!ids.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Names what was pushed in the ticks before to a few more peers, which ask for what they lack. */
