--- a/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
+++ b/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
@@ -10,13 +10,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * One process of the system's own programs, started as the deploy file says. A shell holds its life: it ends the program
  * when the laboratory ends in whatever way, and in any case after a time.
  */
-final class SystemProcess implements AutoCloseable {
-    private static final String GUARD = """
+public final class SystemProcess implements AutoCloseable {
+    private static final String GUARD =
+            """
             "$@" </dev/null >>"$PINEWICK_LAB_LOG" 2>&1 &
             child=$!
             echo $child
@@ -24,6 +26,7 @@
             kill -9 $child
             """;
     private static final long EXIT_SECONDS = 5;
+    private static final long POLL_NS = 10_000_000;
 
     private final String role;
     private final Path settings;
@@ -36,14 +39,15 @@
     private boolean killed;
 
     /** @param longestSeconds after which it is ended whatever happens */
-    SystemProcess(String role, Path settings, Path log, long longestSeconds) {
+    public SystemProcess(String role, Path settings, Path log, long longestSeconds) {
         this.role = role;
         this.settings = settings;
         this.log = log;
         this.longestSeconds = longestSeconds;
     }
 
-    void start() throws IOException {
+    /** Starts it, the first time or again. */
+    public void start() throws IOException {
         List<String> words = new ArrayList<>(List.of("bash", "-c", GUARD, "guard"));
         words.addAll(commandOf(role));
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
@@ -52,7 +56,8 @@
         builder.environment().put("PINEWICK_LAB_SECONDS", Long.toString(longestSeconds));
         startedAtNs = System.nanoTime();
         guard = builder.start();
-        BufferedReader output = new BufferedReader(new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
+        BufferedReader output =
+                new BufferedReader(new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
         String pid = output.readLine();
         program = ProcessHandle.of(Long.parseLong(pid)).orElseThrow(() -> new IOException(role + " ended at once"));
         running = true;
@@ -72,11 +77,13 @@
         throw new IOException("deploy/system.toml has no role " + role);
     }
 
-    long startedAtNs() {
+    /** When it was started last, in steady time. */
+    public long startedAtNs() {
         return startedAtNs;
     }
 
-    boolean running() {
+    /** Whether it runs. */
+    public boolean running() {
         return running && program.isAlive();
     }
 
@@ -86,17 +93,18 @@
     }
 
     /** What it said last. */
-    String lastLogLine() throws IOException {
+    public String lastLogLine() throws IOException {
         List<String> lines = Files.readAllLines(log);
         return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
     }
 
-    ProcessUsage usage() {
+    /** What it has used so far. */
+    public ProcessUsage usage() {
         return ProcessUsage.of(program.pid());
     }
 
     /** As a loss of power: at once and without a word. */
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         running = false;
         killed = true;
         program.destroyForcibly();
@@ -104,6 +112,36 @@
         guard.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Asks it to end, as for planned work. */
+    public void terminate() {
+        running = false;
+        program.destroy();
+    }
+
+    /** Stops it where it stands; it goes on with {@link #thaw}. */
+    public void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void thaw() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
+    }
+
+    /** Waits until the program has ended; returns whether it has. */
+    public boolean awaitEnd() {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(EXIT_SECONDS);
+        while (program != null && program.isAlive() && System.nanoTime() < endNs) {
+            // No wait for its exit: it is the guard's child, and the JDK looks at others' children only seldom.
+            LockSupport.parkNanos(POLL_NS);
+        }
+        return program == null || !program.isAlive();
+    }
+
     @Override
     public void close() {
         if (guard == null) {
