No request behind a departed client is sent, and no answer's end is held beyond the time-out

Causes: Jetty goes on with the requests in its buffer after their connection was closed, so those that a client had sent ahead still went to replicas, one after the other; and once the last bytes of an answer had been handed to Jetty, nothing ended the request of a client that did not read them: it kept its place among the requests for ever. Change: a request that is read from a closed connection is dropped; each request begins with a look whether its client has left; DepartureWatch also closes the connection of a client that has not taken its whole answer when that is due.

--- a/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -60,8 +60,9 @@
         lastRequestTaken = true;
     }
 
+    /** Whether a request that was read may be run; Jetty hands on what it has in its buffer after a close, too. */
     boolean takesRequests() {
-        return !lastRequestTaken;
+        return !lastRequestTaken && getEndPoint().isOpen();
     }
 
     /** An answer was completed: looks for the next request. */
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -3,10 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -56,7 +56,7 @@
     private final RequestRouting routing;
     private final UpstreamPool pool;
     private final DataPlaneServices services;
-    private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
+    private final Set<RequestLifecycle> underWay = new HashSet<>();
     private final AdmissionControl admissionControl;
     private final LoadSharing sharing;
     private final ReportPoller reports;
@@ -213,8 +213,7 @@
     void accept(ClientRequest read, Request request, Response response, Callback callback) {
         serial.execute(() -> {
             unanswered++;
-            Callback answered = Callback.from(callback, () -> serial.execute(this::answered));
-            begin(read, request, response, answered);
+            begin(read, request, response, callback);
         });
     }
 
@@ -238,9 +237,14 @@
         client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
     }
 
+    /** Begins a request, unless its client has left, as it may have while an earlier one on the connection took long. */
     private void begin(ClientRequest read, Request request, Response response, Callback callback) {
-        JettyClientExchange client =
-                new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
+        JettyClientExchange client = new JettyClientExchange(
+                request, response, callback, serial, () -> stopping, probeBuffer, this::answered);
+        client.lookForDeparture(timers.nowMs());
+        if (client.isOver()) {
+            return;
+        }
         Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
         if (over || found.isEmpty()) {
             refuse(client, read.id());
@@ -253,9 +257,9 @@
             answerNotRun(client, read.id(), refusal.retryAfterSeconds());
             return;
         }
-        RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
-        client.setLifecycle(lifecycle);
-        underWay.put(lifecycle, client);
+        RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, underWay::remove);
+        client.setLifecycle(lifecycle, shape.deadlineAtMs());
+        underWay.add(lifecycle);
         departures.add(client);
         request.addIdleTimeoutListener(timeout -> false);
         request.addFailureListener(failure -> serial.execute(() -> client.gone(failure)));
@@ -289,11 +293,8 @@
         return idle;
     }
 
-    private void ended(RequestLifecycle lifecycle) {
-        departures.remove(underWay.remove(lifecycle));
-    }
-
-    private void answered() {
+    private void answered(JettyClientExchange client) {
+        departures.remove(client);
         unanswered--;
         tellIfIdle();
     }
@@ -310,7 +311,7 @@
     void answerTheRest() {
         serial.execute(() -> {
             over = true;
-            List.copyOf(underWay.keySet()).forEach(RequestLifecycle::onShutdown);
+            List.copyOf(underWay).forEach(RequestLifecycle::onShutdown);
         });
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/DepartureWatch.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DepartureWatch.java
@@ -16,10 +16,10 @@
     private final Set<Client> clients = new LinkedHashSet<>();
     private boolean scheduled;
 
-    /** A client that waits for an answer. */
+    /** A client that waits for an answer, or for the end of one. */
     interface Client {
         /** Looks at the connection, and breaks the request off if the client has closed it. */
-        void lookForDeparture();
+        void lookForDeparture(double nowMs);
     }
 
     DepartureWatch(Timers timers) {
@@ -37,7 +37,8 @@
 
     /** Looks at every client now. */
     void look() {
-        List.copyOf(clients).forEach(Client::lookForDeparture);
+        double nowMs = timers.nowMs();
+        List.copyOf(clients).forEach(client -> client.lookForDeparture(nowMs));
     }
 
     private void scheduleNext() {
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -33,6 +34,7 @@
     private final ByteBuffer probeBuffer;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private RequestLifecycle lifecycle;
+    private double dueAtMs = Double.POSITIVE_INFINITY;
     private long pendingBytes;
     private boolean writing;
     private boolean streamEnded;
@@ -42,6 +44,7 @@
     /**
      * @param lastOfConnection whether the client is told to use the connection no more
      * @param probeBuffer shared room for what is read when looking for the client's departure
+     * @param onAnswered told once the whole answer has gone out, or the connection is gone
      */
     JettyClientExchange(
             Request request,
@@ -49,28 +52,40 @@
             Callback callback,
             SerialExecutor serial,
             BooleanSupplier lastOfConnection,
-            ByteBuffer probeBuffer) {
+            ByteBuffer probeBuffer,
+            Consumer<JettyClientExchange> onAnswered) {
         this.request = request;
         this.response = response;
-        this.callback = callback;
+        this.callback = Callback.from(callback, () -> serial.execute(() -> onAnswered.accept(this)));
         this.serial = serial;
         this.lastOfConnection = lastOfConnection;
         this.probeBuffer = probeBuffer;
     }
 
-    /** Whom to tell that the client has gone or has taken what was waiting. */
-    void setLifecycle(RequestLifecycle lifecycle) {
+    /**
+     * Sets whom to tell that the client has gone or has taken what was waiting.
+     *
+     * @param answerDueAtMs when the client must have taken the whole answer
+     */
+    void setLifecycle(RequestLifecycle lifecycle, double answerDueAtMs) {
         this.lifecycle = lifecycle;
+        this.dueAtMs = answerDueAtMs;
     }
 
     /**
      * Notices whether the client has closed its connection. What comes of a next request is handed to the connection;
      * once its buffer may be full, or if it held bytes before, nothing more is read, and a departure shows at the next
-     * write only.
+     * write only. A client that has not taken the end of its answer when that is due has left as well.
      */
     @Override
-    public void lookForDeparture() {
-        if (over || !(request.getConnectionMetaData().getConnection() instanceof ClientConnection connection)) {
+    public void lookForDeparture(double nowMs) {
+        if (over) {
+            if (nowMs >= dueAtMs) {
+                request.getConnectionMetaData().getConnection().getEndPoint().close();
+            }
+            return;
+        }
+        if (!(request.getConnectionMetaData().getConnection() instanceof ClientConnection connection)) {
             return;
         }
         boolean hasRoom = bytesAhead > 0 || connection.isRequestBufferEmpty();
@@ -100,6 +115,11 @@
         }
     }
 
+    /** Whether nothing more is to be told to the client. */
+    boolean isOver() {
+        return over;
+    }
+
     @Override
     public void answer(int status, HttpFields fields, byte[] body) {
         over = true;
@@ -196,7 +216,9 @@
             over = true;
             waiting.clear();
             callback.failed(cause);
-            lifecycle.onClientGone();
+            if (lifecycle != null) {
+                lifecycle.onClientGone();
+            }
         }
     }
 }
--- a/dataplane/src/test/java/pinewick/dataplane/DepartureWatchTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/DepartureWatchTest.java
@@ -22,9 +22,9 @@
         }
 
         @Override
-        public void lookForDeparture() {
-            if (timers.nowMs() >= leavesAtMs) {
-                noticedAtMs = timers.nowMs();
+        public void lookForDeparture(double nowMs) {
+            if (nowMs >= leavesAtMs) {
+                noticedAtMs = nowMs;
                 watch.remove(this);
             }
         }
--- a/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -1,11 +1,13 @@
 package pinewick.dataplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -13,6 +15,8 @@
 
 /** Streams that break: before their first event, within one, and between two. */
 class StreamTest {
+    private static final int QUIET_MS = 300;
+
     private TestRouter router;
     private ScriptedReplica first;
     private ScriptedReplica second;
@@ -214,6 +218,20 @@
         assertTrue(upstream.isClosedByPeerWhileSending(turn -> ScriptedReplica.chunk(event(turn + 2))));
     }
 
+    @Test
+    void ofAClientThatHasLeftNoFurtherRequestIsSent() throws Exception {
+        router.configure(TestRouter.streamRoute(false, 1));
+        client.send(TestRouter.request("POST", "/lm/g", "q1", "prompt")
+                + TestRouter.request("POST", "/lm/g", "q2", "prompt"));
+        RawSocket upstream = first.accept();
+        upstream.read();
+        client.close();
+        upstream.send(ScriptedReplica.answer(200, "q1", "answer"));
+        router.dataPlane.whenIdle().get(10, TimeUnit.SECONDS);
+        assertFalse(upstream.bringsMoreWithin(QUIET_MS), "the second request is sent");
+        assertFalse(first.hasBeenCalled() || second.hasBeenCalled(), "the second request is sent");
+    }
+
     @Test
     void aResumableStreamThatFallsSilentGoesOnAtAnotherReplica() throws Exception {
         RawSocket upstream = begin(true, 2);
--- a/dataplane/src/test/java/pinewick/dataplane/TimeoutTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/TimeoutTest.java
@@ -1,6 +1,7 @@
 package pinewick.dataplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -18,6 +19,11 @@
     private static final String HEAD =
             "POST /plain/x HTTP/1.1\r\nHost: shop.example\r\nX-Pinewick-Request-Id: q1\r\nContent-Length: 10\r\n\r\n";
 
+    /** Together more than the sockets between router and client hold. */
+    private static final int MOST_ANSWERS = 40;
+
+    private static final int QUIET_MS = 500;
+
     private TestRouter router;
     private ScriptedReplica replica;
     private RawSocket client;
@@ -98,4 +104,25 @@
             }
         });
     }
+
+    @Test
+    void theEndOfAnAnswerIsNotHeldForAClientThatDoesNotRead() throws Exception {
+        configure(1_000);
+        String body = "x".repeat(ReplicaCall.MOST_KEPT_BYTES - 1);
+        for (int i = 0; i < MOST_ANSWERS; i++) {
+            client.send(TestRouter.request("POST", "/plain/x", "q" + i, ""));
+        }
+        RawSocket upstream = replica.accept();
+        int answered = 0;
+        do {
+            upstream.read();
+            upstream.send(ScriptedReplica.answer(200, "q" + answered, body));
+            answered++;
+        } while (answered < MOST_ANSWERS && upstream.bringsMoreWithin(QUIET_MS));
+        assertTrue(answered < MOST_ANSWERS, "the client's socket was to hold the last answer up");
+        router.dataPlane.whenIdle().get(10, TimeUnit.SECONDS);
+        assertEquals(0, router.front.clientConnections(), "closed though the client has read nothing");
+        assertFalse(upstream.bringsMoreWithin(QUIET_MS), "none of the requests behind it is run");
+        assertFalse(replica.hasBeenCalled(), "none of the requests behind it is run");
+    }
 }
