Departures are looked for from a request's second period on, and at its beginning only if it came ahead

Each look is a read of the socket. Most requests are answered within 150 ms and now cost none; a departure is noticed within 300 ms in place of 150 (0.5 s are allowed).

--- a/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -19,6 +19,8 @@
     private final IntSupplier headerTimeoutMs;
     private long headBeganNanos;
     private volatile boolean lastRequestTaken;
+    private boolean readsOn;
+    private volatile boolean cameAhead;
 
     private ClientConnection(
             HttpConfiguration configuration, Connector connector, EndPoint endPoint, IntSupplier headerTimeoutMs) {
@@ -65,13 +67,28 @@
         return !lastRequestTaken && getEndPoint().isOpen();
     }
 
+    /** A request's head has come; called on the thread that reads. */
+    void requestBegins() {
+        cameAhead = readsOn;
+    }
+
+    /** Whether the request under way had come before the answer to the one before it was complete. */
+    boolean requestCameAhead() {
+        return cameAhead;
+    }
+
     /** An answer was completed: looks for the next request. */
     @Override
     public void run() {
         if (isRequestBufferEmpty() && getParser().isStart() && getEndPoint().isOpen()) {
             fillInterested();
-        } else {
+            return;
+        }
+        readsOn = true;
+        try {
             super.run();
+        } finally {
+            readsOn = false;
         }
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -181,7 +181,7 @@
 
     /** Looks now for clients that have left, which is otherwise done at regular times. */
     void lookForDepartures() {
-        serial.execute(departures::look);
+        serial.execute(departures::lookAtAll);
     }
 
     /** Asks replicas for their load, where it is this router's turn. */
@@ -237,12 +237,10 @@
         client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
     }
 
-    /** Begins a request, unless its client has left, as it may have while an earlier one on the connection took long. */
     private void begin(ClientRequest read, Request request, Response response, Callback callback) {
         JettyClientExchange client = new JettyClientExchange(
                 request, response, callback, serial, () -> stopping, probeBuffer, this::answered);
-        client.lookForDeparture(timers.nowMs());
-        if (client.isOver()) {
+        if (client.hasLeftBefore(timers.nowMs())) {
             return;
         }
         Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
--- a/dataplane/src/main/java/pinewick/dataplane/DepartureWatch.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DepartureWatch.java
@@ -6,14 +6,16 @@
 
 /**
  * Looks at short, regular times whether the clients of requests under way have left, since Jetty would not notice
- * before the next write. Without I/O of its own; used on the data plane's executor only.
+ * before the next write. A request is passed over at the first time after its beginning: most are answered by the next.
+ * Without I/O of its own; used on the data plane's executor only.
  */
 final class DepartureWatch {
-    /** A replica must be let go within half a second of its client's departure; this leaves room for a busy machine. */
+    /** A replica must be let go within half a second of its client's departure: two periods and a busy machine. */
     static final double PERIOD_MS = 150;
 
     private final Timers timers;
-    private final Set<Client> clients = new LinkedHashSet<>();
+    private final Set<Client> fresh = new LinkedHashSet<>();
+    private final Set<Client> watched = new LinkedHashSet<>();
     private boolean scheduled;
 
     /** A client that waits for an answer, or for the end of one. */
@@ -27,22 +29,33 @@
     }
 
     void add(Client client) {
-        clients.add(client);
+        fresh.add(client);
         scheduleNext();
     }
 
     void remove(Client client) {
-        clients.remove(client);
+        fresh.remove(client);
+        watched.remove(client);
     }
 
     /** Looks at every client now. */
-    void look() {
+    void lookAtAll() {
+        watchFresh();
+        look();
+    }
+
+    private void watchFresh() {
+        watched.addAll(fresh);
+        fresh.clear();
+    }
+
+    private void look() {
         double nowMs = timers.nowMs();
-        List.copyOf(clients).forEach(client -> client.lookForDeparture(nowMs));
+        List.copyOf(watched).forEach(client -> client.lookForDeparture(nowMs));
     }
 
     private void scheduleNext() {
-        if (!scheduled && !clients.isEmpty()) {
+        if (!scheduled && !(fresh.isEmpty() && watched.isEmpty())) {
             scheduled = true;
             timers.schedule(PERIOD_MS, this::onTime);
         }
@@ -52,5 +65,6 @@
         scheduled = false;
         scheduleNext();
         look();
+        watchFresh();
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
+++ b/dataplane/src/main/java/pinewick/dataplane/HttpFront.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
@@ -125,7 +126,7 @@
     /** How many clients are connected. */
     long clientConnections() {
         return frontend.getConnectedEndPoints().stream()
-                .filter(endPoint -> endPoint.getConnection() instanceof ClientConnection)
+                .filter(endPoint -> endPoint.isOpen() && endPoint.getConnection() instanceof ClientConnection)
                 .count();
     }
 
@@ -144,12 +145,19 @@
             if (connector == readiness) {
                 response.setStatus(ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
                 response.write(true, null, callback);
-            } else if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection
-                    && !connection.takesRequests()) {
-                connection.getEndPoint().close();
-                callback.failed(new EofException("a request behind the last one of its connection"));
-            } else {
+            } else if (mayTakeFrom(request.getConnectionMetaData().getConnection())) {
                 new ClientIntake(dataPlane, request, response, callback).start();
+            } else {
+                request.getConnectionMetaData().getConnection().getEndPoint().close();
+                callback.failed(new EofException("a request behind the last one of its connection"));
+            }
+            return true;
+        }
+
+        private static boolean mayTakeFrom(Connection connection) {
+            if (connection instanceof ClientConnection client) {
+                client.requestBegins();
+                return client.takesRequests();
             }
             return true;
         }
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -115,8 +115,15 @@
         }
     }
 
-    /** Whether nothing more is to be told to the client. */
-    boolean isOver() {
+    /**
+     * Whether the client had left before its request began, as it may have while an earlier one on the connection took
+     * long.
+     */
+    boolean hasLeftBefore(double nowMs) {
+        if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection
+                && connection.requestCameAhead()) {
+            lookForDeparture(nowMs);
+        }
         return over;
     }
 
