--- a/emulator/src/main/java/pinewick/emulator/control/Invariant.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Invariant.java
@@ -14,6 +14,8 @@
     NOT_WRONGLY_REFUSED,
     /** Acknowledgements, refusals and reads fit a compare-and-set register. */
     LINEARIZABLE,
+    /** A redirection leads to a controller that led lately. */
+    REDIRECTS_TO_A_PRIMARY,
     /** Within one life a router's configuration never goes back. */
     NO_REGRESS,
     /** Routers in touch have an acknowledged configuration in time. */
@@ -26,6 +28,8 @@
     ONE_HOLDER,
     /** The set of members changes by a majority of the old members and of the new ones. */
     MEMBERS_BY_MAJORITY,
+    /** A process that ends on purpose, and says that the others can do without it, leaves enough copies. */
+    COPIES_LEFT,
     /** With a healthy majority an operator's change is acknowledged in time. */
     ACKNOWLEDGED_IN_TIME,
     /** With a healthy majority an operator's read is answered in time. */
--- a/lab/src/main/java/pinewick/lab/scale/SettingsText.java
+++ b/lab/src/main/java/pinewick/lab/scale/SettingsText.java
@@ -32,7 +32,7 @@
     }
 
     /** Of a router. */
-    static String router(FleetAddresses addresses, int number) {
+    public static String router(FleetAddresses addresses, int number) {
         return """
                 node_name = "frontend-%d"
                 role = "router"
@@ -84,7 +84,8 @@
                 config_apply_ms = 2000
                 grace_period_s = 8
                 """
-                .formatted(addresses.firstPort(), addresses.firstPort() + FleetAddresses.INTERNAL_PORTS - 1, seeds,
-                        (int) HollowReplica.HEARTBEAT_MS);
+                .formatted(
+                        addresses.firstPort(), addresses.firstPort() + FleetAddresses.INTERNAL_PORTS - 1, seeds, (int)
+                                HollowReplica.HEARTBEAT_MS);
     }
 }
