Each call names its rank: the route's, or 5 less once the call cannot be in time

Prices (kinds behind less urgent ones): Priority was named in HeaderNames and set nowhere, so that replicas took all calls for equal. Change: CallPriority; a call gives way if it cannot meet the target and would end within half of its time. PriorityTest fails without: no call had the field.

--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -3,11 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.function.IntFunction;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.Route;
 import pinewick.model.RouteKind;
 import pinewick.selection.CallEnding;
 import pinewick.selection.CallKind;
+import pinewick.selection.CallPriority;
 import pinewick.selection.ReplicaSelector;
 
 /**
@@ -88,11 +90,13 @@
         return mode == Mode.EVENTS;
     }
 
-    void begin(UpstreamRequest request) {
+    /** @param requestOfPriority writes the request with the rank that the call is given */
+    void begin(IntFunction<UpstreamRequest> requestOfPriority) {
         measured = kind == CallKind.DECODE_FETCHED
                 ? services.selector().beginFetched(replica, reader, lifecycle.shape(), now())
                 : services.selector().begin(replica, kind, lifecycle.shape(), now());
-        upstream = services.calls().send(replica, request, this);
+        int priority = CallPriority.of(lifecycle.shape(), measured.expectedServiceMs(), now());
+        upstream = services.calls().send(replica, requestOfPriority.apply(priority), this);
         if (kind == CallKind.PREFILL || lifecycle.shape().route().repeatable()) {
             patience = services.timers().schedule(patienceMs(), () -> lifecycle.tryAnother(this));
         }
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaRequests.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaRequests.java
@@ -13,9 +13,13 @@
         this.request = request;
     }
 
-    /** The prompt is read at the replica, and the request does not run there. */
-    UpstreamRequest prefill(ReplicaRecord replica, double remainingMs) {
-        HttpFields.Mutable fields = fields(replica, remainingMs);
+    /**
+     * The prompt is read at the replica, and the request does not run there.
+     *
+     * @param priority rank among the replica's calls, 0 first
+     */
+    UpstreamRequest prefill(ReplicaRecord replica, double remainingMs, int priority) {
+        HttpFields.Mutable fields = fields(replica, remainingMs, priority);
         fields.put(HeaderNames.SERVING_STAGE, PREFILL_STAGE);
         return with(fields);
     }
@@ -23,11 +27,13 @@
     /**
      * The request runs at the replica.
      *
+     * @param priority rank among the replica's calls, 0 first
      * @param handle memory of the prompt that the replica fetches, null if it reads the prompt itself
      * @param resumeAfter the event after which a stream goes on, null if the client's own field counts
      */
-    UpstreamRequest run(ReplicaRecord replica, double remainingMs, PrefillHandle handle, String resumeAfter) {
-        HttpFields.Mutable fields = fields(replica, remainingMs);
+    UpstreamRequest run(
+            ReplicaRecord replica, double remainingMs, int priority, PrefillHandle handle, String resumeAfter) {
+        HttpFields.Mutable fields = fields(replica, remainingMs, priority);
         if (handle != null) {
             fields.put(HeaderNames.KV_FROM, handle.kvFrom());
         }
@@ -37,10 +43,11 @@
         return with(fields);
     }
 
-    private HttpFields.Mutable fields(ReplicaRecord replica, double remainingMs) {
+    private HttpFields.Mutable fields(ReplicaRecord replica, double remainingMs, int priority) {
         HttpFields.Mutable fields = HttpFields.build(request.fields());
         fields.put(HeaderNames.EXPECTED_INSTANCE, replica.instanceId());
         fields.put(HeaderNames.DEADLINE_MS, Long.toString(Math.max(1, (long) remainingMs)));
+        fields.put(HeaderNames.PRIORITY, Integer.toString(priority));
         return fields;
     }
 
--- a/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -139,13 +139,14 @@
 
     private void callPrefill(ReplicaRecord replica) {
         active = new ReplicaCall(this, services, replica, CallKind.PREFILL, null);
-        active.begin(requests.prefill(replica, remainingMs()));
+        active.begin(priority -> requests.prefill(replica, remainingMs(), priority));
     }
 
     private void callDecode(ReplicaRecord replica) {
         ReplicaRecord reader = handle == null ? null : handle.holder();
         active = new ReplicaCall(this, services, replica, decodeKind(), reader);
-        active.begin(requests.run(replica, remainingMs(), handle, isStreaming() ? events.lastEventId() : null));
+        String resumeAfter = isStreaming() ? events.lastEventId() : null;
+        active.begin(priority -> requests.run(replica, remainingMs(), priority, handle, resumeAfter));
     }
 
     private CallKind decodeKind() {
--- /dev/null
+++ b/dataplane/src/test/java/pinewick/dataplane/PriorityTest.java
@@ -0,0 +1,61 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pinewick.dataplane.PlayedCalls.PlayedCall;
+import pinewick.model.RouteKind;
+import pinewick.model.Stage;
+
+/** Each call tells the replica its rank, and only the router does. */
+class PriorityTest {
+    private static final String HANDLE = "{\"prefill_handle\":\"h\",\"tokens\":1,\"version\":1}";
+    private static final String OF_THE_ROUTE = "1";
+    private static final String GIVES_WAY = "6";
+
+    private static String rank(PlayedCall call) {
+        return call.request.fields().get(HeaderNames.PRIORITY);
+    }
+
+    @Test
+    void prefillAndDecodeCallsHaveTheRoutesRank() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.STREAMING, false, true, 2, 1);
+        world.lifecycle.start();
+        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+        world.calls.last().answer(200, HANDLE);
+        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+    }
+
+    @Test
+    void aPlainCallHasTheRoutesRank() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.NON_IDEMPOTENT, false, false, 1, 1);
+        world.lifecycle.start();
+        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+    }
+
+    @Test
+    void aCallThatCannotBeInTimeAnyMoreGivesWay() {
+        LifecycleWorld world = new LifecycleWorld(RouteKind.STREAMING, false, true, 2, 1);
+        world.lifecycle.start();
+        world.timers.advance(LifecycleWorld.TARGET_MS);
+        world.calls.last().answer(200, HANDLE);
+        assertEquals(GIVES_WAY, rank(world.calls.last()));
+    }
+
+    @Test
+    void whatAClientWritesOfItIsDropped() throws Exception {
+        try (TestRouter router = new TestRouter()) {
+            router.configure(TestRouter.plainRoute("non_idempotent", 1));
+            ScriptedReplica replica = router.replica("i-1", "plain", Stage.NONE);
+            RawSocket client = router.client();
+            client.send(TestRouter.request("POST", "/plain/x", "q1", "body", "Priority: 0", "priority: 9"));
+            HttpText.Message seen = replica.accept().read();
+            assertEquals(
+                    List.of("Priority: " + OF_THE_ROUTE),
+                    seen.fields().stream()
+                            .filter(field -> field.regionMatches(true, 0, "priority:", 0, "priority:".length()))
+                            .toList());
+        }
+    }
+}
--- /dev/null
+++ b/selection/src/test/java/pinewick/selection/CallPriorityTest.java
@@ -0,0 +1,52 @@
+package pinewick.selection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pinewick.model.Route;
+import pinewick.model.RouteKind;
+
+/** The rank that a call is given, by its route and by the time it has. */
+class CallPriorityTest {
+    private static final double ARRIVED_AT_MS = 1_000;
+    private static final double HELD_MS = 5_000;
+    private static final int TARGET_MS = 400;
+
+    private static RequestShape request(int priority) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/",
+                RouteKind.STREAMING,
+                (int) HELD_MS,
+                TARGET_MS,
+                priority,
+                List.of(new Route.WeightedService("s", 1)),
+                2,
+                true,
+                false,
+                150);
+        return new RequestShape(route, "s", true, "m", 1_000, 20, List.of(), ARRIVED_AT_MS, ARRIVED_AT_MS + HELD_MS);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,0", "1,1", "9,9", "40,9"})
+    void aCallThatCanBeInTimeHasItsRoutesRank(int priority, int expected) {
+        assertEquals(expected, CallPriority.of(request(priority), TARGET_MS, ARRIVED_AT_MS));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,5", "1,6", "4,9", "9,9"})
+    void aCallThatCannotBeInTimeGivesWayToAllThatCan(int priority, int expected) {
+        assertEquals(expected, CallPriority.of(request(priority), TARGET_MS + 1, ARRIVED_AT_MS));
+        assertEquals(expected, CallPriority.of(request(priority), 100, ARRIVED_AT_MS + 301));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2500,0", "2000,500", "100,2400"})
+    void aCallThatWouldUseHalfOfItsTimeGivesWayNoMore(double serviceMs, double waitedMs) {
+        assertEquals(0, CallPriority.of(request(0), serviceMs, ARRIVED_AT_MS + waitedMs));
+    }
+}
