--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaCall.java
@@ -90,7 +90,7 @@
         return mode == Mode.EVENTS;
     }
 
-    /** @param requestOfPriority writes the request with the rank that the call is given */
+    /** @param requestOfPriority writes the request with the priority that the call is given */
     void begin(IntFunction<UpstreamRequest> requestOfPriority) {
         measured = kind == CallKind.DECODE_FETCHED
                 ? services.selector().beginFetched(replica, reader, lifecycle.shape(), now())
--- a/dataplane/src/main/java/pinewick/dataplane/ReplicaRequests.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ReplicaRequests.java
@@ -16,7 +16,7 @@
     /**
      * The prompt is read at the replica, and the request does not run there.
      *
-     * @param priority rank among the replica's calls, 0 first
+     * @param priority priority among the replica's calls, 0 first
      */
     UpstreamRequest prefill(ReplicaRecord replica, double remainingMs, int priority) {
         HttpFields.Mutable fields = fields(replica, remainingMs, priority);
@@ -27,7 +27,7 @@
     /**
      * The request runs at the replica.
      *
-     * @param priority rank among the replica's calls, 0 first
+     * @param priority priority among the replica's calls, 0 first
      * @param handle memory of the prompt that the replica fetches, null if it reads the prompt itself
      * @param resumeAfter the event after which a stream goes on, null if the client's own field counts
      */
--- a/dataplane/src/test/java/pinewick/dataplane/PriorityTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/PriorityTest.java
@@ -8,30 +8,30 @@
 import pinewick.model.RouteKind;
 import pinewick.model.Stage;
 
-/** Each call tells the replica its rank, and only the router does. */
+/** Each call tells the replica its priority, and only the router does. */
 class PriorityTest {
     private static final String HANDLE = "{\"prefill_handle\":\"h\",\"tokens\":1,\"version\":1}";
     private static final String OF_THE_ROUTE = "1";
     private static final String GIVES_WAY = "6";
 
-    private static String rank(PlayedCall call) {
+    private static String priority(PlayedCall call) {
         return call.request.fields().get(HeaderNames.PRIORITY);
     }
 
     @Test
-    void prefillAndDecodeCallsHaveTheRoutesRank() {
+    void prefillAndDecodeCallsHaveTheRoutesPriority() {
         LifecycleWorld world = new LifecycleWorld(RouteKind.STREAMING, false, true, 2, 1);
         world.lifecycle.start();
-        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+        assertEquals(OF_THE_ROUTE, priority(world.calls.last()));
         world.calls.last().answer(200, HANDLE);
-        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+        assertEquals(OF_THE_ROUTE, priority(world.calls.last()));
     }
 
     @Test
-    void aPlainCallHasTheRoutesRank() {
+    void aPlainCallHasTheRoutesPriority() {
         LifecycleWorld world = new LifecycleWorld(RouteKind.NON_IDEMPOTENT, false, false, 1, 1);
         world.lifecycle.start();
-        assertEquals(OF_THE_ROUTE, rank(world.calls.last()));
+        assertEquals(OF_THE_ROUTE, priority(world.calls.last()));
     }
 
     @Test
@@ -40,7 +40,7 @@
         world.lifecycle.start();
         world.timers.advance(LifecycleWorld.TARGET_MS);
         world.calls.last().answer(200, HANDLE);
-        assertEquals(GIVES_WAY, rank(world.calls.last()));
+        assertEquals(GIVES_WAY, priority(world.calls.last()));
     }
 
     @Test
--- a/selection/src/main/java/pinewick/selection/CallPriority.java
+++ b/selection/src/main/java/pinewick/selection/CallPriority.java
@@ -1,9 +1,9 @@
 package pinewick.selection;
 
 /**
- * The rank by which replicas order the calls they hold: the more urgent are let in first, and displace others.
+ * The priority by which replicas order the calls they hold: the more urgent are let in first, and preempt others.
  *
- * <p>A call has its route's rank as long as its answer can still come within the route's target latency. A late answer
+ * <p>A call has its route's priority as long as its answer can still come within the route's target latency. A late answer
  * earns the same whenever it comes, so a call that cannot be in time any more gives way to all that can, as long as
  * plenty of its own time is left.
  */
@@ -14,8 +14,8 @@
     /** Let in after all others. */
     public static final int LOWEST = 9;
 
-    /** Ranks that a call loses when it cannot be in time: as many as bring the most urgent to a replica's default. */
-    static final int STEPS_DOWN_WHEN_LATE = 5;
+    /** Levels by which a call is less urgent once it cannot be in time: the most urgent comes to a replica's default. */
+    static final int LEVELS_DOWN_WHEN_LATE = 5;
 
     /** A call gives way only while it would be answered within this part of the time it may be held. */
     static final double SHARE_OF_TIME_TO_GIVE_WAY = 0.5;
@@ -23,18 +23,18 @@
     private CallPriority() {}
 
     /**
-     * The rank of a call that begins now.
+     * The priority of a call that begins now.
      *
      * @param expectedServiceMs time that the call should take to its first event without waiting
      */
     public static int of(RequestShape request, double expectedServiceMs, double nowMs) {
-        int rank = request.route().priority();
+        int priority = request.route().priority();
         double answeredAfterMs = nowMs - request.arrivedAtMs() + expectedServiceMs;
         double heldMs = request.deadlineAtMs() - request.arrivedAtMs();
         boolean late = answeredAfterMs > request.route().targetLatencyMs();
         if (late && answeredAfterMs < SHARE_OF_TIME_TO_GIVE_WAY * heldMs) {
-            rank += STEPS_DOWN_WHEN_LATE;
+            priority += LEVELS_DOWN_WHEN_LATE;
         }
-        return Math.max(HIGHEST, Math.min(LOWEST, rank));
+        return Math.max(HIGHEST, Math.min(LOWEST, priority));
     }
 }
--- a/selection/src/test/java/pinewick/selection/CallPriorityTest.java
+++ b/selection/src/test/java/pinewick/selection/CallPriorityTest.java
@@ -8,7 +8,7 @@
 import pinewick.model.Route;
 import pinewick.model.RouteKind;
 
-/** The rank that a call is given, by its route and by the time it has. */
+/** The priority that a call is given, by its route and by the time it has. */
 class CallPriorityTest {
     private static final double ARRIVED_AT_MS = 1_000;
     private static final double HELD_MS = 5_000;
@@ -33,7 +33,7 @@
 
     @ParameterizedTest
     @CsvSource({"0,0", "1,1", "9,9", "40,9"})
-    void aCallThatCanBeInTimeHasItsRoutesRank(int priority, int expected) {
+    void aCallThatCanBeInTimeHasItsRoutesPriority(int priority, int expected) {
         assertEquals(expected, CallPriority.of(request(priority), TARGET_MS, ARRIVED_AT_MS));
     }
 
