The look for a client's departure before a request that came ahead is the reading thread's

It ran on the data plane's executor, at a moment when the reading thread may still be releasing the connection's buffer: what was read ahead could have been lost.

--- a/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -1,5 +1,7 @@
 package pinewick.dataplane;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.function.IntSupplier;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.io.Connection;
@@ -8,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.internal.HttpConnection;
+import org.eclipse.jetty.util.BufferUtil;
 
 /**
  * Jetty's connection to a client, with three differences: chunks are sent whole, a connection at rest is not read
@@ -20,7 +23,7 @@
     private long headBeganNanos;
     private volatile boolean lastRequestTaken;
     private boolean readsOn;
-    private volatile boolean cameAhead;
+    private boolean cameAhead;
 
     private ClientConnection(
             HttpConfiguration configuration, Connector connector, EndPoint endPoint, IntSupplier headerTimeoutMs) {
@@ -72,9 +75,24 @@
         cameAhead = readsOn;
     }
 
-    /** Whether the request under way had come before the answer to the one before it was complete. */
-    boolean requestCameAhead() {
-        return cameAhead;
+    /**
+     * Whether the client had left before the request that was just read whole began, as it may have if that had come
+     * ahead of the answer to the one before it. Called on the thread that reads, as it may fill the buffer.
+     */
+    boolean hasLeftBefore() {
+        if (!cameAhead || !isRequestBufferEmpty()) {
+            return false;
+        }
+        ByteBuffer room = BufferUtil.allocate(JettyClientExchange.MOST_BYTES_AHEAD);
+        try {
+            int filled = getEndPoint().fill(room);
+            if (filled > 0) {
+                onUpgradeTo(room);
+            }
+            return filled < 0;
+        } catch (IOException e) {
+            return true;
+        }
     }
 
     /** An answer was completed: looks for the next request. */
--- a/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientIntake.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -173,6 +174,11 @@
             answer(HttpStatus.BAD_REQUEST_400);
             return;
         }
+        if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection
+                && connection.hasLeftBefore()) {
+            callback.failed(new EofException("the client has closed its connection"));
+            return;
+        }
         ClientRequest read = new ClientRequest(
                 ids.get(0),
                 request.getMethod(),
--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -240,9 +240,6 @@
     private void begin(ClientRequest read, Request request, Response response, Callback callback) {
         JettyClientExchange client = new JettyClientExchange(
                 request, response, callback, serial, () -> stopping, probeBuffer, this::answered);
-        if (client.hasLeftBefore(timers.nowMs())) {
-            return;
-        }
         Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
         if (over || found.isEmpty()) {
             refuse(client, read.id());
--- a/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
+++ b/dataplane/src/main/java/pinewick/dataplane/JettyClientExchange.java
@@ -115,18 +115,6 @@
         }
     }
 
-    /**
-     * Whether the client had left before its request began, as it may have while an earlier one on the connection took
-     * long.
-     */
-    boolean hasLeftBefore(double nowMs) {
-        if (request.getConnectionMetaData().getConnection() instanceof ClientConnection connection
-                && connection.requestCameAhead()) {
-            lookForDeparture(nowMs);
-        }
-        return over;
-    }
-
     @Override
     public void answer(int status, HttpFields fields, byte[] body) {
         over = true;
@@ -223,9 +211,7 @@
             over = true;
             waiting.clear();
             callback.failed(cause);
-            if (lifecycle != null) {
-                lifecycle.onClientGone();
-            }
+            lifecycle.onClientGone();
         }
     }
 }
