--- a/emulator/src/main/java/pinewick/emulator/control/Faults.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Faults.java
@@ -8,13 +8,15 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.HeartbeatReply;
 
 /** Single troubles and their ends. Disks are lost only within what the deployment says is tolerated. */
 final class Faults {
     /** A machine counts as lost for so long after its return. */
     private static final double CATCH_UP_MS = 4_000;
 
-    private static final double HEARS_LATE_MS = 300;
+    private static final double HEARS_LATE_MS = 2_500;
+    private static final double LAST_MS = 2_500;
 
     private final ControlWorld world;
     private final SplittableRandom random;
@@ -164,20 +166,32 @@
         }
     }
 
-    /** What is sent to a controller comes late by up to seconds; then nothing that it sends arrives any more. */
+    /**
+     * Answers to a controller's heartbeats, which are datagrams, come late by up to seconds, but not what comes over
+     * connections. Then nothing that it sends arrives any more, and what is sent to it from then on comes last: it
+     * hears answers of long ago and does not hear who follows it.
+     */
     void hearsLate(ControllerMachine machine, double forMs) {
-        world.note(machine + " hears late and is cut off outward for " + (long) forMs + " ms");
-        troubled(machine, forMs);
+        world.note(machine + " hears answers late, then is cut off outward for " + (long) forMs + " ms");
+        troubled(machine, HEARS_LATE_MS + forMs);
         world.slowLinks();
         for (ControllerMachine other : world.present()) {
             if (other != machine) {
-                world.network().slow(other.host(), machine.host(), Network.STALEST_MS);
-                world.after(forMs, () -> world.network().slow(other.host(), machine.host(), 0));
-                world.after(HEARS_LATE_MS, () -> cut(machine.host(), other.host(), forMs - HEARS_LATE_MS));
+                hearsLate(machine.host(), other.host(), forMs);
             }
         }
     }
 
+    private void hearsLate(String host, String other, double forMs) {
+        Network network = world.network();
+        network.slow(other, host, 0, Network.STALEST_MS, HeartbeatReply.class::isInstance);
+        world.after(HEARS_LATE_MS, () -> {
+            cut(host, other, forMs);
+            network.slow(other, host, LAST_MS, Network.STALEST_MS, message -> true);
+        });
+        world.after(HEARS_LATE_MS + forMs, () -> network.slowNoMore(other, host));
+    }
+
     void cutInTwo(double forMs) {
         world.note("the controllers are cut in two for " + (long) forMs + " ms");
         List<ControllerMachine> left =
--- a/emulator/src/main/java/pinewick/emulator/control/Network.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Network.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
 
@@ -23,11 +24,13 @@
 
     private record Link(String from, String to) {}
 
+    private record Slowness(double leastMs, double mostMs, Predicate<Message> concerned) {}
+
     private final VirtualTime time;
     private final long seed;
     private final Map<Link, SplittableRandom> chances = new HashMap<>();
     private final Map<Link, Integer> cuts = new HashMap<>();
-    private final Map<Link, Double> slowMs = new HashMap<>();
+    private final Map<Link, Slowness> slow = new HashMap<>();
     private final Map<SocketAddress, Receiver> receivers = new HashMap<>();
     private Sabotage sabotage = Sabotage.NONE;
     private double lossShare;
@@ -70,16 +73,16 @@
 
     void joinAll() {
         cuts.clear();
-        slowMs.clear();
+        slow.clear();
     }
 
-    /** Messages between processes take up to so much longer one way; 0 ends it. */
-    void slow(String from, String to, double mostMs) {
-        if (mostMs > 0) {
-            slowMs.put(new Link(from, to), mostMs);
-        } else {
-            slowMs.remove(new Link(from, to));
-        }
+    /** Messages between processes that are sent from now on take so much longer one way, if they are concerned. */
+    void slow(String from, String to, double leastMs, double mostMs, Predicate<Message> concerned) {
+        slow.put(new Link(from, to), new Slowness(leastMs, mostMs, concerned));
+    }
+
+    void slowNoMore(String from, String to) {
+        slow.remove(new Link(from, to));
     }
 
     boolean isOpen(String from, String to) {
@@ -112,8 +115,9 @@
             double latestMs = chance.nextDouble() < staleShare ? STALEST_MS : LATEST_MS;
             delayMs += latestMs * chance.nextDouble();
         }
-        if (!slowMs.isEmpty()) {
-            delayMs += slowMs.getOrDefault(new Link(from.host(), to.host()), 0.0) * chance.nextDouble();
+        Slowness slowness = slow.isEmpty() ? null : slow.get(new Link(from.host(), to.host()));
+        if (slowness != null && slowness.concerned.test(message)) {
+            delayMs += slowness.leastMs + (slowness.mostMs - slowness.leastMs) * chance.nextDouble();
         }
         deliverAfter(delayMs, from, to, message);
     }
