--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -51,6 +51,7 @@
     private final StateTag baseTag;
     private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
+    private final RoundTimes roundTimes = new RoundTimes();
     private final StateTag startTag;
     private final RecentChanges recent;
     private StateTag target;
@@ -200,6 +201,7 @@
     long heartbeat() {
         round = context.requests().next();
         lastHeartbeatMs = context.activeMs();
+        roundTimes.note(round.sequence(), lastHeartbeatMs);
         rounds.add(new Round(round.sequence(), context.clock().steadyMs()));
         if (rounds.size() > ROUNDS_KEPT) {
             rounds.remove();
@@ -224,7 +226,8 @@
         if (replica == null) {
             return;
         }
-        replica.onHeartbeatReply(reply, number(), target, context.activeMs());
+        double askedMs = roundTimes.sentMs(reply.request().sequence());
+        replica.onHeartbeatReply(reply, number(), target, askedMs, context.activeMs());
         boolean lagsBehind = !reply.promised().isAfter(number()) && !replica.knows(number());
         if (lagsBehind) {
             context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
@@ -238,6 +241,9 @@
         Replica replica = replicas.learn(status.self());
         if (replica != null) {
             replica.onStatus(status, number(), target, context.activeMs());
+            if (!record.hasMember(replica.identity())) {
+                replica.heardLast(context.activeMs());
+            }
             context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
             sendStates();
         }
--- a/replication/src/main/java/pinewick/replication/Replica.java
+++ b/replication/src/main/java/pinewick/replication/Replica.java
@@ -159,20 +159,24 @@
     }
 
     void onStatus(Status status, EpochNumber number, StateTag target, double nowMs) {
-        heardMs = nowMs;
         promised = status.promised();
         learnTag(status.tag(), number, target, nowMs);
     }
 
-    /** An answer that a later one has overtaken tells nothing. */
-    void onHeartbeatReply(HeartbeatReply reply, EpochNumber number, StateTag target, double nowMs) {
+    /**
+     * An answer that a later one has overtaken tells nothing. Silence counts from the question: an answer that was long
+     * on its way does not show that the other still runs.
+     *
+     * @param askedMs when the heartbeat that is answered was sent
+     */
+    void onHeartbeatReply(HeartbeatReply reply, EpochNumber number, StateTag target, double askedMs, double nowMs) {
         long round = reply.request().sequence();
         if (round < newestAnswered) {
             return;
         }
         boolean leavingBefore = round == newestAnswered && leaving;
         newestAnswered = round;
-        heardMs = nowMs;
+        heardMs = Math.max(heardMs, askedMs);
         promised = reply.promised();
         accepted = reply.accepted();
         settled = reply.settled();
@@ -185,7 +189,6 @@
     }
 
     void onStateReply(StateReply reply, EpochNumber number, StateTag target, double nowMs) {
-        heardMs = nowMs;
         promised = reply.promised();
         diskReady = reply.result() != StateResult.DISK_FAILED;
         learnTag(reply.held(), number, target, nowMs);
