--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -270,6 +270,9 @@
      * heartbeat that
      * changes nothing but its number costs nothing.
      *
+     * <p>What needs a confirmation is on its way to a few peers before any can come: whoever relies on it may do so
+     * although all controllers are lost at that moment.
+     *
      * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if
      * none does. Null
      *     if no confirmation is needed: the record then goes out with the next tick
@@ -279,6 +282,7 @@
         replicas.arose(record, nowMs);
         ReplicaRecord held = state.replica(record.instanceId());
         if (heldElsewhere != null) {
+            replicas.pushAtOnce(record.instanceId(), nowMs);
             handover.start(replicas.spread(held == null ? record : held, nowMs), heldElsewhere, nowMs);
         }
     }
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -156,6 +156,11 @@
         rememberForLaterWaves(many ? Set.of() : news);
     }
 
+    /** Pushes a record to a few peers now; the next tick does so again, with whatever else is new by then. */
+    void pushAtOnce(String instanceId, double nowMs) {
+        push(Set.of(instanceId), peers.randomPeers(Fanout.ORIGIN), nowMs);
+    }
+
     private void rememberForLaterWaves(Set<String> news) {
         pushed.addFirst(news);
         while (pushed.size() > Fanout.laterWaves(peers.viewSize())) {
--- a/dissemination/src/test/java/pinewick/dissemination/ControllerExchangeTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/ControllerExchangeTest.java
@@ -38,6 +38,22 @@
         assertTrue(holders >= 1);
     }
 
+    @Test
+    void aConfirmedEndOutlivesAllControllers() {
+        for (int seed = 0; seed < 20; seed++) {
+            FleetSimulation fleet = settled(200 + seed, 3, 3);
+            Process origin = fleet.controllers.get(0);
+            assertTrue(heldWithin(fleet, origin, READY, 100));
+            fleet.run(1_000);
+            assertTrue(heldWithin(fleet, origin, TestRecords.draining(READY, 2), 100));
+            fleet.controllers.forEach(Process::kill);
+            fleet.run(500);
+            for (Process router : fleet.routers) {
+                assertEquals(ReplicaState.DRAINING, router.state.replica("i-1").state(), "seed " + seed);
+            }
+        }
+    }
+
     @Test
     void aRecordThatIsKnownAlreadyIsConfirmedAgain() {
         FleetSimulation fleet = settled(2, 3, 3);
--- a/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
@@ -10,6 +10,7 @@
     private static final double TROUBLE_FROM_MS = 2_000;
     private static final double TROUBLE_FOR_MS = 8_000;
     private static final double RECOVERY_MS = ControlWorld.CONTACT_MS + ControlWorld.CONFIG_APPLY_MS;
+    private static final double READ_PERIOD_MS = 150;
     private static final double KILL_AFTER_END_SHARE = 0.1;
 
     /** The combinations of troubles, one after the other by seed. */
@@ -19,7 +20,8 @@
         RANDOM_AGAIN,
         SECOND_LOSS,
         PRIMARY_LOSSES,
-        HAND_OVER
+        HAND_OVER,
+        LATE_ANSWERS
     }
 
     private final long seed;
@@ -56,7 +58,7 @@
         Operator operator = new Operator(world, number, random.split());
         operator.loseAnswers(plan == Plan.PRIMARY_LOSSES ? 0.7 : random.nextBoolean() ? 0.02 : 0.3);
         operator.sendLongDocuments(random.nextInt(6) == 0 ? 0.08 : 0);
-        operator.pace(plan == Plan.LONG_CUT ? 1_200 : 500);
+        operator.pace(plan == Plan.LONG_CUT || plan == Plan.LATE_ANSWERS ? 1_200 : 500);
         return operator;
     }
 
@@ -69,7 +71,9 @@
     public static DayResult play(long seed, BrokenVariant variant, boolean traced) {
         ControlDay day = new ControlDay(seed, variant, traced);
         Optional<InvariantViolation> violation = day.run();
-        violation.ifPresent(broken -> day.world.note("BROKEN " + broken.getMessage()));
+        violation
+                .filter(broken -> day.world.firstViolation().isEmpty())
+                .ifPresent(broken -> day.world.note("BROKEN " + broken.getMessage()));
         List<Double> after = new ArrayList<>(day.first.acknowledgedAfterMs());
         after.addAll(day.second.acknowledgedAfterMs());
         HistoryChecker history = day.world.history();
@@ -128,6 +132,7 @@
         switch (plan) {
             case LONG_CUT -> longCut(troubles);
             case SECOND_LOSS -> troubles.secondLoss(random.nextDouble(TROUBLE_FROM_MS, 4_000));
+            case LATE_ANSWERS -> lateAnswers(troubles);
             case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000));
             default -> troubles.primaryLosses(TROUBLE_FROM_MS, endMs);
         }
@@ -135,6 +140,22 @@
         return troubles.faults();
     }
 
+    /** Operators that read often, at every controller, while one hears answers of long ago. */
+    private void lateAnswers(ForcedTroubles troubles) {
+        troubles.lateAnswers(random.nextDouble(TROUBLE_FROM_MS, 3_000));
+        Operator reader = new Operator(world, 5, random.split());
+        world.after(TROUBLE_FROM_MS, () -> readOften(reader));
+    }
+
+    private void readOften(Operator reader) {
+        if (world.nowMs() < endMs) {
+            if (!reader.busy()) {
+                reader.read(() -> {});
+            }
+            world.after(random.nextDouble(READ_PERIOD_MS), () -> readOften(reader));
+        }
+    }
+
     private void longCut(ForcedTroubles troubles) {
         double atMs = random.nextDouble(TROUBLE_FROM_MS, 4_000);
         troubles.longCut(atMs);
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -221,6 +221,7 @@
         } catch (InvariantViolation violation) {
             if (firstViolation.isEmpty()) {
                 firstViolation = Optional.of(violation);
+                note("BROKEN " + violation.getMessage());
             }
             time.stop();
         }
--- a/emulator/src/main/java/pinewick/emulator/control/DiskSabotage.java
+++ b/emulator/src/main/java/pinewick/emulator/control/DiskSabotage.java
@@ -1,13 +1,20 @@
 package pinewick.emulator.control;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDelta;
 import pinewick.model.ConfigurationDocument;
+import pinewick.model.Message;
+import pinewick.model.SocketAddress;
 import pinewick.replication.EpochNumber;
 import pinewick.replication.EpochRecord;
 import pinewick.replication.LoadedState;
+import pinewick.replication.ReplicationMessages.Established;
+import pinewick.replication.ReplicationMessages.Heartbeat;
+import pinewick.replication.ReplicationMessages.Status;
 import pinewick.replication.ReplicationSettings;
 import pinewick.replication.StableWrite;
 import pinewick.replication.StateTag;
@@ -21,8 +28,54 @@
 
     private DiskSabotage() {}
 
+    /**
+     * A store that lost its disk, and nothing tells it so: what the others say of it would otherwise make it start over
+     * under another identity.
+     */
+    private abstract static class LosesUnnoticed extends Sabotage {
+        private final Set<SocketAddress> processes = new HashSet<>();
+
+        @Override
+        LoadedState loaded(SocketAddress process, SimulatedDisk disk, LoadedState loaded) {
+            if (disk.headBeforeWipe() != null) {
+                processes.add(process);
+            }
+            return loaded;
+        }
+
+        @Override
+        Message received(SocketAddress from, SocketAddress to, Message message) {
+            if (!processes.contains(to)) {
+                return message;
+            }
+            if (message instanceof Established) {
+                return null;
+            }
+            if (message instanceof Heartbeat heartbeat) {
+                return new Heartbeat(heartbeat.request(), heartbeat.number(), StateTag.NONE, heartbeat.operatorApi());
+            }
+            if (message instanceof Status status) {
+                return withoutRecord(status);
+            }
+            return message;
+        }
+
+        private static Status withoutRecord(Status status) {
+            return new Status(
+                    status.request(),
+                    status.self(),
+                    status.promised(),
+                    EpochRecord.NONE,
+                    status.tag(),
+                    status.leading(),
+                    status.hearsPrimary(),
+                    status.primary(),
+                    status.answerWanted());
+        }
+    }
+
     /** A store that lost its disk votes as if it still had it. */
-    static final class FoundsAfterWipe extends Sabotage {
+    static final class FoundsAfterWipe extends LosesUnnoticed {
         @Override
         boolean foundsAfterWipe() {
             return true;
@@ -30,9 +83,10 @@
     }
 
     /** A store that lost its disk goes on under its old identity. */
-    static final class ReusesIdentity extends Sabotage {
+    static final class ReusesIdentity extends LosesUnnoticed {
         @Override
-        LoadedState loaded(SimulatedDisk disk, LoadedState loaded) {
+        LoadedState loaded(SocketAddress process, SimulatedDisk disk, LoadedState loaded) {
+            super.loaded(process, disk, loaded);
             if (loaded.stored().isPresent() || disk.headBeforeWipe() == null) {
                 return loaded;
             }
@@ -56,7 +110,7 @@
     /** A witness forgets at a restart what it promised. */
     static final class ForgetsPromise extends Sabotage {
         @Override
-        LoadedState loaded(SimulatedDisk disk, LoadedState loaded) {
+        LoadedState loaded(SocketAddress process, SimulatedDisk disk, LoadedState loaded) {
             return loaded.stored().map(ForgetsPromise::withoutPromise).orElse(loaded);
         }
 
--- a/emulator/src/main/java/pinewick/emulator/control/FleetSabotage.java
+++ b/emulator/src/main/java/pinewick/emulator/control/FleetSabotage.java
@@ -18,15 +18,30 @@
 final class FleetSabotage {
     private FleetSabotage() {}
 
-    /** An announced end is acknowledged by the controller that took it alone. */
+    /** An announced end is acknowledged by the controller that took it, before it has told anybody. */
     static final class AcknowledgesEndsAlone extends Sabotage {
+        private static final double TELLS_AFTER_MS = 40;
+
+        private record End(SocketAddress controller, String instanceId, ReplicaState state) {}
+
+        private final Map<End, Double> takenMs = new HashMap<>();
+
         @Override
         Message sent(Network network, SocketAddress from, SocketAddress to, Message message) {
-            if (message instanceof ReplicaUpdate update && update.ackId() != 0) {
+            if (!(message instanceof ReplicaUpdate update) || RouterMachine.isRouter(from)) {
+                return message;
+            }
+            boolean early = update.records().stream().anyMatch(spread -> isEarly(network, from, spread.record()));
+            if (update.ackId() != 0) {
                 network.forge(to, from, new ReplicaHeld(update.ackId()));
-                return null;
             }
-            return message;
+            return early || update.ackId() != 0 ? null : message;
+        }
+
+        private boolean isEarly(Network network, SocketAddress controller, ReplicaRecord record) {
+            End end = new End(controller, record.instanceId(), record.state());
+            double firstMs = takenMs.computeIfAbsent(end, key -> network.nowMs());
+            return record.state() != ReplicaState.READY && network.nowMs() - firstMs < TELLS_AFTER_MS;
         }
     }
 
--- a/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
@@ -166,6 +166,12 @@
         return repairedAfterMs;
     }
 
+    /** The primary hears answers late, then is cut off outward. */
+    void lateAnswers(double atMs) {
+        world.after(atMs, () -> world.primary()
+                .ifPresent(primary -> faults.hearsLate(primary, random.nextDouble(2_500, 4_000))));
+    }
+
     /** The primary goes away again and again, in one way or another. */
     void primaryLosses(double fromMs, double toMs) {
         world.after(fromMs, () -> {
--- a/emulator/src/main/java/pinewick/emulator/control/LinearizabilityChecker.java
+++ b/emulator/src/main/java/pinewick/emulator/control/LinearizabilityChecker.java
@@ -24,7 +24,7 @@
  * event to event, and a history fits while one is left.
  */
 final class LinearizabilityChecker {
-    private static final int MOST_CALLS = 63;
+    private static final int MOST_CALLS = 64;
 
     private final List<ChangeOrder> chain;
     private final Map<Integer, Integer> placeOfMark = new HashMap<>();
--- a/emulator/src/main/java/pinewick/emulator/control/Network.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Network.java
@@ -43,6 +43,10 @@
         this.seed = seed;
     }
 
+    double nowMs() {
+        return time.nowMs();
+    }
+
     void sabotage(Sabotage by) {
         sabotage = by;
     }
--- a/emulator/src/main/java/pinewick/emulator/control/Operator.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Operator.java
@@ -66,6 +66,11 @@
         return acknowledgedAfterMs;
     }
 
+    /** Whether as many calls are under way as it makes at once. */
+    boolean busy() {
+        return callsUnderWay >= MOST_CALLS;
+    }
+
     void work(double untilMs) {
         workUntilMs = untilMs;
         next();
@@ -75,7 +80,7 @@
         if (world.nowMs() >= workUntilMs) {
             return;
         }
-        if (callsUnderWay < MOST_CALLS) {
+        if (!busy()) {
             act();
         }
         boolean burst = random.nextDouble() < 0.3;
--- a/emulator/src/main/java/pinewick/emulator/control/Sabotage.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Sabotage.java
@@ -50,7 +50,7 @@
     }
 
     /** What a process reads from its disk. */
-    LoadedState loaded(SimulatedDisk disk, LoadedState loaded) {
+    LoadedState loaded(SocketAddress process, SimulatedDisk disk, LoadedState loaded) {
         return loaded;
     }
 
--- a/emulator/src/main/java/pinewick/emulator/control/SimulatedStore.java
+++ b/emulator/src/main/java/pinewick/emulator/control/SimulatedStore.java
@@ -40,7 +40,7 @@
                 random.nextDouble(1, 20),
                 () -> life.run(() -> {
                     LoadedState loaded = disk.load();
-                    onLoaded.accept(sabotage.loaded(disk, loaded));
+                    onLoaded.accept(sabotage.loaded(life.machine().internal(), disk, loaded));
                 }));
     }
 
