--- a/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlDay.java
@@ -21,7 +21,8 @@
         SECOND_LOSS,
         PRIMARY_LOSSES,
         HAND_OVER,
-        LATE_ANSWERS
+        LATE_ANSWERS,
+        LAGGARDS_FIRST
     }
 
     private final long seed;
@@ -132,6 +133,7 @@
         switch (plan) {
             case LONG_CUT -> longCut(troubles);
             case SECOND_LOSS -> troubles.secondLoss(random.nextDouble(TROUBLE_FROM_MS, 4_000));
+            case LAGGARDS_FIRST -> troubles.laggardsReturnFirst(random.nextDouble(TROUBLE_FROM_MS, 4_000));
             case LATE_ANSWERS -> lateAnswers(troubles);
             case HAND_OVER -> troubles.lossAfterHandOver(random.nextDouble(TROUBLE_FROM_MS, 4_000));
             default -> troubles.primaryLosses(TROUBLE_FROM_MS, endMs);
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Heartbeat;
 
 /** Everything in one simulated run: time, network, machines, actors and what is checked. */
 final class ControlWorld {
@@ -61,6 +62,11 @@
         @Override
         Message sent(Network on, SocketAddress from, SocketAddress to, Message message) {
             membership.sent(message);
+            if (message instanceof Heartbeat) {
+                controllers.stream()
+                        .filter(machine -> machine.internal().equals(from))
+                        .forEach(ControllerMachine::led);
+            }
             return sabotage.sent(on, from, to, message);
         }
     }
@@ -240,7 +246,6 @@
         boolean thawed = present().stream().anyMatch(machine -> nowMs() - machine.lastThawMs() < REDIRECT_AGE_MS);
         boolean excused = !cleanLinks() || thawed;
         Optional<ControllerMachine> target = controllerAt(api);
-        target.ifPresent(ControllerMachine::look);
         boolean ledLately = target.isPresent() && nowMs() - target.get().lastLedMs() < REDIRECT_AGE_MS;
         InvariantViolation.require(
                 excused || ledLately,
@@ -261,7 +266,6 @@
     /** Notes which machines are in trouble at this moment. */
     private void look() {
         List<ControllerMachine> present = present();
-        present.forEach(ControllerMachine::look);
         boolean calm = present.stream().allMatch(ControllerMachine::sound);
         for (ControllerMachine one : present) {
             for (ControllerMachine other : present) {
--- a/emulator/src/main/java/pinewick/emulator/control/ControllerMachine.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControllerMachine.java
@@ -105,14 +105,12 @@
         return life.filter(ControllerLife::leads).isPresent();
     }
 
-    /** Notes whether it leads at this moment. */
-    void look() {
-        if (leads() && !frozen()) {
-            lastLedMs = world.nowMs();
-        }
+    /** It said as a primary that it leads. */
+    void led() {
+        lastLedMs = world.nowMs();
     }
 
-    /** When it was last seen to lead. */
+    /** When it last said that it leads. */
     double lastLedMs() {
         return lastLedMs;
     }
@@ -161,7 +159,6 @@
     void kill() {
         if (running()) {
             world.note(host + " killed");
-            look();
             world.coreTrouble();
             life.get().end();
             life = Optional.empty();
@@ -198,7 +195,6 @@
 
     void freeze() {
         world.note(host + " frozen");
-        look();
         life.ifPresent(ControllerLife::freeze);
     }
 
--- a/emulator/src/main/java/pinewick/emulator/control/Faults.java
+++ b/emulator/src/main/java/pinewick/emulator/control/Faults.java
@@ -63,8 +63,12 @@
     }
 
     void kill(ControllerMachine machine) {
+        kill(machine, random.nextDouble(50, 3_000));
+    }
+
+    void kill(ControllerMachine machine, double downMs) {
         machine.kill();
-        restartLater(machine, random.nextDouble(50, 3_000));
+        restartLater(machine, downMs);
     }
 
     /** Whatever is tolerated, every process may be killed, or lose power, at once; the disks stay. */
--- a/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ForcedTroubles.java
@@ -1,8 +1,10 @@
 package pinewick.emulator.control;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 
 /** Troubles that are brought about in a fixed combination, at random moments. */
@@ -13,6 +15,8 @@
     /** The other trouble has ended, and is over with, so long after its beginning. */
     private static final double MEANWHILE_MS = 3_000 + ControlWorld.CONTACT_MS;
 
+    private static final double LAG_MS = 1_600;
+
     private static final double REPAIR_LOOK_MS = 10;
     /** A primary notices a loss by silence, and reports it no sooner. */
     private static final double REPORT_LAG_MS = 700;
@@ -166,6 +170,29 @@
         return repairedAfterMs;
     }
 
+    /**
+     * As many members as may be lost are cut off while changes go on. Then as many others lose their disks and the
+     * rest lose power, and those who were cut off are the first to be there again: what was acknowledged meanwhile is
+     * only on disks that are away.
+     */
+    void laggardsReturnFirst(double atMs) {
+        world.after(atMs, () -> world.primary().ifPresent(primary -> {
+            List<ControllerMachine> others = new ArrayList<>(world.present());
+            others.remove(primary);
+            Collections.shuffle(others, new Random(random.nextLong()));
+            int tolerated = world.toleratedMachines();
+            List<ControllerMachine> laggards = others.subList(0, tolerated);
+            List<ControllerMachine> wiped = others.subList(tolerated, 2 * tolerated);
+            List<ControllerMachine> powerless = new ArrayList<>(others.subList(2 * tolerated, others.size()));
+            powerless.add(primary);
+            laggards.forEach(machine -> faults.cutOff(machine, LAG_MS, false));
+            world.after(LAG_MS - 50, () -> {
+                wiped.forEach(machine -> faults.wipe(machine, random.nextDouble(50, 300)));
+                powerless.forEach(machine -> faults.kill(machine, random.nextDouble(2_000, 3_500)));
+            });
+        }));
+    }
+
     /** The primary hears answers late, then is cut off outward. */
     void lateAnswers(double atMs) {
         world.after(atMs, () -> world.primary()
