Orders without an answer are read back; no order goes out, or arrives, long after its lease

Cause: an order was checked against the lease when it was handed to the HTTP client, which may dial for a second first; a cut held written bytes for as long as the system retries; the planner went on after an order without an answer; 412, 421 and 400 were only logged; calls shared connections, so a second answer could be taken for the next call's. An old test of plain silence stands; the client cannot tell a reset from an end without a length, so the test of reports cuts the JSON off.

--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -186,6 +186,7 @@
         FencingTokens tokens = new FencingTokens(settings.nodeName());
         StageReconciler reconciler =
                 new StageReconciler(fleet, new StagePlanner(), replicaCalls, tokens, replication::leadingEpoch, loop);
+        loop.repeat(reconciler::renewLease, OrderLease.RENEWAL_MS);
         loop.repeat(reconciler::run, StageReconciler.PERIOD_MS);
     }
 
--- a/control/src/test/java/pinewick/control/HttpReplicaCallsTest.java
+++ b/control/src/test/java/pinewick/control/HttpReplicaCallsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -17,6 +18,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
 import pinewick.model.SocketAddress;
@@ -25,6 +28,8 @@
 /** Calls to a replica that a test plays by hand. */
 @Timeout(60)
 class HttpReplicaCallsTest {
+    private static final FencingTokens.Fence FENCE = new FencingTokens.Fence("core-1/3", 41);
+
     private final ProcessLoop loop = new ProcessLoop();
     private ServerSocket replicaSocket;
     private HttpReplicaCalls calls;
@@ -105,25 +110,104 @@
         assertEquals(Optional.empty(), load.get());
     }
 
+    private ReplicaLoad load() {
+        return new ReplicaLoad("i-1", "s", replica().address(), 12, Stage.DECODE, false, 5, 0, 0);
+    }
+
+    private CompletableFuture<OrderOutcome> order() {
+        CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
+        calls.orderStage(load(), Stage.PREFILL, FENCE, () -> true, told -> {
+            assertTrue(outcome.complete(told), "told once");
+        });
+        return outcome;
+    }
+
     @Test
     void anOrderNamesHolderTokenAndRevision() throws Exception {
-        ReplicaLoad load = new ReplicaLoad("i-1", "s", replica().address(), 12, Stage.DECODE, false, 5, 0, 0);
-        CompletableFuture<Integer> status = new CompletableFuture<>();
-        calls.orderStage(load, Stage.PREFILL, new FencingTokens.Fence("core-1/3", 41), status::complete);
+        CompletableFuture<OrderOutcome> outcome = order();
         String request = serveOne(answer(202, ""));
         assertTrue(request.startsWith("POST /order HTTP/1.1\n"), request);
         assertTrue(
                 request.endsWith("{\"operation\":\"stage\",\"stage\":\"prefill\",\"holder\":\"core-1/3\","
                         + "\"fencing_token\":41,\"if_revision\":5}"),
                 request);
-        assertEquals(202, status.get());
+        assertEquals(OrderOutcome.TAKEN, outcome.get());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200,TAKEN",
+        "400,INVALID",
+        "409,CONFLICT",
+        "412,FENCED",
+        "421,WRONG_INSTANCE",
+        "503,REFUSED",
+        "500,UNKNOWN"
+    })
+    void theStatusTellsTheOutcome(int status, OrderOutcome expected) throws Exception {
+        CompletableFuture<OrderOutcome> outcome = order();
+        serveOne(answer(status, ""));
+        assertEquals(expected, outcome.get());
     }
 
     @Test
     void silenceIsNoAnswer() throws Exception {
-        CompletableFuture<Integer> status = new CompletableFuture<>();
-        ReplicaLoad load = new ReplicaLoad("i-1", "s", replica().address(), 12, Stage.DECODE, false, 5, 0, 0);
-        calls.orderStage(load, Stage.PREFILL, new FencingTokens.Fence("core-1/3", 41), status::complete);
-        assertEquals(0, status.get());
+        assertEquals(OrderOutcome.UNKNOWN, order().get());
+    }
+
+    @Test
+    void anOrderWhoseLeaseIsLostWhenTheConnectionComesAboutIsNotSent() throws Exception {
+        CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
+        calls.orderStage(load(), Stage.PREFILL, FENCE, () -> false, outcome::complete);
+        try (Socket connection = replicaSocket.accept()) {
+            assertEquals(OrderOutcome.NOT_SENT, outcome.get());
+            assertEquals("", receivedUntilTheEnd(connection));
+        }
+    }
+
+    private static String receivedUntilTheEnd(Socket connection) {
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        try {
+            connection.getInputStream().transferTo(received);
+        } catch (IOException e) {
+            // Reset, after what was received.
+        }
+        return received.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void anAnswerToAnotherRequestIsNone() throws Exception {
+        CompletableFuture<OrderOutcome> outcome = order();
+        serveOne("HTTP/1.1 202 X\r\nX-Pinewick-Request-Id: another\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(OrderOutcome.UNKNOWN, outcome.get());
+    }
+
+    @Test
+    void aSecondAnswerIsNotTakenForThatToTheNextCall() throws Exception {
+        CompletableFuture<OrderOutcome> first = order();
+        try (Socket connection = replicaSocket.accept()) {
+            connection.getOutputStream().write((answer(202, "") + answer(202, "")).getBytes(StandardCharsets.UTF_8));
+            assertEquals(OrderOutcome.TAKEN, first.get());
+            CompletableFuture<OrderOutcome> second = order();
+            serveOne(answer(409, ""));
+            assertEquals(OrderOutcome.CONFLICT, second.get());
+        }
+    }
+
+    @Test
+    void aReportWithoutALengthIsWholeOnceItsConnectionEnds() throws Exception {
+        CompletableFuture<Optional<ReplicaLoad>> load = new CompletableFuture<>();
+        calls.report(replica(), load::complete);
+        serveOne("HTTP/1.1 200 X\r\nContent-Type: application/json\r\n\r\n"
+                + "{\"stage\":\"decode\",\"busy\":false,\"call_sequence\":2,\"waiting\":1,\"running\":12}");
+        assertTrue(load.get().isPresent());
+    }
+
+    @Test
+    void aReportThatIsCutOffIsNone() throws Exception {
+        CompletableFuture<Optional<ReplicaLoad>> load = new CompletableFuture<>();
+        calls.report(replica(), load::complete);
+        serveOne("HTTP/1.1 200 X\r\n\r\n{\"stage\":\"decode\",\"busy\":false,\"call_sequence\":2,\"waiting\":1");
+        assertEquals(Optional.empty(), load.get());
     }
 }
--- a/control/src/test/java/pinewick/control/StageReconcilerTest.java
+++ b/control/src/test/java/pinewick/control/StageReconcilerTest.java
@@ -1,10 +1,17 @@
 package pinewick.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import pinewick.model.ReplicaRecord;
@@ -23,6 +30,10 @@
     private static final class FakeCalls implements ReplicaCalls {
         private final List<String> orders = new ArrayList<>();
         private final List<Runnable> held = new ArrayList<>();
+        private final Set<String> silent = new HashSet<>();
+        private final Map<String, Long> ordersTaken = new HashMap<>();
+        private BooleanSupplier mayStillSend;
+        private OrderOutcome outcome = OrderOutcome.TAKEN;
         private boolean holdsReports;
         private int asked;
 
@@ -37,23 +48,36 @@
                     12,
                     full ? Stage.PREFILL : Stage.DECODE,
                     false,
-                    0,
+                    ordersTaken.getOrDefault(replica.instanceId(), 0L),
                     full ? 12 : 0,
                     1);
+            Optional<ReplicaLoad> report = silent.contains(replica.instanceId()) ? Optional.empty() : Optional.of(load);
             if (holdsReports) {
-                held.add(() -> answer.accept(Optional.of(load)));
+                held.add(() -> answer.accept(report));
             } else {
-                answer.accept(Optional.of(load));
+                answer.accept(report);
             }
         }
 
         @Override
-        public void orderStage(ReplicaLoad replica, Stage stage, FencingTokens.Fence fence, Consumer<Integer> status) {
+        public void orderStage(
+                ReplicaLoad replica,
+                Stage stage,
+                FencingTokens.Fence fence,
+                BooleanSupplier mayStillSend,
+                Consumer<OrderOutcome> outcomeListener) {
             orders.add(replica.instanceId() + ">" + stage.wireName() + " " + fence.holder() + " " + fence.token());
-            status.accept(202);
+            this.mayStillSend = mayStillSend;
+            outcomeListener.accept(outcome);
         }
     }
 
+    /** Waits until this process may give orders. */
+    private void settle() {
+        reconciler.renewLease();
+        loop.advance(StageReconciler.SETTLING_MS);
+    }
+
     private void run(int rounds) {
         for (int i = 0; i < rounds; i++) {
             reconciler.run();
@@ -70,6 +94,7 @@
     @Test
     void aLastingImbalanceIsOrderedUnderATokenOfTheEpoch() {
         addReplicas();
+        settle();
         run(3);
         assertEquals(List.of("i-1>prefill core-1/3 " + (3L << 20)), calls.orders);
     }
@@ -86,6 +111,7 @@
     @Test
     void whoeverLostTheLeadMeanwhileDoesNotOrder() {
         addReplicas();
+        settle();
         run(2);
         calls.holdsReports = true;
         run(1);
@@ -97,6 +123,7 @@
     @Test
     void oneRoundIsOutAtATime() {
         addReplicas();
+        settle();
         calls.holdsReports = true;
         run(3);
         assertEquals(4, calls.asked);
@@ -106,7 +133,108 @@
     void replicasThatTakeNoRequestsAreLeftAlone() {
         fleet.learn(Replicas.draining("i-0", 1));
         fleet.learn(Replicas.ready("i-1", 1).withLapsed(true));
+        settle();
         run(3);
         assertEquals(0, calls.asked);
     }
+
+    private void runFor(double durationMs) {
+        run((int) (durationMs / StageReconciler.PERIOD_MS));
+    }
+
+    /** Long enough for the planner to want another change. */
+    private void awaitNextChange() {
+        runFor(StagePlanner.PAUSE_MS + StagePlanner.LASTING_MS + 2 * StageReconciler.PERIOD_MS);
+    }
+
+    @Test
+    void aNewHolderWaitsUntilNoOrderOfTheOneBeforeCanBeOnItsWay() {
+        addReplicas();
+        reconciler.run();
+        loop.advance(StageReconciler.SETTLING_MS - 1);
+        reconciler.run();
+        assertEquals(0, calls.asked);
+        loop.advance(1);
+        reconciler.run();
+        assertEquals(4, calls.asked);
+    }
+
+    @Test
+    void aHolderThatLostTheLeadForAMomentWaitsAgain() {
+        addReplicas();
+        settle();
+        leadingEpoch = Optional.empty();
+        reconciler.renewLease();
+        leadingEpoch = Optional.of(5L);
+        reconciler.run();
+        assertEquals(0, calls.asked);
+    }
+
+    @Test
+    void anOrderWithoutAnAnswerIsReadBackBeforeItsServiceGetsAnother() {
+        addReplicas();
+        settle();
+        calls.outcome = OrderOutcome.UNKNOWN;
+        run(3);
+        assertEquals(1, calls.orders.size());
+        calls.silent.add("i-1");
+        awaitNextChange();
+        assertEquals(1, calls.orders.size(), "the replica has not told yet");
+        calls.silent.clear();
+        runFor(StagePlanner.LASTING_MS + 2 * StageReconciler.PERIOD_MS);
+        assertEquals(2, calls.orders.size());
+    }
+
+    @Test
+    void whoeverIsFencedOrdersNoMoreInThatEpoch() {
+        addReplicas();
+        settle();
+        calls.outcome = OrderOutcome.FENCED;
+        run(3);
+        awaitNextChange();
+        assertEquals(1, calls.orders.size());
+        leadingEpoch = Optional.of(4L);
+        awaitNextChange();
+        assertEquals(2, calls.orders.size());
+    }
+
+    @Test
+    void anInstanceThatIsAnotherIsNotOrderedAgain() {
+        addReplicas();
+        settle();
+        calls.outcome = OrderOutcome.WRONG_INSTANCE;
+        run(3);
+        awaitNextChange();
+        assertEquals(2, calls.orders.size());
+        assertTrue(calls.orders.get(0).startsWith("i-1>"));
+        assertTrue(calls.orders.get(1).startsWith("i-2>"));
+    }
+
+    @Test
+    void reportsThatWaitedThroughAFreezeLeadToNoOrder() {
+        addReplicas();
+        settle();
+        run(2);
+        calls.holdsReports = true;
+        run(1);
+        loop.pause(20_000);
+        calls.held.forEach(Runnable::run);
+        assertEquals(List.of(), calls.orders);
+    }
+
+    @Test
+    void anOrderIsStoppedIfTheLeaseIsLostOrTheProcessWasFrozenBeforeItGoesOut() {
+        addReplicas();
+        settle();
+        run(3);
+        reconciler.renewLease();
+        assertTrue(calls.mayStillSend.getAsBoolean());
+        loop.pause(OrderLease.VALID_MS + 1);
+        assertFalse(calls.mayStillSend.getAsBoolean(), "not renewed");
+        reconciler.renewLease();
+        assertTrue(calls.mayStillSend.getAsBoolean());
+        leadingEpoch = Optional.of(4L);
+        reconciler.renewLease();
+        assertFalse(calls.mayStillSend.getAsBoolean(), "another epoch, another token");
+    }
 }
--- /dev/null
+++ b/control/src/test/java/pinewick/control/UnansweredOrdersTest.java
@@ -0,0 +1,50 @@
+package pinewick.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+
+/** When it is known what became of an order without an answer. */
+class UnansweredOrdersTest {
+    private static final double FAILED_MS = 10_000;
+
+    private final UnansweredOrders orders = new UnansweredOrders();
+
+    private static ReplicaLoad reported(String instanceId, long ordersTaken) {
+        SocketAddress address = new SocketAddress("10.128.0.9", 8080);
+        return new ReplicaLoad(instanceId, "s", address, 12, Stage.DECODE, false, ordersTaken, 0, 0);
+    }
+
+    @Test
+    void aReportThatCountsAnOrderMoreTellsThatItWasTaken() {
+        orders.add(reported("i-1", 4), FAILED_MS);
+        orders.onReport(reported("i-1", 5), FAILED_MS + 1);
+        assertEquals(Set.of(), orders.services());
+    }
+
+    @Test
+    void aReportThatMayBeOlderThanTheOrderTellsNothing() {
+        orders.add(reported("i-1", 4), FAILED_MS);
+        orders.onReport(reported("i-1", 4), FAILED_MS + UnansweredOrders.REPORT_DELAY_MS - 1);
+        assertEquals(Set.of("s"), orders.services());
+        orders.onReport(reported("i-1", 4), FAILED_MS + UnansweredOrders.REPORT_DELAY_MS);
+        assertEquals(Set.of(), orders.services());
+    }
+
+    @Test
+    void aReportOfAnotherReplicaTellsNothing() {
+        orders.add(reported("i-1", 4), FAILED_MS);
+        orders.onReport(reported("i-2", 9), FAILED_MS + 5_000);
+        assertEquals(Set.of("s"), orders.services());
+    }
+
+    @Test
+    void anInstanceThatEndedIsForgotten() {
+        orders.add(reported("i-1", 4), FAILED_MS);
+        orders.retain(Set.of("i-2"));
+        assertEquals(Set.of(), orders.services());
+    }
+}
