--- a/control/src/main/java/pinewick/control/Controller.java
+++ b/control/src/main/java/pinewick/control/Controller.java
@@ -173,6 +173,7 @@
         FencingTokens tokens = new FencingTokens(settings.nodeName());
         StageReconciler reconciler =
                 new StageReconciler(core.fleet(), new StagePlanner(), replicaCalls, tokens, core::leadingEpoch, loop);
+        loop.repeat(reconciler::renewLease, OrderLease.RENEWAL_MS);
         loop.repeat(reconciler::run, StageReconciler.PERIOD_MS);
     }
 
