--- a/selection/src/main/java/pinewick/selection/CallPriority.java
+++ b/selection/src/main/java/pinewick/selection/CallPriority.java
@@ -3,9 +3,10 @@
 /**
  * The priority by which replicas order the calls they hold: the more urgent are let in first, and preempt others.
  *
- * <p>A call has its route's priority as long as its answer can still come within the route's target latency. A late answer
- * earns the same whenever it comes, so a call that cannot be in time any more gives way to all that can, as long as
- * plenty of its own time is left.
+ * <p>A call has its route's priority as long as it can be served within the route's target latency. A late answer earns
+ * the same whenever it comes, so a call whose own work takes longer than that gives way to the others, which it would
+ * delay for nothing, as long as plenty of its own time is left. Time that a call has lost by waiting does not make it
+ * give way: a short one delays nobody much, and would be lost itself.
  */
 public final class CallPriority {
     /** Let in before all others. */
@@ -14,8 +15,8 @@
     /** Let in after all others. */
     public static final int LOWEST = 9;
 
-    /** Levels by which a call is less urgent once it cannot be in time: the most urgent comes to a replica's default. */
-    static final int LEVELS_DOWN_WHEN_LATE = 5;
+    /** Levels by which a call that gives way is less urgent: the most urgent comes to a replica's default. */
+    static final int LEVELS_DOWN = 5;
 
     /** A call gives way only while it would be answered within this part of the time it may be held. */
     static final double SHARE_OF_TIME_TO_GIVE_WAY = 0.5;
@@ -31,9 +32,9 @@
         int priority = request.route().priority();
         double answeredAfterMs = nowMs - request.arrivedAtMs() + expectedServiceMs;
         double heldMs = request.deadlineAtMs() - request.arrivedAtMs();
-        boolean late = answeredAfterMs > request.route().targetLatencyMs();
-        if (late && answeredAfterMs < SHARE_OF_TIME_TO_GIVE_WAY * heldMs) {
-            priority += LEVELS_DOWN_WHEN_LATE;
+        boolean tooLong = expectedServiceMs > request.route().targetLatencyMs();
+        if (tooLong && answeredAfterMs < SHARE_OF_TIME_TO_GIVE_WAY * heldMs) {
+            priority += LEVELS_DOWN;
         }
         return Math.max(HIGHEST, Math.min(LOWEST, priority));
     }
