SearcherLink gives up two of its jobs: reading an answer, keeping what is owed

`AnswerFrame` reads what a searcher sends as an answer; `OwedAnswers` keeps which parts' answers are owed on a connection and which were given of late. Nothing changed in behaviour but one thing nobody can see: an answer's load report is read also where its launch is over.

--- a/daemon/src/main/java/pinewick/wire/SearcherLink.java
+++ b/daemon/src/main/java/pinewick/wire/SearcherLink.java
@@ -6,10 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -17,7 +14,6 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import pinewick.DeploymentTerms;
 import pinewick.Host;
 import pinewick.loop.Limits;
 import pinewick.loop.Loop;
@@ -49,11 +45,6 @@
         void closed(SearcherLink link, String why, List<LiveLaunch> never, List<LiveLaunch> perhaps);
     }
 
-    private static final class Owed {
-        LiveLaunch latest;
-        int answers;
-    }
-
     private final String searcher;
     private final InetSocketAddress address;
     private final Loop loop;
@@ -65,8 +56,7 @@
     private final ArrayDeque<ByteBuffer> control = new ArrayDeque<>();
     private final ArrayDeque<Long> probes = new ArrayDeque<>();
     private final List<Call> calls = new ArrayList<>();
-    private final Map<String, Owed> owed = new LinkedHashMap<>();
-    private final ArrayDeque<String> answered = new ArrayDeque<>();
+    private final OwedAnswers owed;
     private IoFuture<StreamConnection> dialing;
     private XnioExecutor.Key dialTimer;
     private StreamConnection connection;
@@ -77,7 +67,6 @@
     private boolean doomed;
     private boolean reading;
     private boolean late;
-    private boolean forgot;
     private long stuckAt = -1;
     private double usedAt;
     private double heardAt = Double.NEGATIVE_INFINITY;
@@ -89,6 +78,7 @@
         this.limits = limits;
         this.events = events;
         this.cutter = new Frames.Cutter(limits.frameBytes());
+        this.owed = new OwedAnswers(limits);
         usedAt = loop.now();
     }
 
@@ -268,11 +258,7 @@
     @Override
     public void over(LiveLaunch launch) {
         Call call = launch.call;
-        Owed answer = owed.get(launch.piece.id);
-        if (answer != null && answer.latest == launch) {
-            // Danger: an answer that never comes would keep its query, and with that its client, as long as the link.
-            answer.latest = null;
-        }
+        owed.over(launch);
         if (--call.out == 0) {
             calls.remove(call);
             waiting.remove(call);
@@ -339,16 +325,8 @@
         if (currentCall != null) {
             currentCall.stage = Call.Stage.WRITTEN;
             currentCall.writtenAt = usedAt;
-            for (LiveLaunch launch : currentCall.launches) {
-                Owed answer = owed.computeIfAbsent(launch.piece.id, any -> new Owed());
-                answer.latest = launch;
-                answer.answers++;
-            }
+            owed.written(currentCall.launches);
             currentCall = null;
-            if (owed.size() > limits.answersOwed()) {
-                // What was given up may never be answered; its memory must not grow with that.
-                forgot |= owed.values().removeIf(each -> each.latest == null);
-            }
         }
     }
 
@@ -399,65 +377,30 @@
                     return;
                 }
                 boolean good = !text.startsWith("E");
-                events.probed(searcher, number, good, good && letter == Frames.LOAD ? report(text) : null);
+                events.probed(searcher, number, good, good && letter == Frames.LOAD ? AnswerFrame.report(text) : null);
             }
             case Frames.UNUSABLE -> throw new IllegalArgumentException(
                     "X " + new String(rest, 0, Math.min(80, rest.length), StandardCharsets.UTF_8));
-            default -> spoilt(words(rest)[0], "a frame of letter " + (int) letter);
+            default -> spoilt(AnswerFrame.firstWord(rest), "a frame of letter " + (int) letter);
         }
     }
 
-    /** Danger: an answer would be lost for a report that can't be read. It counts as none. */
-    private static Host.LoadReport report(String text) {
-        try {
-            return DeploymentTerms.report(text, '=');
-        } catch (RuntimeException unreadable) {
-            return null;
-        }
-    }
-
-    /** The words of a frame's first line. */
-    private static String[] words(byte[] rest) {
-        int end = 0;
-        while (end < rest.length && rest[end] != '\n') {
-            end++;
-        }
-        return new String(rest, 0, end, StandardCharsets.UTF_8).split(" ", 5);
-    }
-
     private void answer(byte[] rest) {
-        int end = 0;
-        while (end < rest.length && rest[end] != '\n') {
-            end++;
-        }
-        String[] words = words(rest);
-        Owed answer = owed.get(words[0]);
-        if (answer == null) {
+        AnswerFrame answer = AnswerFrame.read(rest);
+        if (!owed.owes(answer.part())) {
             // A second copy of an answer costs nothing: its part has its value.
-            if (!forgot && !answered.contains(words[0])) {
+            if (!owed.mayHaveOwed(answer.part())) {
                 spoilt(null, "an answer for a part that is not out here");
             }
             return;
         }
-        boolean formed = end < rest.length
-                && words.length == 4
-                && words[1].length() == 1
-                && "SEB".indexOf(words[1].charAt(0)) >= 0
-                && words[2].matches("[-+0-9.eE]+");
-        byte[] value = formed ? Arrays.copyOfRange(rest, end + 1, rest.length) : new byte[0];
-        if (!formed || (words[1].equals("S") && !QueryText.fitsAnAnswer(value))) {
-            spoilt(words[0], "an answer that can't be read");
+        if (!answer.wellFormed()) {
+            spoilt(answer.part(), "an answer that can't be read");
             return;
         }
-        if (--answer.answers == 0) {
-            owed.remove(words[0]);
-            answered.add(words[0]);
-            if (answered.size() > limits.answersRemembered()) {
-                answered.poll();
-            }
-        }
-        if (answer.latest != null) {
-            events.answered(answer.latest, words[1].charAt(0), report(words[3]), value);
+        LiveLaunch launch = owed.answered(answer.part());
+        if (launch != null) {
+            events.answered(launch, answer.end(), answer.report(), answer.value());
         }
     }
 
@@ -467,9 +410,9 @@
      * still be answered, but the link takes nothing new.
      */
     private void spoilt(String part, String why) {
-        Owed named = part == null ? null : owed.get(part);
-        LiveLaunch meant = named == null ? null : named.latest;
-        if (named == null) {
+        boolean named = part != null && owed.owes(part);
+        LiveLaunch meant = named ? owed.launch(part) : null;
+        if (!named) {
             List<LiveLaunch> out = new ArrayList<>();
             calls.forEach(call -> call.launches.stream()
                     .filter(each -> !each.over && call.stage == Call.Stage.WRITTEN)
