A store opens its files while the rest of the process starts

Cause: thread dumps of 16 starts: opening Xodus is 229 of the storage thread's 302 samples; it began only once the process was assembled. Change: it begins when the store is made, after the internal port is taken, so that two processes never open one folder. A fault is told by the load, as before. Tests: XodusStoreTest, PowerLossTest, ManyChangesTest, Controller*Test.

--- a/storage/src/main/java/pinewick/storage/XodusStore.java
+++ b/storage/src/main/java/pinewick/storage/XodusStore.java
@@ -44,6 +44,17 @@
     public XodusStore(Path directory, Executor completions) {
         this.folder = new StoreFolder(directory);
         this.completions = completions;
+        thread.execute(this::openAhead);
+    }
+
+    /** Opening takes a large part of a process's start, and needs nothing else of it. */
+    private void openAhead() {
+        try {
+            open();
+        } catch (ExodusException | IOException e) {
+            LOGGER.atFine().withCause(e).log("Storage: not opened ahead");
+            closeFiles();
+        }
     }
 
     @Override
@@ -94,7 +105,6 @@
     }
 
     private LoadedState read() throws IOException {
-        closeFiles();
         Optional<StoredState> stored = open().read();
         foundDamaged = false;
         return new LoadedState(stored, folder.hasDamaged());
