--- a/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
+++ b/dataplane/src/main/java/pinewick/dataplane/ClientConnection.java
@@ -1,5 +1,7 @@
 package pinewick.dataplane;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.function.IntSupplier;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.io.Connection;
@@ -8,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.internal.HttpConnection;
+import org.eclipse.jetty.util.BufferUtil;
 
 /**
  * Jetty's connection to a client, with three differences: chunks are sent whole, a connection at rest is not read
@@ -19,6 +22,8 @@
     private final IntSupplier headerTimeoutMs;
     private long headBeganNanos;
     private volatile boolean lastRequestTaken;
+    private boolean readsOn;
+    private boolean cameAhead;
 
     private ClientConnection(
             HttpConfiguration configuration, Connector connector, EndPoint endPoint, IntSupplier headerTimeoutMs) {
@@ -60,8 +65,34 @@
         lastRequestTaken = true;
     }
 
+    /** Whether a request that was read may be run; Jetty hands on what it has in its buffer after a close, too. */
     boolean takesRequests() {
-        return !lastRequestTaken;
+        return !lastRequestTaken && getEndPoint().isOpen();
+    }
+
+    /** A request's head has come; called on the thread that reads. */
+    void requestBegins() {
+        cameAhead = readsOn;
+    }
+
+    /**
+     * Whether the client had left before the request that was just read whole began, as it may have if that had come
+     * ahead of the answer to the one before it. Called on the thread that reads, as it may fill the buffer.
+     */
+    boolean hasLeftBefore() {
+        if (!cameAhead || !isRequestBufferEmpty()) {
+            return false;
+        }
+        ByteBuffer room = BufferUtil.allocate(JettyClientExchange.MOST_BYTES_AHEAD);
+        try {
+            int filled = getEndPoint().fill(room);
+            if (filled > 0) {
+                onUpgradeTo(room);
+            }
+            return filled < 0;
+        } catch (IOException e) {
+            return true;
+        }
     }
 
     /** An answer was completed: looks for the next request. */
@@ -69,8 +100,13 @@
     public void run() {
         if (isRequestBufferEmpty() && getParser().isStart() && getEndPoint().isOpen()) {
             fillInterested();
-        } else {
+            return;
+        }
+        readsOn = true;
+        try {
             super.run();
+        } finally {
+            readsOn = false;
         }
     }
 
