Controllers that all restarted at once know routers again by their digests

Ruled out: lost messages (links clean), the push at once (no router in any view to push to). Change: a controller with room for routers asks the unknown sender of a digest to exchange entries.

--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -172,6 +172,7 @@
 
     private boolean onDigestMessage(SocketAddress sender, Message message, double nowMs) {
         if (message instanceof Digest digest) {
+            sampling.seen(sender, nowMs);
             confirmation.onStatement(digest, state.configuration().version(), nowMs);
             compare(sender, digest, nowMs);
         } else if (message instanceof DigestRequest request) {
--- a/dissemination/src/test/java/pinewick/dissemination/FleetTroubleTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetTroubleTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import pinewick.dissemination.FleetSimulation.Process;
+import pinewick.membership.NodeRole;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
@@ -327,4 +328,24 @@
         fleet.run(12_000);
         fleet.all().forEach(process -> assertEquals(null, process.state.replica("i-1")));
     }
+
+    @Test
+    void controllersThatAllRestartedKnowRoutersAgainSoon() {
+        for (int seed = 0; seed < 40; seed++) {
+            FleetSimulation fleet = FleetSimulation.started(900 + seed, 5, 2);
+            fleet.run(6_000);
+            fleet.controllers.forEach(Process::kill);
+            fleet.run(400);
+            for (int number = 0; number < 5; number++) {
+                fleet.startController(number, 2);
+            }
+            fleet.run(2_000);
+            for (Process controller : fleet.controllers) {
+                long routers = controller.node.peers().stream()
+                        .filter(peer -> peer.role() == NodeRole.ROUTER)
+                        .count();
+                assertTrue(routers > 0, "seed " + seed + ": " + controller.address() + " knows no router");
+            }
+        }
+    }
 }
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -142,6 +142,7 @@
             dirtyUntilMs = nowMs() + Network.STALEST_MS;
         }
         cleanLinks = lost == 0 && late == 0;
+        note(String.format("links lose %.3f, double %.3f, delay %.3f of all", lost, doubled, late));
         network.quality(lost, doubled, late, stale);
     }
 
--- a/emulator/src/main/java/pinewick/emulator/control/FleetChecker.java
+++ b/emulator/src/main/java/pinewick/emulator/control/FleetChecker.java
@@ -34,6 +34,9 @@
     void knows(Object life, String host, ReplicaRecord record) {
         Map<String, ReplicaState> known = knownByLife.computeIfAbsent(life, key -> new HashMap<>());
         ReplicaState before = known.put(record.instanceId(), record.state());
+        if (before != record.state()) {
+            world.note(host + " knows " + record.instanceId() + " as " + record.state());
+        }
         require(
                 before == null || before.compareTo(record.state()) <= 0,
                 Invariant.DRAIN_STAYS,
@@ -70,6 +73,7 @@
             return;
         }
         if (acknowledgedEnds.get(instanceId) != state) {
+            world.note(by + " acknowledges " + instanceId + " as " + state);
             endsAcknowledged++;
             onFirstAcknowledged.accept(by);
         }
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -277,6 +277,18 @@
         }
     }
 
+    /**
+     * A peer has shown itself by another message. A controller that lacks it, and has room for routers, asks to
+     * exchange entries: after a start of all controllers they would know no router until one happens to ask them.
+     */
+    public void seen(SocketAddress peer, double nowMs) {
+        boolean known = routers.get(peer) != null || controllers.get(peer) != null;
+        if (self.role() == NodeRole.CONTROLLER && !known && !routers.full()) {
+            startIfNew(nowMs);
+            sendRequest(peer, NO_ROUND, nowMs);
+        }
+    }
+
     /** Handles a message if it is of membership; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         startIfNew(nowMs);
