--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -5,13 +5,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -28,7 +26,6 @@
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
 import pinewick.model.RequestLimits;
-import pinewick.model.Route;
 import pinewick.model.RoutingTable;
 import pinewick.model.ServiceSpec;
 import pinewick.model.SocketAddress;
@@ -47,15 +44,16 @@
     private static final int FEWEST_CONNECTIONS = 4;
     private static final double MILLISECONDS = 1e3;
 
+    /** How long the body of a request is waited for if there is no route for it. */
+    private static final double LONGEST_HELD_WITHOUT_ROUTE_MS = 5_000;
+
     /** When clients of a router that does not know the fleet's routes yet may come back. */
     private static final double UNINFORMED_RETRY_SECONDS = 0.2;
 
-    private static final int NO_DEADLINE_MS = Integer.MAX_VALUE;
-
     private final SerialExecutor serial;
     private final Timers timers;
-    private final RandomGenerator random;
     private final ReplicaDirectory directory = new ReplicaDirectory();
+    private final RequestRouting routing;
     private final UpstreamPool pool;
     private final DataPlaneServices services;
     private final Map<RequestLifecycle, JettyClientExchange> underWay = new HashMap<>();
@@ -63,13 +61,17 @@
     private final LoadSharing sharing;
     private final ReportPoller reports;
     private final Admission admission = new Admission();
-    private final ByteBuffer probe = BufferUtil.allocateDirect(1);
+    private final DepartureWatch departures;
+    private final ByteBuffer probeBuffer = BufferUtil.allocateDirect(JettyClientExchange.MOST_BYTES_AHEAD);
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private final Consumer<RequestLimits> onLimits;
     private final BooleanSupplier informed;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
     private boolean over;
+    /** Requests that were read whole and whose answers have not gone out whole. */
+    private int unanswered;
+
     private int routerCountUpperBound = 1;
 
     /**
@@ -89,7 +91,8 @@
         this.informed = informed;
         this.serial = serial;
         this.timers = timers;
-        this.random = random;
+        this.routing = new RequestRouting(() -> routingTable, directory, random);
+        this.departures = new DepartureWatch(timers);
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services =
                 new DataPlaneServices(selector, chooser, budget, new HandleHealth(), directory, pool, timers, random);
@@ -171,12 +174,14 @@
         return Math.max(FEWEST_CONNECTIONS, ofAll / routerCountUpperBound);
     }
 
-    /** Closes connections to replicas that have rested long enough, and notices clients that have left. */
+    /** Closes connections to replicas that have rested long enough. */
     void sweep() {
-        serial.execute(() -> {
-            pool.sweep();
-            List.copyOf(underWay.values()).forEach(client -> client.probe(probe));
-        });
+        serial.execute(pool::sweep);
+    }
+
+    /** Looks now for clients that have left, which is otherwise done at regular times. */
+    void lookForDepartures() {
+        serial.execute(departures::look);
     }
 
     /** Asks replicas for their load, where it is this router's turn. */
@@ -206,8 +211,22 @@
 
     /** Takes a request that was read whole. May be called on any thread. */
     void accept(ClientRequest read, Request request, Response response, Callback callback) {
-        double arrivedAtMs = request.getBeginNanoTime() / 1e6;
-        serial.execute(() -> begin(read, request, response, callback, arrivedAtMs));
+        serial.execute(() -> {
+            unanswered++;
+            Callback answered = Callback.from(callback, () -> serial.execute(this::answered));
+            begin(read, request, response, answered);
+        });
+    }
+
+    /**
+     * Runs a task at the time by which the request must have its answer, as its route and its client have it. May be
+     * called on any thread; the task runs on the data plane's executor.
+     */
+    Timers.Timer scheduleWhenDue(Request request, Runnable task) {
+        double heldMs = routing.find(request)
+                .map(route -> ClientDeadline.heldMs(request.getHeaders(), route.timeoutMs()))
+                .orElse(LONGEST_HELD_WITHOUT_ROUTE_MS);
+        return timers.schedule(RequestRouting.arrivedAtMs(request) + heldMs - timers.nowMs(), task);
     }
 
     /** The request has not run and never will; the client may come back after a while. */
@@ -219,25 +238,25 @@
         client.answer(HttpStatus.SERVICE_UNAVAILABLE_503, fields, UpstreamRequest.NO_BODY);
     }
 
-    private void begin(ClientRequest read, Request request, Response response, Callback callback, double arrivedAtMs) {
-        JettyClientExchange client = new JettyClientExchange(request, response, callback, serial, () -> stopping);
-        Optional<Route> route =
-                routingTable.find(hostOf(request), request.getHttpURI().getPath());
-        Optional<String> service = route.flatMap(this::drawService);
-        if (over || service.isEmpty()) {
+    private void begin(ClientRequest read, Request request, Response response, Callback callback) {
+        JettyClientExchange client =
+                new JettyClientExchange(request, response, callback, serial, () -> stopping, probeBuffer);
+        Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
+        if (over || found.isEmpty()) {
             refuse(client, read.id());
             return;
         }
-        RequestShape shape = shapeOf(route.get(), service.get(), request.getHeaders(), arrivedAtMs);
-        Decision decision = admissionControl.decide(shape, directory.candidates(service.get()), timers.nowMs());
+        RequestShape shape = found.get();
+        Decision decision = admissionControl.decide(shape, directory.candidates(shape.service()), timers.nowMs());
         if (decision instanceof Decision.Refuse refusal) {
-            services.budget().onRequest(service.get(), timers.nowMs());
+            services.budget().onRequest(shape.service(), timers.nowMs());
             answerNotRun(client, read.id(), refusal.retryAfterSeconds());
             return;
         }
         RequestLifecycle lifecycle = new RequestLifecycle(read, shape, client, services, this::ended);
         client.setLifecycle(lifecycle);
         underWay.put(lifecycle, client);
+        departures.add(client);
         request.addIdleTimeoutListener(timeout -> false);
         request.addFailureListener(failure -> serial.execute(() -> client.gone(failure)));
         lifecycle.start();
@@ -253,69 +272,6 @@
         }
     }
 
-    private static String hostOf(Request request) {
-        String host = request.getHeaders().get(HttpHeader.HOST);
-        if (host == null) {
-            return "";
-        }
-        int colon = host.lastIndexOf(':');
-        return (colon < 0 ? host : host.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
-    }
-
-    /** Draws a service by the route's weights; those without a replica are left out while another has one. */
-    private Optional<String> drawService(Route route) {
-        if (route.split().size() == 1) {
-            return Optional.of(route.split().get(0).service());
-        }
-        Optional<String> served =
-                draw(route, service -> !directory.candidates(service).isEmpty());
-        return served.isPresent() ? served : draw(route, service -> true);
-    }
-
-    private Optional<String> draw(Route route, Predicate<String> allowed) {
-        List<Route.WeightedService> services = route.split().stream()
-                .filter(each -> each.weight() > 0 && allowed.test(each.service()))
-                .toList();
-        int total = services.stream().mapToInt(Route.WeightedService::weight).sum();
-        int drawn = total == 0 ? 0 : random.nextInt(total);
-        for (Route.WeightedService each : services) {
-            drawn -= each.weight();
-            if (drawn < 0) {
-                return Optional.of(each.service());
-            }
-        }
-        return Optional.empty();
-    }
-
-    private RequestShape shapeOf(Route route, String service, HttpFields fields, double arrivedAtMs) {
-        boolean generation =
-                routingTable.service(service).flatMap(ServiceSpec::engine).isPresent();
-        PromptHeaders prompt = PromptHeaders.parse(fields);
-        double held = Math.min(route.timeoutMs(), deadlineMs(fields));
-        return new RequestShape(
-                route,
-                service,
-                generation,
-                generation ? prompt.model() : "",
-                generation ? prompt.promptTokens() : 0,
-                generation ? prompt.outputTokens() : 0,
-                generation ? prompt.parts() : List.of(),
-                arrivedAtMs,
-                arrivedAtMs + held);
-    }
-
-    private static double deadlineMs(HttpFields fields) {
-        String told = fields.get(HeaderNames.DEADLINE_MS);
-        if (told == null) {
-            return NO_DEADLINE_MS;
-        }
-        try {
-            return Math.max(1, Double.parseDouble(told.trim()));
-        } catch (NumberFormatException e) {
-            return NO_DEADLINE_MS;
-        }
-    }
-
     // ---- the end
 
     /** From now on each answer closes its connection. */
@@ -323,7 +279,7 @@
         stopping = true;
     }
 
-    /** Completes once no request is under way. */
+    /** Completes once every request that was read whole has its whole answer, or its connection is gone. */
     CompletableFuture<Void> whenIdle() {
         CompletableFuture<Void> idle = new CompletableFuture<>();
         serial.execute(() -> {
@@ -334,12 +290,16 @@
     }
 
     private void ended(RequestLifecycle lifecycle) {
-        underWay.remove(lifecycle);
+        departures.remove(underWay.remove(lifecycle));
+    }
+
+    private void answered() {
+        unanswered--;
         tellIfIdle();
     }
 
     private void tellIfIdle() {
-        if (underWay.isEmpty() && !waitingForIdle.isEmpty()) {
+        if (unanswered == 0 && !waitingForIdle.isEmpty()) {
             List<CompletableFuture<Void>> told = List.copyOf(waitingForIdle);
             waitingForIdle.clear();
             told.forEach(idle -> idle.complete(null));
--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaHandover.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaHandover.java
@@ -89,6 +89,14 @@
         }
     }
 
+    /** When {@link #onTick} has something to do next. */
+    double nextDueMs() {
+        return waiting.values().stream()
+                .mapToDouble(entry -> entry.sentAtMs + RESEND_MS)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     void onHeld(SocketAddress sender, ReplicaHeld held) {
         Waiting entry = waiting.get(held.ackId());
         if (entry != null && entry.sentTo.contains(sender)) {
--- a/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -40,6 +40,8 @@
     double loss;
     double duplicates;
     double jitterMs = 1;
+    /** What a process's link carries each way in a millisecond; messages wait for those before them. */
+    double linkBytesAMs = Double.POSITIVE_INFINITY;
     /** Whether a message from the first to the second is lost for good. */
     BiPredicate<SocketAddress, SocketAddress> cut = (from, to) -> false;
 
@@ -72,6 +74,11 @@
         long bytesSent;
         long bytesReceived;
         long messagesSent;
+        int ticks;
+        private int plannedTicks;
+        private double plannedTickMs = Double.NaN;
+        private double linkOutFreeAtMs;
+        private double linkInFreeAtMs;
 
         Process(SocketAddress address, NodeRole role, long incarnation) {
             descriptor = new NodeDescriptor(address, incarnation, role, "zone-" + address.hashCode() % 3);
@@ -96,6 +103,7 @@
             if (!alive) {
                 return;
             }
+            ticks++;
             node.onTick(localMs());
             if (descriptor.role() == NodeRole.CONTROLLER && quorumContact.test(this)) {
                 node.confirmConfiguration(localMs());
@@ -103,7 +111,48 @@
             if (Double.isNaN(synchronisedAtMs) && node.synchronised()) {
                 synchronisedAtMs = nowMs;
             }
-            after(FleetNode.TICK_MS, this::tick);
+            if (descriptor.role() == NodeRole.CONTROLLER) {
+                after(FleetNode.TICK_MS, this::tick);
+            } else {
+                planTick();
+            }
+        }
+
+        /** A router ticks when its node asks for it, as its program does. */
+        private void planTick() {
+            double dueMs = node.nextTickMs();
+            if (dueMs == plannedTickMs) {
+                return;
+            }
+            plannedTickMs = dueMs;
+            int number = ++plannedTicks;
+            after(Math.max(0, dueMs - localMs()), () -> {
+                if (number == plannedTicks) {
+                    plannedTickMs = Double.NaN;
+                    tick();
+                }
+            });
+        }
+
+        /** Hands in a message; returns whether it was handled. */
+        boolean receive(SocketAddress from, Message message) {
+            boolean handled = node.onMessage(from, message, localMs());
+            if (descriptor.role() == NodeRole.ROUTER && !Double.isNaN(plannedTickMs)) {
+                planTick();
+            }
+            return handled;
+        }
+
+        /** How long from now until a frame has left by the link. */
+        private double linkOutMs(byte[] frame) {
+            linkOutFreeAtMs = Math.max(nowMs, linkOutFreeAtMs) + frame.length / linkBytesAMs;
+            return linkOutFreeAtMs - nowMs;
+        }
+
+        /** How long from now until a frame has come in by the link. */
+        private double linkInMs(byte[] frame) {
+            linkInFreeAtMs = Math.max(nowMs, linkInFreeAtMs) + frame.length / linkBytesAMs;
+            return linkInFreeAtMs - nowMs;
         }
 
         void kill() {
@@ -222,7 +271,17 @@
         for (int i = 0; i < copies; i++) {
             double delay = MIN_DELAY_MS + random.nextDouble() * jitterMs;
             double connected = datagram ? delay : 3 * delay + frame.length / BYTES_A_MS;
-            after(connected, () -> arrive(from.address(), to, frame));
+            after(from.linkOutMs(frame) + connected, () -> reach(from.address(), to, frame));
+        }
+    }
+
+    /** A frame has come to the receiver's link. */
+    private void reach(SocketAddress from, SocketAddress to, byte[] frame) {
+        Process receiver = processes.get(to);
+        if (receiver == null || Double.isInfinite(linkBytesAMs)) {
+            arrive(from, to, frame);
+        } else {
+            after(receiver.linkInMs(frame), () -> arrive(from, to, frame));
         }
     }
 
@@ -235,7 +294,7 @@
         receiver.bytesReceived += frame.length;
         try {
             Message message = codec.decode(frame, 0, frame.length).message();
-            if (!receiver.node.onMessage(from, message, receiver.localMs())) {
+            if (!receiver.receive(from, message)) {
                 throw new IllegalStateException("not handled: " + message);
             }
         } catch (MalformedFrameException e) {
@@ -249,6 +308,7 @@
             process.bytesSent = 0;
             process.bytesReceived = 0;
             process.messagesSent = 0;
+            process.ticks = 0;
         });
     }
 }
--- a/replication/src/main/java/pinewick/replication/Election.java
+++ b/replication/src/main/java/pinewick/replication/Election.java
@@ -1,12 +1,14 @@
 package pinewick.replication;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
-import pinewick.model.SocketAddress;
-import pinewick.replication.ReplicationMessages.Heartbeat;
 import pinewick.replication.ReplicationMessages.Status;
 
 /** Watches the primary from a process that is none, and tells when this one should stand for election. */
@@ -37,14 +39,16 @@
 
     private record Answer(Status status, double atMs) {}
 
+    private record Question(RequestId request, double atMs, double steadyMs) {}
+
     private final Context context;
     private final Map<String, Answer> answers = new HashMap<>();
+    private final Deque<Question> questions = new ArrayDeque<>();
     private double heardMs = Double.NEGATIVE_INFINITY;
+    private double lastHeardMs;
     private double dueMs;
     private double lostPauseMs = CHANCE_MS;
     private double askedMs = Double.NEGATIVE_INFINITY;
-    private SocketAddress operatorApi = ReplicationMessages.NO_ADDRESS;
-    private double operatorApiMs = Double.NEGATIVE_INFINITY;
 
     Election(Context context) {
         this.context = context;
@@ -58,15 +62,10 @@
         postpone(delayMs);
     }
 
-    void onHeartbeat(Heartbeat heartbeat) {
-        operatorApi = heartbeat.operatorApi();
-        operatorApiMs = context.activeMs();
-        heard();
-    }
-
     /** The primary showed itself. */
     void heard() {
         heardMs = context.activeMs();
+        lastHeardMs = heardMs;
         lostPauseMs = CHANCE_MS;
         answers.clear();
         postpone(TIME_OUT_MS);
@@ -79,7 +78,6 @@
 
     /** The primary leads no more. */
     void onPrimaryGone() {
-        operatorApi = ReplicationMessages.NO_ADDRESS;
         restart(0);
     }
 
@@ -92,40 +90,60 @@
                 dueMs, context.activeMs() + lostPauseMs * context.random().nextDouble());
     }
 
+    /** When the primary showed itself last, {@link ActiveClock#activeMs}. */
+    double lastHeardMs() {
+        return lastHeardMs;
+    }
+
     boolean hearsPrimary() {
         return context.activeMs() - heardMs < HEARD_MS;
     }
 
-    /** Operator API of the primary, if one was heard of lately. */
-    SocketAddress operatorApi() {
-        boolean lately = context.activeMs() - operatorApiMs < 2 * TIME_OUT_MS;
-        return lately ? operatorApi : ReplicationMessages.NO_ADDRESS;
+    /** The question under which the others are to be asked now what they know, if they are. */
+    Optional<RequestId> question() {
+        double now = context.activeMs();
+        if (hearsPrimary() || now - askedMs < ASK_MS) {
+            return Optional.empty();
+        }
+        askedMs = now;
+        RequestId request = context.requests().next();
+        questions.add(new Question(request, now, context.clock().steadyMs()));
+        return Optional.of(request);
     }
 
-    /** Whether the others are to be asked now what they know. */
-    boolean asksNow() {
-        if (hearsPrimary() || context.activeMs() - askedMs < ASK_MS) {
-            return false;
-        }
-        askedMs = context.activeMs();
-        return true;
+    /** When the question was asked, steady time, that a status answers; empty if none was asked lately. */
+    OptionalDouble askedMs(Status status) {
+        questions.removeIf(question -> context.activeMs() - question.atMs > FRESH_MS);
+        return questions.stream()
+                .filter(question -> !status.answerWanted() && question.request.equals(status.request()))
+                .mapToDouble(Question::steadyMs)
+                .findFirst();
     }
 
-    void onStatus(Status status) {
-        double now = context.activeMs();
-        answers.put(status.self().identity(), new Answer(status, now));
-        if (status.hearsPrimary() && !status.operatorApi().equals(ReplicationMessages.NO_ADDRESS)) {
-            operatorApi = status.operatorApi();
-            operatorApiMs = now;
-        }
-        EpochRecord accepted = context.durable().accepted();
-        boolean fromPrimary = status.self().identity().equals(accepted.primary());
-        if (fromPrimary && !status.leading() && hearsPrimary()) {
+    /** There is somebody new to ask. */
+    void askSoon() {
+        askedMs = Double.NEGATIVE_INFINITY;
+    }
+
+    /** What another process knows, in answer to a question of this one. */
+    void onAnswer(Status status) {
+        answers.put(status.self().identity(), new Answer(status, context.activeMs()));
+    }
+
+    /** The primary says itself that it does not lead. */
+    void onDenial() {
+        if (hearsPrimary()) {
             heardMs = Double.NEGATIVE_INFINITY;
-            dueMs = Math.min(dueMs, now + RETRY_MS);
+            dueMs = Math.min(dueMs, context.activeMs() + RETRY_MS);
         }
     }
 
+    /** Whether the primary of the newest record known here says that it does not lead. */
+    boolean isDenial(Status status) {
+        EpochRecord accepted = context.durable().accepted();
+        return status.self().identity().equals(accepted.primary()) && !status.leading();
+    }
+
     /** Whether a quorum hears no primary, nobody else does, and this process could lead. */
     boolean isDue() {
         double now = context.activeMs();
--- a/replication/src/main/java/pinewick/replication/Leadership.java
+++ b/replication/src/main/java/pinewick/replication/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import pinewick.model.Message;
 import pinewick.replication.DurableState.Outcome;
 import pinewick.replication.DurableState.Step;
@@ -28,6 +29,9 @@
     /** An in-sync store that is silent, or lacks a state, for longer is to leave the set. */
     private static final double UNRESPONSIVE_MS = 600;
 
+    /** A store that asks to be taken in after a new primary has begun makes itself known within this time. */
+    private static final double SUCCESSOR_MS = 300;
+
     /** Without a quorum's confirmation for longer than this, the primary leads no more. */
     private static final double UNCONFIRMED_MS = 900;
 
@@ -41,19 +45,20 @@
 
     private record Round(long number, double sentSteadyMs) {}
 
-    /** A change on its way to the in-sync stores. */
-    private record Pending(StateTag tag, byte[] delta, ChangeKey key) {}
-
     private final Context context;
     private final EpochRecord record;
     private final Replicas replicas;
     private final StateTag baseTag;
+    private final long lastSequenceBefore;
     private final Deque<Round> rounds = new ArrayDeque<>();
+    private final RoundTimes roundTimes = new RoundTimes();
+    private final StateTag startTag;
+    private final RecentChanges recent;
     private StateTag target;
-    private Optional<Pending> pending = Optional.empty();
+    private boolean pending;
     private boolean begun;
     private boolean diskFailed;
-    private long round;
+    private RequestId round = RequestId.NONE;
     private long confirmedRound;
     private double confirmedActiveMs;
     private double changingSinceMs;
@@ -61,15 +66,19 @@
     private double lastHeartbeatMs = Double.NEGATIVE_INFINITY;
     private ConfigurationState committed = ConfigurationState.NONE;
     private StateTag installTag;
-    private Install install;
+    private byte[] document;
+    private byte[] changes;
 
     /** @param record a record that stands, with this process as primary */
     Leadership(Context context, EpochRecord record, Replicas replicas) {
         this.context = context;
         this.record = record.settled();
         this.replicas = replicas;
+        this.lastSequenceBefore = context.requests().newest();
         this.baseTag = context.durable().state().tag();
-        this.target = new StateTag(record.number().counter(), 0);
+        this.startTag = new StateTag(record.number().counter(), 0);
+        this.recent = new RecentChanges(startTag);
+        this.target = startTag;
         this.confirmedActiveMs = context.activeMs();
         this.changingSinceMs = context.activeMs();
     }
@@ -97,7 +106,7 @@
     }
 
     boolean changePending() {
-        return pending.isPresent();
+        return pending;
     }
 
     /** Whether this process has not promised a higher number itself. */
@@ -109,7 +118,7 @@
     boolean mayReplicate() {
         return begun
                 && honoured()
-                && pending.isEmpty()
+                && !pending
                 && record.inSync().size() >= context.settings().fewestCopies();
     }
 
@@ -162,9 +171,10 @@
 
     /** Sends a change to the in-sync stores; only if {@link #mayReplicate}. */
     void replicate(byte[] delta, ChangeKey key) {
-        Pending change = new Pending(target.next(), delta, key);
-        pending = Optional.of(change);
-        target = change.tag;
+        RecentChanges.Recent change = new RecentChanges.Recent(target.next(), delta, key);
+        pending = true;
+        target = change.tag();
+        recent.add(change);
         replicas.all().forEach(replica -> replica.aimAt(target, context.activeMs()));
         DurableState durable = context.durable();
         durable.submit(
@@ -172,7 +182,7 @@
                         ? Optional.of(new Step(
                                 number(),
                                 record,
-                                durable.state().apply(change.tag, delta, key),
+                                durable.state().apply(change.tag(), delta, key),
                                 Optional.of(new StoredChange(delta, key))))
                         : Optional.empty(),
                 outcome -> diskFailed |= outcome != Outcome.WRITTEN);
@@ -189,47 +199,59 @@
 
     /** Sends a heartbeat at once; returns its round. */
     long heartbeat() {
-        round++;
+        round = context.requests().next();
         lastHeartbeatMs = context.activeMs();
-        rounds.add(new Round(round, context.clock().steadyMs()));
+        roundTimes.note(round.sequence(), lastHeartbeatMs);
+        rounds.add(new Round(round.sequence(), context.clock().steadyMs()));
         if (rounds.size() > ROUNDS_KEPT) {
             rounds.remove();
         }
         broadcast(heartbeatMessage());
         noteConfirmedRound();
-        return round;
+        return round.sequence();
     }
 
     private Heartbeat heartbeatMessage() {
         return new Heartbeat(
-                number(), round, committed.tag(), context.settings().operatorApi());
+                round, number(), committed.tag(), context.settings().operatorApi());
+    }
+
+    /** Whether an answer belongs to a question that this primary asked in this epoch and this life. */
+    private boolean isMine(RequestId request) {
+        return context.requests().isAskedAfter(request, lastSequenceBefore);
     }
 
     void onHeartbeatReply(HeartbeatReply reply) {
-        Replica replica = replicas.learn(reply.self());
+        Replica replica = isMine(reply.request()) ? replicas.learn(reply.self()) : null;
         if (replica == null) {
             return;
         }
-        replica.onHeartbeatReply(reply, number(), target, context.activeMs());
+        double askedMs = roundTimes.sentMs(reply.request().sequence());
+        replica.onHeartbeatReply(reply, number(), target, askedMs, context.activeMs());
         boolean lagsBehind = !reply.promised().isAfter(number()) && !replica.knows(number());
         if (lagsBehind) {
             context.peers().send(context.peers().addressOf(replica.member()), new Established(record));
         }
         noteConfirmedRound();
+        sendStates();
     }
 
     /** A process that hears no primary asks around: it hears of this one at once, and may be taken in later. */
     void onStatus(Status status) {
         Replica replica = replicas.learn(status.self());
         if (replica != null) {
-            replica.onStatus(status, number(), target);
+            replica.onStatus(status, number(), target, context.activeMs());
+            if (!record.hasMember(replica.identity())) {
+                replica.heardLast(context.activeMs());
+            }
             context.peers().send(context.peers().addressOf(replica.member()), heartbeatMessage());
+            sendStates();
         }
     }
 
     void onStateReply(StateReply reply) {
         Replica replica = replicas.get(reply.identity());
-        if (replica != null) {
+        if (replica != null && isMine(reply.request())) {
             replica.onStateReply(reply, number(), target, context.activeMs());
         }
     }
@@ -238,7 +260,7 @@
         if (!honoured()) {
             return;
         }
-        long newest = replicas.confirmedRound(record, round);
+        long newest = replicas.confirmedRound(record, round.sequence());
         if (newest <= confirmedRound) {
             return;
         }
@@ -262,27 +284,67 @@
             return false;
         }
         begun = true;
-        pending = Optional.empty();
+        pending = false;
         committed = durable.state();
         return true;
     }
 
-    /** In-sync stores that answer and keep up. */
+    /** In-sync stores that answer, keep up and are not about to end. */
     Set<String> responsive() {
+        return inSyncWhere(replica -> keepsUp(replica) && !replica.leaving());
+    }
+
+    /** The same, and whoever is about to end while it still has to be waited for. */
+    Set<String> needed() {
+        return keepsLeaving() ? inSyncWhere(this::keepsUp) : responsive();
+    }
+
+    /**
+     * Whether stores that are about to end stay in sync: without them no majority of the members would be left, or a
+     * store that can take their place may be on its way.
+     */
+    boolean keepsLeaving() {
+        return !isMajorityLeft() || successorExpected();
+    }
+
+    private boolean successorExpected() {
+        double now = context.activeMs();
+        boolean justLeaving =
+                replicas.all().stream().anyMatch(replica -> replica.leaving() && replica.leavingMs(now) < SUCCESSOR_MS);
+        boolean present = replicas.all().stream()
+                .anyMatch(replica -> !record.hasMember(replica.identity()) && isAnswering(replica));
+        return justLeaving || present;
+    }
+
+    private Set<String> inSyncWhere(Predicate<Replica> condition) {
         Set<String> identities = new HashSet<>();
         replicas.among(record.inSync()).stream()
-                .filter(this::isResponsive)
+                .filter(condition)
                 .forEach(replica -> identities.add(replica.identity()));
         return identities;
     }
 
-    private boolean isResponsive(Replica replica) {
+    private boolean keepsUp(Replica replica) {
         double now = context.activeMs();
-        return replica.healthy()
+        return replica.diskReady()
                 && replica.silentMs(now) <= UNRESPONSIVE_MS
                 && replica.laggingMs(now) <= UNRESPONSIVE_MS;
     }
 
+    private boolean isMajorityLeft() {
+        List<Member> members = record.members();
+        long others = members.stream()
+                .map(member -> replicas.get(member.identity()))
+                .filter(replica -> replica != null && isAnswering(replica))
+                .count();
+        return 2 * (1 + others) > members.size();
+    }
+
+    /** Whether a store was heard lately, with a disk that works, and is not about to end. */
+    boolean isAnswering(Replica replica) {
+        return replica.healthy() && replica.silentMs(context.activeMs()) <= UNRESPONSIVE_MS;
+    }
+
     /** Stores outside the in-sync set that hold what this process holds. */
     Set<String> caughtUp() {
         Set<String> identities = new HashSet<>();
@@ -304,31 +366,48 @@
         for (Replica replica : replicas.all()) {
             boolean inSync = record.inSync().contains(replica.identity());
             boolean wanted = inSync || (!replica.leaving() && replica.silentMs(now) <= 2 * HEARTBEAT_MS);
-            boolean honours = !replica.promised().isAfter(number());
-            if (wanted && honours && !replica.tag().equals(target) && replica.maySend(now)) {
-                replica.sent(now);
-                context.peers().send(context.peers().addressOf(replica.member()), stateFor(replica));
+            if (wanted && !replica.promised().isAfter(number())) {
+                sendState(replica, now);
             }
         }
     }
 
-    private Message stateFor(Replica replica) {
-        if (pending.isPresent() && replica.tag().next().equals(target)) {
-            Pending change = pending.get();
-            return new Replicate(number(), change.tag, change.delta, change.key);
+    /** Sends what a store lacks: a state to begin with, if need be, and the changes after it right behind. */
+    private void sendState(Replica replica, double now) {
+        if (!replica.isAwaited(now) && !recent.reachBackTo(replica.tag())) {
+            sendBase(replica, now);
+        }
+        StateTag expected = replica.expectedTag(now);
+        if (expected.equals(target) || !recent.reachBackTo(expected)) {
+            return;
         }
-        boolean atStart = target.sequence() == 0;
-        if (atStart && replica.tag().equals(baseTag)) {
-            return new Retag(number(), baseTag, target);
+        for (RecentChanges.Recent change : recent.after(expected)) {
+            send(
+                    replica,
+                    new Replicate(context.requests().next(), number(), change.tag(), change.delta(), change.key()));
+        }
+        replica.sentChanges(target, now);
+    }
+
+    private void sendBase(Replica replica, double now) {
+        if (replica.tag().equals(baseTag) && recent.reachBackTo(startTag)) {
+            send(replica, new Retag(context.requests().next(), number(), baseTag, startTag));
+            replica.sentChanges(startTag, now);
+            return;
         }
         ConfigurationState state = context.durable().state();
-        StateTag tag = atStart ? target : state.tag();
+        StateTag tag = target.equals(startTag) ? startTag : state.tag();
         if (!tag.equals(installTag)) {
             installTag = tag;
-            install = new Install(
-                    number(), tag, state.documentBytes(), state.changes().toBytes());
+            document = state.documentBytes();
+            changes = state.changes().toBytes();
         }
-        return install;
+        send(replica, new Install(context.requests().next(), number(), tag, document, changes));
+        replica.sentWhole(tag, now);
+    }
+
+    private void send(Replica replica, Message message) {
+        context.peers().send(context.peers().addressOf(replica.member()), message);
     }
 
     private void broadcast(Message message) {
--- a/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
+++ b/replication/src/test/java/pinewick/replication/ReplicationSimulationTest.java
@@ -13,7 +13,7 @@
     private static final int SEEDS = Integer.getInteger("replication.seeds", 2_000);
 
     private static final int FIRST = Integer.getInteger("replication.first", 0);
-    private static final int SEEDS_FOR_A_VARIANT = 3_000;
+    private static final int SEEDS_FOR_A_VARIANT = 10_000;
     private static final double TROUBLE_FROM_MS = 2_000;
     private static final double TROUBLE_UNTIL_MS = 14_000;
     private static final double CALM_AT_MS = 20_000;
