--- a/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
+++ b/dissemination/src/main/java/pinewick/dissemination/ReplicaSpread.java
@@ -111,13 +111,25 @@
         if (gone.expire(state, nowMs)) {
             digest.invalidate();
         }
+        if (!hasNews()) {
+            pushed.clear();
+            return;
+        }
         nameAgain();
         pushNews(nowMs);
     }
 
     /** Whether the next tick has something to send. */
     boolean hasNews() {
-        return !arisen.isEmpty() || !heardOf.isEmpty() || pushed.stream().anyMatch(ids -> !ids.isEmpty());
+        if (!arisen.isEmpty() || !heardOf.isEmpty()) {
+            return true;
+        }
+        for (Set<String> ids : pushed) {
+            if (!ids.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Names what was pushed in the ticks before to a few more peers, which ask for what they lack. */
@@ -156,6 +168,11 @@
         rememberForLaterWaves(many ? Set.of() : news);
     }
 
+    /** Pushes a record to a few peers now; the next tick does so again, with whatever else is new by then. */
+    void pushAtOnce(String instanceId, double nowMs) {
+        push(Set.of(instanceId), peers.randomPeers(Fanout.ORIGIN), nowMs);
+    }
+
     private void rememberForLaterWaves(Set<String> news) {
         pushed.addFirst(news);
         while (pushed.size() > Fanout.laterWaves(peers.viewSize())) {
