A router that starts at the small side of a cut takes its part of the whole fleet's retry slack

Cause: the bound of the number of routers is held for 60 s by those that ran before a cut, but a router that starts during it counted its own side only (2 of 9), so that all parts of the slack came to more than the whole. Ruled out: the stranger's bound of 1,000 until confirmed (a router beside the only controller left would hold 4 connections a replica). Change: the answer to a joining process carries the bound that the sender has counted itself; it holds for 60 s. Bounds learnt are not told on, so they do not outlive the fleet that counted them.

--- a/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -58,8 +58,12 @@
     /** Asks for the receiver's digest. */
     public record DigestRequest(long requestId) implements Message {}
 
-    /** Answers a {@link DigestRequest}. */
-    public record DigestReply(long requestId, Digest digest) implements Message {}
+    /**
+     * Answers a {@link DigestRequest}.
+     *
+     * @param routerBound the highest number of routers that the sender has counted lately, as an upper bound
+     */
+    public record DigestReply(long requestId, Digest digest, int routerBound) implements Message {}
 
     /**
      * Tells of a configuration.
--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -175,7 +175,7 @@
             confirmation.onStatement(digest, state.configuration().version(), nowMs);
             compare(sender, digest, nowMs);
         } else if (message instanceof DigestRequest request) {
-            outbox.send(sender, new DigestReply(request.requestId(), digest(nowMs)));
+            outbox.send(sender, new DigestReply(request.requestId(), digest(nowMs), sampling.ownRouterBound(nowMs)));
         } else if (message instanceof DigestReply reply) {
             onDigestReply(sender, reply, nowMs);
         } else {
@@ -187,6 +187,7 @@
     private void onDigestReply(SocketAddress sender, DigestReply reply, double nowMs) {
         Optional<Double> askedAtMs = joining.onReply(sender, reply, nowMs);
         if (askedAtMs.isPresent()) {
+            sampling.learnRouterBound(reply.routerBound(), nowMs);
             confirmation.onAnswer(reply.digest(), state.configuration().version(), askedAtMs.get());
             compare(sender, reply.digest(), nowMs);
         }
--- a/dissemination/src/test/java/pinewick/dissemination/AnswerMatchingTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/AnswerMatchingTest.java
@@ -64,7 +64,7 @@
         }
 
         void answerDigest(double nowMs) {
-            node.onMessage(SEED, new DigestReply(lastSent(DigestRequest.class).requestId(), OF_SEED), nowMs);
+            node.onMessage(SEED, new DigestReply(lastSent(DigestRequest.class).requestId(), OF_SEED, 9), nowMs);
         }
 
         /** Lets the seed become known as a controller. */
@@ -84,7 +84,7 @@
         Life earlier = router(1);
         Life later = router(2);
         long requestId = earlier.lastSent(DigestRequest.class).requestId();
-        later.node.onMessage(SEED, new DigestReply(requestId, OF_SEED), 10);
+        later.node.onMessage(SEED, new DigestReply(requestId, OF_SEED, 9), 10);
         assertEquals(0, later.countSent(ConfigurationPull.class));
         later.answerDigest(20);
         assertEquals(1, later.countSent(ConfigurationPull.class));
@@ -93,12 +93,12 @@
     @Test
     void aSecondDigestALateOneAndOneOfAnotherPeerCountForNothing() {
         Life life = router(1);
-        DigestReply reply = new DigestReply(life.lastSent(DigestRequest.class).requestId(), OF_SEED);
+        DigestReply reply = new DigestReply(life.lastSent(DigestRequest.class).requestId(), OF_SEED, 9);
         life.node.onMessage(STRANGER, reply, 10);
         life.node.onMessage(SEED, reply, 2_500);
         assertEquals(0, life.countSent(ConfigurationPull.class));
         life.node.onTick(2_600);
-        reply = new DigestReply(life.lastSent(DigestRequest.class).requestId(), OF_SEED);
+        reply = new DigestReply(life.lastSent(DigestRequest.class).requestId(), OF_SEED, 9);
         life.node.onMessage(SEED, reply, 2_610);
         assertEquals(1, life.countSent(SnapshotRequest.class));
         life.node.onMessage(SEED, reply, 3_200);
--- a/dissemination/src/test/java/pinewick/dissemination/JoiningDuringCutTest.java
+++ b/dissemination/src/test/java/pinewick/dissemination/JoiningDuringCutTest.java
@@ -84,6 +84,18 @@
         assertTrue(tookMs <= CONTACT_MS, "current and confirmed after the cut");
     }
 
+    @Test
+    void aRouterThatStartsAtTheSmallSideCountsTheWholeFleet() {
+        FleetSimulation fleet = settled(6, 9);
+        cutOffWithFirstController(fleet, 0, 1);
+        fleet.run(4_000);
+        fleet.routers.get(1).kill();
+        Process started = fleet.startRouter(1, 2);
+        fleet.run(12_000);
+        assertEquals(2, started.node.routerCount());
+        assertTrue(started.node.routerCountUpperBound() >= 9, "its part of what the whole fleet may spend");
+    }
+
     @Test
     void aRouterThatStartsWithinReachOfTheMajorityIsConfirmedAtOnce() {
         FleetSimulation fleet = settled(3, 9);
--- a/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
+++ b/membership/src/main/java/pinewick/membership/FleetSizeEstimator.java
@@ -23,6 +23,7 @@
     static final double YOUNG_MS = 8_000;
 
     private static final int YOUNG_FACTOR = 4;
+    private static final int MOST_LEARNT = 32;
     private static final int BITS = 1_024;
     private static final double IN_USE_MS = 2 * EPOCH_MS;
     private static final double DEVIATIONS = 3;
@@ -31,6 +32,9 @@
     private final NodeDescriptor self;
     private final double startedAtMs;
     private final Deque<Sample> recent = new ArrayDeque<>();
+    /** Bounds that peers held when this process had just started. */
+    private final Deque<Sample> learnt = new ArrayDeque<>();
+
     private BitSet bits = new BitSet(BITS);
     private int epoch;
     private double epochStartedAtMs;
@@ -106,14 +110,36 @@
         return inUse(nowMs) ? Math.max(routersInView, Math.max(linearCount(), lastEpochEstimate)) : routersInView;
     }
 
-    /** More routers than run, most probably. */
-    int upperBound(double nowMs) {
+    /**
+     * A peer has held this bound of its own. Those that this process reaches may be cut off from most of the fleet, and
+     * have counted it before.
+     */
+    void learnBound(int upperBound, double nowMs) {
+        learnt.addLast(new Sample(nowMs, upperBound));
+        while (nowMs - learnt.peekFirst().atMs > HOLD_MS || learnt.size() > MOST_LEARNT) {
+            learnt.removeFirst();
+        }
+    }
+
+    /** The highest bound that this process has counted itself lately. */
+    int ownBound(double nowMs) {
         double highest = currentUpperBound(nowMs);
         for (Sample sample : recent) {
             highest = Math.max(highest, sample.upperBound);
         }
+        return (int) Math.max(1, Math.ceil(highest));
+    }
+
+    /** More routers than run, most probably. */
+    int upperBound(double nowMs) {
         boolean young = nowMs - startedAtMs < YOUNG_MS;
-        return (int) Math.max(1, Math.ceil(young ? YOUNG_FACTOR * highest : highest));
+        double highest = young ? (double) YOUNG_FACTOR * ownBound(nowMs) : ownBound(nowMs);
+        for (Sample sample : learnt) {
+            if (nowMs - sample.atMs <= HOLD_MS) {
+                highest = Math.max(highest, sample.upperBound);
+            }
+        }
+        return (int) Math.ceil(highest);
     }
 
     private double currentUpperBound(double nowMs) {
--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -134,6 +134,17 @@
         return size == null ? 1 : size.estimate(nowMs);
     }
 
+    /** The highest number of routers that this process has counted itself lately, as an upper bound. */
+    public int ownRouterBound(double nowMs) {
+        return size == null ? 1 : size.ownBound(nowMs);
+    }
+
+    /** A peer has held this bound of its own when this process had just started. */
+    public void learnRouterBound(int upperBound, double nowMs) {
+        startIfNew(nowMs);
+        size.learnBound(upperBound, nowMs);
+    }
+
     /** More routers than run, with high probability. */
     public int routerCountUpperBound(double nowMs) {
         return size == null ? 1 : size.upperBound(nowMs);
