--- a/selection/src/main/java/pinewick/selection/CallPriority.java
+++ b/selection/src/main/java/pinewick/selection/CallPriority.java
@@ -3,9 +3,9 @@
 /**
  * The priority by which replicas order the calls they hold: the more urgent are let in first, and preempt others.
  *
- * <p>A call has its route's priority as long as its answer can still come within the route's target latency. A late answer
- * earns the same whenever it comes, so a call that cannot be in time any more gives way to all that can, as long as
- * plenty of its own time is left.
+ * <p>A call has its route's priority as long as its answer can still come within the route's target latency. A late
+ * answer earns the same whenever it comes, so a call that cannot be in time any more gives way to all that can, as long
+ * as plenty of its own time is left.
  */
 public final class CallPriority {
     /** Let in before all others. */
@@ -14,7 +14,7 @@
     /** Let in after all others. */
     public static final int LOWEST = 9;
 
-    /** Levels by which a call is less urgent once it cannot be in time: the most urgent comes to a replica's default. */
+    /** Levels by which a call is less urgent once it cannot be in time: the most urgent gets a replica's default. */
     static final int LEVELS_DOWN_WHEN_LATE = 5;
 
     /** A call gives way only while it would be answered within this part of the time it may be held. */
