--- a/selection/src/main/java/pinewick/selection/CallPriority.java
+++ b/selection/src/main/java/pinewick/selection/CallPriority.java
@@ -14,7 +14,7 @@
     /** Let in after all others. */
     public static final int LOWEST = 9;
 
-    /** Levels a call falls once it cannot be in time: the most urgent one comes to a replica's default. */
+    /** Levels by which a call is less urgent once it cannot be in time: the most urgent gets a replica's default. */
     static final int LEVELS_DOWN_WHEN_LATE = 5;
 
     /** A call gives way only while it would be answered within this part of the time it may be held. */
