--- a/membership/src/main/java/pinewick/membership/PeerSampling.java
+++ b/membership/src/main/java/pinewick/membership/PeerSampling.java
@@ -134,6 +134,17 @@
         return size == null ? 1 : size.estimate(nowMs);
     }
 
+    /** The highest number of routers that this process has counted itself lately, as an upper bound. */
+    public int ownRouterBound(double nowMs) {
+        return size == null ? 1 : size.ownBound(nowMs);
+    }
+
+    /** A peer has held this bound of its own when this process had just started. */
+    public void learnRouterBound(int upperBound, double nowMs) {
+        startIfNew(nowMs);
+        size.learnBound(upperBound, nowMs);
+    }
+
     /** More routers than run, with high probability. */
     public int routerCountUpperBound(double nowMs) {
         return size == null ? 1 : size.upperBound(nowMs);
@@ -277,6 +288,18 @@
         }
     }
 
+    /**
+     * A peer has shown itself by another message. A controller that lacks it, and has room for routers, asks to
+     * exchange entries: after a start of all controllers they would know no router until one happens to ask them.
+     */
+    public void seen(SocketAddress peer, double nowMs) {
+        boolean known = routers.get(peer) != null || controllers.get(peer) != null;
+        if (self.role() == NodeRole.CONTROLLER && !known && !routers.full()) {
+            startIfNew(nowMs);
+            sendRequest(peer, NO_ROUND, nowMs);
+        }
+    }
+
     /** Handles a message if it is of membership; returns whether it was. */
     public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
         startIfNew(nowMs);
