News of replicas goes out every 200 ms up to 12 other routers

Change: the pause grows from the 13th router told, by 30 ms each; a full view of 30 is told every 740 ms (750 before).

--- a/dataplane/src/main/java/pinewick/dataplane/SharingPace.java
+++ b/dataplane/src/main/java/pinewick/dataplane/SharingPace.java
@@ -15,17 +15,18 @@
     /** Beyond this pause the news is too old to be of use, milliseconds. */
     static final long LONGEST_SHARE_MS = 1_000;
 
-    /** Messages with news that a router sends, and about as many that it receives, each second. */
-    private static final long MESSAGES_A_SECOND = 40;
+    /** Up to so many other routers are told as often as a small fleet allows. */
+    static final int SMALL_FLEET = 12;
 
-    private static final long MILLISECONDS = 1_000;
+    /** What each further router adds to the pause, milliseconds: a full view is told 40 messages a second. */
+    private static final long PAUSE_A_FURTHER_ROUTER_MS = 30;
 
     private SharingPace() {}
 
     /** The pause between two tellings, milliseconds. */
     static long shareMs(int otherRouters) {
-        long pause = otherRouters * MILLISECONDS / MESSAGES_A_SECOND;
-        return Math.max(SHORTEST_SHARE_MS, Math.min(LONGEST_SHARE_MS, pause));
+        long further = Math.max(0, otherRouters - SMALL_FLEET);
+        return Math.min(LONGEST_SHARE_MS, SHORTEST_SHARE_MS + further * PAUSE_A_FURTHER_ROUTER_MS);
     }
 
     /** The pause between two questions for load: a report that is not told yet need not be renewed. */
