--- a/emulator/src/main/java/pinewick/emulator/control/BrokenVariant.java
+++ b/emulator/src/main/java/pinewick/emulator/control/BrokenVariant.java
@@ -66,7 +66,7 @@
     /** An acceptance of an earlier life counts. */
     COUNTS_OLD_ACCEPTANCES(5, 0, MessageSabotage.CountsOldAcceptances::new),
     /** A heartbeat's answer of an earlier life counts. */
-    COUNTS_OLD_ROUNDS(5, 2, MessageSabotage.CountsOldRounds::new),
+    COUNTS_OLD_ROUNDS(5, 4, MessageSabotage.CountsOldRounds::new),
     /** A state's confirmation of an earlier life counts. */
     COUNTS_OLD_COPIES(5, 0, MessageSabotage.CountsOldCopies::new),
     /** A drain is acknowledged by one controller alone while a majority is there. */
