A router that stops refuses what comes after the platform's notice time

Change: after 2.5 s (two misses of the readiness question and half a second) new requests get 503 with Retry-After, as not run, and the stop ends with what is under way. Test: RouterTest.aStopRefusesWhatComesLate... fails with the order of before (the request under way is ended at the grace period's end).

--- a/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -68,7 +68,7 @@
     private final BooleanSupplier informed;
     private volatile RoutingTable routingTable = RoutingTable.EMPTY;
     private volatile boolean stopping;
-    private boolean over;
+    private boolean refusesNew;
     /** Requests that were read whole and whose answers have not gone out whole. */
     private int unanswered;
 
@@ -241,7 +241,7 @@
         JettyClientExchange client = new JettyClientExchange(
                 request, response, callback, serial, () -> stopping, probeBuffer, this::answered);
         Optional<RequestShape> found = routing.find(request).flatMap(route -> routing.shapeOf(route, request));
-        if (over || found.isEmpty()) {
+        if (refusesNew || found.isEmpty()) {
             refuse(client, read.id());
             return;
         }
@@ -263,7 +263,7 @@
 
     /** No route, as far as this router knows; one that does not know enough promises that the request has not run. */
     private void refuse(ClientExchange client, String id) {
-        if (!over && informed.getAsBoolean()) {
+        if (!refusesNew && informed.getAsBoolean()) {
             HttpFields fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
             client.answer(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
         } else {
@@ -302,11 +302,14 @@
         }
     }
 
+    /** What comes from now on is told that it has not run; what is under way goes on. */
+    void refuseNewRequests() {
+        serial.execute(() -> refusesNew = true);
+    }
+
     /** Answers whatever has not been answered, and refuses what still comes. */
     void answerTheRest() {
-        serial.execute(() -> {
-            over = true;
-            List.copyOf(underWay).forEach(RequestLifecycle::onShutdown);
-        });
+        refuseNewRequests();
+        serial.execute(() -> List.copyOf(underWay).forEach(RequestLifecycle::onShutdown));
     }
 }
--- a/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -136,8 +136,9 @@
     }
 
     /**
-     * Ends within the grace period: not ready at once; connections that still come are served for as long as the
-     * platform needs to notice; what is under way is waited for; the rest is answered.
+     * Ends within the grace period: not ready at once; requests that still come are served for as long as the platform
+     * needs to notice, and refused after that, since the platform goes on sending them where it has no other router
+     * and they might not end in time; what is under way is waited for; the rest is answered.
      */
     public void stop() {
         if (stopping) {
@@ -150,6 +151,7 @@
         dataPlane.beginStopping();
         try {
             TimeUnit.NANOSECONDS.sleep(Math.min(TimeUnit.MILLISECONDS.toNanos(NOTICE_MS), endsAt - System.nanoTime()));
+            dataPlane.refuseNewRequests();
             await(dataPlane.whenIdle(), endsAt - System.nanoTime());
             dataPlane.answerTheRest();
             await(front.closeIdle(), TimeUnit.MILLISECONDS.toNanos(CLOSING_MS / 2));
--- a/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
@@ -1,6 +1,7 @@
 package pinewick.dataplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -106,6 +107,29 @@
         }
     }
 
+    @Test
+    void aStopRefusesWhatComesLateAndWaitsForWhatIsUnderWay() throws Exception {
+        try (ScriptedReplica replica = new ScriptedReplica("i-1", "plain", Stage.NONE)) {
+            known.offer(configuration());
+            known.merge(replica.record());
+            startController();
+            awaitReady();
+            awaitNotFound();
+            RawSocket client =
+                    RawSocket.connect(settings.frontend().orElseThrow().port());
+            client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
+            RawSocket upstream = acceptRequest(replica);
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::stop);
+            while (statusOfUnknownRoute() != 503) {
+                Thread.onSpinWait();
+            }
+            assertFalse(stopped.isDone());
+            upstream.send(ScriptedReplica.answer(200, "q1", "done"));
+            assertEquals("done", client.read().body());
+            stopped.get(20, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void aRouterThatReachesNoControllerWithAQuorumRefusesWhatItDoesNotKnowWithoutDenyingIt() throws Exception {
         quorumContact = false;
