--- a/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
+++ b/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
@@ -81,11 +81,7 @@
     void isReadyOnceTheFleetHasToldItWhatIsInForceAndAnswersWhatIsUnderWayWhenStopped() throws Exception {
         assertEquals(503, ready());
         try (ScriptedReplica replica = new ScriptedReplica("i-1", "plain", Stage.NONE)) {
-            known.offer(configuration());
-            known.merge(replica.record());
-            startController();
-            awaitReady();
-            awaitNotFound();
+            startServing(replica);
             RawSocket client =
                     RawSocket.connect(settings.frontend().orElseThrow().port());
             client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
@@ -110,11 +106,7 @@
     @Test
     void aStopRefusesWhatComesLateAndWaitsForWhatIsUnderWay() throws Exception {
         try (ScriptedReplica replica = new ScriptedReplica("i-1", "plain", Stage.NONE)) {
-            known.offer(configuration());
-            known.merge(replica.record());
-            startController();
-            awaitReady();
-            awaitNotFound();
+            startServing(replica);
             RawSocket client =
                     RawSocket.connect(settings.frontend().orElseThrow().port());
             client.send(TestRouter.request("POST", "/plain/x", "q1", "body"));
@@ -141,6 +133,15 @@
         awaitNotFound();
     }
 
+    /** Returns once the router knows the replica, and that its configuration is the newest. */
+    private void startServing(ScriptedReplica replica) throws Exception {
+        known.offer(configuration());
+        known.merge(replica.record());
+        startController();
+        awaitReady();
+        awaitNotFound();
+    }
+
     private static ConfigurationDocument configuration() throws InvalidConfigurationException {
         return ConfigurationChecks.parseReplacement(("{\"version\":3,\"routes\":["
                         + TestRouter.plainRoute("non_idempotent", 1)
