--- a/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -172,10 +172,11 @@
 
     private boolean onDigestMessage(SocketAddress sender, Message message, double nowMs) {
         if (message instanceof Digest digest) {
+            sampling.seen(sender, nowMs);
             confirmation.onStatement(digest, state.configuration().version(), nowMs);
             compare(sender, digest, nowMs);
         } else if (message instanceof DigestRequest request) {
-            outbox.send(sender, new DigestReply(request.requestId(), digest(nowMs)));
+            outbox.send(sender, new DigestReply(request.requestId(), digest(nowMs), sampling.ownRouterBound(nowMs)));
         } else if (message instanceof DigestReply reply) {
             onDigestReply(sender, reply, nowMs);
         } else {
@@ -187,6 +188,7 @@
     private void onDigestReply(SocketAddress sender, DigestReply reply, double nowMs) {
         Optional<Double> askedAtMs = joining.onReply(sender, reply, nowMs);
         if (askedAtMs.isPresent()) {
+            sampling.learnRouterBound(reply.routerBound(), nowMs);
             confirmation.onAnswer(reply.digest(), state.configuration().version(), askedAtMs.get());
             compare(sender, reply.digest(), nowMs);
         }
@@ -270,6 +272,9 @@
      * heartbeat that
      * changes nothing but its number costs nothing.
      *
+     * <p>What needs a confirmation is on its way to a few peers before any can come: whoever relies on it may do so
+     * although all controllers are lost at that moment.
+     *
      * @param heldElsewhere run once another controller has confirmed that it holds the record; never, if
      * none does. Null
      *     if no confirmation is needed: the record then goes out with the next tick
@@ -279,6 +284,7 @@
         replicas.arose(record, nowMs);
         ReplicaRecord held = state.replica(record.instanceId());
         if (heldElsewhere != null) {
+            replicas.pushAtOnce(record.instanceId(), nowMs);
             handover.start(replicas.spread(held == null ? record : held, nowMs), heldElsewhere, nowMs);
         }
     }
--- a/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
+++ b/emulator/src/main/java/pinewick/emulator/control/ControlWorld.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages.Heartbeat;
 
 /** Everything in one simulated run: time, network, machines, actors and what is checked. */
 final class ControlWorld {
@@ -61,6 +62,11 @@
         @Override
         Message sent(Network on, SocketAddress from, SocketAddress to, Message message) {
             membership.sent(message);
+            if (message instanceof Heartbeat) {
+                controllers.stream()
+                        .filter(machine -> machine.internal().equals(from))
+                        .forEach(ControllerMachine::led);
+            }
             return sabotage.sent(on, from, to, message);
         }
     }
@@ -136,6 +142,7 @@
             dirtyUntilMs = nowMs() + Network.STALEST_MS;
         }
         cleanLinks = lost == 0 && late == 0;
+        note(String.format("links lose %.3f, double %.3f, delay %.3f of all", lost, doubled, late));
         network.quality(lost, doubled, late, stale);
     }
 
@@ -221,6 +228,7 @@
         } catch (InvariantViolation violation) {
             if (firstViolation.isEmpty()) {
                 firstViolation = Optional.of(violation);
+                note("BROKEN " + violation.getMessage());
             }
             time.stop();
         }
@@ -239,7 +247,6 @@
         boolean thawed = present().stream().anyMatch(machine -> nowMs() - machine.lastThawMs() < REDIRECT_AGE_MS);
         boolean excused = !cleanLinks() || thawed;
         Optional<ControllerMachine> target = controllerAt(api);
-        target.ifPresent(ControllerMachine::look);
         boolean ledLately = target.isPresent() && nowMs() - target.get().lastLedMs() < REDIRECT_AGE_MS;
         InvariantViolation.require(
                 excused || ledLately,
@@ -260,7 +267,6 @@
     /** Notes which machines are in trouble at this moment. */
     private void look() {
         List<ControllerMachine> present = present();
-        present.forEach(ControllerMachine::look);
         boolean calm = present.stream().allMatch(ControllerMachine::sound);
         for (ControllerMachine one : present) {
             for (ControllerMachine other : present) {
