Hints of prefix caches reach all routers of a large fleet; a new router asks for them

Cause: a router sent its hints and load reports to the routers of its view, 30 at most, and nobody forwarded them. With 75 routers a hint reached 40 in 100 of them. A router that started later knew nothing of the caches.

Change: in a fleet of more than 13 routers a message goes to three routers of the own zone and one elsewhere, every 300 ms, and each sends on what was new to it (rumor mongering, Demers and others 1987). A replica that another router has just polled is not polled again. Small fleets are as before.

Simulation of 75 routers with views of 30: 94 in 100 or more of all (router, hint) pairs after 2.4 s, at 4 messages a router and step (LoadReportExchangeTest).

--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -185,11 +185,15 @@
         serial.execute(disconnects::checkAll);
     }
 
-    /** Polls the load of those replicas that this router is responsible for. */
-    void pollReports(SocketAddress self, List<SocketAddress> otherRouters) {
+    /**
+     * Polls the load of those replicas that this router is responsible for.
+     *
+     * @param intervalMs until the next invocation
+     */
+    void pollReports(SocketAddress self, List<SocketAddress> otherRouters, double intervalMs) {
         serial.execute(() -> {
             if (!stopping) {
-                reports.poll(self, otherRouters);
+                reports.poll(self, otherRouters, intervalMs);
             }
         });
     }
@@ -199,9 +203,23 @@
         serial.execute(() -> sharing.takeMessage(timers.nowMs()).ifPresent(send));
     }
 
-    /** A message of another router arrived. */
-    void onLoadReport(LoadReportMessage message) {
-        serial.execute(() -> sharing.onMessage(message, timers.nowMs()));
+    /**
+     * A message of another router arrived.
+     *
+     * @param forward whether what is new here is sent on
+     */
+    void onLoadReport(LoadReportMessage message, boolean forward) {
+        serial.execute(() -> sharing.onMessage(message, forward, timers.nowMs()));
+    }
+
+    /** Sends the estimates of the prefix caches. */
+    void sendSnapshot(Consumer<PrefixCacheSnapshot> send) {
+        serial.execute(() -> send.accept(sharing.snapshot(timers.nowMs())));
+    }
+
+    /** The estimates of another router arrived. */
+    void onSnapshot(PrefixCacheSnapshot snapshot) {
+        serial.execute(() -> sharing.onSnapshot(snapshot, timers.nowMs()));
     }
 
     InFlightLimits admission() {
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.SplittableRandom;
 import java.util.function.IntToLongFunction;
 import java.util.random.RandomGenerator;
 import pinewick.dissemination.FleetMessages;
@@ -27,6 +27,8 @@
     private final FleetState state = new FleetState();
     private final ControlLoop loop = new ControlLoop();
     private final NetworkTransport transport;
+    private final NodeDescriptor self;
+    private final RandomGenerator random;
     private final FleetNode node;
     private final ReschedulableTimer ticks = loop.timer(this::tick);
 
@@ -37,9 +39,10 @@
         } catch (TransportException e) {
             throw new RouterException("listening to peers", local.toString(), e);
         }
-        NodeDescriptor self = new NodeDescriptor(
+        self = new NodeDescriptor(
                 transport.localAddress(), System.currentTimeMillis(), NodeRole.ROUTER, settings.zone());
         node = new FleetNode(self, settings.seedControllers(), state, transport, random);
+        this.random = new SplittableRandom(random.nextLong());
     }
 
     private static List<Class<?>> messageTypes() {
@@ -48,9 +51,21 @@
         return types;
     }
 
-    /** @param onLoadReport called with load reports of other routers, on the receiving thread */
-    void start(Consumer<LoadReportMessage> onLoadReport) {
-        transport.start((sender, message) -> onMessage(sender, message, onLoadReport));
+    /** Receives what other routers send for the choice of replicas, on the receiving thread. */
+    interface RouterMessageListener {
+        /** Load reports and hints. */
+        void onLoadReport(LoadReportMessage message);
+
+        /** A router asks for this one's estimates of the prefix caches. */
+        void onSnapshotRequest(SocketAddress sender);
+
+        /** A router has answered with its estimates. */
+        void onSnapshot(PrefixCacheSnapshot snapshot);
+    }
+
+    /** Receives and sends from now on. */
+    void start(RouterMessageListener listener) {
+        transport.start((sender, message) -> onMessage(sender, message, listener));
         loop.execute(this::tick);
     }
 
@@ -62,9 +77,13 @@
         }
     }
 
-    private void onMessage(SocketAddress sender, Message message, Consumer<LoadReportMessage> onLoadReport) {
+    private void onMessage(SocketAddress sender, Message message, RouterMessageListener listener) {
         if (message instanceof LoadReportMessage loadReport) {
-            onLoadReport.accept(loadReport);
+            listener.onLoadReport(loadReport);
+        } else if (message instanceof PrefixCacheSnapshotRequest) {
+            listener.onSnapshotRequest(sender);
+        } else if (message instanceof PrefixCacheSnapshot snapshot) {
+            listener.onSnapshot(snapshot);
         } else {
             loop.execute(() -> {
                 node.onMessage(sender, message, loop.nowMs());
@@ -73,9 +92,15 @@
         }
     }
 
-    /** Sends to the other routers known at this moment. May be called on any thread. */
+    /** Sends to other routers, chosen by {@link LoadReportTargets}. May be called on any thread. */
     void sendToRouters(LoadReportMessage message) {
-        loop.execute(() -> transport.sendToAll(otherRouters(), message));
+        loop.execute(
+                () -> transport.sendToAll(LoadReportTargets.choose(otherRouterNodes(), self.zone(), random), message));
+    }
+
+    /** Sends to one process. May be called on any thread. */
+    void send(SocketAddress peer, Message message) {
+        loop.execute(() -> transport.send(peer, message));
     }
 
     FleetState state() {
@@ -86,21 +111,36 @@
         return node;
     }
 
-    SocketAddress self() {
-        return transport.localAddress();
+    NodeDescriptor self() {
+        return self;
     }
 
     /** The other routers known at this moment. */
-    List<SocketAddress> otherRouters() {
-        List<SocketAddress> routers = new ArrayList<>();
+    List<NodeDescriptor> otherRouterNodes() {
+        List<NodeDescriptor> routers = new ArrayList<>();
         for (NodeDescriptor peer : node.peers()) {
             if (peer.role() == NodeRole.ROUTER) {
-                routers.add(peer.address());
+                routers.add(peer);
             }
         }
         return routers;
     }
 
+    /** The addresses of the other routers known at this moment. */
+    List<SocketAddress> otherRouters() {
+        return otherRouterNodes().stream().map(NodeDescriptor::address).toList();
+    }
+
+    /** Runs a task on the control loop. */
+    void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    /** The control loop's steady time, milliseconds. */
+    double nowMs() {
+        return loop.nowMs();
+    }
+
     /** Runs a task periodically on the control loop. */
     void repeat(Runnable task, long periodMs) {
         loop.repeat(task, periodMs);
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportMessage.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportMessage.java
@@ -7,7 +7,7 @@
 import pinewick.selection.PrefixHint;
 
 /**
- * Sent by each router to the other routers it knows: the load reports that it has polled, and hints about prefix
+ * Sent by each router to other routers: the load reports that it has polled or received, and hints about prefix
  * caches. Best effort: a router that receives none decides by its own measurements.
  *
  * @param reports load reports since the last message
@@ -20,9 +20,14 @@
         hints = List.copyOf(hints);
     }
 
-    /** The types of this message, in the order of their ids on the wire. */
+    /** The types of what routers send each other, in the order of their ids on the wire; new ones come last. */
     public static List<Class<?>> types() {
-        return List.of(SharedReport.class, PrefixHint.class, LoadReportMessage.class);
+        return List.of(
+                SharedReport.class,
+                PrefixHint.class,
+                LoadReportMessage.class,
+                PrefixCacheSnapshotRequest.class,
+                PrefixCacheSnapshot.class);
     }
 
     /**
--- /dev/null
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportTargets.java
@@ -0,0 +1,55 @@
+package pinewick.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import pinewick.membership.NodeDescriptor;
+import pinewick.membership.RandomChoice;
+import pinewick.model.SocketAddress;
+
+/**
+ * Chooses the routers to which load reports and hints are sent. In a small fleet these are all others. In a larger one
+ * no router knows all others, and each message goes to a few drawn at random, which send on what is new to them: rumor
+ * mongering with the number of rounds fixed at one (Demers and others, Epidemic Algorithms for Replicated Database
+ * Maintenance, PODC 1987). With a fanout of f a fraction s of the routers is reached, s = 1 - exp(-f·s): 0.98 for 4.
+ * Most of them are drawn from the sender's own zone, since bytes between zones have a price; the paper's section on
+ * spatial distributions gives the reasoning. No I/O.
+ */
+final class LoadReportTargets {
+    /** Up to this many other routers each of them is sent every message. */
+    static final int SMALL_FLEET = 12;
+
+    /** Routers of the own zone to which a message is sent in a larger fleet. */
+    static final int TARGETS_IN_ZONE = 3;
+
+    /** Routers of other zones to which a message is sent in a larger fleet. */
+    static final int TARGETS_IN_OTHER_ZONES = 1;
+
+    private LoadReportTargets() {}
+
+    /** Whether routers forward what others send them. */
+    static boolean isForwarding(int otherRouters) {
+        return otherRouters > SMALL_FLEET;
+    }
+
+    /**
+     * The routers to which the next message is sent.
+     *
+     * @param others the other routers that this one knows
+     */
+    static List<SocketAddress> choose(List<NodeDescriptor> others, String ownZone, RandomGenerator random) {
+        if (!isForwarding(others.size())) {
+            return others.stream().map(NodeDescriptor::address).toList();
+        }
+        List<SocketAddress> near = new ArrayList<>();
+        List<SocketAddress> far = new ArrayList<>();
+        for (NodeDescriptor other : others) {
+            (other.zone().equals(ownZone) ? near : far).add(other.address());
+        }
+        int targets = TARGETS_IN_ZONE + TARGETS_IN_OTHER_ZONES;
+        int fromFar = Math.max(TARGETS_IN_OTHER_ZONES, targets - near.size());
+        List<SocketAddress> chosen = new ArrayList<>(RandomChoice.draw(far, fromFar, random));
+        chosen.addAll(RandomChoice.draw(near, targets - chosen.size(), random));
+        return chosen;
+    }
+}
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
@@ -27,6 +27,9 @@
  */
 final class ReportPoller {
     private static final double TIMEOUT_MS = 1_000;
+    /** A report younger than this fraction of the interval is another router's. */
+    private static final double RECENT_REPORT_FRACTION = 0.75;
+
     private static final long MIX = 0x9E3779B97F4A7C15L;
     private static final int MIX_SHIFT = 32;
 
@@ -45,10 +48,11 @@
      *
      * @param self this router
      * @param others the other routers it knows
+     * @param intervalMs until the next invocation
      */
-    void poll(SocketAddress self, List<SocketAddress> others) {
+    void poll(SocketAddress self, List<SocketAddress> others, double intervalMs) {
         for (ReplicaRecord replica : services.directory().all()) {
-            if (shouldPoll(replica) && ranksFirst(self, others, replica)) {
+            if (shouldPoll(replica) && !hasRecentReport(replica, intervalMs) && ranksFirst(self, others, replica)) {
                 new PendingPoll(replica).send();
             }
         }
@@ -61,6 +65,13 @@
                 && !polledInstances.contains(replica.instanceId());
     }
 
+    /** Whether another router has polled it: routers that do not know each other may both rank first. */
+    private boolean hasRecentReport(ReplicaRecord replica, double intervalMs) {
+        double ageMs = services.selector()
+                .loadReportAgeMs(replica.instanceId(), services.timers().nowMs());
+        return ageMs < RECENT_REPORT_FRACTION * intervalMs;
+    }
+
     /** Whether {@code self} is the router that polls a replica. */
     static boolean ranksFirst(SocketAddress self, List<SocketAddress> others, ReplicaRecord replica) {
         long own = rank(self, replica);
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -41,6 +41,7 @@
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private volatile boolean stopping;
     private FleetConnection fleet;
+    private PrefixCacheBootstrap bootstrap;
     private DataPlane dataPlane;
     private HttpFrontend frontend;
 
@@ -82,7 +83,8 @@
                 settings.limits().fileDescriptors() - OTHER_DESCRIPTORS);
         frontend.start();
         dataPlane.follow(fleet.state(), frontend.upstream());
-        fleet.start(dataPlane::onLoadReport);
+        bootstrap = new PrefixCacheBootstrap(fleet.self().incarnation());
+        fleet.start(new RouterMessages());
         fleet.repeat(this::refresh, REFRESH_MS);
         fleet.repeatAtVariableInterval(this::pollReports, LoadReportIntervals::pollIntervalMs);
         fleet.repeatAtVariableInterval(
@@ -124,10 +126,37 @@
         FleetNode node = fleet.node();
         dataPlane.setRouterCounts(node.routerCount(), node.routerCountUpperBound());
         dataPlane.sweep();
+        if (node.isSynchronised()) {
+            bootstrap
+                    .nextRequest(fleet.otherRouterNodes(), fleet.nowMs())
+                    .ifPresent(router -> fleet.send(router, new PrefixCacheSnapshotRequest()));
+        }
     }
 
     private void pollReports() {
-        dataPlane.pollReports(fleet.self(), fleet.otherRouters());
+        List<SocketAddress> others = fleet.otherRouters();
+        dataPlane.pollReports(fleet.self().address(), others, LoadReportIntervals.pollIntervalMs(others.size()));
+    }
+
+    /** What other routers send for the choice of replicas. */
+    private final class RouterMessages implements FleetConnection.RouterMessageListener {
+        @Override
+        public void onLoadReport(LoadReportMessage message) {
+            boolean forward =
+                    LoadReportTargets.isForwarding(fleet.otherRouters().size());
+            dataPlane.onLoadReport(message, forward);
+        }
+
+        @Override
+        public void onSnapshotRequest(SocketAddress sender) {
+            dataPlane.sendSnapshot(snapshot -> fleet.send(sender, snapshot));
+        }
+
+        @Override
+        public void onSnapshot(PrefixCacheSnapshot snapshot) {
+            fleet.execute(() -> bootstrap.onSnapshot(snapshot));
+            dataPlane.onSnapshot(snapshot);
+        }
     }
 
     /** The settings file has changed; only the seeds may change while a process runs, and they matter at its start. */
--- /dev/null
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/LoadReportExchangeTest.java
@@ -0,0 +1,227 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pinewick.membership.NodeDescriptor;
+import pinewick.membership.NodeRole;
+import pinewick.membership.RandomChoice;
+import pinewick.model.EngineSpec;
+import pinewick.model.ReplicaRecord;
+import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
+import pinewick.model.Stage;
+import pinewick.selection.LoadReport;
+import pinewick.selection.PrefixHint;
+import pinewick.selection.PromptPart;
+import pinewick.selection.ReplicaSelector;
+
+/** What a router tells others of load and prefix caches, and how it spreads in a fleet of partial views. */
+class LoadReportExchangeTest {
+    private static final String SERVICE = "s";
+    private static final EngineSpec ENGINE = new EngineSpec(12, 400_000, 18_432, 180_000, 11, 5, 2);
+    private static final List<PromptPart> PROMPT = List.of(new PromptPart(7, 13_000), new PromptPart(8, 3_000));
+
+    private ReplicaSelector selector;
+    private LoadReportExchange exchange;
+
+    private static ReplicaSelector newSelector(int replicas) {
+        ReplicaSelector selector = new ReplicaSelector(new SplittableRandom(1));
+        selector.setEngine(SERVICE, ENGINE);
+        for (int each = 0; each < replicas; each++) {
+            selector.addReplica(new ReplicaRecord(
+                    "i-" + each,
+                    SERVICE,
+                    new SocketAddress("10.1.0.1", 1_000 + each),
+                    "z",
+                    "v",
+                    4,
+                    ReplicaState.READY,
+                    0,
+                    Stage.PREFILL,
+                    List.of(),
+                    1,
+                    false));
+        }
+        return selector;
+    }
+
+    private static LoadReport report(int waiting, double atMs) {
+        return new LoadReport(Stage.PREFILL, false, 1, waiting, 2, 10, 100, 0, atMs);
+    }
+
+    private static LoadReportMessage hint(String instanceId, int ageMs) {
+        return new LoadReportMessage(List.of(), List.of(new PrefixHint(instanceId, 99, 13_000, ageMs, 3_000)));
+    }
+
+    @BeforeEach
+    void setUp() {
+        selector = newSelector(40);
+        exchange = new LoadReportExchange(selector);
+    }
+
+    @Test
+    void withoutAnythingNewThereIsNoMessage() {
+        assertEquals(Optional.empty(), exchange.takeMessage(0));
+    }
+
+    @Test
+    void anOwnReportIsSentOnce() {
+        exchange.onReport("i-1", report(3, 100));
+
+        LoadReportMessage message = exchange.takeMessage(150).orElseThrow();
+
+        assertEquals(1, message.reports().size());
+        assertEquals(50, message.reports().get(0).ageMs());
+        assertEquals(Optional.empty(), exchange.takeMessage(200));
+    }
+
+    @Test
+    void whatDoesNotFitADatagramWaitsForTheNextMessage() {
+        for (int each = 0; each < 30; each++) {
+            exchange.onReport("i-" + each, report(each, 100));
+            selector.cacheEstimates()
+                    .recordUse("i-" + each, List.of(new PromptPart(each, 1_000), new PromptPart(99, 10)), 100);
+        }
+
+        int reports = 0;
+        int hints = 0;
+        for (int message = 0; message < 3; message++) {
+            LoadReportMessage each = exchange.takeMessage(200).orElseThrow();
+            assertTrue(each.reports().size() <= 12 && each.hints().size() <= 20, "too large for a datagram");
+            reports += each.reports().size();
+            hints += each.hints().size();
+        }
+        assertEquals(30, reports);
+        assertEquals(30, hints);
+    }
+
+    @Test
+    void oldReportsAreNotSent() {
+        exchange.onReport("i-1", report(3, 100));
+
+        assertEquals(Optional.empty(), exchange.takeMessage(2_000));
+    }
+
+    @Test
+    void newsOfOthersIsForwardedOnce() {
+        exchange.onMessage(hint("i-1", 40), true, 1_000);
+        exchange.onMessage(hint("i-1", 60), true, 1_025);
+
+        LoadReportMessage forwarded = exchange.takeMessage(1_100).orElseThrow();
+
+        assertEquals(List.of(new PrefixHint("i-1", 99, 13_000, 140, 3_000)), forwarded.hints());
+        exchange.onMessage(hint("i-1", 160), true, 1_120);
+        assertEquals(Optional.empty(), exchange.takeMessage(1_200), "known already");
+    }
+
+    @Test
+    void aLaterUseOfAKnownPrefixIsForwardedAgain() {
+        exchange.onMessage(hint("i-1", 0), true, 1_000);
+        exchange.takeMessage(1_050);
+
+        exchange.onMessage(hint("i-1", 0), true, 2_000);
+
+        assertEquals(1, exchange.takeMessage(2_050).orElseThrow().hints().size());
+    }
+
+    @Test
+    void nothingIsForwardedWhereAllKnowEachOther() {
+        exchange.onMessage(hint("i-1", 40), false, 1_000);
+        exchange.onMessage(
+                new LoadReportMessage(
+                        List.of(LoadReportMessage.SharedReport.of("i-2", report(1, 950), 1_000)), List.of()),
+                false,
+                1_000);
+
+        assertEquals(Optional.empty(), exchange.takeMessage(1_100));
+    }
+
+    @Test
+    void aReportIsForwardedOnlyIfItIsLaterThanTheOneKnown() {
+        LoadReportMessage first = new LoadReportMessage(
+                List.of(LoadReportMessage.SharedReport.of("i-2", report(1, 900), 1_000)), List.of());
+        exchange.onMessage(first, true, 1_000);
+        assertEquals(1, exchange.takeMessage(1_010).orElseThrow().reports().size());
+
+        exchange.onMessage(first, true, 1_003);
+
+        assertEquals(Optional.empty(), exchange.takeMessage(1_020));
+    }
+
+    @Test
+    void aSnapshotGivesANewRouterWhatOthersHaveLearnt() {
+        selector.cacheEstimates().recordUse("i-1", PROMPT, 500);
+        PrefixCacheSnapshot snapshot = exchange.snapshot(700);
+
+        ReplicaSelector fresh = newSelector(40);
+        LoadReportExchange other = new LoadReportExchange(fresh);
+        other.onSnapshot(snapshot, 9_000);
+
+        assertEquals(13_000, fresh.cacheEstimates().cachedTokens("i-1", PROMPT));
+        assertEquals(Optional.empty(), other.takeMessage(9_100), "a snapshot is not forwarded");
+    }
+
+    /** 75 routers in four zones, each of which knows 30 others, as in the users' grown deployments. */
+    @Test
+    void aHintReachesNearlyAllRoutersThoughEachKnowsAPartOnly() {
+        int routers = 75;
+        List<NodeDescriptor> nodes = new ArrayList<>();
+        List<LoadReportExchange> exchanges = new ArrayList<>();
+        List<ReplicaSelector> selectors = new ArrayList<>();
+        for (int each = 0; each < routers; each++) {
+            nodes.add(new NodeDescriptor(
+                    new SocketAddress("10.0.0." + each, 7_720), 1, NodeRole.ROUTER, "zone-" + each % 4));
+            selectors.add(newSelector(8));
+            exchanges.add(new LoadReportExchange(selectors.get(each)));
+        }
+        SplittableRandom random = new SplittableRandom(5);
+        List<List<NodeDescriptor>> views = new ArrayList<>();
+        for (int each = 0; each < routers; each++) {
+            List<NodeDescriptor> others = new ArrayList<>(nodes);
+            others.remove(each);
+            views.add(RandomChoice.draw(others, 30, random));
+        }
+        int hints = 40;
+        for (int each = 0; each < hints; each++) {
+            selectors
+                    .get(each)
+                    .cacheEstimates()
+                    .recordUse("i-" + each % 8, List.of(new PromptPart(each, 13_000), new PromptPart(1, 10)), 0);
+        }
+
+        int messages = 0;
+        for (int step = 1; step <= 8; step++) {
+            double nowMs = step * LoadReportIntervals.FORWARDING_SHARE_INTERVAL_MS;
+            for (int each = 0; each < routers; each++) {
+                Optional<LoadReportMessage> message = exchanges.get(each).takeMessage(nowMs);
+                if (message.isEmpty()) {
+                    continue;
+                }
+                for (SocketAddress target : LoadReportTargets.choose(
+                        views.get(each), nodes.get(each).zone(), random)) {
+                    messages++;
+                    int index = Integer.parseInt(target.host().substring("10.0.0.".length()));
+                    exchanges.get(index).onMessage(message.get(), true, nowMs + 1);
+                }
+            }
+        }
+
+        int known = 0;
+        for (ReplicaSelector each : selectors) {
+            for (int hint = 0; hint < hints; hint++) {
+                List<PromptPart> parts = List.of(new PromptPart(hint, 13_000), new PromptPart(1, 10));
+                known += each.cacheEstimates().cachedTokens("i-" + hint % 8, parts) > 0 ? 1 : 0;
+            }
+        }
+        double fraction = known / (double) (routers * hints);
+        assertTrue(fraction > 0.94, "known by " + fraction);
+        assertTrue(messages <= 8 * routers * 4, "messages: " + messages);
+    }
+}
--- /dev/null
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/LoadReportTargetsTest.java
@@ -0,0 +1,73 @@
+package pinewick.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import pinewick.membership.NodeDescriptor;
+import pinewick.membership.NodeRole;
+import pinewick.model.SocketAddress;
+
+class LoadReportTargetsTest {
+    private static final int TARGETS = LoadReportTargets.TARGETS_IN_ZONE + LoadReportTargets.TARGETS_IN_OTHER_ZONES;
+
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    private static List<NodeDescriptor> routers(String zone, int first, int count) {
+        List<NodeDescriptor> routers = new ArrayList<>();
+        for (int each = first; each < first + count; each++) {
+            routers.add(new NodeDescriptor(new SocketAddress("10.0.0." + each, 7720), 1, NodeRole.ROUTER, zone));
+        }
+        return routers;
+    }
+
+    private long inZone(String zone, List<SocketAddress> chosen, List<NodeDescriptor> all) {
+        return all.stream()
+                .filter(router -> router.zone().equals(zone) && chosen.contains(router.address()))
+                .count();
+    }
+
+    @Test
+    void inASmallFleetEveryOtherRouterIsSentEachMessage() {
+        List<NodeDescriptor> others = routers("a", 1, 4);
+        others.addAll(routers("b", 5, 8));
+
+        List<SocketAddress> chosen = LoadReportTargets.choose(others, "a", random);
+
+        assertEquals(LoadReportTargets.SMALL_FLEET, new HashSet<>(chosen).size());
+    }
+
+    @Test
+    void inALargeFleetAFewAreDrawnMostOfThemFromTheOwnZone() {
+        List<NodeDescriptor> others = routers("a", 1, 7);
+        others.addAll(routers("b", 8, 23));
+
+        for (int draw = 0; draw < 20; draw++) {
+            List<SocketAddress> chosen = LoadReportTargets.choose(others, "a", random);
+
+            assertEquals(TARGETS, new HashSet<>(chosen).size());
+            assertEquals(LoadReportTargets.TARGETS_IN_ZONE, inZone("a", chosen, others));
+        }
+    }
+
+    @Test
+    void aZoneWithTooFewRoutersIsMadeUpForByOthers() {
+        List<NodeDescriptor> others = routers("a", 1, 1);
+        others.addAll(routers("b", 2, 20));
+
+        assertEquals(TARGETS, LoadReportTargets.choose(others, "a", random).size());
+        assertEquals(TARGETS, LoadReportTargets.choose(others, "c", random).size());
+    }
+
+    @Test
+    void aFleetInOneZoneHasTheSameNumberOfTargets() {
+        List<SocketAddress> chosen = LoadReportTargets.choose(routers("a", 1, 20), "a", random);
+
+        assertEquals(TARGETS, chosen.size());
+        assertTrue(new HashSet<>(chosen).size() == TARGETS);
+    }
+}
--- a/router-fleet/selection/src/main/java/pinewick/selection/PrefixCacheEstimate.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/PrefixCacheEstimate.java
@@ -83,6 +83,12 @@
         return earliestMs;
     }
 
+    /** When the prefix that ends with this part was last used; negative infinity if it is not cached. */
+    double lastUseMs(long hash) {
+        int entry = find(hash);
+        return entry == NONE ? Double.NEGATIVE_INFINITY : usedAt[entry];
+    }
+
     /** The replica has the complete chain now. Later parts count as older, since they are evicted first. */
     void recordUse(PromptChain chain, double nowMs) {
         boolean isAdvertised = chain.isAdvertised();
--- a/router-fleet/selection/src/main/java/pinewick/selection/PrefixCacheEstimates.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/PrefixCacheEstimates.java
@@ -18,6 +18,11 @@
     private static final int MAX_PENDING_HINTS = 1_024;
     /** Older hints are not sent. */
     private static final double MAX_HINT_AGE_MS = 5_000;
+    /**
+     * A use that is later than the one known by less than this is not forwarded: it hardly changes the order of
+     * eviction, and a hint that comes over two ways has slightly different ages.
+     */
+    private static final double MIN_HINT_ADVANCE_MS = 500;
 
     private final int maxEntries;
     private final Map<String, PrefixCacheEstimate> byInstance = new HashMap<>();
@@ -74,14 +79,17 @@
         }
     }
 
-    /** Removes and returns the hints recorded since the last call, the newest first, at most {@code maxHints}. */
+    /**
+     * Removes and returns the hints recorded since the last call, the newest first, at most {@code maxHints}. Those
+     * beyond wait for the next call; those that are too old are dropped.
+     */
     public List<PrefixHint> takeHints(int maxHints, double nowMs) {
         List<Map.Entry<HintKey, HintBody>> pending = new ArrayList<>(pendingHints.entrySet());
-        pendingHints.clear();
         List<PrefixHint> hints = new ArrayList<>(Math.min(maxHints, pending.size()));
         for (int each = pending.size() - 1; each >= 0 && hints.size() < maxHints; each--) {
             HintKey key = pending.get(each).getKey();
             HintBody body = pending.get(each).getValue();
+            pendingHints.remove(key);
             double age = nowMs - body.usedAtMs;
             if (age <= MAX_HINT_AGE_MS) {
                 hints.add(new PrefixHint(
@@ -130,6 +138,21 @@
         estimate.evict();
     }
 
+    /**
+     * Applies a hint that reaches this router over others and, if it tells something new, enqueues it for the next
+     * message, so that it spreads beyond the routers that its origin knows. A hint that is known here already was
+     * forwarded when it came first.
+     */
+    public void applyForwardedHint(PrefixHint hint, double nowMs) {
+        PrefixCacheEstimate estimate = byInstance.get(hint.instanceId());
+        double usedAtMs = nowMs - hint.ageMs();
+        if (estimate == null || estimate.lastUseMs(hint.chainHash()) > usedAtMs - MIN_HINT_ADVANCE_MS) {
+            return;
+        }
+        applyHint(hint, nowMs);
+        enqueueHint(hint.instanceId(), hint.chainHash(), hint.tokens(), hint.unsharedTokens(), usedAtMs);
+    }
+
     /** The instance was removed. */
     public void remove(String instanceId) {
         byInstance.remove(instanceId);
--- a/router-fleet/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -282,6 +282,13 @@
         }
     }
 
+    /** How old the last load report of a replica is, milliseconds; infinite without one. */
+    public double loadReportAgeMs(String instanceId, double nowMs) {
+        ReplicaMeasurements measurements = replicas.get(instanceId);
+        boolean isKnown = measurements != null && measurements.report() != null;
+        return isKnown ? nowMs - measurements.report().atMs() : Double.POSITIVE_INFINITY;
+    }
+
     /** Drops the measurements of an instance that was removed. */
     public void removeReplica(String instanceId) {
         ReplicaMeasurements measurements = replicas.remove(instanceId);
