The first router to learn the pace of a kind of call tells the others

Cause: a router knows the time of a token only after two long prompts of its own. Until then the first guess counts (0.02 ms a token at a decode replica).

Change: the line that a router has fitted is told once by whoever is the first to know it, forwarded once, and given to routers that start; it counts until a router has learnt its own.

--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -23,6 +23,7 @@
 import pinewick.model.ConfigurationChecks;
 import pinewick.model.ConfigurationDocument;
 import pinewick.model.InvalidConfigurationException;
+import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
 import pinewick.model.RequestLimits;
@@ -198,9 +199,12 @@
         });
     }
 
-    /** Sends the load reports and hints since the last call, if there are any. */
-    void shareLoadReports(Consumer<LoadReportMessage> send) {
-        serial.execute(() -> sharing.takeMessage(timers.nowMs()).ifPresent(send));
+    /** Sends the load reports, hints and paces since the last call, if there are any. */
+    void shareLoadReports(Consumer<Message> send) {
+        serial.execute(() -> {
+            sharing.takeMessage(timers.nowMs()).ifPresent(send);
+            sharing.takePaces().ifPresent(send);
+        });
     }
 
     /**
@@ -212,9 +216,21 @@
         serial.execute(() -> sharing.onMessage(message, forward, timers.nowMs()));
     }
 
-    /** Sends the estimates of the prefix caches. */
-    void sendSnapshot(Consumer<PrefixCacheSnapshot> send) {
-        serial.execute(() -> send.accept(sharing.snapshot(timers.nowMs())));
+    /** Sends what this router has learnt of prefix caches and service times. */
+    void sendSnapshot(Consumer<Message> send) {
+        serial.execute(() -> {
+            send.accept(sharing.allPaces());
+            send.accept(sharing.snapshot(timers.nowMs()));
+        });
+    }
+
+    /**
+     * Another router has told of service times.
+     *
+     * @param forward whether what is new here is sent on
+     */
+    void onPaces(ServicePaces paces, boolean forward) {
+        serial.execute(() -> sharing.onPaces(paces, forward));
     }
 
     /** The estimates of another router arrived. */
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
@@ -56,6 +56,9 @@
         /** Load reports and hints. */
         void onLoadReport(LoadReportMessage message);
 
+        /** Service times. */
+        void onPaces(ServicePaces paces);
+
         /** A router asks for this one's estimates of the prefix caches. */
         void onSnapshotRequest(SocketAddress sender);
 
@@ -80,6 +83,8 @@
     private void onMessage(SocketAddress sender, Message message, RouterMessageListener listener) {
         if (message instanceof LoadReportMessage loadReport) {
             listener.onLoadReport(loadReport);
+        } else if (message instanceof ServicePaces paces) {
+            listener.onPaces(paces);
         } else if (message instanceof PrefixCacheSnapshotRequest) {
             listener.onSnapshotRequest(sender);
         } else if (message instanceof PrefixCacheSnapshot snapshot) {
@@ -93,7 +98,7 @@
     }
 
     /** Sends to other routers, chosen by {@link LoadReportTargets}. May be called on any thread. */
-    void sendToRouters(LoadReportMessage message) {
+    void sendToRouters(Message message) {
         loop.execute(
                 () -> transport.sendToAll(LoadReportTargets.choose(otherRouterNodes(), self.zone(), random), message));
     }
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportExchange.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportExchange.java
@@ -1,14 +1,18 @@
 package pinewick.dataplane;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import pinewick.selection.CallKind;
 import pinewick.selection.LoadReport;
 import pinewick.selection.PrefixHint;
 import pinewick.selection.ReplicaSelector;
+import pinewick.selection.SharedPace;
 
 /**
  * Collects load reports and hints for the other routers, and applies theirs. In a large fleet it forwards what was new
@@ -28,6 +32,16 @@
 
     private final ReplicaSelector selector;
     private final Map<String, LoadReport> unsentReports = new LinkedHashMap<>();
+    /** The paces that other routers know of, from this one or from others. */
+    private final Set<PaceKey> announcedPaces = new HashSet<>();
+
+    private final List<SharedPace> unsentPaces = new ArrayList<>();
+
+    private record PaceKey(String service, CallKind kind) {
+        static PaceKey of(SharedPace pace) {
+            return new PaceKey(pace.service(), pace.kind());
+        }
+    }
 
     LoadReportExchange(ReplicaSelector selector) {
         this.selector = selector;
@@ -92,6 +106,41 @@
         }
     }
 
+    /** The paces to be sent now, empty if there are none: each is told when this router is the first to know it. */
+    Optional<ServicePaces> takePaces() {
+        for (SharedPace pace : selector.paces()) {
+            if (announcedPaces.add(PaceKey.of(pace))) {
+                unsentPaces.add(pace);
+            }
+        }
+        if (unsentPaces.isEmpty()) {
+            return Optional.empty();
+        }
+        ServicePaces message = new ServicePaces(unsentPaces);
+        unsentPaces.clear();
+        return Optional.of(message);
+    }
+
+    /**
+     * Another router has told of paces.
+     *
+     * @param forward whether what is new here is sent on
+     */
+    void onPaces(ServicePaces message, boolean forward) {
+        for (SharedPace pace : message.paces()) {
+            boolean isNew = selector.onSharedPace(pace);
+            boolean isFirst = announcedPaces.add(PaceKey.of(pace));
+            if (forward && isNew && isFirst) {
+                unsentPaces.add(pace);
+            }
+        }
+    }
+
+    /** What a router that has just started is told of service times. */
+    ServicePaces allPaces() {
+        return new ServicePaces(selector.paces());
+    }
+
     /** What a router that has just started is told of the prefix caches. */
     PrefixCacheSnapshot snapshot(double nowMs) {
         return new PrefixCacheSnapshot(selector.cacheEstimates().snapshot(MAX_HINTS_PER_SNAPSHOT, nowMs));
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportIntervals.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportIntervals.java
@@ -2,14 +2,14 @@
 
 /**
  * How often a router sends load reports and hints to other routers, and how often it polls replicas for their load. The
- * rate of its messages stays bounded in a large fleet: there it sends to some of the others only, which forward what is
- * new to them ({@link LoadReportTargets}).
+ * intervals grow with the number of routers that are told, so that the rate of a router's messages stays bounded. A
+ * large fleet is told step by step ({@link LoadReportTargets}): the message of each step goes to a few routers only.
  */
 final class LoadReportIntervals {
     /** Interval between two messages in a small fleet, milliseconds. */
-    static final long SMALL_FLEET_SHARE_INTERVAL_MS = 200;
+    static final long MIN_SHARE_INTERVAL_MS = 200;
 
-    /** Interval between two messages where they are forwarded, milliseconds: one step of the forwarding. */
+    /** Interval between two messages where they are forwarded, milliseconds. */
     static final long FORWARDING_SHARE_INTERVAL_MS = 300;
 
     /** Interval between two polls of a replica in a small fleet, milliseconds. */
@@ -18,22 +18,26 @@
     /** Beyond this interval the reports are too old to be of use, milliseconds. */
     static final long MAX_POLL_INTERVAL_MS = 1_000;
 
-    /** What each additional router adds to the interval of polls, milliseconds: each poll has a price. */
-    private static final long POLL_INTERVAL_PER_ADDITIONAL_ROUTER_MS = 30;
+    /** Up to this many other routers the shortest intervals apply. */
+    static final int SMALL_FLEET = 12;
+
+    /** What each additional router adds to the interval, milliseconds. */
+    private static final long INTERVAL_PER_ADDITIONAL_ROUTER_MS = 30;
 
     private LoadReportIntervals() {}
 
     /** The interval between two messages, milliseconds. */
     static long shareIntervalMs(int otherRouters) {
-        return LoadReportTargets.isForwarding(otherRouters)
-                ? FORWARDING_SHARE_INTERVAL_MS
-                : SMALL_FLEET_SHARE_INTERVAL_MS;
+        return LoadReportTargets.isForwarding(otherRouters) ? FORWARDING_SHARE_INTERVAL_MS : intervalMs(otherRouters);
     }
 
     /** The interval between two polls, milliseconds: a report that was not sent yet need not be renewed. */
     static long pollIntervalMs(int otherRouters) {
-        long additionalRouters = Math.max(0, otherRouters - LoadReportTargets.SMALL_FLEET);
-        long intervalMs = SMALL_FLEET_SHARE_INTERVAL_MS + additionalRouters * POLL_INTERVAL_PER_ADDITIONAL_ROUTER_MS;
-        return Math.max(MIN_POLL_INTERVAL_MS, Math.min(MAX_POLL_INTERVAL_MS, intervalMs));
+        return Math.max(MIN_POLL_INTERVAL_MS, Math.min(MAX_POLL_INTERVAL_MS, intervalMs(otherRouters)));
+    }
+
+    private static long intervalMs(int otherRouters) {
+        long additionalRouters = Math.max(0, otherRouters - SMALL_FLEET);
+        return MIN_SHARE_INTERVAL_MS + additionalRouters * INTERVAL_PER_ADDITIONAL_ROUTER_MS;
     }
 }
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportMessage.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportMessage.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import pinewick.model.Message;
 import pinewick.model.Stage;
+import pinewick.selection.CallKind;
 import pinewick.selection.LoadReport;
 import pinewick.selection.PrefixHint;
+import pinewick.selection.SharedPace;
 
 /**
  * Sent by each router to other routers: the load reports that it has polled or received, and hints about prefix
@@ -27,7 +29,10 @@
                 PrefixHint.class,
                 LoadReportMessage.class,
                 PrefixCacheSnapshotRequest.class,
-                PrefixCacheSnapshot.class);
+                PrefixCacheSnapshot.class,
+                CallKind.class,
+                SharedPace.class,
+                ServicePaces.class);
     }
 
     /**
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportTargets.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportTargets.java
@@ -4,20 +4,21 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import pinewick.membership.NodeDescriptor;
+import pinewick.membership.PeerSampling;
 import pinewick.membership.RandomChoice;
 import pinewick.model.SocketAddress;
 
 /**
- * Chooses the routers to which load reports and hints are sent. In a small fleet these are all others. In a larger one
- * no router knows all others, and each message goes to a few drawn at random, which send on what is new to them: rumor
+ * Chooses the routers to which load reports and hints are sent: all others, as long as this router knows all others. In
+ * a larger fleet its view is a part only ({@link PeerSampling}), and each message goes to a few drawn at random, which send on what is new to them: rumor
  * mongering with the number of rounds fixed at one (Demers and others, Epidemic Algorithms for Replicated Database
  * Maintenance, PODC 1987). With a fanout of f a fraction s of the routers is reached, s = 1 - exp(-f·s): 0.98 for 4.
  * Most of them are drawn from the sender's own zone, since bytes between zones have a price; the paper's section on
  * spatial distributions gives the reasoning. No I/O.
  */
 final class LoadReportTargets {
-    /** Up to this many other routers each of them is sent every message. */
-    static final int SMALL_FLEET = 12;
+    /** From this many other routers on, a view may be a part of the fleet only. */
+    static final int FULL_VIEW = PeerSampling.ROUTER_CAPACITY;
 
     /** Routers of the own zone to which a message is sent in a larger fleet. */
     static final int TARGETS_IN_ZONE = 3;
@@ -29,7 +30,7 @@
 
     /** Whether routers forward what others send them. */
     static boolean isForwarding(int otherRouters) {
-        return otherRouters > SMALL_FLEET;
+        return otherRouters >= FULL_VIEW;
     }
 
     /**
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -142,14 +142,21 @@
     private final class RouterMessages implements FleetConnection.RouterMessageListener {
         @Override
         public void onLoadReport(LoadReportMessage message) {
-            boolean forward =
-                    LoadReportTargets.isForwarding(fleet.otherRouters().size());
-            dataPlane.onLoadReport(message, forward);
+            dataPlane.onLoadReport(message, isForwarding());
+        }
+
+        @Override
+        public void onPaces(ServicePaces paces) {
+            dataPlane.onPaces(paces, isForwarding());
+        }
+
+        private boolean isForwarding() {
+            return LoadReportTargets.isForwarding(fleet.otherRouters().size());
         }
 
         @Override
         public void onSnapshotRequest(SocketAddress sender) {
-            dataPlane.sendSnapshot(snapshot -> fleet.send(sender, snapshot));
+            dataPlane.sendSnapshot(message -> fleet.send(sender, message));
         }
 
         @Override
--- a/router-fleet/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -28,6 +28,7 @@
     private final Stage stage;
     private final ServiceTimeModel[] models = new ServiceTimeModel[CallKind.values().length];
     private final List<ReplicaMeasurements> members = new ArrayList<>();
+    private final SharedPace[] sharedPaces = new SharedPace[CallKind.values().length];
     private EngineSpec engine;
     private ServiceTimeModel otherStagePrefillModel;
     private final SmoothedRate calls = new SmoothedRate();
@@ -69,14 +70,17 @@
 
     /**
      * The expected time of a call of this kind for a number of tokens prefilled or transferred. Without samples of its
-     * own the time of a token is that of the other kind of call that prefills, and without those it follows from the
-     * initial estimate of the request.
+     * own it is what another router has learnt; without that the time of a token is that of the other kind of call that
+     * prefills, and without those it follows from the initial estimate of the request.
      */
     double expectedMs(CallKind kind, RequestShape request, double tokens, double initialEstimateMs) {
         ServiceTimeModel own = models[kind.ordinal()];
         if (own.isPerTokenKnown()) {
             return own.predict(tokens);
         }
+        if (sharedPace(kind) != null) {
+            return sharedPace(kind).predict(tokens);
+        }
         double fixed = own.samples() > 0 ? own.fixedMs() : FIXED_FRACTION * initialEstimateMs;
         return fixed + perTokenMs(kind, request, initialEstimateMs) * tokens;
     }
@@ -87,6 +91,9 @@
         if (own.isPerTokenKnown()) {
             return own.perTokenMs();
         }
+        if (sharedPace(kind) != null) {
+            return sharedPace(kind).perTokenMs();
+        }
         if (kind == CallKind.DISAGGREGATED_DECODE) {
             return engine == null ? 0 : PriceModel.transferMs(engine.kvTokenBytes(), engine.linkBandwidthMbps());
         }
@@ -99,6 +106,20 @@
         return kind == CallKind.AGGREGATED_DECODE ? factor * estimate : estimate;
     }
 
+    /** What another router has learnt of this kind of call, null if none has told. */
+    SharedPace sharedPace(CallKind kind) {
+        return sharedPaces[kind.ordinal()];
+    }
+
+    /** Takes over what another router has learnt; returns whether it is the first of its kind here. */
+    boolean offerSharedPace(SharedPace pace) {
+        SharedPace known = sharedPace(pace.kind());
+        if (known == null || pace.samples() >= known.samples()) {
+            sharedPaces[pace.kind().ordinal()] = pace;
+        }
+        return known == null;
+    }
+
     /** Sets the model of the calls that prefill at the other stage. */
     void setOtherStagePrefillModel(ServiceTimeModel other) {
         otherStagePrefillModel = other;
--- a/router-fleet/selection/src/main/java/pinewick/selection/ReplicaSelector.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/ReplicaSelector.java
@@ -1,5 +1,6 @@
 package pinewick.selection;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -282,6 +283,44 @@
         }
     }
 
+    /**
+     * What this router has learnt of the service times, or was told and has not learnt itself. Calls without an engine
+     * are left out: their time does not depend on tokens.
+     */
+    public List<SharedPace> paces() {
+        List<SharedPace> paces = new ArrayList<>();
+        pools.forEach((service, ofService) -> ofService.values().forEach(pool -> {
+            for (CallKind kind : CallKind.values()) {
+                if (kind != CallKind.PLAIN && kind.stage() == pool.stage()) {
+                    pace(service, pool, kind).ifPresent(paces::add);
+                }
+            }
+        }));
+        return paces;
+    }
+
+    private static Optional<SharedPace> pace(String service, ReplicaPool pool, CallKind kind) {
+        ServiceTimeModel own = pool.model(kind);
+        return own.isPerTokenKnown()
+                ? Optional.of(new SharedPace(service, kind, own.fixedMs(), own.perTokenMs(), own.samples()))
+                : Optional.ofNullable(pool.sharedPace(kind));
+    }
+
+    /**
+     * Another router has told what it has learnt. It is used until this router has learnt the same itself.
+     *
+     * @return whether this router knew nothing of that kind of call before
+     */
+    public boolean onSharedPace(SharedPace pace) {
+        ReplicaPool pool =
+                pools.getOrDefault(pace.service(), Map.of()).get(pace.kind().stage());
+        if (pool == null || pace.kind() == CallKind.PLAIN || !pace.isValid()) {
+            return false;
+        }
+        boolean isFirst = pool.offerSharedPace(pace);
+        return isFirst && !pool.model(pace.kind()).isPerTokenKnown();
+    }
+
     /** How old the last load report of a replica is, milliseconds; infinite without one. */
     public double loadReportAgeMs(String instanceId, double nowMs) {
         ReplicaMeasurements measurements = replicas.get(instanceId);
