--- a/router-fleet/control/src/main/java/pinewick/control/ApiServer.java
+++ b/router-fleet/control/src/main/java/pinewick/control/ApiServer.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import pinewick.model.SocketAddress;
+import pinewick.transport.DaemonThreadFactory;
 
 /** The HTTP server that replicas and operators call. */
 final class ApiServer {
@@ -37,10 +38,9 @@
     ApiServer(SocketAddress address, Map<ApiOperation, ApiEndpoint> endpoints, long bodyDeadlineMs) {
         this.address = address;
         this.handler = new ApiHandler(endpoints, bodyDeadlineMs);
-        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MS);
-        threads.setReservedThreads(0);
+        QueuedThreadPool threads = new QueuedThreadPool(
+                MAX_THREADS, MIN_THREADS, THREAD_IDLE_MS, 0, null, null, new DaemonThreadFactory("api"));
         threads.setName("api");
-        threads.setDaemon(true);
         ArrayByteBufferPool buffers = new ArrayByteBufferPool(
                 0, BUFFER_STEP_BYTES, MAX_BUFFER_BYTES, MAX_BUFFERS_PER_SIZE, MAX_POOLED_BYTES, MAX_POOLED_BYTES);
         server = new Server(threads, new ScheduledExecutorScheduler("api-timer", true), buffers);
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/HttpFrontend.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/HttpFrontend.java
@@ -20,11 +20,13 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import pinewick.model.RequestLimits;
 import pinewick.model.SocketAddress;
+import pinewick.transport.DaemonThreadFactory;
 
 /** The Jetty server of a router: clients on one address, the platform's readiness checks on another. */
 final class HttpFrontend {
     private static final int MAX_THREADS = 8;
     private static final int MIN_THREADS = 2;
+    private static final int THREAD_IDLE_MS = 60_000;
     private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
     private static final int RESPONSE_HEADER_BYTES = 8 * 1024;
     /** Longest head that a connection parses; the limit in force may change while it is open. */
@@ -68,10 +70,9 @@
     }
 
     private static QueuedThreadPool threadPool() {
-        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        QueuedThreadPool threads = new QueuedThreadPool(
+                MAX_THREADS, MIN_THREADS, THREAD_IDLE_MS, 0, null, null, new DaemonThreadFactory("http"));
         threads.setName("http");
-        threads.setDaemon(true);
-        threads.setReservedThreads(0);
         return threads;
     }
 
--- a/router-fleet/system/src/main/java/pinewick/system/ProgramRunner.java
+++ b/router-fleet/system/src/main/java/pinewick/system/ProgramRunner.java
@@ -43,10 +43,15 @@
     static int run(Program.Kind kind) {
         LoggingSetup.install();
         BlockingQueue<ProcessEvent> events = new LinkedBlockingQueue<>();
+        installSignalHandlers(events);
+        return new ProgramRunner(SettingsReader.pathFromEnvironment(), kind.service(), kind.factory(), events).run();
+    }
+
+    /** Turns the signals of the platform into events. */
+    static void installSignalHandlers(BlockingQueue<ProcessEvent> events) {
         Signal.handle(new Signal("TERM"), signal -> events.add(ProcessEvent.STOP));
         Signal.handle(new Signal("INT"), signal -> events.add(ProcessEvent.STOP));
         Signal.handle(new Signal("HUP"), signal -> events.add(ProcessEvent.REREAD_SETTINGS));
-        return new ProgramRunner(SettingsReader.pathFromEnvironment(), kind.service(), kind.factory(), events).run();
     }
 
     /** Starts the program, waits for its end, and returns the exit code. */
--- a/router-fleet/system/src/main/java/pinewick/system/TrainingEnvironment.java
+++ b/router-fleet/system/src/main/java/pinewick/system/TrainingEnvironment.java
@@ -56,25 +56,41 @@
     }
 
     NodeSettings routerSettings() throws InvalidSettingsException {
-        String listen = "frontend = \"" + frontend + "\"\nreadiness = \"" + readiness + "\"\n";
-        return settings("router", "frontend", "", listen);
+        return SettingsReader.parse(routerText(), "rehearsal of router");
     }
 
     NodeSettings controllerSettings() throws InvalidSettingsException {
+        return SettingsReader.parse(controllerText(), "rehearsal of controller");
+    }
+
+    /** Writes the settings file of the router. */
+    Path routerSettingsFile() throws IOException {
+        return Files.writeString(folder.resolve("router.toml"), routerText());
+    }
+
+    /** Writes the settings file of the controller. */
+    Path controllerSettingsFile() throws IOException {
+        return Files.writeString(folder.resolve("controller.toml"), controllerText());
+    }
+
+    private String routerText() {
+        String listen = "frontend = \"" + frontend + "\"\nreadiness = \"" + readiness + "\"\n";
+        return settingsText("router", "frontend", "", listen);
+    }
+
+    private String controllerText() {
         String listen = "control_plane = \"" + controlPlane + "\"\n";
-        return settings("controller", "control_plane", "data_directory = '" + folder + "'\n", listen);
+        return settingsText("controller", "control_plane", "data_directory = '" + folder + "'\n", listen);
     }
 
-    private NodeSettings settings(String role, String serves, String more, String listen)
-            throws InvalidSettingsException {
-        String text = "node_name = \"rehearsal\"\nrole = \"" + role + "\"\nserves = [\"" + serves + "\"]\n"
+    private String settingsText(String role, String serves, String more, String listen) {
+        return "node_name = \"rehearsal\"\nrole = \"" + role + "\"\nserves = [\"" + serves + "\"]\n"
                 + "ip_address = \"" + host.getHostAddress() + "\"\nzone = \"z\"\nregion = \"r\"\n"
                 + "internal_port_range = [" + internalPort + "," + (internalPort + 1) + "]\n"
                 + "seed_nodes = [\"" + controlPlane + "\"]\nfirst_start = true\n"
                 + "counts_for_quorum = " + !more.isEmpty() + "\nheartbeat_ms = 1000\n" + more
                 + "[zones]\nz = \"r\"\n[listen_addresses]\n" + listen + "[limits]\nfile_descriptors = 1024\n"
                 + "[bounds]\ngrace_period_s = 1\nretry_budget_slack = 20\n";
-        return SettingsReader.parse(text, "rehearsal of " + role);
     }
 
     private SocketAddress freeAddress() throws IOException {
--- a/router-fleet/system/src/main/java/pinewick/system/TrainingRun.java
+++ b/router-fleet/system/src/main/java/pinewick/system/TrainingRun.java
@@ -5,6 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import pinewick.model.SocketAddress;
 
@@ -53,10 +55,9 @@
         Path target = Path.of("target");
         Path parent = Files.isDirectory(target) ? target : Path.of(System.getProperty("java.io.tmpdir"));
         try (TrainingEnvironment environment = new TrainingEnvironment(parent)) {
-            Program controller = Program.controller(environment.controllerSettings());
-            Program router = Program.router(environment.routerSettings());
-            controller.start();
-            router.start();
+            RunningProgram controller =
+                    RunningProgram.start(Program.Kind.CONTROLLER, environment.controllerSettingsFile());
+            RunningProgram router = RunningProgram.start(Program.Kind.ROUTER, environment.routerSettingsFile());
             runSteps(environment);
             router.stop();
             controller.stop();
@@ -67,6 +68,24 @@
         }
     }
 
+    /** A program that runs as in its own process, from its settings file to its end. */
+    private record RunningProgram(Thread thread, BlockingQueue<ProcessEvent> events) {
+        static RunningProgram start(Program.Kind kind, Path settingsFile) {
+            BlockingQueue<ProcessEvent> events = new LinkedBlockingQueue<>();
+            ProgramRunner.installSignalHandlers(events);
+            ProgramRunner runner = new ProgramRunner(settingsFile, kind.service(), kind.factory(), events);
+            Thread thread = new Thread(runner::run, "rehearsal-" + kind.service());
+            thread.setDaemon(true);
+            thread.start();
+            return new RunningProgram(thread, events);
+        }
+
+        void stop() throws InterruptedException {
+            events.add(ProcessEvent.STOP);
+            thread.join();
+        }
+    }
+
     private void runSteps(TrainingEnvironment environment) throws InterruptedException {
         String configuration = fullConfiguration(environment);
         step(
