The delay of others counts by their targets, whole and not by half

The price of that delay was taken by half and in plain milliseconds, whoever waits.

Change: a delayed call counts with the inverse of its route's target, in milliseconds of the call that delays it; the weight is 1, the whole delay.

--- a/router-fleet/selection/src/main/java/pinewick/selection/CallMeasurement.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/CallMeasurement.java
@@ -83,6 +83,10 @@
         return startedAtMs;
     }
 
+    int targetLatencyMs() {
+        return request.route().targetLatencyMs();
+    }
+
     /** s of this call to its first event, as estimated at its start. */
     double serviceMs() {
         return serviceMs;
--- a/router-fleet/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/ReplicaMeasurements.java
@@ -255,7 +255,7 @@
     void onCallStarted(CallMeasurement call) {
         outstanding++;
         startedSinceReport++;
-        pool.onCallStarted(call.startedAtMs());
+        pool.onCallStarted(call.targetLatencyMs(), call.startedAtMs());
         call.linkAfter(newestWaiting);
         newestWaiting = call;
         if (oldestWaiting == null) {
--- a/router-fleet/selection/src/main/java/pinewick/selection/ReplicaPool.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/ReplicaPool.java
@@ -31,7 +31,9 @@
     private final SharedPace[] sharedPaces = new SharedPace[CallKind.values().length];
     private EngineSpec engine;
     private ServiceTimeModel otherStagePrefillModel;
-    private final SmoothedRate calls = new SmoothedRate();
+    /** Each call counts with the inverse of its route's target latency. */
+    private final SmoothedRate callsPerTargetMs = new SmoothedRate();
+
     private double meanLatencyMs;
     private double outputFraction = INITIAL_OUTPUT_FRACTION;
     private double averagedAtMs = Double.NaN;
@@ -129,17 +131,19 @@
         return models[kind.ordinal()];
     }
 
-    /** This router has started a call to one of the replicas. */
-    void onCallStarted(double nowMs) {
-        calls.add(nowMs);
+    /** This router has started a call to one of the replicas, on a route with this target latency. */
+    void onCallStarted(int targetLatencyMs, double nowMs) {
+        callsPerTargetMs.add(1.0 / Math.max(1, targetLatencyMs), nowMs);
     }
 
     /**
      * The total delay of other calls while a replica is occupied for this long: each call that arrives meanwhile waits
-     * half of it on average.
+     * half of it on average. A delay counts by its share of the target latency of the call that it delays, in
+     * milliseconds of a call with {@code targetLatencyMs}: 100 ms are more to a call that should be answered in 300 ms
+     * than to one that should be in 600.
      */
-    double interferenceMs(double occupiedMs, int routers, double nowMs) {
-        double callsPerMs = calls.perMs(nowMs) * routers / Math.max(1, members.size());
+    double interferenceMs(double occupiedMs, int targetLatencyMs, int routers, double nowMs) {
+        double callsPerMs = callsPerTargetMs.perMs(nowMs) * targetLatencyMs * routers / Math.max(1, members.size());
         return callsPerMs * occupiedMs * occupiedMs / 2;
     }
 
--- a/router-fleet/selection/src/main/java/pinewick/selection/RequestScores.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/RequestScores.java
@@ -132,7 +132,9 @@
         int cached = measurements.cache().cachedTokens(prompt);
         double perTokenMs = measurements.pool().perTokenMs(kind, request, initialEstimateMs(request));
         double occupiedMs = perTokenMs * (prompt.promptTokens() - cached);
-        return tuning.interferenceWeight() * measurements.pool().interferenceMs(occupiedMs, routers, nowMs)
+        double interferenceMs =
+                measurements.pool().interferenceMs(occupiedMs, request.route().targetLatencyMs(), routers, nowMs);
+        return tuning.interferenceWeight() * interferenceMs
                 + tuning.repeatedPrefillWeight()
                         * PriceModel.repeatedPrefillPrice(Math.max(0, maxCachedTokens - cached));
     }
--- a/router-fleet/selection/src/main/java/pinewick/selection/SelectionTuning.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/SelectionTuning.java
@@ -24,7 +24,7 @@
         double interferenceWeight,
         double repeatedPrefillWeight) {
     /** What routers run with. */
-    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, true, 2_000, 0.5, 0.5, 4);
+    public static final SelectionTuning DEFAULT = new SelectionTuning(0.3, 1, true, true, 2_000, 0.5, 1, 4);
 
     /** The same with another busy weight. */
     public SelectionTuning withBusyWeight(double other) {
--- a/router-fleet/selection/src/main/java/pinewick/selection/SmoothedRate.java
+++ b/router-fleet/selection/src/main/java/pinewick/selection/SmoothedRate.java
@@ -1,14 +1,14 @@
 package pinewick.selection;
 
-/** The rate of events, smoothed over a few seconds. */
+/** The rate of an amount that events carry, smoothed over a few seconds. */
 final class SmoothedRate {
     private static final double TIME_CONSTANT_MS = 3_000;
 
     private double perMs;
     private double atMs = Double.NaN;
 
-    void add(double nowMs) {
-        perMs = perMs(nowMs) + 1 / TIME_CONSTANT_MS;
+    void add(double amount, double nowMs) {
+        perMs = perMs(nowMs) + amount / TIME_CONSTANT_MS;
         atMs = nowMs;
     }
 
