A router that knows no configuration or replica sends clients back after recovery

Change: while the configuration is not known, or no replica of the service is, the rejection says 0.6 to 1.1 s. A router that shuts down still says 0.2. Clients wait for a third of their time at most.

Tests: BasicRoutingTest, stricter: the times are asserted, not only that there is one.

--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -48,8 +48,19 @@
     /** Timeout of a request's body if there is no route for it. */
     private static final double BODY_TIMEOUT_WITHOUT_ROUTE_MS = 5_000;
 
-    /** {@code Retry-After} while the configuration is not confirmed to be the fleet's. */
-    private static final double UNCONFIRMED_RETRY_AFTER_SECONDS = 0.2;
+    /**
+     * {@code Retry-After} while this router does not know the fleet's configuration, or no replica of a service, as after
+     * a loss of power everywhere: it takes the controllers some tenths of a second to elect a primary, and replicas
+     * report up to a heartbeat later. A client retries once, so that a shorter time would cost it the second rejection;
+     * it waits for at most a third of its time.
+     */
+    private static final double RECOVERY_RETRY_AFTER_SECONDS = 0.6;
+
+    /** {@code Retry-After} while this router shuts down: another one takes the request. */
+    private static final double STOPPING_RETRY_AFTER_SECONDS = 0.2;
+
+    /** Random addition to the time for recovery, so that clients do not return at the same time. */
+    private static final double RECOVERY_RETRY_AFTER_JITTER_SECONDS = 0.5;
 
     private final SerialExecutor serial;
     private final Timers timers;
@@ -281,6 +292,11 @@
             return;
         }
         RequestShape shape = found.get();
+        if (directory.candidates(shape.service()).isEmpty()) {
+            services.budget().onRequest(shape.service(), timers.nowMs());
+            rejectNotExecuted(client, read.id(), recoveryRetryAfterSeconds());
+            return;
+        }
         AdmissionDecision decision =
                 admissionControl.decide(shape, directory.candidates(shape.service()), timers.nowMs());
         if (decision instanceof AdmissionDecision.Reject rejection) {
@@ -303,10 +319,15 @@
             HttpFields fields = HttpFields.build().add(HeaderNames.REQUEST_ID, id);
             client.respond(HttpStatus.NOT_FOUND_404, fields, UpstreamRequest.NO_BODY);
         } else {
-            rejectNotExecuted(client, id, UNCONFIRMED_RETRY_AFTER_SECONDS);
+            rejectNotExecuted(client, id, rejectsNew ? STOPPING_RETRY_AFTER_SECONDS : recoveryRetryAfterSeconds());
         }
     }
 
+    private double recoveryRetryAfterSeconds() {
+        return RECOVERY_RETRY_AFTER_SECONDS
+                + RECOVERY_RETRY_AFTER_JITTER_SECONDS * services.random().nextDouble();
+    }
+
     // ---- the end
 
     /** From now on each response closes its connection. */
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/BasicRoutingTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/BasicRoutingTest.java
@@ -118,7 +118,9 @@
         assertEquals("close", answer.field("Connection"));
         RawSocket late = router.client();
         late.send(TestRouter.request("POST", "/plain/x", "e2", "body"));
-        assertEquals(503, late.read().status());
+        HttpText.Message rejection = late.read();
+        assertEquals(503, rejection.status());
+        assertEquals("0.2", rejection.field("Retry-After"), "another router takes it at once");
     }
 
     @Test
@@ -127,6 +129,20 @@
         client.send(TestRouter.request("POST", "/plain/x", "r1", "body"));
         HttpText.Message answer = client.read();
         assertEquals(503, answer.status());
-        assertTrue(Double.parseDouble(answer.field("Retry-After")) > 0);
+        assertComesBackAfterRecovery(answer);
+    }
+
+    @Test
+    void aRouterThatDoesNotKnowTheConfigurationSendsClientsBackAfterRecovery() throws Exception {
+        router.informed = false;
+        RawSocket client = router.client();
+        client.send(TestRouter.request("POST", "/elsewhere/x", "n2", "body"));
+        assertComesBackAfterRecovery(client.read());
+    }
+
+    /** A client retries once: not before controllers are elected and replicas have sent a heartbeat. */
+    private static void assertComesBackAfterRecovery(HttpText.Message answer) {
+        double seconds = Double.parseDouble(answer.field("Retry-After"));
+        assertTrue(seconds >= 0.6 && seconds <= 1.1, "Retry-After " + seconds);
     }
 }
