--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/PrefixCacheBootstrap.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/PrefixCacheBootstrap.java
@@ -1,17 +1,19 @@
 package pinewick.dataplane;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import pinewick.membership.NodeDescriptor;
 import pinewick.model.SocketAddress;
 
 /**
- * Decides which router a router that has just started asks for its estimates of the prefix caches: the one that has
- * run longest, since many routers may have started at the same time. Without any that has run longer than this one
- * there is nothing to learn. No I/O; used by one thread.
+ * Decides which router a router that has just started asks for its estimates of the prefix caches: one drawn at random
+ * from those that have run longer. Many may start at the same time: they have nothing to tell each other, and would all
+ * ask the same one if it were the one that has run longest. Without any that has run longer there is nothing to learn.
+ * No I/O; used by one thread.
  */
 final class PrefixCacheBootstrap {
     /** Another router is asked if none has answered after this time, milliseconds. */
@@ -24,13 +26,15 @@
     static final long MIN_EARLIER_START_MS = 2_000;
 
     private final long ownIncarnation;
+    private final RandomGenerator random;
     private final Set<SocketAddress> asked = new HashSet<>();
     private double nextRequestAtMs = Double.NEGATIVE_INFINITY;
     private boolean done;
 
     /** @param ownIncarnation the time at which this router has started, milliseconds */
-    PrefixCacheBootstrap(long ownIncarnation) {
+    PrefixCacheBootstrap(long ownIncarnation, RandomGenerator random) {
         this.ownIncarnation = ownIncarnation;
+        this.random = random;
     }
 
     /**
@@ -42,16 +46,19 @@
         if (done || nowMs < nextRequestAtMs || asked.size() >= MAX_REQUESTS) {
             return Optional.empty();
         }
-        Optional<SocketAddress> oldest = others.stream()
-                .filter(other -> other.incarnation() <= ownIncarnation - MIN_EARLIER_START_MS)
-                .filter(other -> !asked.contains(other.address()))
-                .min(Comparator.comparingLong(NodeDescriptor::incarnation))
-                .map(NodeDescriptor::address);
-        oldest.ifPresent(address -> {
-            asked.add(address);
-            nextRequestAtMs = nowMs + RETRY_INTERVAL_MS;
-        });
-        return oldest;
+        List<SocketAddress> earlier = new ArrayList<>();
+        for (NodeDescriptor other : others) {
+            if (other.incarnation() <= ownIncarnation - MIN_EARLIER_START_MS && !asked.contains(other.address())) {
+                earlier.add(other.address());
+            }
+        }
+        if (earlier.isEmpty()) {
+            return Optional.empty();
+        }
+        SocketAddress chosen = earlier.get(random.nextInt(earlier.size()));
+        asked.add(chosen);
+        nextRequestAtMs = nowMs + RETRY_INTERVAL_MS;
+        return Optional.of(chosen);
     }
 
     /** An answer has arrived; an empty one does not count. */
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/Router.java
@@ -83,7 +83,7 @@
                 settings.limits().fileDescriptors() - OTHER_DESCRIPTORS);
         frontend.start();
         dataPlane.follow(fleet.state(), frontend.upstream());
-        bootstrap = new PrefixCacheBootstrap(fleet.self().incarnation());
+        bootstrap = new PrefixCacheBootstrap(fleet.self().incarnation(), random.split());
         fleet.start(new RouterMessages());
         fleet.repeat(this::refresh, REFRESH_MS);
         fleet.repeatAtVariableInterval(this::pollReports, LoadReportIntervals::pollIntervalMs);
