--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -49,10 +49,10 @@
     private static final double BODY_TIMEOUT_WITHOUT_ROUTE_MS = 5_000;
 
     /**
-     * {@code Retry-After} while this router does not know the fleet's configuration, or no replica of a service, as after
-     * a loss of power everywhere: it takes the controllers some tenths of a second to elect a primary, and replicas
-     * report up to a heartbeat later. A client retries once, so that a shorter time would cost it the second rejection;
-     * it waits for at most a third of its time.
+     * {@code Retry-After} while this router does not know the fleet's configuration, or no replica of a service, as
+     * after a loss of power everywhere: it takes the controllers some tenths of a second to elect a primary, and
+     * replicas report up to a heartbeat later. A client retries once, so that a shorter time would cost it the second
+     * rejection; it waits for at most a third of its time.
      */
     private static final double RECOVERY_RETRY_AFTER_SECONDS = 0.6;
 
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportTargets.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/LoadReportTargets.java
@@ -10,11 +10,11 @@
 
 /**
  * Chooses the routers to which load reports and hints are sent: all others, as long as this router knows all others. In
- * a larger fleet its view is a part only ({@link PeerSampling}), and each message goes to a few drawn at random, which send on what is new to them: rumor
- * mongering with the number of rounds fixed at one (Demers and others, Epidemic Algorithms for Replicated Database
- * Maintenance, PODC 1987). With a fanout of f a fraction s of the routers is reached, s = 1 - exp(-f·s): 0.98 for 4.
- * Most of them are drawn from the sender's own zone, since bytes between zones have a price; the paper's section on
- * spatial distributions gives the reasoning. No I/O.
+ * a larger fleet its view is a part only ({@link PeerSampling}), and each message goes to a few drawn at random, which
+ * send on what is new to them: rumor mongering with the number of rounds fixed at one (Demers and others, Epidemic
+ * Algorithms for Replicated Database Maintenance, PODC 1987). With a fanout of f a fraction s of the routers is
+ * reached, s = 1 - exp(-f·s): 0.98 for 4. Most of them are drawn from the sender's own zone, since bytes between zones
+ * have a price; the paper's section on spatial distributions gives the reasoning. No I/O.
  */
 final class LoadReportTargets {
     /** From this many other routers on, a view may be a part of the fleet only. */
