A planned leaver ends only once the primary permits it in its newest epoch

Cause: a leaver took itself for detached (1) by a record that it had accepted and that no majority had, and (2) by an election that lacked its promise, although its successor was there and had not taken its place. A disk lost then left one member of three. Change: the primary answers a store that shuts down with ShutdownPermitted, once the store is not in sync by an established epoch, the others are a majority, and either as many losses are borne as are tolerated or no other controller has shown itself (0.3 s; 1.5 s if gossip tells of one that is no member). A permit of an earlier epoch does not count. While a process shuts down, heartbeats also go to controllers known by gossip. Without a permit it ends as before, 3.5 s before the end of its grace period.

--- a/router-fleet/replication/src/main/java/pinewick/replication/FaultToleranceMonitor.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/FaultToleranceMonitor.java
@@ -21,14 +21,18 @@
 
     /** Something may have changed at the primary. */
     void update(PrimaryEpoch epoch) {
-        boolean isSufficient =
-                isKnown(epoch) && tolerableLosses(epoch) >= context.settings().toleratedMachines();
+        boolean isSufficient = isKnown(epoch) && isSufficient(epoch);
         if (isSufficient && !sufficient) {
             sufficientSinceMs = context.activeMs();
         }
         sufficient = isSufficient;
     }
 
+    /** Whether as many losses are tolerable as the deployment requires; only if {@link #isKnown}. */
+    boolean isSufficient(PrimaryEpoch epoch) {
+        return tolerableLosses(epoch) >= context.settings().toleratedMachines();
+    }
+
     /** This process has stepped down. */
     void reset() {
         sufficient = false;
@@ -70,7 +74,8 @@
                 .orElseGet(() -> new MemberReport(member, inSync, false, OptionalDouble.empty()));
     }
 
-    private static boolean isKnown(PrimaryEpoch epoch) {
+    /** Whether the epoch is established, and a quorum has confirmed it recently. */
+    boolean isKnown(PrimaryEpoch epoch) {
         return epoch.isEstablished()
                 && epoch.isPromiseCurrent()
                 && epoch.lease().isRecentlyConfirmed();
--- a/router-fleet/replication/src/main/java/pinewick/replication/Follower.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/Follower.java
@@ -30,6 +30,7 @@
     private boolean knowsAcceptedChosen;
     private boolean shuttingDown;
     private double shuttingDownSinceMs;
+    private double permitSentMs = Double.NEGATIVE_INFINITY;
     private boolean diskHealthy = true;
     private long confirmedHeartbeat;
     private long newestReply;
@@ -71,6 +72,15 @@
         return nowMs - shuttingDownSinceMs;
     }
 
+    /** How long ago its process was last permitted to end, in this epoch. */
+    double sincePermitSentMs(double nowMs) {
+        return nowMs - permitSentMs;
+    }
+
+    void onPermitSent(double nowMs) {
+        permitSentMs = nowMs;
+    }
+
     private void updateShuttingDown(boolean isNow, double nowMs) {
         if (isNow && !shuttingDown) {
             shuttingDownSinceMs = nowMs;
@@ -147,6 +157,7 @@
     /** A new epoch starts: confirmations of the one before are void. */
     void onEpochStarted(double nowMs) {
         confirmedHeartbeat = 0;
+        permitSentMs = Double.NEGATIVE_INFINITY;
         knowsAcceptedChosen = false;
         accepted = EpochNumber.NONE;
         sentVersion = StateVersion.NONE;
--- a/router-fleet/replication/src/main/java/pinewick/replication/GracefulShutdown.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/GracefulShutdown.java
@@ -4,6 +4,7 @@
 final class GracefulShutdown {
     private boolean started;
     private double startedMs;
+    private EpochNumber permittedIn = EpochNumber.NONE;
 
     void start(double nowMs) {
         if (!started) {
@@ -16,6 +17,16 @@
         return started;
     }
 
+    /** The primary of this epoch no longer needs this store. */
+    void onPermitted(EpochNumber number) {
+        permittedIn = number;
+    }
+
+    /** Whether the primary of this epoch no longer needs this store. */
+    boolean isPermittedIn(EpochNumber number) {
+        return started && permittedIn.equals(number);
+    }
+
     double elapsedMs(double nowMs) {
         return nowMs - startedMs;
     }
--- a/router-fleet/replication/src/main/java/pinewick/replication/InSyncEvaluator.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/InSyncEvaluator.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import pinewick.model.SocketAddress;
 
 /**
  * Judges, for the primary of one epoch, which followers can be relied on: who keeps up, who has to stay in the in-sync
@@ -18,6 +19,9 @@
     /** A store that is to replace one that shuts down makes itself known within this time. */
     private static final double REPLACEMENT_WAIT_MS = 300;
 
+    /** A controller that is known to run, and is no member, answers the primary within this time. */
+    private static final double KNOWN_CONTROLLER_WAIT_MS = 1_500;
+
     private final ReplicationContext context;
     private final EpochRecord record;
     private final Followers followers;
@@ -46,16 +50,27 @@
         return !isMajorityResponsive() || isReplacementExpected();
     }
 
-    private boolean isReplacementExpected() {
+    /** Whether a store that is no member has shown itself, or may still do so. */
+    boolean isReplacementExpected() {
         double now = context.activeMs();
+        double waitMs = isOtherControllerKnown() ? KNOWN_CONTROLLER_WAIT_MS : REPLACEMENT_WAIT_MS;
         boolean hasRecentShutdown = followers.all().stream()
-                .anyMatch(
-                        follower -> follower.isShuttingDown() && follower.shuttingDownForMs(now) < REPLACEMENT_WAIT_MS);
+                .anyMatch(follower -> follower.isShuttingDown() && follower.shuttingDownForMs(now) < waitMs);
         boolean hasCandidate = followers.all().stream()
                 .anyMatch(follower -> !record.hasMember(follower.identity()) && isResponsive(follower));
         return hasRecentShutdown || hasCandidate;
     }
 
+    /** Whether gossip tells of a controller that is no member; it may have ended long ago. */
+    private boolean isOtherControllerKnown() {
+        Set<SocketAddress> others = context.peers().knownControllers();
+        record.members().forEach(member -> others.remove(context.peers().addressOf(member)));
+        followers.all().stream()
+                .filter(Follower::isShuttingDown)
+                .forEach(follower -> others.remove(context.peers().addressOf(follower.member())));
+        return !others.isEmpty();
+    }
+
     private Set<String> inSyncFollowers(Predicate<Follower> condition) {
         Set<String> identities = new HashSet<>();
         followers.withIdentities(record.inSync()).stream()
@@ -71,7 +86,8 @@
                 && follower.laggingMs(now) <= UNRESPONSIVE_AFTER_MS;
     }
 
-    private boolean isMajorityResponsive() {
+    /** Whether this store and the responsive members are a majority; those that are shutting down do not count. */
+    boolean isMajorityResponsive() {
         List<Member> members = record.members();
         long others = members.stream()
                 .map(member -> followers.find(member.identity()))
--- a/router-fleet/replication/src/main/java/pinewick/replication/Peers.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/Peers.java
@@ -42,6 +42,13 @@
         knownControllers = new LinkedHashSet<>(addresses);
     }
 
+    /** The addresses of other controllers that gossip tells of. */
+    Set<SocketAddress> knownControllers() {
+        Set<SocketAddress> others = new LinkedHashSet<>(knownControllers);
+        others.remove(self);
+        return others;
+    }
+
     /** A message of a store came from an address. */
     void recordAddress(String identity, SocketAddress address) {
         if (!identity.isEmpty()) {
--- a/router-fleet/replication/src/main/java/pinewick/replication/PrimaryEpoch.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/PrimaryEpoch.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import pinewick.model.Message;
+import pinewick.model.SocketAddress;
 import pinewick.replication.DurableState.Outcome;
 import pinewick.replication.DurableState.Update;
 import pinewick.replication.ReplicationMessages.Heartbeat;
@@ -183,10 +184,23 @@
         sendTimes.record(heartbeatRequest.sequence(), lastHeartbeatMs);
         lease.onHeartbeatSent(heartbeatRequest.sequence());
         broadcast(heartbeatMessage());
+        greetOtherControllers();
         updateConfirmedHeartbeat();
         return heartbeatRequest.sequence();
     }
 
+    /**
+     * While a process is shutting down, controllers that gossip tells of and that are not followers yet get the
+     * heartbeat too: one of them may be there to replace it, and still have contact with an earlier primary.
+     */
+    private void greetOtherControllers() {
+        if (followers.all().stream().anyMatch(Follower::isShuttingDown)) {
+            Set<SocketAddress> others = context.peers().knownControllers();
+            followers.all().forEach(follower -> others.remove(context.peers().addressOf(follower.member())));
+            context.peers().send(others, heartbeatMessage());
+        }
+    }
+
     private Heartbeat heartbeatMessage() {
         return new Heartbeat(
                 heartbeatRequest,
--- a/router-fleet/replication/src/main/java/pinewick/replication/PrimaryHeartbeatHandler.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/PrimaryHeartbeatHandler.java
@@ -44,13 +44,6 @@
                 .map(Heartbeat::committed);
     }
 
-    /** Only the primary of a chosen record sends heartbeats under its number. */
-    boolean isKnownChosen(EpochRecord record) {
-        return lastHeartbeat
-                .filter(heartbeat -> heartbeat.number().equals(record.number()))
-                .isPresent();
-    }
-
     void reply(SocketAddress sender, Heartbeat heartbeat) {
         context.peers().send(sender, buildReply(heartbeat));
     }
--- a/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -42,6 +42,7 @@
     private final ReadQueue reads = new ReadQueue();
     private final ChangeProcessor changeProcessor;
     private final FaultToleranceMonitor toleranceMonitor;
+    private final ShutdownPermits shutdownPermits;
     private Optional<PrimaryEpoch> epoch = Optional.empty();
     private double leaseStartSteadyMs = Double.POSITIVE_INFINITY;
 
@@ -64,6 +65,7 @@
         this.followers = new Followers(context);
         this.changeProcessor = new ChangeProcessor(commitNotifier, changes, reads);
         this.toleranceMonitor = new FaultToleranceMonitor(context, followers);
+        this.shutdownPermits = new ShutdownPermits(context, followers, toleranceMonitor);
     }
 
     Optional<PrimaryEpoch> epoch() {
@@ -173,6 +175,7 @@
         }
         changeProcessor.advance(current, !proposer.isProposing() && !shutdown.isStarted());
         toleranceMonitor.update(current);
+        shutdownPermits.update(current);
         if (shutdown.isStarted()) {
             transferLeadership(current);
         }
--- a/router-fleet/replication/src/main/java/pinewick/replication/ReplicationMessages.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/ReplicationMessages.java
@@ -16,7 +16,8 @@
  *   <li>the primary confirms its epoch: {@link Heartbeat} and {@link HeartbeatReply};
  *   <li>the primary replicates: {@link RelabelState}, {@link InstallSnapshot} or {@link Replicate}, each answered by
  *       {@link ReplicationReply};
- *   <li>the primary steps down: {@link Resign}.
+ *   <li>the primary steps down: {@link Resign};
+ *   <li>a process shuts down: {@link ShutdownPermitted}, once the others no longer need its store.
  * </ul>
  *
  * A component whose name has changed keeps its place on the wire by {@link WireName}.
@@ -239,6 +240,13 @@
     public record Resign(EpochNumber number, String successor, @WireName("leaving") boolean shuttingDown)
             implements Message {}
 
+    /**
+     * The primary's answer to a store whose process is shutting down: the others do not need it in this epoch.
+     *
+     * @param number the epoch
+     */
+    public record ShutdownPermitted(EpochNumber number) implements Message {}
+
     /** Every class that the codec must know. The position is the type's id on the wire: append only. */
     public static List<Class<?>> types() {
         return List.of(
@@ -267,6 +275,7 @@
                 ReplicationReply.class,
                 Resign.class,
                 PrimaryHint.class,
-                RequestId.class);
+                RequestId.class,
+                ShutdownPermitted.class);
     }
 }
--- a/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -20,6 +20,7 @@
 import pinewick.replication.ReplicationMessages.Replicate;
 import pinewick.replication.ReplicationMessages.ReplicationReply;
 import pinewick.replication.ReplicationMessages.Resign;
+import pinewick.replication.ReplicationMessages.ShutdownPermitted;
 import pinewick.replication.ReplicationMessages.Status;
 
 /**
@@ -171,6 +172,8 @@
                 commitNotifier.onCommitted(current);
             }
             receiver.onReplicate(sender, replicate);
+        } else if (message instanceof ShutdownPermitted permitted) {
+            shutdown.onPermitted(permitted.number());
         } else if (message instanceof Resign resign) {
             onResign(resign);
         } else {
@@ -288,14 +291,11 @@
     }
 
     /**
-     * After {@link #beginShutdown}: whether this process has left the in-sync set by a chosen record, so that it may
-     * end.
+     * After {@link #beginShutdown}: whether the primary of the newest epoch that this process knows has permitted it to
+     * end. A permit of an earlier epoch does not count: this process may be needed again.
      */
     public boolean isDetached() {
-        EpochRecord accepted = durable.accepted();
-        boolean isOutsideInSync = !accepted.inSync().contains(durable.identity());
-        boolean isRecordChosen = heartbeatHandler.isKnownChosen(accepted) || !accepted.hasMember(durable.identity());
-        return !primaryRole.isLeading() && isOutsideInSync && isRecordChosen;
+        return !primaryRole.isLeading() && shutdown.isPermittedIn(durable.promised());
     }
 
     @Override
--- a/router-fleet/replication/src/test/java/pinewick/replication/Machine.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/Machine.java
@@ -116,7 +116,7 @@
         }
         List<SocketAddress> known = new ArrayList<>();
         for (Machine other : world.machines) {
-            if (other != this && !other.removed && world.chance(0.7)) {
+            if (other != this && !other.removed && world.chance(world.knownControllerShare)) {
                 known.add(other.address);
             }
         }
--- a/router-fleet/replication/src/test/java/pinewick/replication/Operator.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/Operator.java
@@ -63,6 +63,14 @@
         return present.get(world.random.nextInt(present.size()));
     }
 
+    /** A caller whose call has timed out moves to another machine. */
+    private Machine anyMachineBut(Machine silent) {
+        List<Machine> others = world.machines.stream()
+                .filter(machine -> !machine.removed && machine != silent)
+                .toList();
+        return others.isEmpty() ? silent : others.get(world.random.nextInt(others.size()));
+    }
+
     private Machine follow(Optional<SocketAddress> operatorApi) {
         return operatorApi
                 .flatMap(address -> world.machines.stream()
@@ -90,7 +98,7 @@
             world.after(world.between(0.5, 2), () -> machine.submit(change, outcome -> answer(current, outcome)));
             world.after(TIME_OUT_MS, () -> {
                 if (tries == current) {
-                    tryAt(anyMachine());
+                    tryAt(anyMachineBut(machine));
                 }
             });
         }
@@ -141,7 +149,7 @@
                     world.between(0.5, 2), () -> machine.read(outcome -> answer(current, outcome, acknowledgedBefore)));
             world.after(TIME_OUT_MS, () -> {
                 if (tries == current) {
-                    tryAt(anyMachine());
+                    tryAt(anyMachineBut(machine));
                 }
             });
         }
--- a/router-fleet/replication/src/test/java/pinewick/replication/World.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/World.java
@@ -32,6 +32,8 @@
     double lossShare;
     double duplicateShare;
     double lateShare;
+    /** The part of the other controllers of which membership tells each one. */
+    double knownControllerShare = 0.7;
     /** Changes messages on their way, for deliberately broken variants. */
     BiFunction<Machine, Message, Message> tamper = (sender, message) -> message;
 
--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
@@ -13,18 +13,6 @@
     private static final double MAX_READ_INTERVAL_MS = 150;
     private static final double KILL_AFTER_REMOVAL_PROBABILITY = 0.1;
 
-    /** The fault scenarios, in turn by seed. */
-    private enum Scenario {
-        RANDOM,
-        LONG_PARTITION,
-        RANDOM_AGAIN,
-        SECOND_LOSS,
-        PRIMARY_LOSSES,
-        HANDOVER,
-        DELAYED_REPLIES,
-        STALE_MEMBERS_FIRST
-    }
-
     private final SplittableRandom random;
     private final SimulatedSystem system;
     private final Scenario scenario;
@@ -34,10 +22,10 @@
     private List<Double> repairTimesMs = List.of();
     private double endMs = FAULTS_FROM_MS + FAULTS_DURATION_MS;
 
-    private ControlPlaneSimulation(long seed, Mutant mutant, boolean isTraced) {
+    private ControlPlaneSimulation(long seed, Scenario scenario, Mutant mutant, boolean isTraced) {
+        this.scenario = scenario;
         this.random = new SplittableRandom(seed);
         boolean large = seed % 4 == 3;
-        scenario = Scenario.values()[(int) Math.floorMod(seed / 4, Scenario.values().length)];
         system = new SimulatedSystem(random.nextLong(), large ? 2 : 1, mutant.newMutation(), isTraced);
         switch (random.nextInt(6)) {
             case 0 -> system.setLinkQuality(0, random.nextDouble(0.05), random.nextDouble(0.2), 0.5);
@@ -62,14 +50,26 @@
         return operator;
     }
 
+    /** The scenario of a seed; consecutive seeds simulate all of them in turn. */
+    public static Scenario scenarioOf(long seed) {
+        Scenario[] scenarios = Scenario.values();
+        return scenarios[(int) Math.floorMod(seed / 4, scenarios.length)];
+    }
+
+    /** Simulates a run of the seed's own scenario; see {@link #run(long, Scenario, Mutant, boolean)}. */
+    public static SimulationResult run(long seed, Mutant mutant, boolean isTraced) {
+        return run(seed, scenarioOf(seed), mutant, isTraced);
+    }
+
     /**
      * Simulates a run.
      *
+     * @param scenario the combination of faults
      * @param mutant which variant of the code runs
      * @param isTraced whether events are recorded
      */
-    public static SimulationResult run(long seed, Mutant mutant, boolean isTraced) {
-        ControlPlaneSimulation simulation = new ControlPlaneSimulation(seed, mutant, isTraced);
+    public static SimulationResult run(long seed, Scenario scenario, Mutant mutant, boolean isTraced) {
+        ControlPlaneSimulation simulation = new ControlPlaneSimulation(seed, scenario, mutant, isTraced);
         Optional<InvariantViolation> violation = simulation.run();
         violation
                 .filter(broken -> simulation.system.firstViolation().isEmpty())
@@ -129,7 +129,13 @@
         }
         FaultScenarios scenarios = new FaultScenarios(system, random.split());
         repairTimesMs = scenarios.repairTimesMs();
+        ControllerLossScenarios losses = new ControllerLossScenarios(system, random.split());
         switch (scenario) {
+            case LEAVING -> losses.lossWhileLeaving(random.nextDouble(FAULTS_FROM_MS, 4_000));
+            case HALVES -> losses.halves(FAULTS_FROM_MS, endMs);
+            case RELIEVED_MINORITY -> losses.relievedMinority(FAULTS_FROM_MS, endMs);
+            case MINORITY_BEHIND -> losses.minorityBehind(random.nextDouble(FAULTS_FROM_MS, 4_000));
+            case POWER_LOSS -> losses.powerLoss(random.nextDouble(FAULTS_FROM_MS, 5_000));
             case LONG_PARTITION -> longPartition(scenarios);
             case SECOND_LOSS -> scenarios.secondLoss(random.nextDouble(FAULTS_FROM_MS, 4_000));
             case STALE_MEMBERS_FIRST -> scenarios.staleMembersReturnFirst(random.nextDouble(FAULTS_FROM_MS, 4_000));
--- a/testing/emulator/src/main/java/pinewick/emulator/control/FaultInjector.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/FaultInjector.java
@@ -238,7 +238,8 @@
                 }));
     }
 
-    private ControllerMachine addSuccessor(ControllerMachine machine) {
+    /** Adds a machine with an empty disk, whose process is not started yet, to replace another one. */
+    ControllerMachine addSuccessor(ControllerMachine machine) {
         ControllerMachine successor = system.addController();
         List<SocketAddress> others = system.present().stream()
                 .filter(other -> other != successor)
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
@@ -11,9 +11,9 @@
     NONE(0, 0, Mutation::new),
 
     /** 412 without a heartbeat that a quorum confirmed. */
-    REJECTS_WITHOUT_CONFIRMATION(1, 166, ApiMutations.RejectsFromMemory::new),
+    REJECTS_WITHOUT_CONFIRMATION(1, 52, ApiMutations.RejectsFromMemory::new),
     /** Reads without a heartbeat that a quorum confirmed. */
-    READS_FROM_MEMORY(1, 208, ApiMutations.ReadsFromMemory::new),
+    READS_FROM_MEMORY(1, 301, ApiMutations.ReadsFromMemory::new),
     /** 400 by validation against a state that is not current. */
     VALIDATES_AGAINST_STALE_STATE(1, 0, ApiMutations.ValidatesAgainstMemory::new),
     /** A redirect that is repeated after its primary is lost. */
@@ -21,7 +21,7 @@
     /** Two controllers that redirect to each other. */
     REDIRECTS_TO_A_PEER(1, 3, ApiMutations.RedirectsToPeer::new),
     /** A heartbeat is confirmed by a reply to an earlier one. */
-    LATE_REPLIES_CONFIRM(1, 25, MessageMutations.LateRepliesConfirm::new),
+    LATE_REPLIES_CONFIRM(1, 12, MessageMutations.LateRepliesConfirm::new),
     /** A process that bootstraps trusts its first source for good. */
     ROUTER_TRUSTS_FIRST_SOURCE(1, 3, GossipMutations.RouterTrustsFirstSource::new),
 
@@ -43,7 +43,7 @@
     ACKNOWLEDGES_UNKNOWN_OUTCOMES(2, 1, () -> new ApiMutations.AnswersUnknownOutcomes(200)),
 
     /** A member shuts down before another one has the state. */
-    SHUTS_DOWN_BEFORE_HANDOVER(3, 49, DiskMutations.ShutsDownAtOnce::new),
+    SHUTS_DOWN_BEFORE_HANDOVER(3, 33, DiskMutations.ShutsDownAtOnce::new),
     /** The members change without a majority of the old ones. */
     MEMBERS_WITHOUT_JOINT_CONSENSUS(3, 3, MessageMutations.MembersWithoutJointConsensus::new),
     /** A store that lost its disk votes. */
@@ -69,11 +69,11 @@
     /** An acceptance for an earlier incarnation counts. */
     COUNTS_STALE_ACCEPTANCES(5, 0, MessageMutations.CountsStaleAcceptances::new),
     /** A heartbeat reply to an earlier incarnation counts. */
-    COUNTS_STALE_HEARTBEAT_REPLIES(5, 4, MessageMutations.CountsStaleHeartbeatReplies::new),
+    COUNTS_STALE_HEARTBEAT_REPLIES(5, 7, MessageMutations.CountsStaleHeartbeatReplies::new),
     /** A replication reply to an earlier incarnation counts. */
     COUNTS_STALE_REPLICATION_REPLIES(5, 0, MessageMutations.CountsStaleReplicationReplies::new),
     /** A drain is acknowledged by one controller alone although a majority is available. */
-    ACKNOWLEDGES_A_DRAIN_ALONE(5, 29, GossipMutations.AcknowledgesRemovalsAlone::new),
+    ACKNOWLEDGES_A_DRAIN_ALONE(5, 12, GossipMutations.AcknowledgesRemovalsAlone::new),
     /** A late heartbeat reverts a drain. */
     REVERTS_A_DRAIN(5, 0, GossipMutations.HeartbeatRevertsRemoval::new),
     /** Routers do not receive a drain. */
--- a/testing/emulator/src/main/java/pinewick/emulator/control/SimulatedSystem.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/SimulatedSystem.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.IntConsumer;
 import pinewick.model.Message;
 import pinewick.model.SocketAddress;
+import pinewick.replication.ReplicationMessages;
 import pinewick.replication.ReplicationMessages.Heartbeat;
 
 /** Everything in one simulated run: time, network, machines, actors and checkers. */
@@ -41,6 +43,8 @@
     private double disturbedLinksUntilMs;
     private double lastControllerFaultMs;
     private Optional<InvariantViolation> firstViolation = Optional.empty();
+    private IntConsumer messageListener = count -> {};
+    private int controllerMessages;
 
     /**
      * @param toleratedMachines how many machines may be lost at once
@@ -62,6 +66,9 @@
         @Override
         Message onSent(Network on, SocketAddress from, SocketAddress to, Message message) {
             membership.onSent(message);
+            if (message.getClass().getEnclosingClass() == ReplicationMessages.class) {
+                messageListener.accept(controllerMessages++);
+            }
             if (message instanceof Heartbeat) {
                 controllers.stream()
                         .filter(machine -> machine.internal().equals(from))
@@ -169,6 +176,12 @@
         disturbedLinksUntilMs = nowMs() + 2 * Network.MAX_STALE_MS;
     }
 
+    /** Calls the listener with each replication message that is sent from now on, which it counts from 0. */
+    void onControllerMessages(IntConsumer listener) {
+        controllerMessages = 0;
+        messageListener = listener;
+    }
+
     /** Controllers that have not been removed. */
     List<ControllerMachine> present() {
         List<ControllerMachine> present = new ArrayList<>();
--- a/testing/lab/src/main/java/pinewick/lab/ControlLab.java
+++ b/testing/lab/src/main/java/pinewick/lab/ControlLab.java
@@ -13,6 +13,7 @@
 import picocli.CommandLine.Option;
 import pinewick.emulator.control.ControlPlaneSimulation;
 import pinewick.emulator.control.Mutant;
+import pinewick.emulator.control.Scenario;
 import pinewick.emulator.control.SimulationResult;
 
 /**
@@ -42,6 +43,9 @@
     @Option(names = "--variant", description = "plays this broken variant, alone or with --seed")
     private Optional<Mutant> variant = Optional.empty();
 
+    @Option(names = "--scenario", description = "plays this scenario with every seed: ${COMPLETION-CANDIDATES}")
+    private Optional<Scenario> scenario = Optional.empty();
+
     @Option(names = "--no-variants", description = "leaves the broken variants out")
     private boolean withoutVariants;
 
@@ -65,8 +69,13 @@
         return pass ? 0 : 1;
     }
 
+    private SimulationResult run(long ofSeed, Mutant mutant, boolean isTraced) {
+        Scenario played = scenario.orElseGet(() -> ControlPlaneSimulation.scenarioOf(ofSeed));
+        return ControlPlaneSimulation.run(ofSeed, played, mutant, isTraced);
+    }
+
     private int replay(long asked) {
-        SimulationResult result = ControlPlaneSimulation.run(asked, variant.orElse(Mutant.NONE), true);
+        SimulationResult result = run(asked, variant.orElse(Mutant.NONE), true);
         result.trace().forEach(System.out::println);
         result.violation().filter(broken -> broken.getCause() != null).ifPresent(broken -> broken.getCause()
                 .printStackTrace(System.out));
@@ -83,7 +92,7 @@
         long beganNanos = System.nanoTime();
         List<SimulationResult> results = LongStream.range(first, first + count)
                 .parallel()
-                .mapToObj(one -> ControlPlaneSimulation.run(one, Mutant.NONE, false))
+                .mapToObj(one -> run(one, Mutant.NONE, false))
                 .toList();
         double tookS = (System.nanoTime() - beganNanos) / 1e9;
         JsonArray broken = new JsonArray();
@@ -157,7 +166,7 @@
     private boolean catches(Mutant broken, JsonObject figures) {
         int most = seeds.filter(count -> variant.isPresent()).orElse(MOST_SEEDS_A_VARIANT);
         LongStream order = LongStream.concat(LongStream.of(broken.knownSeed()), LongStream.range(first, first + most));
-        Optional<SimulationResult> caught = order.mapToObj(one -> ControlPlaneSimulation.run(one, broken, false))
+        Optional<SimulationResult> caught = order.mapToObj(one -> run(one, broken, false))
                 .filter(result -> result.violation().isPresent())
                 .findFirst();
         String how = caught.map(result -> "caught by seed " + result.seed() + ", "
