--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
@@ -11,10 +11,14 @@
     private static final double FAULTS_DURATION_MS = 8_000;
     private static final double RECOVERY_MS = SimulatedSystem.CONTACT_MS + SimulatedSystem.CONFIG_APPLY_MS;
     private static final double MAX_READ_INTERVAL_MS = 150;
+    private static final int BUSY_EVERY_SEEDS = 50;
+    private static final int BUSY_SEED = 17;
+    private static final double BUSY_INTERVAL_MS = 15;
     private static final double KILL_AFTER_REMOVAL_PROBABILITY = 0.1;
 
     private final SplittableRandom random;
     private final SimulatedSystem system;
+    private final long seed;
     private final Scenario scenario;
     private final boolean cleanLinks;
     private final Operator first;
@@ -24,6 +28,7 @@
     private double endMs = FAULTS_FROM_MS + FAULTS_DURATION_MS;
 
     private ControlPlaneSimulation(long seed, Scenario scenario, Mutant mutant, boolean isTraced) {
+        this.seed = seed;
         this.scenario = scenario;
         this.random = new SplittableRandom(seed);
         boolean large = seed % 4 == 3;
@@ -49,9 +54,18 @@
         operator.sendLongDocuments(random.nextInt(6) == 0 ? 0.08 : 0);
         operator.setMeanIntervalMs(
                 scenario == Scenario.LONG_PARTITION || scenario == Scenario.DELAYED_REPLIES ? 1_200 : 500);
+        if (isBusy(seed)) {
+            operator.loseResponses(0);
+            operator.setMeanIntervalMs(BUSY_INTERVAL_MS);
+        }
         return operator;
     }
 
+    /** In some runs operators change the configuration so often that snapshots are made with hundreds of changes. */
+    static boolean isBusy(long seed) {
+        return Math.floorMod(seed, BUSY_EVERY_SEEDS) == BUSY_SEED;
+    }
+
     /** The scenario of a seed; consecutive seeds simulate them in turn. */
     public static Scenario scenarioOf(long seed) {
         List<Scenario> scenarios = Scenario.inTurn();
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
@@ -81,7 +81,20 @@
     /** The fencing token does not rise with the epoch. */
     TOKEN_NOT_RAISED(5, 0, DiskMutations.ReusesToken::new),
     /** A new lease holder does not wait for the earlier lease to expire. */
-    LEASE_NOT_WAITED_FOR(5, 1, DiskMutations.SkipsLeaseWait::new);
+    LEASE_NOT_WAITED_FOR(5, 1, DiskMutations.SkipsLeaseWait::new),
+
+    /** A witness accepts a record after it has promised a higher number. */
+    ACCEPTS_AFTER_A_HIGHER_PROMISE(1, 1, EpochMutations.AcceptsAfterAHigherPromise::new),
+    /** A record counts as chosen while it is only proposed. */
+    ANNOUNCES_BEFORE_ACCEPTANCE(3, 0, EpochMutations.AnnouncesBeforeAcceptance::new),
+    /** A process that shuts down may end as soon as the primary knows of it. */
+    PERMITS_SHUTDOWN_AT_ONCE(3, 33, EpochMutations.PermitsShutdownAtOnce::new),
+    /** A witness that restarts has forgotten the records that it accepted. */
+    FORGETS_ACCEPTED_RECORDS(3, 9, EpochMutations.ForgetsAcceptedRecords::new),
+    /** A store that returns is sent an old document under the newest version. */
+    INSTALLS_AN_OLD_DOCUMENT(4, 2, EpochMutations.InstallsAnOldDocument::new),
+    /** A store that lacks changes counts its own state as the newest one. */
+    RELABELS_ANY_STATE(4, 1, EpochMutations.RelabelsAnyState::new);
 
     private final int safetyPoint;
     private final long knownSeed;
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Scenario.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Scenario.java
@@ -27,7 +27,7 @@
     HALVES,
     /** A minority misses changes, the processes of all others are killed just after the partition has healed. */
     RELIEVED_MINORITY,
-    /** A minority misses changes, one of the others loses its disk and the rest its power before the partition heals. */
+    /** A minority misses changes; one of the others loses its disk and the rest its power before that ends. */
     MINORITY_BEHIND,
     /** Everything loses power right after an acknowledgement; the tolerated number of disks is lost. */
     POWER_LOSS;
--- a/testing/emulator/src/main/java/pinewick/emulator/control/SimulationResult.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/SimulationResult.java
@@ -14,8 +14,8 @@
  * @param reads reads answered
  * @param removalsAcknowledged removals of replicas that were acknowledged
  * @param acknowledgementTimesMs for each change, how long it took to be acknowledged
- * @param changeLatenciesMs for each change while a partitioned controller was the only fault of the controllers, how long
- *     it took
+ * @param changeLatenciesMs for each change while a partitioned controller was the only fault of the controllers, how
+ *     long it took
  * @param repairTimesMs for each repair, how long after a store's return, or a replacement's first start, the primary
  *     reported as many tolerable losses as required
  * @param trace recorded events, if the run was traced
--- a/testing/emulator/src/test/java/pinewick/emulator/control/ControlPlaneSimulationTest.java
+++ b/testing/emulator/src/test/java/pinewick/emulator/control/ControlPlaneSimulationTest.java
@@ -16,6 +16,9 @@
 class ControlPlaneSimulationTest {
     private static final int SEEDS = 200;
     private static final int SEEDS_FOR_A_VARIANT = 600;
+    private static final int BUSY_RUNS = 12;
+    private static final int BUSY_EVERY = 50;
+    private static final int MANY_CHANGES = 220;
 
     @BeforeAll
     static void silenceLogs() {
@@ -43,6 +46,22 @@
         assertTrue(ends > 3L * SEEDS, "too few ends of replicas: " + ends);
     }
 
+    /** Stores compact their changes after 200, so these runs contain snapshots beneath hundreds of changes. */
+    @Test
+    void invariantsHoldOverHundredsOfChanges() {
+        List<SimulationResult> results = LongStream.range(0, SEEDS * BUSY_EVERY)
+                .filter(ControlPlaneSimulation::isBusy)
+                .limit(BUSY_RUNS)
+                .parallel()
+                .mapToObj(seed -> ControlPlaneSimulation.run(seed, Mutant.NONE, false))
+                .toList();
+        results.forEach(result -> assertEquals(Optional.empty(), result.violation(), "seed " + result.seed()));
+        long withSnapshots = results.stream()
+                .filter(result -> result.acknowledged() > MANY_CHANGES)
+                .count();
+        assertTrue(4 * withSnapshots >= BUSY_RUNS, "runs with hundreds of changes: " + withSnapshots);
+    }
+
     /** The known seed is tried first; as the code changes, another one may be the first to catch a variant. */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
