--- a/testing/lab/src/main/java/pinewick/lab/Lab.java
+++ b/testing/lab/src/main/java/pinewick/lab/Lab.java
@@ -16,7 +16,8 @@
             ScaleLab.class,
             ControlLab.class,
             RecoveryLab.class,
-            DemoLab.class
+            DemoLab.class,
+            StartLab.class
         })
 public final class Lab implements Runnable {
     @CommandLine.Spec
--- a/testing/lab/src/main/java/pinewick/lab/demo/DemoConfiguration.java
+++ b/testing/lab/src/main/java/pinewick/lab/demo/DemoConfiguration.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** The configurations that the demo's operator sends: one service of a language model, behind one route or two. */
-final class DemoConfiguration {
+public final class DemoConfiguration {
     /** The service that all replicas serve. */
     static final String SERVICE = "chat";
 
@@ -25,7 +25,7 @@
     private DemoConfiguration() {}
 
     /** The body of the first whole configuration. */
-    static byte[] initial(long version) {
+    public static byte[] initial(long version) {
         return bytes(
                 """
                 {"version": %d,
--- a/testing/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
+++ b/testing/lab/src/main/java/pinewick/lab/scale/SystemProcess.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
 
 /**
  * One process of the system's own programs, started as the deploy file says. A shell holds its life: it ends the
@@ -32,6 +33,7 @@
     private final Path settings;
     private final Path log;
     private final long longestSeconds;
+    private final UnaryOperator<List<String>> commandChange;
     private Process guard;
     private ProcessHandle program;
     private long startedAtNs;
@@ -40,6 +42,16 @@
 
     /** @param longestSeconds after which it is ended whatever happens */
     public SystemProcess(String role, Path settings, Path log, long longestSeconds) {
+        this(role, settings, log, longestSeconds, UnaryOperator.identity());
+    }
+
+    /**
+     * @param longestSeconds after which it is ended whatever happens
+     * @param commandChange changes the command of the deploy file
+     */
+    public SystemProcess(
+            String role, Path settings, Path log, long longestSeconds, UnaryOperator<List<String>> commandChange) {
+        this.commandChange = commandChange;
         this.role = role;
         this.settings = settings;
         this.log = log;
@@ -49,7 +61,7 @@
     /** Starts it, the first time or again. */
     public void start() throws IOException {
         List<String> words = new ArrayList<>(List.of("bash", "-c", GUARD, "guard"));
-        words.addAll(commandOf(role));
+        words.addAll(commandChange.apply(commandOf(role)));
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
         builder.environment().put("PINEWICK_CONFIG", settings.toString());
         builder.environment().put("PINEWICK_LAB_LOG", log.toString());
@@ -98,6 +110,12 @@
         return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
     }
 
+    /** The end of its log. */
+    public List<String> lastLogLines(int most) throws IOException {
+        List<String> lines = Files.readAllLines(log);
+        return lines.subList(Math.max(0, lines.size() - most), lines.size());
+    }
+
     /** What it has used so far. */
     public ProcessUsage usage() {
         return ProcessUsage.of(program.pid());
