--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/TestRouter.java
@@ -26,6 +26,9 @@
     final DataPlane dataPlane;
     final HttpFrontend front;
     volatile boolean informed = true;
+    /** Items of the section {@code tenants} in JSON, separated by commas; without any, no request needs a key. */
+    String tenants = "";
+
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private final Queue<String> forcedPairs = new ConcurrentLinkedQueue<>();
     private final List<AutoCloseable> toClose = new ArrayList<>();
@@ -82,12 +85,13 @@
                  "engine":{"slots":12,"kv_cache_tokens":500000,"kv_token_bytes":18432,"link_bandwidth_mbps":1000.0,
                  "stride":10,"handle_ttl_s":5.0,"switch_time_s":2.0,"models":[{"name":"m"}]}}],
                 "limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,
-                "idle_timeout_ms":15000}}"""
+                "idle_timeout_ms":15000}%s}"""
                         .formatted(
                                 state.configuration().version() + 1,
                                 String.join(",", routes),
                                 maxHeaderBytes,
-                                maxBodyBytes);
+                                maxBodyBytes,
+                                tenants.isEmpty() ? "" : ",\"tenants\":[" + tenants + "]");
         state.offer(ConfigurationChecks.parseReplacement(json.getBytes(StandardCharsets.UTF_8)));
     }
 
@@ -106,6 +110,16 @@
         return route("stream", "/lm/", "streaming", "lm", maxAttempts, Boolean.toString(resumable));
     }
 
+    /** A tenant without a limit. */
+    static String tenant(String name, String... keys) {
+        return "{\"name\":\"%s\",\"api_keys\":[\"%s\"],\"priority\":1}".formatted(name, String.join("\",\"", keys));
+    }
+
+    /** The header field that carries a key. */
+    static String keyField(String key) {
+        return "Authorization: Bearer " + key;
+    }
+
     /** A replica that is ready and known. */
     ScriptedReplica replica(String id, String service, Stage stage) throws IOException {
         ScriptedReplica replica = new ScriptedReplica(id, service, stage);
