--- /dev/null
+++ b/router-fleet/system/src/test/java/pinewick/system/CountingReplica.java
@@ -0,0 +1,82 @@
+package pinewick.system;
+
+import com.sun.net.httpserver.Headers;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import pinewick.model.SocketAddress;
+
+/** A replica of a plain service that runs every request at once, and notes which request it ran when. */
+final class CountingReplica implements AutoCloseable {
+    static final String REQUEST_ID = "X-Pinewick-Request-Id";
+
+    private static final int OK = 200;
+    private static final int NO_BODY = -1;
+
+    private final String instanceId;
+    private final HttpServer server =
+            HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.3.1"), 0), 0);
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final List<Run> runs = new CopyOnWriteArrayList<>();
+
+    /** A request that was run, by {@link System#nanoTime}. */
+    record Run(String requestId, long atNanos) {}
+
+    CountingReplica(String instanceId) throws IOException {
+        this.instanceId = instanceId;
+        server.createContext("/", this::run);
+        server.createContext("/health", this::answerHealth);
+        server.createContext("/report", exchange -> answer(exchange));
+        server.setExecutor(threads);
+        server.start();
+    }
+
+    private void run(HttpExchange exchange) throws IOException {
+        String requestId = exchange.getRequestHeaders().getFirst(REQUEST_ID);
+        runs.add(new Run(requestId, System.nanoTime()));
+        Headers answered = exchange.getResponseHeaders();
+        answered.set(REQUEST_ID, requestId);
+        answered.set("X-Pinewick-Server-Signature", instanceId + "." + requestId);
+        answer(exchange);
+    }
+
+    private void answerHealth(HttpExchange exchange) throws IOException {
+        exchange.getResponseHeaders().set("X-Pinewick-Instance-Id", instanceId);
+        answer(exchange);
+    }
+
+    private static void answer(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            exchange.getRequestBody().readAllBytes();
+            exchange.sendResponseHeaders(OK, NO_BODY);
+        }
+    }
+
+    /** All requests that it has run so far, of whatever tenant. */
+    List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    /** The body of its heartbeats. */
+    String heartbeat(String service, long callSequence) {
+        SocketAddress address = new SocketAddress(
+                server.getAddress().getAddress().getHostAddress(),
+                server.getAddress().getPort());
+        return """
+                {"service":"%s","address":"%s","zone":"zone","version":"v1","slots":200,"state":"ready",\
+                "cold_remaining_ms":0,"call_sequence":%d}"""
+                .formatted(service, address, callSequence);
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
