Settings: bounds of key revocation, quotas and the stretch by an unstable core

The milestone of tenants brings six figures in [bounds] that a process needs for its own waits: max_stretch_ms, revocation_closed, revoke_ms, quota_window_s, quota_overage and quota_slack. They were ignored. They are now read into NodeSettings.Bounds, with defaults for deployments that leave them out.

SettingsReaderTest reads each with a value other than its default.

--- a/router-fleet/model/src/main/java/pinewick/model/NodeSettings.java
+++ b/router-fleet/model/src/main/java/pinewick/model/NodeSettings.java
@@ -81,7 +81,13 @@
             double againSeconds,
             boolean fencingEnabled,
             int leaseMs,
-            int thawSlackMs) {}
+            int thawSlackMs,
+            int maxStretchMs,
+            boolean revocationClosed,
+            int revokeMs,
+            double quotaWindowSeconds,
+            double quotaOverage,
+            double quotaSlack) {}
 
     /** The port on which routers receive internal messages, on every machine. */
     public int routerPort() {
--- a/router-fleet/system/src/main/java/pinewick/system/SettingsReader.java
+++ b/router-fleet/system/src/main/java/pinewick/system/SettingsReader.java
@@ -31,8 +31,9 @@
     private static final int MIN_INTERNAL_PORTS = 2;
     private static final int DEFAULT_HEARTBEAT_MS = 1_000;
     private static final MachineLimits DEFAULT_LIMITS = new MachineLimits(1, 1, 256, 1_024, 1_000, 0);
-    private static final Bounds DEFAULT_BOUNDS =
-            new Bounds(3, 2, 3_000, 4_000, 4, 2_000, 8, 200, 2_000, 250, 0.1, 10, 0, 12, 120, 5, false, 3_000, 300);
+    private static final Bounds DEFAULT_BOUNDS = new Bounds(
+            3, 2, 3_000, 4_000, 4, 2_000, 8, 200, 2_000, 250, 0.1, 10, 0, 12, 120, 5, false, 3_000, 300, 5_000, false,
+            5_000, 8, 0.1, 0);
 
     private SettingsReader() {}
 
@@ -217,6 +218,12 @@
                 bounds.number("again_s", defaults.againSeconds()),
                 bounds.flag("fencing_enabled", defaults.fencingEnabled()),
                 bounds.intNumber("lease_ms", defaults.leaseMs()),
-                bounds.intNumber("thaw_slack_ms", defaults.thawSlackMs()));
+                bounds.intNumber("thaw_slack_ms", defaults.thawSlackMs()),
+                bounds.intNumber("max_stretch_ms", defaults.maxStretchMs()),
+                bounds.flag("revocation_closed", defaults.revocationClosed()),
+                bounds.intNumber("revoke_ms", defaults.revokeMs()),
+                bounds.number("quota_window_s", defaults.quotaWindowSeconds()),
+                bounds.number("quota_overage", defaults.quotaOverage()),
+                bounds.number("quota_slack", defaults.quotaSlack()));
     }
 }
--- a/router-fleet/system/src/test/java/pinewick/system/SampleSettings.java
+++ b/router-fleet/system/src/test/java/pinewick/system/SampleSettings.java
@@ -36,7 +36,12 @@
             loss_slack_ms = 200
             config_apply_ms = 2001
             rollback_slack_ms = 250
-            max_stretch_ms = 5000
+            max_stretch_ms = 5001
+            revocation_closed = true
+            revoke_ms = 5002
+            quota_window_s = 9
+            quota_overage = 0.2
+            quota_slack = 190000
             retry_budget_ratio = 0.2
             budget_window_s = 10
             retry_budget_slack = 58
--- a/router-fleet/system/src/test/java/pinewick/system/SettingsReaderTest.java
+++ b/router-fleet/system/src/test/java/pinewick/system/SettingsReaderTest.java
@@ -55,7 +55,8 @@
         assertEquals(new NodeSettings.MachineLimits(0.75, 2, 430, 4100, 1000, 128), settings.limits());
         assertEquals(
                 new NodeSettings.Bounds(
-                        3, 2, 3000, 4001, 4, 2000, 8, 200, 2001, 250, 0.2, 10, 58, 12, 120, 4.6, true, 3001, 300),
+                        3, 2, 3000, 4001, 4, 2000, 8, 200, 2001, 250, 0.2, 10, 58, 12, 120, 4.6, true, 3001, 300, 5001,
+                        true, 5002, 9, 0.2, 190_000),
                 settings.bounds());
     }
 
