Configuration model: tenants with API keys and quotas, and anonymous routes

The section tenants was kept and given back, but not read: no process could tell whose key a request carries. Faults: a section that is no list of items with names of their own, a key that is empty or no text, a negative rate or burst, an unknown unit, and a key that two tenants share, which is reported at each holder. A configuration with the section, even an empty one, requires keys (RoutingTable.requiresKeys), except on routes with the new field anonymous.

--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/LifecycleTestContext.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/LifecycleTestContext.java
@@ -43,7 +43,8 @@
                 maxAttempts,
                 false,
                 resumable,
-                150);
+                150,
+                false);
         for (int i = 0; i < 4; i++) {
             directory.update(replica("d-" + i, generation ? Stage.DECODE : Stage.NONE));
             directory.update(replica("p-" + i, generation ? Stage.PREFILL : Stage.NONE));
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/LoadReportExchangeTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/LoadReportExchangeTest.java
@@ -46,7 +46,8 @@
             2,
             true,
             true,
-            150);
+            150,
+            false);
 
     private ReplicaSelector selector;
     private LoadReportExchange exchange;
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/WeightedSplitTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/WeightedSplitTest.java
@@ -51,7 +51,7 @@
     private static Route route(int firstWeight, int secondWeight) {
         List<Route.WeightedService> split =
                 List.of(new Route.WeightedService(FIRST, firstWeight), new Route.WeightedService(SECOND, secondWeight));
-        return new Route("r", "host", "/r/", RouteKind.IDEMPOTENT, 1_000, 500, 0, split, 2, false, false, 0);
+        return new Route("r", "host", "/r/", RouteKind.IDEMPOTENT, 1_000, 500, 0, split, 2, false, false, 0, false);
     }
 
     private static ReplicaRecord replica(String service) {
--- a/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
+++ b/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
@@ -7,6 +7,7 @@
 import com.google.gson.JsonPrimitive;
 import java.math.BigDecimal;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,8 +19,12 @@
     private static final String VERSION = "version";
     private static final String UPSERTS = "upserts";
     private static final String REMOVALS = "removals";
-    /** Sections that a full configuration must have, whose items always need a unique name. */
-    private static final Set<String> KNOWN_SECTIONS = Set.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES);
+    /** Sections that a full configuration must have. */
+    private static final List<String> REQUIRED_SECTIONS =
+            List.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES);
+    /** Sections whose items always need a unique name. */
+    private static final Set<String> KNOWN_SECTIONS =
+            Set.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES, RoutingTableBuilder.TENANTS);
 
     private final FaultList faults;
 
@@ -32,7 +37,7 @@
         Map<String, Map<String, JsonObject>> sections = new LinkedHashMap<>();
         Map<String, JsonElement> fields = new LinkedHashMap<>();
         body.entrySet().forEach(entry -> readTopLevel(entry.getKey(), entry.getValue(), sections, fields));
-        for (String section : new String[] {RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES}) {
+        for (String section : REQUIRED_SECTIONS) {
             if (!body.has(section)) {
                 faults.add(FaultList.DOCUMENT, section, "is missing; give a list, which may be empty");
             }
--- a/router-fleet/model/src/main/java/pinewick/model/ItemFields.java
+++ b/router-fleet/model/src/main/java/pinewick/model/ItemFields.java
@@ -107,6 +107,15 @@
         return number(field).map(BigDecimal::doubleValue).orElse(defaultValue);
     }
 
+    /** A number that may be absent; a negative one is a fault. */
+    double numberFromZero(String field, double defaultValue) {
+        double number = fraction(field, defaultValue);
+        if (number < 0) {
+            fault(field, "is below 0; give a number from 0 up");
+        }
+        return number;
+    }
+
     /** A number of any size; a fault if the field has another type. */
     Optional<BigDecimal> number(String field) {
         if (!has(field)) {
--- a/router-fleet/model/src/main/java/pinewick/model/Route.java
+++ b/router-fleet/model/src/main/java/pinewick/model/Route.java
@@ -17,6 +17,7 @@
  * @param sessionAffinity whether requests name the parts of their prompt, for prefix-cache affinity
  * @param resumable whether an interrupted stream may be resumed at another replica
  * @param targetGapMs target for the longest gap between events, milliseconds; 0 for none
+ * @param anonymous whether requests need no key where the configuration has tenants
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         int maxAttempts,
         boolean sessionAffinity,
         boolean resumable,
-        int targetGapMs) {
+        int targetGapMs,
+        boolean anonymous) {
 
     public Route {
         split = List.copyOf(split);
--- a/router-fleet/model/src/main/java/pinewick/model/RouteBuilder.java
+++ b/router-fleet/model/src/main/java/pinewick/model/RouteBuilder.java
@@ -54,7 +54,8 @@
                 fields.intNumber("max_attempts", 1, 1),
                 fields.flag("session_affinity"),
                 fields.flag("resumable"),
-                fields.intNumber("gap_aim_ms", 0, 0));
+                fields.intNumber("gap_aim_ms", 0, 0),
+                fields.flag("anonymous"));
     }
 
     private String pathPrefix() {
--- a/router-fleet/model/src/main/java/pinewick/model/RoutingTable.java
+++ b/router-fleet/model/src/main/java/pinewick/model/RoutingTable.java
@@ -1,7 +1,9 @@
 package pinewick.model;
 
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,11 +17,34 @@
     private final Map<String, HostRoutes> routesByHost = new HashMap<>();
     private final Map<String, ServiceSpec> services;
     private final RequestLimits limits;
+    private final boolean requiresKeys;
+    private final Map<String, Tenant> tenants;
+    private final Map<ApiKeyDigest, Tenant> tenantsByKey = new HashMap<>();
 
-    /** @param routes routes whose prefixes start and end with a slash, with unique pairs of host and prefix */
+    /**
+     * A table of a configuration without tenants.
+     *
+     * @param routes routes whose prefixes start and end with a slash, with unique pairs of host and prefix
+     */
     public RoutingTable(long version, List<Route> routes, List<ServiceSpec> services, RequestLimits limits) {
+        this(version, routes, services, limits, false, List.of());
+    }
+
+    /**
+     * @param routes routes whose prefixes start and end with a slash, with unique pairs of host and prefix
+     * @param requiresKeys whether the configuration has tenants, even if the list of them is empty
+     * @param tenants tenants of different names, no two of which share a key
+     */
+    public RoutingTable(
+            long version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            RequestLimits limits,
+            boolean requiresKeys,
+            List<Tenant> tenants) {
         this.version = version;
         this.limits = limits;
+        this.requiresKeys = requiresKeys;
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.hostname(), host -> new HostRoutes())
@@ -28,6 +53,12 @@
         Map<String, ServiceSpec> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
         this.services = Collections.unmodifiableMap(byName);
+        Map<String, Tenant> tenantsByName = new LinkedHashMap<>();
+        for (Tenant tenant : tenants) {
+            tenantsByName.put(tenant.name(), tenant);
+            tenant.keys().forEach(key -> tenantsByKey.put(key, tenant));
+        }
+        this.tenants = Collections.unmodifiableMap(tenantsByName);
     }
 
     public long version() {
@@ -55,6 +86,26 @@
         return services;
     }
 
+    /** Whether every request needs a key, unless its route is anonymous. */
+    public boolean requiresKeys() {
+        return requiresKeys;
+    }
+
+    /** The tenant that holds a key. */
+    public Optional<Tenant> tenantOfKey(String key) {
+        return Optional.ofNullable(tenantsByKey.get(ApiKeyDigest.of(key)));
+    }
+
+    /** The tenant of a name. */
+    public Optional<Tenant> tenant(String name) {
+        return Optional.ofNullable(tenants.get(name));
+    }
+
+    /** Every tenant, in the operator's order. */
+    public Collection<Tenant> tenants() {
+        return tenants.values();
+    }
+
     /** The routes of one host. */
     private static final class HostRoutes {
         private final Map<String, Route> byPrefix = new HashMap<>();
--- a/router-fleet/model/src/main/java/pinewick/model/RoutingTableBuilder.java
+++ b/router-fleet/model/src/main/java/pinewick/model/RoutingTableBuilder.java
@@ -13,6 +13,8 @@
     static final String ROUTES = "routes";
     /** Section with the services. */
     static final String SERVICES = "services";
+    /** Section with the tenants, which a configuration may leave out. */
+    static final String TENANTS = "tenants";
     /** Field with the limits of what clients may send. */
     static final String LIMITS = "limits";
 
@@ -31,7 +33,13 @@
         items(SERVICES)
                 .forEach((name, item) -> services.add(
                         new ServiceBuilder(new ItemFields(SERVICES + "/" + name, item, faults), faults).build()));
-        return new RoutingTable(document.version(), routes, services, limits());
+        return new RoutingTable(
+                document.version(),
+                routes,
+                services,
+                limits(),
+                document.sections().containsKey(TENANTS),
+                tenants());
     }
 
     private List<Route> routes() {
@@ -51,6 +59,20 @@
         return routes;
     }
 
+    private List<Tenant> tenants() {
+        JsonElement field = document.fields().get(TENANTS);
+        if (field != null && !field.isJsonNull()) {
+            // Only a release that did not know the section has stored such a document.
+            faults.add(TENANTS, "", "is not a list of items with names of their own");
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        items(TENANTS)
+                .forEach((name, item) ->
+                        tenants.add(new TenantBuilder(new ItemFields(TENANTS + "/" + name, item, faults)).build()));
+        new SharedKeyCheck().report(tenants, faults);
+        return tenants;
+    }
+
     private RequestLimits limits() {
         JsonElement value = document.fields().get(LIMITS);
         if (value == null || value.isJsonNull()) {
--- /dev/null
+++ b/router-fleet/model/src/main/java/pinewick/model/TenantBuilder.java
@@ -0,0 +1,68 @@
+package pinewick.model;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonPrimitive;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+/** Builds a {@link Tenant} from the operator's item, and reports every fault of it, none of which contains a key. */
+final class TenantBuilder {
+    /** Field with the keys of a tenant. */
+    static final String API_KEYS = "api_keys";
+
+    private static final String UNIT = "unit";
+    private static final String TOKEN_UNIT = "token_accounting";
+
+    private final ItemFields fields;
+
+    TenantBuilder(ItemFields fields) {
+        this.fields = fields;
+    }
+
+    /** The tenant; after faults with defaults, and the caller rejects the document. */
+    Tenant build() {
+        return new Tenant(fields.requiredText("name"), keys(), priority(), limit());
+    }
+
+    private Set<ApiKeyDigest> keys() {
+        Set<ApiKeyDigest> keys = new LinkedHashSet<>();
+        int index = 0;
+        for (JsonElement key : fields.list(API_KEYS)) {
+            String position = API_KEYS + "[" + index++ + "]";
+            if (key instanceof JsonPrimitive text
+                    && text.isString()
+                    && !text.getAsString().isEmpty()) {
+                keys.add(ApiKeyDigest.of(text.getAsString()));
+            } else {
+                fields.fault(position, "is empty or no text; give each key as a text");
+            }
+        }
+        return keys;
+    }
+
+    private OptionalInt priority() {
+        return fields.has("priority") ? OptionalInt.of(fields.intNumber("priority", 0, 0)) : OptionalInt.empty();
+    }
+
+    private QuotaLimit limit() {
+        QuotaLimit defaults = QuotaLimit.UNLIMITED;
+        return new QuotaLimit(
+                fields.numberFromZero("rate_per_s", defaults.ratePerSecond()),
+                fields.numberFromZero("burst_size", defaults.burstSize()),
+                unit(),
+                fields.intNumber("uncached_tokens", 0, defaults.uncachedTokens()));
+    }
+
+    private QuotaUnit unit() {
+        Optional<String> unit = fields.text(UNIT);
+        if (unit.isEmpty()) {
+            return QuotaUnit.REQUESTS;
+        }
+        if (!unit.get().equals(TOKEN_UNIT)) {
+            fields.fault(UNIT, "is not " + TOKEN_UNIT + "; give that, or leave it out to count requests");
+        }
+        return QuotaUnit.TOKENS;
+    }
+}
--- a/router-fleet/model/src/test/java/pinewick/model/GeneratedDocuments.java
+++ b/router-fleet/model/src/test/java/pinewick/model/GeneratedDocuments.java
@@ -35,7 +35,7 @@
     /** Documents of any section, of {@code version}. */
     static Arbitrary<ConfigurationDocument> ofVersion(long version) {
         Arbitrary<Map<String, Map<String, JsonObject>>> sections =
-                Arbitraries.maps(Arbitraries.of("routes", "services", "mirrors"), items());
+                Arbitraries.maps(Arbitraries.of("routes", "services", "tenants", "mirrors"), items());
         Arbitrary<Map<String, JsonElement>> fields = Arbitraries.maps(Arbitraries.of("limits", "notes"), values());
         return Combinators.combine(sections, fields)
                 .as((inSections, beside) -> new ConfigurationDocument(version, inSections, beside));
--- a/router-fleet/model/src/test/java/pinewick/model/RoutingTableTest.java
+++ b/router-fleet/model/src/test/java/pinewick/model/RoutingTableTest.java
@@ -19,7 +19,8 @@
                 1,
                 false,
                 false,
-                0);
+                0,
+                false);
     }
 
     private static String find(String host, String path) {
--- a/router-fleet/selection/src/test/java/pinewick/selection/CallPriorityTest.java
+++ b/router-fleet/selection/src/test/java/pinewick/selection/CallPriorityTest.java
@@ -27,7 +27,8 @@
                 2,
                 true,
                 false,
-                150);
+                150,
+                false);
         return new RequestShape(route, "s", true, "m", 1_000, 20, List.of(), ARRIVED_AT_MS, ARRIVED_AT_MS + HELD_MS);
     }
 
--- a/router-fleet/selection/src/test/java/pinewick/selection/RequestShapes.java
+++ b/router-fleet/selection/src/test/java/pinewick/selection/RequestShapes.java
@@ -28,7 +28,8 @@
                 2,
                 true,
                 false,
-                150);
+                150,
+                false);
     }
 
     static RequestShape plain(double nowMs) {
--- a/router-fleet/selection/src/test/java/pinewick/selection/VirtualFleet.java
+++ b/router-fleet/selection/src/test/java/pinewick/selection/VirtualFleet.java
@@ -125,7 +125,8 @@
                 2,
                 true,
                 false,
-                150);
+                150,
+                false);
     }
 
     static List<Kind> usualKinds(double factor, double burst) {
