No fault, exception or toString contains an API key

With keys in the configuration, some texts that logs and answers show would have disclosed them: the fault of a removal that is no name printed the whole value, as did the fault of a version that is no number; the parser's message carries the path, which consists of member names; the text of a delta, which is a record, contained its items; and Gson's conversions print the value that they reject. Only numbers, true, false and null are printed now, the parser's message ends with line and column and has no cause, deltas print names only, and the decoder casts.

CommandsTest: check-config reports each fault of tenants by item and field, and a shared key by its fingerprint.

--- a/router-fleet/model/src/main/java/pinewick/model/ConfigurationDelta.java
+++ b/router-fleet/model/src/main/java/pinewick/model/ConfigurationDelta.java
@@ -79,4 +79,11 @@
         });
         return new ConfigurationDocument(version, sections, fields);
     }
+
+    /** The versions and the names of what changes; without the items, which may contain keys. */
+    @Override
+    public String toString() {
+        return "ConfigurationDelta[baseVersion=" + baseVersion + ", version=" + version + ", upserts="
+                + upserts.keySet() + ", removals=" + removals.keySet() + ", fields=" + fields.keySet() + "]";
+    }
 }
--- a/router-fleet/model/src/main/java/pinewick/model/DeltaFormat.java
+++ b/router-fleet/model/src/main/java/pinewick/model/DeltaFormat.java
@@ -140,20 +140,20 @@
         return json;
     }
 
+    /** Casts, because the messages of Gson's own conversions contain the value, and with it keys. */
     private static ConfigurationDelta fromJson(JsonObject json) {
         Map<String, Map<String, JsonObject>> upserts = new LinkedHashMap<>();
         json.getAsJsonObject(UPSERTS).entrySet().forEach(section -> {
             Map<String, JsonObject> items = new LinkedHashMap<>();
-            section.getValue()
-                    .getAsJsonObject()
+            ((JsonObject) section.getValue())
                     .entrySet()
-                    .forEach(item -> items.put(item.getKey(), item.getValue().getAsJsonObject()));
+                    .forEach(item -> items.put(item.getKey(), (JsonObject) item.getValue()));
             upserts.put(section.getKey(), items);
         });
         Map<String, List<String>> removals = new LinkedHashMap<>();
         json.getAsJsonObject(REMOVALS).entrySet().forEach(section -> {
             List<String> names = new ArrayList<>();
-            section.getValue().getAsJsonArray().forEach(name -> names.add(name.getAsString()));
+            ((JsonArray) section.getValue()).forEach(name -> names.add(name.getAsString()));
             removals.put(section.getKey(), names);
         });
         Map<String, JsonElement> fields = new LinkedHashMap<>();
--- a/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
+++ b/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * Converts the operator's bodies into documents: sections, fields and version, whose contents are not validated yet.
@@ -26,6 +27,9 @@
     private static final Set<String> KNOWN_SECTIONS =
             Set.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES, RoutingTableBuilder.TENANTS);
 
+    /** A version that was put in quotes by mistake. */
+    private static final Pattern NUMBER_IN_QUOTES = Pattern.compile("-?[0-9]{1,19}");
+
     private final FaultList faults;
 
     DocumentReader(FaultList faults) {
@@ -73,7 +77,7 @@
         } catch (ArithmeticException e) {
             // Reported below: it has a fraction or is too large.
         }
-        faults.add(FaultList.DOCUMENT, VERSION, body.get(VERSION) + " is not a whole number above 0");
+        faults.add(FaultList.DOCUMENT, VERSION, describe(body.get(VERSION)) + " is not a whole number above 0");
         return 0;
     }
 
@@ -151,7 +155,7 @@
         }
         for (JsonElement name : list) {
             if (!(name instanceof JsonPrimitive text) || !text.isString()) {
-                faults.add(REMOVALS, section, name + " is not a name");
+                faults.add(REMOVALS, section, describe(name) + " is not a name");
             } else if (sections.containsKey(section)) {
                 sections.get(section).remove(text.getAsString());
             }
@@ -176,6 +180,20 @@
         sections.computeIfAbsent(section, key -> new LinkedHashMap<>()).putAll(changed);
     }
 
+    /** A value of the wrong type, as a fault prints it: in full only if it cannot contain a key. */
+    private static String describe(JsonElement value) {
+        if (value instanceof JsonObject) {
+            return "an object";
+        }
+        if (value instanceof JsonArray) {
+            return "a list";
+        }
+        boolean isOtherText = value instanceof JsonPrimitive primitive
+                && primitive.isString()
+                && !NUMBER_IN_QUOTES.matcher(primitive.getAsString()).matches();
+        return isOtherText ? "a text" : value.toString();
+    }
+
     private static Optional<String> nameOf(JsonElement item) {
         if (item instanceof JsonObject object
                 && object.get("name") instanceof JsonPrimitive name
--- a/router-fleet/model/src/main/java/pinewick/model/JsonText.java
+++ b/router-fleet/model/src/main/java/pinewick/model/JsonText.java
@@ -17,17 +17,21 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Strict parsing of JSON text, and comparison of JSON by its exact text. */
 final class JsonText {
+    /** The end of the parser's messages: the path of the value, and on further lines a link to its manual. */
+    private static final Pattern PATH_AND_ADVICE = Pattern.compile("( path \\$|\n).*", Pattern.DOTALL);
+
     private JsonText() {}
 
-    /** Text that is not one complete JSON value. */
+    /** Text that is not one complete JSON value. Without a cause, whose message would disclose parts of the text. */
     static final class UnreadableException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        UnreadableException(String reason, Throwable cause) {
-            super(reason, cause);
+        UnreadableException(String reason) {
+            super(reason);
         }
     }
 
@@ -41,13 +45,13 @@
             reader.setStrictness(Strictness.STRICT);
             JsonElement value = JsonParser.parseReader(reader);
             if (reader.peek() != JsonToken.END_DOCUMENT) {
-                throw new UnreadableException("something follows the JSON value", null);
+                throw new UnreadableException("something follows the JSON value");
             }
             return value;
         } catch (CharacterCodingException e) {
-            throw new UnreadableException("the text is not UTF-8", e);
+            throw new UnreadableException("the text is not UTF-8");
         } catch (IOException | JsonParseException e) {
-            throw new UnreadableException(firstLine(e), e);
+            throw new UnreadableException(reason(e));
         }
     }
 
@@ -115,9 +119,12 @@
                 .toString();
     }
 
-    private static String firstLine(Exception e) {
+    /**
+     * What is wrong and at which line and column; without the path, which consists of member names and would disclose a
+     * key that stands where a name should.
+     */
+    private static String reason(Exception e) {
         String message = String.valueOf(e.getMessage());
-        int end = message.indexOf('\n');
-        return end < 0 ? message : message.substring(0, end);
+        return PATH_AND_ADVICE.matcher(message).replaceFirst("");
     }
 }
--- a/router-fleet/model/src/main/java/pinewick/model/SectionDifference.java
+++ b/router-fleet/model/src/main/java/pinewick/model/SectionDifference.java
@@ -46,6 +46,12 @@
         return retained;
     }
 
+    /** The names of what changes; without the items, which may contain keys. */
+    @Override
+    public String toString() {
+        return "SectionDifference[removals=" + removals + ", upserts=" + upserts.keySet() + "]";
+    }
+
     private static boolean advanceTo(String name, Iterator<String> names) {
         while (names.hasNext()) {
             if (names.next().equals(name)) {
--- a/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
+++ b/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
@@ -68,6 +68,38 @@
                 err.toString().strip());
     }
 
+    @Test
+    void reportsTheErrorsOfTenantsWithoutTheirKeys() throws IOException {
+        String tenants = "{'name':'a','api_keys':['sk-secret-1']},{'name':'a','api_keys':'sk-secret-2'},"
+                + "{'name':'b','api_keys':['sk-secret-1',''],'unit':'words','rate_per_s':-1,'burst_size':-1},7";
+        String body = "{'version':3,'routes':[],'services':[],'tenants':[" + tenants + "]}";
+
+        assertEquals(2, run("check-config", file(body.replace('\'', '"'))));
+        assertEquals(
+                """
+                tenants/a.name: is used twice; give each item a name of its own
+                tenants[3].name: is missing or no text; give each item a name
+                tenants/a.api_keys: is not a list
+                tenants/b.api_keys[1]: is empty or no text; give each key as a text
+                tenants/b.rate_per_s: is below 0; give a number from 0 up
+                tenants/b.burst_size: is below 0; give a number from 0 up
+                tenants/b.unit: is not token_accounting; give that, or leave it out to count requests""",
+                err.toString().strip());
+    }
+
+    @Test
+    void reportsAKeyThatTenantsShareByItsFingerprint() throws IOException {
+        String body = "{'version':3,'routes':[],'services':[],'tenants':["
+                + "{'name':'a','api_keys':['sk-secret-1']},{'name':'b','api_keys':['sk-secret-1']}]}";
+
+        assertEquals(2, run("check-config", file(body.replace('\'', '"'))));
+        assertEquals(
+                """
+                tenants/a.api_keys: shares a key (fingerprint 07fd3265) with tenant 'b'; give each tenant keys of its own
+                tenants/b.api_keys: shares a key (fingerprint 07fd3265) with tenant 'a'; give each tenant keys of its own""",
+                err.toString().strip());
+    }
+
     @Test
     void reportsAnUnreadableFile() {
         assertEquals(2, run("check-config", folder.resolve("none").toString()));
