--- a/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
+++ b/router-fleet/model/src/main/java/pinewick/model/DocumentReader.java
@@ -7,9 +7,11 @@
 import com.google.gson.JsonPrimitive;
 import java.math.BigDecimal;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * Converts the operator's bodies into documents: sections, fields and version, whose contents are not validated yet.
@@ -18,8 +20,15 @@
     private static final String VERSION = "version";
     private static final String UPSERTS = "upserts";
     private static final String REMOVALS = "removals";
-    /** Sections that a full configuration must have, whose items always need a unique name. */
-    private static final Set<String> KNOWN_SECTIONS = Set.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES);
+    /** Sections that a full configuration must have. */
+    private static final List<String> REQUIRED_SECTIONS =
+            List.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES);
+    /** Sections whose items always need a unique name. */
+    private static final Set<String> KNOWN_SECTIONS =
+            Set.of(RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES, RoutingTableBuilder.TENANTS);
+
+    /** A version that was put in quotes by mistake. */
+    private static final Pattern NUMBER_IN_QUOTES = Pattern.compile("-?[0-9]{1,19}");
 
     private final FaultList faults;
 
@@ -32,7 +41,7 @@
         Map<String, Map<String, JsonObject>> sections = new LinkedHashMap<>();
         Map<String, JsonElement> fields = new LinkedHashMap<>();
         body.entrySet().forEach(entry -> readTopLevel(entry.getKey(), entry.getValue(), sections, fields));
-        for (String section : new String[] {RoutingTableBuilder.ROUTES, RoutingTableBuilder.SERVICES}) {
+        for (String section : REQUIRED_SECTIONS) {
             if (!body.has(section)) {
                 faults.add(FaultList.DOCUMENT, section, "is missing; give a list, which may be empty");
             }
@@ -68,7 +77,7 @@
         } catch (ArithmeticException e) {
             // Reported below: it has a fraction or is too large.
         }
-        faults.add(FaultList.DOCUMENT, VERSION, body.get(VERSION) + " is not a whole number above 0");
+        faults.add(FaultList.DOCUMENT, VERSION, describe(body.get(VERSION)) + " is not a whole number above 0");
         return 0;
     }
 
@@ -146,7 +155,7 @@
         }
         for (JsonElement name : list) {
             if (!(name instanceof JsonPrimitive text) || !text.isString()) {
-                faults.add(REMOVALS, section, name + " is not a name");
+                faults.add(REMOVALS, section, describe(name) + " is not a name");
             } else if (sections.containsKey(section)) {
                 sections.get(section).remove(text.getAsString());
             }
@@ -171,6 +180,20 @@
         sections.computeIfAbsent(section, key -> new LinkedHashMap<>()).putAll(changed);
     }
 
+    /** A value of the wrong type, as a fault prints it: in full only if it cannot contain a key. */
+    private static String describe(JsonElement value) {
+        if (value instanceof JsonObject) {
+            return "an object";
+        }
+        if (value instanceof JsonArray) {
+            return "a list";
+        }
+        boolean isOtherText = value instanceof JsonPrimitive primitive
+                && primitive.isString()
+                && !NUMBER_IN_QUOTES.matcher(primitive.getAsString()).matches();
+        return isOtherText ? "a text" : value.toString();
+    }
+
     private static Optional<String> nameOf(JsonElement item) {
         if (item instanceof JsonObject object
                 && object.get("name") instanceof JsonPrimitive name
