Internal messages that every program adds later get ids of their own

A type's id on the wire is its place in the program's list: the fleet's types, then those of replication at a controller or of load reports at a router. A further type among the fleet's moves the ids behind it, so that processes of two releases misread each other during a rolling restart.

MessageCodec takes a second list, whose ids start at 96 in every program; more than 80 types in the first are refused.

Evidence: MessageCodecTest.laterTypesHaveIdsThatDoNotDependOnTheTypesBefore; the tests of that class pass.

--- a/router-fleet/transport/src/main/java/pinewick/transport/MessageCodec.java
+++ b/router-fleet/transport/src/main/java/pinewick/transport/MessageCodec.java
@@ -30,6 +30,9 @@
     private static final int BYTES_ID = 11;
     private static final int ADDRESS_ID = 12;
     private static final int FIRST_TYPE_ID = 16;
+    /** Id of the first later type; up to here the types of a program have room. */
+    private static final int FIRST_LATER_TYPE_ID = 96;
+
     private static final int INITIAL_BUFFER_BYTES = 4_096;
 
     private final Kryo writer;
@@ -42,13 +45,25 @@
      *     byte arrays, lists and {@link SocketAddress} are known already. A type named twice counts once.
      */
     public MessageCodec(List<Class<?>> types) {
+        this(types, List.of());
+    }
+
+    /**
+     * @param types as for the other constructor
+     * @param laterTypes types with ids of their own, by their position in this list: programs that share only the front
+     *     of {@code types} add a common type here without moving the ids behind
+     */
+    public MessageCodec(List<Class<?>> types, List<Class<?>> laterTypes) {
         Set<Class<?>> distinct = new LinkedHashSet<>(types);
         distinct.remove(SocketAddress.class);
-        writer = newKryo(distinct);
-        reader = newKryo(distinct);
+        if (distinct.size() > FIRST_LATER_TYPE_ID - FIRST_TYPE_ID) {
+            throw new IllegalArgumentException(distinct.size() + " types reach the ids of later types");
+        }
+        writer = newKryo(distinct, laterTypes);
+        reader = newKryo(distinct, laterTypes);
     }
 
-    private static Kryo newKryo(Set<Class<?>> types) {
+    private static Kryo newKryo(Set<Class<?>> types, List<Class<?>> laterTypes) {
         Kryo kryo = new ListAwareKryo();
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
@@ -60,6 +75,10 @@
         for (Class<?> type : types) {
             register(kryo, type, id++);
         }
+        id = FIRST_LATER_TYPE_ID;
+        for (Class<?> type : laterTypes) {
+            register(kryo, type, id++);
+        }
         return kryo;
     }
 
--- a/router-fleet/transport/src/test/java/pinewick/transport/MessageCodecTest.java
+++ b/router-fleet/transport/src/test/java/pinewick/transport/MessageCodecTest.java
@@ -53,6 +53,18 @@
         assertEquals(expected.colour(), actual.colour());
     }
 
+    @Test
+    void laterTypesHaveIdsThatDoNotDependOnTheTypesBefore() throws MalformedFrameException {
+        List<Class<?>> later = List.of(LaterMessage.class);
+        MessageCodec one = new MessageCodec(TestMessage.types(), later);
+        MessageCodec other = new MessageCodec(List.of(), later);
+        byte[] frame = one.encode(PORT, new LaterMessage(9));
+        assertEquals(new LaterMessage(9), other.decode(frame, 0, frame.length).message());
+        assertArrayEquals(codec.encode(PORT, sample()), one.encode(PORT, sample()));
+    }
+
+    private record LaterMessage(long number) implements Message {}
+
     @Test
     void whatIsWrittenIsRead() throws MalformedFrameException {
         assertSame(sample(), throughTheCodec(sample()));
