A router knows, as a strict bound, when its configuration was the newest

Callers whose key was taken away could go on at a router that is cut off, as nothing there tells how old its configuration is: QuorumConfirmation counts unsolicited digests from their arrival, and a follower's word rests on the arrival of a heartbeat.

ConfigurationFreshness holds a proof in own steady time. A reply to an own request counts from when the request was sent, less the age told in it; the primary's own proof comes with the next commit. FleetNode.freshness() and knownPrimary() are for any thread. The two messages are in FleetMessages.laterTypes(), so that no id moves.

Bytes of the messages are pinned in InternalMessageBytesTest, which has not been run yet.

--- a/router-fleet/control/src/main/java/pinewick/control/Controller.java
+++ b/router-fleet/control/src/main/java/pinewick/control/Controller.java
@@ -133,7 +133,7 @@
         List<Class<?>> types = new ArrayList<>(FleetMessages.types());
         types.addAll(ReplicationMessages.types());
         try {
-            return new NetworkTransport(internal, new MessageCodec(types));
+            return new NetworkTransport(internal, new MessageCodec(types, FleetMessages.laterTypes()));
         } catch (TransportException e) {
             throw new ControllerException("open the transport", internal.toString(), e);
         }
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/FleetConnection.java
@@ -35,7 +35,7 @@
     FleetConnection(NodeSettings settings, RandomGenerator random) throws RouterException {
         SocketAddress local = new SocketAddress(settings.ipAddress(), settings.routerPort());
         try {
-            transport = new NetworkTransport(local, new MessageCodec(messageTypes()));
+            transport = new NetworkTransport(local, new MessageCodec(messageTypes(), FleetMessages.laterTypes()));
         } catch (TransportException e) {
             throw new RouterException("listening to peers", local.toString(), e);
         }
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/RouterTest.java
@@ -51,7 +51,7 @@
         int first = freePorts(4);
         settings = settings(first);
         SocketAddress address = new SocketAddress(LOOPBACK, settings.controllerPort());
-        transport = new NetworkTransport(address, new MessageCodec(FleetMessages.types()));
+        transport = new NetworkTransport(address, new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes()));
         NodeDescriptor self = new NodeDescriptor(address, 1, NodeRole.CONTROLLER, "zone");
         controller = new FleetNode(self, List.of(address), known, transport, new Random(1));
         router = new Router(settings);
--- a/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -7,6 +7,7 @@
 import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
+import pinewick.model.SocketAddress;
 import pinewick.model.Stage;
 import pinewick.model.WireName;
 
@@ -45,6 +46,14 @@
         return types;
     }
 
+    /**
+     * Types of the messages that were added later. Each program registers types of its own behind {@link #types}, whose
+     * ids must not move: these have ids of their own, by their position in this list. Append only.
+     */
+    public static List<Class<?>> laterTypes() {
+        return List.of(ConfirmationRequest.class, ConfirmationReply.class);
+    }
+
     /**
      * A digest of what the sender knows.
      *
@@ -141,4 +150,18 @@
 
     /** Heartbeats that a controller received since its last batch. */
     public record HeartbeatBatch(List<HeartbeatReport> reports) implements Message {}
+
+    /** Asks when the receiver's configuration was last known to be the newest. */
+    public record ConfirmationRequest(long requestId) implements Message {}
+
+    /**
+     * Answers a {@link ConfirmationRequest}.
+     *
+     * @param configurationVersion the version in force at the sender
+     * @param ageMs no higher version was acknowledged before this long ago, milliseconds, rounded up; -1 if that was
+     *     never known. Taken after the request arrived.
+     * @param primary internal address of the primary that the sender knows, null for none
+     */
+    public record ConfirmationReply(long requestId, long configurationVersion, int ageMs, SocketAddress primary)
+            implements Message {}
 }
--- a/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
+++ b/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetNode.java
@@ -6,6 +6,8 @@
 import pinewick.dissemination.FleetMessages.BucketHashes;
 import pinewick.dissemination.FleetMessages.ConfigurationPull;
 import pinewick.dissemination.FleetMessages.ConfigurationUpdate;
+import pinewick.dissemination.FleetMessages.ConfirmationReply;
+import pinewick.dissemination.FleetMessages.ConfirmationRequest;
 import pinewick.dissemination.FleetMessages.Digest;
 import pinewick.dissemination.FleetMessages.DigestReply;
 import pinewick.dissemination.FleetMessages.DigestRequest;
@@ -60,6 +62,8 @@
     private final HeartbeatExchange heartbeatExchange;
     private final Bootstrap bootstrap;
     private final QuorumConfirmation confirmation = new QuorumConfirmation();
+    private final ConfigurationFreshness freshness = new ConfigurationFreshness();
+    private final ConfirmationPoller confirmationPoller;
     private double nextDigestAtMs;
     private double nextPruneAtMs;
     private double lastTickMs = Double.NEGATIVE_INFINITY;
@@ -84,6 +88,7 @@
         this.random = random;
         sampling = new PeerSampling(self, seeds, outbox, random);
         configuration = new ConfigurationGossip(state, sampling, outbox, random);
+        confirmationPoller = new ConfirmationPoller(state, sampling, outbox, random, freshness, configuration);
         gossipedReplicas = new GossipedReplicas(state, outbox);
         reconciliation = new ReplicaReconciliation(state, gossipedReplicas, outbox, random);
         replicas = new ReplicaGossip(state, gossipedReplicas, sampling, outbox);
@@ -95,10 +100,12 @@
                 outbox,
                 random,
                 (peer, nowMs) -> reconciliation.requestSnapshot(peer, SnapshotPurpose.BOOTSTRAP, nowMs));
+        freshness.onConfigurationChanged(state.configuration().version());
         state.addListener(new FleetStateListener() {
             @Override
             public void onConfigurationChanged(ConfigurationDocument document) {
                 configuration.onConfigurationChanged(document);
+                freshness.onConfigurationChanged(document.version());
             }
 
             @Override
@@ -115,6 +122,7 @@
         confirmation.advance(nowMs);
         sampling.onTick(nowMs);
         configuration.onTick(nowMs);
+        confirmationPoller.onTick(nowMs);
         reconciliation.onTick(nowMs);
         replicas.onTick(nowMs);
         acknowledgedPush.onTick(nowMs);
@@ -143,7 +151,7 @@
     public double nextTickMs() {
         boolean hasWork = !bootstrap.isDone() || replicas.hasPendingUpdates();
         double dueMs = hasWork ? Double.NEGATIVE_INFINITY : Math.min(nextDigestAtMs, sampling.nextDueMs());
-        dueMs = Math.min(dueMs, configuration.nextDueMs());
+        dueMs = Math.min(dueMs, Math.min(configuration.nextDueMs(), confirmationPoller.nextDueMs()));
         dueMs = Math.min(dueMs, Math.min(acknowledgedPush.nextDueMs(), heartbeatExchange.nextDueMs()));
         return Math.max(lastTickMs + TICK_MS, Math.min(lastTickMs + MAX_TICK_INTERVAL_MS, dueMs));
     }
@@ -172,6 +180,7 @@
         return sampling.onMessage(sender, message, nowMs)
                 || onDigestMessage(sender, message, nowMs)
                 || onConfigurationMessage(sender, message, nowMs)
+                || onConfirmationMessage(sender, message, nowMs)
                 || onReplicaMessage(sender, message, nowMs)
                 || onControllerMessage(sender, message, nowMs);
     }
@@ -211,6 +220,17 @@
         return true;
     }
 
+    private boolean onConfirmationMessage(SocketAddress sender, Message message, double nowMs) {
+        if (message instanceof ConfirmationRequest request) {
+            confirmationPoller.onRequest(sender, request, nowMs);
+        } else if (message instanceof ConfirmationReply reply) {
+            confirmationPoller.onReply(sender, reply, nowMs);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private boolean onReplicaMessage(SocketAddress sender, Message message, double nowMs) {
         if (message instanceof ReplicaUpdate update) {
             onReplicaUpdate(sender, update, nowMs);
@@ -269,6 +289,29 @@
         confirmation.confirmLocally(nowMs);
     }
 
+    /**
+     * This process is the primary and has put in force every configuration that was acknowledged before
+     * {@code confirmedAtMs}, the time at which it sent the newest heartbeat that a quorum has answered.
+     */
+    public void confirmConfigurationUnderLease(double confirmedAtMs) {
+        freshness.confirm(confirmedAtMs);
+    }
+
+    /** The primary, by its internal address, as this controller knows it from replication; routers learn it here. */
+    public void setKnownPrimary(Optional<SocketAddress> internalAddress) {
+        confirmationPoller.setKnownPrimary(internalAddress);
+    }
+
+    /** The primary that this process knows, by its internal address. May have been lost since. Any thread. */
+    public Optional<SocketAddress> knownPrimary() {
+        return confirmationPoller.knownPrimary();
+    }
+
+    /** When the configuration was last known to be the newest, as of the last message. Any thread. */
+    public Confirmation freshness() {
+        return freshness.latest();
+    }
+
     /** This process has changed {@link FleetState#configuration()}: pushes it at once. */
     public void configurationCommitted(double nowMs) {
         configuration.publish();
--- a/router-fleet/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/router-fleet/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -48,7 +48,7 @@
     /** Whether a controller is in contact with a quorum, as replication would tell it. */
     Predicate<Process> quorumContact = controller -> !cutOff.contains(controller.address());
 
-    private final MessageCodec codec = new MessageCodec(FleetMessages.types());
+    private final MessageCodec codec = new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes());
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<SocketAddress, Process> processes = new HashMap<>();
     private final List<SocketAddress> seeds = new ArrayList<>();
--- a/router-fleet/dissemination/src/test/java/pinewick/dissemination/LoopbackFleetTest.java
+++ b/router-fleet/dissemination/src/test/java/pinewick/dissemination/LoopbackFleetTest.java
@@ -34,8 +34,9 @@
         private FleetNode node;
 
         RunningNode() throws TransportException {
-            transport =
-                    new NetworkTransport(new SocketAddress("127.0.0.1", 0), new MessageCodec(FleetMessages.types()));
+            transport = new NetworkTransport(
+                    new SocketAddress("127.0.0.1", 0),
+                    new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes()));
         }
 
         void start(NodeRole role, List<SocketAddress> seeds) {
--- a/router-fleet/dissemination/src/test/java/pinewick/dissemination/TestDocuments.java
+++ b/router-fleet/dissemination/src/test/java/pinewick/dissemination/TestDocuments.java
@@ -15,6 +15,13 @@
         return withRoutes(version, routes, 0);
     }
 
+    /** A document with a tenant, so that routers need to know whether it is the newest. */
+    static ConfigurationDocument withTenants(long version) {
+        JsonObject tenant = new JsonObject();
+        tenant.addProperty("name", "tenant-1");
+        return new ConfigurationDocument(version, Map.of("tenants", Map.of("tenant-1", tenant)), Map.of());
+    }
+
     /** The same with another time-out on the first {@code changed} routes. */
     static ConfigurationDocument withRoutes(long version, int routes, int changed) {
         Map<String, JsonObject> items = new LinkedHashMap<>();
--- a/router-fleet/system/src/test/java/pinewick/system/InternalMessageBytesTest.java
+++ b/router-fleet/system/src/test/java/pinewick/system/InternalMessageBytesTest.java
@@ -49,17 +49,31 @@
         assertSameBytes("router", types);
     }
 
+    /** These have ids of their own, the same in every program. */
+    @Test
+    void laterMessagesHaveTheSameBytesInEveryProgram() throws IOException {
+        List<Class<?>> controllerTypes = new ArrayList<>(FleetMessages.types());
+        controllerTypes.addAll(ReplicationMessages.types());
+        List<Class<?>> routerTypes = new ArrayList<>(FleetMessages.types());
+        routerTypes.addAll(LoadReportMessage.types());
+        List<Class<?>> laterTypes = FleetMessages.laterTypes();
+        List<String> written = encodeAll(new MessageCodec(controllerTypes, laterTypes), laterTypes);
+        assertEquals(written, encodeAll(new MessageCodec(routerTypes, laterTypes), laterTypes));
+        assertSameLines("message-bytes-later.txt", written);
+    }
+
     private static void assertSameBytes(String program, List<Class<?>> types) throws IOException {
-        String file = "message-bytes-" + program + ".txt";
-        List<String> written = encodeAll(types);
+        assertSameLines("message-bytes-" + program + ".txt", encodeAll(new MessageCodec(types), types));
+    }
+
+    private static void assertSameLines(String file, List<String> written) throws IOException {
         if (!RECORD_TO.isEmpty()) {
             Files.write(Path.of(RECORD_TO, file), written);
         }
         assertEquals(String.join("\n", read(file)), String.join("\n", written));
     }
 
-    private static List<String> encodeAll(List<Class<?>> types) {
-        MessageCodec codec = new MessageCodec(types);
+    private static List<String> encodeAll(MessageCodec codec, List<Class<?>> types) {
         List<String> lines = new ArrayList<>();
         for (int index = 0; index < types.size(); index++) {
             Class<?> type = types.get(index);
--- a/testing/lab/src/main/java/pinewick/lab/scale/FleetUnderTest.java
+++ b/testing/lab/src/main/java/pinewick/lab/scale/FleetUnderTest.java
@@ -42,7 +42,7 @@
                 "zone-a2",
                 addresses.seeds(),
                 addresses.firstPort() + 1,
-                new MessageCodec(FleetMessages.types()),
+                new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes()),
                 new SplittableRandom(seed));
         operator = new Operator(http, addresses.controlPlanes(), observer);
     }
--- a/testing/lab/src/main/java/pinewick/lab/scale/HollowNode.java
+++ b/testing/lab/src/main/java/pinewick/lab/scale/HollowNode.java
@@ -62,7 +62,7 @@
             throws TransportException {
         this.controllerPort = controllerPort;
         traffic = new TrafficMeter(sizes);
-        transport = new NetworkTransport(local, new MessageCodec(FleetMessages.types()));
+        transport = new NetworkTransport(local, new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes()));
         NodeDescriptor self = new NodeDescriptor(local, System.currentTimeMillis(), role, zone);
         node = new FleetNode(self, seeds, state, this::send, random);
         state.addListener(new Witness());
--- a/testing/lab/src/main/java/pinewick/lab/scale/HollowRouters.java
+++ b/testing/lab/src/main/java/pinewick/lab/scale/HollowRouters.java
@@ -33,7 +33,7 @@
     private final int worker;
     private final int count;
     private final SplittableRandom random;
-    private final MessageCodec sizes = new MessageCodec(FleetMessages.types());
+    private final MessageCodec sizes = new MessageCodec(FleetMessages.types(), FleetMessages.laterTypes());
     private final List<HollowNode> routers = new ArrayList<>();
 
     private HollowRouters(FleetAddresses addresses, int worker, int count, long seed) {
