A primary proves as of when its configuration is the newest

ReplicationNode.configurationConfirmedAtMs() is the sending time of the newest heartbeat that a quorum has answered under the primary's own, established epoch: the proof on which linearizable reads rest. ControllerCore passes it on to FleetNode at each tick and before it answers a ConfirmationRequest, and tells which primary it knows.

--- a/router-fleet/control/src/main/java/pinewick/control/ControllerCore.java
+++ b/router-fleet/control/src/main/java/pinewick/control/ControllerCore.java
@@ -102,6 +102,14 @@
             contact.onQuorumContact(loop.nowMs());
             node.confirmConfiguration(loop.nowMs());
         }
+        updateFreshness();
+    }
+
+    /** Passes on what replication knows of the primary and proves about the configuration. */
+    private void updateFreshness() {
+        replication.configurationConfirmedAtMs().ifPresent(node::confirmConfigurationUnderLease);
+        int internalPort = settings.self().address().port();
+        node.setKnownPrimary(replication.primary().map(api -> new SocketAddress(api.host(), internalPort)));
     }
 
     /** Runs the periodic tasks of {@link Housekeeping}. */
@@ -117,6 +125,9 @@
         }
         if (message instanceof FleetMessages.HeartbeatBatch batch) {
             fleet.onHeartbeatBatch(sender, batch);
+        } else if (message instanceof FleetMessages.ConfirmationRequest) {
+            replication.advanceClock(nowMs);
+            updateFreshness();
         }
         boolean handled =
                 replication.onMessage(sender, message, nowMs) || (!leftFleet && node.onMessage(sender, message, nowMs));
@@ -187,6 +198,14 @@
         return replication.leadingEpoch();
     }
 
+    /**
+     * The epoch that this process leads if at this moment no other process can take itself for the primary: a process
+     * that was frozen gets none.
+     */
+    public Optional<Long> soleAuthorityEpoch() {
+        return replication.soleAuthorityEpoch(loop.nowMs());
+    }
+
     /** The state of the replicated configuration at this moment. */
     public ReplicationReport replicationReport() {
         replication.advanceClock(loop.nowMs());
--- a/router-fleet/replication/src/main/java/pinewick/replication/EpochLease.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/EpochLease.java
@@ -68,6 +68,15 @@
         return sinceConfirmationMs() < RECENTLY_CONFIRMED_MS;
     }
 
+    /**
+     * When the newest heartbeat that a quorum has answered was sent, steady time; {@link Double#NEGATIVE_INFINITY} for
+     * none. Up to then no later epoch was chosen, whatever the clocks of the others do: the quorum that chooses one has
+     * a witness in common with the quorum that answered, and that witness promised nothing higher before its answer.
+     */
+    double confirmedSteadyMs() {
+        return confirmedSteadyMs;
+    }
+
     /** Until when, steady time, no other process can be primary. */
     double expirySteadyMs() {
         return confirmedSteadyMs + LEASE_DURATION_MS;
--- a/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import pinewick.model.SocketAddress;
 import pinewick.replication.ReplicationMessages.HeartbeatReply;
@@ -44,7 +45,7 @@
     private final FaultToleranceMonitor toleranceMonitor;
     private final ShutdownPermits shutdownPermits;
     private Optional<PrimaryEpoch> epoch = Optional.empty();
-    private double leaseStartSteadyMs = Double.POSITIVE_INFINITY;
+    private double becamePrimarySteadyMs = Double.POSITIVE_INFINITY;
 
     PrimaryRole(
             ReplicationContext context,
@@ -88,6 +89,17 @@
                 .isPresent();
     }
 
+    /**
+     * When the committed state of this process was last known to be the newest, steady time: when it sent the newest
+     * heartbeat that a quorum has answered. Empty if it is not the primary of an established epoch.
+     */
+    OptionalDouble confirmedSteadyMs() {
+        return epoch.filter(current -> current.isEstablished() && current.isPromiseCurrent())
+                .map(current -> OptionalDouble.of(current.lease().confirmedSteadyMs()))
+                .filter(confirmed -> confirmed.getAsDouble() > Double.NEGATIVE_INFINITY)
+                .orElse(OptionalDouble.empty());
+    }
+
     /** The hint that names this process as primary. */
     PrimaryHint hint() {
         return epoch.map(current ->
@@ -130,10 +142,7 @@
     void startEpoch(EpochProposal chosen) {
         if (epoch.isEmpty()) {
             resetContactTimes(chosen);
-            leaseStartSteadyMs = context.clock().steadyMs()
-                    + EpochLease.LEASE_DURATION_MS
-                    + context.settings().leaseMs()
-                    + LEASE_MARGIN_MS;
+            becamePrimarySteadyMs = context.clock().steadyMs();
         }
         chosen.promises().values().forEach(promise -> followers
                 .getOrAdd(promise.self())
@@ -208,7 +217,7 @@
         epoch = Optional.empty();
         proposer.cancel();
         toleranceMonitor.reset();
-        leaseStartSteadyMs = Double.POSITIVE_INFINITY;
+        becamePrimarySteadyMs = Double.POSITIVE_INFINITY;
         election.restart(electionDelayMs);
         context.listener().onEvent("stepped down as primary of epoch " + counter + ": " + reason);
         changes.failAll(new ChangeOutcome.NotPrimary(primaryLocator.operatorApi()));
@@ -231,13 +240,28 @@
      * lease of the former primary, and the time for which its orders stay valid, have to pass first.
      */
     Optional<Long> leadingEpoch() {
-        double now = context.clock().steadyMs();
-        return epoch.filter(current -> current.isEstablished() && current.isPromiseCurrent() && !proposer.isProposing())
-                .filter(current ->
-                        now >= leaseStartSteadyMs && now <= current.lease().expirySteadyMs())
+        return soleAuthorityEpoch()
+                .filter(counter ->
+                        !proposer.isProposing() && hasLedFor(context.settings().leaseMs()));
+    }
+
+    /**
+     * The counter of the epoch whose lease this process holds now, once the lease of every earlier primary has expired:
+     * an earlier primary's last confirmed heartbeat was sent before a quorum promised this process its first epoch, so
+     * that two processes never hold one at the same time. A primary that changes its own epoch does not wait again:
+     * such a change is chosen only if no other epoch was chosen in between.
+     */
+    Optional<Long> soleAuthorityEpoch() {
+        return epoch.filter(current -> isLeaseValid() && hasLedFor(0))
                 .map(current -> current.number().counter());
     }
 
+    /** Whether this process became primary longer ago than this time and the duration of a lease. */
+    private boolean hasLedFor(double durationMs) {
+        double sinceMs = context.clock().steadyMs() - becamePrimarySteadyMs;
+        return sinceMs >= EpochLease.LEASE_DURATION_MS + durationMs + LEASE_MARGIN_MS;
+    }
+
     /** The configuration store as this process sees it. */
     ReplicationReport report(Optional<SocketAddress> knownPrimary) {
         EpochRecord record = epoch.map(PrimaryEpoch::record).orElseGet(context.durable()::accepted);
--- a/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import pinewick.model.Message;
@@ -341,6 +342,29 @@
                         .isPresent();
     }
 
+    /**
+     * While this process is the primary: a time, the latest that it can prove, before which nobody acknowledged a
+     * configuration that it has not put in force. It is the sending time of the newest heartbeat that a quorum has
+     * answered, the proof on which linearizable reads rest too. Unlike the lease, which counts on from there, it rests on
+     * no time-out of another process.
+     */
+    public OptionalDouble configurationConfirmedAtMs() {
+        boolean isInForce = primaryRole
+                .epoch()
+                .filter(epoch -> commitNotifier.hasNotified(epoch.committed().version()))
+                .isPresent();
+        return isInForce ? primaryRole.confirmedSteadyMs() : OptionalDouble.empty();
+    }
+
+    /**
+     * The counter of the epoch that this process leads, if at this moment it holds the lease and every earlier
+     * primary's has expired: no two processes get an answer at the same time.
+     */
+    public Optional<Long> soleAuthorityEpoch(double nowMs) {
+        clock.advance(nowMs);
+        return primaryRole.soleAuthorityEpoch();
+    }
+
     /** What this process knows, for operators. */
     public ReplicationReport report() {
         return primaryRole.report(primary());
--- a/router-fleet/replication/src/test/java/pinewick/replication/HistoryChecker.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/HistoryChecker.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
 import pinewick.model.ConfigurationDocument;
 
 /** Holds everything the operators and processes saw against what must hold. */
@@ -24,12 +26,14 @@
         REFUSED
     }
 
+    private final DoubleSupplier clock;
     private final List<Change> changes = new ArrayList<>();
     private final List<Answer> answers = new ArrayList<>();
     private final Map<Long, ConfigurationDocument> committed = new HashMap<>();
     private final Map<Long, Long> successors = new HashMap<>();
     private final Map<Long, Machine> acknowledgers = new HashMap<>();
     private final Map<Long, Machine> holders = new HashMap<>();
+    private final TreeMap<Long, Double> acknowledgedAtMs = new TreeMap<>();
     private Machine holder;
     private long highestToken = -1;
     private double heldMs;
@@ -38,7 +42,9 @@
     int refused;
     int reads;
 
-    HistoryChecker() {
+    /** @param clock simulated time */
+    HistoryChecker(DoubleSupplier clock) {
+        this.clock = clock;
         committed.put(0L, ConfigurationDocument.EMPTY);
     }
 
@@ -98,6 +104,7 @@
             require(accepted.version() == change.version(), "acknowledged under another version: " + change.mark());
             require(inForce(change), "acknowledged and not in force: " + change.mark());
             answers.set(change.mark(), Answer.ACCEPTED);
+            acknowledgedAtMs.putIfAbsent(change.version(), clock.getAsDouble());
             newestAcknowledged = Math.max(newestAcknowledged, change.version());
             acknowledged++;
         } else if (outcome instanceof ChangeOutcome.VersionConflict || outcome instanceof ChangeOutcome.Invalid) {
@@ -126,6 +133,21 @@
         reads++;
     }
 
+    /** A process that has put a version in force says that no higher one was acknowledged before a time. */
+    void confirmed(Machine machine, long version, double confirmedAtMs) {
+        acknowledgedAtMs
+                .tailMap(version, false)
+                .forEach((later, atMs) -> require(
+                        atMs >= confirmedAtMs,
+                        machine + " confirms " + version + " as of " + confirmedAtMs + ", but " + later
+                                + " was acknowledged at " + atMs));
+    }
+
+    /** Processes that say at one moment that nobody else is the primary. */
+    static void soleAuthorities(List<Machine> machines) {
+        require(machines.size() <= 1, "at once: " + machines);
+    }
+
     /** A process says whether it holds the lease. */
     void lease(Machine machine, Optional<Long> token, double nowMs, double leaseMs) {
         if (token.isEmpty()) {
--- a/router-fleet/replication/src/test/java/pinewick/replication/Machine.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/Machine.java
@@ -131,6 +131,8 @@
         run(current, () -> {
             node.onTick(world.nowMs());
             world.checker.lease(this, node.leadingEpoch(), world.nowMs(), world.leaseMs);
+            node.configurationConfirmedAtMs().ifPresent(atMs -> world.checker.confirmed(this, newest.version(), atMs));
+            HistoryChecker.soleAuthorities(world.soleAuthorities());
         });
         world.after(frozen ? 50 : world.between(49, 53), () -> tick(current));
     }
--- a/router-fleet/replication/src/test/java/pinewick/replication/World.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/World.java
@@ -22,7 +22,7 @@
     private record Link(SocketAddress from, SocketAddress to) {}
 
     final Random random;
-    final HistoryChecker checker = new HistoryChecker();
+    final HistoryChecker checker = new HistoryChecker(this::nowMs);
     final List<Machine> machines = new ArrayList<>();
     final Map<SocketAddress, Machine> byAddress = new HashMap<>();
     final int toleratedMachines;
@@ -179,6 +179,14 @@
                 (last, alone) -> Math.max(last + carriedMs, alone));
     }
 
+    /** The processes that run and say at this moment that nobody else is the primary. */
+    List<Machine> soleAuthorities() {
+        return machines.stream()
+                .filter(machine -> machine.running() && !machine.frozen())
+                .filter(machine -> machine.node().soleAuthorityEpoch(nowMs).isPresent())
+                .toList();
+    }
+
     /** The process that leads with the highest epoch, or null. */
     Machine primary() {
         Machine best = null;
