--- a/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -345,8 +345,8 @@
     /**
      * While this process is the primary: a time, the latest that it can prove, before which nobody acknowledged a
      * configuration that it has not put in force. It is the sending time of the newest heartbeat that a quorum has
-     * answered, the proof on which linearizable reads rest too. Unlike the lease, which counts on from there, it rests on
-     * no time-out of another process.
+     * answered, the proof on which linearizable reads rest too. Unlike the lease, which counts on from there, it rests
+     * on no time-out of another process.
      */
     public OptionalDouble configurationConfirmedAtMs() {
         boolean isInForce = primaryRole
