Model: what a router takes for confirmed was the newest; four broken variants

The invariant CONFIRMED_WAS_NEWEST holds each router's confirmation, at every event, against every acknowledgement. Documents have a tenant now, so that routers ask.

--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
@@ -72,9 +72,9 @@
         return scenarios.get((int) Math.floorMod(seed / 4, scenarios.size()));
     }
 
-    /** Simulates a run of the seed's own scenario; see {@link #run(long, Scenario, Mutant, boolean)}. */
+    /** Simulates a run of the mutant's scenario, or else the seed's own; see {@link #run(long, Scenario, Mutant, boolean)}. */
     public static SimulationResult run(long seed, Mutant mutant, boolean isTraced) {
-        return run(seed, scenarioOf(seed), mutant, isTraced);
+        return run(seed, mutant.scenarioOf(seed), mutant, isTraced);
     }
 
     /**
@@ -101,6 +101,7 @@
                 history.rejected(),
                 history.reads(),
                 simulation.system.fleetChecker().removalsAcknowledged(),
+                simulation.system.freshness().confirmations(),
                 latenciesMs,
                 simulation.changeLatenciesMs,
                 simulation.repairTimesMs,
@@ -127,6 +128,7 @@
         system.after(700, () -> second.work(endMs));
         system.time().runUntil(endMs);
         faults.heal();
+        system.routers().forEach(RouterMachine::resume);
         system.setLinkQuality(0, 0, 0, 0);
         system.time().runUntil(endMs + RECOVERY_MS);
         faults.heal();
@@ -144,6 +146,11 @@
             scenarios.start(FAULTS_FROM_MS);
             return scenarios.faults();
         }
+        if (scenario == Scenario.ROUTERS_BEHIND) {
+            RouterFaults faults = new RouterFaults(system, random.split(), endMs);
+            faults.start(FAULTS_FROM_MS);
+            return faults.faults();
+        }
         FaultScenarios scenarios = new FaultScenarios(system, random.split());
         repairTimesMs = scenarios.repairTimesMs();
         ControllerLossScenarios losses = new ControllerLossScenarios(system, random.split());
--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControllerProcess.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControllerProcess.java
@@ -233,6 +233,7 @@
         } else if (responder.status() == 200) {
             system.history().onAcknowledged(machine.host(), call.change());
             system.history().calls().onAcknowledged(call.change());
+            system.freshness().onAcknowledged(call.change().version(), system.nowMs());
             system.fleetChecker()
                     .onConfigurationAcknowledged(machine, call.change().version());
         } else if (responder.status() == 412 || responder.status() == 400) {
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Invariant.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Invariant.java
@@ -20,6 +20,8 @@
     NO_REGRESSION,
     /** Routers with contact have an acknowledged configuration in time. */
     ROUTERS_CURRENT,
+    /** A configuration that a process takes for the newest as of some time was the newest acknowledged one then. */
+    CONFIRMED_WAS_NEWEST,
     /** Routers with contact know an acknowledged drain in time. */
     DRAIN_KNOWN,
     /** Within one incarnation a process never reverts a removal. */
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Mutant.java
@@ -1,5 +1,6 @@
 package pinewick.emulator.control;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 
 /**
@@ -11,9 +12,9 @@
     NONE(0, 0, Mutation::new),
 
     /** 412 without a heartbeat that a quorum confirmed. */
-    REJECTS_WITHOUT_CONFIRMATION(1, 196, ApiMutations.RejectsFromMemory::new),
+    REJECTS_WITHOUT_CONFIRMATION(1, 3, ApiMutations.RejectsFromMemory::new),
     /** Reads without a heartbeat that a quorum confirmed. */
-    READS_FROM_MEMORY(1, 40, ApiMutations.ReadsFromMemory::new),
+    READS_FROM_MEMORY(1, 162, ApiMutations.ReadsFromMemory::new),
     /** 400 by validation against a state that is not current. */
     VALIDATES_AGAINST_STALE_STATE(1, 0, ApiMutations.ValidatesAgainstMemory::new),
     /** A redirect that is repeated after its primary is lost. */
@@ -43,7 +44,7 @@
     ACKNOWLEDGES_UNKNOWN_OUTCOMES(2, 1, () -> new ApiMutations.AnswersUnknownOutcomes(200)),
 
     /** A member shuts down before another one has the state. */
-    SHUTS_DOWN_BEFORE_HANDOVER(3, 33, DiskMutations.ShutsDownAtOnce::new),
+    SHUTS_DOWN_BEFORE_HANDOVER(3, 114, DiskMutations.ShutsDownAtOnce::new),
     /** The members change without a majority of the old ones. */
     MEMBERS_WITHOUT_JOINT_CONSENSUS(3, 3, MessageMutations.MembersWithoutJointConsensus::new),
     /** A store that lost its disk votes. */
@@ -60,7 +61,7 @@
     /** A follower confirms a change before it is on its disk. */
     CONFIRMS_BEFORE_WRITING(4, 2, DiskMutations.ConfirmsBeforeWriting::new),
     /** A witness loses its promise at a restart. */
-    LOSES_A_PROMISE(4, 2, DiskMutations.LosesPromise::new),
+    LOSES_A_PROMISE(4, 9, DiskMutations.LosesPromise::new),
     /** A router applies an older configuration. */
     ROUTER_APPLIES_OLDER_VERSION(4, 0, GossipMutations.RouterAppliesOlder::new),
 
@@ -73,7 +74,7 @@
     /** A replication reply to an earlier incarnation counts. */
     COUNTS_STALE_REPLICATION_REPLIES(5, 0, MessageMutations.CountsStaleReplicationReplies::new),
     /** A drain is acknowledged by one controller alone although a majority is available. */
-    ACKNOWLEDGES_A_DRAIN_ALONE(5, 12, GossipMutations.AcknowledgesRemovalsAlone::new),
+    ACKNOWLEDGES_A_DRAIN_ALONE(5, 30, GossipMutations.AcknowledgesRemovalsAlone::new),
     /** A late heartbeat reverts a drain. */
     REVERTS_A_DRAIN(5, 0, GossipMutations.HeartbeatRevertsRemoval::new),
     /** Routers do not receive a drain. */
@@ -81,14 +82,23 @@
     /** The fencing token does not rise with the epoch. */
     TOKEN_NOT_RAISED(5, 0, DiskMutations.ReusesToken::new),
     /** A new lease holder does not wait for the earlier lease to expire. */
-    LEASE_NOT_WAITED_FOR(5, 1, DiskMutations.SkipsLeaseWait::new),
+    LEASE_NOT_WAITED_FOR(5, 7, DiskMutations.SkipsLeaseWait::new),
+
+    /** Unsolicited messages confirm that a configuration is the newest. */
+    CONFIRMED_UNSOLICITED(1, 0, Scenario.ROUTERS_BEHIND, FreshnessMutations.CountsUnsolicited::new),
+    /** A confirmation counts from its arrival. */
+    CONFIRMED_FROM_ARRIVAL(1, 0, Scenario.ROUTERS_BEHIND, FreshnessMutations.CountsReplyFromArrival::new),
+    /** The age of a confirmation is not passed on. */
+    CONFIRMED_WITHOUT_AGE(1, 5, Scenario.ROUTERS_BEHIND, FreshnessMutations.OmitsAge::new),
+    /** A follower confirms its configuration by the arrival of heartbeats. */
+    CONFIRMED_BY_A_FOLLOWER(1, 12, Scenario.ROUTERS_BEHIND, FreshnessMutations.FollowerCountsHeartbeats::new),
 
     /** A witness accepts a record after it has promised a higher number. */
     ACCEPTS_AFTER_A_HIGHER_PROMISE(1, 1, EpochMutations.AcceptsAfterAHigherPromise::new),
     /** A record counts as chosen while it is only proposed. */
     ANNOUNCES_BEFORE_ACCEPTANCE(3, 0, EpochMutations.AnnouncesBeforeAcceptance::new),
     /** A process that shuts down may end as soon as the primary knows of it. */
-    PERMITS_SHUTDOWN_AT_ONCE(3, 33, EpochMutations.PermitsShutdownAtOnce::new),
+    PERMITS_SHUTDOWN_AT_ONCE(3, 114, EpochMutations.PermitsShutdownAtOnce::new),
     /** A witness that restarts has forgotten the records that it accepted. */
     FORGETS_ACCEPTED_RECORDS(3, 9, EpochMutations.ForgetsAcceptedRecords::new),
     /** A store that returns is sent an old document under the newest version. */
@@ -98,11 +108,21 @@
 
     private final int safetyPoint;
     private final long knownSeed;
+    private final Optional<Scenario> scenario;
     private final Supplier<Mutation> factory;
 
     Mutant(int safetyPoint, long knownSeed, Supplier<Mutation> factory) {
+        this(safetyPoint, knownSeed, Optional.empty(), factory);
+    }
+
+    Mutant(int safetyPoint, long knownSeed, Scenario scenario, Supplier<Mutation> factory) {
+        this(safetyPoint, knownSeed, Optional.of(scenario), factory);
+    }
+
+    Mutant(int safetyPoint, long knownSeed, Optional<Scenario> scenario, Supplier<Mutation> factory) {
         this.safetyPoint = safetyPoint;
         this.knownSeed = knownSeed;
+        this.scenario = scenario;
         this.factory = factory;
     }
 
@@ -116,6 +136,11 @@
         return knownSeed;
     }
 
+    /** The scenario in which a seed is to catch it. */
+    Scenario scenarioOf(long seed) {
+        return scenario.orElseGet(() -> ControlPlaneSimulation.scenarioOf(seed));
+    }
+
     Mutation newMutation() {
         return factory.get();
     }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Mutation.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Mutation.java
@@ -80,6 +80,14 @@
     /** A controller receives a heartbeat of a replica. */
     void onHeartbeat(ControllerProcess controller, ReplicaRecord record) {}
 
+    /** A router is about to handle a message. */
+    void onHandledByRouter(RouterProcess router, Message message) {}
+
+    /** The time, simulated time, as of which a router takes its configuration for the newest. */
+    double confirmedAtMs(RouterProcess router, double confirmedAtMs) {
+        return confirmedAtMs;
+    }
+
     /** A router receives a message. {@code show} makes it apply a configuration. */
     void onRouterReceived(RouterProcess router, Message message, Consumer<Long> show) {}
 }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/RouterMachine.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/RouterMachine.java
@@ -39,6 +39,14 @@
         process = new RouterProcess(system, address, system.seeds(), random.split());
     }
 
+    void freeze() {
+        process.freeze();
+    }
+
+    void resume() {
+        process.resume();
+    }
+
     /** It cannot reach the controllers at this moment. */
     void onFault() {
         lastFaultMs = system.nowMs();
--- a/testing/emulator/src/main/java/pinewick/emulator/control/RouterProcess.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/RouterProcess.java
@@ -1,7 +1,11 @@
 package pinewick.emulator.control;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import pinewick.dissemination.Confirmation;
 import pinewick.dissemination.FleetNode;
 import pinewick.dissemination.FleetState;
 import pinewick.dissemination.FleetStateListener;
@@ -14,6 +18,8 @@
 
 /** One incarnation of a router's process, as far as it receives configurations and replica records. */
 final class RouterProcess {
+    private static final int MAX_BACKLOG = 5_000;
+
     private final SimulatedSystem system;
     private final SocketAddress address;
     private final SplittableRandom random;
@@ -21,7 +27,9 @@
     private final FleetNode node;
     private final double clockOffsetMs;
     private final double startedAtMs;
+    private final Deque<Runnable> backlog = new ArrayDeque<>();
     private boolean running = true;
+    private boolean frozen;
     private long shownVersion;
 
     RouterProcess(SimulatedSystem system, SocketAddress address, List<SocketAddress> seeds, SplittableRandom random) {
@@ -61,19 +69,59 @@
 
     private void tick() {
         if (running) {
-            node.onTick(system.nowMs() + clockOffsetMs);
+            run(() -> {
+                node.onTick(system.nowMs() + clockOffsetMs);
+                checkFreshness();
+            });
             system.after(random.nextDouble(49, 53), this::tick);
         }
     }
 
     void onMessage(SocketAddress sender, Message message) {
         Message delivered = system.mutation().onReceived(sender, address, message);
-        if (running && delivered != null) {
-            node.onMessage(sender, delivered, system.nowMs() + clockOffsetMs);
-            system.mutation().onRouterReceived(this, delivered, this::onVersionShown);
+        if (delivered != null) {
+            run(() -> handle(sender, delivered));
         }
     }
 
+    private void handle(SocketAddress sender, Message message) {
+        system.mutation().onHandledByRouter(this, message);
+        node.onMessage(sender, message, system.nowMs() + clockOffsetMs);
+        checkFreshness();
+        system.mutation().onRouterReceived(this, message, this::onVersionShown);
+    }
+
+    /** Runs a task in the process; after it resumes, if it is frozen. */
+    private void run(Runnable task) {
+        if (running && !frozen) {
+            task.run();
+        } else if (running && backlog.size() < MAX_BACKLOG) {
+            backlog.add(task);
+        }
+    }
+
+    void freeze() {
+        frozen = true;
+    }
+
+    void resume() {
+        frozen = false;
+        List<Runnable> tasks = new ArrayList<>(backlog);
+        backlog.clear();
+        tasks.forEach(this::run);
+    }
+
+    private void checkFreshness() {
+        Confirmation confirmation = node.freshness();
+        double atMs = system.mutation().confirmedAtMs(this, confirmation.confirmedAtMs() - clockOffsetMs);
+        system.guard(() -> system.freshness().onConfirmed(address.host(), confirmation.version(), atMs));
+    }
+
+    /** Simulated time. */
+    double systemNowMs() {
+        return system.nowMs();
+    }
+
     String host() {
         return address.host();
     }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/Scenario.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/Scenario.java
@@ -30,15 +30,18 @@
     /** A minority misses changes; one of the others loses its disk and the rest its power before that ends. */
     MINORITY_BEHIND,
     /** Everything loses power right after an acknowledgement; the tolerated number of disks is lost. */
-    POWER_LOSS;
+    POWER_LOSS,
+    /** Routers miss changes and hear late, while the primary is lost, frozen, or cut off from the others. */
+    ROUTERS_BEHIND;
 
     /**
-     * Those that are simulated in turn. {@link #POWER_LOSS} is simulated only where the caller asks for it: it shows a
-     * fault that is still open, see docs/control-safety.md.
+     * Those that are simulated in turn. The others are simulated only where the caller asks for them: {@link
+     * #POWER_LOSS} shows a fault that is still open, see docs/control-safety.md; {@link #ROUTERS_BEHIND} belongs to one
+     * invariant, {@link Invariant#CONFIRMED_WAS_NEWEST}.
      */
     static List<Scenario> inTurn() {
         return Arrays.stream(values())
-                .filter(scenario -> scenario != POWER_LOSS)
+                .filter(scenario -> scenario != POWER_LOSS && scenario != ROUTERS_BEHIND)
                 .toList();
     }
 }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/SimulatedSystem.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/SimulatedSystem.java
@@ -32,6 +32,7 @@
     private final HistoryChecker history = new HistoryChecker();
     private final FleetChecker fleetChecker = new FleetChecker(this);
     private final LeaseChecker lease = new LeaseChecker();
+    private final FreshnessChecker freshness = new FreshnessChecker();
     private final MembershipChecker membership = new MembershipChecker();
     private final List<ControllerMachine> controllers = new ArrayList<>();
     private final List<RouterMachine> routers = new ArrayList<>();
@@ -110,6 +111,10 @@
         return lease;
     }
 
+    FreshnessChecker freshness() {
+        return freshness;
+    }
+
     int toleratedMachines() {
         return toleratedMachines;
     }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/SimulationResult.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/SimulationResult.java
@@ -13,6 +13,7 @@
  * @param rejected requests rejected with 400 or 412
  * @param reads reads answered
  * @param removalsAcknowledged removals of replicas that were acknowledged
+ * @param confirmations how often a router learned that its configuration was the newest at a later time than any before
  * @param acknowledgementTimesMs for each change, how long it took to be acknowledged
  * @param changeLatenciesMs for each change while a partitioned controller was the only fault of the controllers, how
  *     long it took
@@ -28,6 +29,7 @@
         int rejected,
         int reads,
         int removalsAcknowledged,
+        int confirmations,
         List<Double> acknowledgementTimesMs,
         List<Double> changeLatenciesMs,
         List<Double> repairTimesMs,
--- a/testing/emulator/src/main/java/pinewick/emulator/control/SubmittedChange.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/SubmittedChange.java
@@ -48,6 +48,7 @@
         services.add(service);
         JsonObject sections = new JsonObject();
         sections.add("services", services);
+        sections.add("tenants", tenants());
         JsonArray routes = new JsonArray();
         routedService.filter(name -> !replacesAll).ifPresent(name -> routes.add(route(id, name)));
         sections.add("routes", routes);
@@ -85,6 +86,18 @@
         return route;
     }
 
+    /** With tenants, routers need to know whether their configuration is the newest. */
+    private static JsonArray tenants() {
+        JsonArray keys = new JsonArray();
+        keys.add("key");
+        JsonObject tenant = new JsonObject();
+        tenant.addProperty("name", "tenant");
+        tenant.add("api_keys", keys);
+        JsonArray tenants = new JsonArray();
+        tenants.add(tenant);
+        return tenants;
+    }
+
     /** The id of the change that led to this document. */
     static int idOf(ConfigurationDocument document) {
         return document.fields().get(ID_FIELD).getAsInt();
--- a/testing/emulator/src/test/java/pinewick/emulator/control/ControlPlaneSimulationTest.java
+++ b/testing/emulator/src/test/java/pinewick/emulator/control/ControlPlaneSimulationTest.java
@@ -44,6 +44,22 @@
                 .sum();
         assertTrue(acknowledged > 20L * SEEDS, "too few changes: " + acknowledged);
         assertTrue(ends > 3L * SEEDS, "too few ends of replicas: " + ends);
+        long confirmations =
+                results.stream().mapToLong(SimulationResult::confirmations).sum();
+        assertTrue(confirmations > 15L * SEEDS, "too few confirmations: " + confirmations);
+    }
+
+    /** What a router takes for confirmed rests on what was true, also while it misses changes and hears late. */
+    @Test
+    void routersThatAreBehindDoNotTakeAnOldConfigurationForTheNewest() {
+        List<SimulationResult> results = LongStream.range(0, SEEDS)
+                .parallel()
+                .mapToObj(seed -> ControlPlaneSimulation.run(seed, Scenario.ROUTERS_BEHIND, Mutant.NONE, false))
+                .toList();
+        results.forEach(result -> assertEquals(Optional.empty(), result.violation(), "seed " + result.seed()));
+        long confirmations =
+                results.stream().mapToLong(SimulationResult::confirmations).sum();
+        assertTrue(confirmations > 15L * SEEDS, "too few confirmations: " + confirmations);
     }
 
     /** Stores compact their changes after 200, so these runs contain snapshots beneath hundreds of changes. */
