Quota module: a coordinator grants each request under the primary's lease

Decisions without I/O: one token bucket a tenant at the primary controller, which grants each request by itself while no other process can; routers ask, send again, suspect a silent coordinator, go through another router, and run ahead of it by an equal part of the allowance. Weighed in docs/quotas.md: counts merged by gossip, escrow, leased rates, home routers.

QuotaFleetTest: no window exceeds the bound under loss, delay, duplication, restarts, freezes, cuts and changes of the coordinator; five broken variants are caught.

--- /dev/null
+++ b/router-fleet/quota/src/main/java/pinewick/quota/QuotaClient.java
@@ -0,0 +1,291 @@
+package pinewick.quota;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import pinewick.model.Message;
+import pinewick.model.Outbox;
+import pinewick.model.QuotaLimit;
+import pinewick.model.SocketAddress;
+import pinewick.quota.QuotaMessages.QuotaReply;
+import pinewick.quota.QuotaMessages.QuotaRequest;
+import pinewick.quota.QuotaMessages.QuotaVerdict;
+import pinewick.quota.QuotaMessages.RelayedQuotaRequest;
+
+/**
+ * A router's side of the limits: requests tokens from the coordinator for each client request, and sends a request
+ * again that was not answered. A coordinator that answers nothing for {@link #SUSPECT_AFTER_MS} is <em>suspected</em>:
+ * from then on the oldest request alone probes for one, at the primary that is known, at a controller and through
+ * another router, since this router may be partitioned from the controllers only. Meanwhile requests are let through by
+ * the {@link RunAheadAllowance} as far as it goes; the others wait, for as long as their owners let them.
+ *
+ * <p>Used by one thread at a time.
+ */
+public final class QuotaClient {
+    /** A request without an answer is sent again after this time, milliseconds. */
+    static final double RESEND_AFTER_MS = 50;
+
+    /** Without any answer for this long the coordinator is suspected, milliseconds. */
+    static final double SUSPECT_AFTER_MS = 120;
+
+    private static final double PROBE_INTERVAL_MS = 80;
+
+    /** Controllers that name each other as the coordinator are not followed more often than this, milliseconds. */
+    private static final double REDIRECT_INTERVAL_MS = 20;
+
+    /** How long requests go through another router before the coordinator is tried directly again, milliseconds. */
+    private static final double RELAY_RETENTION_MS = 2_000;
+
+    private final QuotaPeers peers;
+    private final Outbox outbox;
+    private final RunAheadAllowance runAhead;
+    private final RandomGenerator random;
+    private final Map<Long, PendingRequest> pending = new LinkedHashMap<>();
+    private final RequestRelay relay = new RequestRelay();
+    private Optional<SocketAddress> coordinator = Optional.empty();
+    private Optional<SocketAddress> relayRouter = Optional.empty();
+    private double relayedUntilMs = Double.NEGATIVE_INFINITY;
+    private double lastAnswerMs = Double.NEGATIVE_INFINITY;
+    private double lastProbeMs = Double.NEGATIVE_INFINITY;
+    private double lastRedirectMs = Double.NEGATIVE_INFINITY;
+    private boolean suspected;
+    private long lastId;
+
+    /** A request that waits for its decision. */
+    private final class PendingRequest implements PendingGrant {
+        private final QuotaRequest request;
+        private final QuotaLimit limit;
+        private final Consumer<QuotaDecision> callback;
+        private final double beganAtMs;
+        private double lastSentMs;
+
+        PendingRequest(QuotaRequest request, QuotaLimit limit, Consumer<QuotaDecision> callback, double nowMs) {
+            this.request = request;
+            this.limit = limit;
+            this.callback = callback;
+            this.beganAtMs = nowMs;
+            this.lastSentMs = nowMs;
+        }
+
+        @Override
+        public void cancel() {
+            pending.remove(request.requestId());
+        }
+
+        @Override
+        public boolean tryRunAhead(double nowMs) {
+            return runAhead.tryUse(request.tenant(), limit, request.cost(), nowMs);
+        }
+
+        void complete(QuotaDecision decision) {
+            cancel();
+            callback.accept(decision);
+        }
+    }
+
+    /**
+     * @param runAhead what may be let through without a coordinator
+     * @param random draws the first id, so that those of an earlier incarnation match nothing, and peers
+     */
+    public QuotaClient(QuotaPeers peers, Outbox outbox, RunAheadAllowance runAhead, RandomGenerator random) {
+        this.peers = peers;
+        this.outbox = outbox;
+        this.runAhead = runAhead;
+        this.random = random;
+        this.lastId = random.nextLong();
+    }
+
+    /**
+     * Requests tokens. The callback runs once, within this call or later; never after {@link PendingGrant#cancel}.
+     *
+     * @param cost what the client request counts, in the unit of the limit
+     */
+    public PendingGrant request(
+            String tenant, QuotaLimit limit, int cost, Consumer<QuotaDecision> callback, double nowMs) {
+        QuotaRequest request = new QuotaRequest(++lastId, tenant, cost);
+        PendingRequest added = new PendingRequest(request, limit, callback, nowMs);
+        if (suspected && added.tryRunAhead(nowMs)) {
+            callback.accept(new QuotaDecision.Granted());
+            return added;
+        }
+        pending.put(lastId, added);
+        if (suspected) {
+            probeIfDue(nowMs);
+        } else {
+            send(request, nowMs);
+        }
+        return added;
+    }
+
+    /** Whether {@link #onTick} has to be called. */
+    public boolean hasPendingRequests() {
+        return !pending.isEmpty();
+    }
+
+    /** Whether no coordinator answers. */
+    public boolean isCoordinatorSuspected() {
+        return suspected;
+    }
+
+    /** Time has passed; to be called every 20 ms or so while requests are pending. */
+    public void onTick(double nowMs) {
+        if (pending.isEmpty()) {
+            return;
+        }
+        double waitingSinceMs = Math.max(lastAnswerMs, oldest().beganAtMs);
+        if (!suspected && nowMs - waitingSinceMs >= SUSPECT_AFTER_MS) {
+            suspect(nowMs);
+        }
+        if (suspected) {
+            probeIfDue(nowMs);
+            return;
+        }
+        for (PendingRequest each : List.copyOf(pending.values())) {
+            if (nowMs - each.lastSentMs >= RESEND_AFTER_MS) {
+                each.lastSentMs = nowMs;
+                send(each.request, nowMs);
+            }
+        }
+    }
+
+    private PendingRequest oldest() {
+        return pending.values().iterator().next();
+    }
+
+    private void suspect(double nowMs) {
+        suspected = true;
+        relayRouter = Optional.empty();
+        for (PendingRequest each : List.copyOf(pending.values())) {
+            if (pending.containsKey(each.request.requestId()) && each.tryRunAhead(nowMs)) {
+                each.complete(new QuotaDecision.Granted());
+            }
+        }
+    }
+
+    /** Sends on the way that worked last. */
+    private void send(QuotaRequest request, double nowMs) {
+        if (relayRouter.isPresent() && nowMs < relayedUntilMs) {
+            outbox.send(relayRouter.get(), new RelayedQuotaRequest(request));
+            return;
+        }
+        Optional<SocketAddress> target = coordinator.or(peers::primary);
+        if (target.isPresent()) {
+            outbox.send(target.get(), request);
+        } else {
+            choose(peers.controllers()).ifPresent(controller -> outbox.send(controller, request));
+        }
+    }
+
+    private void probeIfDue(double nowMs) {
+        if (pending.isEmpty() || nowMs - lastProbeMs < PROBE_INTERVAL_MS) {
+            return;
+        }
+        lastProbeMs = nowMs;
+        QuotaRequest probe = oldest().request;
+        Optional<SocketAddress> believed = coordinator.or(peers::primary);
+        believed.ifPresent(target -> outbox.send(target, probe));
+        choose(peers.controllers())
+                .filter(controller -> !believed.equals(Optional.of(controller)))
+                .ifPresent(controller -> outbox.send(controller, probe));
+        choose(peers.routers()).ifPresent(router -> outbox.send(router, new RelayedQuotaRequest(probe)));
+    }
+
+    private Optional<SocketAddress> choose(List<SocketAddress> candidates) {
+        return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
+    }
+
+    /** Handles a message if it is one of the limits; returns whether it was. */
+    public boolean onMessage(SocketAddress sender, Message message, double nowMs) {
+        if (message instanceof QuotaReply reply) {
+            onReply(sender, reply, nowMs);
+        } else if (message instanceof RelayedQuotaRequest relayed) {
+            onRelayedRequest(sender, relayed.request());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Another router reaches no coordinator. Its request is sent on directly, never through a third router. */
+    private void onRelayedRequest(SocketAddress sender, QuotaRequest request) {
+        coordinator.or(peers::primary).ifPresent(target -> {
+            long ownId = ++lastId;
+            relay.add(ownId, sender, request.requestId());
+            outbox.send(target, new QuotaRequest(ownId, request.tenant(), request.cost()));
+        });
+    }
+
+    private void onReply(SocketAddress sender, QuotaReply reply, double nowMs) {
+        if (reply.verdict() == QuotaVerdict.NOT_COORDINATOR) {
+            onNotCoordinator(sender, reply, nowMs);
+            return;
+        }
+        Optional<RequestRelay.ReturnedReply> returned = relay.complete(reply);
+        if (returned.isPresent()) {
+            coordinator = Optional.of(sender);
+            outbox.send(returned.get().receiver(), returned.get().reply());
+            return;
+        }
+        PendingRequest answered = pending.get(reply.requestId());
+        if (answered == null) {
+            return;
+        }
+        onCoordinatorAnswered(sender, reply, nowMs);
+        answered.complete(toDecision(reply));
+    }
+
+    private static QuotaDecision toDecision(QuotaReply reply) {
+        return switch (reply.verdict()) {
+            case GRANTED -> new QuotaDecision.Granted();
+            case OVER_LIMIT -> new QuotaDecision.OverLimit(reply.retryAfterMs());
+            default -> new QuotaDecision.UnknownTenant();
+        };
+    }
+
+    private void onCoordinatorAnswered(SocketAddress sender, QuotaReply reply, double nowMs) {
+        lastAnswerMs = nowMs;
+        boolean isDirect = !peers.routers().contains(sender);
+        if (isDirect) {
+            coordinator = Optional.of(sender);
+            relayRouter = Optional.empty();
+        } else if (nowMs >= relayedUntilMs || relayRouter.isEmpty()) {
+            coordinator = Optional.ofNullable(reply.coordinator());
+            relayRouter = Optional.of(sender);
+            relayedUntilMs = nowMs + RELAY_RETENTION_MS;
+        }
+        if (suspected) {
+            suspected = false;
+            sendAllExcept(reply.requestId(), nowMs);
+        }
+    }
+
+    private void sendAllExcept(long answeredId, double nowMs) {
+        for (PendingRequest each : new ArrayList<>(pending.values())) {
+            if (each.request.requestId() != answeredId) {
+                each.lastSentMs = nowMs;
+                send(each.request, nowMs);
+            }
+        }
+    }
+
+    /** The sender is not the coordinator, or not yet; the one that it names is asked next. */
+    private void onNotCoordinator(SocketAddress sender, QuotaReply reply, double nowMs) {
+        SocketAddress named = reply.coordinator();
+        if (coordinator.equals(Optional.of(sender))) {
+            coordinator = Optional.empty();
+        }
+        boolean isNews = named != null && !named.equals(sender) && !coordinator.equals(Optional.of(named));
+        if (isNews) {
+            coordinator = Optional.of(named);
+            PendingRequest waiting = pending.get(reply.requestId());
+            if (waiting != null && nowMs - lastRedirectMs >= REDIRECT_INTERVAL_MS) {
+                lastRedirectMs = nowMs;
+                outbox.send(named, waiting.request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router-fleet/quota/src/main/java/pinewick/quota/TenantBucket.java
@@ -0,0 +1,62 @@
+package pinewick.quota;
+
+/**
+ * The token bucket of one tenant, at the coordinator. It starts empty: what an earlier coordinator granted is not
+ * known, and of two buckets that follow each other only the first may have been full. A request is granted while the
+ * bucket is not empty, even if that puts it into debt, so that large requests are granted as often as small ones.
+ *
+ * <p>Over any time t, buckets that follow each other grant at most rate x t + capacity + debt.
+ */
+final class TenantBucket {
+    private double ratePerMs;
+    private double capacity;
+    private double maxDebt;
+    private double level;
+    private double updatedAtMs;
+
+    TenantBucket(double nowMs) {
+        this.updatedAtMs = nowMs;
+    }
+
+    /** Sets the limit in force from now on. What is above a lowered capacity is lost. */
+    void setLimit(double newRatePerMs, double burst, QuotaTerms terms, double nowMs) {
+        advance(nowMs);
+        ratePerMs = newRatePerMs;
+        capacity = terms.capacity(newRatePerMs, burst);
+        maxDebt = terms.maxDebt(newRatePerMs, burst);
+        level = Math.min(level, capacity);
+    }
+
+    /** Grants {@code cost}, or returns false. */
+    boolean tryGrant(double cost, double nowMs) {
+        advance(nowMs);
+        if (level <= 0 || level - cost < -maxDebt) {
+            return false;
+        }
+        level -= cost;
+        return true;
+    }
+
+    /** How long until a request of {@code cost} is granted if nothing else is, milliseconds; infinite if never. */
+    double waitMs(double cost, double nowMs) {
+        advance(nowMs);
+        double neededLevel = Math.max(0, cost - maxDebt);
+        if (neededLevel > capacity) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return Math.max(0, neededLevel - level) / ratePerMs;
+    }
+
+    /** Tokens that can be granted now; below 0 in debt. */
+    double level(double nowMs) {
+        advance(nowMs);
+        return level;
+    }
+
+    private void advance(double nowMs) {
+        if (nowMs > updatedAtMs) {
+            level = Math.min(capacity, level + ratePerMs * (nowMs - updatedAtMs));
+            updatedAtMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/router-fleet/quota/src/test/java/pinewick/quota/QuotaFleet.java
@@ -0,0 +1,372 @@
+package pinewick.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import pinewick.model.Message;
+import pinewick.model.QuotaLimit;
+import pinewick.model.QuotaUnit;
+import pinewick.model.SocketAddress;
+import pinewick.model.Tenant;
+import pinewick.quota.QuotaMessages.QuotaRequest;
+
+/**
+ * Routers and controllers in virtual time, with the module's own classes: one tenant's requests arrive at random
+ * routers; messages are lost, duplicated and late; routers restart, freeze and are cut off; the authority to grant moves
+ * between controllers, one at a time, with pauses. Every executed request is recorded.
+ */
+final class QuotaFleet {
+    static final String TENANT = "t";
+    private static final int CONTROLLERS = 5;
+    private static final int CONTROLLER_PORT = 7_081;
+    private static final double EXECUTION_DELAY_MS = 40;
+    private static final double MAX_WAIT_MS = 90;
+    private static final double TICK_MS = 20;
+    private static final double BURST_MS = 4_000;
+    private static final double MIN_AUTHORITY_MS = 500;
+
+    final VirtualEvents events = new VirtualEvents();
+    final List<Executed> executed = new ArrayList<>();
+    int offered;
+    int rejected;
+    long messages;
+
+    private final Plan plan;
+    private final SplittableRandom random;
+    private final Map<SocketAddress, Router> routers = new HashMap<>();
+    private final List<SocketAddress> routerAddresses = new ArrayList<>();
+    private final List<SocketAddress> controllerAddresses = new ArrayList<>();
+    private final List<Controller> controllers = new ArrayList<>();
+    private Optional<Controller> authority = Optional.empty();
+    private long epoch;
+
+    /** A request that was executed: when its client sent it, when it reached a replica, and what it counts. */
+    record Executed(double sentMs, double executedMs, int cost) {}
+
+    /** Errors that the test has to detect. */
+    enum Defect {
+        NONE,
+        NEW_BUCKETS_ARE_FULL,
+        TWO_COORDINATORS,
+        PROMPT_CHARGED_ONLY,
+        LATE_GRANTS_ARE_KEPT,
+        RATE_PER_ROUTER
+    }
+
+    /**
+     * @param routers how many routers
+     * @param limit the tenant's limit
+     * @param requestsPerSecond of the tenant, over all routers
+     * @param longFraction how many of them are long
+     * @param bursts whether the tenant sends in bursts
+     * @param faults whether anything fails
+     * @param maxFaultIntervalMs the longest time between two faults of processes
+     * @param maxOutageMs the longest time without a coordinator
+     */
+    record Plan(
+            int routers,
+            QuotaLimit limit,
+            QuotaTerms terms,
+            double requestsPerSecond,
+            double longFraction,
+            boolean bursts,
+            boolean faults,
+            double maxFaultIntervalMs,
+            double maxOutageMs,
+            Defect defect) {}
+
+    private final class Router {
+        private final SocketAddress address;
+        private QuotaClient client;
+        private double keptTokens;
+        private double frozenUntilMs;
+        private boolean isolated;
+        private int incarnation;
+
+        Router(SocketAddress address) {
+            this.address = address;
+            start();
+        }
+
+        void start() {
+            incarnation++;
+            double startedMs = events.nowMs() == 0 ? Double.NEGATIVE_INFINITY : events.nowMs();
+            RunAheadAllowance runAhead = new RunAheadAllowance(plan.terms, startedMs);
+            runAhead.setRouterCount(plan.routers, startedMs);
+            client = new QuotaClient(
+                    new KnownPeers(QuotaFleet.this, anyController()), this::send, runAhead, random.split());
+        }
+
+        private void send(SocketAddress receiver, Message message) {
+            transmit(this.isolated, address, receiver, message);
+        }
+
+        void tick() {
+            if (client.hasPendingRequests()) {
+                whenAwake(() -> client.onTick(events.nowMs()));
+            }
+        }
+
+        void onArrival(double sentMs, int cost) {
+            whenAwake(() -> admit(sentMs, cost));
+        }
+
+        private void admit(double sentMs, int cost) {
+            offered++;
+            if (plan.defect == Defect.LATE_GRANTS_ARE_KEPT && keptTokens >= cost) {
+                keptTokens -= cost;
+                execute(sentMs, cost);
+                return;
+            }
+            int admittedBy = incarnation;
+            boolean[] decided = {false};
+            PendingGrant pending = client.request(
+                    TENANT,
+                    plan.limit,
+                    plan.defect == Defect.PROMPT_CHARGED_ONLY ? cost / 2 : cost,
+                    decision -> {
+                        if (decided[0]) {
+                            keptTokens += cost;
+                        }
+                        decided[0] = true;
+                        finish(decision instanceof QuotaDecision.Granted, sentMs, cost);
+                    },
+                    events.nowMs());
+            events.schedule(
+                    MAX_WAIT_MS,
+                    () -> whenAwake(() -> {
+                        if (!decided[0] && incarnation == admittedBy) {
+                            decided[0] = true;
+                            if (plan.defect != Defect.LATE_GRANTS_ARE_KEPT) {
+                                pending.cancel();
+                            }
+                            finish(pending.tryRunAhead(events.nowMs()), sentMs, cost);
+                        }
+                    }));
+        }
+
+        private void finish(boolean granted, double sentMs, int cost) {
+            if (granted) {
+                execute(sentMs, cost);
+            } else {
+                rejected++;
+            }
+        }
+
+        private void execute(double sentMs, int cost) {
+            events.schedule(
+                    random.nextDouble(EXECUTION_DELAY_MS),
+                    () -> executed.add(new Executed(sentMs, events.nowMs(), cost)));
+        }
+
+        /** What happens to a frozen process happens once it thaws. */
+        void whenAwake(Runnable task) {
+            int current = incarnation;
+            if (events.nowMs() >= frozenUntilMs) {
+                task.run();
+            } else {
+                events.schedule(frozenUntilMs - events.nowMs(), () -> {
+                    if (incarnation == current) {
+                        task.run();
+                    }
+                });
+            }
+        }
+    }
+
+    /** Routers differ in whom they believe to be the primary. */
+    private record KnownPeers(QuotaFleet fleet, SocketAddress primaryAddress) implements QuotaPeers {
+        @Override
+        public Optional<SocketAddress> primary() {
+            return Optional.of(primaryAddress);
+        }
+
+        @Override
+        public List<SocketAddress> controllers() {
+            return fleet.controllerAddresses;
+        }
+
+        @Override
+        public List<SocketAddress> routers() {
+            return fleet.routerAddresses;
+        }
+    }
+
+    private final class Controller {
+        private final SocketAddress address;
+        private final QuotaCoordinator coordinator = new QuotaCoordinator(plan.terms);
+        private double frozenUntilMs;
+
+        Controller(SocketAddress address) {
+            this.address = address;
+            coordinator.setTenants(List.of(tenant()), 0);
+        }
+
+        void onRequest(SocketAddress sender, QuotaRequest request) {
+            if (events.nowMs() < frozenUntilMs) {
+                events.schedule(frozenUntilMs - events.nowMs(), () -> onRequest(sender, request));
+                return;
+            }
+            boolean mayGrant = plan.defect == Defect.TWO_COORDINATORS || authority.equals(Optional.of(this));
+            coordinator.setAuthority(mayGrant ? Optional.of(authorityEpoch()) : Optional.empty(), events.nowMs());
+            transmit(
+                    false,
+                    address,
+                    sender,
+                    coordinator.decide(sender, request, authority.map(each -> each.address), events.nowMs()));
+        }
+
+        private long authorityEpoch() {
+            return plan.defect == Defect.NEW_BUCKETS_ARE_FULL ? 1 : epoch;
+        }
+    }
+
+    QuotaFleet(Plan plan, long seed) {
+        this.plan = plan;
+        this.random = new SplittableRandom(seed);
+        for (int index = 0; index < CONTROLLERS; index++) {
+            SocketAddress address = new SocketAddress("10.0.0." + (index + 1), CONTROLLER_PORT);
+            controllerAddresses.add(address);
+            controllers.add(new Controller(address));
+        }
+        for (int index = 0; index < plan.routers; index++) {
+            SocketAddress address = new SocketAddress("10.1." + index / 250 + "." + index % 250, 7_080);
+            routerAddresses.add(address);
+            routers.put(address, new Router(address));
+        }
+    }
+
+    private Tenant tenant() {
+        QuotaLimit limit = plan.limit;
+        double factor = plan.defect == Defect.RATE_PER_ROUTER ? plan.routers : 1;
+        return new Tenant(
+                TENANT,
+                Set.of(),
+                OptionalInt.empty(),
+                new QuotaLimit(limit.ratePerSecond() * factor, limit.burstSize() * factor, QuotaUnit.TOKENS, 200));
+    }
+
+    /** Runs for some time; the tenant sends from the beginning. */
+    void run(double durationMs) {
+        setAuthority(Optional.of(controllers.get(0)));
+        events.repeat(TICK_MS, () -> routers.values().forEach(Router::tick));
+        scheduleArrival();
+        if (plan.faults) {
+            scheduleFault();
+            scheduleFailover();
+        }
+        events.runUntil(durationMs);
+    }
+
+    private void setAuthority(Optional<Controller> next) {
+        authority = next;
+        epoch++;
+        next.ifPresent(each -> each.coordinator.setAuthority(Optional.of(each.authorityEpoch()), events.nowMs()));
+    }
+
+    /** Quiet times, in which the bucket fills, and bursts follow each other. */
+    private double requestsPerSecond() {
+        boolean isQuiet = plan.bursts && (long) (events.nowMs() / BURST_MS) % 2 == 0;
+        return isQuiet ? plan.requestsPerSecond / 20 : plan.requestsPerSecond;
+    }
+
+    private void scheduleArrival() {
+        double gapMs = -Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond();
+        events.schedule(gapMs, () -> {
+            int cost = random.nextDouble() < plan.longFraction
+                    ? 5_000 + random.nextInt(30_000)
+                    : 200 + random.nextInt(400);
+            anyRouter().onArrival(events.nowMs(), cost);
+            scheduleArrival();
+        });
+    }
+
+    private Router anyRouter() {
+        return routers.get(routerAddresses.get(random.nextInt(routerAddresses.size())));
+    }
+
+    private SocketAddress anyController() {
+        return controllerAddresses.get(random.nextInt(CONTROLLERS));
+    }
+
+    private void scheduleFailover() {
+        events.schedule(MIN_AUTHORITY_MS + random.nextDouble(3 * plan.maxOutageMs), () -> {
+            setAuthority(Optional.empty());
+            events.schedule(random.nextDouble(plan.maxOutageMs), () -> {
+                setAuthority(Optional.of(controllers.get(random.nextInt(CONTROLLERS))));
+                scheduleFailover();
+            });
+        });
+    }
+
+    private void scheduleFault() {
+        events.schedule(random.nextDouble(plan.maxFaultIntervalMs), () -> {
+            Router victim = anyRouter();
+            switch (random.nextInt(4)) {
+                case 0 -> victim.frozenUntilMs = events.nowMs() + random.nextDouble(4_000);
+                case 1 -> {
+                    victim.isolated = true;
+                    events.schedule(random.nextDouble(5_000), () -> victim.isolated = false);
+                }
+                case 2 -> victim.start();
+                default -> controllers.get(random.nextInt(CONTROLLERS)).frozenUntilMs =
+                        events.nowMs() + random.nextDouble(1_500);
+            }
+            scheduleFault();
+        });
+    }
+
+    private void transmit(boolean senderIsolated, SocketAddress sender, SocketAddress receiver, Message message) {
+        messages++;
+        boolean toController = receiver.port() == CONTROLLER_PORT;
+        Router router = routers.get(receiver);
+        boolean isCut =
+                toController ? senderIsolated : router != null && router.isolated && sender.port() == CONTROLLER_PORT;
+        boolean isLost = plan.faults && random.nextDouble() < 0.03;
+        if (isCut || isLost) {
+            return;
+        }
+        deliver(sender, receiver, message);
+        if (plan.faults && random.nextDouble() < 0.02) {
+            deliver(sender, receiver, message);
+        }
+    }
+
+    private void deliver(SocketAddress sender, SocketAddress receiver, Message message) {
+        boolean isLate = plan.faults && random.nextDouble() < 0.02;
+        double delayMs = isLate ? random.nextDouble(5_000) : 0.2 + random.nextDouble(1.8);
+        events.schedule(delayMs, () -> {
+            if (message instanceof QuotaRequest request) {
+                controllers.stream()
+                        .filter(each -> each.address.equals(receiver))
+                        .forEach(each -> each.onRequest(sender, request));
+            } else {
+                Router router = routers.get(receiver);
+                router.whenAwake(() -> router.client.onMessage(sender, message, events.nowMs()));
+            }
+        });
+    }
+
+    /** The most that was sent and executed within one window. */
+    double highestSum() {
+        List<Executed> bySent = executed.stream()
+                .sorted((left, right) -> Double.compare(left.sentMs, right.sentMs))
+                .toList();
+        double highest = 0;
+        for (int first = 0; first < bySent.size(); first++) {
+            double fromMs = bySent.get(first).sentMs;
+            double untilMs = fromMs + plan.terms.windowMs();
+            double sum = 0;
+            for (int index = first; index < bySent.size() && bySent.get(index).sentMs <= untilMs; index++) {
+                sum += bySent.get(index).executedMs <= untilMs ? bySent.get(index).cost : 0;
+            }
+            highest = Math.max(highest, sum);
+        }
+        return highest;
+    }
+}
--- /dev/null
+++ b/router-fleet/quota/src/test/java/pinewick/quota/TenantBucketTest.java
@@ -0,0 +1,106 @@
+package pinewick.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class TenantBucketTest {
+    private static final QuotaTerms TERMS = new QuotaTerms(8_000, 0.1, 190_000);
+    private static final double RATE_PER_MS = 47;
+    private static final double BURST = 47_000;
+
+    private static TenantBucket bucket(double nowMs) {
+        TenantBucket bucket = new TenantBucket(nowMs);
+        bucket.setLimit(RATE_PER_MS, BURST, TERMS, nowMs);
+        return bucket;
+    }
+
+    @Test
+    void aNewBucketIsEmpty() {
+        TenantBucket bucket = bucket(0);
+        assertFalse(bucket.tryGrant(1, 0));
+        assertTrue(bucket.tryGrant(1, 1));
+    }
+
+    @Test
+    void aLongRequestIsGrantedFromABucketThatIsNotEmpty() {
+        TenantBucket bucket = bucket(0);
+        assertTrue(bucket.tryGrant(17_000, 1), "into debt");
+        assertFalse(bucket.tryGrant(1, 2), "in debt");
+        assertEquals((17_000 - 47 * 2) / RATE_PER_MS, bucket.waitMs(1, 2), 1e-6);
+    }
+
+    @Test
+    void aRequestBeyondTheDebtWaitsForTheRest() {
+        TenantBucket bucket = bucket(0);
+        double cost = TERMS.maxDebt(RATE_PER_MS, BURST) + 4_700;
+        assertFalse(bucket.tryGrant(cost, 50));
+        assertEquals(50, bucket.waitMs(cost, 50), 1e-6);
+        assertTrue(bucket.tryGrant(cost, 100.1));
+    }
+
+    @Test
+    void aLoweredLimitTakesAwayWhatIsAboveItsCapacity() {
+        TenantBucket bucket = bucket(0);
+        bucket.setLimit(1, 1_000, TERMS, 60_000);
+        assertEquals(TERMS.capacity(1, 1_000), bucket.level(60_000), 1e-6);
+    }
+
+    @Test
+    void timeThatSeemsToGoBackAddsNothing() {
+        TenantBucket bucket = bucket(1_000);
+        double level = bucket.level(2_000);
+        assertEquals(level, bucket.level(500), 0);
+        assertEquals(level, bucket.level(2_000), 0);
+    }
+
+    private record Grant(double atMs, int cost) {}
+
+    /** Buckets that follow each other, as coordinators do, under any demand: the bound of docs/quotas.md. */
+    @Property(tries = 200)
+    void noWindowExceedsItsBoundAcrossCoordinators(
+            @ForAll long seed,
+            @ForAll @DoubleRange(min = 0.5, max = 400) double ratePerMs,
+            @ForAll @IntRange(min = 1, max = 6) int coordinators) {
+        SplittableRandom random = new SplittableRandom(seed);
+        double burst = ratePerMs * 1_000;
+        List<Grant> grants = new ArrayList<>();
+        double nowMs = 0;
+        for (int index = 0; index < coordinators; index++) {
+            TenantBucket bucket = new TenantBucket(nowMs);
+            bucket.setLimit(ratePerMs, burst, TERMS, nowMs);
+            double endsAtMs = nowMs + random.nextDouble(20_000);
+            while (nowMs < endsAtMs) {
+                nowMs += random.nextDouble(200);
+                int cost = random.nextInt(random.nextBoolean() ? 400 : 60_000);
+                if (bucket.tryGrant(cost, nowMs)) {
+                    grants.add(new Grant(nowMs, cost));
+                }
+            }
+        }
+        double bound =
+                ratePerMs * TERMS.windowMs() + TERMS.capacity(ratePerMs, burst) + TERMS.maxDebt(ratePerMs, burst);
+        assertTrue(highestSum(grants) <= bound + 1e-6, highestSum(grants) + " of " + bound);
+    }
+
+    private static double highestSum(List<Grant> grants) {
+        double highest = 0;
+        for (Grant first : grants) {
+            double sum = grants.stream()
+                    .filter(each -> each.atMs >= first.atMs && each.atMs <= first.atMs + TERMS.windowMs())
+                    .mapToDouble(Grant::cost)
+                    .sum();
+            highest = Math.max(highest, sum);
+        }
+        return highest;
+    }
+}
