--- a/router-fleet/control/src/main/java/pinewick/control/Controller.java
+++ b/router-fleet/control/src/main/java/pinewick/control/Controller.java
@@ -18,6 +18,8 @@
 import pinewick.membership.NodeRole;
 import pinewick.model.NodeSettings;
 import pinewick.model.SocketAddress;
+import pinewick.quota.QuotaMessages;
+import pinewick.quota.QuotaTerms;
 import pinewick.replication.ReplicationMessages;
 import pinewick.replication.ReplicationSettings;
 import pinewick.replication.StableStore;
@@ -122,7 +124,13 @@
                 self,
                 replicationSettings(internal, apiAddress),
                 settings.bounds().contactMs(),
-                settings.heartbeatMs());
+                settings.heartbeatMs(),
+                quotaTerms());
+    }
+
+    private QuotaTerms quotaTerms() {
+        NodeSettings.Bounds bounds = settings.bounds();
+        return new QuotaTerms(bounds.quotaWindowSeconds() * MS_PER_SECOND, bounds.quotaOverage(), bounds.quotaSlack());
     }
 
     private static ControllerException missing(String field) {
@@ -132,8 +140,10 @@
     private static NetworkTransport openTransport(SocketAddress internal) throws ControllerException {
         List<Class<?>> types = new ArrayList<>(FleetMessages.types());
         types.addAll(ReplicationMessages.types());
+        List<Class<?>> laterTypes = new ArrayList<>(FleetMessages.laterTypes());
+        laterTypes.addAll(QuotaMessages.types());
         try {
-            return new NetworkTransport(internal, new MessageCodec(types, FleetMessages.laterTypes()));
+            return new NetworkTransport(internal, new MessageCodec(types, laterTypes));
         } catch (TransportException e) {
             throw new ControllerException("open the transport", internal.toString(), e);
         }
@@ -206,6 +216,7 @@
                         core.lastEvent())
                 .fleet(node.isSynchronised(), node.routerCount(), node.routerCountUpperBound(), node.peers())
                 .replicas(core.state().replicas())
+                .tenants(core.tenantUsage())
                 .registry(core.counters());
     }
 
--- a/router-fleet/control/src/main/java/pinewick/control/ControllerCore.java
+++ b/router-fleet/control/src/main/java/pinewick/control/ControllerCore.java
@@ -1,6 +1,7 @@
 package pinewick.control;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -11,6 +12,9 @@
 import pinewick.model.Message;
 import pinewick.model.Outbox;
 import pinewick.model.SocketAddress;
+import pinewick.quota.QuotaMessages.QuotaRequest;
+import pinewick.quota.QuotaTerms;
+import pinewick.quota.TenantUsage;
 import pinewick.replication.ReplicationNode;
 import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationSettings;
@@ -32,6 +36,7 @@
 
     private final Settings settings;
     private final TaskLoop loop;
+    private final Outbox outbox;
     private final FleetState state = new FleetState();
     private final RegistryCounters counters = new RegistryCounters();
     private final ControllerContact contact;
@@ -39,6 +44,7 @@
     private final ReplicationNode replication;
     private final CommittedConfigurationListener configurations;
     private final GossipFleet fleet;
+    private final TenantLimits limits;
     private final Housekeeping housekeeping;
     private final ReplicaEndpoints replicaEndpoints;
     private final ConfigurationEndpoints configurationEndpoints;
@@ -52,8 +58,14 @@
      * @param contactMs without contact to other controllers for this long, this process counts as partitioned,
      *     milliseconds
      * @param heartbeatMs interval between the heartbeats of a replica, milliseconds
+     * @param quotaTerms the platform's rule on limits of tenants
      */
-    public record Settings(NodeDescriptor self, ReplicationSettings replication, int contactMs, int heartbeatMs) {}
+    public record Settings(
+            NodeDescriptor self,
+            ReplicationSettings replication,
+            int contactMs,
+            int heartbeatMs,
+            QuotaTerms quotaTerms) {}
 
     /**
      * @param loop owns this object
@@ -71,11 +83,14 @@
             RandomGenerator replicationRandom) {
         this.settings = settings;
         this.loop = loop;
+        this.outbox = outbox;
         this.contact = new ControllerContact(loop.nowMs());
         ReplicationSettings replicationSettings = settings.replication();
         node = new FleetNode(settings.self(), replicationSettings.seeds(), state, outbox, fleetRandom);
         configurations = new CommittedConfigurationListener(state, node, loop);
         replication = new ReplicationNode(replicationSettings, store, outbox, replicationRandom, configurations);
+        limits = new TenantLimits(settings.quotaTerms(), loop);
+        state.addListener(limits);
         fleet = new GossipFleet(node, state, loop);
         ReplicaRegistry registry = new ReplicaRegistry(fleet, loop, contact, settings.contactMs(), counters);
         ReplicaFailureDetector failureDetector =
@@ -102,6 +117,7 @@
             contact.onQuorumContact(loop.nowMs());
             node.confirmConfiguration(loop.nowMs());
         }
+        limits.setAuthority(replication.soleAuthorityTenure(loop.nowMs()));
         updateFreshness();
     }
 
@@ -129,6 +145,11 @@
             replication.advanceClock(nowMs);
             updateFreshness();
         }
+        if (message instanceof QuotaRequest request) {
+            limits.setAuthority(replication.soleAuthorityTenure(loop.nowMs()));
+            outbox.send(sender, limits.decide(sender, request, node.knownPrimary()));
+            return;
+        }
         boolean handled =
                 replication.onMessage(sender, message, nowMs) || (!leftFleet && node.onMessage(sender, message, nowMs));
         if (!handled) {
@@ -212,6 +233,11 @@
         return replication.report();
     }
 
+    /** What was granted to each tenant with a limit, while this process decides on that. */
+    List<TenantUsage> tenantUsage() {
+        return limits.usage();
+    }
+
     /** The last event of the replication. */
     public String lastEvent() {
         return configurations.lastEvent();
--- a/router-fleet/control/src/main/java/pinewick/control/StatusReport.java
+++ b/router-fleet/control/src/main/java/pinewick/control/StatusReport.java
@@ -13,6 +13,7 @@
 import pinewick.membership.NodeDescriptor;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.ReplicaState;
+import pinewick.quota.TenantUsage;
 import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationReport.FaultTolerance;
 import pinewick.replication.ReplicationReport.MemberReport;
@@ -124,6 +125,21 @@
         return entry;
     }
 
+    /** Limits of tenants; empty at a controller that does not decide on them. */
+    StatusReport tenants(List<TenantUsage> usage) {
+        JsonObject section = new JsonObject();
+        for (TenantUsage tenant : usage) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("rate_per_s", tenant.ratePerSecond());
+            entry.addProperty("available", Math.round(tenant.level()));
+            entry.addProperty("granted", Math.round(tenant.granted()));
+            entry.addProperty("refused", Math.round(tenant.refused()));
+            section.add(tenant.tenant(), entry);
+        }
+        report.add("tenants", section);
+        return this;
+    }
+
     /** Counts of what replicas reported to this process. */
     StatusReport registry(RegistryCounters counters) {
         JsonObject section = new JsonObject();
--- a/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
+++ b/router-fleet/dissemination/src/main/java/pinewick/dissemination/FleetMessages.java
@@ -48,7 +48,8 @@
 
     /**
      * Types of the messages that were added later. Each program registers types of its own behind {@link #types}, whose
-     * ids must not move: these have ids of their own, by their position in this list. Append only.
+     * ids must not move: these have ids of their own, by their position in this list. Complete:
+     * in every program the messages about limits of tenants follow, and whatever comes next has to be behind those.
      */
     public static List<Class<?>> laterTypes() {
         return List.of(ConfirmationRequest.class, ConfirmationReply.class);
--- a/router-fleet/model/src/main/java/pinewick/model/ConfigurationChecks.java
+++ b/router-fleet/model/src/main/java/pinewick/model/ConfigurationChecks.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -65,6 +66,18 @@
         return table;
     }
 
+    /**
+     * The tenants of a document.
+     *
+     * @throws InvalidConfigurationException with every fault of them
+     */
+    public static List<Tenant> toTenants(ConfigurationDocument document) throws InvalidConfigurationException {
+        FaultList faults = new FaultList();
+        List<Tenant> tenants = new RoutingTableBuilder(document, faults).tenants();
+        faults.throwIfAny();
+        return tenants;
+    }
+
     /** The JSON of a document, as {@code GET /config/read} returns it: the version, the sections, the other fields. */
     public static byte[] toJson(ConfigurationDocument document) {
         StringBuilder text = new StringBuilder();
--- a/router-fleet/model/src/main/java/pinewick/model/Route.java
+++ b/router-fleet/model/src/main/java/pinewick/model/Route.java
@@ -41,6 +41,24 @@
     /** A service and its weight among a route's requests. */
     public record WeightedService(String service, int weight) {}
 
+    /** This route with another priority. */
+    public Route withPriority(int newPriority) {
+        return new Route(
+                name,
+                hostname,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                targetLatencyMs,
+                newPriority,
+                split,
+                maxAttempts,
+                sessionAffinity,
+                resumable,
+                targetGapMs,
+                anonymous);
+    }
+
     /** Whether a request that may have been executed can be sent again. */
     public boolean isRetriable() {
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable);
--- a/router-fleet/model/src/main/java/pinewick/model/RoutingTableBuilder.java
+++ b/router-fleet/model/src/main/java/pinewick/model/RoutingTableBuilder.java
@@ -59,7 +59,8 @@
         return routes;
     }
 
-    private List<Tenant> tenants() {
+    /** The tenants; only to be used if no fault was reported. */
+    List<Tenant> tenants() {
         JsonElement field = document.fields().get(TENANTS);
         if (field != null && !field.isJsonNull()) {
             // Only a release that did not know the section has stored such a document.
--- a/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/PrimaryRole.java
@@ -46,6 +46,8 @@
     private final ShutdownPermits shutdownPermits;
     private Optional<PrimaryEpoch> epoch = Optional.empty();
     private double becamePrimarySteadyMs = Double.POSITIVE_INFINITY;
+    /** Counter of the epoch with which this process became primary; it may have changed its own epoch since. */
+    private long firstEpochCounter;
 
     PrimaryRole(
             ReplicationContext context,
@@ -143,6 +145,7 @@
         if (epoch.isEmpty()) {
             resetContactTimes(chosen);
             becamePrimarySteadyMs = context.clock().steadyMs();
+            firstEpochCounter = chosen.proposal().number().counter();
         }
         chosen.promises().values().forEach(promise -> followers
                 .getOrAdd(promise.self())
@@ -256,6 +259,14 @@
                 .map(current -> current.number().counter());
     }
 
+    /**
+     * As {@link #soleAuthorityEpoch}, but the counter of the first of this process's uninterrupted epochs: while it
+     * stays the same, no other process was the sole authority in between.
+     */
+    Optional<Long> soleAuthorityTenure() {
+        return soleAuthorityEpoch().map(epochCounter -> firstEpochCounter);
+    }
+
     /** Whether this process became primary longer ago than this time and the duration of a lease. */
     private boolean hasLedFor(double durationMs) {
         double sinceMs = context.clock().steadyMs() - becamePrimarySteadyMs;
--- a/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
+++ b/router-fleet/replication/src/main/java/pinewick/replication/ReplicationNode.java
@@ -365,6 +365,15 @@
         return primaryRole.soleAuthorityEpoch();
     }
 
+    /**
+     * Identifies the time since which no other process was the sole authority, if this one is at this moment: a primary
+     * that changes its own epoch keeps it.
+     */
+    public Optional<Long> soleAuthorityTenure(double nowMs) {
+        clock.advance(nowMs);
+        return primaryRole.soleAuthorityTenure();
+    }
+
     /** What this process knows, for operators. */
     public ReplicationReport report() {
         return primaryRole.report(primary());
--- a/router-fleet/replication/src/test/java/pinewick/replication/ConfirmedConfigurationTest.java
+++ b/router-fleet/replication/src/test/java/pinewick/replication/ConfirmedConfigurationTest.java
@@ -76,6 +76,7 @@
     @Test
     void aPrimaryThatChangesItsEpochDoesNotWaitAgain() {
         long counter = soleAuthority(primary).orElseThrow();
+        long tenure = primary.node().soleAuthorityTenure(world.nowMs()).orElseThrow();
         backups.get(0).kill();
         double changedMs = world.runUntil(
                 () -> soleAuthority(primary).filter(now -> now > counter).isPresent(), 4_000);
@@ -85,5 +86,6 @@
         world.runUntil(() -> primary.epoch() > changed, 4_000);
         double waitedMs = world.runUntil(() -> soleAuthority(primary).isPresent(), 4_000);
         assertTrue(waitedMs < 100, "waited " + waitedMs);
+        assertEquals(Optional.of(tenure), primary.node().soleAuthorityTenure(world.nowMs()), "no other in between");
     }
 }
--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControllerProcess.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControllerProcess.java
@@ -26,6 +26,7 @@
 import pinewick.model.Message;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.SocketAddress;
+import pinewick.quota.QuotaTerms;
 import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationSettings;
 
@@ -69,7 +70,11 @@
                 machine.internal(), (long) machine.wallClockMs(), NodeRole.CONTROLLER, machine.zone());
         this.core = new ControllerCore(
                 new ControllerCore.Settings(
-                        self, replication, SimulatedSystem.CONTACT_MS, SimulatedSystem.HEARTBEAT_MS),
+                        self,
+                        replication,
+                        SimulatedSystem.CONTACT_MS,
+                        SimulatedSystem.HEARTBEAT_MS,
+                        new QuotaTerms(8_000, 0.1, 0)),
                 this,
                 store,
                 (peer, message) -> system.network().send(machine.internal(), peer, message),
