--- a/router-fleet/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
+++ b/router-fleet/dissemination/src/test/java/pinewick/dissemination/FleetSimulation.java
@@ -1,6 +1,8 @@
 package pinewick.dissemination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -75,6 +77,8 @@
         long bytesReceived;
         long messagesSent;
         int ticks;
+        private final Deque<Runnable> backlog = new ArrayDeque<>();
+        private boolean frozen;
         private int plannedTicks;
         private double plannedTickMs = Double.NaN;
         private double linkOutFreeAtMs;
@@ -100,6 +104,10 @@
         }
 
         private void tick() {
+            if (frozen) {
+                backlog.add(this::tick);
+                return;
+            }
             if (!alive) {
                 return;
             }
@@ -155,6 +163,18 @@
             return linkInFreeAtMs - nowMs;
         }
 
+        /** What happens to the process from now on happens once it resumes. */
+        void freeze() {
+            frozen = true;
+        }
+
+        void resume() {
+            frozen = false;
+            List<Runnable> held = new ArrayList<>(backlog);
+            backlog.clear();
+            held.forEach(Runnable::run);
+        }
+
         void kill() {
             alive = false;
             processes.remove(address(), this);
@@ -292,6 +312,17 @@
             return;
         }
         receiver.bytesReceived += frame.length;
+        if (receiver.frozen) {
+            receiver.backlog.add(() -> handle(receiver, from, frame));
+        } else {
+            handle(receiver, from, frame);
+        }
+    }
+
+    private void handle(Process receiver, SocketAddress from, byte[] frame) {
+        if (!receiver.alive) {
+            return;
+        }
         try {
             Message message = codec.decode(frame, 0, frame.length).message();
             if (!receiver.receive(from, message)) {
