--- a/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/ControlPlaneSimulation.java
@@ -73,7 +73,8 @@
     }
 
     /**
-     * Simulates a run of the mutant's scenario, or else the seed's own; see {@link #run(long, Scenario, Mutant, boolean)}.
+     * Simulates a run of the mutant's scenario, or else the seed's own; see
+     * {@link #run(long, Scenario, Mutant, boolean)}.
      */
     public static SimulationResult run(long seed, Mutant mutant, boolean isTraced) {
         return run(seed, mutant.scenarioOf(seed), mutant, isTraced);
