--- a/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
+++ b/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
@@ -94,9 +94,10 @@
 
         assertEquals(2, run("check-config", file(body.replace('\'', '"'))));
         assertEquals(
-                """
-                tenants/a.api_keys: shares a key (fingerprint 07fd3265) with tenant 'b'; give each tenant keys of its own
-                tenants/b.api_keys: shares a key (fingerprint 07fd3265) with tenant 'a'; give each tenant keys of its own""",
+                "tenants/a.api_keys: shares a key (fingerprint 07fd3265) with tenant 'b'; "
+                        + "give each tenant keys of its own\n"
+                        + "tenants/b.api_keys: shares a key (fingerprint 07fd3265) with tenant 'a'; "
+                        + "give each tenant keys of its own",
                 err.toString().strip());
     }
 
