--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/QuotaAdmission.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/QuotaAdmission.java
@@ -23,13 +23,18 @@
 
     private static final double RETRY_AFTER_JITTER = 0.6;
 
+    /** How often a request asks again whose tokens come within its wait: the bucket is about empty for a moment. */
+    private static final int MAX_REQUESTS = 3;
+
     private final Optional<QuotaCharge> charge;
     private final TenantQuotas quotas;
     private final Timers timers;
     private final RandomGenerator random;
     private final double maxWaitMs;
     private Optional<PendingGrant> pending = Optional.empty();
-    private Optional<Timers.Timer> timeout = Optional.empty();
+    private Optional<Timers.Timer> timer = Optional.empty();
+    private double waitsUntilMs;
+    private int requestsLeft = MAX_REQUESTS;
     private boolean decided;
 
     /**
@@ -68,24 +73,34 @@
             onGranted.run();
             return;
         }
+        waitsUntilMs = timers.nowMs() + maxWaitMs;
+        request(onGranted, onRefused);
+    }
+
+    private void request(Runnable onGranted, Consumer<Refusal> onRefused) {
+        requestsLeft--;
+        decided = false;
         PendingGrant requested = quotas.request(charge.get(), decision -> onDecision(decision, onGranted, onRefused));
         if (!decided) {
             pending = Optional.of(requested);
-            timeout = Optional.of(timers.schedule(maxWaitMs, () -> onTimeout(requested, onGranted, onRefused)));
+            double remainingMs = waitsUntilMs - timers.nowMs();
+            timer = Optional.of(timers.schedule(remainingMs, () -> onTimeout(requested, onGranted, onRefused)));
         }
     }
 
     /** The request has ended otherwise. */
     void cancel() {
         pending.ifPresent(PendingGrant::cancel);
-        timeout.ifPresent(Timers.Timer::cancel);
+        timer.ifPresent(Timers.Timer::cancel);
     }
 
     private void onDecision(QuotaDecision decision, Runnable onGranted, Consumer<Refusal> onRefused) {
         decided = true;
-        timeout.ifPresent(Timers.Timer::cancel);
+        timer.ifPresent(Timers.Timer::cancel);
         if (decision instanceof QuotaDecision.Granted) {
             onGranted.run();
+        } else if (decision instanceof QuotaDecision.OverLimit over && isWorthWaiting(over)) {
+            timer = Optional.of(timers.schedule(over.retryAfterMs(), () -> request(onGranted, onRefused)));
         } else if (decision instanceof QuotaDecision.OverLimit over) {
             double seconds = Math.max(MIN_RETRY_AFTER_SECONDS, over.retryAfterMs() / MS_PER_SECOND);
             onRefused.accept(new Refusal(HttpStatus.TOO_MANY_REQUESTS_429, withJitter(seconds)));
@@ -94,6 +109,10 @@
         }
     }
 
+    private boolean isWorthWaiting(QuotaDecision.OverLimit over) {
+        return requestsLeft > 0 && timers.nowMs() + over.retryAfterMs() < waitsUntilMs;
+    }
+
     private void onTimeout(PendingGrant waiting, Runnable onGranted, Consumer<Refusal> onRefused) {
         decided = true;
         waiting.cancel();
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/QuotaCharge.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/QuotaCharge.java
@@ -37,10 +37,13 @@
             return limit.uncachedTokens();
         }
         try {
-            long sum = Long.parseLong(numbers[0].trim()) + Long.parseLong(numbers[1].trim());
-            return (int) Math.max(0, Math.min(Integer.MAX_VALUE, sum));
+            return (int) Math.min(Integer.MAX_VALUE, clampedNumber(numbers[0]) + clampedNumber(numbers[1]));
         } catch (NumberFormatException e) {
             return limit.uncachedTokens();
         }
     }
+
+    private static long clampedNumber(String text) {
+        return Math.max(0, Math.min(Integer.MAX_VALUE, Long.parseLong(text.trim())));
+    }
 }
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/RequestAdmission.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/RequestAdmission.java
@@ -41,7 +41,7 @@
     private static final double QUOTA_WAIT_TARGET_FRACTION = 0.22;
 
     /** A client's retry waits this part of the time it has left: a second refusal would be its end. */
-    private static final double QUOTA_WAIT_RETRY_FRACTION = 0.5;
+    private static final double QUOTA_WAIT_RETRY_FRACTION = 0.45;
 
     private final RequestRouting routing;
     private final Supplier<RoutingTable> table;
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/TenantAuthenticator.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/TenantAuthenticator.java
@@ -23,7 +23,8 @@
 
     private final double maxAgeOfKeysMs;
     private final double maxAgeOfRefusalMs;
-    private double confirmedAtMs = Double.NEGATIVE_INFINITY;
+    /** Written on the data plane's executor. */
+    private volatile double confirmedAtMs = Double.NEGATIVE_INFINITY;
 
     /** What is known of the sender of a request. */
     sealed interface Access {
@@ -48,8 +49,9 @@
 
     /** Whether a request with a known key would be accepted now, or none is required. Any thread. */
     boolean isServing(RoutingTable table, Confirmation confirmation, double nowMs) {
-        return !table.requiresKeys()
-                || (isInForce(table, confirmation) && nowMs - confirmation.confirmedAtMs() <= maxAgeOfKeysMs);
+        double latestMs =
+                isInForce(table, confirmation) ? Math.max(confirmedAtMs, confirmation.confirmedAtMs()) : confirmedAtMs;
+        return !table.requiresKeys() || nowMs - latestMs <= maxAgeOfKeysMs;
     }
 
     /** The access of a request that was received before {@code nowMs}. */
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/TenantQuotas.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/TenantQuotas.java
@@ -36,8 +36,11 @@
 
     private void tick() {
         tickScheduled = false;
-        client.onTick(timers.nowMs());
-        scheduleTick();
+        try {
+            client.onTick(timers.nowMs());
+        } finally {
+            scheduleTick();
+        }
     }
 
     /** Handles a message of another process about limits. */
--- a/router-fleet/quota/src/main/java/pinewick/quota/QuotaClient.java
+++ b/router-fleet/quota/src/main/java/pinewick/quota/QuotaClient.java
@@ -18,8 +18,8 @@
 
 /**
  * A router's side of the limits: requests tokens from the coordinator for each client request, and sends a request
- * again that was not answered. A coordinator that answers nothing for {@link #SUSPECT_AFTER_MS} is <em>suspected</em>:
- * from then on the oldest request alone probes for one, at the primary that is known, at a controller and through
+ * again that was not answered. A coordinator that answers nothing for {@link #SUSPECT_AFTER_MS}, to whichever requests,
+ * is <em>suspected</em>: from then on the oldest request alone probes for one, at the primary that is known, at a controller and through
  * another router, since this router may be partitioned from the controllers only. Meanwhile requests are let through by
  * the {@link RunAheadAllowance} as far as it goes; the others wait, for as long as their owners let them.
  *
@@ -37,8 +37,8 @@
     /** Controllers that name each other as the coordinator are not followed more often than this, milliseconds. */
     private static final double REDIRECT_INTERVAL_MS = 20;
 
-    /** How long requests go through another router before the coordinator is tried directly again, milliseconds. */
-    private static final double RELAY_RETENTION_MS = 2_000;
+    /** While requests go through another router, one of them is sent directly as well this often, milliseconds. */
+    private static final double DIRECT_PROBE_INTERVAL_MS = 2_000;
 
     private final QuotaPeers peers;
     private final Outbox outbox;
@@ -48,8 +48,10 @@
     private final RequestRelay relay = new RequestRelay();
     private Optional<SocketAddress> coordinator = Optional.empty();
     private Optional<SocketAddress> relayRouter = Optional.empty();
-    private double relayedUntilMs = Double.NEGATIVE_INFINITY;
-    private double lastAnswerMs = Double.NEGATIVE_INFINITY;
+    private double nextDirectProbeMs = Double.POSITIVE_INFINITY;
+    /** When the first request was sent that no answer of a coordinator has followed; requests may be cancelled since. */
+    private double unansweredSinceMs = Double.POSITIVE_INFINITY;
+
     private double lastProbeMs = Double.NEGATIVE_INFINITY;
     private double lastRedirectMs = Double.NEGATIVE_INFINITY;
     private boolean suspected;
@@ -60,14 +62,12 @@
         private final QuotaRequest request;
         private final QuotaLimit limit;
         private final Consumer<QuotaDecision> callback;
-        private final double beganAtMs;
         private double lastSentMs;
 
         PendingRequest(QuotaRequest request, QuotaLimit limit, Consumer<QuotaDecision> callback, double nowMs) {
             this.request = request;
             this.limit = limit;
             this.callback = callback;
-            this.beganAtMs = nowMs;
             this.lastSentMs = nowMs;
         }
 
@@ -108,6 +108,7 @@
             String tenant, QuotaLimit limit, int cost, Consumer<QuotaDecision> callback, double nowMs) {
         QuotaRequest request = new QuotaRequest(++lastId, tenant, cost);
         PendingRequest added = new PendingRequest(request, limit, callback, nowMs);
+        suspectIfSilent(nowMs);
         if (suspected && added.tryRunAhead(nowMs)) {
             callback.accept(new QuotaDecision.Granted());
             return added;
@@ -136,10 +137,7 @@
         if (pending.isEmpty()) {
             return;
         }
-        double waitingSinceMs = Math.max(lastAnswerMs, oldest().beganAtMs);
-        if (!suspected && nowMs - waitingSinceMs >= SUSPECT_AFTER_MS) {
-            suspect(nowMs);
-        }
+        suspectIfSilent(nowMs);
         if (suspected) {
             probeIfDue(nowMs);
             return;
@@ -156,9 +154,15 @@
         return pending.values().iterator().next();
     }
 
-    private void suspect(double nowMs) {
-        suspected = true;
-        relayRouter = Optional.empty();
+    private void suspectIfSilent(double nowMs) {
+        if (!suspected && nowMs - unansweredSinceMs >= SUSPECT_AFTER_MS) {
+            suspected = true;
+            relayRouter = Optional.empty();
+            runAheadWithPending(nowMs);
+        }
+    }
+
+    private void runAheadWithPending(double nowMs) {
         for (PendingRequest each : List.copyOf(pending.values())) {
             if (pending.containsKey(each.request.requestId()) && each.tryRunAhead(nowMs)) {
                 each.complete(new QuotaDecision.Granted());
@@ -168,11 +172,15 @@
 
     /** Sends on the way that worked last. */
     private void send(QuotaRequest request, double nowMs) {
-        if (relayRouter.isPresent() && nowMs < relayedUntilMs) {
+        unansweredSinceMs = Math.min(unansweredSinceMs, nowMs);
+        if (relayRouter.isPresent()) {
             outbox.send(relayRouter.get(), new RelayedQuotaRequest(request));
-            return;
+            if (nowMs < nextDirectProbeMs) {
+                return;
+            }
+            nextDirectProbeMs = nowMs + DIRECT_PROBE_INTERVAL_MS;
         }
-        Optional<SocketAddress> target = coordinator.or(peers::primary);
+        Optional<SocketAddress> target = target(nowMs);
         if (target.isPresent()) {
             outbox.send(target.get(), request);
         } else {
@@ -180,13 +188,19 @@
         }
     }
 
+    /** The coordinator; once it is silent, the primary that this router knows. */
+    private Optional<SocketAddress> target(double nowMs) {
+        boolean isSilent = nowMs - unansweredSinceMs >= RESEND_AFTER_MS;
+        return isSilent ? peers.primary().or(() -> coordinator) : coordinator.or(peers::primary);
+    }
+
     private void probeIfDue(double nowMs) {
         if (pending.isEmpty() || nowMs - lastProbeMs < PROBE_INTERVAL_MS) {
             return;
         }
         lastProbeMs = nowMs;
         QuotaRequest probe = oldest().request;
-        Optional<SocketAddress> believed = coordinator.or(peers::primary);
+        Optional<SocketAddress> believed = target(nowMs);
         believed.ifPresent(target -> outbox.send(target, probe));
         choose(peers.controllers())
                 .filter(controller -> !believed.equals(Optional.of(controller)))
@@ -247,15 +261,15 @@
     }
 
     private void onCoordinatorAnswered(SocketAddress sender, QuotaReply reply, double nowMs) {
-        lastAnswerMs = nowMs;
-        boolean isDirect = !peers.routers().contains(sender);
+        unansweredSinceMs = Double.POSITIVE_INFINITY;
+        boolean isDirect = reply.coordinator() == null || sender.equals(reply.coordinator());
         if (isDirect) {
             coordinator = Optional.of(sender);
             relayRouter = Optional.empty();
-        } else if (nowMs >= relayedUntilMs || relayRouter.isEmpty()) {
-            coordinator = Optional.ofNullable(reply.coordinator());
+        } else if (relayRouter.isEmpty()) {
+            coordinator = Optional.of(reply.coordinator());
             relayRouter = Optional.of(sender);
-            relayedUntilMs = nowMs + RELAY_RETENTION_MS;
+            nextDirectProbeMs = nowMs + DIRECT_PROBE_INTERVAL_MS;
         }
         if (suspected) {
             suspected = false;
--- a/router-fleet/quota/src/main/java/pinewick/quota/TenantBucket.java
+++ b/router-fleet/quota/src/main/java/pinewick/quota/TenantBucket.java
@@ -2,10 +2,13 @@
 
 /**
  * The token bucket of one tenant, at the coordinator. It starts empty: what an earlier coordinator granted is not
- * known, and of two buckets that follow each other only the first may have been full. A request is granted while the
- * bucket is not empty, even if that puts it into debt, so that large requests are granted as often as small ones.
+ * known, and of two buckets that follow each other only the first may have been full. After its first window a request
+ * is granted while the bucket is not empty, even if that puts it into debt, so that large requests are granted as often
+ * as small ones. In its first window it makes no debt: its grants count together with those of the bucket before, which
+ * may have ended in debt.
  *
- * <p>Over any time t, buckets that follow each other grant at most rate x t + capacity + debt.
+ * <p>In any window, buckets that follow each other grant at most rate x window + capacity + debt, however many there
+ * are.
  */
 final class TenantBucket {
     private double ratePerMs;
@@ -13,9 +16,12 @@
     private double maxDebt;
     private double level;
     private double updatedAtMs;
+    private final double startedAtMs;
+    private double windowMs = Double.POSITIVE_INFINITY;
 
     TenantBucket(double nowMs) {
         this.updatedAtMs = nowMs;
+        this.startedAtMs = nowMs;
     }
 
     /** Sets the limit in force from now on. What is above a lowered capacity is lost. */
@@ -24,13 +30,14 @@
         ratePerMs = newRatePerMs;
         capacity = terms.capacity(newRatePerMs, burst);
         maxDebt = terms.maxDebt(newRatePerMs, burst);
+        windowMs = terms.windowMs();
         level = Math.min(level, capacity);
     }
 
     /** Grants {@code cost}, or returns false. */
     boolean tryGrant(double cost, double nowMs) {
         advance(nowMs);
-        if (level <= 0 || level - cost < -maxDebt) {
+        if (level <= 0 || level - cost < -maxDebt(nowMs)) {
             return false;
         }
         level -= cost;
@@ -40,7 +47,7 @@
     /** How long until a request of {@code cost} is granted if nothing else is, milliseconds; infinite if never. */
     double waitMs(double cost, double nowMs) {
         advance(nowMs);
-        double neededLevel = Math.max(0, cost - maxDebt);
+        double neededLevel = Math.max(0, cost - maxDebt(nowMs));
         if (neededLevel > capacity) {
             return Double.POSITIVE_INFINITY;
         }
@@ -53,6 +60,10 @@
         return level;
     }
 
+    private double maxDebt(double nowMs) {
+        return nowMs - startedAtMs > windowMs ? maxDebt : 0;
+    }
+
     private void advance(double nowMs) {
         if (nowMs > updatedAtMs) {
             level = Math.min(capacity, level + ratePerMs * (nowMs - updatedAtMs));
