--- a/router-fleet/dissemination/src/test/java/pinewick/dissemination/FreshnessPropertyTest.java
+++ b/router-fleet/dissemination/src/test/java/pinewick/dissemination/FreshnessPropertyTest.java
@@ -47,7 +47,7 @@
             pass(SETTLED_MS);
         }
 
-        /** A controller becomes primary: it has everything that was acknowledged, and the earlier one no longer leads. */
+        /** A controller becomes primary: it has all that was acknowledged, and the earlier one no longer leads. */
         private void lead(int controller) {
             primary = fleet.controllers.get(controller);
             primary.state.offer(newest);
