--- a/router-fleet/quota/src/main/java/pinewick/quota/QuotaClient.java
+++ b/router-fleet/quota/src/main/java/pinewick/quota/QuotaClient.java
@@ -19,9 +19,10 @@
 /**
  * A router's side of the limits: requests tokens from the coordinator for each client request, and sends a request
  * again that was not answered. A coordinator that answers nothing for {@link #SUSPECT_AFTER_MS}, to whichever requests,
- * is <em>suspected</em>: from then on the oldest request alone probes for one, at the primary that is known, at a controller and through
- * another router, since this router may be partitioned from the controllers only. Meanwhile requests are let through by
- * the {@link RunAheadAllowance} as far as it goes; the others wait, for as long as their owners let them.
+ * is <em>suspected</em>: from then on the oldest request alone probes for one, at the primary that is known, at a
+ * controller and through another router, since this router may be partitioned from the controllers only. Meanwhile
+ * requests are let through by the {@link RunAheadAllowance} as far as it goes; the others wait, for as long as their
+ * owners let them.
  *
  * <p>Used by one thread at a time.
  */
@@ -49,7 +50,7 @@
     private Optional<SocketAddress> coordinator = Optional.empty();
     private Optional<SocketAddress> relayRouter = Optional.empty();
     private double nextDirectProbeMs = Double.POSITIVE_INFINITY;
-    /** When the first request was sent that no answer of a coordinator has followed; requests may be cancelled since. */
+    /** When the first request was sent that no answer has followed; it may have been cancelled since. */
     private double unansweredSinceMs = Double.POSITIVE_INFINITY;
 
     private double lastProbeMs = Double.NEGATIVE_INFINITY;
--- a/router-fleet/quota/src/test/java/pinewick/quota/QuotaFleet.java
+++ b/router-fleet/quota/src/test/java/pinewick/quota/QuotaFleet.java
@@ -17,8 +17,8 @@
 
 /**
  * Routers and controllers in virtual time, with the module's own classes: one tenant's requests arrive at random
- * routers; messages are lost, duplicated and late; routers restart, freeze and are cut off; the authority to grant moves
- * between controllers, one at a time, with pauses. Every executed request is recorded.
+ * routers; messages are lost, duplicated and late; routers restart, freeze and are cut off; the authority to grant
+ * moves between controllers, one at a time, with pauses. Every executed request is recorded.
  */
 final class QuotaFleet {
     static final String TENANT = "t";
