--- a/router-fleet/control/src/test/java/pinewick/control/StatusReportTest.java
+++ b/router-fleet/control/src/test/java/pinewick/control/StatusReportTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import pinewick.model.SocketAddress;
+import pinewick.quota.TenantUsage;
 import pinewick.replication.Member;
 import pinewick.replication.ReplicationReport;
 import pinewick.replication.ReplicationReport.FaultTolerance;
@@ -62,4 +63,14 @@
         assertFalse(section.has("tolerable_losses"));
         assertFalse(section.has("sufficient_ms"));
     }
+
+    @Test
+    void tellsWhatTenantsWereGrantedAndRefused() {
+        byte[] report = new StatusReport()
+                .tenants(List.of(new TenantUsage("acme", 350_000, -1_200.4, 17_020, 400)))
+                .toJson();
+        assertEquals(
+                "{\"tenants\":{\"acme\":{\"rate_per_s\":350000.0,\"available\":-1200,\"granted\":17020,\"refused\":400}}}",
+                new String(report, StandardCharsets.UTF_8));
+    }
 }
