--- a/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
+++ b/router-fleet/system/src/test/java/pinewick/system/CommandsTest.java
@@ -71,7 +71,7 @@
     @Test
     void reportsTheErrorsOfTenantsWithoutTheirKeys() throws IOException {
         String tenants = "{'name':'a','api_keys':['sk-secret-1']},{'name':'a','api_keys':'sk-secret-2'},"
-                + "{'name':'b','api_keys':['sk-secret-1',''],'unit':'words','rate_per_s':-1,'burst_size':-1},7";
+                + "{'name':'b','api_keys':['sk-secret-1',''],'unit':7,'rate_per_s':-1,'burst_size':-1},7";
         String body = "{'version':3,'routes':[],'services':[],'tenants':[" + tenants + "]}";
 
         assertEquals(2, run("check-config", file(body.replace('\'', '"'))));
@@ -83,7 +83,7 @@
                 tenants/b.api_keys[1]: is empty or no text; give each key as a text
                 tenants/b.rate_per_s: is below 0; give a number from 0 up
                 tenants/b.burst_size: is below 0; give a number from 0 up
-                tenants/b.unit: is not token_accounting; give that, or leave it out to count requests""",
+                tenants/b.unit: is not a text; put it in quotes""",
                 err.toString().strip());
     }
 
