--- a/router-fleet/control/src/test/java/pinewick/control/StatusReportTest.java
+++ b/router-fleet/control/src/test/java/pinewick/control/StatusReportTest.java
@@ -70,7 +70,8 @@
                 .tenants(List.of(new TenantUsage("acme", 350_000, -1_200.4, 17_020, 400)))
                 .toJson();
         assertEquals(
-                "{\"tenants\":{\"acme\":{\"rate_per_s\":350000.0,\"available\":-1200,\"granted\":17020,\"refused\":400}}}",
+                "{\"tenants\":{\"acme\":{\"rate_per_s\":350000.0,\"available\":-1200,"
+                        + "\"granted\":17020,\"refused\":400}}}",
                 new String(report, StandardCharsets.UTF_8));
     }
 }
