--- a/router-fleet/quota/src/test/java/pinewick/quota/TenantBucketTest.java
+++ b/router-fleet/quota/src/test/java/pinewick/quota/TenantBucketTest.java
@@ -80,8 +80,8 @@
                     cost /= 2;
                 }
             }
-            nowMs += 100;
             bucket = bucket(nowMs);
+            nowMs += 100;
         }
         double bound = RATE_PER_MS * (nowMs - 100_000)
                 + TERMS.capacity(RATE_PER_MS, BURST)
