--- a/router-fleet/control/src/main/java/pinewick/control/ReplicaRegistry.java
+++ b/router-fleet/control/src/main/java/pinewick/control/ReplicaRegistry.java
@@ -113,6 +113,9 @@
                 : known.map(record -> ReplicaRecord.merge(record, reported)).orElse(reported);
         if (reported.state() == ReplicaState.READY) {
             if (known.isEmpty()) {
+                LOGGER.atInfo().log(
+                        "replica registered: %s of service %s at %s: heartbeat %d, earlier state unknown",
+                        reported.instanceId(), reported.service(), reported.address(), reported.callSequence());
                 markPredecessorsLapsed(reported);
             }
             if (isChanged(known, merged)) {
@@ -190,6 +193,9 @@
         fleet.publishUntilAcknowledged(record, () -> {
             localState.recordConfirmed(record.state());
             counters.countRemovalConfirmed();
+            LOGGER.atInfo().log(
+                    "removal confirmed by another controller: replica %s, state %s",
+                    record.instanceId(), record.state());
             acknowledgement.accept(Acknowledgement.CONFIRMED);
         });
         if (!acknowledgement.isGiven()) {
