--- a/testing/lab/src/main/java/pinewick/lab/ControlLab.java
+++ b/testing/lab/src/main/java/pinewick/lab/ControlLab.java
@@ -74,7 +74,7 @@
     }
 
     private SimulationResult run(long simulatedSeed, Mutant mutant, boolean traced) {
-        Scenario selectedScenario = scenario.orElseGet(() -> ControlPlaneSimulation.scenarioOf(simulatedSeed));
+        Scenario selectedScenario = scenario.orElseGet(() -> mutant.scenarioOf(simulatedSeed));
         return ControlPlaneSimulation.run(simulatedSeed, selectedScenario, mutant, traced);
     }
 
