--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlane.java
@@ -88,7 +88,7 @@
         this.disconnectDetector = new ClientDisconnectDetector(timers);
         this.pool = new UpstreamPool(serial, timers, directory, this::connectionLimit);
         this.services = new DataPlaneServices(
-                selector, chooser, budget, new KvTransferHealth(), directory, pool, timers, random);
+                selector, chooser, budget, new KvTransferHealth(), directory, pool, new BufferBudget(), timers, random);
         this.fallbackAllowance = new FallbackAllowance(tenancy.quotaPolicy(), timers.nowMs());
         this.quotas = new TenantQuotas(
                 new QuotaClient(tenancy.quotaPeers(), tenancy.outbox(), fallbackAllowance, random), timers);
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/DataPlaneServices.java
@@ -12,5 +12,6 @@
         KvTransferHealth kvTransferHealth,
         ReplicaDirectory directory,
         UpstreamClient upstream,
+        BufferBudget responseBuffers,
         Timers timers,
         RandomGenerator random) {}
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/RequestLifecycle.java
@@ -58,7 +58,8 @@
         this.services = services;
         this.onEnded = onEnded;
         this.attempts = new AttemptTracker(shape.service(), shape.route().maxAttempts(), services.budget());
-        this.events = new EventStreamReader(request.fields().get(HeaderNames.LAST_EVENT_ID));
+        this.events =
+                new EventStreamReader(request.fields().get(HeaderNames.LAST_EVENT_ID), services.responseBuffers());
     }
 
     /**
@@ -347,6 +348,7 @@
         ended = true;
         deadlineTimer.cancel();
         quota.cancel();
+        events.close();
         releaseHandle();
         attempts.close();
         onEnded.accept(this);
--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/UpstreamAttempt.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/UpstreamAttempt.java
@@ -1,8 +1,10 @@
 package pinewick.dataplane;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import pinewick.model.ReplicaRecord;
 import pinewick.model.Route;
@@ -20,6 +22,9 @@
     /** Longest response that is buffered until it is complete, bytes; a longer one is forwarded in chunks. */
     static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 5;
+
     private static final double REMAINING_TIME_FRACTION = 0.35;
     private static final double TARGET_LATENCY_FACTOR = 1.5;
     private static final double MAX_REMAINING_TIME_FRACTION = 0.6;
@@ -204,7 +209,7 @@
         switch (mode) {
             case BUFFERED -> buffer(content);
             case CHUNKS -> lifecycle.forward(this, bytesOf(content));
-            case EVENTS -> forwardEvents(lifecycle.events().read(content));
+            case EVENTS -> readEvents(content);
             default -> content.position(content.limit());
         }
     }
@@ -223,6 +228,17 @@
         }
     }
 
+    private void readEvents(ByteBuffer content) {
+        forwardEvents(lifecycle.events().read(content));
+        if (lifecycle.events().isEventTooLong()) {
+            LOGGER.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "stream broken off: replica %s sent an event that is too long to be buffered",
+                    replica.instanceId());
+            upstream.abort();
+            endFailed();
+        }
+    }
+
     private void forwardEvents(byte[] events) {
         if (events.length == 0) {
             return;
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/LifecycleTestContext.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/LifecycleTestContext.java
@@ -60,6 +60,7 @@
                 new KvTransferHealth(),
                 directory,
                 calls,
+                new BufferBudget(),
                 timers,
                 new SplittableRandom(seed + 1));
         double nowMs = timers.nowMs();
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/ReportPollerTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/ReportPollerTest.java
@@ -40,6 +40,7 @@
                 new KvTransferHealth(),
                 directory,
                 calls,
+                new BufferBudget(),
                 timers,
                 new SplittableRandom(2));
     }
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/StreamTest.java
@@ -16,6 +16,7 @@
 /** Streams that fail before, within and between events, and clients that disconnect or read slowly. */
 class StreamTest {
     private static final int QUIET_MS = 300;
+    private static final int JUNK_CHUNK_BYTES = 128 * 1024;
 
     private TestRouter router;
     private ScriptedReplica first;
@@ -96,6 +97,27 @@
         assertEquals("", client.readChunk());
     }
 
+    /** One spoilt stream ended the router, and with it every request that it had passed on. */
+    @Test
+    void aStreamOfBytesThatAreNoEventIsBrokenOffAndContinuesAtAnotherReplica() throws Exception {
+        RawSocket upstream = startStream(true, 2);
+        forwardOneEvent(upstream);
+        String junk = ScriptedReplica.chunk("x".repeat(JUNK_CHUNK_BYTES));
+        int[] sentBytes = {0};
+        assertTrue(upstream.isClosedByPeerWhileSending(iteration -> {
+            sentBytes[0] += JUNK_CHUNK_BYTES;
+            return junk;
+        }));
+        assertTrue(
+                sentBytes[0] <= 2 * EventStreamReader.MAX_EVENT_BYTES,
+                "the stream was broken off after " + sentBytes[0] + " bytes");
+        RawSocket next = second.accept();
+        assertEquals("1", next.read().field("Last-Event-Id"));
+        next.send(ScriptedReplica.streamHead("q1") + ScriptedReplica.chunk(event(2)) + ScriptedReplica.lastChunk());
+        assertEquals(event(2), client.readChunk());
+        assertEquals("", client.readChunk());
+    }
+
     @Test
     void aResumableStreamWithoutAnEventRestartsAfterTheClientsOwnLastEvent() throws Exception {
         RawSocket upstream = startStream(true, 2, "Last-Event-Id: 12");
