The answer to a load report's poll has a bound

Beyond 64 KiB the poll is aborted and counts as not answered; the replica is polled again with the next interval.

ReportPollerTest.aReportWithoutEndIsAbortedAndTheReplicaPolledAgain fails before: the call is never aborted.

--- a/router-fleet/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
+++ b/router-fleet/dataplane/src/main/java/pinewick/dataplane/ReportPoller.java
@@ -27,6 +27,8 @@
  */
 final class ReportPoller {
     private static final double TIMEOUT_MS = 1_000;
+    /** A longer response to a poll is no load report, bytes. */
+    static final int MAX_REPORT_BYTES = 64 * 1024;
     /** A report younger than this fraction of the poll interval was polled by another router. */
     private static final double RECENT_REPORT_FRACTION = 0.75;
 
@@ -130,6 +132,7 @@
     private final class PendingPoll implements CallListener {
         private final ReplicaRecord replica;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private UpstreamCall call;
         private Timers.Timer timeout;
         private boolean isUsable;
 
@@ -142,7 +145,7 @@
             HttpFields.Mutable fields = HttpFields.build();
             fields.put(HttpHeader.HOST, replica.address().toString());
             fields.put(HeaderNames.EXPECTED_INSTANCE, replica.instanceId());
-            UpstreamCall call = services.upstream()
+            call = services.upstream()
                     .send(replica, new UpstreamRequest("GET", "/report", fields, UpstreamRequest.NO_BODY, null), this);
             timeout = services.timers().schedule(TIMEOUT_MS, () -> {
                 call.abort();
@@ -167,6 +170,11 @@
 
         @Override
         public void onContent(ByteBuffer content) {
+            if (body.size() + content.remaining() > MAX_REPORT_BYTES) {
+                call.abort();
+                finish();
+                return;
+            }
             byte[] bytes = new byte[content.remaining()];
             content.get(bytes);
             body.writeBytes(bytes);
--- a/router-fleet/dataplane/src/test/java/pinewick/dataplane/ReportPollerTest.java
+++ b/router-fleet/dataplane/src/test/java/pinewick/dataplane/ReportPollerTest.java
@@ -131,6 +131,22 @@
         assertEquals(List.of(), deliveredReports);
     }
 
+    /** A replica that responds to a poll without end could exhaust the memory of the router. */
+    @Test
+    void aReportWithoutEndIsAbortedAndTheReplicaPolledAgain() {
+        directory.update(replica("i-1", ReplicaState.READY));
+        poller.poll(SELF, List.of(), INTERVAL_MS);
+        ScriptedUpstreamClient.ScriptedCall call = calls.last();
+        call.head(200, HttpFields.build());
+        call.content("x".repeat(ReportPoller.MAX_REPORT_BYTES));
+        assertFalse(call.finished);
+        call.content("x");
+        assertTrue(call.finished);
+        poller.poll(SELF, List.of(), INTERVAL_MS);
+        assertEquals(2, calls.all.size());
+        assertEquals(List.of(), deliveredReports);
+    }
+
     @Test
     void anInvalidReportIsIgnored() {
         for (String body : List.of("", "{", "[]", "null", "{\"waiting\":\"many\"}", "{\"busy\":[]}")) {
