--- a/router-fleet/control/src/test/java/pinewick/control/ControllerCluster.java
+++ b/router-fleet/control/src/test/java/pinewick/control/ControllerCluster.java
@@ -6,8 +6,11 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
+import java.nio.file.DirectoryNotEmptyException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.Map;
@@ -52,11 +55,26 @@
         return directory.resolve("core-" + machine);
     }
 
-    /** Deletes what a controller that does not run has stored. */
+    /**
+     * Deletes what a controller that does not run has stored, if it has stored anything. Its store may still be
+     * closing, so files may appear or vanish meanwhile.
+     */
     void loseDisk(int machine) throws IOException {
-        try (Stream<Path> files = Files.walk(dataDirectory(machine))) {
+        long deadlineNanos = System.nanoTime() + TIMEOUT_NANOS;
+        while (Files.exists(dataDirectory(machine))) {
+            assertTrue(System.nanoTime() < deadlineNanos, "the disk was not deleted in time");
+            try {
+                deleteDirectory(dataDirectory(machine));
+            } catch (NoSuchFileException | DirectoryNotEmptyException | UncheckedIOException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private static void deleteDirectory(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
+                Files.deleteIfExists(file);
             }
         }
     }
