Stored removals take every text that a replica may send

A read-through of the removal store: writeUTF takes at most 65,535 bytes of its own encoding, and 16,000 characters beyond the basic plane in a heartbeat of 64 KiB need 96,000. Such a record would have ended the write with an exception that no caller handles, and no later removal of that controller would have reached its disk. Texts are now written as a length and UTF-8. RemovalStorageTest.storesTextsOfTheGreatestLengthThatAReplicaMaySend (not run against the code before).

--- a/router-fleet/storage/src/main/java/pinewick/storage/StoredFormat.java
+++ b/router-fleet/storage/src/main/java/pinewick/storage/StoredFormat.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
@@ -71,18 +72,18 @@
     /** Encodes a replica record, followed by a checksum of its own. */
     static byte[] writeReplica(ReplicaRecord record) {
         byte[] content = write(out -> {
-            out.writeUTF(record.instanceId());
-            out.writeUTF(record.service());
+            writeText(out, record.instanceId());
+            writeText(out, record.service());
             writeAddress(out, record.address());
-            out.writeUTF(record.zone());
-            out.writeUTF(record.softwareVersion());
+            writeText(out, record.zone());
+            writeText(out, record.softwareVersion());
             out.writeInt(record.slots());
             out.writeUTF(record.state().name());
             out.writeInt(record.warmUpRemainingMs());
             out.writeUTF(record.stage().name());
             out.writeInt(record.models().size());
             for (ReplicaRecord.ModelVersion model : record.models()) {
-                out.writeUTF(model.name());
+                writeText(out, model.name());
                 out.writeInt(model.version());
             }
             out.writeLong(record.callSequence());
@@ -101,11 +102,11 @@
         }
         DataInputStream in = open(bytes);
         return new ReplicaRecord(
-                in.readUTF(),
-                in.readUTF(),
+                readText(in),
+                readText(in),
                 readAddress(in),
-                in.readUTF(),
-                in.readUTF(),
+                readText(in),
+                readText(in),
                 in.readInt(),
                 readConstant(ReplicaState.class, in.readUTF()),
                 in.readInt(),
@@ -118,11 +119,22 @@
     private static List<ReplicaRecord.ModelVersion> readModels(DataInputStream in) throws IOException {
         List<ReplicaRecord.ModelVersion> models = new ArrayList<>();
         for (int remaining = in.readInt(); remaining > 0; remaining--) {
-            models.add(new ReplicaRecord.ModelVersion(in.readUTF(), in.readInt()));
+            models.add(new ReplicaRecord.ModelVersion(readText(in), in.readInt()));
         }
         return models;
     }
 
+    /** Writes a text that a replica sent. The length that {@code writeUTF} can write is too small for some. */
+    private static void writeText(DataOutputStream out, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    private static String readText(DataInputStream in) throws IOException {
+        return new String(in.readNBytes(in.readInt()), StandardCharsets.UTF_8);
+    }
+
     private static <E extends Enum<E>> E readConstant(Class<E> type, String name) throws IOException {
         try {
             return Enum.valueOf(type, name);
--- a/router-fleet/storage/src/test/java/pinewick/storage/RemovalStorageTest.java
+++ b/router-fleet/storage/src/test/java/pinewick/storage/RemovalStorageTest.java
@@ -116,6 +116,23 @@
         }
     }
 
+    /** A text of a replica that cannot be written would keep every later removal from the disk. */
+    @Test
+    void storesTextsOfTheGreatestLengthThatAReplicaMaySend() throws InterruptedException {
+        String zone = "\ud83d\ude80".repeat(16_000);
+        SocketAddress address = new SocketAddress("10.128.0.9", 8080);
+        ReplicaRecord gone = new ReplicaRecord(
+                "i-1", "huvo11a", address, zone, "v1", 6, ReplicaState.GONE, 0, Stage.NONE, List.of(), 7, false);
+        try (XodusStore store = newStore(directory)) {
+            load(store);
+            persist(store, List.of(gone));
+        }
+        try (XodusStore store = newStore(directory)) {
+            load(store);
+            assertEquals(Set.of(gone), removals(store));
+        }
+    }
+
     /** After a failed write the files are opened again, and the first write may be that of a removal. */
     @Test
     void aRemovalWrittenBeforeTheStateIsReadLeavesTheStateConsistent() throws InterruptedException {
