A query's safety timeout waits for the decisions of its wake-up

Cause: timers fire first in a wake-up, the scheduler's decisions are carried out at the end of its batch. After a pause over both, the safety timeout answered before the batch ended. Evidence: with the loop held for 4 s after a query's attempt was sent, the client gets 500 each time.

Change: the safety timeout uses EventLoop.timeOut, whose event runs two polls later, after the batch of the wake-up, whatever the pause; and it ends only a query that is still open.

The 20 repetitions beside 12 busy processes were not run.

--- a/query-mixer/daemon/src/main/java/pinewick/pipeline/AdmissionController.java
+++ b/query-mixer/daemon/src/main/java/pinewick/pipeline/AdmissionController.java
@@ -49,13 +49,22 @@
         }
         queries.add(query);
         counters.peak("peak-held", queries.heldCount());
-        // Answers the query even if the scheduler fails or a timer is lost. It must fire after the scheduler's own
-        // deadline: before it, a query that could still be rejected (safe to retry) would fail instead.
-        query.safetyTimer =
-                loop.after(query.timeoutSeconds + limits.backstopDelaySeconds(), "a query's safety timeout", () -> {
-                    counters.add("ended-by-the-net");
-                    responses.fail(query);
-                });
+        query.safetyTimer = loop.timeOut(
+                query.timeoutSeconds + limits.backstopDelaySeconds(),
+                "a query's safety timeout",
+                () -> failIfOpen(query));
         router.submit(query);
     }
+
+    /**
+     * Answers a query even if the scheduler fails or a timer is lost. It has to run after the scheduler's own deadline,
+     * and after the batch in which that is handled: before it, a query that could still be rejected (safe to retry)
+     * would fail instead.
+     */
+    private void failIfOpen(OpenQuery query) {
+        if (!query.ended) {
+            counters.add("ended-by-the-net");
+            responses.fail(query);
+        }
+    }
 }
--- a/query-mixer/daemon/src/test/java/pinewick/lifecycle/AttemptDispatchRaceTest.java
+++ b/query-mixer/daemon/src/test/java/pinewick/lifecycle/AttemptDispatchRaceTest.java
@@ -1,6 +1,7 @@
 package pinewick.lifecycle;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -41,11 +42,15 @@
 
 /**
  * The request pipeline between real sockets, with a hook at the end of a batch before its attempts are sent. Guards
- * against attempts sent for a client that left, or to a replica that started draining, while the batch was handled.
+ * against attempts sent for a client that left, or to a replica that started draining, while the batch was handled, and
+ * against a safety timeout that fires before the decisions of its batch.
  */
 @Timeout(30)
 class AttemptDispatchRaceTest {
     private static final int WAIT_SECONDS = 10;
+    /** Longer than the deadline of the queries and the delay of their safety timeout. */
+    private static final int PAUSE_MS = 4_000;
+
     private static final String SETTINGS = "{\"settings\":{\"categories\":[{\"name\":\"any\",\"slo-ns\":1e9,"
             + "\"hard-limit-ns\":3e9,\"effect\":\"retryable\"}],\"bounds\":{\"multiplex\":10,\"try-limit\":3},"
             + "\"family-info\":{\"cells\":1,\"reach\":1,\"slabs\":1}}}";
@@ -242,4 +247,16 @@
             assertEquals(0, frames.size());
         }
     }
+
+    /** After a pause over the end of a query its client got 500 instead of 503, which says that it may retry. */
+    @Test
+    void theDecisionsEndAQueryAlsoAfterAPauseOverItsEnd() throws Exception {
+        try (Socket client = sendFirstQuery()) {
+            client.setSoTimeout(WAIT_SECONDS * 1_000);
+            onLoop(() -> Thread.sleep(PAUSE_MS));
+            byte[] status = client.getInputStream().readNBytes("HTTP/1.1 503".length());
+            assertEquals("HTTP/1.1 503", new String(status, StandardCharsets.US_ASCII));
+            assertFalse(pipeline.metrics().contains("ended-by-the-net"), pipeline.metrics());
+        }
+    }
 }
