The model holds acknowledged removals against routers also if the giver was out of touch

NEWS-22: the acknowledgement binds also where the machine that gave it was not in touch. FleetChecker left such acknowledgements out; now every router has to know them at the end of a run.

AttemptDispatchRaceTest holds the loop by polling for a frame, which also shows that none is sent meanwhile, in place of a bare sleep.

--- a/query-mixer/daemon/src/test/java/pinewick/lifecycle/AttemptDispatchRaceTest.java
+++ b/query-mixer/daemon/src/test/java/pinewick/lifecycle/AttemptDispatchRaceTest.java
@@ -253,7 +253,8 @@
     void theDecisionsEndAQueryAlsoAfterAPauseOverItsEnd() throws Exception {
         try (Socket client = sendFirstQuery()) {
             client.setSoTimeout(WAIT_SECONDS * 1_000);
-            onLoop(() -> Thread.sleep(PAUSE_MS));
+            // The process stands still; nothing fires and nothing reads the sockets meanwhile.
+            onLoop(() -> assertNull(frames.poll(PAUSE_MS, TimeUnit.MILLISECONDS)));
             byte[] status = client.getInputStream().readNBytes("HTTP/1.1 503".length());
             assertEquals("HTTP/1.1 503", new String(status, StandardCharsets.US_ASCII));
             assertFalse(pipeline.metrics().contains("ended-by-the-net"), pipeline.metrics());
--- a/testing/emulator/src/main/java/pinewick/emulator/control/FleetChecker.java
+++ b/testing/emulator/src/main/java/pinewick/emulator/control/FleetChecker.java
@@ -73,7 +73,11 @@
     void onRemovalAcknowledged(ControllerMachine controller, String instanceId, ReplicaState state) {
         boolean isInContact = controller.isUndisturbedSince(system.nowMs() - SimulatedSystem.CONTACT_MS)
                 && system.isInMajority(controller);
-        if (state == ReplicaState.READY || !isInContact) {
+        if (state == ReplicaState.READY) {
+            return;
+        }
+        if (!isInContact) {
+            rememberRemoval(instanceId, state);
             return;
         }
         if (acknowledgedRemovals.get(instanceId) != state) {
@@ -82,7 +86,7 @@
             onFirstAcknowledged.accept(controller);
         }
         double atMs = system.nowMs();
-        acknowledgedRemovals.merge(instanceId, state, (left, right) -> left.compareTo(right) > 0 ? left : right);
+        rememberRemoval(instanceId, state);
         if (!system.hasCleanLinks()) {
             return;
         }
@@ -96,6 +100,11 @@
                 () -> requireKnown(instanceId, state, atMs - SimulatedSystem.CONTACT_MS));
     }
 
+    /** At the end of the run all routers have to know the removal, whoever acknowledged it. */
+    private void rememberRemoval(String instanceId, ReplicaState state) {
+        acknowledgedRemovals.merge(instanceId, state, (left, right) -> left.compareTo(right) > 0 ? left : right);
+    }
+
     private void requireKnown(String instanceId, ReplicaState state, double undisturbedSinceMs) {
         for (RouterMachine router : system.routers()) {
             Optional<ReplicaState> outdated = router.process()
