--- a/review/harness-2/Cases.java
+++ b/review/harness-2/Cases.java
@@ -2,6 +2,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,7 @@
             case "bodies" -> longBodies();
             case "pause" -> pausedConnection();
             case "tenants" -> tenantNames();
+            case "connections" -> keptConnections();
             default -> throw new IllegalArgumentException(name);
         };
     }
@@ -240,6 +242,44 @@
         return lost > 3;
     }
 
+    /**
+     * CONFIG, as in longBodies. The disruption: 1.9 times as many users, each with one kept connection that rests for
+     * some ten seconds between two requests. At any time at most 50 requests are under way.
+     */
+    private boolean keptConnections() throws Exception {
+        int usual = 1_300;
+        int users = TROUBLE ? (int) (usual * 1.9) : usual;
+        int atOnce = 50;
+        start(3, (replica, request, out) -> {
+            Thread.sleep(200);
+            answer(replica, request, out, 800);
+        });
+        int[] opened = new int[atOnce];
+        long until = System.nanoTime() + 70_000_000_000L;
+        inParallel(atOnce, index -> {
+            List<Client> clients = new ArrayList<>();
+            for (int user = index; user < users; user += atOnce) {
+                clients.add(new Client(fleet.frontend(0)));
+            }
+            for (int turn = 0; turn < 3 && System.nanoTime() < until; turn++) {
+                long began = System.nanoTime();
+                for (int user = 0; user < clients.size() && System.nanoTime() < until; user++) {
+                    String id = "s-" + index + "-" + user + "-" + turn;
+                    boolean served = send(clients.get(user), "status", id, 600).status() == 200;
+                    opened[index] += served && turn == 0 ? 1 : 0;
+                }
+                if (turn < 2) {
+                    Thread.sleep(Math.max(0, 10_000 - (System.nanoTime() - began) / 1_000_000));
+                }
+            }
+            clients.forEach(Client::close);
+        });
+        Thread.sleep(1_000);
+        tally();
+        record.add("connections on which the first request was served: " + Arrays.stream(opened).sum());
+        return isAnsweredLate();
+    }
+
     /**
      * CONFIG: of the requests that run past their route's timeout_ms, eight or more, and more than a quarter, have no
      * final answer half a second later. The disruption: three clients send bodies of max_body_bytes, one at a time.
@@ -265,6 +305,11 @@
             }
         });
         tally();
+        return isAnsweredLate();
+    }
+
+    /** Whether of the requests that ran past timeout_ms eight, and a quarter, had no final answer half a second later. */
+    private boolean isAnsweredLate() {
         List<Sent> complete = List.copyOf(sent).stream()
                 .filter(each -> each.answer().status() != 0 || each.answer().tookMs() >= TIMEOUT_MS)
                 .toList();
--- a/review/harness-2/Client.java
+++ b/review/harness-2/Client.java
@@ -15,9 +15,13 @@
      */
     record Answer(int status, int bodyBytes, double tookMs, String failure) {}
 
+    /** Four fifths of idle_timeout_ms; a connection that has rested for longer is not used again. */
+    private static final long MAX_REST_NANOS = 12_000_000_000L;
+
     final InetSocketAddress address;
     private Socket socket;
     private InputStream in;
+    private long lastUsedNanos;
 
     Client(InetSocketAddress address) {
         this.address = address;
@@ -26,6 +30,9 @@
     Answer send(String target, String host, String id, int deadlineMs, byte[] body, String more) {
         long start = System.nanoTime();
         Map<String, String> headers = new LinkedHashMap<>();
+        if (start - lastUsedNanos > MAX_REST_NANOS) {
+            close();
+        }
         try {
             if (socket == null) {
                 socket = new Socket();
@@ -50,6 +57,7 @@
                 headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
             }
             int answer = readBody(headers);
+            lastUsedNanos = System.nanoTime();
             if ("close".equalsIgnoreCase(headers.get("connection"))) {
                 close();
             }
